--- /dev/null
+++ b/src/bamboomoor/base/clock.hpp
@@ -0,0 +1,112 @@
+/**
+ * The project's one clock type: points and spans of time in whole milliseconds.
+ * Cores receive points of time as arguments; only the shell reads a Clock.
+ */
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+
+namespace bamboomoor::base
+{
+
+/** @brief A point or span of time in milliseconds. */
+struct Millis {
+    std::int64_t count = 0;
+
+    friend constexpr auto operator<=>(const Millis &, const Millis &) noexcept = default;
+
+    constexpr Millis &operator+=(Millis other) noexcept
+    {
+        count += other.count;
+        return *this;
+    }
+
+    constexpr Millis &operator-=(Millis other) noexcept
+    {
+        count -= other.count;
+        return *this;
+    }
+
+    friend constexpr Millis operator+(Millis lhs, Millis rhs) noexcept
+    {
+        return {lhs.count + rhs.count};
+    }
+
+    friend constexpr Millis operator-(Millis lhs, Millis rhs) noexcept
+    {
+        return {lhs.count - rhs.count};
+    }
+
+    friend constexpr Millis operator*(Millis lhs, std::int64_t factor) noexcept
+    {
+        return {lhs.count * factor};
+    }
+
+    friend constexpr Millis operator/(Millis lhs, std::int64_t divisor) noexcept
+    {
+        return {lhs.count / divisor};
+    }
+};
+
+/** @brief The latest representable point of time, in milliseconds. */
+inline constexpr Millis NEVER{INT64_MAX};
+
+/** @brief Source of the present time. */
+class Clock
+{
+public:
+    virtual ~Clock() = default;
+
+    /**
+     * @brief Reads the clock.
+     * @return Milliseconds since a fixed but unspecified origin; never decreases.
+     */
+    [[nodiscard]] virtual Millis now() const noexcept = 0;
+};
+
+/** @brief The machine's monotonic clock. */
+class SteadyClock final : public Clock
+{
+public:
+    [[nodiscard]] Millis now() const noexcept override
+    {
+        const auto since = std::chrono::steady_clock::now().time_since_epoch();
+        return {std::chrono::duration_cast<std::chrono::milliseconds>(since).count()};
+    }
+};
+
+/** @brief A clock moved by hand, for tests. */
+class ManualClock final : public Clock
+{
+public:
+    [[nodiscard]] Millis now() const noexcept override
+    {
+        return m_now;
+    }
+
+    /**
+     * @brief Moves the clock forward.
+     * @param span Milliseconds to add, not negative.
+     */
+    void advance(Millis span) noexcept
+    {
+        m_now += span;
+    }
+
+private:
+    Millis m_now;
+};
+
+/**
+ * @brief Reads the calendar time.
+ * @return Milliseconds since the Unix epoch, for people to read; no decision depends on it.
+ */
+[[nodiscard]] inline Millis wallClock() noexcept
+{
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    return {std::chrono::duration_cast<std::chrono::milliseconds>(since).count()};
+}
+
+} // namespace bamboomoor::base
