--- /dev/null
+++ b/src/bamboomoor/peer/client.cpp
@@ -0,0 +1,165 @@
+/**
+ * Calls to one other daemon, on gRPC's callback interface.
+ */
+#include "bamboomoor/peer/client.hpp"
+#include "bamboomoor/peer/channel.hpp"
+
+#include "peer.grpc.pb.h"
+
+#include <grpcpp/grpcpp.h>
+
+#include <atomic>
+#include <chrono>
+#include <utility>
+
+namespace bamboomoor::peer
+{
+
+namespace
+{
+
+constexpr base::Millis DELIVER_TIMEOUT{1'000};
+constexpr int RECONNECT_MIN_MS = 50;
+constexpr int RECONNECT_MAX_MS = 500;
+
+grpc::ChannelArguments arguments()
+{
+    grpc::ChannelArguments args;
+    args.SetMaxReceiveMessageSize(MAX_MESSAGE_BYTES);
+    args.SetMaxSendMessageSize(MAX_MESSAGE_BYTES);
+    args.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, RECONNECT_MIN_MS);
+    args.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, RECONNECT_MIN_MS);
+    args.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, RECONNECT_MAX_MS);
+    args.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+    // A channel with the same arguments would share its connection, the silent one included.
+    args.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+    return args;
+}
+
+} // namespace
+
+class Client::Link
+{
+public:
+    explicit Link(const std::string &address)
+        : stub(wire::Peer::NewStub(grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments())))
+    {
+    }
+
+    std::unique_ptr<wire::Peer::Stub> stub;
+    // Set by the first call that timed out; the next call takes a new link.
+    std::atomic<bool> silent{false};
+};
+
+namespace
+{
+
+/** @brief What one call needs until its reply. */
+template<class Request, class Reply>
+struct Pending {
+    grpc::ClientContext context;
+    Request request;
+    Reply reply;
+};
+
+template<class Request, class Reply, class Start>
+void start(const std::shared_ptr<Client::Link> &link, const Request &request, base::Millis timeout,
+    OnReply<Reply> onReply, Start begin)
+{
+    auto pending = std::make_shared<Pending<Request, Reply>>();
+    pending->request = request;
+    pending->context.set_deadline(std::chrono::system_clock::now() + std::chrono::milliseconds(timeout.count));
+    auto *raw = pending.get();
+    begin(link->stub->async(), &raw->context, &raw->request, &raw->reply,
+        [link, pending = std::move(pending), onReply = std::move(onReply)](const grpc::Status &status) {
+            if (status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED) {
+                link->silent = true;
+            }
+            onReply(status.ok() ? std::optional<Reply>(std::move(pending->reply)) : std::nullopt);
+        });
+}
+
+} // namespace
+
+Client::Client(std::string address)
+    : m_address(std::move(address))
+{
+}
+
+Client::~Client() = default;
+
+std::shared_ptr<Client::Link> Client::link()
+{
+    const absl::MutexLock lock(&m_mutex);
+    if (!m_link || m_link->silent) {
+        m_link = std::make_shared<Link>(m_address);
+    }
+    return m_link;
+}
+
+void Client::deliver(const wire::Envelope &envelope)
+{
+    start<wire::Envelope, wire::Delivered>(
+        link(), envelope, DELIVER_TIMEOUT, [](const std::optional<wire::Delivered> &) {},
+        [](auto *stub, auto... args) {
+            stub->Deliver(args...);
+        });
+}
+
+void Client::call(const wire::ProposeRequest &request, base::Millis timeout, OnReply<wire::ProposeReply> onReply)
+{
+    start<wire::ProposeRequest, wire::ProposeReply>(
+        link(), request, timeout, std::move(onReply), [](auto *stub, auto... args) {
+            stub->Propose(args...);
+        });
+}
+
+void Client::call(const wire::FreshenRequest &request, base::Millis timeout, OnReply<wire::FreshenReply> onReply)
+{
+    start<wire::FreshenRequest, wire::FreshenReply>(
+        link(), request, timeout, std::move(onReply), [](auto *stub, auto... args) {
+            stub->Freshen(args...);
+        });
+}
+
+void Client::call(const wire::WitnessRequest &request, base::Millis timeout, OnReply<wire::WitnessReply> onReply)
+{
+    start<wire::WitnessRequest, wire::WitnessReply>(
+        link(), request, timeout, std::move(onReply), [](auto *stub, auto... args) {
+            stub->Witness(args...);
+        });
+}
+
+void Client::call(const wire::BudgetAsk &request, base::Millis timeout, OnReply<wire::BudgetReply> onReply)
+{
+    start<wire::BudgetAsk, wire::BudgetReply>(
+        link(), request, timeout, std::move(onReply), [](auto *stub, auto... args) {
+            stub->Ask(args...);
+        });
+}
+
+void Client::call(const wire::UpstreamSync &request, base::Millis timeout, OnReply<wire::UpstreamSync> onReply)
+{
+    start<wire::UpstreamSync, wire::UpstreamSync>(
+        link(), request, timeout, std::move(onReply), [](auto *stub, auto... args) {
+            stub->SyncUpstreams(args...);
+        });
+}
+
+void Client::call(const wire::HistoryRequest &request, base::Millis timeout, OnReply<wire::HistoryReply> onReply)
+{
+    start<wire::HistoryRequest, wire::HistoryReply>(
+        link(), request, timeout, std::move(onReply), [](auto *stub, auto... args) {
+            stub->History(args...);
+        });
+}
+
+void Client::call(const wire::DemandReport &request, base::Millis timeout, OnReply<wire::DemandReply> onReply)
+{
+    start<wire::DemandReport, wire::DemandReply>(
+        link(), request, timeout, std::move(onReply), [](auto *stub, auto... args) {
+            stub->ReportDemand(args...);
+        });
+}
+
+} // namespace bamboomoor::peer
