--- /dev/null
+++ b/src/bamboomoor/control/budgetdesk.hpp
@@ -0,0 +1,98 @@
+/**
+ * The thread of the budget authority: it acts while this voter leads, and answers the holders' asks.
+ */
+#pragma once
+
+#include "bamboomoor/base/clock.hpp"
+#include "bamboomoor/base/ring.hpp"
+#include "bamboomoor/budget/authority.hpp"
+#include "bamboomoor/control/voterdesk.hpp"
+#include "bamboomoor/peer/server.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <thread>
+#include <variant>
+#include <vector>
+
+namespace bamboomoor::control
+{
+
+/** @brief Runs the authority over budgets at the leader. */
+class BudgetDesk final : public VoterWatcher
+{
+public:
+    /**
+     * @brief Makes a desk that does not run yet.
+     * @param options The authority's settings; the term is replaced.
+     * @param voter Commits the ceilings; outlives the desk.
+     * @param clock The time; outlives the desk.
+     */
+    BudgetDesk(budget::AuthorityOptions options, VoterDesk &voter, const base::Clock &clock);
+    ~BudgetDesk() override;
+    BudgetDesk(const BudgetDesk &) = delete;
+    BudgetDesk &operator=(const BudgetDesk &) = delete;
+
+    /** @brief Starts the thread. */
+    void start();
+
+    /** @brief Ends the thread. */
+    void stop();
+
+    /**
+     * @brief Answers an ask; when this voter does not lead, the reply says who does.
+     * @param request The ask.
+     * @param answer Takes the reply.
+     */
+    void ask(const peer::wire::BudgetAsk &request, peer::Answer<peer::wire::BudgetReply> answer);
+
+    void onLeading(std::uint64_t term, const state::Machine &machine) override;
+    void onNotLeading() override;
+    void onConfiguration(const state::Machine &machine) override;
+
+private:
+    struct AskEvent {
+        peer::wire::BudgetAsk request;
+        peer::Answer<peer::wire::BudgetReply> answer;
+    };
+    struct Leading {
+        std::uint64_t term = 0;
+        std::vector<budget::CeilingEntry> ceilings;
+        std::vector<budget::Limit> limits;
+    };
+    struct NotLeading {
+    };
+    struct LimitsChanged {
+        std::vector<budget::Limit> limits;
+    };
+    struct CeilingDone {
+        std::uint64_t term = 0;
+        std::uint64_t number = 0;
+        consensus::ProposalStatus status = consensus::ProposalStatus::Unknown;
+    };
+    using Event = std::variant<AskEvent, Leading, NotLeading, LimitsChanged, CeilingDone>;
+
+    void run();
+    void on(AskEvent &event);
+    void on(Leading &event);
+    void on(NotLeading &event);
+    void on(LimitsChanged &event);
+    void on(CeilingDone &event);
+    void proposeCeiling();
+    void post(Event event);
+    void refuse(AskEvent &event) const;
+
+    budget::AuthorityOptions m_options;
+    VoterDesk &m_voter;
+    const base::Clock &m_clock;
+    base::Ring<Event> m_ring;
+    std::thread m_thread;
+    std::atomic<bool> m_stopping{false};
+    // Held while this voter leads; used by the desk's thread only.
+    std::optional<budget::Authority> m_authority;
+    std::uint64_t m_term = 0;
+};
+
+} // namespace bamboomoor::control
--- /dev/null
+++ b/src/bamboomoor/control/budgetwire.cpp
@@ -0,0 +1,133 @@
+/**
+ * Turns the messages between holders and the authority into their form between daemons, and back.
+ */
+#include "bamboomoor/control/budgetwire.hpp"
+
+#include <algorithm>
+
+namespace bamboomoor::control
+{
+
+namespace
+{
+
+/** @brief Reads an enum that a peer may send wrongly. */
+template<class Enum, class Table>
+Enum readEnum(std::uint32_t value, const Table &names, Enum otherwise)
+{
+    return value < names.size() ? static_cast<Enum>(value) : otherwise;
+}
+
+budget::AskEntry takeEntry(const peer::wire::BudgetAskEntry &from)
+{
+    budget::AskEntry entry;
+    entry.organisation = from.organisation();
+    entry.spent = from.spent();
+    entry.spentAge = {from.spent_age_ms()};
+    entry.returned = from.returned();
+    entry.debt = from.debt();
+    for (const auto &it : from.refunds()) {
+        entry.refunds.push_back({it.mark(), it.tokens()});
+    }
+    entry.needs.assign(from.needs().begin(), from.needs().end());
+    entry.wanted = from.wanted();
+    return entry;
+}
+
+budget::ReplyEntry takeEntry(const peer::wire::BudgetReplyEntry &from)
+{
+    budget::ReplyEntry entry;
+    entry.organisation = from.organisation();
+    entry.mark = from.mark();
+    entry.granted = from.granted();
+    for (const auto &it : from.needs()) {
+        entry.needs.push_back(
+            {readEnum(it.verdict(), budget::VERDICT_NAMES, budget::Verdict::Waiting), {it.retry_after_ms()}});
+    }
+    entry.recall = from.recall();
+    return entry;
+}
+
+} // namespace
+
+peer::wire::BudgetAsk toWire(const budget::Ask &ask)
+{
+    peer::wire::BudgetAsk to;
+    to.set_holder(ask.holder);
+    to.set_incarnation(ask.session.incarnation);
+    to.set_session(ask.session.number);
+    to.set_term(ask.term);
+    to.set_sequence(ask.sequence);
+    for (const budget::AskEntry &it : ask.entries) {
+        auto *entry = to.add_entries();
+        entry->set_organisation(it.organisation);
+        entry->set_spent(it.spent);
+        entry->set_spent_age_ms(it.spentAge.count);
+        entry->set_returned(it.returned);
+        entry->set_debt(it.debt);
+        for (const budget::Refund &refund : it.refunds) {
+            auto *wire = entry->add_refunds();
+            wire->set_mark(refund.mark);
+            wire->set_tokens(refund.tokens);
+        }
+        entry->mutable_needs()->Add(it.needs.begin(), it.needs.end());
+        entry->set_wanted(it.wanted);
+    }
+    return to;
+}
+
+peer::wire::BudgetReply toWire(const budget::Reply &reply)
+{
+    peer::wire::BudgetReply to;
+    to.set_served(true);
+    to.set_holder(reply.holder);
+    to.set_incarnation(reply.session.incarnation);
+    to.set_session(reply.session.number);
+    to.set_term(reply.term);
+    to.set_sequence(reply.sequence);
+    to.set_status(static_cast<std::uint32_t>(reply.status));
+    to.set_lease_ms(reply.lease.count);
+    for (const budget::ReplyEntry &it : reply.entries) {
+        auto *entry = to.add_entries();
+        entry->set_organisation(it.organisation);
+        entry->set_mark(it.mark);
+        entry->set_granted(it.granted);
+        entry->set_recall(it.recall);
+        for (const budget::NeedReply &need : it.needs) {
+            auto *wire = entry->add_needs();
+            wire->set_verdict(static_cast<std::uint32_t>(need.verdict));
+            wire->set_retry_after_ms(need.retryAfter.count);
+        }
+    }
+    return to;
+}
+
+budget::Ask fromWire(const peer::wire::BudgetAsk &ask)
+{
+    budget::Ask to;
+    to.holder = ask.holder();
+    to.session = {ask.incarnation(), ask.session()};
+    to.term = ask.term();
+    to.sequence = ask.sequence();
+    std::transform(ask.entries().begin(), ask.entries().end(), std::back_inserter(to.entries), [](const auto &it) {
+        return takeEntry(it);
+    });
+    return to;
+}
+
+budget::Reply fromWire(const peer::wire::BudgetReply &reply)
+{
+    budget::Reply to;
+    to.holder = reply.holder();
+    to.session = {reply.incarnation(), reply.session()};
+    to.term = reply.term();
+    to.sequence = reply.sequence();
+    to.status = readEnum(reply.status(), budget::ASK_STATUS_NAMES, budget::AskStatus::Outdated);
+    to.lease = {reply.lease_ms()};
+    std::transform(reply.entries().begin(), reply.entries().end(), std::back_inserter(to.entries), [](const auto &it) {
+        return takeEntry(it);
+    });
+    return to;
+}
+
+} // namespace bamboomoor::control
--- /dev/null
+++ b/src/bamboomoor/control/voterdesk.cpp
@@ -0,0 +1,396 @@
+/**
+ * The thread of a voter, between the consensus core, its storage and the replicated state.
+ */
+#include "bamboomoor/control/voterdesk.hpp"
+#include "bamboomoor/base/overloaded.hpp"
+#include "bamboomoor/control/consensuswire.hpp"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace bamboomoor::control
+{
+
+namespace
+{
+
+// Jobs taken into one step, so that they share one sync.
+constexpr std::size_t MAX_BATCH = 512;
+constexpr base::Millis MAX_WAIT{1'000};
+
+/** @brief Tells whether a command may change the configuration; bytes that are no command may not. */
+bool touchesConfiguration(const consensus::Entry &entry)
+{
+    if (entry.kind != consensus::EntryKind::Command) {
+        return false;
+    }
+    const auto command = state::decode(entry.payload);
+    return command.has_value()
+        && (std::holds_alternative<state::ApplyConfig>(command.value())
+            || std::holds_alternative<state::AddKey>(command.value())
+            || std::holds_alternative<state::WithdrawKey>(command.value()));
+}
+
+Proposed rejected(std::string leader, consensus::RejectReason reason)
+{
+    return {consensus::ProposalStatus::Rejected, reason, std::nullopt, std::move(leader)};
+}
+
+} // namespace
+
+VoterDesk::VoterDesk(VoterOptions options, const PeerBook &peers, const base::Clock &clock)
+    : m_options(std::move(options))
+    , m_peers(peers)
+    , m_clock(clock)
+    , m_ring(m_options.ringSize)
+{
+}
+
+VoterDesk::~VoterDesk()
+{
+    stop();
+}
+
+void VoterDesk::watch(VoterWatcher &watcher)
+{
+    assert(!m_thread.joinable());
+    m_watchers.push_back(&watcher);
+}
+
+base::Result<void, std::string> VoterDesk::start()
+{
+    auto opened = storage::LogStore::open(m_options.folder);
+    if (!opened) {
+        return base::failure(opened.error().message);
+    }
+    m_store = std::move(opened.value().store);
+    consensus::Recovered recovered = std::move(opened.value().recovered);
+    m_machine = std::make_unique<state::Machine>();
+    if (recovered.snapshot.index > 0) {
+        auto restored = state::Machine::restore(recovered.snapshot.data);
+        if (!restored) {
+            return base::failure("the snapshot in " + m_options.folder + ": " + restored.error().message);
+        }
+        *m_machine = std::move(restored.value());
+    }
+    m_applied = recovered.snapshot.index;
+    m_compacted = recovered.snapshot.index;
+    m_seenVersion = m_machine->configuration().inForce().version;
+    for (const consensus::Entry &it : recovered.entries) {
+        m_tail[it.index] = touchesConfiguration(it);
+    }
+    m_node = std::make_unique<consensus::Node>(m_options.node, std::move(recovered));
+    publishStatus();
+    m_thread = std::thread([this] {
+        run();
+    });
+    return base::success();
+}
+
+void VoterDesk::stop()
+{
+    m_stopping = true;
+    m_ring.close();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void VoterDesk::deliver(consensus::Message message)
+{
+    static_cast<void>(m_ring.push(Job(std::move(message))));
+}
+
+void VoterDesk::propose(std::string payload, std::optional<std::uint64_t> term, std::function<void(Proposed)> done)
+{
+    Job job(ProposeJob{std::move(payload), term, std::move(done)});
+    if (!m_ring.push(std::move(job))) {
+        refuse(std::move(job)); // NOLINT(bugprone-use-after-move): a refused push leaves the job as it was.
+    }
+}
+
+void VoterDesk::changeVoters(consensus::ChangeKind change, std::string id, std::function<void(Proposed)> done)
+{
+    Job job(VotersJob{change, std::move(id), std::move(done)});
+    if (!m_ring.push(std::move(job))) {
+        refuse(std::move(job)); // NOLINT(bugprone-use-after-move): a refused push leaves the job as it was.
+    }
+}
+
+void VoterDesk::read(std::function<void(const ReadOutcome &)> done)
+{
+    Job job(ReadJob{std::move(done)});
+    if (!m_ring.push(std::move(job))) {
+        refuse(std::move(job)); // NOLINT(bugprone-use-after-move): a refused push leaves the job as it was.
+    }
+}
+
+void VoterDesk::testify(std::function<void(const Testimony &)> done)
+{
+    Job job(TestifyJob{std::move(done)});
+    if (!m_ring.push(std::move(job))) {
+        refuse(std::move(job)); // NOLINT(bugprone-use-after-move): a refused push leaves the job as it was.
+    }
+}
+
+VoterStatus VoterDesk::status() const
+{
+    const absl::MutexLock lock(&m_mutex);
+    return m_status;
+}
+
+void VoterDesk::run()
+{
+    while (!m_stopping && !m_failed) {
+        const base::Millis wait = std::clamp(m_node->nextDeadline() - m_clock.now(), base::Millis{0}, MAX_WAIT);
+        std::vector<consensus::Input> inputs;
+        takeJobs(inputs, wait);
+        inputs.emplace_back(consensus::Tick{});
+        carryOut(m_node->stepAll(m_clock.now(), std::move(inputs)));
+        compactIfDue();
+        followRole();
+        publishStatus();
+    }
+    // What still waits gets its answer.
+    m_ring.close();
+    while (auto job = m_ring.pop({0})) {
+        refuse(*std::move(job));
+    }
+    for (auto &[id, done] : m_proposals) {
+        done({consensus::ProposalStatus::Unknown, consensus::RejectReason::None, std::nullopt, {}});
+    }
+    for (auto &[id, done] : m_reads) {
+        done({});
+    }
+}
+
+void VoterDesk::takeJobs(std::vector<consensus::Input> &inputs, base::Millis timeout)
+{
+    auto job = m_ring.pop(timeout);
+    while (job) {
+        takeJob(inputs, *std::move(job));
+        job = inputs.size() < MAX_BATCH ? m_ring.pop({0}) : std::nullopt;
+    }
+}
+
+void VoterDesk::takeJob(std::vector<consensus::Input> &inputs, Job job)
+{
+    std::visit(base::Overloaded{
+                   [&](consensus::Message &message) {
+                       inputs.emplace_back(std::move(message));
+                   },
+                   [&](ProposeJob &it) {
+                       m_proposals.emplace(++m_lastRequest, std::move(it.done));
+                       inputs.emplace_back(consensus::Propose{m_lastRequest, std::move(it.payload), it.term});
+                   },
+                   [&](VotersJob &it) {
+                       m_proposals.emplace(++m_lastRequest, std::move(it.done));
+                       inputs.emplace_back(consensus::ProposeVoters{m_lastRequest, it.change, std::move(it.id)});
+                   },
+                   [&](ReadJob &it) {
+                       m_reads.emplace(++m_lastRequest, std::move(it.done));
+                       inputs.emplace_back(consensus::ReadRequest{m_lastRequest});
+                   },
+                   [&](TestifyJob &it) {
+                       it.done(testimony());
+                   },
+               },
+        job);
+}
+
+void VoterDesk::carryOut(consensus::Outputs outputs)
+{
+    // Each persisted piece of work releases further outputs.
+    while (true) {
+        send(outputs.messages);
+        if (outputs.installed) {
+            install(*outputs.installed);
+        }
+        apply(outputs.committed);
+        answer(outputs);
+        if (!outputs.persist) {
+            return;
+        }
+        if (!persist(*outputs.persist)) {
+            return;
+        }
+        outputs = m_node->step(m_clock.now(), consensus::PersistDone{outputs.persist->sequence});
+    }
+}
+
+void VoterDesk::send(const std::vector<consensus::Message> &messages)
+{
+    for (const consensus::Message &it : messages) {
+        if (peer::Client *client = m_peers.find(it.to)) {
+            client->deliver(toWire(it));
+        }
+    }
+}
+
+bool VoterDesk::persist(const consensus::Persist &persist)
+{
+    trackTail(persist);
+    const auto written = m_store->persist(persist);
+    if (!written) {
+        fail(written.error().message);
+        return false;
+    }
+    return true;
+}
+
+void VoterDesk::trackTail(const consensus::Persist &persist)
+{
+    if (persist.snapshot) {
+        m_tail.erase(m_tail.begin(), m_tail.upper_bound(persist.snapshot->index));
+    }
+    if (persist.entries.empty()) {
+        return;
+    }
+    m_tail.erase(m_tail.lower_bound(persist.entries.front().index), m_tail.end());
+    for (const consensus::Entry &it : persist.entries) {
+        if (it.index > m_applied) {
+            m_tail[it.index] = touchesConfiguration(it);
+        }
+    }
+}
+
+void VoterDesk::install(const consensus::Snapshot &snapshot)
+{
+    auto restored = state::Machine::restore(snapshot.data);
+    if (!restored) {
+        fail("a snapshot from the leader: " + restored.error().message);
+        return;
+    }
+    *m_machine = std::move(restored.value());
+    m_applied = snapshot.index;
+    m_compacted = snapshot.index;
+    m_tail.erase(m_tail.begin(), m_tail.upper_bound(m_applied));
+}
+
+void VoterDesk::apply(const std::vector<consensus::Entry> &entries)
+{
+    for (const consensus::Entry &it : entries) {
+        if (it.kind == consensus::EntryKind::Command) {
+            m_outcomes[it.index] = m_machine->apply(it.index, it.payload);
+        }
+        m_applied = it.index;
+    }
+    m_tail.erase(m_tail.begin(), m_tail.upper_bound(m_applied));
+    const std::uint64_t version = m_machine->configuration().inForce().version;
+    if (version != m_seenVersion) {
+        m_seenVersion = version;
+        std::for_each(m_watchers.begin(), m_watchers.end(), [this](VoterWatcher *it) {
+            it->onConfiguration(*m_machine);
+        });
+    }
+}
+
+void VoterDesk::answer(const consensus::Outputs &outputs)
+{
+    for (const consensus::ProposalResult &it : outputs.proposals) {
+        auto node = m_proposals.extract(it.requestId);
+        if (node.empty()) {
+            continue;
+        }
+        Proposed verdict{it.status, it.reason, std::nullopt, it.leader};
+        const auto outcome = m_outcomes.find(it.index);
+        if (it.status == consensus::ProposalStatus::Committed && outcome != m_outcomes.end()) {
+            verdict.outcome = outcome->second;
+        }
+        node.mapped()(std::move(verdict));
+    }
+    m_outcomes.clear();
+    for (const consensus::ReadResult &it : outputs.reads) {
+        auto node = m_reads.extract(it.requestId);
+        if (!node.empty()) {
+            node.mapped()({it.confirmed && m_applied >= it.index, it.leader, m_node->term(), m_machine.get()});
+        }
+    }
+}
+
+void VoterDesk::compactIfDue()
+{
+    if (m_failed || m_applied < m_compacted + m_options.snapshotInterval) {
+        return;
+    }
+    m_compacted = m_applied;
+    carryOut(m_node->step(m_clock.now(), consensus::Compact{m_applied, m_machine->snapshot()}));
+}
+
+void VoterDesk::followRole()
+{
+    const bool leads = !m_failed && m_node->role() == consensus::Role::Leader && m_node->confirmedAt().has_value();
+    const std::uint64_t term = leads ? m_node->term() : 0;
+    if (term == m_leadingTerm) {
+        return;
+    }
+    if (m_leadingTerm != 0) {
+        LOG(INFO) << "event=leadership_ended term=" << m_leadingTerm;
+        std::for_each(m_watchers.begin(), m_watchers.end(), [](VoterWatcher *it) {
+            it->onNotLeading();
+        });
+    }
+    m_leadingTerm = term;
+    if (term != 0) {
+        LOG(INFO) << "event=leadership_begun term=" << term;
+        std::for_each(m_watchers.begin(), m_watchers.end(), [this, term](VoterWatcher *it) {
+            it->onLeading(term, *m_machine);
+        });
+    }
+}
+
+void VoterDesk::publishStatus()
+{
+    VoterStatus status;
+    status.role = m_node->role();
+    status.term = m_node->term();
+    status.leader = m_node->leader();
+    status.commitIndex = m_node->commitIndex();
+    status.appliedIndex = m_applied;
+    status.voters = m_node->membership().voters;
+    status.learners = m_node->membership().learners;
+    status.failed = m_failed;
+    const absl::MutexLock lock(&m_mutex);
+    m_status = std::move(status);
+}
+
+void VoterDesk::fail(const std::string &reason)
+{
+    LOG(ERROR) << "event=vote_ended reason=\"" << reason << '"';
+    m_failed = true;
+}
+
+void VoterDesk::refuse(Job job)
+{
+    std::visit(base::Overloaded{
+                   [](consensus::Message &) {},
+                   [](ProposeJob &it) {
+                       it.done(rejected({}, consensus::RejectReason::Overloaded));
+                   },
+                   [](VotersJob &it) {
+                       it.done(rejected({}, consensus::RejectReason::Overloaded));
+                   },
+                   [](ReadJob &it) {
+                       it.done({});
+                   },
+                   [](TestifyJob &it) {
+                       it.done({});
+                   },
+               },
+        job);
+}
+
+Testimony VoterDesk::testimony() const
+{
+    const bool open = std::any_of(m_tail.begin(), m_tail.end(), [](const auto &it) {
+        return it.second;
+    });
+    const auto &voters = m_node->membership().voters;
+    const bool votes = m_node->joined() && std::binary_search(voters.begin(), voters.end(), m_options.node.self);
+    return {votes && !open && !m_failed, m_machine->configuration().inForce().version, voters};
+}
+
+} // namespace bamboomoor::control
--- /dev/null
+++ b/src/bamboomoor/entry/admit.cpp
@@ -0,0 +1,332 @@
+/**
+ * The entry's thread: claims, budget and queue.
+ */
+#include "bamboomoor/base/digest.hpp"
+#include "bamboomoor/control/budgetwire.hpp"
+#include "bamboomoor/entry/desk.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace bamboomoor::entry
+{
+
+namespace
+{
+
+constexpr base::Millis CLAIM_DEADLINE{4'000};
+constexpr base::Millis STORE_DEADLINE{10'000};
+constexpr base::Millis RELEASE_DEADLINE{60'000};
+constexpr base::Millis CLAIM_CALL_TIMEOUT{1'000};
+constexpr base::Millis CLAIM_RETRY_DELAY{50};
+constexpr base::Millis ASK_TIMEOUT{500};
+
+std::string digestOf(const http::Request &request)
+{
+    return base::sha256(request.method + '\n' + request.path + '?' + request.query + '\n' + request.body);
+}
+
+} // namespace
+
+void Desk::claim(Exchange &exchange)
+{
+    exchange.phase = Phase::Claiming;
+    state::OpenClaim command;
+    command.organisation = exchange.organisation;
+    command.key = exchange.claimKey;
+    command.requestDigest = digestOf(exchange.request);
+    command.vm = m_options.vm;
+    command.incarnation = m_options.incarnation;
+    command.attempt = exchange.requestId;
+    command.wallMillis = base::wallClock().count;
+    command.expiresMillis = command.wallMillis + exchange.resolved.retention.count;
+    proposeClaim({exchange.id, state::encode(command), exchange.arrivedAt + CLAIM_DEADLINE});
+}
+
+void Desk::proposeClaim(ClaimTry attempt)
+{
+    const std::string voter = m_context.leader.get();
+    peer::wire::ProposeRequest request;
+    request.set_command(attempt.payload);
+    m_context.peers.find(voter)->call(
+        request, CLAIM_CALL_TIMEOUT, [this, voter, attempt](const std::optional<peer::wire::ProposeReply> &reply) {
+            ClaimReplied event{attempt, std::nullopt};
+            if (reply && !reply->leader().empty()) {
+                m_context.leader.learn(reply->leader());
+            } else if (!reply || reply->verdict() == peer::wire::NOT_LEADER) {
+                m_context.leader.skip(voter);
+            }
+            if (reply && reply->verdict() == peer::wire::APPLIED) {
+                const auto outcome = state::decodeOutcome(reply->outcome());
+                if (outcome && std::holds_alternative<state::ClaimOutcome>(outcome.value())) {
+                    event.outcome = std::get<state::ClaimOutcome>(outcome.value());
+                }
+            }
+            static_cast<void>(m_ring.push(std::move(event)));
+        });
+}
+
+void Desk::retryClaims(base::Millis now)
+{
+    std::vector<ClaimTry> due;
+    std::erase_if(m_claimRetries, [&](const ClaimRetry &it) {
+        if (it.at <= now) {
+            due.push_back(it.again);
+        }
+        return it.at <= now;
+    });
+    for (ClaimTry &it : due) {
+        proposeClaim(std::move(it));
+    }
+}
+
+void Desk::on(ClaimReplied &event)
+{
+    const base::Millis now = m_context.clock.now();
+    if (!event.outcome && now < event.sent.deadline) {
+        m_claimRetries.push_back({now + CLAIM_RETRY_DELAY, std::move(event.sent)});
+        return;
+    }
+    Exchange *exchange = find(event.sent.exchange);
+    if (exchange == nullptr) {
+        return;
+    }
+    if (exchange->phase == Phase::Storing) {
+        // Without an outcome the answer may not be stored; the caller has it all the same.
+        exchange->responder->respond(*std::move(exchange->answer));
+        settle(*exchange, exchange->usedTokens.value_or(exchange->resolved.cost));
+        finish(*exchange);
+        return;
+    }
+    if (!event.outcome) {
+        // The claim may be open; it is released so that a resend can run.
+        refuse(*exchange, admission::Refusal::NotFresh, "the claim could not be committed in time");
+        return;
+    }
+    opened(*exchange, *event.outcome);
+}
+
+void Desk::opened(Exchange &exchange, const state::ClaimOutcome &outcome)
+{
+    using admission::Refusal;
+    using state::ClaimCode;
+    const auto end = [&](Refusal refusal, const char *message, std::optional<bool> notRun) {
+        exchange.claimKey.clear();
+        refuse(exchange, refusal, message, notRun);
+    };
+    switch (outcome.code) {
+    case ClaimCode::Opened:
+        exchange.claimId = outcome.claimId;
+        admit(exchange);
+        return;
+    case ClaimCode::Stored:
+        answerStored(exchange, outcome.answer.value());
+        return;
+    case ClaimCode::AlreadyOpen:
+        end(Refusal::InProgress, "the first request with this Idempotency-Key is in progress", std::nullopt);
+        return;
+    case ClaimCode::Unknown:
+        end(Refusal::OutcomeUnknown, "whether the first request with this Idempotency-Key ran is not known",
+            std::nullopt);
+        return;
+    case ClaimCode::DifferentRequest:
+        end(Refusal::IdempotencyMismatch, "this Idempotency-Key was used for another request", true);
+        return;
+    case ClaimCode::Full:
+    case ClaimCode::Finished:
+    case ClaimCode::NotOpen:
+        end(Refusal::QueueFull, "no further claim can be opened", true);
+        return;
+    }
+}
+
+void Desk::answerStored(Exchange &exchange, const state::StoredAnswer &answer)
+{
+    if (answer.tooLarge) {
+        exchange.claimKey.clear();
+        refuse(exchange, admission::Refusal::OutcomeUnknown,
+            "the request ran once with status " + std::to_string(answer.status) + "; its answer was not kept", false);
+        return;
+    }
+    m_context.metrics.answered("stored");
+    http::Response response{static_cast<int>(answer.status), {}, answer.body};
+    for (const state::Header &it : answer.headers) {
+        response.headers.push_back({it.name, it.value});
+    }
+    response.headers.push_back({"Idempotent-Replayed", "true"});
+    response.headers.push_back({"X-Request-Id", exchange.requestId});
+    exchange.responder->respond(std::move(response));
+    finish(exchange);
+}
+
+void Desk::releaseClaim(Exchange &exchange, bool mayHaveRun)
+{
+    if (exchange.claimKey.empty()) {
+        return;
+    }
+    const state::ReleaseClaim command{
+        exchange.organisation, exchange.claimKey, m_options.vm, exchange.requestId, mayHaveRun};
+    proposeClaim({0, state::encode(command), m_context.clock.now() + RELEASE_DEADLINE});
+}
+
+void Desk::storeAnswer(Exchange &exchange, http::Response answer)
+{
+    exchange.phase = Phase::Storing;
+    state::FinishClaim command;
+    command.organisation = exchange.organisation;
+    command.key = exchange.claimKey;
+    command.claimId = exchange.claimId;
+    command.status = answer.status;
+    command.body = answer.body;
+    for (const http::Header &it : answer.headers) {
+        if (!http::equalsIgnoringCase(it.name, "X-Request-Id")) {
+            command.headers.push_back({it.name, it.value});
+        }
+    }
+    exchange.answer = std::move(answer);
+    proposeClaim({exchange.id, state::encode(command), m_context.clock.now() + STORE_DEADLINE});
+}
+
+void Desk::admit(Exchange &exchange)
+{
+    if (exchange.organisation.empty()) {
+        enqueue(exchange);
+        return;
+    }
+    exchange.phase = Phase::Budgeting;
+    const base::Millis now = m_context.clock.now();
+    const budget::Admission admission = m_holder.admit(now, exchange.organisation, exchange.resolved.cost);
+    exchange.reservation = admission.reservation;
+    m_byReservation[admission.reservation] = exchange.id;
+    decided(exchange, admission);
+}
+
+void Desk::decided(Exchange &exchange, const budget::Admission &admission)
+{
+    if (admission.verdict == budget::Verdict::Waiting) {
+        return;
+    }
+    if (admission.verdict == budget::Verdict::Admitted) {
+        enqueue(exchange);
+        return;
+    }
+    m_byReservation.erase(exchange.reservation);
+    exchange.reservation = 0;
+    const bool never = admission.retryAfter == base::NEVER;
+    refuse(exchange, admission::Refusal::RateExceeded,
+        never ? "the request may cost more tokens than the organisation's burst" : "the organisation's rate is used up",
+        true, never ? base::Millis{60'000} : admission.retryAfter);
+}
+
+void Desk::decidedAll(const std::vector<budget::Admission> &admissions)
+{
+    for (const budget::Admission &it : admissions) {
+        const auto id = m_byReservation.find(it.reservation);
+        Exchange *exchange = id == m_byReservation.end() ? nullptr : find(id->second);
+        if (exchange != nullptr && exchange->phase == Phase::Budgeting) {
+            decided(*exchange, it);
+        }
+    }
+}
+
+void Desk::on(BudgetReplied &event)
+{
+    decidedAll(m_holder.onReply(m_context.clock.now(), event.reply));
+}
+
+void Desk::sendAsk()
+{
+    const auto ask = m_holder.takeAsk(m_context.clock.now());
+    if (!ask) {
+        return;
+    }
+    const std::string voter = m_context.leader.get();
+    m_context.peers.find(voter)->call(
+        control::toWire(*ask), ASK_TIMEOUT, [this, voter](const std::optional<peer::wire::BudgetReply> &reply) {
+            if (reply && reply->served()) {
+                static_cast<void>(m_ring.push(BudgetReplied{control::fromWire(*reply)}));
+            } else if (reply && !reply->leader().empty()) {
+                m_context.leader.learn(reply->leader());
+            } else {
+                m_context.leader.skip(voter);
+            }
+        });
+}
+
+void Desk::settle(Exchange &exchange, std::int64_t actual)
+{
+    if (exchange.reservation != 0) {
+        m_holder.settle(m_context.clock.now(), exchange.reservation, actual);
+        m_byReservation.erase(exchange.reservation);
+        exchange.reservation = 0;
+    }
+}
+
+void Desk::enqueue(Exchange &exchange)
+{
+    const Target &target = exchange.resolved.target;
+    {
+        const absl::MutexLock lock(&m_mutex);
+        ++m_demand[target].requests;
+    }
+    if (m_queued >= m_options.queueLimit) {
+        refuse(exchange, admission::Refusal::QueueFull, "too many requests wait");
+        return;
+    }
+    const int priority = exchange.resolved.generation ? static_cast<int>(exchange.resolved.generation->priority) : 0;
+    const bool queued = m_queues[target].push(m_context.clock.now(),
+        {.id = exchange.id,
+            .organisation = exchange.organisation,
+            .cost = exchange.resolved.cost,
+            .deadline = exchange.deadline,
+            .priority = priority});
+    if (!queued) {
+        refuse(exchange, admission::Refusal::QueueFull, "too many requests of the organisation wait");
+        return;
+    }
+    exchange.phase = Phase::Queued;
+    ++m_queued;
+}
+
+void Desk::pump()
+{
+    std::vector<Target> targets;
+    for (const auto &[target, queue] : m_queues) {
+        targets.push_back(target);
+    }
+    for (const Target &target : targets) {
+        while (pumpTarget(target)) { }
+        if (m_queues.at(target).size() == 0) {
+            m_queues.erase(target);
+        }
+    }
+}
+
+bool Desk::pumpTarget(const Target &target)
+{
+    admission::FairQueue &queue = m_queues.at(target);
+    if (queue.size() == 0) {
+        return false;
+    }
+    const base::Millis now = m_context.clock.now();
+    const auto candidates = m_context.upstreams.candidates(now, target);
+    const bool room = candidates.empty() || std::any_of(candidates.begin(), candidates.end(), [this](const auto &it) {
+        return m_router.load(it.upstream).inFlight < m_options.engineDepth;
+    });
+    if (!room) {
+        return false;
+    }
+    const auto item = queue.pop(now);
+    if (!item) {
+        return false;
+    }
+    --m_queued;
+    if (Exchange *exchange = find(item->id)) {
+        exchange->phase = Phase::BackingOff;
+        exchange->resumeAt = now;
+        static_cast<void>(dispatch(*exchange));
+    }
+    return true;
+}
+
+} // namespace bamboomoor::entry
--- /dev/null
+++ b/src/bamboomoor/entry/desk.cpp
@@ -0,0 +1,403 @@
+/**
+ * The entry's thread: its loop, the arrival of requests, and refusals.
+ */
+#include "bamboomoor/entry/desk.hpp"
+#include "bamboomoor/base/digest.hpp"
+#include "bamboomoor/base/overloaded.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace bamboomoor::entry
+{
+
+namespace
+{
+
+constexpr base::Millis BUSY_TICK{5};
+constexpr base::Millis IDLE_TICK{50};
+constexpr std::size_t MAX_EVENTS_PER_PUMP = 256;
+constexpr std::string_view BEARER = "Bearer ";
+
+std::string bearerKey(const http::Request &request)
+{
+    const std::string_view value = request.header("Authorization");
+    if (value.size() <= BEARER.size() || !http::equalsIgnoringCase(value.substr(0, BEARER.size()), BEARER)) {
+        return {};
+    }
+    return std::string(value.substr(BEARER.size()));
+}
+
+/** @brief Tells whether a key would reach an upstream by another way than its header. */
+bool repeatsKey(const http::Request &request, const std::string &key)
+{
+    const auto holds = [&key](std::string_view text) {
+        return text.find(key) != std::string_view::npos;
+    };
+    const bool inHeader = std::any_of(request.headers.begin(), request.headers.end(), [&](const http::Header &it) {
+        return !http::equalsIgnoringCase(it.name, "Authorization") && holds(it.value);
+    });
+    return inHeader || holds(request.path) || holds(request.query) || holds(request.body);
+}
+
+http::Response listModels(const Configuration &configuration)
+{
+    auto data = nlohmann::json::array();
+    for (const config::Model &it : configuration.document.models) {
+        data.push_back({{"id", it.name}, {"object", "model"}, {"owned_by", "bamboomoor"}});
+    }
+    for (const config::Adapter &it : configuration.document.adapters) {
+        data.push_back({{"id", it.name}, {"object", "model"}, {"owned_by", "bamboomoor"}, {"parent", it.model}});
+    }
+    const nlohmann::json body{{"object", "list"}, {"data", std::move(data)}};
+    return {200, {{"Content-Type", "application/json"}}, body.dump()};
+}
+
+} // namespace
+
+Desk::Desk(DeskOptions options, DeskContext context)
+    : m_options(std::move(options))
+    , m_context(context)
+    , m_ring(m_options.ringSize)
+    , m_holder({.name = m_options.vm, .incarnation = m_options.incarnation})
+    , m_router(routing::makePolicy(routing::PolicyKind::TimeToFirstToken, m_options.seed),
+          {.engineDepth = m_options.engineDepth})
+    , m_backoff(m_options.seed)
+{
+}
+
+Desk::~Desk()
+{
+    stop();
+}
+
+void Desk::start()
+{
+    m_thread = std::thread([this] {
+        run();
+    });
+}
+
+void Desk::stop()
+{
+    m_stopping = true;
+    m_ring.close();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void Desk::handle(http::Request request, const std::shared_ptr<http::Responder> &responder)
+{
+    ++m_inProgress;
+    if (!m_ring.push(Arrived{std::move(request), responder})) {
+        --m_inProgress;
+        m_context.metrics.refused(admission::refusalName(admission::Refusal::QueueFull));
+        responder->respond(admission::errorResponse({admission::Refusal::QueueFull, "the entry is overloaded", true}));
+    }
+}
+
+void Desk::configurationChanged()
+{
+    static_cast<void>(m_ring.push(ConfigurationChanged{}));
+}
+
+void Desk::run()
+{
+    while (!m_stopping) {
+        const base::Millis now = m_context.clock.now();
+        auto event = m_ring.pop(std::max(m_nextTick - now, base::Millis{0}));
+        for (std::size_t n = 0; event && n < MAX_EVENTS_PER_PUMP; ++n) {
+            take(*std::move(event));
+            event = m_ring.pop({0});
+        }
+        if (event) {
+            take(*std::move(event));
+        }
+        if (m_context.clock.now() >= m_nextTick) {
+            tick();
+        }
+        pump();
+        sendAsk();
+    }
+    std::vector<std::uint64_t> rest;
+    for (const auto &[id, exchange] : m_exchanges) {
+        rest.push_back(id);
+    }
+    for (const std::uint64_t id : rest) {
+        Exchange &exchange = *m_exchanges.at(id);
+        const bool ran = exchange.delivery.attempts() > 0;
+        cancelAttempt(exchange);
+        endWithError(exchange, ran ? admission::Refusal::OutcomeUnknown : admission::Refusal::Draining,
+            "the entry stops", ran ? std::nullopt : std::optional(true));
+    }
+}
+
+void Desk::take(Event event)
+{
+    std::visit(
+        [this](auto &it) {
+            on(it);
+        },
+        event);
+}
+
+Exchange *Desk::find(std::uint64_t id)
+{
+    const auto it = m_exchanges.find(id);
+    return it == m_exchanges.end() ? nullptr : it->second.get();
+}
+
+void Desk::on(Arrived &event)
+{
+    const std::uint64_t id = ++m_lastExchange;
+    Exchange &exchange = *m_exchanges.emplace(id, std::make_unique<Exchange>()).first->second;
+    exchange.id = id;
+    exchange.requestId = m_options.vm + '-' + std::to_string(m_options.incarnation) + '-' + std::to_string(id);
+    exchange.request = std::move(event.request);
+    exchange.responder = std::move(event.responder);
+    exchange.arrivedAt = m_context.clock.now();
+    const auto configuration = m_context.inForce.current();
+    if (!authorize(exchange, configuration.get())) {
+        return;
+    }
+    exchange.deadline = exchange.arrivedAt + configuration->document.limits.queueDeadline;
+    exchange.delivery = routing::Delivery({.idempotent = exchange.resolved.idempotent,
+        .claimed = !exchange.claimKey.empty(),
+        .generation = exchange.resolved.generation.has_value()});
+    exchange.responder->onGone([this, id] {
+        static_cast<void>(m_ring.push(CallerGone{id}));
+    });
+    if (exchange.claimKey.empty()) {
+        admit(exchange);
+    } else {
+        claim(exchange);
+    }
+}
+
+bool Desk::authorize(Exchange &exchange, const Configuration *configuration)
+{
+    using admission::Refusal;
+    if (configuration == nullptr) {
+        refuse(exchange, Refusal::NotFresh, "no configuration is known yet");
+        return false;
+    }
+    const std::string key = bearerKey(exchange.request);
+    const std::string hash = key.empty() ? std::string() : base::sha256(key);
+    const auto owner = configuration->organisationByKey.find(hash);
+    const bool models = exchange.request.path == "/v1/models" && exchange.request.method == "GET";
+    auto resolved =
+        models ? base::Result<Resolved, Unresolved>(Resolved{}) : resolve(configuration->document, exchange.request);
+    const bool open = resolved && resolved.value().open;
+    if (!open && m_context.clock.now() >= m_context.inForce.freshUntil()) {
+        refuse(exchange, Refusal::NotFresh, "this entry cannot confirm the configuration in force");
+        return false;
+    }
+    if (!open && owner == configuration->organisationByKey.end()) {
+        refuse(exchange, Refusal::InvalidKey, "the key is unknown, withdrawn or missing");
+        return false;
+    }
+    if (!key.empty() && repeatsKey(exchange.request, key)) {
+        refuse(exchange, Refusal::KeyInBody, "the key belongs into the Authorization header only");
+        return false;
+    }
+    if (!resolved) {
+        refuse(exchange, resolved.error().refusal, resolved.error().message);
+        return false;
+    }
+    if (models) {
+        m_context.metrics.answered("models");
+        http::Response response = listModels(*configuration);
+        response.headers.push_back({"X-Request-Id", exchange.requestId});
+        exchange.responder->respond(std::move(response));
+        finish(exchange);
+        return false;
+    }
+    exchange.resolved = std::move(resolved.value());
+    if (!open) {
+        exchange.organisation = owner->second;
+        exchange.keyHash = hash;
+        exchange.claimKey = std::string(exchange.request.header("Idempotency-Key"));
+    }
+    if (!exchange.claimKey.empty() && exchange.resolved.generation && exchange.resolved.generation->stream) {
+        refuse(exchange, Refusal::MalformedRequest, "Idempotency-Key goes with whole answers only");
+        return false;
+    }
+    return true;
+}
+
+std::optional<admission::Refusal> Desk::checkKey(const Exchange &exchange) const
+{
+    if (exchange.keyHash.empty()) {
+        return std::nullopt;
+    }
+    const auto configuration = m_context.inForce.current();
+    const auto owner = configuration->organisationByKey.find(exchange.keyHash);
+    if (owner == configuration->organisationByKey.end() || owner->second != exchange.organisation) {
+        return admission::Refusal::KeyWithdrawn;
+    }
+    if (m_context.clock.now() >= m_context.inForce.freshUntil()) {
+        return admission::Refusal::NotFresh;
+    }
+    return std::nullopt;
+}
+
+void Desk::on(CallerGone &event)
+{
+    Exchange *exchange = find(event.exchange);
+    if (exchange == nullptr) {
+        return;
+    }
+    exchange->callerGone = true;
+    // A call to a plain service that was sent is let finish, so that its outcome is known.
+    const bool sent = exchange->phase == Phase::Running || exchange->phase == Phase::Storing;
+    const bool claiming = exchange->phase == Phase::Claiming;
+    if (claiming || (sent && !exchange->resolved.generation) || (sent && exchange->claimId != 0)) {
+        return;
+    }
+    cancelAttempt(*exchange);
+    endWithError(*exchange, admission::Refusal::Cancelled, "the caller disconnected", std::nullopt);
+}
+
+void Desk::on(ConfigurationChanged & /*event*/)
+{
+    std::vector<std::uint64_t> withdrawn;
+    for (const auto &[id, exchange] : m_exchanges) {
+        if (checkKey(*exchange) == admission::Refusal::KeyWithdrawn) {
+            withdrawn.push_back(id);
+        }
+    }
+    for (const std::uint64_t id : withdrawn) {
+        Exchange &exchange = *m_exchanges.at(id);
+        const bool sent = exchange.phase == Phase::Running || exchange.phase == Phase::Storing;
+        if (!sent) {
+            const bool notRun = exchange.delivery.giveUp() == routing::Decision::FailNotRun;
+            endWithError(exchange, admission::Refusal::KeyWithdrawn, "the key was withdrawn",
+                notRun ? std::optional(true) : std::nullopt);
+        } else if (exchange.resolved.generation && exchange.claimId == 0) {
+            cancelAttempt(exchange);
+            endWithError(exchange, admission::Refusal::KeyWithdrawn, "the key was withdrawn", std::nullopt);
+        }
+    }
+}
+
+void Desk::tick()
+{
+    const base::Millis now = m_context.clock.now();
+    m_nextTick = now + (m_exchanges.empty() ? IDLE_TICK : BUSY_TICK);
+    decidedAll(m_holder.tick(now));
+    retryClaims(now);
+    reviewLate();
+    m_retries.prune(now);
+    m_context.metrics.fill(m_ring.size(), m_queued);
+}
+
+void Desk::reviewLate()
+{
+    const base::Millis now = m_context.clock.now();
+    for (auto &[target, queue] : m_queues) {
+        for (const std::uint64_t id : queue.expire(now)) {
+            if (Exchange *exchange = find(id)) {
+                --m_queued;
+                exchange->phase = Phase::BackingOff;
+                refuse(*exchange, admission::Refusal::DeadlineUnmeetable, "no upstream was free before the deadline");
+            }
+        }
+    }
+    std::vector<std::uint64_t> due;
+    for (const auto &[id, exchange] : m_exchanges) {
+        const bool resumes = exchange->phase == Phase::BackingOff && now >= exchange->resumeAt;
+        const bool broken = exchange->phase == Phase::Running && exchange->attempt.broken && *exchange->attempt.broken;
+        if (resumes || broken) {
+            due.push_back(id);
+        }
+    }
+    for (const std::uint64_t id : due) {
+        Exchange *exchange = find(id);
+        if (exchange == nullptr) {
+            continue;
+        }
+        if (exchange->phase == Phase::Running) {
+            m_context.metrics.dropped("ring_full");
+            m_context.client.cancel(exchange->attempt.call);
+            failAttempt(*exchange, routing::FailureKind::Garbage);
+        } else if (!dispatch(*exchange)) {
+            exchange->resumeAt = now + BUSY_TICK;
+        }
+    }
+}
+
+void Desk::refuse(Exchange &exchange, admission::Refusal refusal, const std::string &message,
+    std::optional<bool> notRun, base::Millis retryAfter)
+{
+    m_context.metrics.refused(admission::refusalName(refusal));
+    http::Response response = admission::errorResponse({refusal, message, notRun, retryAfter});
+    response.headers.push_back({"X-Request-Id", exchange.requestId});
+    exchange.responder->respond(std::move(response));
+    settle(exchange, 0);
+    if (notRun == true) {
+        releaseClaim(exchange, false);
+    }
+    finish(exchange);
+}
+
+void Desk::endWithError(
+    Exchange &exchange, admission::Refusal refusal, const std::string &message, std::optional<bool> notRun)
+{
+    if (exchange.phase == Phase::Queued) {
+        m_queues.at(exchange.resolved.target).cancel(exchange.id);
+        --m_queued;
+    }
+    if (exchange.phase == Phase::Budgeting) {
+        m_holder.cancel(exchange.reservation);
+    }
+    if (!exchange.streaming && notRun == true) {
+        refuse(exchange, refusal, message, notRun);
+        return;
+    }
+    m_context.metrics.refused(admission::refusalName(refusal));
+    if (exchange.streaming) {
+        exchange.responder->write("data: " + admission::errorJson({refusal, message, notRun}) + "\n\n");
+        exchange.responder->end();
+    } else {
+        http::Response response = admission::errorResponse({refusal, message, notRun});
+        response.headers.push_back({"X-Request-Id", exchange.requestId});
+        exchange.responder->respond(std::move(response));
+    }
+    const bool generation = exchange.resolved.generation.has_value();
+    const std::int64_t prompt = generation ? exchange.resolved.generation->promptTokens : 0;
+    const bool ran = exchange.delivery.attempts() > 0;
+    settle(exchange, !ran ? 0 : generation ? prompt + exchange.generatedTokens : exchange.resolved.cost);
+    releaseClaim(exchange, true);
+    finish(exchange);
+}
+
+void Desk::finish(Exchange &exchange)
+{
+    m_byReservation.erase(exchange.reservation);
+    m_exchanges.erase(exchange.id);
+    --m_inProgress;
+}
+
+std::vector<TargetDemand> Desk::takeDemand()
+{
+    const absl::MutexLock lock(&m_mutex);
+    std::vector<TargetDemand> taken;
+    for (auto &[target, demand] : m_demand) {
+        demand.target = target;
+        taken.push_back(demand);
+    }
+    m_demand.clear();
+    return taken;
+}
+
+std::size_t Desk::running(const std::string &upstream, const Target &target) const
+{
+    const absl::MutexLock lock(&m_mutex);
+    const auto it = m_running.find({upstream, target});
+    return it == m_running.end() ? 0 : it->second;
+}
+
+} // namespace bamboomoor::entry
--- /dev/null
+++ b/src/bamboomoor/entry/desk.hpp
@@ -0,0 +1,252 @@
+/**
+ * The thread of an entry: it takes the callers' requests through key, claim, budget, queue and upstream to their
+ * answers. All of a request's state is used by this thread only; other threads reach it through a bounded ring.
+ */
+#pragma once
+
+#include "bamboomoor/admission/fairqueue.hpp"
+#include "bamboomoor/admission/refusal.hpp"
+#include "bamboomoor/base/clock.hpp"
+#include "bamboomoor/base/ring.hpp"
+#include "bamboomoor/budget/holder.hpp"
+#include "bamboomoor/control/peerbook.hpp"
+#include "bamboomoor/entry/exchange.hpp"
+#include "bamboomoor/entry/inforce.hpp"
+#include "bamboomoor/entry/leaderhint.hpp"
+#include "bamboomoor/entry/metrics.hpp"
+#include "bamboomoor/entry/upstreambook.hpp"
+#include "bamboomoor/http/client.hpp"
+#include "bamboomoor/http/server.hpp"
+#include "bamboomoor/routing/retrybudget.hpp"
+#include "bamboomoor/routing/router.hpp"
+#include "bamboomoor/state/command.hpp"
+#include "bamboomoor/state/outcome.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace bamboomoor::entry
+{
+
+/** @brief The settings of an entry's thread. */
+struct DeskOptions {
+    std::string vm;
+    // Greater at every start of the process.
+    std::uint64_t incarnation = 1;
+    std::size_t ringSize = 65'536;
+    std::size_t queueLimit = 10'000;
+    std::uint64_t engineDepth = 16;
+    base::Millis progressTimeout{10'000};
+    std::uint64_t seed = 1;
+};
+
+/** @brief What placement needs to know of an entry: the requests for one target since the last report. */
+struct TargetDemand {
+    Target target;
+    std::uint64_t requests = 0;
+    std::uint64_t queued = 0;
+    std::uint64_t running = 0;
+};
+
+/** @brief The threads and books that a Desk works with; all outlive it. */
+struct DeskContext {
+    const base::Clock &clock;
+    const InForce &inForce;
+    UpstreamBook &upstreams;
+    const control::PeerBook &peers;
+    LeaderHint &leader;
+    http::Client &client;
+    Metrics &metrics;
+};
+
+/** @brief Serves callers. */
+class Desk
+{
+public:
+    /**
+     * @brief Makes a desk that does not run yet.
+     * @param options The settings.
+     * @param context What it works with.
+     */
+    Desk(DeskOptions options, DeskContext context);
+    ~Desk();
+    Desk(const Desk &) = delete;
+    Desk &operator=(const Desk &) = delete;
+
+    /** @brief Starts the thread. */
+    void start();
+
+    /** @brief Ends the thread; requests in progress get their final answer. */
+    void stop();
+
+    /**
+     * @brief Takes a caller's request.
+     * @param request The request.
+     * @param responder The way back; a full ring refuses at once.
+     */
+    void handle(http::Request request, const std::shared_ptr<http::Responder> &responder);
+
+    /** @brief Tells that another configuration is in force, so that keys are checked again. */
+    void configurationChanged();
+
+    /**
+     * @brief Counts the requests in progress.
+     * @return The number of requests that have no answer yet.
+     */
+    [[nodiscard]] std::size_t inProgress() const noexcept
+    {
+        return m_inProgress;
+    }
+
+    /**
+     * @brief Reads and resets the demand since the last call.
+     * @return One entry for each target with requests.
+     */
+    [[nodiscard]] std::vector<TargetDemand> takeDemand();
+
+    /**
+     * @brief Counts this entry's requests at one upstream for one target.
+     * @param upstream The upstream.
+     * @param target The target.
+     * @return The number of open attempts.
+     */
+    [[nodiscard]] std::size_t running(const std::string &upstream, const Target &target) const;
+
+private:
+    struct Arrived {
+        http::Request request;
+        std::shared_ptr<http::Responder> responder;
+    };
+    struct CallerGone {
+        std::uint64_t exchange = 0;
+    };
+    struct AnswerHead {
+        std::uint64_t exchange = 0;
+        std::uint64_t attempt = 0;
+        int status = 0;
+        http::Headers headers;
+    };
+    struct AnswerData {
+        std::uint64_t exchange = 0;
+        std::uint64_t attempt = 0;
+        std::string bytes;
+    };
+    struct AnswerEnd {
+        std::uint64_t exchange = 0;
+        std::uint64_t attempt = 0;
+        http::Ending ending;
+    };
+    struct BudgetReplied {
+        budget::Reply reply;
+    };
+    // A command about a claim on its way to the leader; sent again until it is answered, as all of them may be.
+    struct ClaimTry {
+        std::uint64_t exchange = 0;
+        std::string payload;
+        base::Millis deadline;
+    };
+    struct ClaimReplied {
+        ClaimTry sent;
+        // Nothing when it is not known what became of the command.
+        std::optional<state::ClaimOutcome> outcome;
+    };
+    struct ClaimRetry {
+        base::Millis at;
+        ClaimTry again;
+    };
+    struct ConfigurationChanged {
+    };
+    using Event = std::variant<Arrived, CallerGone, AnswerHead, AnswerData, AnswerEnd, BudgetReplied, ClaimReplied,
+        ConfigurationChanged>;
+    class AttemptListener;
+
+    // desk.cpp: the loop, arrival and refusal.
+    void run();
+    void take(Event event);
+    void on(Arrived &event);
+    void on(CallerGone &event);
+    void on(ConfigurationChanged &event);
+    void tick();
+    void reviewLate();
+    void refuse(Exchange &exchange, admission::Refusal refusal, const std::string &message,
+        std::optional<bool> notRun = true, base::Millis retryAfter = base::Millis{1'000});
+    void finish(Exchange &exchange);
+    [[nodiscard]] std::optional<admission::Refusal> checkKey(const Exchange &exchange) const;
+    [[nodiscard]] Exchange *find(std::uint64_t id);
+    [[nodiscard]] bool authorize(Exchange &exchange, const Configuration *configuration);
+
+    // admit.cpp: claims, budget and queue.
+    void claim(Exchange &exchange);
+    void on(ClaimReplied &event);
+    void answerStored(Exchange &exchange, const state::StoredAnswer &answer);
+    void releaseClaim(Exchange &exchange, bool mayHaveRun);
+    void storeAnswer(Exchange &exchange, http::Response answer);
+    void proposeClaim(ClaimTry attempt);
+    void retryClaims(base::Millis now);
+    void opened(Exchange &exchange, const state::ClaimOutcome &outcome);
+    void admit(Exchange &exchange);
+    void decided(Exchange &exchange, const budget::Admission &admission);
+    void decidedAll(const std::vector<budget::Admission> &admissions);
+    void on(BudgetReplied &event);
+    void sendAsk();
+    void settle(Exchange &exchange, std::int64_t actual);
+    void enqueue(Exchange &exchange);
+    void pump();
+    bool pumpTarget(const Target &target);
+
+    // attempt.cpp: attempts at upstreams and their answers.
+    [[nodiscard]] bool dispatch(Exchange &exchange);
+    void send(Exchange &exchange, const std::string &address);
+    [[nodiscard]] http::Call makeCall(const Exchange &exchange, const std::string &address) const;
+    [[nodiscard]] std::string makeBody(const Exchange &exchange) const;
+    void on(AnswerHead &event);
+    void on(AnswerData &event);
+    void on(AnswerEnd &event);
+    void relay(Exchange &exchange, std::string_view bytes);
+    void relayEvent(Exchange &exchange, const std::string &data);
+    void beginStream(Exchange &exchange);
+    void countToken(Exchange &exchange, std::int64_t tokens);
+    void endWhole(Exchange &exchange);
+    void endStream(Exchange &exchange);
+    void failAttempt(Exchange &exchange, routing::FailureKind failure);
+    void giveUp(Exchange &exchange, routing::Decision decision, const std::string &message);
+    void cancelAttempt(Exchange &exchange);
+    void endWithError(
+        Exchange &exchange, admission::Refusal refusal, const std::string &message, std::optional<bool> notRun);
+    [[nodiscard]] std::optional<routing::FailureKind> judgeAnswer(Exchange &exchange) const;
+
+    DeskOptions m_options;
+    DeskContext m_context;
+    base::Ring<Event> m_ring;
+    std::thread m_thread;
+    std::atomic<bool> m_stopping{false};
+    std::atomic<std::size_t> m_inProgress{0};
+
+    // Used by the desk's thread only.
+    std::uint64_t m_lastExchange = 0;
+    std::unordered_map<std::uint64_t, std::unique_ptr<Exchange>> m_exchanges;
+    std::unordered_map<std::uint64_t, std::uint64_t> m_byReservation;
+    budget::Holder m_holder;
+    routing::Router m_router;
+    routing::RetryBudget m_retries;
+    routing::Backoff m_backoff;
+    // Holds the queued exchanges by target; queues without items are removed.
+    std::map<Target, admission::FairQueue> m_queues;
+    std::size_t m_queued = 0;
+    std::vector<ClaimRetry> m_claimRetries;
+    base::Millis m_nextTick;
+
+    mutable absl::Mutex m_mutex;
+    std::map<Target, TargetDemand> m_demand ABSL_GUARDED_BY(m_mutex);
+    std::map<std::pair<std::string, Target>, std::size_t> m_running ABSL_GUARDED_BY(m_mutex);
+};
+
+} // namespace bamboomoor::entry
--- /dev/null
+++ b/src/bamboomoor/entry/freshness.cpp
@@ -0,0 +1,195 @@
+/**
+ * The thread that keeps this daemon's configuration in force.
+ */
+#include "bamboomoor/entry/freshness.hpp"
+#include "bamboomoor/config/parse.hpp"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace bamboomoor::entry
+{
+
+namespace
+{
+
+constexpr std::size_t RING_SIZE = 64;
+
+bool sameVoters(const peer::wire::WitnessReply &lhs, const peer::wire::WitnessReply &rhs)
+{
+    return std::equal(lhs.voters().begin(), lhs.voters().end(), rhs.voters().begin(), rhs.voters().end());
+}
+
+} // namespace
+
+bool confirmsVersion(const std::vector<WitnessAnswer> &answers, std::uint64_t version)
+{
+    for (const WitnessAnswer &first : answers) {
+        const auto &voters = first.reply.voters();
+        const auto agreeing = std::count_if(answers.begin(), answers.end(), [&](const WitnessAnswer &it) {
+            const bool member = std::find(voters.begin(), voters.end(), it.voter) != voters.end();
+            return member && it.reply.usable() && it.reply.version() <= version && sameVoters(it.reply, first.reply);
+        });
+        if (first.reply.usable() && agreeing > voters.size() / 2) {
+            return true;
+        }
+    }
+    return false;
+}
+
+Freshness::Freshness(FreshnessOptions options, InForce &inForce, const control::PeerBook &peers, LeaderHint &leader,
+    const base::Clock &clock, std::function<void()> onChange)
+    : m_options(std::move(options))
+    , m_inForce(inForce)
+    , m_peers(peers)
+    , m_leader(leader)
+    , m_clock(clock)
+    , m_onChange(std::move(onChange))
+    , m_answers(RING_SIZE)
+    , m_testimonies(RING_SIZE)
+{
+}
+
+Freshness::~Freshness()
+{
+    stop();
+}
+
+void Freshness::start()
+{
+    m_thread = std::thread([this] {
+        run();
+    });
+}
+
+void Freshness::stop()
+{
+    m_stopping = true;
+    m_answers.close();
+    m_testimonies.close();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void Freshness::run()
+{
+    while (!m_stopping) {
+        if (!askLeader()) {
+            askVoters();
+            // Only a closed ring or the pause ends this wait, as every question has its own round.
+            static_cast<void>(m_answers.pop(m_options.pause));
+        }
+        watchLease();
+    }
+}
+
+bool Freshness::askLeader()
+{
+    const std::uint64_t round = ++m_round;
+    const std::string voter = m_leader.get();
+    const auto held = m_inForce.current();
+    peer::wire::FreshenRequest request;
+    request.set_vm(m_options.vm);
+    request.set_known_version(held ? held->version : 0);
+    request.set_known_digest(held ? held->digest : std::string());
+    const base::Millis sentAt = m_clock.now();
+    m_peers.find(voter)->call(request, m_options.timeout, [this, round](std::optional<peer::wire::FreshenReply> reply) {
+        static_cast<void>(m_answers.push(LeaderAnswer{round, std::move(reply)}));
+    });
+    while (auto answer = m_answers.pop(m_options.timeout * 2)) {
+        if (answer->round != round) {
+            continue;
+        }
+        if (answer->reply && answer->reply->confirmed()) {
+            m_leader.learn(answer->reply->leader());
+            return take(*answer->reply, sentAt);
+        }
+        if (answer->reply && !answer->reply->leader().empty() && answer->reply->leader() != voter) {
+            m_leader.learn(answer->reply->leader());
+        } else {
+            m_leader.skip(voter);
+        }
+        return false;
+    }
+    return false;
+}
+
+bool Freshness::take(const peer::wire::FreshenReply &reply, base::Millis sentAt)
+{
+    if (reply.has_document()) {
+        auto document = config::parse(reply.document());
+        if (!document) {
+            LOG(ERROR) << "event=configuration_unreadable version=" << reply.version() << " place=\""
+                       << document.error().place << '"';
+            return false;
+        }
+        auto made = makeConfiguration(reply.version(), reply.digest(), std::move(document.value()));
+        made->author = reply.author();
+        made->wallMillis = reply.accepted_wall_ms();
+        const auto before = m_inForce.current();
+        m_inForce.install(std::move(made));
+        m_inForce.extend(reply.version(), sentAt + m_options.lease);
+        if (!before || before->version < reply.version()) {
+            LOG(INFO) << "event=configuration_taken version=" << reply.version() << " digest=" << reply.digest();
+            m_onChange();
+        }
+        return true;
+    }
+    m_inForce.extend(reply.version(), sentAt + m_options.lease);
+    return true;
+}
+
+void Freshness::askVoters()
+{
+    const auto held = m_inForce.current();
+    if (!held) {
+        return;
+    }
+    const std::uint64_t round = m_round;
+    const base::Millis sentAt = m_clock.now();
+    peer::wire::WitnessRequest request;
+    request.set_vm(m_options.vm);
+    for (const std::string &voter : m_peers.names()) {
+        m_peers.find(voter)->call(
+            request, m_options.timeout, [this, round, voter](std::optional<peer::wire::WitnessReply> reply) {
+                VoterAnswer answer{round, std::nullopt};
+                if (reply) {
+                    answer.answer = WitnessAnswer{voter, *std::move(reply)};
+                }
+                static_cast<void>(m_testimonies.push(std::move(answer)));
+            });
+    }
+    std::vector<WitnessAnswer> answers;
+    std::size_t replies = 0;
+    while (replies < m_peers.names().size()) {
+        auto answer = m_testimonies.pop(m_options.timeout * 2);
+        if (!answer) {
+            return;
+        }
+        if (answer->round != round) {
+            continue;
+        }
+        ++replies;
+        if (answer->answer) {
+            answers.push_back(*std::move(answer->answer));
+        }
+        if (confirmsVersion(answers, held->version)) {
+            m_inForce.extend(held->version, sentAt + m_options.lease);
+            return;
+        }
+    }
+}
+
+void Freshness::watchLease()
+{
+    const bool fresh = m_clock.now() < m_inForce.freshUntil();
+    if (fresh != m_wasFresh) {
+        m_wasFresh = fresh;
+        LOG(INFO) << (fresh ? "event=fresh" : "event=not_fresh");
+    }
+}
+
+} // namespace bamboomoor::entry
--- /dev/null
+++ b/src/bamboomoor/entry/freshness.hpp
@@ -0,0 +1,108 @@
+/**
+ * The thread that keeps this daemon's configuration in force: it asks the leader, which confirms by a quorum, and,
+ * while there is no leader, a majority of the voters directly. Without either the lease runs out.
+ */
+#pragma once
+
+#include "bamboomoor/base/clock.hpp"
+#include "bamboomoor/base/ring.hpp"
+#include "bamboomoor/control/peerbook.hpp"
+#include "bamboomoor/entry/inforce.hpp"
+#include "bamboomoor/entry/leaderhint.hpp"
+
+#include "peer.pb.h"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace bamboomoor::entry
+{
+
+/** @brief The settings of the thread. */
+struct FreshnessOptions {
+    std::string vm;
+    // Counted from the moment a question is sent, by this daemon's clock.
+    base::Millis lease{2'000};
+    // The longest wait for an answer.
+    base::Millis timeout{700};
+    // The pause after an answer without confirmation.
+    base::Millis pause{50};
+};
+
+/** @brief What one voter testified without a leader. */
+struct WitnessAnswer {
+    std::string voter;
+    peer::wire::WitnessReply reply;
+};
+
+/**
+ * @brief Judges testimonies: a change is in the logs of a majority before it is in force, so that a majority without
+ * a later one shows that there was none when the question was sent.
+ * @param answers The answers of distinct voters.
+ * @param version The version that this daemon holds.
+ * @return True when a majority of the voters, all of the same membership, has usable logs without a later version.
+ */
+[[nodiscard]] bool confirmsVersion(const std::vector<WitnessAnswer> &answers, std::uint64_t version);
+
+/** @brief Keeps the configuration in force. */
+class Freshness
+{
+public:
+    /**
+     * @brief Makes a thread that does not run yet.
+     * @param options The settings.
+     * @param inForce The configuration; outlives the thread.
+     * @param peers Connections to the voters; outlives the thread.
+     * @param leader The guess at the leader; outlives the thread.
+     * @param clock The time; outlives the thread.
+     * @param onChange Called on the thread after another version was taken.
+     */
+    Freshness(FreshnessOptions options, InForce &inForce, const control::PeerBook &peers, LeaderHint &leader,
+        const base::Clock &clock, std::function<void()> onChange);
+    ~Freshness();
+    Freshness(const Freshness &) = delete;
+    Freshness &operator=(const Freshness &) = delete;
+
+    /** @brief Starts the thread. */
+    void start();
+
+    /** @brief Ends the thread. */
+    void stop();
+
+private:
+    struct LeaderAnswer {
+        std::uint64_t round = 0;
+        std::optional<peer::wire::FreshenReply> reply;
+    };
+    struct VoterAnswer {
+        std::uint64_t round = 0;
+        std::optional<WitnessAnswer> answer;
+    };
+
+    void run();
+    [[nodiscard]] bool askLeader();
+    void askVoters();
+    [[nodiscard]] bool take(const peer::wire::FreshenReply &reply, base::Millis sentAt);
+    void watchLease();
+
+    FreshnessOptions m_options;
+    InForce &m_inForce;
+    const control::PeerBook &m_peers;
+    LeaderHint &m_leader;
+    const base::Clock &m_clock;
+    std::function<void()> m_onChange;
+    base::Ring<LeaderAnswer> m_answers;
+    base::Ring<VoterAnswer> m_testimonies;
+    std::thread m_thread;
+    std::atomic<bool> m_stopping{false};
+    // Tells answers of this question from late ones.
+    std::uint64_t m_round = 0;
+    bool m_wasFresh = false;
+};
+
+} // namespace bamboomoor::entry
--- /dev/null
+++ b/src/bamboomoor/entry/inforce.hpp
@@ -0,0 +1,109 @@
+/**
+ * The configuration that this daemon holds, and until when it may be taken as the one in force.
+ */
+#pragma once
+
+#include "bamboomoor/base/clock.hpp"
+#include "bamboomoor/config/document.hpp"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace bamboomoor::entry
+{
+
+/** @brief One version of the configuration with what is looked up in it; never changes. */
+struct Configuration {
+    std::uint64_t version = 0;
+    std::string digest;
+    std::string author;
+    std::int64_t wallMillis = 0;
+    config::Document document;
+    // The organisation's name by the digest of the key.
+    std::unordered_map<std::string, std::string> organisationByKey;
+};
+
+/**
+ * @brief Makes a configuration ready for use.
+ * @param version Its version.
+ * @param digest Its digest.
+ * @param document Its document.
+ * @return The configuration, with its index of keys.
+ */
+[[nodiscard]] inline std::shared_ptr<Configuration> makeConfiguration(
+    std::uint64_t version, std::string digest, config::Document document)
+{
+    auto made = std::make_shared<Configuration>();
+    made->version = version;
+    made->digest = std::move(digest);
+    made->document = std::move(document);
+    for (const config::Organisation &organisation : made->document.organisations) {
+        for (const config::Key &key : organisation.keys) {
+            made->organisationByKey.emplace(key.hash, organisation.name);
+        }
+    }
+    return made;
+}
+
+/** @brief The configuration and its freshness lease, shared by the threads of an entry. */
+class InForce
+{
+public:
+    /**
+     * @brief Takes a newer version.
+     * @param configuration The version; one that is not newer is ignored, as versions only grow.
+     */
+    void install(std::shared_ptr<const Configuration> configuration)
+    {
+        const absl::MutexLock lock(&m_mutex);
+        if (!m_configuration || configuration->version > m_configuration->version) {
+            m_configuration = std::move(configuration);
+        }
+    }
+
+    /**
+     * @brief Extends the lease of the version held.
+     * @param version The version that was confirmed; another one extends nothing.
+     * @param until The end of the lease; an earlier end than the present one is ignored.
+     */
+    void extend(std::uint64_t version, base::Millis until)
+    {
+        const absl::MutexLock lock(&m_mutex);
+        if (m_configuration && m_configuration->version == version && until > m_freshUntil) {
+            m_freshUntil = until;
+        }
+    }
+
+    /**
+     * @brief Reads the version held.
+     * @return The version, or null before the first.
+     */
+    [[nodiscard]] std::shared_ptr<const Configuration> current() const
+    {
+        const absl::MutexLock lock(&m_mutex);
+        return m_configuration;
+    }
+
+    /**
+     * @brief Tells until when the version held is fresh.
+     * @return A point of time in milliseconds; 0 before the first confirmation.
+     */
+    [[nodiscard]] base::Millis freshUntil() const
+    {
+        const absl::MutexLock lock(&m_mutex);
+        return m_freshUntil;
+    }
+
+private:
+    mutable absl::Mutex m_mutex;
+    std::shared_ptr<const Configuration> m_configuration ABSL_GUARDED_BY(m_mutex);
+    // Refers to m_configuration: a newer version was confirmed no later than it was installed.
+    base::Millis m_freshUntil ABSL_GUARDED_BY(m_mutex);
+};
+
+} // namespace bamboomoor::entry
--- /dev/null
+++ b/src/bamboomoor/entry/upstreambook.cpp
@@ -0,0 +1,90 @@
+/**
+ * The upstreams that this daemon knows, shared by its threads.
+ */
+#include "bamboomoor/entry/upstreambook.hpp"
+
+#include <algorithm>
+
+namespace bamboomoor::entry
+{
+
+membership::Verdict UpstreamBook::announce(base::Millis now, membership::Announcement announcement)
+{
+    const absl::MutexLock lock(&m_mutex);
+    return m_registry.announce(now, std::move(announcement));
+}
+
+std::vector<std::string> UpstreamBook::expire(base::Millis now)
+{
+    const absl::MutexLock lock(&m_mutex);
+    return m_registry.expire(now);
+}
+
+membership::Delta UpstreamBook::changesSince(base::Millis now, membership::Position since) const
+{
+    const absl::MutexLock lock(&m_mutex);
+    return m_registry.changesSince(now, since);
+}
+
+membership::MergeResult UpstreamBook::merge(base::Millis asOf, const membership::Delta &delta)
+{
+    const absl::MutexLock lock(&m_mutex);
+    return m_registry.merge(asOf, delta);
+}
+
+bool UpstreamBook::serves(const membership::Announcement &announcement, const Target &target) const
+{
+    if (target.kind == TargetKind::Service) {
+        return announcement.kind == membership::UpstreamKind::Service && announcement.service == target.service;
+    }
+    for (const membership::Accelerator &accelerator : announcement.accelerators) {
+        const bool holds = std::any_of(accelerator.resident.begin(), accelerator.resident.end(), [&](const auto &it) {
+            return it.model == target.model && it.adapter == target.adapter
+                && (target.version.empty() || it.version == target.version);
+        });
+        if (holds
+            && m_draining.count({announcement.id, announcement.incarnation, accelerator.id, target.model,
+                   target.adapter, target.version})
+                == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::vector<routing::Candidate> UpstreamBook::candidates(base::Millis now, const Target &target) const
+{
+    const absl::MutexLock lock(&m_mutex);
+    std::vector<routing::Candidate> found;
+    for (const membership::Entry *it : m_registry.usable(now)) {
+        if (serves(it->announcement, target)) {
+            found.push_back({it->announcement.id, it->announcement.load, now - it->loadAt});
+        }
+    }
+    return found;
+}
+
+std::optional<std::string> UpstreamBook::addressOf(base::Millis now, const std::string &id) const
+{
+    const absl::MutexLock lock(&m_mutex);
+    const membership::Entry *entry = m_registry.find(now, id);
+    return entry == nullptr ? std::nullopt : std::optional(entry->announcement.address);
+}
+
+std::vector<membership::Entry> UpstreamBook::list(base::Millis now) const
+{
+    const absl::MutexLock lock(&m_mutex);
+    std::vector<membership::Entry> copies;
+    for (const membership::Entry *it : m_registry.list(now)) {
+        copies.push_back(*it);
+    }
+    return copies;
+}
+
+void UpstreamBook::setDraining(std::set<DrainingReplica> draining)
+{
+    const absl::MutexLock lock(&m_mutex);
+    m_draining = std::move(draining);
+}
+
+} // namespace bamboomoor::entry
--- /dev/null
+++ b/src/bamboomoor/entry/upstreambook.hpp
@@ -0,0 +1,102 @@
+/**
+ * The upstreams that this daemon knows, shared by its threads.
+ */
+#pragma once
+
+#include "bamboomoor/base/clock.hpp"
+#include "bamboomoor/entry/target.hpp"
+#include "bamboomoor/membership/registry.hpp"
+#include "bamboomoor/routing/policy.hpp"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace bamboomoor::entry
+{
+
+/** @brief A replica that gets no new work because its unloading is planned. */
+struct DrainingReplica {
+    std::string upstream;
+    std::uint64_t incarnation = 0;
+    std::string accelerator;
+    std::string model;
+    std::string adapter;
+    std::string version;
+
+    friend auto operator<=>(const DrainingReplica &, const DrainingReplica &) = default;
+};
+
+/** @brief A registry of upstreams behind a lock. */
+class UpstreamBook
+{
+public:
+    /**
+     * @brief Makes an empty book.
+     * @param options The registry's settings.
+     */
+    explicit UpstreamBook(membership::RegistryOptions options) noexcept
+        : m_registry(options)
+    {
+    }
+
+    /**
+     * @brief Takes an announcement.
+     * @param now The time of receipt.
+     * @param announcement The announcement.
+     * @return What became of it.
+     */
+    membership::Verdict announce(base::Millis now, membership::Announcement announcement);
+
+    /** @copydoc membership::Registry::expire */
+    std::vector<std::string> expire(base::Millis now);
+
+    /** @copydoc membership::Registry::changesSince */
+    [[nodiscard]] membership::Delta changesSince(base::Millis now, membership::Position since) const;
+
+    /** @copydoc membership::Registry::merge */
+    membership::MergeResult merge(base::Millis asOf, const membership::Delta &delta);
+
+    /**
+     * @brief Lists the upstreams that can serve a target and take new work.
+     * @param now The present time.
+     * @param target The target.
+     * @return Candidates by ascending id.
+     */
+    [[nodiscard]] std::vector<routing::Candidate> candidates(base::Millis now, const Target &target) const;
+
+    /**
+     * @brief Finds where an upstream listens.
+     * @param now The present time.
+     * @param id The upstream.
+     * @return "IP:PORT", or nothing when it is not known.
+     */
+    [[nodiscard]] std::optional<std::string> addressOf(base::Millis now, const std::string &id) const;
+
+    /**
+     * @brief Copies all live upstreams.
+     * @param now The present time.
+     * @return Entries by ascending id.
+     */
+    [[nodiscard]] std::vector<membership::Entry> list(base::Millis now) const;
+
+    /**
+     * @brief Replaces the replicas that get no new work.
+     * @param draining All of them.
+     */
+    void setDraining(std::set<DrainingReplica> draining);
+
+private:
+    [[nodiscard]] bool serves(const membership::Announcement &announcement, const Target &target) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+
+    mutable absl::Mutex m_mutex;
+    membership::Registry m_registry ABSL_GUARDED_BY(m_mutex);
+    std::set<DrainingReplica> m_draining ABSL_GUARDED_BY(m_mutex);
+};
+
+} // namespace bamboomoor::entry
--- /dev/null
+++ b/src/bamboomoor/entry/upstreamsync.cpp
@@ -0,0 +1,160 @@
+/**
+ * The thread that spreads upstreams.
+ */
+#include "bamboomoor/entry/upstreamsync.hpp"
+#include "bamboomoor/membership/codec.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace bamboomoor::entry
+{
+
+namespace
+{
+
+constexpr std::size_t RING_SIZE = 64;
+
+} // namespace
+
+UpstreamSync::UpstreamSync(UpstreamSyncOptions options, UpstreamBook &heard, UpstreamBook &book,
+    const control::PeerBook &peers, const base::Clock &clock)
+    : m_options(std::move(options))
+    , m_heard(heard)
+    , m_book(book)
+    , m_peers(peers)
+    , m_clock(clock)
+    , m_answers(RING_SIZE)
+    , m_synced(m_options.voter)
+{
+    for (const std::string &it : peers.names()) {
+        m_voters[it] = {};
+    }
+    // Daemons spread their pulls over the voters.
+    const auto &names = peers.names();
+    m_puller = names[std::hash<std::string>()(m_options.vm) % names.size()];
+}
+
+UpstreamSync::~UpstreamSync()
+{
+    stop();
+}
+
+void UpstreamSync::start()
+{
+    m_thread = std::thread([this] {
+        run();
+    });
+}
+
+void UpstreamSync::stop()
+{
+    m_stopping = true;
+    m_answers.close();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void UpstreamSync::run()
+{
+    base::Millis next = m_clock.now();
+    while (!m_stopping) {
+        const base::Millis now = m_clock.now();
+        if (now >= next) {
+            m_heard.expire(now);
+            m_book.expire(now);
+            askAll();
+            next = now + m_options.interval;
+        }
+        if (auto answer = m_answers.pop(std::max(next - m_clock.now(), base::Millis{0}))) {
+            take(*std::move(answer));
+        }
+    }
+}
+
+void UpstreamSync::askAll()
+{
+    for (auto &[voter, state] : m_voters) {
+        const bool self = voter == m_options.vm;
+        if (!self && !state.waiting) {
+            ask(voter, state, !m_options.voter && voter == m_puller);
+        }
+    }
+}
+
+void UpstreamSync::ask(const std::string &voter, VoterState &state, bool pull)
+{
+    const base::Millis now = m_clock.now();
+    const membership::Delta delta = m_heard.changesSince(now, state.pushed);
+    const bool empty = delta.entries.empty() && delta.renewals.empty() && delta.removed.empty();
+    if (empty && !pull) {
+        return;
+    }
+    peer::wire::UpstreamSync request;
+    request.set_vm(m_options.vm);
+    request.set_epoch(state.pulled.epoch);
+    request.set_revision(state.pulled.revision);
+    request.set_push_only(!pull);
+    if (!empty) {
+        request.set_delta(membership::encodeDelta(delta));
+    }
+    state.waiting = true;
+    m_peers.find(voter)->call(request, m_options.timeout,
+        [this, voter, now, pushed = delta.position, pull](std::optional<peer::wire::UpstreamSync> reply) {
+            static_cast<void>(m_answers.push(Answer{voter, std::move(reply), now, pushed, pull}));
+        });
+}
+
+void UpstreamSync::take(Answer answer)
+{
+    VoterState &state = m_voters.at(answer.voter);
+    state.waiting = false;
+    if (!answer.reply) {
+        choosePuller(answer.voter);
+        return;
+    }
+    state.pushed = answer.reply->resend() ? membership::Position{} : answer.pushed;
+    if (!answer.pulled) {
+        return;
+    }
+    const auto delta = membership::parseDelta(answer.reply->delta());
+    if (!delta) {
+        choosePuller(answer.voter);
+        return;
+    }
+    const auto merged = m_book.merge(answer.sentAt, delta.value());
+    state.pulled = merged.incomplete ? membership::Position{} : delta.value().position;
+    if (answer.reply->warming()) {
+        choosePuller(answer.voter);
+    } else {
+        m_synced = true;
+    }
+}
+
+void UpstreamSync::choosePuller(const std::string &failed)
+{
+    if (m_puller != failed) {
+        return;
+    }
+    const auto it = m_voters.upper_bound(m_puller);
+    m_puller = it == m_voters.end() ? m_voters.begin()->first : it->first;
+}
+
+peer::wire::UpstreamSync answerSync(
+    const peer::wire::UpstreamSync &request, UpstreamBook &book, base::Millis now, bool warming)
+{
+    peer::wire::UpstreamSync answer;
+    answer.set_warming(warming);
+    if (!request.delta().empty()) {
+        const auto delta = membership::parseDelta(request.delta());
+        answer.set_resend(!delta || book.merge(now, delta.value()).incomplete);
+    }
+    if (!request.push_only()) {
+        answer.set_delta(membership::encodeDelta(book.changesSince(now, {request.epoch(), request.revision()})));
+    }
+    return answer;
+}
+
+} // namespace bamboomoor::entry
--- /dev/null
+++ b/src/bamboomoor/entry/upstreamsync.hpp
@@ -0,0 +1,112 @@
+/**
+ * The thread that spreads upstreams: it pushes what upstreams announced here to every voter, and pulls from one voter
+ * what was announced elsewhere.
+ */
+#pragma once
+
+#include "bamboomoor/base/clock.hpp"
+#include "bamboomoor/base/ring.hpp"
+#include "bamboomoor/control/peerbook.hpp"
+#include "bamboomoor/entry/upstreambook.hpp"
+
+#include "peer.pb.h"
+
+#include <atomic>
+#include <map>
+#include <optional>
+#include <string>
+#include <thread>
+
+namespace bamboomoor::entry
+{
+
+/** @brief The settings of the thread. */
+struct UpstreamSyncOptions {
+    std::string vm;
+    // True when this daemon is itself a voter: it pulls nothing, as all is pushed to it.
+    bool voter = false;
+    base::Millis interval{200};
+    base::Millis timeout{500};
+};
+
+/** @brief Spreads upstreams. */
+class UpstreamSync
+{
+public:
+    /**
+     * @brief Makes a thread that does not run yet.
+     * @param options The settings.
+     * @param heard What upstreams announced to this daemon; outlives the thread.
+     * @param book All upstreams known here; outlives the thread.
+     * @param peers Connections to the voters; outlives the thread.
+     * @param clock The time; outlives the thread.
+     */
+    UpstreamSync(UpstreamSyncOptions options, UpstreamBook &heard, UpstreamBook &book, const control::PeerBook &peers,
+        const base::Clock &clock);
+    ~UpstreamSync();
+    UpstreamSync(const UpstreamSync &) = delete;
+    UpstreamSync &operator=(const UpstreamSync &) = delete;
+
+    /** @brief Starts the thread. */
+    void start();
+
+    /** @brief Ends the thread. */
+    void stop();
+
+    /**
+     * @brief Tells whether a voter that knows the upstreams has answered.
+     * @return True from the first whole answer on; always true at a voter.
+     */
+    [[nodiscard]] bool synced() const noexcept
+    {
+        return m_synced;
+    }
+
+private:
+    struct Answer {
+        std::string voter;
+        std::optional<peer::wire::UpstreamSync> reply;
+        base::Millis sentAt;
+        membership::Position pushed;
+        bool pulled = false;
+    };
+    struct VoterState {
+        // What of `heard` the voter has.
+        membership::Position pushed;
+        // What of the voter's book this daemon has.
+        membership::Position pulled;
+        bool waiting = false;
+    };
+
+    void run();
+    void askAll();
+    void ask(const std::string &voter, VoterState &state, bool pull);
+    void take(Answer answer);
+    void choosePuller(const std::string &failed);
+
+    UpstreamSyncOptions m_options;
+    UpstreamBook &m_heard;
+    UpstreamBook &m_book;
+    const control::PeerBook &m_peers;
+    const base::Clock &m_clock;
+    base::Ring<Answer> m_answers;
+    std::thread m_thread;
+    std::atomic<bool> m_stopping{false};
+    std::atomic<bool> m_synced{false};
+    // Used by the thread only.
+    std::map<std::string, VoterState> m_voters;
+    std::string m_puller;
+};
+
+/**
+ * @brief Answers another daemon's sync at a voter.
+ * @param request The question.
+ * @param book The voter's book.
+ * @param now The present time.
+ * @param warming Whether the voter started less than two leases ago.
+ * @return The answer.
+ */
+[[nodiscard]] peer::wire::UpstreamSync answerSync(
+    const peer::wire::UpstreamSync &request, UpstreamBook &book, base::Millis now, bool warming);
+
+} // namespace bamboomoor::entry
--- a/src/bamboomoor/peer/client.cpp
+++ b/src/bamboomoor/peer/client.cpp
@@ -10,6 +10,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <set>
 #include <utility>
 
 namespace bamboomoor::peer
@@ -51,6 +52,44 @@
     std::atomic<bool> silent{false};
 };
 
+/** @brief Contexts of the calls in progress, so that they can be cancelled. */
+class Client::Calls
+{
+public:
+    [[nodiscard]] bool add(grpc::ClientContext *context)
+    {
+        const absl::MutexLock lock(&m_mutex);
+        if (m_stopped) {
+            return false;
+        }
+        m_contexts.insert(context);
+        return true;
+    }
+
+    void remove(grpc::ClientContext *context)
+    {
+        const absl::MutexLock lock(&m_mutex);
+        m_contexts.erase(context);
+    }
+
+    void stop()
+    {
+        const absl::MutexLock lock(&m_mutex);
+        m_stopped = true;
+        for (grpc::ClientContext *it : m_contexts) {
+            it->TryCancel();
+        }
+        m_mutex.Await(absl::Condition(&m_contexts, &Contexts::empty));
+    }
+
+private:
+    using Contexts = std::set<grpc::ClientContext *>;
+
+    absl::Mutex m_mutex;
+    Contexts m_contexts ABSL_GUARDED_BY(m_mutex);
+    bool m_stopped ABSL_GUARDED_BY(m_mutex) = false;
+};
+
 namespace
 {
 
@@ -63,19 +102,24 @@
 };
 
 template<class Request, class Reply, class Start>
-void start(const std::shared_ptr<Client::Link> &link, const Request &request, base::Millis timeout,
-    OnReply<Reply> onReply, Start begin)
+void start(Client::Calls &calls, const std::shared_ptr<Client::Link> &link, const Request &request,
+    base::Millis timeout, OnReply<Reply> onReply, Start begin)
 {
     auto pending = std::make_shared<Pending<Request, Reply>>();
     pending->request = request;
     pending->context.set_deadline(std::chrono::system_clock::now() + std::chrono::milliseconds(timeout.count));
     auto *raw = pending.get();
+    if (!calls.add(&raw->context)) {
+        onReply(std::nullopt);
+        return;
+    }
     begin(link->stub->async(), &raw->context, &raw->request, &raw->reply,
-        [link, pending = std::move(pending), onReply = std::move(onReply)](const grpc::Status &status) {
+        [&calls, link, pending = std::move(pending), onReply = std::move(onReply)](const grpc::Status &status) {
             if (status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED) {
                 link->silent = true;
             }
             onReply(status.ok() ? std::optional<Reply>(std::move(pending->reply)) : std::nullopt);
+            calls.remove(&pending->context);
         });
 }
 
@@ -83,10 +127,19 @@
 
 Client::Client(std::string address)
     : m_address(std::move(address))
+    , m_calls(std::make_unique<Calls>())
 {
 }
 
-Client::~Client() = default;
+Client::~Client()
+{
+    stop();
+}
+
+void Client::stop()
+{
+    m_calls->stop();
+}
 
 std::shared_ptr<Client::Link> Client::link()
 {
@@ -100,7 +153,7 @@
 void Client::deliver(const wire::Envelope &envelope)
 {
     start<wire::Envelope, wire::Delivered>(
-        link(), envelope, DELIVER_TIMEOUT, [](const std::optional<wire::Delivered> &) {},
+        *m_calls, link(), envelope, DELIVER_TIMEOUT, [](const std::optional<wire::Delivered> &) {},
         [](auto *stub, auto... args) {
             stub->Deliver(args...);
         });
--- a/src/bamboomoor/peer/client.hpp
+++ b/src/bamboomoor/peer/client.hpp
@@ -64,6 +64,9 @@
     /** @copydoc call */
     void call(const wire::DemandReport &request, base::Millis timeout, OnReply<wire::DemandReply> onReply);
 
+    /** @brief Cancels all calls and waits until their replies are taken; later calls get no reply at once. */
+    void stop();
+
     /**
      * @brief Names the peer.
      * @return "IP:PORT".
@@ -75,11 +78,14 @@
 
     /** @brief The state of one connection. */
     class Link;
+    /** @brief The calls in progress. */
+    class Calls;
 
 private:
     [[nodiscard]] std::shared_ptr<Link> link();
 
     const std::string m_address;
+    const std::unique_ptr<Calls> m_calls;
     absl::Mutex m_mutex;
     // Null until the first call, and after a call that timed out.
     std::shared_ptr<Link> m_link ABSL_GUARDED_BY(m_mutex);
