--- /dev/null
+++ b/src/bamboomoor/settings/settings.hpp
@@ -0,0 +1,137 @@
+/**
+ * The settings of one daemon process, written in TOML and fixed while it runs.
+ * What all daemons share is in the configuration document instead, see the config module.
+ */
+#pragma once
+
+#include "bamboomoor/base/clock.hpp"
+#include "bamboomoor/base/outcome.hpp"
+
+#include <cstdint>
+#include <filesystem>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bamboomoor::settings
+{
+
+/** @brief One voter of the control group. */
+struct Voter {
+    // The name of its VM; unique in the list.
+    std::string name;
+    // Where its peers reach it, "IP:PORT".
+    std::string address;
+
+    friend bool operator==(const Voter &, const Voter &) = default;
+};
+
+/** @brief Section [control]: the control group's timing. */
+struct ControlSettings {
+    // At least 3 heartbeats.
+    base::Millis electionTimeout{900};
+    base::Millis heartbeat{150};
+    // How long a confirmed configuration counts as fresh, from the moment when it was asked for.
+    base::Millis freshnessLease{2'000};
+
+    friend bool operator==(const ControlSettings &, const ControlSettings &) = default;
+};
+
+/** @brief Section [upstreams]: how upstreams are watched. */
+struct UpstreamSettings {
+    base::Millis lease{3'000};
+    // The longest silence within one answer.
+    base::Millis progressTimeout{10'000};
+    // The most requests of this entry at one engine.
+    std::int64_t engineDepth = 16;
+
+    friend bool operator==(const UpstreamSettings &, const UpstreamSettings &) = default;
+};
+
+/** @brief Section [entry]: what callers meet. */
+struct EntrySettings {
+    // The most requests that wait at once.
+    std::int64_t queueLimit = 10'000;
+    std::int64_t maxBodyBytes = 4'194'304;
+    // How long readiness fails before the entry stops to accept; at most drainLimit.
+    base::Millis drainNotice{5'000};
+    // When a shutdown cuts what is left.
+    base::Millis drainLimit{60'000};
+    std::int64_t threads = 8;
+
+    friend bool operator==(const EntrySettings &, const EntrySettings &) = default;
+};
+
+/** @brief Section [budget]: grants of tokens from the authority to entries. */
+struct BudgetSettings {
+    // How long an entry may spend from a grant, by its own clock.
+    base::Millis grantLease{1'000};
+    // How much the authority waits beyond a lease for clocks that run apart.
+    base::Millis driftMargin{100};
+    // How far ahead the authority reserves tokens in the replicated log.
+    base::Millis reserve{2'000};
+
+    friend bool operator==(const BudgetSettings &, const BudgetSettings &) = default;
+};
+
+/** @brief Section [placement]: how models and adapters are loaded. */
+struct PlacementSettings {
+    std::int64_t loadsPerSecond = 2;
+    std::int64_t loadsAtOnce = 16;
+    std::int64_t adaptersInFlight = 130;
+    // The time between two decisions.
+    base::Millis decision{500};
+
+    friend bool operator==(const PlacementSettings &, const PlacementSettings &) = default;
+};
+
+/** @brief All settings of one daemon process. */
+struct Settings {
+    // The VM's name, unique in the deployment.
+    std::string vm;
+    std::string dataCentre;
+    std::string region;
+    // Where callers, operators and upstreams connect, "IP:PORT".
+    std::string listen;
+    // Where other daemons connect, "IP:PORT".
+    std::string peerListen;
+    // Where log and snapshots lie; nothing for a diskless entry, which is never a voter.
+    std::optional<std::filesystem::path> dataFolder;
+    // True only while a new control group is founded; needs a data folder and a place in the list of voters.
+    bool bootstrap = false;
+    // The control group; never empty.
+    std::vector<Voter> voters;
+    // The secret that operators present, as given; never empty.
+    std::string operatorToken;
+    ControlSettings control;
+    UpstreamSettings upstreams;
+    EntrySettings entry;
+    BudgetSettings budget;
+    PlacementSettings placement;
+
+    friend bool operator==(const Settings &, const Settings &) = default;
+};
+
+/** @brief Why settings were not accepted. */
+struct SettingsError {
+    // One line that names the file, the key and what is allowed.
+    std::string message;
+};
+
+/**
+ * @brief Parses and checks settings.
+ * @param text The TOML text.
+ * @param name The name of the text's source, for messages.
+ * @return The settings, or the first mistake.
+ */
+[[nodiscard]] base::Result<Settings, SettingsError> parseSettings(std::string_view text, std::string_view name);
+
+/**
+ * @brief Reads, parses and checks a settings file.
+ * @param path The file.
+ * @return The settings, or the first mistake; a file that cannot be read is one.
+ */
+[[nodiscard]] base::Result<Settings, SettingsError> loadSettings(const std::filesystem::path &path);
+
+} // namespace bamboomoor::settings
--- /dev/null
+++ b/src/bamboomoor/state/base64.cpp
@@ -0,0 +1,25 @@
+/**
+ * Base64 by the codec of the Abseil library, which accepts nothing that it would not print.
+ */
+#include "bamboomoor/state/base64.hpp"
+
+#include <absl/strings/escaping.h>
+
+namespace bamboomoor::state::internal
+{
+
+std::string toBase64(std::string_view bytes)
+{
+    return absl::Base64Escape({bytes.data(), bytes.size()});
+}
+
+std::optional<std::string> fromBase64(std::string_view text)
+{
+    std::string bytes;
+    if (!absl::Base64Unescape({text.data(), text.size()}, &bytes)) {
+        return std::nullopt;
+    }
+    return bytes;
+}
+
+} // namespace bamboomoor::state::internal
--- /dev/null
+++ b/src/bamboomoor/state/json.cpp
@@ -0,0 +1,231 @@
+/**
+ * JSON of commands and outcomes: {"kind": NAME, "value": {...}}.
+ */
+#include "bamboomoor/state/json.hpp"
+
+#include <array>
+#include <utility>
+
+namespace bamboomoor::state
+{
+namespace
+{
+
+using nlohmann::json;
+
+// Names of the alternatives, in the order of the variants.
+constexpr std::array<std::string_view, std::variant_size_v<Command>> COMMAND_NAMES{
+    "apply_config",   "add_key",      "withdraw_key",  "open_claim",    "finish_claim",
+    "abandon_claims", "sweep_claims", "raise_ceiling", "record_intent", "close_intent"};
+constexpr std::array<std::string_view, std::variant_size_v<Outcome>> OUTCOME_NAMES{"change",  "claim",  "count",
+                                                                                   "ceiling", "intent", "malformed"};
+
+template<class Variant, std::size_t Size>
+std::string encodeVariant(const Variant &variant, const std::array<std::string_view, Size> &names)
+{
+    json out;
+    out["kind"] = names.at(variant.index());
+    std::visit(
+        [&out](const auto &value) {
+            out["value"] = value;
+        },
+        variant);
+    return internal::dump(out);
+}
+
+template<class Variant, std::size_t Size, std::size_t... Index>
+Variant readVariant(const json &in, const std::array<std::string_view, Size> &names, std::index_sequence<Index...>)
+{
+    const auto kind = in.at("kind").get<std::string>();
+    std::optional<Variant> found;
+    const auto readOne = [&]<std::size_t N>(std::integral_constant<std::size_t, N>) {
+        if (names[N] == kind) {
+            found.emplace(std::in_place_index<N>, in.at("value").template get<std::variant_alternative_t<N, Variant>>());
+        }
+    };
+    (readOne(std::integral_constant<std::size_t, Index>()), ...);
+    if (!found.has_value()) {
+        throw internal::BadValue("unknown kind");
+    }
+    return *std::move(found);
+}
+
+template<class Variant, std::size_t Size>
+base::Result<Variant, DecodeError> decodeVariant(std::string_view text, const std::array<std::string_view, Size> &names)
+{
+    try {
+        const json in = internal::parseStrictly(text);
+        return readVariant<Variant>(in, names, std::make_index_sequence<Size>());
+    } catch (const std::exception &error) {
+        return base::failure(DecodeError{.message = error.what()});
+    }
+}
+
+} // namespace
+
+nlohmann::json internal::parseStrictly(std::string_view text)
+{
+    bool hasFraction = false;
+    const json::parser_callback_t watch = [&hasFraction](int, json::parse_event_t, json &value) {
+        hasFraction = hasFraction || value.is_number_float();
+        return true;
+    };
+    json out = json::parse(text, watch, false);
+    if (out.is_discarded()) {
+        throw BadValue("no JSON");
+    }
+    if (hasFraction) {
+        throw BadValue("numbers must be integers of at most 64 bits");
+    }
+    return out;
+}
+
+void to_json(json &json, const FinishClaim &value)
+{
+    json = {{"organisation", value.organisation},
+            {"key", value.key},
+            {"claimId", value.claimId},
+            {"status", value.status},
+            {"headers", value.headers},
+            {"body", internal::toBase64(value.body)}};
+}
+
+void from_json(const json &json, FinishClaim &value)
+{
+    json.at("organisation").get_to(value.organisation);
+    json.at("key").get_to(value.key);
+    json.at("claimId").get_to(value.claimId);
+    json.at("status").get_to(value.status);
+    json.at("headers").get_to(value.headers);
+    value.body = internal::readBytes(json.at("body"));
+}
+
+void to_json(json &json, const RecordIntent &value)
+{
+    json = {{"orderId", value.orderId},         {"fencing", value.fencing},
+            {"upstream", value.upstream},       {"incarnation", value.incarnation},
+            {"accelerator", value.accelerator}, {"kind", ORDER_KIND_NAMES.name(value.kind)},
+            {"model", value.model},             {"adapter", value.adapter},
+            {"version", value.version},         {"memoryMib", value.memoryMib}};
+}
+
+void from_json(const json &json, RecordIntent &value)
+{
+    json.at("orderId").get_to(value.orderId);
+    json.at("fencing").get_to(value.fencing);
+    json.at("upstream").get_to(value.upstream);
+    json.at("incarnation").get_to(value.incarnation);
+    json.at("accelerator").get_to(value.accelerator);
+    value.kind = internal::readName(json.at("kind"), ORDER_KIND_NAMES);
+    json.at("model").get_to(value.model);
+    json.at("adapter").get_to(value.adapter);
+    json.at("version").get_to(value.version);
+    json.at("memoryMib").get_to(value.memoryMib);
+}
+
+void to_json(json &json, const CloseIntent &value)
+{
+    json = {{"orderId", value.orderId}, {"end", ORDER_END_NAMES.name(value.end)}};
+}
+
+void from_json(const json &json, CloseIntent &value)
+{
+    json.at("orderId").get_to(value.orderId);
+    value.end = internal::readName(json.at("end"), ORDER_END_NAMES);
+}
+
+void to_json(json &json, const StoredAnswer &value)
+{
+    json = {{"status", value.status},
+            {"headers", value.headers},
+            {"body", internal::toBase64(value.body)},
+            {"tooLarge", value.tooLarge}};
+}
+
+void from_json(const json &json, StoredAnswer &value)
+{
+    json.at("status").get_to(value.status);
+    json.at("headers").get_to(value.headers);
+    value.body = internal::readBytes(json.at("body"));
+    json.at("tooLarge").get_to(value.tooLarge);
+}
+
+void to_json(json &json, const ChangeOutcome &value)
+{
+    json = {{"code", CHANGE_CODE_NAMES.name(value.code)},
+            {"message", value.message},
+            {"version", value.version},
+            {"digest", value.digest},
+            {"author", value.author}};
+}
+
+void from_json(const json &json, ChangeOutcome &value)
+{
+    value.code = internal::readName(json.at("code"), CHANGE_CODE_NAMES);
+    json.at("message").get_to(value.message);
+    json.at("version").get_to(value.version);
+    json.at("digest").get_to(value.digest);
+    json.at("author").get_to(value.author);
+}
+
+void to_json(json &json, const ClaimOutcome &value)
+{
+    json = {{"code", CLAIM_CODE_NAMES.name(value.code)}, {"claimId", value.claimId}};
+    if (value.answer.has_value()) {
+        json["answer"] = *value.answer;
+    }
+}
+
+void from_json(const json &json, ClaimOutcome &value)
+{
+    value.code = internal::readName(json.at("code"), CLAIM_CODE_NAMES);
+    json.at("claimId").get_to(value.claimId);
+    value.answer.reset();
+    if (json.contains("answer")) {
+        value.answer = json.at("answer").get<StoredAnswer>();
+    }
+}
+
+void to_json(json &json, const CeilingOutcome &value)
+{
+    json = {{"code", CEILING_CODE_NAMES.name(value.code)}, {"term", value.term}};
+}
+
+void from_json(const json &json, CeilingOutcome &value)
+{
+    value.code = internal::readName(json.at("code"), CEILING_CODE_NAMES);
+    json.at("term").get_to(value.term);
+}
+
+void to_json(json &json, const IntentOutcome &value)
+{
+    json = {{"code", INTENT_CODE_NAMES.name(value.code)}, {"lastFencing", value.lastFencing}};
+}
+
+void from_json(const json &json, IntentOutcome &value)
+{
+    value.code = internal::readName(json.at("code"), INTENT_CODE_NAMES);
+    json.at("lastFencing").get_to(value.lastFencing);
+}
+
+std::string encode(const Command &command)
+{
+    return encodeVariant(command, COMMAND_NAMES);
+}
+
+base::Result<Command, DecodeError> decode(std::string_view text)
+{
+    return decodeVariant<Command>(text, COMMAND_NAMES);
+}
+
+std::string encode(const Outcome &outcome)
+{
+    return encodeVariant(outcome, OUTCOME_NAMES);
+}
+
+base::Result<Outcome, DecodeError> decodeOutcome(std::string_view text)
+{
+    return decodeVariant<Outcome>(text, OUTCOME_NAMES);
+}
+
+} // namespace bamboomoor::state
--- /dev/null
+++ b/src/bamboomoor/state/json.hpp
@@ -0,0 +1,112 @@
+/**
+ * JSON of the plain values of the state module; the keys are the members' names.
+ */
+#pragma once
+
+#include "bamboomoor/base/nametable.hpp"
+#include "bamboomoor/state/base64.hpp"
+#include "bamboomoor/state/outcome.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+namespace bamboomoor::state
+{
+
+namespace internal
+{
+
+/** @brief Thrown inside the module by readers of JSON, and caught by every decoder. */
+class BadValue : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+/**
+ * @brief Reads an enum value by its name.
+ * @param json The JSON text of the name.
+ * @param names The table of names.
+ * @return The value; throws BadValue for an unknown name.
+ */
+template<class Enum, std::size_t Size>
+[[nodiscard]] Enum readName(const nlohmann::json &json, const base::NameTable<Enum, Size> &names)
+{
+    const auto value = names.find(json.get<std::string>());
+    if (!value.has_value()) {
+        throw BadValue("must be one of " + names.list());
+    }
+    return *value;
+}
+
+/**
+ * @brief Reads bytes that were written as base64.
+ * @param json The JSON text.
+ * @return The bytes; throws BadValue for broken base64.
+ */
+[[nodiscard]] inline std::string readBytes(const nlohmann::json &json)
+{
+    auto bytes = fromBase64(json.get<std::string>());
+    if (!bytes.has_value()) {
+        throw BadValue("must be base64");
+    }
+    return *std::move(bytes);
+}
+
+/**
+ * @brief Writes JSON on one line; bytes that are not UTF-8 are replaced.
+ * @param json The JSON.
+ * @return The text.
+ */
+[[nodiscard]] inline std::string dump(const nlohmann::json &json)
+{
+    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+/**
+ * @brief Parses JSON whose numbers are all integers.
+ * @param text Any bytes.
+ * @return The JSON; throws BadValue or nlohmann::json::exception.
+ */
+[[nodiscard]] nlohmann::json parseStrictly(std::string_view text);
+
+} // namespace internal
+
+inline constexpr auto ORDER_KIND_NAMES = base::makeNames<OrderKind>("load", "unload");
+inline constexpr auto ORDER_END_NAMES = base::makeNames<OrderEnd>("done", "failed", "void");
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ApplyConfig, changeId, author, wallMillis, baseVersion, baseDigest, documentText)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AddKey, changeId, author, wallMillis, organisation, keyId, hash)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WithdrawKey, changeId, author, wallMillis, organisation, keyId)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(OpenClaim, organisation, key, requestDigest, vm, incarnation, attempt, wallMillis,
+                                   expiresMillis)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Header, name, value)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AbandonClaims, vm, incarnation)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SweepClaims, before)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(OrganisationCeiling, organisation, tokens)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RaiseCeiling, term, reservedUntilMillis, organisations)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CountOutcome, count)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Malformed, message)
+
+void to_json(nlohmann::json &json, const FinishClaim &value);
+void from_json(const nlohmann::json &json, FinishClaim &value);
+void to_json(nlohmann::json &json, const RecordIntent &value);
+void from_json(const nlohmann::json &json, RecordIntent &value);
+void to_json(nlohmann::json &json, const CloseIntent &value);
+void from_json(const nlohmann::json &json, CloseIntent &value);
+void to_json(nlohmann::json &json, const StoredAnswer &value);
+void from_json(const nlohmann::json &json, StoredAnswer &value);
+void to_json(nlohmann::json &json, const ChangeOutcome &value);
+void from_json(const nlohmann::json &json, ChangeOutcome &value);
+void to_json(nlohmann::json &json, const ClaimOutcome &value);
+void from_json(const nlohmann::json &json, ClaimOutcome &value);
+void to_json(nlohmann::json &json, const CeilingOutcome &value);
+void from_json(const nlohmann::json &json, CeilingOutcome &value);
+void to_json(nlohmann::json &json, const IntentOutcome &value);
+void from_json(const nlohmann::json &json, IntentOutcome &value);
+
+} // namespace bamboomoor::state
--- /dev/null
+++ b/test/bamboomoor/config/main.cpp
@@ -0,0 +1,5 @@
+/**
+ * Entry point of the tests of the config module.
+ */
+#define BOOST_TEST_MODULE config
+#include <boost/test/unit_test.hpp>
