--- a/src/bamboomoor/config/check.cpp
+++ b/src/bamboomoor/config/check.cpp
@@ -121,7 +121,7 @@
 Problem tooLarge(std::string place, std::int64_t needed, std::int64_t largest)
 {
     std::string message = "needs " + std::to_string(needed) + " MiB on one accelerator, the largest declared has "
-                          + std::to_string(largest);
+        + std::to_string(largest);
     return ConfigError{.place = std::move(place), .message = std::move(message)};
 }
 
@@ -167,7 +167,7 @@
         return std::nullopt;
     }
     std::string message = "hold " + std::to_string(static_cast<std::int64_t>(offered)) + " MiB together, but resident"
-                          + " models and adapters need " + std::to_string(static_cast<std::int64_t>(needed));
+        + " models and adapters need " + std::to_string(static_cast<std::int64_t>(needed));
     return ConfigError{.place = "accelerator_pool", .message = std::move(message)};
 }
 
--- a/src/bamboomoor/config/diff.cpp
+++ b/src/bamboomoor/config/diff.cpp
@@ -38,7 +38,8 @@
         const std::string value = line.substr(at + 3);
         id = key == "id" ? value : id;
         const bool ofKey = key == "hash" || key == "added";
-        lines[ofKey ? "key " + id + " " + key : key] = value;
+        const std::string place = ofKey ? "key " + id + " " : "";
+        lines[place + key] = value;
     }
     lines.erase("id");
     return lines;
@@ -51,8 +52,8 @@
     Document alone;
     (alone.*list).push_back(part);
     auto lines = linesOf(print(alone));
-    static const auto EMPTY_LINES = linesOf(print(Document{}));
-    for (const auto &[key, value] : EMPTY_LINES) {
+    static const auto common = linesOf(print(Document{}));
+    for (const auto &[key, value] : common) {
         lines.erase(key);
     }
     return lines;
@@ -110,7 +111,9 @@
         const std::string to = valueAt(after.lines, key);
         if (from != to) {
             detail += detail.empty() ? "" : ", ";
-            detail += key + " " + from + " -> " + to;
+            detail += key;
+            detail += " " + from;
+            detail += " -> " + to;
         }
     }
     return detail;
--- a/src/bamboomoor/reader/tablereader.cpp
+++ b/src/bamboomoor/reader/tablereader.cpp
@@ -22,8 +22,8 @@
 constexpr int MAX_PORT = 65535;
 
 // What a text of each form is, in the order of the enum.
-constexpr auto FORM_WORDS = base::makeNames<Form>(
-    "a text", "a text of at least one character", "a name of 1 to 128 letters, digits and . _ - : / @ +",
+constexpr auto FORM_WORDS = base::makeNames<Form>("a text", "a text of at least one character",
+    "a name of 1 to 128 letters, digits and . _ - : / @ +",
     "an address such as \"192.0.2.1:8080\" or \"[2001:db8::1]:8080\" with a port from 1 to 65535",
     "a SHA-256 digest of 64 lower-case hexadecimal digits");
 
@@ -136,7 +136,7 @@
     if (node == nullptr) {
         return std::nullopt;
     }
-    const auto value = node->value_exact<std::string>();
+    auto value = node->value_exact<std::string>();
     if (!value.has_value() || !hasForm(*value, form)) {
         fail(key, "must be " + std::string(FORM_WORDS.name(form)));
         return "";
@@ -181,9 +181,9 @@
 
 void TableReader::table(std::string_view key, const std::function<void(TableReader &)> &read)
 {
-    static const toml::table EMPTY;
+    static const toml::table empty;
     const toml::node *node = find(key);
-    const toml::table *inner = node == nullptr ? &EMPTY : node->as_table();
+    const toml::table *inner = node == nullptr ? &empty : node->as_table();
     if (inner == nullptr) {
         fail(key, "must be a table, [" + std::string(key) + "]");
         return;
--- /dev/null
+++ b/src/bamboomoor/state/claimtable.cpp
@@ -0,0 +1,162 @@
+/**
+ * The register of claims.
+ */
+#include "bamboomoor/state/claimtable.hpp"
+
+#include "bamboomoor/state/json.hpp"
+
+#include <utility>
+
+namespace bamboomoor::state
+{
+namespace
+{
+
+constexpr auto STATE_NAMES = base::makeNames<ClaimState>("open", "finished", "unknown");
+
+std::size_t sizeOf(const StoredAnswer &answer)
+{
+    std::size_t size = answer.body.size();
+    for (const Header &header : answer.headers) {
+        size += header.name.size() + header.value.size();
+    }
+    return size;
+}
+
+bool isSameAttempt(const Claim &claim, const OpenClaim &command)
+{
+    return claim.vm == command.vm && claim.incarnation == command.incarnation && claim.attempt == command.attempt;
+}
+
+ClaimOutcome tellEarlier(const Claim &claim, const OpenClaim &command)
+{
+    ClaimOutcome out{.code = ClaimCode::Unknown, .claimId = claim.id, .answer = std::nullopt};
+    if (claim.requestDigest != command.requestDigest) {
+        out.code = ClaimCode::DifferentRequest;
+    } else if (claim.state == ClaimState::Open) {
+        out.code = isSameAttempt(claim, command) ? ClaimCode::Opened : ClaimCode::AlreadyOpen;
+    } else if (claim.state == ClaimState::Finished) {
+        out.code = ClaimCode::Stored;
+        out.answer = claim.answer;
+    }
+    return out;
+}
+
+} // namespace
+
+ClaimOutcome ClaimTable::open(std::uint64_t index, const OpenClaim &command)
+{
+    ClaimKey key{.organisation = command.organisation, .key = command.key};
+    if (const Claim *earlier = find(key); earlier != nullptr) {
+        return tellEarlier(*earlier, command);
+    }
+    if (m_claims.size() >= m_limits.claims) {
+        return {.code = ClaimCode::Full, .claimId = 0, .answer = std::nullopt};
+    }
+    Claim claim;
+    claim.id = index;
+    claim.requestDigest = command.requestDigest;
+    claim.vm = command.vm;
+    claim.incarnation = command.incarnation;
+    claim.attempt = command.attempt;
+    claim.openedMillis = command.wallMillis;
+    claim.expiresMillis = command.expiresMillis;
+    m_claims.emplace(std::move(key), std::move(claim));
+    return {.code = ClaimCode::Opened, .claimId = index, .answer = std::nullopt};
+}
+
+ClaimOutcome ClaimTable::finish(const FinishClaim &command)
+{
+    const auto it = m_claims.find({.organisation = command.organisation, .key = command.key});
+    if (it == m_claims.end() || it->second.id != command.claimId) {
+        return {.code = ClaimCode::NotOpen, .claimId = 0, .answer = std::nullopt};
+    }
+    Claim &claim = it->second;
+    if (claim.state != ClaimState::Finished) {
+        StoredAnswer answer{
+            .status = command.status, .headers = command.headers, .body = command.body, .tooLarge = false};
+        const std::size_t size = sizeOf(answer);
+        if (size > m_limits.answerBytes || m_answerBytes + size > m_limits.allAnswerBytes) {
+            answer = {.status = command.status, .headers = {}, .body = "", .tooLarge = true};
+        }
+        m_answerBytes += sizeOf(answer);
+        claim.answer = std::move(answer);
+        claim.state = ClaimState::Finished;
+    }
+    return {.code = ClaimCode::Finished, .claimId = claim.id, .answer = std::nullopt};
+}
+
+CountOutcome ClaimTable::abandon(const AbandonClaims &command)
+{
+    CountOutcome out;
+    for (auto &[key, claim] : m_claims) {
+        if (claim.state == ClaimState::Open && claim.vm == command.vm && claim.incarnation <= command.incarnation) {
+            claim.state = ClaimState::Unknown;
+            ++out.count;
+        }
+    }
+    return out;
+}
+
+CountOutcome ClaimTable::sweep(const SweepClaims &command)
+{
+    CountOutcome out;
+    for (auto it = m_claims.begin(); it != m_claims.end();) {
+        const Claim &claim = it->second;
+        if (claim.state == ClaimState::Open || claim.expiresMillis >= command.before) {
+            ++it;
+            continue;
+        }
+        m_answerBytes -= sizeOf(claim.answer);
+        it = m_claims.erase(it);
+        ++out.count;
+    }
+    return out;
+}
+
+const Claim *ClaimTable::find(const ClaimKey &key) const
+{
+    const auto it = m_claims.find(key);
+    return it == m_claims.end() ? nullptr : &it->second;
+}
+
+nlohmann::json ClaimTable::save() const
+{
+    nlohmann::json out = nlohmann::json::array();
+    for (const auto &[key, claim] : m_claims) {
+        nlohmann::json json = {{"organisation", key.organisation}, {"key", key.key}, {"id", claim.id},
+            {"requestDigest", claim.requestDigest}, {"vm", claim.vm}, {"incarnation", claim.incarnation},
+            {"attempt", claim.attempt}, {"openedMillis", claim.openedMillis}, {"expiresMillis", claim.expiresMillis},
+            {"state", STATE_NAMES.name(claim.state)}};
+        if (claim.state == ClaimState::Finished) {
+            json["answer"] = claim.answer;
+        }
+        out.push_back(std::move(json));
+    }
+    return out;
+}
+
+void ClaimTable::load(const nlohmann::json &json)
+{
+    for (const auto &it : json) {
+        ClaimKey key;
+        it.at("organisation").get_to(key.organisation);
+        it.at("key").get_to(key.key);
+        Claim claim;
+        it.at("id").get_to(claim.id);
+        it.at("requestDigest").get_to(claim.requestDigest);
+        it.at("vm").get_to(claim.vm);
+        it.at("incarnation").get_to(claim.incarnation);
+        it.at("attempt").get_to(claim.attempt);
+        it.at("openedMillis").get_to(claim.openedMillis);
+        it.at("expiresMillis").get_to(claim.expiresMillis);
+        claim.state = internal::readName(it.at("state"), STATE_NAMES);
+        if (claim.state == ClaimState::Finished) {
+            it.at("answer").get_to(claim.answer);
+            m_answerBytes += sizeOf(claim.answer);
+        }
+        m_claims.emplace(std::move(key), std::move(claim));
+    }
+}
+
+} // namespace bamboomoor::state
--- a/src/bamboomoor/state/command.hpp
+++ b/src/bamboomoor/state/command.hpp
@@ -174,7 +174,7 @@
 
 /** @brief Any command. */
 using Command = std::variant<ApplyConfig, AddKey, WithdrawKey, OpenClaim, FinishClaim, AbandonClaims, SweepClaims,
-                             RaiseCeiling, RecordIntent, CloseIntent>;
+    RaiseCeiling, RecordIntent, CloseIntent>;
 
 /** @brief Why bytes are no command. */
 struct DecodeError {
--- /dev/null
+++ b/src/bamboomoor/state/confighistory.cpp
@@ -0,0 +1,296 @@
+/**
+ * Changes of configuration by compare-and-set.
+ */
+#include "bamboomoor/state/confighistory.hpp"
+
+#include "bamboomoor/base/digest.hpp"
+#include "bamboomoor/config/lookup.hpp"
+#include "bamboomoor/config/parse.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace bamboomoor::state
+{
+namespace
+{
+
+constexpr std::size_t MAX_SUMMARY_LINES = 8;
+
+std::string summarise(const config::Document &before, const config::Document &after)
+{
+    const auto changes = config::diff(before, after);
+    std::string text;
+    for (std::size_t n = 0; n < std::min(changes.size(), MAX_SUMMARY_LINES); ++n) {
+        text += text.empty() ? "" : "; ";
+        text += config::describe(changes[n]);
+    }
+    if (changes.size() > MAX_SUMMARY_LINES) {
+        text += "; and " + std::to_string(changes.size() - MAX_SUMMARY_LINES) + " more";
+    }
+    return text.empty() ? "no difference" : text;
+}
+
+config::Organisation *findMutable(config::Document &document, std::string_view name)
+{
+    for (auto &it : document.organisations) {
+        if (it.name == name) {
+            return &it;
+        }
+    }
+    return nullptr;
+}
+
+bool lists(const config::Organisation &organisation, const config::Key &key)
+{
+    return std::any_of(organisation.keys.begin(), organisation.keys.end(), [&key](const config::Key &it) {
+        return it.hash == key.hash;
+    });
+}
+
+std::string unknownOrganisation(std::string_view name)
+{
+    return "there is no organisation \"" + std::string(name) + "\"";
+}
+
+} // namespace
+
+ConfigHistory::ConfigHistory(const Limits &limits)
+    : m_limits(limits)
+    , m_document(std::make_shared<const config::Document>())
+{
+    m_inForce.text = config::print(*m_document);
+    m_inForce.digest = base::sha256(*m_inForce.text);
+}
+
+template<class Change>
+ChangeOutcome ConfigHistory::applyOnce(const Change &change, Request request)
+{
+    request.changeId = change.changeId;
+    request.author = change.author;
+    request.wallMillis = change.wallMillis;
+    if (auto decided = findDecided(request); decided.has_value()) {
+        return *std::move(decided);
+    }
+    ChangeOutcome outcome = decide(change, request);
+    remember(request, outcome);
+    return outcome;
+}
+
+ChangeOutcome ConfigHistory::apply(const ApplyConfig &change)
+{
+    Request request;
+    request.identity = base::sha256("apply\n" + change.documentText);
+    request.base = std::to_string(change.baseVersion) + " " + change.baseDigest;
+    return applyOnce(change, std::move(request));
+}
+
+ChangeOutcome ConfigHistory::apply(const AddKey &change)
+{
+    Request request;
+    request.identity = base::sha256("add\n" + change.organisation + "\n" + change.keyId + "\n" + change.hash);
+    return applyOnce(change, std::move(request));
+}
+
+ChangeOutcome ConfigHistory::apply(const WithdrawKey &change)
+{
+    Request request;
+    request.identity = base::sha256("withdraw\n" + change.organisation + "\n" + change.keyId);
+    return applyOnce(change, std::move(request));
+}
+
+std::optional<ChangeOutcome> ConfigHistory::findDecided(const Request &request) const
+{
+    const auto it = m_decided.find(request.changeId);
+    if (it == m_decided.end()) {
+        return std::nullopt;
+    }
+    const Decided &first = it->second;
+    if (first.identity != request.identity) {
+        return refuse(
+            ChangeCode::ChangeIdReused, "the change id \"" + request.changeId + "\" belongs to another change");
+    }
+    // A change that lost a race may be tried again from another base.
+    if (first.outcome.code == ChangeCode::BaseMismatch && first.base != request.base) {
+        return std::nullopt;
+    }
+    return first.outcome;
+}
+
+ChangeOutcome ConfigHistory::refuse(ChangeCode code, std::string message) const
+{
+    return {.code = code,
+        .message = std::move(message),
+        .version = m_inForce.version,
+        .digest = m_inForce.digest,
+        .author = m_inForce.author};
+}
+
+ChangeOutcome ConfigHistory::decide(const ApplyConfig &change, const Request &request)
+{
+    if (change.baseVersion != m_inForce.version || change.baseDigest != m_inForce.digest) {
+        return refuse(ChangeCode::BaseMismatch,
+            "the change was made from version " + std::to_string(change.baseVersion) + ", but version "
+                + std::to_string(m_inForce.version) + " by \"" + m_inForce.author + "\" is in force");
+    }
+    auto parsed = config::parse(change.documentText);
+    if (parsed.has_error()) {
+        return refuse(ChangeCode::InvalidDocument, parsed.error().place + ": " + parsed.error().message);
+    }
+    config::Document document = std::move(parsed).value();
+    if (auto withdrawn = findWithdrawn(document); withdrawn.has_value()) {
+        return refuse(ChangeCode::KeyWithdrawn, *std::move(withdrawn));
+    }
+    keepAddedKeys(document);
+    if (const auto problem = config::check(document); problem.has_value()) {
+        return refuse(ChangeCode::InvalidDocument, problem->place + ": " + problem->message);
+    }
+    return accept(std::move(document), request);
+}
+
+ChangeOutcome ConfigHistory::decide(const AddKey &change, const Request &request)
+{
+    if (m_withdrawn.contains(change.hash)) {
+        return refuse(ChangeCode::KeyWithdrawn, "the key was withdrawn earlier");
+    }
+    config::Document document = *m_document;
+    config::Organisation *organisation = findMutable(document, change.organisation);
+    if (organisation == nullptr) {
+        return refuse(ChangeCode::UnknownOrganisation, unknownOrganisation(change.organisation));
+    }
+    organisation->keys.push_back({.id = change.keyId, .hash = change.hash, .added = true});
+    if (const auto problem = config::check(document); problem.has_value()) {
+        return refuse(ChangeCode::DuplicateKey, problem->place + ": " + problem->message);
+    }
+    // Ids and hashes of a bad form would make a document that cannot be read back.
+    if (const auto parsed = config::parse(config::print(document)); parsed.has_error()) {
+        return refuse(ChangeCode::InvalidDocument, parsed.error().place + ": " + parsed.error().message);
+    }
+    return accept(std::move(document), request);
+}
+
+ChangeOutcome ConfigHistory::decide(const WithdrawKey &change, const Request &request)
+{
+    config::Document document = *m_document;
+    config::Organisation *organisation = findMutable(document, change.organisation);
+    if (organisation == nullptr) {
+        return refuse(ChangeCode::UnknownOrganisation, unknownOrganisation(change.organisation));
+    }
+    const auto it = std::find_if(organisation->keys.begin(), organisation->keys.end(), [&change](const auto &key) {
+        return key.id == change.keyId;
+    });
+    if (it == organisation->keys.end()) {
+        return refuse(ChangeCode::UnknownKey, "the organisation has no key \"" + change.keyId + "\"");
+    }
+    rememberWithdrawn(it->hash);
+    organisation->keys.erase(it);
+    return accept(std::move(document), request);
+}
+
+ChangeOutcome ConfigHistory::accept(config::Document document, const Request &request)
+{
+    VersionInfo next;
+    next.version = m_inForce.version + 1;
+    next.author = request.author;
+    next.changeId = request.changeId;
+    next.wallMillis = request.wallMillis;
+    next.summary = summarise(*m_document, document);
+    next.text = config::print(document);
+    next.digest = base::sha256(*next.text);
+    m_document = std::make_shared<const config::Document>(std::move(document));
+    m_textBytes += next.text->size();
+    m_inForce = next;
+    m_versions.push_back(std::move(next));
+    trimVersions();
+    return refuse(ChangeCode::Accepted, "version " + std::to_string(m_inForce.version) + " is in force");
+}
+
+std::optional<std::string> ConfigHistory::findWithdrawn(const config::Document &document) const
+{
+    for (const auto &organisation : document.organisations) {
+        for (const auto &key : organisation.keys) {
+            if (m_withdrawn.contains(key.hash)) {
+                return "the key \"" + key.id + "\" of organisation \"" + organisation.name
+                    + "\" was withdrawn earlier; it must be removed from the document";
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+void ConfigHistory::keepAddedKeys(config::Document &document) const
+{
+    for (auto &organisation : document.organisations) {
+        const config::Organisation *before = config::findOrganisation(*m_document, organisation.name);
+        if (before == nullptr) {
+            continue;
+        }
+        for (const config::Key &key : before->keys) {
+            if (key.added && !lists(organisation, key)) {
+                organisation.keys.push_back(key);
+            }
+        }
+    }
+}
+
+void ConfigHistory::remember(const Request &request, const ChangeOutcome &outcome)
+{
+    Decided decided{
+        .changeId = request.changeId, .identity = request.identity, .base = request.base, .outcome = outcome};
+    const bool isNew = m_decided.insert_or_assign(request.changeId, std::move(decided)).second;
+    if (!isNew) {
+        return;
+    }
+    m_decidedOrder.push_back(request.changeId);
+    if (m_decidedOrder.size() > m_limits.changes) {
+        m_decided.erase(m_decidedOrder.front());
+        m_decidedOrder.pop_front();
+    }
+}
+
+void ConfigHistory::rememberWithdrawn(const std::string &hash)
+{
+    if (!m_withdrawn.insert(hash).second) {
+        return;
+    }
+    m_withdrawnOrder.push_back(hash);
+    if (m_withdrawnOrder.size() > m_limits.withdrawnKeys) {
+        m_withdrawn.erase(m_withdrawnOrder.front());
+        m_withdrawnOrder.pop_front();
+    }
+}
+
+void ConfigHistory::trimVersions()
+{
+    if (m_versions.size() > m_limits.history) {
+        dropText(m_versions.front());
+        m_versions.pop_front();
+    }
+    if (m_versions.size() > m_limits.historyTexts) {
+        dropText(m_versions[m_versions.size() - m_limits.historyTexts - 1]);
+    }
+    for (std::size_t n = 0; m_textBytes > m_limits.historyTextBytes && n < m_versions.size(); ++n) {
+        dropText(m_versions[n]);
+    }
+}
+
+void ConfigHistory::dropText(VersionInfo &info)
+{
+    if (info.text.has_value()) {
+        m_textBytes -= info.text->size();
+        info.text.reset();
+    }
+}
+
+const VersionInfo *ConfigHistory::find(std::uint64_t version) const noexcept
+{
+    if (version == m_inForce.version) {
+        return &m_inForce;
+    }
+    if (m_versions.empty() || version < m_versions.front().version || version > m_versions.back().version) {
+        return nullptr;
+    }
+    return &m_versions[version - m_versions.front().version];
+}
+
+} // namespace bamboomoor::state
--- a/src/bamboomoor/state/json.cpp
+++ b/src/bamboomoor/state/json.cpp
@@ -14,11 +14,11 @@
 using nlohmann::json;
 
 // Names of the alternatives, in the order of the variants.
-constexpr std::array<std::string_view, std::variant_size_v<Command>> COMMAND_NAMES{
-    "apply_config",   "add_key",      "withdraw_key",  "open_claim",    "finish_claim",
-    "abandon_claims", "sweep_claims", "raise_ceiling", "record_intent", "close_intent"};
-constexpr std::array<std::string_view, std::variant_size_v<Outcome>> OUTCOME_NAMES{"change",  "claim",  "count",
-                                                                                   "ceiling", "intent", "malformed"};
+constexpr std::array<std::string_view, std::variant_size_v<Command>> COMMAND_NAMES{"apply_config", "add_key",
+    "withdraw_key", "open_claim", "finish_claim", "abandon_claims", "sweep_claims", "raise_ceiling", "record_intent",
+    "close_intent"};
+constexpr std::array<std::string_view, std::variant_size_v<Outcome>> OUTCOME_NAMES{
+    "change", "claim", "count", "ceiling", "intent", "malformed"};
 
 template<class Variant, std::size_t Size>
 std::string encodeVariant(const Variant &variant, const std::array<std::string_view, Size> &names)
@@ -40,7 +40,8 @@
     std::optional<Variant> found;
     const auto readOne = [&]<std::size_t N>(std::integral_constant<std::size_t, N>) {
         if (names[N] == kind) {
-            found.emplace(std::in_place_index<N>, in.at("value").template get<std::variant_alternative_t<N, Variant>>());
+            found.emplace(
+                std::in_place_index<N>, in.at("value").template get<std::variant_alternative_t<N, Variant>>());
         }
     };
     (readOne(std::integral_constant<std::size_t, Index>()), ...);
@@ -82,12 +83,8 @@
 
 void to_json(json &json, const FinishClaim &value)
 {
-    json = {{"organisation", value.organisation},
-            {"key", value.key},
-            {"claimId", value.claimId},
-            {"status", value.status},
-            {"headers", value.headers},
-            {"body", internal::toBase64(value.body)}};
+    json = {{"organisation", value.organisation}, {"key", value.key}, {"claimId", value.claimId},
+        {"status", value.status}, {"headers", value.headers}, {"body", internal::toBase64(value.body)}};
 }
 
 void from_json(const json &json, FinishClaim &value)
@@ -102,11 +99,10 @@
 
 void to_json(json &json, const RecordIntent &value)
 {
-    json = {{"orderId", value.orderId},         {"fencing", value.fencing},
-            {"upstream", value.upstream},       {"incarnation", value.incarnation},
-            {"accelerator", value.accelerator}, {"kind", ORDER_KIND_NAMES.name(value.kind)},
-            {"model", value.model},             {"adapter", value.adapter},
-            {"version", value.version},         {"memoryMib", value.memoryMib}};
+    json = {{"orderId", value.orderId}, {"fencing", value.fencing}, {"upstream", value.upstream},
+        {"incarnation", value.incarnation}, {"accelerator", value.accelerator},
+        {"kind", ORDER_KIND_NAMES.name(value.kind)}, {"model", value.model}, {"adapter", value.adapter},
+        {"version", value.version}, {"memoryMib", value.memoryMib}};
 }
 
 void from_json(const json &json, RecordIntent &value)
@@ -136,10 +132,8 @@
 
 void to_json(json &json, const StoredAnswer &value)
 {
-    json = {{"status", value.status},
-            {"headers", value.headers},
-            {"body", internal::toBase64(value.body)},
-            {"tooLarge", value.tooLarge}};
+    json = {{"status", value.status}, {"headers", value.headers}, {"body", internal::toBase64(value.body)},
+        {"tooLarge", value.tooLarge}};
 }
 
 void from_json(const json &json, StoredAnswer &value)
@@ -152,11 +146,8 @@
 
 void to_json(json &json, const ChangeOutcome &value)
 {
-    json = {{"code", CHANGE_CODE_NAMES.name(value.code)},
-            {"message", value.message},
-            {"version", value.version},
-            {"digest", value.digest},
-            {"author", value.author}};
+    json = {{"code", CHANGE_CODE_NAMES.name(value.code)}, {"message", value.message}, {"version", value.version},
+        {"digest", value.digest}, {"author", value.author}};
 }
 
 void from_json(const json &json, ChangeOutcome &value)
--- a/src/bamboomoor/state/json.hpp
+++ b/src/bamboomoor/state/json.hpp
@@ -82,8 +82,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ApplyConfig, changeId, author, wallMillis, baseVersion, baseDigest, documentText)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AddKey, changeId, author, wallMillis, organisation, keyId, hash)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WithdrawKey, changeId, author, wallMillis, organisation, keyId)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(OpenClaim, organisation, key, requestDigest, vm, incarnation, attempt, wallMillis,
-                                   expiresMillis)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
+    OpenClaim, organisation, key, requestDigest, vm, incarnation, attempt, wallMillis, expiresMillis)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Header, name, value)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AbandonClaims, vm, incarnation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SweepClaims, before)
--- /dev/null
+++ b/src/bamboomoor/state/machine.cpp
@@ -0,0 +1,107 @@
+/**
+ * The replicated state machine.
+ */
+#include "bamboomoor/state/machine.hpp"
+
+#include "bamboomoor/base/digest.hpp"
+#include "bamboomoor/base/overloaded.hpp"
+#include "bamboomoor/state/json.hpp"
+
+#include <cassert>
+#include <exception>
+
+namespace bamboomoor::state
+{
+namespace
+{
+
+// Raised when the layout of snapshots changes.
+constexpr int SNAPSHOT_FORMAT = 1;
+
+} // namespace
+
+Machine::Machine(const Limits &limits)
+    : m_configuration(limits)
+    , m_claims(limits)
+{
+}
+
+Outcome Machine::apply(std::uint64_t index, std::string_view command)
+{
+    assert(index > m_lastIndex);
+    m_lastIndex = index;
+    const auto decoded = decode(command);
+    if (decoded.has_error()) {
+        return Malformed{.message = decoded.error().message};
+    }
+    return applyCommand(index, decoded.value());
+}
+
+Outcome Machine::applyCommand(std::uint64_t index, const Command &command)
+{
+    const base::Overloaded visitor{
+        [this](const ApplyConfig &it) -> Outcome {
+            return m_configuration.apply(it);
+        },
+        [this](const AddKey &it) -> Outcome {
+            return m_configuration.apply(it);
+        },
+        [this](const WithdrawKey &it) -> Outcome {
+            return m_configuration.apply(it);
+        },
+        [this, index](const OpenClaim &it) -> Outcome {
+            return m_claims.open(index, it);
+        },
+        [this](const FinishClaim &it) -> Outcome {
+            return m_claims.finish(it);
+        },
+        [this](const AbandonClaims &it) -> Outcome {
+            return m_claims.abandon(it);
+        },
+        [this](const SweepClaims &it) -> Outcome {
+            return m_claims.sweep(it);
+        },
+        [this](const RaiseCeiling &it) -> Outcome {
+            return m_leaderLog.raise(it);
+        },
+        [this](const RecordIntent &it) -> Outcome {
+            return m_leaderLog.record(it);
+        },
+        [this](const CloseIntent &it) -> Outcome {
+            return m_leaderLog.close(it);
+        },
+    };
+    return std::visit(visitor, command);
+}
+
+std::string Machine::snapshot() const
+{
+    const nlohmann::json out = {{"format", SNAPSHOT_FORMAT}, {"lastIndex", m_lastIndex},
+        {"configuration", m_configuration.save()}, {"claims", m_claims.save()}, {"leaderLog", m_leaderLog.save()}};
+    return internal::dump(out);
+}
+
+base::Result<Machine, RestoreError> Machine::restore(std::string_view bytes, const Limits &limits)
+{
+    try {
+        const nlohmann::json in = internal::parseStrictly(bytes);
+        if (in.at("format").get<int>() != SNAPSHOT_FORMAT) {
+            return base::failure(RestoreError{.message = "the snapshot has another format"});
+        }
+        Machine machine(limits);
+        in.at("lastIndex").get_to(machine.m_lastIndex);
+        machine.m_configuration.load(in.at("configuration"));
+        machine.m_claims.load(in.at("claims"));
+        machine.m_leaderLog.load(in.at("leaderLog"));
+        return machine;
+    } catch (const std::exception &error) {
+        return base::failure(RestoreError{.message = error.what()});
+    }
+}
+
+std::string Machine::digest() const
+{
+    return base::sha256(snapshot());
+}
+
+} // namespace bamboomoor::state
--- a/src/bamboomoor/state/outcome.hpp
+++ b/src/bamboomoor/state/outcome.hpp
@@ -32,9 +32,8 @@
 };
 
 /** @brief The names of ChangeCode. */
-inline constexpr auto CHANGE_CODE_NAMES =
-    base::makeNames<ChangeCode>("accepted", "base_mismatch", "invalid_document", "unknown_organisation",
-                                "duplicate_key", "unknown_key", "key_withdrawn", "change_id_reused");
+inline constexpr auto CHANGE_CODE_NAMES = base::makeNames<ChangeCode>("accepted", "base_mismatch", "invalid_document",
+    "unknown_organisation", "duplicate_key", "unknown_key", "key_withdrawn", "change_id_reused");
 
 /** @brief The outcome of ApplyConfig, AddKey and WithdrawKey. */
 struct ChangeOutcome {
--- a/test/bamboomoor/config/document.cpp
+++ b/test/bamboomoor/config/document.cpp
@@ -66,14 +66,14 @@
     BOOST_TEST(mistake(org + "0") == "organisation[0].rate: must be an integer from 1 to 1000000000000");
     BOOST_TEST(mistake(org + "1\nrates = 1").starts_with("organisation[0].rates: is not a known key; allowed here: "));
     BOOST_TEST(mistake(GOOD + org + "1")
-               == "organisation[1].name: \"acme\" is there twice; must be unique among organisations");
+        == "organisation[1].name: \"acme\" is there twice; must be unique among organisations");
     BOOST_TEST(mistake(GOOD + "[[version]]\nmodel = \"x\"\nversion = \"1\"")
-               == "version[0].model: \"x\" is not the name of a [[model]]");
+        == "version[0].model: \"x\" is not the name of a [[model]]");
     const std::string pool = GOOD + "[[accelerator_pool]]\ndata_centre = \"d\"\ncount = 2\nmemory_mib = ";
-    BOOST_TEST(mistake(pool + "99")
-               == "model[0].memory_mib: needs 100 MiB on one accelerator, the largest declared has 99");
+    BOOST_TEST(
+        mistake(pool + "99") == "model[0].memory_mib: needs 100 MiB on one accelerator, the largest declared has 99");
     BOOST_TEST(mistake(pool + "119")
-               == "adapter[0].memory_mib: needs 120 MiB on one accelerator, the largest declared has 119");
+        == "adapter[0].memory_mib: needs 120 MiB on one accelerator, the largest declared has 119");
     BOOST_TEST(mistake(pool + "120") == "no mistake");
 }
 
--- a/test/bamboomoor/config/generators.hpp
+++ b/test/bamboomoor/config/generators.hpp
@@ -35,9 +35,9 @@
     }
     for (std::size_t n = some(); n > 0; --n) {
         out.routes.push_back({.prefix = "/r" + std::to_string(n),
-                              .upstream = "s",
-                              .open = *rc::gen::arbitrary<bool>(),
-                              .retention = {anyCount(9)}});
+            .upstream = "s",
+            .open = *rc::gen::arbitrary<bool>(),
+            .retention = {anyCount(9)}});
         out.models.push_back({.name = "m" + std::to_string(n), .memoryMib = anyCount(9), .minReplicas = anyCount(3)});
         out.adapters.push_back({.name = "a" + std::to_string(n), .model = out.models[0].name, .memoryMib = 1});
         out.versions.push_back({.model = out.models[0].name, .version = "v" + std::to_string(n), .resident = true});
--- a/test/bamboomoor/settings/settings.cpp
+++ b/test/bamboomoor/settings/settings.cpp
@@ -55,18 +55,18 @@
 {
     BOOST_TEST(mistake(GOOD + "heart = 1\n").starts_with("a.toml: control.heart: is not a known key; allowed here: "));
     BOOST_TEST(mistake(GOOD + "heartbeat_ms = 1.5\n")
-               == "a.toml: control.heartbeat_ms: must be an integer from 1 to 86400000");
+        == "a.toml: control.heartbeat_ms: must be an integer from 1 to 86400000");
     BOOST_TEST(mistake(GOOD + "heartbeat_ms = 301\n")
-               == "a.toml: control.election_timeout_ms: must be at least 3 times heartbeat_ms");
+        == "a.toml: control.election_timeout_ms: must be at least 3 times heartbeat_ms");
     BOOST_TEST(mistake(replaced("data_folder = \"/var/lib/bamboomoor\"\n", ""))
-               == "a.toml: data_folder: is missing; a VM that is a [[voter]] must have one");
+        == "a.toml: data_folder: is missing; a VM that is a [[voter]] must have one");
     BOOST_TEST(mistake(replaced("vm = \"vm1\"", "vm = \"vm2\""))
-               == "a.toml: bootstrap: must be false on a VM that is no [[voter]]");
+        == "a.toml: bootstrap: must be false on a VM that is no [[voter]]");
     BOOST_TEST(mistake(replaced("[::1]:9090", "::1:9090")).starts_with("a.toml: peer_listen: must be an address"));
     BOOST_TEST(mistake(replaced("8080", "65536")).starts_with("a.toml: listen: must be an address"));
     BOOST_TEST(mistake("vm = ").starts_with("a.toml: line 1, column "));
-    BOOST_TEST(settings::loadSettings("/nonexistent.toml").error().message
-               == "/nonexistent.toml: the file cannot be read");
+    BOOST_TEST(
+        settings::loadSettings("/nonexistent.toml").error().message == "/nonexistent.toml: the file cannot be read");
 }
 
 BOOST_AUTO_TEST_CASE(any_text_is_read_or_explained_in_one_line)
