Add membership: announcements, leases, and deltas between registries

Each upstream's state is a join (incarnation, sequence, lease end, leaving), so that lost, late, doubled and reordered deltas cannot list a dead upstream. Leases travel as remaining milliseconds counted from the sending of the question, so no hop extends them. Renewals name their content by digest, since two registries may have seen different announcements.

--- /dev/null
+++ b/src/bamboomoor/membership/announcement.hpp
@@ -0,0 +1,94 @@
+/**
+ * What an upstream says about itself: where it is, what it holds, how busy it is, and what became of its orders.
+ */
+#pragma once
+
+#include "bamboomoor/base/nametable.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace bamboomoor::membership
+{
+
+/** @brief What an upstream serves. */
+enum class UpstreamKind { ModelWorker, Service };
+
+/** @brief Names of the kinds in the announcement format. */
+inline constexpr auto UPSTREAM_KIND_NAMES = base::makeNames<UpstreamKind>("model_worker", "service");
+
+/** @brief What an upstream did with an order. */
+enum class OrderResult { Done, Refused };
+
+/** @brief Names of the order results in the announcement format. */
+inline constexpr auto ORDER_RESULT_NAMES = base::makeNames<OrderResult>("done", "refused");
+
+/** @brief One model version, or one adapter of it, in the memory of an accelerator. */
+struct Resident {
+    std::string model;
+    // Empty for the model itself.
+    std::string adapter;
+    std::string version;
+    // In mebibytes.
+    std::uint64_t memoryMib = 0;
+
+    friend bool operator==(const Resident &, const Resident &) = default;
+};
+
+/** @brief One accelerator of an upstream. */
+struct Accelerator {
+    // Unique within its upstream.
+    std::string id;
+    // Usable memory in mebibytes.
+    std::uint64_t memoryMib = 0;
+    std::vector<Resident> resident;
+
+    friend bool operator==(const Accelerator &, const Accelerator &) = default;
+};
+
+/** @brief Load as the upstream reported it; lags behind. */
+struct Load {
+    std::uint64_t running = 0;
+    std::uint64_t queued = 0;
+    // Prompt tokens of the queued requests.
+    std::uint64_t waitingTokens = 0;
+
+    friend bool operator==(const Load &, const Load &) = default;
+};
+
+/** @brief An upstream's confirmation of an order. */
+struct OrderOutcome {
+    std::string orderId;
+    OrderResult outcome = OrderResult::Done;
+
+    friend bool operator==(const OrderOutcome &, const OrderOutcome &) = default;
+};
+
+/** @brief One announcement of an upstream. */
+struct Announcement {
+    std::string id;
+    // Grows with each start of the upstream's process.
+    std::uint64_t incarnation = 0;
+    // Grows with each announcement of one incarnation.
+    std::uint64_t sequence = 0;
+    // "IP:PORT", or "[IP]:PORT" for IPv6.
+    std::string address;
+    std::string dataCentre;
+    UpstreamKind kind = UpstreamKind::ModelWorker;
+    // Name of the plain service; empty for a model worker.
+    std::string service;
+    // Empty for a plain service.
+    std::vector<Accelerator> accelerators;
+    // True when the upstream refuses orders with an old fencing number.
+    bool checksFencing = false;
+    Load load;
+    // True once the upstream wants no new work; never taken back within an incarnation.
+    bool leaving = false;
+    // Latest confirmed orders, oldest first.
+    std::vector<OrderOutcome> lastOrders;
+
+    friend bool operator==(const Announcement &, const Announcement &) = default;
+};
+
+} // namespace bamboomoor::membership
--- /dev/null
+++ b/src/bamboomoor/membership/codec.hpp
@@ -0,0 +1,58 @@
+/**
+ * The JSON form of announcements and of the deltas by which registries spread them.
+ */
+#pragma once
+
+#include "bamboomoor/base/outcome.hpp"
+#include "bamboomoor/membership/announcement.hpp"
+#include "bamboomoor/membership/registry.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace bamboomoor::membership
+{
+
+/** @brief Why a text was not accepted. */
+enum class ParseErrorKind { NotJson, MissingField, WrongType, BadValue };
+
+/** @brief Names of the parse errors. */
+inline constexpr auto PARSE_ERROR_KIND_NAMES =
+    base::makeNames<ParseErrorKind>("not_json", "missing_field", "wrong_type", "bad_value");
+
+/** @brief A parse error and where it is. */
+struct ParseError {
+    ParseErrorKind kind = ParseErrorKind::NotJson;
+    // Path of the field, such as "accelerators[0].memory_mib"; empty for the whole text.
+    std::string field;
+};
+
+/**
+ * @brief Writes an announcement as JSON.
+ * @param announcement The announcement.
+ * @return One JSON object without line breaks.
+ */
+[[nodiscard]] std::string encode(const Announcement &announcement);
+
+/**
+ * @brief Reads an announcement from JSON; unknown fields are ignored.
+ * @param text The JSON text.
+ * @return The announcement, or the first error found.
+ */
+[[nodiscard]] base::Result<Announcement, ParseError> parse(std::string_view text);
+
+/**
+ * @brief Writes a delta as JSON.
+ * @param delta The delta.
+ * @return One JSON object without line breaks.
+ */
+[[nodiscard]] std::string encodeDelta(const Delta &delta);
+
+/**
+ * @brief Reads a delta from JSON; unknown fields are ignored.
+ * @param text The JSON text.
+ * @return The delta, or the first error found.
+ */
+[[nodiscard]] base::Result<Delta, ParseError> parseDelta(std::string_view text);
+
+} // namespace bamboomoor::membership
--- /dev/null
+++ b/src/bamboomoor/membership/internal/reader.hpp
@@ -0,0 +1,108 @@
+/**
+ * Reads typed fields of one JSON object and keeps the first error with the path of its field.
+ */
+#pragma once
+
+#include "bamboomoor/base/clock.hpp"
+#include "bamboomoor/base/nametable.hpp"
+#include "bamboomoor/membership/codec.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bamboomoor::membership::internal
+{
+
+/** @brief A reader of one object; after an error every read returns an empty value. */
+class Reader
+{
+public:
+    /**
+     * @brief Makes a reader.
+     * @param value The object, which must outlive the reader.
+     * @param path Path of the object; empty for the whole document.
+     * @param error Where the first error is put.
+     */
+    Reader(const nlohmann::json &value, std::string path, std::optional<ParseError> &error);
+
+    /** @brief Tells whether a field is there. */
+    [[nodiscard]] bool has(const char *field) const;
+
+    /** @brief Reads a string. */
+    [[nodiscard]] std::string text(const char *field);
+
+    /** @brief Reads a string that is neither empty nor overlong. */
+    [[nodiscard]] std::string name(const char *field);
+
+    /** @brief Reads "IP:PORT" or "[IP]:PORT". */
+    [[nodiscard]] std::string address(const char *field);
+
+    /** @brief Reads an integer that is not negative. */
+    [[nodiscard]] std::uint64_t number(const char *field);
+
+    /** @brief Reads a span of milliseconds that is not negative. */
+    [[nodiscard]] base::Millis millis(const char *field);
+
+    /** @brief Reads true or false. */
+    [[nodiscard]] bool flag(const char *field);
+
+    /** @brief Reads a value by its name in a table. */
+    template<class Enum, std::size_t Size>
+    [[nodiscard]] Enum value(const char *field, const base::NameTable<Enum, Size> &names)
+    {
+        const std::string text = name(field);
+        const std::optional<Enum> found = names.find(text);
+        if (!found) {
+            fail(ParseErrorKind::BadValue, field);
+        }
+        return found.value_or(Enum{});
+    }
+
+    /** @brief Reads an object by a function. */
+    template<class Value>
+    [[nodiscard]] Value object(const char *field, Value (*read)(Reader &))
+    {
+        const nlohmann::json *found = get(field);
+        if (found == nullptr) {
+            return {};
+        }
+        Reader reader(*found, pathOf(field), m_error);
+        return read(reader);
+    }
+
+    /** @brief Reads a list of objects by a function. */
+    template<class Value>
+    [[nodiscard]] std::vector<Value> list(const char *field, Value (*read)(Reader &))
+    {
+        std::vector<Value> values;
+        const nlohmann::json *found = get(field);
+        if (found == nullptr) {
+            return values;
+        }
+        if (!found->is_array()) {
+            fail(ParseErrorKind::WrongType, field);
+            return values;
+        }
+        for (std::size_t n = 0; n < found->size() && !m_error; ++n) {
+            Reader reader((*found)[n], pathOf(field) + "[" + std::to_string(n) + "]", m_error);
+            values.push_back(read(reader));
+        }
+        return values;
+    }
+
+private:
+    [[nodiscard]] const nlohmann::json *get(const char *field);
+    [[nodiscard]] std::string pathOf(std::string_view field) const;
+    void fail(ParseErrorKind kind, std::string_view field);
+
+    const nlohmann::json &m_value;
+    std::string m_path;
+    std::optional<ParseError> &m_error;
+};
+
+} // namespace bamboomoor::membership::internal
--- /dev/null
+++ b/src/bamboomoor/membership/registry.cpp
@@ -0,0 +1,273 @@
+/**
+ * Joins announcements and deltas into the registry.
+ */
+#include "bamboomoor/membership/registry.hpp"
+
+#include "bamboomoor/base/digest.hpp"
+#include "bamboomoor/membership/codec.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace bamboomoor::membership
+{
+
+namespace
+{
+// A longer lease for a known sequence is spread only when it gains more than this, so that echoes die out.
+constexpr base::Millis SPREAD_GAIN{100};
+constexpr std::size_t DIGEST_DIGITS = 16;
+
+Announcement contentOf(Announcement announcement)
+{
+    announcement.sequence = 0;
+    announcement.load = {};
+    return announcement;
+}
+
+bool sameContent(const Announcement &lhs, const Announcement &rhs)
+{
+    return lhs.incarnation == rhs.incarnation && lhs.address == rhs.address && lhs.dataCentre == rhs.dataCentre
+        && lhs.kind == rhs.kind && lhs.service == rhs.service && lhs.accelerators == rhs.accelerators
+        && lhs.checksFencing == rhs.checksFencing && lhs.leaving == rhs.leaving && lhs.lastOrders == rhs.lastOrders;
+}
+} // namespace
+
+Registry::Registry(RegistryOptions options) noexcept
+    : m_options(options)
+{
+}
+
+Verdict Registry::announce(base::Millis now, Announcement announcement)
+{
+    const auto it = m_records.find(announcement.id);
+    Verdict verdict = Verdict::Added;
+    if (it != m_records.end()) {
+        Record &record = it->second;
+        const Announcement &known = record.entry.announcement;
+        if (announcement.incarnation < known.incarnation) {
+            return Verdict::OlderIncarnation;
+        }
+        if (announcement.incarnation == known.incarnation && announcement.sequence <= known.sequence) {
+            return announcement.leaving && noteLeaving(record) ? Verdict::LeavingNoted : Verdict::Overtaken;
+        }
+        if (announcement.incarnation > known.incarnation) {
+            verdict = Verdict::Restarted;
+        } else if (!record.expired) {
+            announcement.leaving = announcement.leaving || known.leaving;
+            verdict = sameContent(announcement, known) ? Verdict::Renewed : Verdict::Changed;
+        }
+    }
+    join(std::move(announcement), now + m_options.lease, now);
+    return verdict;
+}
+
+std::vector<std::string> Registry::expire(base::Millis now)
+{
+    std::vector<std::string> dropped;
+    for (auto it = m_records.begin(); it != m_records.end();) {
+        Record &record = it->second;
+        if (!record.expired && record.entry.expiresAt <= now) {
+            record.expired = true;
+            touch(record);
+            dropped.push_back(it->first);
+        }
+        if (record.entry.expiresAt + m_options.retention <= now) {
+            it = m_records.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    return dropped;
+}
+
+const Entry *Registry::find(base::Millis now, std::string_view id) const
+{
+    const auto it = m_records.find(id);
+    if (it == m_records.end() || !isLive(now, it->second)) {
+        return nullptr;
+    }
+    return &it->second.entry;
+}
+
+std::vector<const Entry *> Registry::list(base::Millis now) const
+{
+    std::vector<const Entry *> entries;
+    for (const auto &[id, record] : m_records) {
+        if (isLive(now, record)) {
+            entries.push_back(&record.entry);
+        }
+    }
+    return entries;
+}
+
+std::vector<const Entry *> Registry::usable(base::Millis now) const
+{
+    std::vector<const Entry *> entries = list(now);
+    std::erase_if(entries, [](const Entry *entry) {
+        return entry->announcement.leaving;
+    });
+    return entries;
+}
+
+Delta Registry::changesSince(base::Millis now, Position since) const
+{
+    const bool known = since.epoch == m_options.epoch && since.revision <= m_revision;
+    const std::uint64_t after = known ? since.revision : 0;
+    Delta delta;
+    delta.position = position();
+    for (const auto &[id, record] : m_records) {
+        if (record.revision <= after) {
+            continue;
+        }
+        const Announcement &announcement = record.entry.announcement;
+        const base::Millis remaining = record.entry.expiresAt - now;
+        const base::Millis loadAge = std::max(now - record.entry.loadAt, base::Millis{0});
+        if (!isLive(now, record)) {
+            delta.removed.push_back({id, announcement.incarnation, announcement.leaving});
+        } else if (record.contentRevision > after) {
+            delta.entries.push_back({announcement, remaining, loadAge});
+        } else {
+            delta.renewals.push_back({id, announcement.incarnation, announcement.sequence, record.entry.digest,
+                announcement.load, remaining, loadAge});
+        }
+    }
+    return delta;
+}
+
+MergeResult Registry::merge(base::Millis asOf, const Delta &delta)
+{
+    MergeResult result;
+    for (const SpreadEntry &it : delta.entries) {
+        // No origin grants more than a lease, so a greater remainder is an error of the sender.
+        const base::Millis remaining = std::min(it.remaining, m_options.lease);
+        result.changed += join(it.announcement, asOf + remaining, asOf - it.loadAge) ? 1U : 0U;
+    }
+    for (const Renewal &it : delta.renewals) {
+        result.changed += joinRenewal(it, asOf, result.incomplete) ? 1U : 0U;
+    }
+    for (const Removal &it : delta.removed) {
+        result.changed += joinRemoval(it) ? 1U : 0U;
+    }
+    return result;
+}
+
+Position Registry::position() const noexcept
+{
+    return {m_options.epoch, m_revision};
+}
+
+bool Registry::isLive(base::Millis now, const Record &record) const noexcept
+{
+    return !record.expired && record.entry.expiresAt > now;
+}
+
+void Registry::setContent(Record &record, Announcement announcement)
+{
+    record.entry.digest = base::sha256(encode(contentOf(announcement))).substr(0, DIGEST_DIGITS);
+    record.entry.announcement = std::move(announcement);
+    touch(record);
+    record.contentRevision = record.revision;
+}
+
+void Registry::touch(Record &record) noexcept
+{
+    record.revision = ++m_revision;
+}
+
+bool Registry::noteLeaving(Record &record)
+{
+    if (record.entry.announcement.leaving) {
+        return false;
+    }
+    Announcement announcement = record.entry.announcement;
+    announcement.leaving = true;
+    setContent(record, std::move(announcement));
+    return true;
+}
+
+bool Registry::extend(Record &record, base::Millis until) noexcept
+{
+    if (until <= record.entry.expiresAt) {
+        return false;
+    }
+    const bool notable = record.expired || until - record.entry.expiresAt > SPREAD_GAIN;
+    record.entry.expiresAt = until;
+    record.expired = false;
+    if (notable) {
+        touch(record);
+    }
+    return notable;
+}
+
+bool Registry::join(Announcement announcement, base::Millis until, base::Millis loadAt)
+{
+    const auto it = m_records.find(announcement.id);
+    if (it == m_records.end() || announcement.incarnation > it->second.entry.announcement.incarnation) {
+        Record &record = m_records[announcement.id];
+        record.entry.expiresAt = until;
+        record.entry.loadAt = loadAt;
+        record.expired = false;
+        setContent(record, std::move(announcement));
+        return true;
+    }
+    Record &record = it->second;
+    Announcement &known = record.entry.announcement;
+    if (announcement.incarnation < known.incarnation) {
+        return false;
+    }
+    bool changed = false;
+    if (announcement.sequence > known.sequence) {
+        announcement.leaving = announcement.leaving || known.leaving;
+        record.entry.loadAt = loadAt;
+        if (sameContent(announcement, known)) {
+            known.sequence = announcement.sequence;
+            known.load = announcement.load;
+            touch(record);
+        } else {
+            setContent(record, std::move(announcement));
+        }
+        changed = true;
+    } else if (announcement.leaving) {
+        changed = noteLeaving(record);
+    }
+    return extend(record, until) || changed;
+}
+
+bool Registry::joinRenewal(const Renewal &renewal, base::Millis asOf, bool &incomplete)
+{
+    const auto it = m_records.find(renewal.id);
+    if (it == m_records.end() || renewal.incarnation > it->second.entry.announcement.incarnation) {
+        incomplete = true;
+        return false;
+    }
+    Record &record = it->second;
+    Announcement &known = record.entry.announcement;
+    if (renewal.incarnation < known.incarnation) {
+        return false;
+    }
+    bool changed = false;
+    if (renewal.sequence > known.sequence) {
+        if (renewal.digest != record.entry.digest) {
+            incomplete = true;
+        } else {
+            known.sequence = renewal.sequence;
+            known.load = renewal.load;
+            record.entry.loadAt = asOf - renewal.loadAge;
+            touch(record);
+            changed = true;
+        }
+    }
+    return extend(record, asOf + std::min(renewal.remaining, m_options.lease)) || changed;
+}
+
+bool Registry::joinRemoval(const Removal &removal)
+{
+    const auto it = m_records.find(removal.id);
+    if (it == m_records.end() || it->second.entry.announcement.incarnation != removal.incarnation) {
+        return false;
+    }
+    return removal.leaving && noteLeaving(it->second);
+}
+
+} // namespace bamboomoor::membership
--- /dev/null
+++ b/test/bamboomoor/membership/registry.cpp
@@ -0,0 +1,255 @@
+/**
+ * Fuzzing of three registries against the announcements that upstreams really sent.
+ */
+#include "bamboomoor/membership/registry.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <array>
+#include <set>
+
+using namespace bamboomoor;
+using membership::Announcement;
+
+namespace
+{
+constexpr base::Millis LEASE{3'000};
+constexpr std::size_t REGISTRIES = 3;
+constexpr std::size_t UPSTREAMS = 3;
+
+struct Upstream {
+    Announcement present;
+    // Every announcement sent, by incarnation and sequence.
+    std::map<std::pair<std::uint64_t, std::uint64_t>, Announcement> sent;
+    // The latest lease end that any registry granted on direct receipt.
+    std::map<std::uint64_t, base::Millis> granted;
+};
+
+struct Message {
+    std::size_t to = 0;
+    std::size_t from = 0;
+    base::Millis askedAt;
+    membership::Delta delta;
+};
+
+class World
+{
+public:
+    World()
+    {
+        for (std::size_t n = 0; n < REGISTRIES; ++n) {
+            restartRegistry(n);
+        }
+        for (std::size_t n = 0; n < UPSTREAMS; ++n) {
+            m_upstreams[n].present.id = "w" + std::to_string(n);
+            m_upstreams[n].present.incarnation = 1;
+        }
+    }
+
+    void apply(std::uint32_t code)
+    {
+        const std::uint32_t kind = code % 16;
+        const std::size_t a = code / 16 % 3;
+        const std::size_t b = code / 48 % 3;
+        if (kind < 4) {
+            announce(a, b, false);
+        } else if (kind < 6) {
+            replay(a, b, code / 144);
+        } else if (kind < 10) {
+            ask(a, b);
+        } else if (kind < 12) {
+            deliver(code / 16, kind == 10);
+        } else if (kind == 12) {
+            m_now += base::Millis{code / 16 % 2'000};
+        } else if (kind == 13) {
+            change(a, code / 144);
+        } else if (kind == 14) {
+            m_registries[a].expire(m_now);
+        } else if (code / 144 % 4 == 0) {
+            restartRegistry(a);
+        }
+    }
+
+    // Every listed upstream was really sent, holds a granted lease, and keeps "leaving".
+    [[nodiscard]] bool isSound()
+    {
+        for (std::size_t n = 0; n < REGISTRIES; ++n) {
+            for (const membership::Entry *entry : m_registries[n].list(m_now)) {
+                if (!isSound(n, entry->announcement)) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    // After a fault-free second all registries list every live upstream alike.
+    [[nodiscard]] bool converges()
+    {
+        for (std::size_t n = 0; n < UPSTREAMS; ++n) {
+            announce(n, n % REGISTRIES, false);
+        }
+        m_messages.clear();
+        for (std::size_t round = 0; round < 4 * REGISTRIES * REGISTRIES; ++round) {
+            ask(round % REGISTRIES, round / REGISTRIES % REGISTRIES);
+            deliver(0, false);
+        }
+        for (std::size_t n = 0; n < REGISTRIES; ++n) {
+            const auto entries = m_registries[n].list(m_now);
+            if (entries.size() != UPSTREAMS) {
+                return false;
+            }
+            for (std::size_t i = 0; i < UPSTREAMS; ++i) {
+                const Announcement &listed = entries[i]->announcement;
+                Announcement expected = m_upstreams[i].present;
+                expected.leaving = m_registries[0].find(m_now, expected.id)->announcement.leaving;
+                if (!(listed == expected) || !isSound(n, listed)) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+private:
+    [[nodiscard]] bool isSound(std::size_t n, const Announcement &listed)
+    {
+        Upstream &upstream = m_upstreams[static_cast<std::size_t>(listed.id.back() - '0')];
+        const auto it = upstream.sent.find({listed.incarnation, listed.sequence});
+        if (it == upstream.sent.end() || upstream.granted[listed.incarnation] <= m_now) {
+            return false;
+        }
+        if (m_leavingSeen[n].count({listed.id, listed.incarnation}) != 0 && !listed.leaving) {
+            return false;
+        }
+        Announcement expected = it->second;
+        expected.leaving = listed.leaving;
+        return expected == listed && (listed.leaving || !it->second.leaving);
+    }
+
+    void receive(std::size_t to, Upstream &upstream, const Announcement &announcement)
+    {
+        const membership::Verdict verdict = m_registries[to].announce(m_now, announcement);
+        if (verdict != membership::Verdict::Overtaken && verdict != membership::Verdict::OlderIncarnation
+            && verdict != membership::Verdict::LeavingNoted) {
+            base::Millis &until = upstream.granted[announcement.incarnation];
+            until = std::max(until, m_now + LEASE);
+        }
+        if (announcement.leaving && verdict != membership::Verdict::OlderIncarnation) {
+            m_leavingSeen[to].insert({announcement.id, announcement.incarnation});
+        }
+    }
+
+    void announce(std::size_t n, std::size_t to, bool lost)
+    {
+        Upstream &upstream = m_upstreams[n];
+        ++upstream.present.sequence;
+        upstream.present.load.running = upstream.present.sequence * 7 % 5;
+        upstream.sent[{upstream.present.incarnation, upstream.present.sequence}] = upstream.present;
+        if (!lost) {
+            receive(to, upstream, upstream.present);
+        }
+    }
+
+    void replay(std::size_t n, std::size_t to, std::uint32_t choice)
+    {
+        Upstream &upstream = m_upstreams[n];
+        if (upstream.sent.empty()) {
+            return;
+        }
+        const auto it = std::next(upstream.sent.begin(), choice % static_cast<std::uint32_t>(upstream.sent.size()));
+        receive(to, upstream, it->second);
+    }
+
+    void change(std::size_t n, std::uint32_t choice)
+    {
+        Announcement &present = m_upstreams[n].present;
+        if (choice % 4 == 0) {
+            ++present.incarnation;
+            present.sequence = choice / 4 % 2;
+            present.leaving = false;
+        } else if (choice % 4 == 1) {
+            // A faulty upstream takes "leaving" back.
+            present.leaving = !present.leaving;
+        } else {
+            present.accelerators = {{"0", choice % 3, {}}};
+        }
+        announce(n, 0, true);
+    }
+
+    void ask(std::size_t to, std::size_t from)
+    {
+        if (to != from) {
+            m_messages.push_back({to, from, m_now, m_registries[from].changesSince(m_now, m_positions[to][from])});
+        }
+    }
+
+    void deliver(std::size_t choice, bool keep)
+    {
+        if (m_messages.empty()) {
+            return;
+        }
+        const std::size_t n = choice % m_messages.size();
+        const Message message = m_messages[n];
+        if (!keep) {
+            m_messages.erase(m_messages.begin() + static_cast<std::ptrdiff_t>(n));
+        }
+        const auto result = m_registries[message.to].merge(message.askedAt, message.delta);
+        m_positions[message.to][message.from] = result.incomplete ? membership::Position{} : message.delta.position;
+    }
+
+    void restartRegistry(std::size_t n)
+    {
+        membership::RegistryOptions options;
+        options.epoch = ++m_epoch;
+        m_registries[n] = membership::Registry(options);
+        m_positions[n] = {};
+        m_leavingSeen[n].clear();
+    }
+
+    base::Millis m_now{10'000};
+    std::uint64_t m_epoch = 0;
+    std::array<membership::Registry, REGISTRIES> m_registries;
+    std::array<Upstream, UPSTREAMS> m_upstreams;
+    std::array<std::array<membership::Position, REGISTRIES>, REGISTRIES> m_positions;
+    std::array<std::set<std::pair<std::string, std::uint64_t>>, REGISTRIES> m_leavingSeen;
+    std::vector<Message> m_messages;
+};
+} // namespace
+
+BOOST_AUTO_TEST_CASE(registries_agree_with_what_was_sent)
+{
+    BOOST_TEST(rc::check("registries list only what was sent and leased, and converge", [] {
+        const auto codes =
+            *rc::gen::container<std::vector<std::uint32_t>>(rc::gen::inRange<std::uint32_t>(0, 1U << 24U)).as("steps");
+        World world;
+        for (const std::uint32_t code : codes) {
+            world.apply(code);
+            RC_ASSERT(world.isSound());
+        }
+        RC_ASSERT(world.converges());
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(an_unchanged_upstream_spreads_as_a_renewal)
+{
+    membership::Registry registry;
+    Announcement announcement;
+    announcement.id = "w";
+    announcement.sequence = 1;
+    registry.announce({0}, announcement);
+    const auto first = registry.changesSince({10}, {});
+    BOOST_TEST(first.entries.size() == 1U);
+    BOOST_TEST(first.entries[0].remaining.count == 2'990);
+    announcement.sequence = 2;
+    announcement.load.running = 5;
+    registry.announce({1'000}, announcement);
+    const auto second = registry.changesSince({1'000}, first.position);
+    BOOST_TEST(second.entries.empty());
+    BOOST_TEST(second.renewals.size() == 1U);
+    BOOST_TEST(registry.find({3'999}, "w") != nullptr);
+    BOOST_TEST(registry.find({4'000}, "w") == nullptr);
+    BOOST_TEST(registry.expire({4'000}).size() == 1U);
+    BOOST_TEST(registry.changesSince({4'000}, second.position).removed.size() == 1U);
+}
