--- /dev/null
+++ b/test/bamboomoor/routing/main.cpp
@@ -0,0 +1,5 @@
+/**
+ * Entry point of the tests of the routing module.
+ */
+#define BOOST_TEST_MODULE routing
+#include <boost/test/unit_test.hpp>
