Release a claim whose request got no whole answer; let the latest ceiling count

Cause: a claim whose request was refused after the claim had been opened stayed open, so that its resend was told 'in progress' for ever. Conclusion: ReleaseClaim forgets a claim that provably did not run and turns others unknown, by the try that opened it only.

--- a/src/bamboomoor/state/claimtable.cpp
+++ b/src/bamboomoor/state/claimtable.cpp
@@ -98,6 +98,23 @@
     return out;
 }
 
+ClaimOutcome ClaimTable::release(const ReleaseClaim &command)
+{
+    const auto it = m_claims.find({.organisation = command.organisation, .key = command.key});
+    const bool held = it != m_claims.end() && it->second.state == ClaimState::Open && it->second.vm == command.vm
+        && it->second.attempt == command.attempt;
+    if (!held) {
+        return {.code = ClaimCode::NotOpen, .claimId = 0, .answer = std::nullopt};
+    }
+    const std::uint64_t id = it->second.id;
+    if (command.mayHaveRun) {
+        it->second.state = ClaimState::Unknown;
+    } else {
+        m_claims.erase(it);
+    }
+    return {.code = ClaimCode::Finished, .claimId = id, .answer = std::nullopt};
+}
+
 CountOutcome ClaimTable::sweep(const SweepClaims &command)
 {
     CountOutcome out;
--- a/src/bamboomoor/state/claimtable.hpp
+++ b/src/bamboomoor/state/claimtable.hpp
@@ -81,6 +81,13 @@
      */
     CountOutcome abandon(const AbandonClaims &command);
 
+    /**
+     * @brief Gives an open claim up.
+     * @param command The command.
+     * @return Finished, or NotOpen when the try has no open claim.
+     */
+    ClaimOutcome release(const ReleaseClaim &command);
+
     /**
      * @brief Forgets closed claims that have expired; open ones stay.
      * @param command The command.
--- a/src/bamboomoor/state/command.hpp
+++ b/src/bamboomoor/state/command.hpp
@@ -112,10 +112,10 @@
     friend bool operator==(const SweepClaims &, const SweepClaims &) = default;
 };
 
-/** @brief How many tokens the authority may have granted to one organisation in total. */
+/** @brief From which level of one organisation's bucket a following authority starts. */
 struct OrganisationCeiling {
     std::string organisation;
-    // Counted from the organisation's first grant; never shrinks.
+    // What is left when all that the present authority may grant is granted and spent.
     std::int64_t tokens = 0;
 
     friend bool operator==(const OrganisationCeiling &, const OrganisationCeiling &) = default;
@@ -172,9 +172,22 @@
     friend bool operator==(const CloseIntent &, const CloseIntent &) = default;
 };
 
+/** @brief Gives a claim up whose request got no whole answer. */
+struct ReleaseClaim {
+    std::string organisation;
+    std::string key;
+    // Name the try that opened the claim; the claim of another try stays.
+    std::string vm;
+    std::string attempt;
+    // True turns the claim unknown; false, which must be provable, forgets it, so that a resend may run.
+    bool mayHaveRun = true;
+
+    friend bool operator==(const ReleaseClaim &, const ReleaseClaim &) = default;
+};
+
 /** @brief Any command. */
 using Command = std::variant<ApplyConfig, AddKey, WithdrawKey, OpenClaim, FinishClaim, AbandonClaims, SweepClaims,
-    RaiseCeiling, RecordIntent, CloseIntent>;
+    RaiseCeiling, RecordIntent, CloseIntent, ReleaseClaim>;
 
 /** @brief Why bytes are no command. */
 struct DecodeError {
--- a/src/bamboomoor/state/fwd.hpp
+++ b/src/bamboomoor/state/fwd.hpp
@@ -15,6 +15,7 @@
 struct RaiseCeiling;
 struct RecordIntent;
 struct CloseIntent;
+struct ReleaseClaim;
 struct ChangeOutcome;
 struct ClaimOutcome;
 struct CountOutcome;
--- a/src/bamboomoor/state/json.hpp
+++ b/src/bamboomoor/state/json.hpp
@@ -87,6 +87,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Header, name, value)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AbandonClaims, vm, incarnation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SweepClaims, before)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReleaseClaim, organisation, key, vm, attempt, mayHaveRun)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(OrganisationCeiling, organisation, tokens)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RaiseCeiling, term, reservedUntilMillis, organisations)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CountOutcome, count)
--- a/src/bamboomoor/state/leaderlog.cpp
+++ b/src/bamboomoor/state/leaderlog.cpp
@@ -18,8 +18,7 @@
     m_term = command.term;
     m_reservedUntilMillis = std::max(m_reservedUntilMillis, command.reservedUntilMillis);
     for (const OrganisationCeiling &it : command.organisations) {
-        std::int64_t &tokens = m_ceilings[it.organisation];
-        tokens = std::max(tokens, it.tokens);
+        m_ceilings[it.organisation] = it.tokens;
     }
     return {.code = CeilingCode::Raised, .term = m_term};
 }
--- a/src/bamboomoor/state/leaderlog.hpp
+++ b/src/bamboomoor/state/leaderlog.hpp
@@ -20,7 +20,7 @@
 {
 public:
     /**
-     * @brief Raises ceilings; a ceiling never shrinks.
+     * @brief Replaces the ceilings of the organisations that the command names.
      * @param command The command.
      * @return StaleTerm for an earlier term than the last, and nothing is raised then.
      */
@@ -77,7 +77,7 @@
     void load(const nlohmann::json &json);
 
 private:
-    // Terms, times and ceilings never shrink.
+    // Terms and times never shrink; a ceiling is that of the latest command that names its organisation.
     std::uint64_t m_term = 0;
     std::int64_t m_reservedUntilMillis = 0;
     std::map<std::string, std::int64_t> m_ceilings;
--- a/src/bamboomoor/state/machine.cpp
+++ b/src/bamboomoor/state/machine.cpp
@@ -70,6 +70,9 @@
         [this](const CloseIntent &it) -> Outcome {
             return m_leaderLog.close(it);
         },
+        [this](const ReleaseClaim &it) -> Outcome {
+            return m_claims.release(it);
+        },
     };
     return std::visit(visitor, command);
 }
--- a/test/bamboomoor/state/oracle.hpp
+++ b/test/bamboomoor/state/oracle.hpp
@@ -88,6 +88,22 @@
         }
     }
 
+    // Only the try that opened a claim gives it up, and only before it has an answer.
+    bool release(const ReleaseClaim &command, const Outcome &outcome)
+    {
+        if (std::get<ClaimOutcome>(outcome).code != ClaimCode::Finished) {
+            return true;
+        }
+        const auto run = m_runs.find(command.organisation + "/" + command.key);
+        if (run == m_runs.end() || run->second.runner != command.vm + command.attempt || !run->second.body.empty()) {
+            return false;
+        }
+        if (!command.mayHaveRun) {
+            m_runs.erase(run);
+        }
+        return true;
+    }
+
     void sweep(const Machine &machine)
     {
         std::erase_if(m_runs, [&machine](const auto &it) {
