Serve and send HTTP: server, client, event parser, header stripping

The server suspends each connection until its answer comes, so a watch of its own over the sockets notices callers that disconnect meanwhile and senders that are too slow; the library looks for neither. The client says of every ending whether a byte of the request may have left.

--- /dev/null
+++ b/src/bamboomoor/http/fwd.hpp
@@ -0,0 +1,22 @@
+/**
+ * Forward declarations of the http module.
+ */
+#pragma once
+
+namespace bamboomoor::http
+{
+struct Header;
+struct Request;
+struct Response;
+struct ServerOptions;
+struct ServerCounters;
+struct Call;
+struct Ending;
+struct ClientOptions;
+class Responder;
+class Handler;
+class Server;
+class Listener;
+class Client;
+class SseParser;
+} // namespace bamboomoor::http
--- /dev/null
+++ b/src/bamboomoor/http/internal/transfer.cpp
@@ -0,0 +1,227 @@
+/**
+ * Settings of the library for one call, and the reading of its answer.
+ */
+#include "bamboomoor/http/internal/transfer.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <charconv>
+#include <utility>
+
+namespace bamboomoor::http::internal
+{
+
+namespace
+{
+
+// The most bytes of an answer's head.
+constexpr std::size_t MAX_HEAD_BYTES = 65'536;
+
+} // namespace
+
+Transfer::Transfer(CURL *handle, Call call, std::shared_ptr<Listener> listener, base::Millis now)
+    : m_handle(handle)
+    , m_call(std::move(call))
+    , m_listener(std::move(listener))
+    , m_started(now)
+    , m_lastProgress(now)
+{
+    assert(m_handle != nullptr && m_listener != nullptr);
+    setRequest();
+    setHeaders();
+    setLimits();
+}
+
+Transfer::~Transfer()
+{
+    curl_slist_free_all(m_lines);
+}
+
+void Transfer::setRequest()
+{
+    curl_easy_setopt(m_handle, CURLOPT_URL, m_call.url.c_str());
+    curl_easy_setopt(m_handle, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(m_handle, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+    curl_easy_setopt(m_handle, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(m_handle, CURLOPT_PROXY, "");
+    curl_easy_setopt(m_handle, CURLOPT_NOPROXY, "*");
+    curl_easy_setopt(m_handle, CURLOPT_FOLLOWLOCATION, 0L);
+    const bool bodiless =
+        m_call.body.empty() && m_call.method != "POST" && m_call.method != "PUT" && m_call.method != "PATCH";
+    if (m_call.method == "HEAD") {
+        curl_easy_setopt(m_handle, CURLOPT_NOBODY, 1L);
+    } else if (bodiless) {
+        curl_easy_setopt(m_handle, CURLOPT_HTTPGET, 1L);
+    } else {
+        curl_easy_setopt(m_handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(m_call.body.size()));
+        curl_easy_setopt(m_handle, CURLOPT_POSTFIELDS, m_call.body.data());
+    }
+    curl_easy_setopt(m_handle, CURLOPT_CUSTOMREQUEST, m_call.method.c_str());
+}
+
+void Transfer::setHeaders()
+{
+    const auto add = [this](const std::string &line) {
+        m_lines = curl_slist_append(m_lines, line.c_str());
+    };
+    for (const Header &it : m_call.headers) {
+        add(it.value.empty() ? it.name + ";" : it.name + ": " + it.value);
+    }
+    // Lines that the library would add by itself.
+    for (const char *name : {"Expect", "Accept", "Content-Type"}) {
+        if (findHeader(m_call.headers, name) == nullptr) {
+            add(std::string(name) + ":");
+        }
+    }
+    curl_easy_setopt(m_handle, CURLOPT_HTTPHEADER, m_lines);
+}
+
+void Transfer::setLimits()
+{
+    curl_easy_setopt(m_handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(m_handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(m_call.connectTimeout.count));
+    curl_easy_setopt(m_handle, CURLOPT_TIMEOUT_MS, static_cast<long>(m_call.totalTimeout.count));
+    // On a fresh connection the library never sends a request again by itself.
+    curl_easy_setopt(m_handle, CURLOPT_FRESH_CONNECT, m_call.once ? 1L : 0L);
+    curl_easy_setopt(m_handle, CURLOPT_HEADERFUNCTION, &Transfer::onHeaderLine);
+    curl_easy_setopt(m_handle, CURLOPT_HEADERDATA, this);
+    curl_easy_setopt(m_handle, CURLOPT_WRITEFUNCTION, &Transfer::onBody);
+    curl_easy_setopt(m_handle, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(m_handle, CURLOPT_PRIVATE, this);
+}
+
+base::Millis Transfer::deadline() const noexcept
+{
+    const base::Millis next =
+        m_answered ? m_lastProgress + m_call.progressTimeout : m_started + m_call.firstByteTimeout;
+    return std::min(next, m_started + m_call.totalTimeout);
+}
+
+std::size_t Transfer::onHeaderLine(char *bytes, std::size_t size, std::size_t count, void *self)
+{
+    auto &transfer = *static_cast<Transfer *>(self);
+    transfer.touch(transfer.m_clock.now());
+    transfer.readHeaderLine({bytes, size * count});
+    return transfer.m_malformed || transfer.m_tooLarge ? 0 : size * count;
+}
+
+void Transfer::readHeaderLine(std::string_view line)
+{
+    m_answered = true;
+    m_headBytes += line.size();
+    if (m_headBytes > MAX_HEAD_BYTES) {
+        m_tooLarge = true;
+        return;
+    }
+    // Trailers after the body concern nobody.
+    if (m_headDone) {
+        return;
+    }
+    line = trimmed(line);
+    if (line.starts_with("HTTP/")) {
+        m_headers.clear();
+        const std::size_t space = std::min(line.find(' '), line.size());
+        const std::string_view code = line.substr(std::min(space + 1, line.size()), 3);
+        m_status = 0;
+        std::from_chars(code.data(), code.data() + code.size(), m_status);
+        m_malformed = m_status < 100 || m_status > 999;
+    } else if (line.empty()) {
+        finishHead();
+    } else if (const std::size_t colon = line.find(':'); colon != std::string_view::npos) {
+        m_headers.push_back({std::string(line.substr(0, colon)), std::string(trimmed(line.substr(colon + 1)))});
+    }
+}
+
+void Transfer::finishHead()
+{
+    if (m_status < 200) {
+        // An interim answer; the real one follows. A switch of protocols was never asked for.
+        m_malformed = m_malformed || m_status == 101;
+        return;
+    }
+    m_headDone = true;
+    m_delimited = hasNoBody() || findHeader(m_headers, "Content-Length") != nullptr
+        || findHeader(m_headers, "Transfer-Encoding") != nullptr;
+    m_listener->onHead(m_status, std::move(m_headers));
+}
+
+bool Transfer::hasNoBody() const noexcept
+{
+    return m_status == 204 || m_status == 304 || m_call.method == "HEAD";
+}
+
+std::size_t Transfer::onBody(char *bytes, std::size_t size, std::size_t count, void *self)
+{
+    auto &transfer = *static_cast<Transfer *>(self);
+    const std::string_view chunk(bytes, size * count);
+    transfer.touch(transfer.m_clock.now());
+    if (transfer.m_bodyBytes + chunk.size() > transfer.m_call.maxAnswerBytes) {
+        transfer.m_tooLarge = true;
+        return 0;
+    }
+    transfer.m_bodyBytes += chunk.size();
+    transfer.m_listener->onData(chunk);
+    return chunk.size();
+}
+
+bool Transfer::anyByteSent() const
+{
+    long requestBytes = 0;
+    curl_off_t uploaded = 0;
+    curl_easy_getinfo(m_handle, CURLINFO_REQUEST_SIZE, &requestBytes);
+    curl_easy_getinfo(m_handle, CURLINFO_SIZE_UPLOAD_T, &uploaded);
+    return requestBytes > 0 || uploaded > 0 || m_answered;
+}
+
+EndKind Transfer::judge(CURLcode code) const
+{
+    if (m_tooLarge) {
+        return EndKind::TooLarge;
+    }
+    if (m_malformed) {
+        return EndKind::Malformed;
+    }
+    curl_off_t connectTime = 0;
+    curl_easy_getinfo(m_handle, CURLINFO_CONNECT_TIME_T, &connectTime);
+    switch (code) {
+    case CURLE_OK:
+        return m_headDone ? EndKind::Complete : EndKind::Malformed;
+    case CURLE_URL_MALFORMAT:
+    case CURLE_UNSUPPORTED_PROTOCOL:
+    case CURLE_BAD_FUNCTION_ARGUMENT:
+    case CURLE_OUT_OF_MEMORY:
+        // The same code stands for an answer that is not HTTP.
+        return anyByteSent() ? EndKind::Malformed : EndKind::Unusable;
+    case CURLE_COULDNT_RESOLVE_HOST:
+    case CURLE_COULDNT_CONNECT:
+        return anyByteSent() ? EndKind::ResetBeforeAnswer : EndKind::ConnectFailed;
+    case CURLE_OPERATION_TIMEDOUT:
+        return connectTime == 0 && !anyByteSent() ? EndKind::ConnectTimeout : EndKind::TimedOut;
+    case CURLE_PARTIAL_FILE:
+        return EndKind::Truncated;
+    case CURLE_GOT_NOTHING:
+        return EndKind::ResetBeforeAnswer;
+    case CURLE_SEND_ERROR:
+    case CURLE_RECV_ERROR:
+        return m_answered ? EndKind::ResetDuring : EndKind::ResetBeforeAnswer;
+    default:
+        return EndKind::Malformed;
+    }
+}
+
+void Transfer::finish(CURLcode code)
+{
+    Ending ending{judge(code), anyByteSent(), m_delimited, m_bodyBytes, {}};
+    if (code != CURLE_OK) {
+        ending.detail = curl_easy_strerror(code);
+    }
+    m_listener->onEnd(std::move(ending));
+}
+
+void Transfer::finish(EndKind kind)
+{
+    m_listener->onEnd({kind, anyByteSent(), m_delimited, m_bodyBytes, {}});
+}
+
+} // namespace bamboomoor::http::internal
--- /dev/null
+++ b/src/bamboomoor/http/internal/transfer.hpp
@@ -0,0 +1,104 @@
+/**
+ * One call within the client: the library's handle, the answer so far, and the judgement of how it ended.
+ */
+#pragma once
+
+#include "bamboomoor/base/clock.hpp"
+#include "bamboomoor/http/client.hpp"
+
+#include <curl/curl.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace bamboomoor::http::internal
+{
+
+/** @brief One call; used on the client's thread alone. */
+class Transfer
+{
+public:
+    /**
+     * @brief Prepares a call.
+     * @param handle A reset handle of the library, used until the end.
+     * @param call The request.
+     * @param listener Receives the answer.
+     * @param now The present time, in milliseconds.
+     */
+    Transfer(CURL *handle, Call call, std::shared_ptr<Listener> listener, base::Millis now);
+    ~Transfer();
+    Transfer(const Transfer &) = delete;
+    Transfer &operator=(const Transfer &) = delete;
+    Transfer(Transfer &&) = delete;
+    Transfer &operator=(Transfer &&) = delete;
+
+    /**
+     * @brief Tells when the call must have moved on.
+     * @return The point of time, in milliseconds.
+     */
+    [[nodiscard]] base::Millis deadline() const noexcept;
+
+    /**
+     * @brief Tells the listener the end by the library's verdict.
+     * @param code The verdict.
+     */
+    void finish(CURLcode code);
+
+    /**
+     * @brief Tells the listener an end decided by the client.
+     * @param kind How the call ended.
+     */
+    void finish(EndKind kind);
+
+    /**
+     * @brief Notes that the answer moved.
+     * @param now The present time, in milliseconds.
+     */
+    void touch(base::Millis now) noexcept
+    {
+        m_lastProgress = now;
+    }
+
+    /**
+     * @brief Names the library's handle.
+     * @return The handle.
+     */
+    [[nodiscard]] CURL *handle() const noexcept
+    {
+        return m_handle;
+    }
+
+private:
+    static std::size_t onHeaderLine(char *bytes, std::size_t size, std::size_t count, void *self);
+    static std::size_t onBody(char *bytes, std::size_t size, std::size_t count, void *self);
+
+    void setRequest();
+    void setHeaders();
+    void setLimits();
+    void readHeaderLine(std::string_view line);
+    void finishHead();
+    [[nodiscard]] EndKind judge(CURLcode code) const;
+    [[nodiscard]] bool anyByteSent() const;
+    [[nodiscard]] bool hasNoBody() const noexcept;
+
+    CURL *const m_handle;
+    const Call m_call;
+    const std::shared_ptr<Listener> m_listener;
+    const base::SteadyClock m_clock;
+    curl_slist *m_lines = nullptr;
+    const base::Millis m_started;
+    base::Millis m_lastProgress;
+    int m_status = 0;
+    Headers m_headers;
+    bool m_headDone = false;
+    bool m_delimited = false;
+    bool m_answered = false;
+    bool m_tooLarge = false;
+    bool m_malformed = false;
+    std::size_t m_headBytes = 0;
+    std::uint64_t m_bodyBytes = 0;
+};
+
+} // namespace bamboomoor::http::internal
--- /dev/null
+++ b/src/bamboomoor/http/internal/watch.cpp
@@ -0,0 +1,204 @@
+/**
+ * The watch's thread: an epoll set over all connections for hang-ups, and a sweep for overdue ones.
+ */
+#include "bamboomoor/http/internal/watch.hpp"
+
+#include "bamboomoor/http/internal/exchange.hpp"
+#include "bamboomoor/http/internal/tally.hpp"
+#include "bamboomoor/http/server.hpp"
+
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cassert>
+
+namespace bamboomoor::http::internal
+{
+
+namespace
+{
+
+// The time between two sweeps, in milliseconds.
+constexpr int SWEEP_INTERVAL = 200;
+
+} // namespace
+
+Watch::Watch(WatchLimits limits, std::shared_ptr<Tally> tally)
+    : m_limits(limits)
+    , m_tally(std::move(tally))
+    , m_epoll(epoll_create1(EPOLL_CLOEXEC))
+    , m_wakeup(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
+{
+    assert(m_epoll >= 0 && m_wakeup >= 0);
+    epoll_event event{};
+    event.events = EPOLLIN;
+    event.data.u64 = 0;
+    epoll_ctl(m_epoll, EPOLL_CTL_ADD, m_wakeup, &event);
+    m_thread = std::thread([this] {
+        run();
+    });
+}
+
+Watch::~Watch()
+{
+    m_stopping = true;
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const ssize_t written = ::write(m_wakeup, &one, sizeof(one));
+    m_thread.join();
+    close(m_wakeup);
+    close(m_epoll);
+}
+
+ConnectionId Watch::add(int socket)
+{
+    const absl::MutexLock lock(&m_mutex);
+    const std::uint64_t id = ++m_lastId;
+    Watched &watched = m_connections[id];
+    watched.socket = socket;
+    watched.since = m_clock.now();
+    epoll_event event{};
+    event.events = EPOLLRDHUP | EPOLLET;
+    event.data.u64 = id;
+    epoll_ctl(m_epoll, EPOLL_CTL_ADD, socket, &event);
+    ++m_tally->connections;
+    ++m_tally->openConnections;
+    return {id};
+}
+
+void Watch::remove(ConnectionId id)
+{
+    const absl::MutexLock lock(&m_mutex);
+    const auto it = m_connections.find(id.value);
+    if (it == m_connections.end()) {
+        return;
+    }
+    epoll_ctl(m_epoll, EPOLL_CTL_DEL, it->second.socket, nullptr);
+    m_tally->withoutRequest += it->second.hadRequest ? 0 : 1;
+    m_connections.erase(it);
+    --m_tally->openConnections;
+}
+
+void Watch::beginRequest(ConnectionId id, const std::shared_ptr<Exchange> &exchange)
+{
+    const absl::MutexLock lock(&m_mutex);
+    const auto it = m_connections.find(id.value);
+    if (it != m_connections.end()) {
+        it->second.phase = Phase::Head;
+        it->second.since = m_clock.now();
+        it->second.bodyBytes = 0;
+        it->second.exchange = exchange;
+    }
+}
+
+void Watch::move(ConnectionId id, Phase phase, std::size_t bodyBytes)
+{
+    std::shared_ptr<Exchange> abandoned;
+    {
+        const absl::MutexLock lock(&m_mutex);
+        const auto it = m_connections.find(id.value);
+        if (it == m_connections.end()) {
+            return;
+        }
+        Watched &watched = it->second;
+        watched.since = watched.phase == phase ? watched.since : m_clock.now();
+        watched.phase = phase;
+        watched.bodyBytes = bodyBytes;
+        watched.hadRequest = true;
+        if (phase == Phase::Handling && watched.peerClosed) {
+            abandoned = watched.exchange.lock();
+        }
+    }
+    if (abandoned != nullptr) {
+        abandoned->noteGone();
+    }
+}
+
+void Watch::cutAll()
+{
+    std::vector<std::shared_ptr<Exchange>> open;
+    {
+        const absl::MutexLock lock(&m_mutex);
+        for (const auto &[id, watched] : m_connections) {
+            if (auto exchange = watched.exchange.lock()) {
+                open.push_back(std::move(exchange));
+            }
+        }
+    }
+    for (const auto &it : open) {
+        it->cut();
+    }
+}
+
+void Watch::run()
+{
+    std::array<epoll_event, 256> events{};
+    base::Millis lastSweep = m_clock.now();
+    while (!m_stopping) {
+        const int count = epoll_wait(m_epoll, events.data(), static_cast<int>(events.size()), SWEEP_INTERVAL);
+        for (int n = 0; n < count; ++n) {
+            const std::uint64_t id = events[static_cast<std::size_t>(n)].data.u64;
+            if (id != 0) {
+                noteClosed(id);
+            }
+        }
+        if (m_clock.now() - lastSweep >= base::Millis{SWEEP_INTERVAL}) {
+            sweep();
+            lastSweep = m_clock.now();
+        }
+    }
+}
+
+void Watch::noteClosed(std::uint64_t id)
+{
+    std::shared_ptr<Exchange> abandoned;
+    {
+        const absl::MutexLock lock(&m_mutex);
+        const auto it = m_connections.find(id);
+        if (it == m_connections.end()) {
+            return;
+        }
+        it->second.peerClosed = true;
+        if (it->second.phase == Phase::Handling) {
+            abandoned = it->second.exchange.lock();
+        }
+    }
+    if (abandoned != nullptr) {
+        abandoned->noteGone();
+    }
+}
+
+void Watch::sweep()
+{
+    const base::Millis now = m_clock.now();
+    const absl::MutexLock lock(&m_mutex);
+    for (auto &[id, watched] : m_connections) {
+        if (!watched.shutDown && isOverdue(watched, now)) {
+            watched.shutDown = true;
+            ++m_tally->slowSender;
+            // The library sees the end of the connection and closes it by itself.
+            shutdown(watched.socket, SHUT_RDWR);
+        }
+    }
+}
+
+bool Watch::isOverdue(const Watched &watched, base::Millis now) const noexcept
+{
+    const base::Millis spent = now - watched.since;
+    switch (watched.phase) {
+    case Phase::Idle:
+        // The library closes a quiet connection after the idle time; this one trickles its first line.
+        return spent > m_limits.idle + m_limits.slowSender;
+    case Phase::Head:
+        return spent > m_limits.slowSender;
+    case Phase::Body:
+        return spent > m_limits.slowSender + base::Millis{static_cast<std::int64_t>(watched.bodyBytes) / MIN_BODY_RATE};
+    case Phase::Handling:
+        return false;
+    }
+    return false;
+}
+
+} // namespace bamboomoor::http::internal
--- /dev/null
+++ b/src/bamboomoor/http/internal/watch.hpp
@@ -0,0 +1,117 @@
+/**
+ * The watch over a server's connections: it notices callers that disconnect while their request is being handled,
+ * which libmicrohttpd does not look for, and closes connections that send a request too slowly.
+ */
+#pragma once
+
+#include "bamboomoor/base/clock.hpp"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/synchronization/mutex.h>
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <thread>
+#include <vector>
+
+namespace bamboomoor::http::internal
+{
+
+class Exchange;
+struct Tally;
+
+/** @brief Names a connection for the life of its server. */
+struct ConnectionId {
+    std::uint64_t value = 0;
+};
+
+/** @brief The part of a request's life in which a connection is. */
+enum class Phase { Idle, Head, Body, Handling };
+
+/** @brief The times after which the watch closes a connection. */
+struct WatchLimits {
+    base::Millis idle;
+    base::Millis slowSender;
+};
+
+/** @brief Watches the connections of one server with one thread. */
+class Watch
+{
+public:
+    /**
+     * @brief Starts the thread.
+     * @param limits The times after which connections are closed.
+     * @param tally Counts the closed ones.
+     */
+    Watch(WatchLimits limits, std::shared_ptr<Tally> tally);
+    ~Watch();
+    Watch(const Watch &) = delete;
+    Watch &operator=(const Watch &) = delete;
+    Watch(Watch &&) = delete;
+    Watch &operator=(Watch &&) = delete;
+
+    /**
+     * @brief Begins to watch a connection.
+     * @param socket Its socket, open until remove().
+     * @return Its name.
+     */
+    [[nodiscard]] ConnectionId add(int socket);
+
+    /**
+     * @brief Ends the watch over a connection; called before its socket is closed.
+     * @param id Its name.
+     */
+    void remove(ConnectionId id);
+
+    /**
+     * @brief Notes that a request's first line has come.
+     * @param id The connection.
+     * @param exchange The request.
+     */
+    void beginRequest(ConnectionId id, const std::shared_ptr<Exchange> &exchange);
+
+    /**
+     * @brief Notes that a request moves on.
+     * @param id The connection.
+     * @param phase The part of its life that begins, or goes on.
+     * @param bodyBytes The bytes of its body so far.
+     */
+    void move(ConnectionId id, Phase phase, std::size_t bodyBytes = 0);
+
+    /** @brief Cuts every request that is not answered. */
+    void cutAll();
+
+private:
+    struct Watched {
+        int socket = -1;
+        Phase phase = Phase::Idle;
+        base::Millis since;
+        std::size_t bodyBytes = 0;
+        bool hadRequest = false;
+        bool peerClosed = false;
+        bool shutDown = false;
+        std::weak_ptr<Exchange> exchange;
+    };
+
+    void run();
+    void noteClosed(std::uint64_t id);
+    void sweep();
+    [[nodiscard]] bool isOverdue(const Watched &watched, base::Millis now) const noexcept;
+
+    const WatchLimits m_limits;
+    const std::shared_ptr<Tally> m_tally;
+    const base::SteadyClock m_clock;
+    int m_epoll = -1;
+    int m_wakeup = -1;
+    mutable absl::Mutex m_mutex;
+    // Holds exactly the connections whose socket is open; a socket is touched only under the mutex.
+    absl::flat_hash_map<std::uint64_t, Watched> m_connections ABSL_GUARDED_BY(m_mutex);
+    std::uint64_t m_lastId ABSL_GUARDED_BY(m_mutex) = 0;
+    std::atomic<bool> m_stopping = false;
+    std::thread m_thread;
+};
+
+} // namespace bamboomoor::http::internal
--- /dev/null
+++ b/test/bamboomoor/http/server.cpp
@@ -0,0 +1,261 @@
+/**
+ * Tests of the server against its own client and against raw connections that misbehave.
+ */
+#include "support.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <thread>
+
+using namespace bamboomoor;
+using namespace bamboomoor::http::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+struct Fixture {
+    explicit Fixture(FunctionHandler::Function function, http::ServerOptions options = {})
+        : handler(std::move(function))
+        , server(handler, options)
+        , address(server.start("127.0.0.1:0").value())
+    {
+    }
+
+    std::shared_ptr<Collector> send(http::Call call)
+    {
+        call.url = "http://" + address + call.url;
+        auto collector = std::make_shared<Collector>();
+        client.start(std::move(call), collector);
+        return collector;
+    }
+
+    // Waits for a counter to reach a value; the test's own timeout bounds the wait.
+    template<class Predicate>
+    void await(Predicate predicate)
+    {
+        while (!predicate(server.counters())) {
+            std::this_thread::sleep_for(2ms);
+        }
+    }
+
+    FunctionHandler handler;
+    http::Server server;
+    std::string address;
+    http::Client client;
+};
+
+void echo(const http::Request &request, const std::shared_ptr<http::Responder> &responder)
+{
+    const std::string head = request.method + " " + request.path + " " + request.query + " ";
+    responder->respond({200, {{"X-Kind", "echo"}}, head + request.body});
+}
+
+http::ServerOptions shortTimes()
+{
+    http::ServerOptions options;
+    options.maxHeaderBytes = 4'096;
+    options.maxBodyBytes = 100'000;
+    options.idleTimeout = {1'000};
+    options.slowSenderTimeout = {300};
+    return options;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(request_and_answer_arrive_whole)
+{
+    Fixture fixture(echo);
+    for (const bool once : {true, false, false}) {
+        const std::string body(300'000, 'b');
+        const auto answer = fixture.send({.method = "POST", .url = "/a%20b?x=1&y", .body = body, .once = once});
+        BOOST_TEST(answer->status() == 200);
+        BOOST_TEST((answer->body() == "POST /a%20b x=1&y " + body));
+        BOOST_TEST(http::headerValue(answer->headers(), "x-kind") == "echo");
+        BOOST_TEST((answer->await().kind == http::EndKind::Complete));
+        BOOST_TEST(answer->await().delimited);
+    }
+    BOOST_TEST(fixture.send({.method = "DELETE", .url = "/d"})->body() == "DELETE /d  ");
+    BOOST_TEST(fixture.send({.method = "HEAD", .url = "/h"})->body().empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_from_another_thread_arrives_in_order)
+{
+    std::vector<std::thread> threads;
+    absl::Mutex mutex;
+    std::atomic<int> refused = 0;
+    Fixture fixture([&](const http::Request &, const std::shared_ptr<http::Responder> &responder) {
+        const absl::MutexLock lock(&mutex);
+        threads.emplace_back([responder, &refused] {
+            responder->begin(200, {{"Content-Type", "text/event-stream"}});
+            for (int n = 0; n < 500; ++n) {
+                refused += responder->write(std::to_string(n) + ",") ? 0 : 1;
+                std::this_thread::sleep_for(n % 50 == 0 ? 1ms : 0ms);
+            }
+            responder->end();
+        });
+    });
+    std::string expected;
+    for (int n = 0; n < 500; ++n) {
+        expected += std::to_string(n) + ",";
+    }
+    std::vector<std::shared_ptr<Collector>> answers;
+    answers.reserve(40);
+    for (int n = 0; n < 40; ++n) {
+        answers.push_back(fixture.send({.url = "/", .once = n % 2 == 0}));
+    }
+    for (const auto &it : answers) {
+        BOOST_TEST(it->body() == expected);
+        BOOST_TEST((it->await().kind == http::EndKind::Complete));
+    }
+    for (auto &it : threads) {
+        it.join();
+    }
+    BOOST_TEST(refused == 0);
+}
+
+BOOST_AUTO_TEST_CASE(an_aborted_stream_is_seen_as_cut)
+{
+    Fixture fixture([](const http::Request &, const std::shared_ptr<http::Responder> &responder) {
+        responder->begin(200, {});
+        responder->write("part");
+        std::thread([responder] {
+            std::this_thread::sleep_for(20ms);
+            responder->abort();
+        }).detach();
+    });
+    const auto answer = fixture.send({.url = "/"});
+    BOOST_TEST((answer->await().kind == http::EndKind::Truncated));
+    BOOST_TEST(answer->body() == "part");
+}
+
+BOOST_AUTO_TEST_CASE(a_forgotten_responder_answers_500)
+{
+    Fixture fixture([](const http::Request &, const std::shared_ptr<http::Responder> &) {});
+    BOOST_TEST(fixture.send({.url = "/"})->status() == 500);
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_that_disconnects_is_noticed_while_waiting_and_while_streaming)
+{
+    std::shared_ptr<http::Responder> kept;
+    absl::Notification gone;
+    Fixture fixture([&](const http::Request &request, const std::shared_ptr<http::Responder> &responder) {
+        kept = responder;
+        responder->onGone([&gone] {
+            gone.Notify();
+        });
+        if (request.path == "/stream") {
+            responder->begin(200, {});
+            responder->write("x");
+        }
+    });
+    for (const std::string path : {"/wait", "/stream"}) {
+        {
+            const RawConnection caller(fixture.address);
+            caller.send("GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n");
+            fixture.await([&](const http::ServerCounters &it) {
+                return it.requests == (path == "/wait" ? 1U : 2U);
+            });
+            if (path == "/stream") {
+                BOOST_TEST(!caller.readUntil("x").empty());
+            }
+        }
+        gone.WaitForNotification();
+        BOOST_TEST(kept->gone());
+        BOOST_TEST(!kept->write("more"));
+        fixture.await([](const http::ServerCounters &it) {
+            return it.openRequests == 0;
+        });
+        std::destroy_at(&gone);
+        std::construct_at(&gone);
+    }
+    BOOST_TEST(fixture.server.counters().callersGone == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(oversize_and_malformed_requests_are_refused)
+{
+    Fixture fixture(echo, shortTimes());
+    const auto ask = [&fixture](const std::string &text) {
+        const RawConnection caller(fixture.address);
+        caller.send(text);
+        return caller.readAll().substr(0, 12);
+    };
+    const std::string start = "POST / HTTP/1.1\r\nHost: x\r\n";
+    BOOST_TEST(ask(start + "A: " + std::string(5'000, 'a') + "\r\n\r\n") == "HTTP/1.1 431");
+    BOOST_TEST(ask(start + "A: " + std::string(200'000, 'a') + "\r\n\r\n") == "HTTP/1.1 431");
+    BOOST_TEST(ask(start + "Content-Length: 100001\r\n\r\n") == "HTTP/1.1 413");
+    const std::string chunk = "1ADB0\r\n" + std::string(110'000, 'c') + "\r\n0\r\n\r\n";
+    BOOST_TEST(ask(start + "Transfer-Encoding: chunked\r\n\r\n" + chunk) == "HTTP/1.1 413");
+    BOOST_TEST(ask("GET / HTTP/1.1\r\nno colon\r\n\r\n") == "HTTP/1.1 400");
+    // A first line of one word is not answered at all: the library closes the connection.
+    BOOST_TEST(ask("nonsense\r\n\r\n").empty());
+    BOOST_TEST(ask(start + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n") == "HTTP/1.1 400");
+    BOOST_TEST(ask(start + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab") == "HTTP/1.1 400");
+    BOOST_TEST(fixture.server.counters().requests == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(half_sent_requests_are_closed)
+{
+    Fixture fixture(echo, shortTimes());
+    for (const std::string text :
+        {"GET /", "GET / HTTP/1.1\r\nHost: x\r\n", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc"}) {
+        const RawConnection caller(fixture.address);
+        caller.send(text);
+        BOOST_TEST(!caller.readAll().starts_with("HTTP/1.1 200"));
+    }
+    BOOST_TEST(fixture.server.counters().slowSender >= 2U);
+    BOOST_TEST(fixture.server.counters().requests == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(requests_on_one_connection_do_not_mix)
+{
+    Fixture fixture(echo);
+    const RawConnection caller(fixture.address);
+    caller.send("POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\noneGET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+    const std::string text = caller.readUntil("GET /2");
+    BOOST_TEST(text.find("POST /1  one") != std::string::npos);
+    BOOST_TEST(text.find("GET /2") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(stopping_answers_what_runs_and_refuses_new_connections)
+{
+    std::shared_ptr<http::Responder> kept;
+    Fixture fixture([&](const http::Request &, const std::shared_ptr<http::Responder> &responder) {
+        kept = responder;
+    });
+    const auto answer = fixture.send({.url = "/"});
+    fixture.await([](const http::ServerCounters &it) {
+        return it.openRequests == 1;
+    });
+    fixture.server.quiesce();
+    const auto refused = fixture.send({.url = "/"});
+    BOOST_TEST((refused->await().kind == http::EndKind::ConnectFailed));
+    BOOST_TEST(!refused->await().bytesSent);
+    std::thread later([&kept] {
+        std::this_thread::sleep_for(50ms);
+        kept->respond({200, {}, "late"});
+    });
+    BOOST_TEST(fixture.server.stop({20'000}));
+    later.join();
+    BOOST_TEST(answer->body() == "late");
+    BOOST_TEST(http::headerValue(answer->headers(), "Connection") == "close");
+}
+
+BOOST_AUTO_TEST_CASE(stopping_at_the_limit_cuts_what_is_left)
+{
+    std::shared_ptr<http::Responder> kept;
+    auto fixture = std::make_unique<Fixture>([&](const http::Request &, const std::shared_ptr<http::Responder> &it) {
+        kept = it;
+    });
+    const auto answer = fixture->send({.url = "/"});
+    fixture->await([](const http::ServerCounters &it) {
+        return it.openRequests == 1;
+    });
+    BOOST_TEST(!fixture->server.stop({10}));
+    BOOST_TEST((answer->await().kind == http::EndKind::ResetBeforeAnswer));
+    BOOST_TEST(answer->await().bytesSent);
+    fixture.reset();
+    kept->respond({200, {}, "too late"});
+    BOOST_TEST(!kept->write("x"));
+}
