--- /dev/null
+++ b/src/bamboomoor/daemon/peerservice.hpp
@@ -0,0 +1,49 @@
+/**
+ * Answers the calls of other daemons from the parts of this one.
+ */
+#pragma once
+
+#include "bamboomoor/daemon/voter.hpp"
+#include "bamboomoor/entry/upstreambook.hpp"
+#include "bamboomoor/peer/server.hpp"
+
+namespace bamboomoor::daemon
+{
+
+/** @brief The calls of peers; a daemon that is no voter answers that it does not lead. */
+class PeerService final : public peer::Handler
+{
+public:
+    /**
+     * @brief Makes the service.
+     * @param voter This daemon's voter, or null; outlives the service.
+     * @param book The upstreams known here; outlives the service.
+     * @param clock The time; outlives the service.
+     * @param warmUntil Until when upstreams that live may be missing in the book.
+     */
+    PeerService(Voter *voter, entry::UpstreamBook &book, const base::Clock &clock, base::Millis warmUntil) noexcept
+        : m_voter(voter)
+        , m_book(book)
+        , m_clock(clock)
+        , m_warmUntil(warmUntil)
+    {
+    }
+
+    void deliver(const peer::wire::Envelope &envelope) override;
+    void propose(const peer::wire::ProposeRequest &request, peer::Answer<peer::wire::ProposeReply> answer) override;
+    void freshen(const peer::wire::FreshenRequest &request, peer::Answer<peer::wire::FreshenReply> answer) override;
+    void witness(const peer::wire::WitnessRequest &request, peer::Answer<peer::wire::WitnessReply> answer) override;
+    void ask(const peer::wire::BudgetAsk &request, peer::Answer<peer::wire::BudgetReply> answer) override;
+    void syncUpstreams(const peer::wire::UpstreamSync &request,
+                       peer::Answer<peer::wire::UpstreamSync> answer) override;
+    void history(const peer::wire::HistoryRequest &request, peer::Answer<peer::wire::HistoryReply> answer) override;
+    void reportDemand(const peer::wire::DemandReport &request, peer::Answer<peer::wire::DemandReply> answer) override;
+
+private:
+    Voter *m_voter;
+    entry::UpstreamBook &m_book;
+    const base::Clock &m_clock;
+    const base::Millis m_warmUntil;
+};
+
+} // namespace bamboomoor::daemon
--- /dev/null
+++ b/src/bamboomoor/daemon/voter.cpp
@@ -0,0 +1,68 @@
+/**
+ * What a daemon runs in addition when it is a voter.
+ */
+#include "bamboomoor/daemon/voter.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+namespace bamboomoor::daemon
+{
+
+namespace
+{
+
+constexpr std::int64_t PERMILLE = 1'000;
+
+control::VoterOptions voterOptions(const settings::Settings &settings, std::uint64_t seed)
+{
+    control::VoterOptions options;
+    options.folder = settings.dataFolder.value().string();
+    options.node.self = settings.vm;
+    options.node.electionTimeout = settings.control.electionTimeout;
+    options.node.heartbeat = settings.control.heartbeat;
+    options.node.seed = seed;
+    options.node.bootstrap = settings.bootstrap;
+    std::transform(settings.voters.begin(), settings.voters.end(), std::back_inserter(options.node.initialVoters),
+                   [](const settings::Voter &it) { return it.name; });
+    std::sort(options.node.initialVoters.begin(), options.node.initialVoters.end());
+    return options;
+}
+
+budget::AuthorityOptions budgetOptions(const settings::Settings &settings)
+{
+    budget::AuthorityOptions options;
+    options.lease = settings.budget.grantLease;
+    options.authorityLease = settings.budget.reserve;
+    options.driftPermille = std::max<std::int64_t>(
+        1, settings.budget.driftMargin.count * PERMILLE / std::max<std::int64_t>(1, settings.budget.grantLease.count));
+    return options;
+}
+
+} // namespace
+
+Voter::Voter(const settings::Settings &settings, const control::PeerBook &peers, const base::Clock &clock,
+             std::uint64_t seed)
+    : m_desk(voterOptions(settings, seed), peers, clock)
+    , m_freshen(m_desk, clock)
+    , m_budget(budgetOptions(settings), m_desk, clock)
+{
+    m_desk.watch(m_freshen);
+    m_desk.watch(m_budget);
+}
+
+base::Result<void, std::string> Voter::start()
+{
+    m_freshen.start();
+    m_budget.start();
+    return m_desk.start();
+}
+
+void Voter::stop()
+{
+    m_desk.stop();
+    m_budget.stop();
+    m_freshen.stop();
+}
+
+} // namespace bamboomoor::daemon
--- a/src/bamboomoor/entry/generation.cpp
+++ b/src/bamboomoor/entry/generation.cpp
@@ -117,10 +117,10 @@
     const auto options = json.find("stream_options");
     generation.includeUsage = options != json.end() && options->is_object() && readFlag(*options, "include_usage");
     for (const char *name : {"max_completion_tokens", "max_tokens"}) {
-        BOOST_OUTCOME_TRY(const auto count, readCount(json, name, 1));
+        BOOST_OUTCOME_TRY(count, readCount(json, name, 1));
         generation.maxTokens = count ? count : generation.maxTokens;
     }
-    BOOST_OUTCOME_TRY(const auto priority, readCount(json, "priority", 0));
+    BOOST_OUTCOME_TRY(priority, readCount(json, "priority", 0));
     generation.priority = priority.value_or(0);
     BOOST_OUTCOME_TRY(readPrompt(json, generation));
     return generation;
--- a/src/bamboomoor/peer/client.cpp
+++ b/src/bamboomoor/peer/client.cpp
@@ -162,7 +162,7 @@
 void Client::call(const wire::ProposeRequest &request, base::Millis timeout, OnReply<wire::ProposeReply> onReply)
 {
     start<wire::ProposeRequest, wire::ProposeReply>(
-        link(), request, timeout, std::move(onReply), [](auto *stub, auto... args) {
+        *m_calls, link(), request, timeout, std::move(onReply), [](auto *stub, auto... args) {
             stub->Propose(args...);
         });
 }
@@ -170,7 +170,7 @@
 void Client::call(const wire::FreshenRequest &request, base::Millis timeout, OnReply<wire::FreshenReply> onReply)
 {
     start<wire::FreshenRequest, wire::FreshenReply>(
-        link(), request, timeout, std::move(onReply), [](auto *stub, auto... args) {
+        *m_calls, link(), request, timeout, std::move(onReply), [](auto *stub, auto... args) {
             stub->Freshen(args...);
         });
 }
@@ -178,7 +178,7 @@
 void Client::call(const wire::WitnessRequest &request, base::Millis timeout, OnReply<wire::WitnessReply> onReply)
 {
     start<wire::WitnessRequest, wire::WitnessReply>(
-        link(), request, timeout, std::move(onReply), [](auto *stub, auto... args) {
+        *m_calls, link(), request, timeout, std::move(onReply), [](auto *stub, auto... args) {
             stub->Witness(args...);
         });
 }
@@ -186,7 +186,7 @@
 void Client::call(const wire::BudgetAsk &request, base::Millis timeout, OnReply<wire::BudgetReply> onReply)
 {
     start<wire::BudgetAsk, wire::BudgetReply>(
-        link(), request, timeout, std::move(onReply), [](auto *stub, auto... args) {
+        *m_calls, link(), request, timeout, std::move(onReply), [](auto *stub, auto... args) {
             stub->Ask(args...);
         });
 }
@@ -194,7 +194,7 @@
 void Client::call(const wire::UpstreamSync &request, base::Millis timeout, OnReply<wire::UpstreamSync> onReply)
 {
     start<wire::UpstreamSync, wire::UpstreamSync>(
-        link(), request, timeout, std::move(onReply), [](auto *stub, auto... args) {
+        *m_calls, link(), request, timeout, std::move(onReply), [](auto *stub, auto... args) {
             stub->SyncUpstreams(args...);
         });
 }
@@ -202,7 +202,7 @@
 void Client::call(const wire::HistoryRequest &request, base::Millis timeout, OnReply<wire::HistoryReply> onReply)
 {
     start<wire::HistoryRequest, wire::HistoryReply>(
-        link(), request, timeout, std::move(onReply), [](auto *stub, auto... args) {
+        *m_calls, link(), request, timeout, std::move(onReply), [](auto *stub, auto... args) {
             stub->History(args...);
         });
 }
@@ -210,7 +210,7 @@
 void Client::call(const wire::DemandReport &request, base::Millis timeout, OnReply<wire::DemandReply> onReply)
 {
     start<wire::DemandReport, wire::DemandReply>(
-        link(), request, timeout, std::move(onReply), [](auto *stub, auto... args) {
+        *m_calls, link(), request, timeout, std::move(onReply), [](auto *stub, auto... args) {
             stub->ReportDemand(args...);
         });
 }
