--- a/src/bamboomoor/control/budgetdesk.cpp
+++ b/src/bamboomoor/control/budgetdesk.cpp
@@ -31,7 +31,7 @@
 {
     std::vector<budget::CeilingEntry> entries;
     for (const state::OrganisationCeiling &it : machine.leaderLog().ceiling().organisations) {
-        entries.push_back({it.organisation, it.tokens});
+        entries.push_back({it.organisation, it.level, it.exposure});
     }
     return entries;
 }
@@ -182,7 +182,7 @@
     state::RaiseCeiling command;
     command.term = m_term;
     for (const budget::CeilingEntry &it : ceiling->entries) {
-        command.organisations.push_back({it.organisation, it.startLevel});
+        command.organisations.push_back({it.organisation, it.level, it.exposure});
     }
     m_voter.propose(state::encode(command), m_term, [this, term = m_term, number = ceiling->number](Proposed verdict) {
         post(CeilingDone{term, number, verdict.status});
--- a/src/bamboomoor/control/budgetwire.cpp
+++ b/src/bamboomoor/control/budgetwire.cpp
@@ -22,8 +22,9 @@
 {
     budget::AskEntry entry;
     entry.organisation = from.organisation();
-    entry.spent = from.spent();
-    entry.spentAge = {from.spent_age_ms()};
+    for (const auto &it : from.spends()) {
+        entry.spends.push_back({it.tokens(), {it.age_ms()}});
+    }
     entry.returned = from.returned();
     entry.debt = from.debt();
     for (const auto &it : from.refunds()) {
@@ -38,7 +39,7 @@
 {
     budget::ReplyEntry entry;
     entry.organisation = from.organisation();
-    entry.mark = from.mark();
+    entry.firstMark = from.first_mark();
     entry.granted = from.granted();
     for (const auto &it : from.needs()) {
         entry.needs.push_back(
@@ -61,8 +62,11 @@
     for (const budget::AskEntry &it : ask.entries) {
         auto *entry = to.add_entries();
         entry->set_organisation(it.organisation);
-        entry->set_spent(it.spent);
-        entry->set_spent_age_ms(it.spentAge.count);
+        for (const budget::Spend &spend : it.spends) {
+            auto *wire = entry->add_spends();
+            wire->set_tokens(spend.tokens);
+            wire->set_age_ms(spend.age.count);
+        }
         entry->set_returned(it.returned);
         entry->set_debt(it.debt);
         for (const budget::Refund &refund : it.refunds) {
@@ -90,7 +94,7 @@
     for (const budget::ReplyEntry &it : reply.entries) {
         auto *entry = to.add_entries();
         entry->set_organisation(it.organisation);
-        entry->set_mark(it.mark);
+        entry->set_first_mark(it.firstMark);
         entry->set_granted(it.granted);
         entry->set_recall(it.recall);
         for (const budget::NeedReply &need : it.needs) {
--- a/src/bamboomoor/state/command.hpp
+++ b/src/bamboomoor/state/command.hpp
@@ -112,11 +112,13 @@
     friend bool operator==(const SweepClaims &, const SweepClaims &) = default;
 };
 
-/** @brief From which level of one organisation's bucket a following authority starts. */
+/** @brief What a following authority needs to know of one organisation's bucket. */
 struct OrganisationCeiling {
     std::string organisation;
-    // What is left when all that the present authority may grant is granted and spent.
-    std::int64_t tokens = 0;
+    // Of the bucket, with the tokens still in it that holders have in hand.
+    std::int64_t level = 0;
+    // The most that holders may have in hand until the next entry.
+    std::int64_t exposure = 0;
 
     friend bool operator==(const OrganisationCeiling &, const OrganisationCeiling &) = default;
 };
--- a/src/bamboomoor/state/leaderlog.cpp
+++ b/src/bamboomoor/state/leaderlog.cpp
@@ -18,7 +18,7 @@
     m_term = command.term;
     m_reservedUntilMillis = std::max(m_reservedUntilMillis, command.reservedUntilMillis);
     for (const OrganisationCeiling &it : command.organisations) {
-        m_ceilings[it.organisation] = it.tokens;
+        m_ceilings[it.organisation] = it;
     }
     return {.code = CeilingCode::Raised, .term = m_term};
 }
@@ -47,8 +47,8 @@
 RaiseCeiling LeaderLog::ceiling() const
 {
     RaiseCeiling out{.term = m_term, .reservedUntilMillis = m_reservedUntilMillis, .organisations = {}};
-    for (const auto &[organisation, tokens] : m_ceilings) {
-        out.organisations.push_back({.organisation = organisation, .tokens = tokens});
+    for (const auto &[organisation, ceiling] : m_ceilings) {
+        out.organisations.push_back(ceiling);
     }
     return out;
 }
--- a/src/bamboomoor/state/leaderlog.hpp
+++ b/src/bamboomoor/state/leaderlog.hpp
@@ -80,7 +80,7 @@
     // Terms and times never shrink; a ceiling is that of the latest command that names its organisation.
     std::uint64_t m_term = 0;
     std::int64_t m_reservedUntilMillis = 0;
-    std::map<std::string, std::int64_t> m_ceilings;
+    std::map<std::string, OrganisationCeiling> m_ceilings;
     // By order id.
     std::map<std::string, RecordIntent> m_intents;
     std::uint64_t m_lastFencing = 0;
--- a/test/bamboomoor/state/generators.hpp
+++ b/test/bamboomoor/state/generators.hpp
@@ -70,7 +70,7 @@
 {
     switch (*rc::gen::inRange(0, 3)) {
     case 0:
-        return RaiseCeiling{*rc::gen::inRange<std::uint64_t>(0, 4), 5, {{anyName("o", 2), *rc::gen::inRange(0, 99)}}};
+        return RaiseCeiling{*rc::gen::inRange<std::uint64_t>(0, 4), 5, {{anyName("o", 2), *rc::gen::inRange(0, 99), 1}}};
     case 1:
         return CloseIntent{anyName("i", 3), OrderEnd::Void};
     default:
--- a/test/bamboomoor/state/machine.cpp
+++ b/test/bamboomoor/state/machine.cpp
@@ -224,14 +224,14 @@
 {
     Machine machine;
     const auto raise = [&machine](std::uint64_t term, std::int64_t tokens) {
-        const RaiseCeiling command{term, 1, {{"o", tokens}}};
+        const RaiseCeiling command{term, 1, {{"o", tokens, 7}}};
         const auto outcome = machine.apply(machine.lastIndex() + 1, encode(command));
         return CEILING_CODE_NAMES.name(std::get<CeilingOutcome>(outcome).code);
     };
     BOOST_TEST(raise(2, 10) == "raised");
     BOOST_TEST(raise(1, 99) == "stale_term");
     BOOST_TEST(raise(3, 5) == "raised");
-    BOOST_TEST(machine.leaderLog().ceiling().organisations.at(0).tokens == 5);
+    BOOST_TEST(machine.leaderLog().ceiling().organisations.at(0).level == 5);
     BOOST_TEST(machine.leaderLog().ceiling().term == 3U);
 }
 
