--- a/src/bamboomoor/entry/exchange.hpp
+++ b/src/bamboomoor/entry/exchange.hpp
@@ -38,7 +38,7 @@
     int status = 0;
     http::Headers headers;
     std::string body;
-    http::SseParser parser;
+    http::SseParser parser = http::SseParser();
     bool sawDone = false;
     bool sawByte = false;
 };
