--- a/src/bamboomoor/entry/desk.cpp
+++ b/src/bamboomoor/entry/desk.cpp
@@ -42,6 +42,21 @@
     return inHeader || holds(request.path) || holds(request.query) || holds(request.body);
 }
 
+routing::RouterOptions routerOptions(const DeskOptions &options)
+{
+    routing::RouterOptions router;
+    router.engineDepth = options.engineDepth;
+    return router;
+}
+
+budget::HolderOptions holderOptions(const DeskOptions &options)
+{
+    budget::HolderOptions holder;
+    holder.name = options.vm;
+    holder.incarnation = options.incarnation;
+    return holder;
+}
+
 http::Response listModels(const Configuration &configuration)
 {
     auto data = nlohmann::json::array();
@@ -61,9 +76,9 @@
     : m_options(std::move(options))
     , m_context(context)
     , m_ring(m_options.ringSize)
-    , m_holder({.name = m_options.vm, .incarnation = m_options.incarnation})
+    , m_holder(holderOptions(m_options))
     , m_router(routing::makePolicy(routing::PolicyKind::TimeToFirstToken, m_options.seed),
-          {.engineDepth = m_options.engineDepth})
+          routerOptions(m_options))
     , m_backoff(m_options.seed)
 {
 }
