Serve the whole path thin: announce, apply, answers, refusals, claims, withdrawal

Cause: the first whole run found that announcements named their orders by another field than the stand-ins, and that operators' replies differed between the two sides; both use one codec now. After: test/system/once.sh passes with four daemons (three voters), two engines and a service.

--- a/src/bamboomoor/daemon/front.cpp
+++ b/src/bamboomoor/daemon/front.cpp
@@ -61,6 +61,7 @@
     auto announcement = membership::parse(request.body);
     if (!announcement) {
         const auto &error = announcement.error();
+        m_context.metrics.announced("malformed");
         return refuseAnnouncement(400, membership::PARSE_ERROR_KIND_NAMES.name(error.kind), error.field);
     }
     const base::Millis now = m_context.clock.now();
--- a/src/bamboomoor/daemon/operatordesk.cpp
+++ b/src/bamboomoor/daemon/operatordesk.cpp
@@ -3,6 +3,7 @@
  */
 #include "bamboomoor/daemon/operatordesk.hpp"
 #include "bamboomoor/base/digest.hpp"
+#include "bamboomoor/operators/wire.hpp"
 #include "bamboomoor/peer/channel.hpp"
 #include "bamboomoor/state/outcome.hpp"
 
@@ -15,8 +16,10 @@
 namespace
 {
 
-using Json = nlohmann::json;
-
+constexpr int OK = 200;
+constexpr int CONFLICT = 409;
+constexpr int UNAVAILABLE = 503;
+constexpr int GATEWAY_TIMEOUT = 504;
 constexpr std::size_t RING_SIZE = 64;
 constexpr base::Millis WAIT{1'000};
 constexpr base::Millis CALL_TIMEOUT{2'000};
@@ -25,17 +28,19 @@
 constexpr std::string_view BEARER = "Bearer ";
 constexpr std::string_view VERSION_QUERY = "version=";
 
-http::Response respond(int status, const Json &body)
+http::Response respond(int status, const operators::Reply &reply)
 {
-    return {status,
-            {{"Content-Type", "application/json"}},
-            body.dump(-1, ' ', false, Json::error_handler_t::replace) + '\n'};
+    return {status, {{"Content-Type", "application/json"}}, operators::encode(reply) + '\n'};
 }
 
 http::Response refused(int status, const char *code, const std::string &message)
 {
-    http::Response response = respond(status, {{"outcome", "refused"}, {"code", code}, {"message", message}});
-    if (status == 503) {
+    operators::Reply reply;
+    reply.verdict = operators::Verdict::Refused;
+    reply.code = code;
+    reply.message = message;
+    http::Response response = respond(status, reply);
+    if (status == UNAVAILABLE) {
         response.headers.push_back({"Retry-After", "1"});
     }
     return response;
@@ -49,50 +54,51 @@
         && base::sha256(std::string_view(value).substr(BEARER.size())) == base::sha256(token);
 }
 
-std::optional<state::Command> readChange(const std::string &path, const Json &json)
+/** @brief A command, or nothing for an unknown path. */
+using ReadChange = base::Result<std::optional<state::Command>, operators::WireError>;
+
+ReadChange readChange(const std::string &path, const std::string &body)
 {
     const std::int64_t wallMillis = base::wallClock().count;
-    const std::string changeId = json.at("change_id").get<std::string>();
-    const std::string author = json.at("author").get<std::string>();
-    if (path == "/operator/v1/apply") {
-        return state::ApplyConfig{changeId,
-                                  author,
-                                  wallMillis,
-                                  json.at("base_version").get<std::uint64_t>(),
-                                  json.at("base_digest").get<std::string>(),
-                                  json.at("document").get<std::string>()};
+    if (path == operators::APPLY_PATH) {
+        BOOST_OUTCOME_TRY(it, operators::decodeApply(body));
+        return state::ApplyConfig{it.changeId,    it.author,     wallMillis,
+                                  it.baseVersion, it.baseDigest, it.document};
     }
-    const std::string organisation = json.at("organisation").get<std::string>();
-    const std::string keyId = json.at("key_id").get<std::string>();
-    if (path == "/operator/v1/keys/add") {
-        return state::AddKey{changeId, author, wallMillis, organisation, keyId, json.at("hash").get<std::string>()};
+    if (path == operators::ADD_KEY_PATH) {
+        BOOST_OUTCOME_TRY(it, operators::decodeAddKey(body));
+        return state::AddKey{it.changeId, it.author, wallMillis, it.organisation, it.keyId, it.hash};
     }
-    if (path == "/operator/v1/keys/withdraw") {
-        return state::WithdrawKey{changeId, author, wallMillis, organisation, keyId};
+    if (path == operators::WITHDRAW_KEY_PATH) {
+        BOOST_OUTCOME_TRY(it, operators::decodeWithdrawKey(body));
+        return state::WithdrawKey{it.changeId, it.author, wallMillis, it.organisation, it.keyId};
     }
-    return std::nullopt;
+    return std::optional<state::Command>();
 }
 
-Json describe(const peer::wire::VersionRecord &record)
+operators::VersionLine describe(const peer::wire::VersionRecord &record)
 {
-    Json json{{"version", record.version()},     {"digest", record.digest()},   {"author", record.author()},
-              {"change_id", record.change_id()}, {"wall_ms", record.wall_ms()}, {"summary", record.summary()}};
-    if (record.has_document()) {
-        json["document"] = record.document();
-    }
-    return json;
+    operators::VersionLine line;
+    line.version = record.version();
+    line.digest = record.digest();
+    line.author = record.author();
+    line.changeId = record.change_id();
+    line.wallMillis = record.wall_ms();
+    line.summary = record.summary();
+    return line;
 }
 
 http::Response describe(const state::ChangeOutcome &outcome)
 {
     const bool accepted = outcome.code == state::ChangeCode::Accepted;
-    return respond(accepted ? 200 : 409,
-                   {{"outcome", accepted ? "done" : "refused"},
-                    {"code", state::CHANGE_CODE_NAMES.name(outcome.code)},
-                    {"message", outcome.message},
-                    {"version", outcome.version},
-                    {"digest", outcome.digest},
-                    {"author", outcome.author}});
+    operators::Reply reply;
+    reply.verdict = accepted ? operators::Verdict::Done : operators::Verdict::Refused;
+    reply.code = state::CHANGE_CODE_NAMES.name(outcome.code);
+    reply.message = outcome.message;
+    reply.version.version = outcome.version;
+    reply.version.digest = outcome.digest;
+    reply.version.author = outcome.author;
+    return respond(accepted ? OK : CONFLICT, reply);
 }
 
 } // namespace
@@ -152,31 +158,36 @@
 
 http::Response OperatorDesk::serve(const http::Request &request)
 {
-    if (request.method == "GET" && request.path == "/operator/v1/show") {
+    const bool reads = request.method == "GET";
+    operators::Reply reply;
+    if (reads && request.path == operators::SHOW_PATH) {
         return show(request.query);
     }
-    if (request.method == "GET" && request.path == "/operator/v1/history") {
+    if (reads && request.path == operators::HISTORY_PATH) {
         return history();
     }
-    if (request.method == "GET" && request.path == "/operator/v1/status") {
-        return respond(200, m_status());
+    if (reads && request.path == operators::STATUS_PATH) {
+        reply.status = m_status().dump();
+        return respond(OK, reply);
     }
-    if (request.method == "POST" && request.path == "/operator/v1/drain") {
+    if (!reads && request.path == operators::DRAIN_PATH) {
         m_drain();
-        return respond(200, {{"outcome", "done"}, {"message", "the daemon drains"}});
+        reply.message = "the daemon drains";
+        return respond(OK, reply);
     }
     return change(request);
 }
 
 http::Response OperatorDesk::change(const http::Request &request)
 {
-    const Json json = Json::parse(request.body, nullptr, false);
-    try {
-        const auto command = request.method == "POST" ? readChange(request.path, json) : std::nullopt;
-        return command ? propose(*command) : refused(404, "unknown_path", "there is no such operator's call");
-    } catch (const Json::exception &error) {
-        return refused(400, "malformed_request", error.what());
+    const auto command = readChange(request.method == "POST" ? request.path : std::string(), request.body);
+    if (!command) {
+        return refused(400, "malformed_request", command.error().message);
+    }
+    if (!command.value()) {
+        return refused(404, "unknown_path", "there is no such operator's call");
     }
+    return propose(*command.value());
 }
 
 template<class Request, class Reply>
@@ -216,9 +227,11 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(RETRY_PAUSE.count));
     }
     if (mayHaveRun) {
-        return respond(504, {{"outcome", "unknown"},
-                             {"code", "outcome_unknown"},
-                             {"message", "the change may be in force; send it again under the same change id"}});
+        operators::Reply reply;
+        reply.verdict = operators::Verdict::Unknown;
+        reply.code = "outcome_unknown";
+        reply.message = "the change may be in force; send it again under the same change id";
+        return respond(GATEWAY_TIMEOUT, reply);
     }
     return refused(503, "no_leader", "no voter leads; nothing was changed");
 }
@@ -255,9 +268,13 @@
     if (reply->records().empty()) {
         return refused(404, "unknown_version", "there is no such version, or it is not kept any more");
     }
-    Json json = describe(reply->records(0));
-    json["outcome"] = "done";
-    return respond(200, json);
+    const peer::wire::VersionRecord &record = reply->records(0);
+    operators::Reply shown;
+    shown.version = describe(record);
+    if (record.has_document()) {
+        shown.document = record.document();
+    }
+    return respond(OK, shown);
 }
 
 http::Response OperatorDesk::history()
@@ -266,11 +283,11 @@
     if (!reply) {
         return refused(503, "not_confirmed", "no quorum of the voters confirms what is in force");
     }
-    Json versions = Json::array();
+    operators::Reply listed;
     for (const auto &it : reply->records()) {
-        versions.push_back(describe(it));
+        listed.history.push_back(describe(it));
     }
-    return respond(200, {{"outcome", "done"}, {"versions", std::move(versions)}});
+    return respond(OK, listed);
 }
 
 } // namespace bamboomoor::daemon
--- a/src/bamboomoor/membership/codec.cpp
+++ b/src/bamboomoor/membership/codec.cpp
@@ -49,7 +49,7 @@
         {"address", announcement.address}, {"data_centre", announcement.dataCentre},
         {"kind", UPSTREAM_KIND_NAMES.name(announcement.kind)}, {"service", announcement.service},
         {"accelerators", std::move(accelerators)}, {"checks_fencing", announcement.checksFencing},
-        {"load", toJson(announcement.load)}, {"leaving", announcement.leaving}, {"last_orders", std::move(orders)}};
+        {"load", toJson(announcement.load)}, {"leaving", announcement.leaving}, {"orders", std::move(orders)}};
 }
 
 Resident readResident(Reader &reader)
@@ -108,7 +108,9 @@
     announcement.checksFencing = reader.flag("checks_fencing");
     announcement.load = reader.object<Load>("load", readLoad);
     announcement.leaving = reader.flag("leaving");
-    announcement.lastOrders = reader.list<OrderOutcome>("last_orders", readOutcome);
+    if (reader.has("orders")) {
+        announcement.lastOrders = reader.list<OrderOutcome>("orders", readOutcome);
+    }
     return announcement;
 }
 
--- a/src/main/main.cpp
+++ b/src/main/main.cpp
@@ -3,7 +3,7 @@
  */
 #include "bamboomoor/daemon/serve.hpp"
 #include "bamboomoor/load/load.hpp"
-#include "bamboomoor/operators/commands.hpp"
+#include "bamboomoor/operators/operators.hpp"
 
 #include <iostream>
 #include <string_view>
@@ -47,5 +47,5 @@
     if (command == "load") {
         return bamboomoor::load::runLoad(argc - 1, argv + 1);
     }
-    return bamboomoor::operators::runOperator(argc - 1, argv + 1);
+    return bamboomoor::operators::runOperator(argc, argv);
 }
--- a/test/system/fleet.sh
+++ b/test/system/fleet.sh
@@ -118,7 +118,7 @@
 }
 
 version_at() {
-    operate "$1" status --json | jq -r .version
+    operate "$1" status --json | jq -r .status.version
 }
 
 has_version() {
@@ -138,7 +138,7 @@
 }
 
 upstreams_at() {
-    operate "$1" status --json | jq '.upstreams | length'
+    operate "$1" status --json | jq '.status.upstreams | length'
 }
 
 has_upstreams() {
