--- a/src/bamboomoor/consensus/election.cpp
+++ b/src/bamboomoor/consensus/election.cpp
@@ -6,6 +6,7 @@
 #include "bamboomoor/base/overloaded.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace bamboomoor::consensus
@@ -229,7 +230,12 @@
 
 bool Node::mayCampaign() const noexcept
 {
-    return m_hard.joined && isVoter(m_options.self);
+    // A voter whose removal is not known to be committed may be the only one with the log that can commit it.
+    const auto settled = std::prev(m_memberships.upper_bound(m_commit));
+    const bool listed = std::any_of(settled, m_memberships.end(), [this](const auto &it) {
+        return std::binary_search(it.second.voters.begin(), it.second.voters.end(), m_options.self);
+    });
+    return m_hard.joined && listed;
 }
 
 bool Node::isVoter(const VoterId &id) const noexcept
--- a/src/bamboomoor/consensus/follower.cpp
+++ b/src/bamboomoor/consensus/follower.cpp
@@ -91,8 +91,8 @@
         return;
     }
     if (!m_incoming || m_incoming->index != install.index) {
-        m_incoming = Snapshot{
-            install.index, install.snapshotTerm, std::move(install.voters), std::move(install.learners), {}};
+        m_incoming =
+            Snapshot{install.index, install.snapshotTerm, std::move(install.voters), std::move(install.learners), {}};
     }
     std::string &data = m_incoming->data;
     if (install.offset == data.size()) {
--- a/src/bamboomoor/consensus/inputs.hpp
+++ b/src/bamboomoor/consensus/inputs.hpp
@@ -57,8 +57,8 @@
 };
 
 /** @brief All that may enter a step. */
-using Input
-    = std::variant<Tick, Message, Propose, ReadRequest, ProposeVoters, PersistDone, Compact, TransferLeadership>;
+using Input =
+    std::variant<Tick, Message, Propose, ReadRequest, ProposeVoters, PersistDone, Compact, TransferLeadership>;
 
 /**
  * @brief Work for the storage, in this order: hard state, snapshot, then entries.
--- a/src/bamboomoor/consensus/leader.cpp
+++ b/src/bamboomoor/consensus/leader.cpp
@@ -250,8 +250,7 @@
 {
     while (!m_proposals.empty() && m_proposals.begin()->first <= m_commit) {
         const auto &[index, it] = *m_proposals.begin();
-        m_out.proposals.push_back(
-            {it.requestId, ProposalStatus::Committed, RejectReason::None, index, m_options.self});
+        m_out.proposals.push_back({it.requestId, ProposalStatus::Committed, RejectReason::None, index, m_options.self});
         m_pendingBytes -= it.bytes;
         m_proposals.erase(m_proposals.begin());
     }
--- a/src/bamboomoor/consensus/messages.hpp
+++ b/src/bamboomoor/consensus/messages.hpp
@@ -78,8 +78,8 @@
 };
 
 /** @brief The contents of a message. */
-using MessageBody
-    = std::variant<VoteRequest, VoteReply, Append, AppendReply, InstallSnapshot, SnapshotReply, TimeoutNow>;
+using MessageBody =
+    std::variant<VoteRequest, VoteReply, Append, AppendReply, InstallSnapshot, SnapshotReply, TimeoutNow>;
 
 /** @brief A message from one member to another. */
 struct Message {
--- a/src/bamboomoor/consensus/node.cpp
+++ b/src/bamboomoor/consensus/node.cpp
@@ -166,8 +166,8 @@
         return;
     }
     const Membership &membership = membershipAt(input.index);
-    Snapshot snapshot{input.index, m_log.termAt(input.index).value(), membership.voters, membership.learners,
-        std::move(input.data)};
+    Snapshot snapshot{
+        input.index, m_log.termAt(input.index).value(), membership.voters, membership.learners, std::move(input.data)};
     m_snapshot = std::make_shared<const Snapshot>(snapshot);
     m_snapshotToPersist = std::move(snapshot);
     if (input.index > m_options.keptEntries) {
--- a/test/bamboomoor/consensus/fuzz.cpp
+++ b/test/bamboomoor/consensus/fuzz.cpp
@@ -63,8 +63,8 @@
         RC_LOG() << failure;
         return failure.empty();
     }));
-    BOOST_TEST_MESSAGE("reads " << reads << " snapshots " << installed << " terms " << terms << " entries "
-                                << committed);
+    BOOST_TEST_MESSAGE(
+        "reads " << reads << " snapshots " << installed << " terms " << terms << " entries " << committed);
     // The mix must have exercised what it is there for.
     BOOST_TEST(reads > 0U);
     BOOST_TEST(installed > 0U);
--- a/test/bamboomoor/consensus/sim.cpp
+++ b/test/bamboomoor/consensus/sim.cpp
@@ -19,8 +19,8 @@
 
 std::uint64_t chain(std::uint64_t hash, const Entry &entry)
 {
-    const std::string text = std::to_string(hash) + "/" + std::to_string(entry.index) + "/"
-        + std::to_string(entry.term) + "/" + std::to_string(static_cast<int>(entry.kind)) + entry.payload;
+    const std::string text = std::to_string(hash) + "/" + std::to_string(entry.index) + "/" + std::to_string(entry.term)
+        + "/" + std::to_string(static_cast<int>(entry.kind)) + entry.payload;
     return std::hash<std::string>{}(text);
 }
 } // namespace
@@ -388,7 +388,14 @@
         advance();
     }
     if (m_now >= end) {
-        fail("no progress after the faults ended");
+        std::string states;
+        for (const auto &it : m_members) {
+            states += "\n" + it->id + (it->wiped ? " wiped " : " ") + std::string(ROLE_NAMES.name(it->node->role()))
+                + " term " + std::to_string(it->node->term()) + " last " + std::to_string(it->node->lastIndex())
+                + " commit " + std::to_string(it->node->commitIndex()) + "\n"
+                + encodeMembership(it->node->membership());
+        }
+        fail("no progress after the faults ended" + states);
     }
     return m_failure;
 }
