--- a/src/bamboomoor/admission/fairqueue.cpp
+++ b/src/bamboomoor/admission/fairqueue.cpp
@@ -32,8 +32,9 @@
         if (next != nullptr && lane.served >= next->served) {
             continue;
         }
-        const auto it = std::find_if(lane.items.begin(), lane.items.end(),
-                                     [now](const auto &entry) { return entry.second.deadline > now; });
+        const auto it = std::find_if(lane.items.begin(), lane.items.end(), [now](const auto &entry) {
+            return entry.second.deadline > now;
+        });
         if (it != lane.items.end()) {
             next = &lane;
             chosen = it;
--- a/src/bamboomoor/admission/refusal.cpp
+++ b/src/bamboomoor/admission/refusal.cpp
@@ -67,10 +67,8 @@
 
 std::string errorJson(const ErrorBody &error)
 {
-    nlohmann::json inner{{"type", typeOf(statusOf(error.refusal))},
-                         {"code", refusalName(error.refusal)},
-                         {"message", error.message},
-                         {"not_run", nullptr}};
+    nlohmann::json inner{{"type", typeOf(statusOf(error.refusal))}, {"code", refusalName(error.refusal)},
+        {"message", error.message}, {"not_run", nullptr}};
     if (error.notRun) {
         inner["not_run"] = *error.notRun;
     }
--- a/src/bamboomoor/admission/refusal.hpp
+++ b/src/bamboomoor/admission/refusal.hpp
@@ -36,10 +36,10 @@
 };
 
 /** @brief The public codes. */
-inline constexpr auto REFUSAL_NAMES = base::makeNames<Refusal>(
-    "invalid_key", "key_withdrawn", "key_in_body", "unknown_model", "unknown_route", "malformed_request",
-    "rate_exceeded", "queue_full", "deadline_unmeetable", "not_fresh", "no_upstream", "draining",
-    "idempotency_mismatch", "in_progress", "upstream_failed", "outcome_unknown", "cancelled");
+inline constexpr auto REFUSAL_NAMES =
+    base::makeNames<Refusal>("invalid_key", "key_withdrawn", "key_in_body", "unknown_model", "unknown_route",
+        "malformed_request", "rate_exceeded", "queue_full", "deadline_unmeetable", "not_fresh", "no_upstream",
+        "draining", "idempotency_mismatch", "in_progress", "upstream_failed", "outcome_unknown", "cancelled");
 
 /**
  * @brief Names a refusal.
--- a/src/bamboomoor/control/voterdesk.hpp
+++ b/src/bamboomoor/control/voterdesk.hpp
@@ -9,6 +9,7 @@
 #include "bamboomoor/consensus/node.hpp"
 #include "bamboomoor/control/peerbook.hpp"
 #include "bamboomoor/state/machine.hpp"
+#include "bamboomoor/storage/filesystem.hpp"
 #include "bamboomoor/storage/logstore.hpp"
 
 #include <absl/base/thread_annotations.h>
@@ -193,6 +194,7 @@
     void carryOut(consensus::Outputs outputs);
     void send(const std::vector<consensus::Message> &messages);
     [[nodiscard]] bool persist(const consensus::Persist &persist);
+    [[nodiscard]] storage::Result<void> write(const consensus::Persist &persist);
     void trackTail(const consensus::Persist &persist);
     void install(const consensus::Snapshot &snapshot);
     void apply(const std::vector<consensus::Entry> &entries);
@@ -213,6 +215,7 @@
     std::atomic<bool> m_stopping{false};
 
     // Used by the voter's thread only, from start() on.
+    std::unique_ptr<storage::FileSystem> m_folder;
     std::unique_ptr<storage::LogStore> m_store;
     std::unique_ptr<consensus::Node> m_node;
     std::unique_ptr<state::Machine> m_machine;
--- a/src/bamboomoor/daemon/daemon.cpp
+++ b/src/bamboomoor/daemon/daemon.cpp
@@ -24,8 +24,10 @@
 std::vector<control::VoterAddress> voterAddresses(const settings::Settings &settings)
 {
     std::vector<control::VoterAddress> addresses;
-    std::transform(settings.voters.begin(), settings.voters.end(), std::back_inserter(addresses),
-                   [](const settings::Voter &it) { return control::VoterAddress{it.name, it.address}; });
+    std::transform(
+        settings.voters.begin(), settings.voters.end(), std::back_inserter(addresses), [](const settings::Voter &it) {
+            return control::VoterAddress{it.name, it.address};
+        });
     return addresses;
 }
 
@@ -44,8 +46,9 @@
 bool isVoter(const settings::Settings &settings)
 {
     return settings.dataFolder.has_value()
-        && std::any_of(settings.voters.begin(), settings.voters.end(),
-                       [&](const settings::Voter &it) { return it.name == settings.vm; });
+        && std::any_of(settings.voters.begin(), settings.voters.end(), [&](const settings::Voter &it) {
+               return it.name == settings.vm;
+           });
 }
 
 membership::RegistryOptions registryOptions(const settings::Settings &settings)
@@ -87,22 +90,14 @@
 Json describe(const membership::Entry &entry)
 {
     const membership::Announcement &it = entry.announcement;
-    Json json{{"id", it.id},
-              {"address", it.address},
-              {"data_centre", it.dataCentre},
-              {"kind", membership::UPSTREAM_KIND_NAMES.name(it.kind)},
-              {"service", it.service},
-              {"leaving", it.leaving},
-              {"running", it.load.running},
-              {"queued", it.load.queued},
-              {"accelerators", Json::array()}};
+    Json json{{"id", it.id}, {"address", it.address}, {"data_centre", it.dataCentre},
+        {"kind", membership::UPSTREAM_KIND_NAMES.name(it.kind)}, {"service", it.service}, {"leaving", it.leaving},
+        {"running", it.load.running}, {"queued", it.load.queued}, {"accelerators", Json::array()}};
     for (const membership::Accelerator &accelerator : it.accelerators) {
         Json resident = Json::array();
         for (const membership::Resident &held : accelerator.resident) {
-            resident.push_back({{"model", held.model},
-                                {"adapter", held.adapter},
-                                {"version", held.version},
-                                {"memory_mib", held.memoryMib}});
+            resident.push_back({{"model", held.model}, {"adapter", held.adapter}, {"version", held.version},
+                {"memory_mib", held.memoryMib}});
         }
         json["accelerators"].push_back(
             {{"id", accelerator.id}, {"memory_mib", accelerator.memoryMib}, {"resident", std::move(resident)}});
@@ -122,9 +117,17 @@
     , m_sync({.vm = m_settings.vm, .voter = m_voter != nullptr}, m_heard, m_book, m_peers, m_clock)
     , m_desk(deskOptions(m_settings), {m_clock, m_inForce, m_book, m_peers, m_leader, m_client, m_metrics})
     , m_freshness(freshnessOptions(m_settings), m_inForce, m_peers, m_leader, m_clock,
-                  [this] { m_desk.configurationChanged(); })
+          [this] {
+              m_desk.configurationChanged();
+          })
     , m_operators(
-          m_settings.operatorToken, m_peers, m_leader, [this] { return status(); }, [this] { m_drainRequested = true; })
+          m_settings.operatorToken, m_peers, m_leader,
+          [this] {
+              return status();
+          },
+          [this] {
+              m_drainRequested = true;
+          })
     , m_front({m_clock, m_inForce, m_heard, m_book, m_sync, m_metrics, m_desk, m_operators})
     , m_peerService(m_voter.get(), m_book, m_clock, m_clock.now() + m_settings.upstreams.lease * WARMING_LEASES)
     , m_server(m_front, serverOptions(m_settings))
@@ -197,21 +200,12 @@
     const auto held = m_inForce.current();
     const std::int64_t left = std::max<std::int64_t>(0, (m_inForce.freshUntil() - now).count);
     const std::string_view reason = m_front.unready();
-    Json json{{"outcome", "done"},
-              {"vm", m_settings.vm},
-              {"data_centre", m_settings.dataCentre},
-              {"region", m_settings.region},
-              {"leader", m_leader.get()},
-              {"version", held ? held->version : 0},
-              {"digest", held ? held->digest : ""},
-              {"author", held ? held->author : ""},
-              {"since_wall_ms", held ? held->wallMillis : 0},
-              {"fresh_for_ms", left},
-              {"ready", reason.empty()},
-              {"unready_reason", reason},
-              {"in_progress", m_desk.inProgress()},
-              {"voter", voterStatus()},
-              {"upstreams", Json::array()}};
+    Json json{{"outcome", "done"}, {"vm", m_settings.vm}, {"data_centre", m_settings.dataCentre},
+        {"region", m_settings.region}, {"leader", m_leader.get()}, {"version", held ? held->version : 0},
+        {"digest", held ? held->digest : ""}, {"author", held ? held->author : ""},
+        {"since_wall_ms", held ? held->wallMillis : 0}, {"fresh_for_ms", left}, {"ready", reason.empty()},
+        {"unready_reason", reason}, {"in_progress", m_desk.inProgress()}, {"voter", voterStatus()},
+        {"upstreams", Json::array()}};
     for (const membership::Entry &it : m_book.list(now)) {
         json["upstreams"].push_back(describe(it));
     }
@@ -224,14 +218,9 @@
         return nullptr;
     }
     const control::VoterStatus it = m_voter->desk().status();
-    return {{"role", consensus::ROLE_NAMES.name(it.role)},
-            {"term", it.term},
-            {"leader", it.leader},
-            {"commit_index", it.commitIndex},
-            {"applied_index", it.appliedIndex},
-            {"voters", it.voters},
-            {"learners", it.learners},
-            {"failed", it.failed}};
+    return {{"role", consensus::ROLE_NAMES.name(it.role)}, {"term", it.term}, {"leader", it.leader},
+        {"commit_index", it.commitIndex}, {"applied_index", it.appliedIndex}, {"voters", it.voters},
+        {"learners", it.learners}, {"failed", it.failed}};
 }
 
 } // namespace bamboomoor::daemon
--- a/src/bamboomoor/daemon/operatordesk.cpp
+++ b/src/bamboomoor/daemon/operatordesk.cpp
@@ -62,8 +62,7 @@
     const std::int64_t wallMillis = base::wallClock().count;
     if (path == operators::APPLY_PATH) {
         BOOST_OUTCOME_TRY(it, operators::decodeApply(body));
-        return state::ApplyConfig{it.changeId,    it.author,     wallMillis,
-                                  it.baseVersion, it.baseDigest, it.document};
+        return state::ApplyConfig{it.changeId, it.author, wallMillis, it.baseVersion, it.baseDigest, it.document};
     }
     if (path == operators::ADD_KEY_PATH) {
         BOOST_OUTCOME_TRY(it, operators::decodeAddKey(body));
@@ -104,7 +103,7 @@
 } // namespace
 
 OperatorDesk::OperatorDesk(std::string token, const control::PeerBook &peers, entry::LeaderHint &leader,
-                           std::function<nlohmann::json()> status, std::function<void()> drain)
+    std::function<nlohmann::json()> status, std::function<void()> drain)
     : m_token(std::move(token))
     , m_peers(peers)
     , m_leader(leader)
@@ -121,7 +120,9 @@
 
 void OperatorDesk::start()
 {
-    m_thread = std::thread([this] { run(); });
+    m_thread = std::thread([this] {
+        run();
+    });
 }
 
 void OperatorDesk::stop()
--- a/src/bamboomoor/daemon/operatordesk.hpp
+++ b/src/bamboomoor/daemon/operatordesk.hpp
@@ -35,7 +35,7 @@
      * @param drain Called when an operator drains this daemon.
      */
     OperatorDesk(std::string token, const control::PeerBook &peers, entry::LeaderHint &leader,
-                 std::function<nlohmann::json()> status, std::function<void()> drain);
+        std::function<nlohmann::json()> status, std::function<void()> drain);
     ~OperatorDesk();
     OperatorDesk(const OperatorDesk &) = delete;
     OperatorDesk &operator=(const OperatorDesk &) = delete;
--- a/src/bamboomoor/daemon/peerservice.cpp
+++ b/src/bamboomoor/daemon/peerservice.cpp
@@ -92,8 +92,9 @@
         return;
     }
     m_voter->desk().propose(
-        request.command(), std::nullopt,
-        [answer = std::move(answer)](const control::Proposed &verdict) { answer(describe(verdict)); });
+        request.command(), std::nullopt, [answer = std::move(answer)](const control::Proposed &verdict) {
+            answer(describe(verdict));
+        });
 }
 
 void PeerService::freshen(const peer::wire::FreshenRequest &request, peer::Answer<peer::wire::FreshenReply> answer)
@@ -146,8 +147,8 @@
     });
 }
 
-void PeerService::reportDemand(const peer::wire::DemandReport & /*request*/,
-                               peer::Answer<peer::wire::DemandReply> answer)
+void PeerService::reportDemand(
+    const peer::wire::DemandReport & /*request*/, peer::Answer<peer::wire::DemandReply> answer)
 {
     answer({});
 }
--- a/src/bamboomoor/daemon/peerservice.hpp
+++ b/src/bamboomoor/daemon/peerservice.hpp
@@ -34,8 +34,7 @@
     void freshen(const peer::wire::FreshenRequest &request, peer::Answer<peer::wire::FreshenReply> answer) override;
     void witness(const peer::wire::WitnessRequest &request, peer::Answer<peer::wire::WitnessReply> answer) override;
     void ask(const peer::wire::BudgetAsk &request, peer::Answer<peer::wire::BudgetReply> answer) override;
-    void syncUpstreams(const peer::wire::UpstreamSync &request,
-                       peer::Answer<peer::wire::UpstreamSync> answer) override;
+    void syncUpstreams(const peer::wire::UpstreamSync &request, peer::Answer<peer::wire::UpstreamSync> answer) override;
     void history(const peer::wire::HistoryRequest &request, peer::Answer<peer::wire::HistoryReply> answer) override;
     void reportDemand(const peer::wire::DemandReport &request, peer::Answer<peer::wire::DemandReply> answer) override;
 
--- a/src/bamboomoor/daemon/serve.cpp
+++ b/src/bamboomoor/daemon/serve.cpp
@@ -36,8 +36,7 @@
 void waitForDrain(const Daemon &daemon, const sigset_t &signals)
 {
     const timespec poll{0, SIGNAL_POLL_NS};
-    while (!daemon.drainRequested() && sigtimedwait(&signals, nullptr, &poll) < 0) {
-    }
+    while (!daemon.drainRequested() && sigtimedwait(&signals, nullptr, &poll) < 0) { }
 }
 
 } // namespace
--- a/src/bamboomoor/daemon/voter.cpp
+++ b/src/bamboomoor/daemon/voter.cpp
@@ -24,7 +24,9 @@
     options.node.seed = seed;
     options.node.bootstrap = settings.bootstrap;
     std::transform(settings.voters.begin(), settings.voters.end(), std::back_inserter(options.node.initialVoters),
-                   [](const settings::Voter &it) { return it.name; });
+        [](const settings::Voter &it) {
+            return it.name;
+        });
     std::sort(options.node.initialVoters.begin(), options.node.initialVoters.end());
     return options;
 }
@@ -41,8 +43,8 @@
 
 } // namespace
 
-Voter::Voter(const settings::Settings &settings, const control::PeerBook &peers, const base::Clock &clock,
-             std::uint64_t seed)
+Voter::Voter(
+    const settings::Settings &settings, const control::PeerBook &peers, const base::Clock &clock, std::uint64_t seed)
     : m_desk(voterOptions(settings, seed), peers, clock)
     , m_freshen(m_desk, clock)
     , m_budget(budgetOptions(settings), m_desk, clock)
--- a/src/bamboomoor/daemon/voter.hpp
+++ b/src/bamboomoor/daemon/voter.hpp
@@ -23,7 +23,7 @@
      * @param seed Seed of the election's random numbers.
      */
     Voter(const settings::Settings &settings, const control::PeerBook &peers, const base::Clock &clock,
-          std::uint64_t seed);
+        std::uint64_t seed);
 
     /**
      * @brief Starts all threads.
--- a/src/bamboomoor/entry/desk.cpp
+++ b/src/bamboomoor/entry/desk.cpp
@@ -77,8 +77,7 @@
     , m_context(context)
     , m_ring(m_options.ringSize)
     , m_holder(holderOptions(m_options))
-    , m_router(routing::makePolicy(routing::PolicyKind::TimeToFirstToken, m_options.seed),
-          routerOptions(m_options))
+    , m_router(routing::makePolicy(routing::PolicyKind::TimeToFirstToken, m_options.seed), routerOptions(m_options))
     , m_backoff(m_options.seed)
 {
 }
--- a/src/bamboomoor/storage/fwd.hpp
+++ b/src/bamboomoor/storage/fwd.hpp
@@ -5,7 +5,9 @@
 
 namespace bamboomoor::storage
 {
-class LogStore;
-struct Opened;
+enum class StorageErrorKind;
 struct StorageError;
+struct Opened;
+class FileSystem;
+class LogStore;
 } // namespace bamboomoor::storage
--- a/src/bamboomoor/storage/logstore.cpp
+++ b/src/bamboomoor/storage/logstore.cpp
@@ -1,19 +1,12 @@
 /**
- * The files of a voter. The file `log` holds hard states and entries; a later hard state replaces an earlier one, and
- * an entry drops all entries from its index on. The file `snapshot` holds one record.
+ * Recovery, group commit and compaction of the files "log" and "snapshot".
  */
 #include "bamboomoor/storage/logstore.hpp"
-#include "bamboomoor/base/overloaded.hpp"
-#include "bamboomoor/storage/record.hpp"
 
-#include <fcntl.h>
-#include <unistd.h>
+#include "bamboomoor/base/overloaded.hpp"
 
-#include <cerrno>
-#include <cstring>
-#include <filesystem>
-#include <fstream>
-#include <iterator>
+#include <algorithm>
+#include <cassert>
 #include <utility>
 
 namespace bamboomoor::storage
@@ -21,231 +14,221 @@
 
 namespace
 {
+constexpr const char *LOG_FILE = "log";
+constexpr const char *SNAPSHOT_FILE = "snapshot";
+constexpr const char *TEMPORARY_SUFFIX = ".new";
 
-using internal::Record;
-using Status = base::Result<void, StorageError>;
-
-StorageError systemError(const std::string &file, const char *what)
+StorageError corrupt(const char *file, std::uint64_t offset, const std::string &text)
 {
-    return {file + ": " + what + ": " + std::strerror(errno)};
+    return {StorageErrorKind::Corrupt, file, offset, text};
 }
+} // namespace
 
-Status writeAll(int fd, const std::string &bytes, const std::string &file)
+LogStore::LogStore(FileSystem &files)
+    : m_files(files)
 {
-    std::size_t written = 0;
-    while (written < bytes.size()) {
-        const ssize_t n = ::write(fd, bytes.data() + written, bytes.size() - written);
-        if (n < 0 && errno == EINTR) {
-            continue;
-        }
-        if (n < 0) {
-            return base::failure(systemError(file, "write"));
-        }
-        written += static_cast<std::size_t>(n);
-    }
-    return base::success();
 }
 
-Status syncFolder(const std::string &folder)
+Result<Opened> LogStore::open()
 {
-    const int fd = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-    const bool synced = fd >= 0 && ::fsync(fd) == 0;
-    const Status status = synced ? Status(base::success()) : base::failure(systemError(folder, "sync"));
-    if (fd >= 0) {
-        ::close(fd);
+    assert(!m_opened);
+    m_opened = true;
+    // Any early return below leaves the store unusable.
+    m_failed = true;
+    for (const char *name : {LOG_FILE, SNAPSHOT_FILE}) {
+        BOOST_OUTCOME_TRY(m_files.remove(std::string(name) + TEMPORARY_SUFFIX));
+    }
+    BOOST_OUTCOME_TRY(readSnapshot());
+    BOOST_OUTCOME_TRY(file, m_files.read(LOG_FILE));
+    Opened opened;
+    if (file) {
+        BOOST_OUTCOME_TRY(readLog(*file, opened));
+    } else if (m_snapshot.index != 0) {
+        return base::failure(corrupt(LOG_FILE, 0, "the file is missing though there is a snapshot"));
+    } else {
+        BOOST_OUTCOME_TRY(rewriteLog());
     }
-    return status;
+    m_failed = false;
+    opened.recovered.fresh = m_fresh;
+    opened.recovered.hardState = m_hardState;
+    opened.recovered.snapshot = m_snapshot;
+    opened.recovered.entries.assign(m_entries.begin(), m_entries.end());
+    return opened;
 }
 
-/** @brief Puts a file in place as a whole: written beside it, synced, renamed, and the folder synced. */
-Status replaceFile(const std::string &folder, const std::string &name, const std::string &bytes)
+Result<void> LogStore::readSnapshot()
 {
-    const std::string file = folder + '/' + name;
-    const std::string temporary = file + ".new";
-    const int fd = ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
-    if (fd < 0) {
-        return base::failure(systemError(temporary, "open"));
-    }
-    Status status = writeAll(fd, bytes, temporary);
-    if (status && ::fsync(fd) != 0) {
-        status = base::failure(systemError(temporary, "sync"));
+    BOOST_OUTCOME_TRY(file, m_files.read(SNAPSHOT_FILE));
+    if (!file) {
+        return base::success();
     }
-    ::close(fd);
-    if (status && ::rename(temporary.c_str(), file.c_str()) != 0) {
-        status = base::failure(systemError(file, "rename"));
+    const auto body = internal::decodeFrame(*file, 0);
+    if (!body || internal::frameSize(*body) != file->size() || !internal::decodeSnapshot(*body, m_snapshot)) {
+        return base::failure(corrupt(SNAPSHOT_FILE, 0, "the checksum does not match"));
     }
-    return status ? syncFolder(folder) : status;
-}
-
-std::string readFile(const std::string &file)
-{
-    std::ifstream in(file, std::ios::binary);
-    return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+    m_fresh = false;
+    return base::success();
 }
 
-/** @brief Tells whether a whole record begins anywhere in bytes, which a torn tail never shows. */
-bool holdsRecord(std::string_view bytes)
+Result<void> LogStore::readLog(std::string_view file, Opened &opened)
 {
-    for (std::size_t n = 1; n < bytes.size(); ++n) {
-        if (internal::decode(bytes.substr(n))) {
-            return true;
+    while (m_size < file.size()) {
+        const auto body = internal::decodeFrame(file, m_size);
+        if (!body) {
+            break;
         }
+        std::vector<internal::Record> records;
+        if (!internal::decodeRecords(*body, records)) {
+            return base::failure(corrupt(LOG_FILE, m_size, "the frame holds no records"));
+        }
+        BOOST_OUTCOME_TRY(replay(std::move(records), m_size));
+        m_size += internal::frameSize(*body);
+    }
+    if (m_size == 0) {
+        // The first frame was synced before the file got its name.
+        return base::failure(corrupt(LOG_FILE, 0, "the first frame is damaged"));
+    }
+    opened.tornBytes = file.size() - m_size;
+    if (opened.tornBytes > 0) {
+        if (internal::hasFrameBehind(file, m_size)) {
+            return base::failure(corrupt(LOG_FILE, m_size, "a frame before an intact one is damaged"));
+        }
+        BOOST_OUTCOME_TRY(m_files.truncate(LOG_FILE, m_size));
+        BOOST_OUTCOME_TRY(m_files.sync(LOG_FILE));
+    }
+    if (m_base.index > m_snapshot.index) {
+        return base::failure(corrupt(LOG_FILE, 0, "the log begins behind the snapshot"));
     }
-    return false;
+    if (m_base.index < m_snapshot.index) {
+        dropCovered();
+        BOOST_OUTCOME_TRY(rewriteLog());
+    }
+    return base::success();
 }
 
-void addEntry(consensus::Recovered &held, consensus::Entry entry)
-{
-    const std::uint64_t first = held.snapshot.index + 1;
-    if (entry.index < first) {
-        return;
+Result<void> LogStore::replay(std::vector<internal::Record> &&records, std::uint64_t offset)
+{
+    for (internal::Record &record : records) {
+        if (const auto *base = std::get_if<internal::BaseRecord>(&record)) {
+            m_base = *base;
+        } else if (auto *state = std::get_if<consensus::HardState>(&record)) {
+            m_hardState = std::move(*state);
+            m_fresh = false;
+        } else {
+            consensus::Entry &entry = std::get<consensus::Entry>(record);
+            const std::uint64_t last = m_base.index + m_entries.size();
+            if (entry.index <= m_base.index || entry.index > last + 1) {
+                return base::failure(corrupt(LOG_FILE, offset, "entries are missing"));
+            }
+            addEntry(std::move(entry));
+            m_fresh = false;
+        }
     }
-    const std::size_t keep = std::min<std::size_t>(held.entries.size(), entry.index - first);
-    held.entries.resize(keep);
-    held.entries.push_back(std::move(entry));
+    return base::success();
 }
 
-} // namespace
-
-LogStore::LogStore(std::string folder)
-    : m_folder(std::move(folder))
+Result<void> LogStore::saveHardState(const consensus::HardState &state)
 {
+    BOOST_OUTCOME_TRY(usable());
+    m_hardState = state;
+    internal::encodeRecord(m_batch, state);
+    return base::success();
 }
 
-LogStore::~LogStore()
+Result<void> LogStore::append(const std::vector<consensus::Entry> &entries)
 {
-    if (m_log >= 0) {
-        ::close(m_log);
+    BOOST_OUTCOME_TRY(usable());
+    for (const consensus::Entry &it : entries) {
+        if (it.index <= m_base.index) {
+            continue;
+        }
+        assert(it.index <= m_base.index + m_entries.size() + 1);
+        internal::encodeRecord(m_batch, it);
+        addEntry(consensus::Entry(it));
     }
+    return base::success();
 }
 
-base::Result<Opened, StorageError> LogStore::open(const std::string &folder)
+Result<void> LogStore::saveSnapshot(const consensus::Snapshot &snapshot)
 {
-    std::error_code ec;
-    std::filesystem::create_directories(folder, ec);
-    if (ec) {
-        return base::failure(StorageError{folder + ": " + ec.message()});
-    }
-    std::unique_ptr<LogStore> store(new LogStore(folder));
-    consensus::Recovered &held = store->m_held;
-    consensus::Snapshot snapshot;
-    if (const std::string bytes = readFile(folder + "/snapshot"); !bytes.empty()) {
-        const auto found = internal::decode(bytes);
-        if (!found || !std::holds_alternative<consensus::Snapshot>(found->record) || found->bytes != bytes.size()) {
-            return base::failure(StorageError{folder + "/snapshot: damaged at offset 0"});
-        }
-        snapshot = std::get<consensus::Snapshot>(found->record);
-        held.snapshot = snapshot;
-        held.snapshot.data.clear();
-        held.fresh = false;
-    }
-    const auto status = store->openLog();
-    if (!status) {
-        return base::failure(status.error());
-    }
-    consensus::Recovered recovered = held;
-    recovered.snapshot = std::move(snapshot);
-    return Opened{std::move(store), std::move(recovered)};
+    BOOST_OUTCOME_TRY(usable());
+    assert(snapshot.index > m_snapshot.index);
+    // The entries that the snapshot covers may be in the batch only, and the snapshot may need its hard state.
+    BOOST_OUTCOME_TRY(sync());
+    BOOST_OUTCOME_TRY(guard(replaceFile(SNAPSHOT_FILE, internal::encodeFrame(internal::encodeSnapshot(snapshot), 0))));
+    m_snapshot = snapshot;
+    dropCovered();
+    return guard(rewriteLog());
 }
 
-Status LogStore::openLog()
+Result<void> LogStore::sync()
 {
-    const std::string file = m_folder + "/log";
-    const std::string bytes = readFile(file);
-    std::size_t offset = 0;
-    while (offset < bytes.size()) {
-        auto found = internal::decode(std::string_view(bytes).substr(offset));
-        if (!found) {
-            break;
-        }
-        offset += found->bytes;
-        m_held.fresh = false;
-        std::visit(base::Overloaded{
-                       [this](consensus::HardState &it) { m_held.hardState = std::move(it); },
-                       [this](consensus::Entry &it) { addEntry(m_held, std::move(it)); },
-                       [](consensus::Snapshot &) {},
-                   },
-                   found->record);
-    }
-    if (holdsRecord(std::string_view(bytes).substr(offset))) {
-        return base::failure(StorageError{file + ": damaged at offset " + std::to_string(offset)});
-    }
-    m_log = ::open(file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
-    if (m_log < 0 || ::ftruncate(m_log, static_cast<off_t>(offset)) != 0 || ::fsync(m_log) != 0) {
-        return base::failure(systemError(file, "open"));
+    BOOST_OUTCOME_TRY(usable());
+    if (m_batch.empty()) {
+        return base::success();
     }
-    return syncFolder(m_folder);
+    const std::string frame = internal::encodeFrame(m_batch, m_size);
+    BOOST_OUTCOME_TRY(guard(m_files.append(LOG_FILE, frame)));
+    BOOST_OUTCOME_TRY(guard(m_files.sync(LOG_FILE)));
+    m_size += frame.size();
+    m_batch.clear();
+    return base::success();
 }
 
-Status LogStore::persist(const consensus::Persist &work)
+Result<void> LogStore::usable() const
 {
-    remember(work);
-    if (work.snapshot) {
-        BOOST_OUTCOME_TRY(writeSnapshot(*work.snapshot));
-        return rewriteLog();
+    assert(m_opened);
+    if (m_failed) {
+        return base::failure(StorageError{StorageErrorKind::Failed, LOG_FILE, m_size, "an earlier error was fatal"});
     }
-    std::string bytes;
-    if (work.hardState) {
-        bytes += internal::encode(*work.hardState);
-    }
-    for (const consensus::Entry &it : work.entries) {
-        bytes += internal::encode(it);
-    }
-    return append(bytes);
+    return base::success();
 }
 
-Status LogStore::append(const std::string &bytes)
+Result<void> LogStore::guard(Result<void> result)
 {
-    if (bytes.empty()) {
-        return base::success();
-    }
-    const std::string file = m_folder + "/log";
-    BOOST_OUTCOME_TRY(writeAll(m_log, bytes, file));
-    if (::fdatasync(m_log) != 0) {
-        return base::failure(systemError(file, "sync"));
-    }
-    return base::success();
+    m_failed = m_failed || result.has_error();
+    return result;
 }
 
-Status LogStore::writeSnapshot(const consensus::Snapshot &snapshot)
+Result<void> LogStore::replaceFile(const std::string &name, const std::string &bytes)
 {
-    return replaceFile(m_folder, "snapshot", internal::encode(snapshot));
+    const std::string temporary = name + TEMPORARY_SUFFIX;
+    BOOST_OUTCOME_TRY(m_files.append(temporary, bytes));
+    BOOST_OUTCOME_TRY(m_files.sync(temporary));
+    BOOST_OUTCOME_TRY(m_files.rename(temporary, name));
+    return m_files.syncFolder();
 }
 
-Status LogStore::rewriteLog()
+Result<void> LogStore::rewriteLog()
 {
-    std::string bytes = internal::encode(m_held.hardState);
-    for (const consensus::Entry &it : m_held.entries) {
-        bytes += internal::encode(it);
+    std::string body;
+    internal::encodeRecord(body, m_base);
+    if (!m_fresh || m_hardState != consensus::HardState{}) {
+        internal::encodeRecord(body, m_hardState);
     }
-    BOOST_OUTCOME_TRY(replaceFile(m_folder, "log", bytes));
-    ::close(m_log);
-    const std::string file = m_folder + "/log";
-    m_log = ::open(file.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
-    if (m_log < 0) {
-        return base::failure(systemError(file, "open"));
+    for (const consensus::Entry &it : m_entries) {
+        internal::encodeRecord(body, it);
     }
+    const std::string frame = internal::encodeFrame(body, 0);
+    BOOST_OUTCOME_TRY(replaceFile(LOG_FILE, frame));
+    m_size = frame.size();
     return base::success();
 }
 
-void LogStore::remember(const consensus::Persist &work)
+void LogStore::addEntry(consensus::Entry &&entry)
 {
-    if (work.hardState) {
-        m_held.hardState = *work.hardState;
-    }
-    if (work.snapshot) {
-        std::erase_if(m_held.entries,
-                      [&work](const consensus::Entry &it) { return it.index <= work.snapshot->index; });
-        m_held.snapshot = *work.snapshot;
-        m_held.snapshot.data.clear();
-        const bool gap = !m_held.entries.empty() && m_held.entries.front().index != work.snapshot->index + 1;
-        if (gap) {
-            m_held.entries.clear();
-        }
-    }
-    for (const consensus::Entry &it : work.entries) {
-        addEntry(m_held, it);
-    }
+    m_entries.resize(entry.index - m_base.index - 1);
+    m_entries.push_back(std::move(entry));
+}
+
+void LogStore::dropCovered()
+{
+    assert(m_snapshot.index > m_base.index);
+    const std::uint64_t covered = m_snapshot.index - m_base.index;
+    const bool meets = covered <= m_entries.size() && m_entries[covered - 1].term == m_snapshot.term;
+    const std::uint64_t dropped = meets ? covered : m_entries.size();
+    m_entries.erase(m_entries.begin(), m_entries.begin() + static_cast<std::ptrdiff_t>(dropped));
+    m_base = {m_snapshot.index, m_snapshot.term};
 }
 
 } // namespace bamboomoor::storage
