--- a/src/bamboomoor/control/budgetdesk.cpp
+++ b/src/bamboomoor/control/budgetdesk.cpp
@@ -184,9 +184,10 @@
     for (const budget::CeilingEntry &it : ceiling->entries) {
         command.organisations.push_back({it.organisation, it.level, it.exposure});
     }
-    m_voter.propose(state::encode(command), m_term, [this, term = m_term, number = ceiling->number](Proposed verdict) {
-        post(CeilingDone{term, number, verdict.status});
-    });
+    m_voter.propose(
+        state::encode(command), m_term, [this, term = m_term, number = ceiling->number](const Proposed &verdict) {
+            post(CeilingDone{term, number, verdict.status});
+        });
 }
 
 } // namespace bamboomoor::control
--- a/src/bamboomoor/daemon/front.cpp
+++ b/src/bamboomoor/daemon/front.cpp
@@ -39,7 +39,7 @@
     } else if (request.path == "/upstream/v1/announce" && request.method == "POST") {
         responder->respond(announce(request));
     } else if (request.path.compare(0, OPERATOR_PREFIX.size(), OPERATOR_PREFIX) == 0) {
-        m_context.operators.handle(std::move(request), std::move(responder));
+        m_context.operators.handle(std::move(request), responder);
     } else {
         m_context.desk.handle(std::move(request), responder);
     }
--- a/src/bamboomoor/daemon/operatordesk.cpp
+++ b/src/bamboomoor/daemon/operatordesk.cpp
@@ -134,7 +134,7 @@
     }
 }
 
-void OperatorDesk::handle(http::Request request, std::shared_ptr<http::Responder> responder)
+void OperatorDesk::handle(http::Request request, const std::shared_ptr<http::Responder> &responder)
 {
     if (!presentsToken(request, m_token)) {
         responder->respond(refused(401, "invalid_token", "the operator's token is missing or wrong"));
--- a/src/bamboomoor/daemon/operatordesk.hpp
+++ b/src/bamboomoor/daemon/operatordesk.hpp
@@ -51,7 +51,7 @@
      * @param request The request.
      * @param responder The way back.
      */
-    void handle(http::Request request, std::shared_ptr<http::Responder> responder);
+    void handle(http::Request request, const std::shared_ptr<http::Responder> &responder);
 
 private:
     struct Job {
--- /dev/null
+++ b/test/bamboomoor/control/wire.cpp
@@ -0,0 +1,78 @@
+/**
+ * Tests that messages between daemons arrive as they were sent.
+ */
+#include "bamboomoor/control/budgetwire.hpp"
+#include "bamboomoor/control/consensuswire.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace bamboomoor;
+
+namespace
+{
+
+peer::wire::Envelope pass(const consensus::MessageBody &body)
+{
+    peer::wire::Envelope received;
+    received.ParseFromString(control::toWire({"a", "b", 9, body}).SerializeAsString());
+    return received;
+}
+
+template<class Body>
+Body passed(const Body &body)
+{
+    const auto message = control::fromWire(pass(body));
+    BOOST_REQUIRE(message.has_value());
+    BOOST_TEST(message->from == "a");
+    BOOST_TEST(message->to == "b");
+    BOOST_TEST(message->term == 9U);
+    return std::get<Body>(message->body);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(consensus_messages_arrive_whole)
+{
+    const auto append =
+        passed(consensus::Append{1, 2, {{3, 4, consensus::EntryKind::Voters, std::string("\0x", 2)}}, 5, 6, true});
+    BOOST_TEST(
+        (append.entries == std::vector<consensus::Entry>{{3, 4, consensus::EntryKind::Voters, std::string("\0x", 2)}}));
+    BOOST_TEST(append.prevIndex + append.prevTerm * 10 + append.commitIndex * 100 + append.round * 1'000 == 6'521U);
+    BOOST_TEST(append.toLearner);
+    const auto reply = passed(consensus::AppendReply{true, 1, 2, 3, 4, 5, 6});
+    BOOST_TEST(reply.success);
+    BOOST_TEST(reply.matchIndex + reply.receivedIndex * 10 + reply.conflictTerm * 100 == 432U);
+    BOOST_TEST(reply.conflictIndex + reply.round * 10 == 65U);
+    const auto install = passed(consensus::InstallSnapshot{1, 2, {"a"}, {"b"}, 3, "data", true, 4, true});
+    BOOST_TEST(install.voters.front() + install.learners.front() + install.data == "abdata");
+    BOOST_TEST(install.offset == 3U);
+    BOOST_TEST(passed(consensus::VoteRequest{true, false, 7, 8}).lastTerm == 8U);
+    BOOST_TEST(!passed(consensus::VoteReply{true, false}).granted);
+}
+
+BOOST_AUTO_TEST_CASE(an_unknown_kind_of_entry_is_refused)
+{
+    auto envelope = pass(consensus::Append{1, 2, {{3, 4, consensus::EntryKind::Noop, ""}}, 5, 6, false});
+    envelope.mutable_append()->mutable_entries(0)->set_kind(99);
+    BOOST_TEST(!control::fromWire(envelope).has_value());
+    BOOST_TEST(!control::fromWire(peer::wire::Envelope()).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(budget_messages_arrive_whole)
+{
+    budget::Ask ask{"vm1", {2, 3}, 4, 5, {}};
+    ask.entries.push_back({"acme", {{6, {7}}}, 8, 9, {{10, 11}}, {12, 13}, 14});
+    const budget::Ask back = control::fromWire(control::toWire(ask));
+    BOOST_TEST(back.holder == "vm1");
+    BOOST_TEST((back.session == ask.session));
+    BOOST_TEST(back.entries.at(0).spends.at(0).age.count == 7);
+    BOOST_TEST(back.entries.at(0).returned * 10 + back.entries.at(0).debt == 89);
+    BOOST_TEST(back.entries.at(0).refunds.at(0).tokens == 11);
+    BOOST_TEST(back.entries.at(0).needs.at(1) == 13);
+    budget::Reply reply{"vm1", {2, 3}, 4, 5, budget::AskStatus::Outdated, {6}, {}};
+    reply.entries.push_back({"acme", 7, 8, {{budget::Verdict::Refused, {9}}}, true});
+    const budget::Reply answered = control::fromWire(control::toWire(reply));
+    BOOST_TEST((answered.status == budget::AskStatus::Outdated));
+    BOOST_TEST(answered.entries.at(0).needs.at(0).retryAfter.count == 9);
+    BOOST_TEST(answered.entries.at(0).recall);
+}
