--- a/src/bamboomoor/admission/fairqueue.cpp
+++ b/src/bamboomoor/admission/fairqueue.cpp
@@ -1,86 +1,121 @@
 /**
- * The queue of requests that wait for an upstream.
+ * Weighted fair queueing by tokens.
  */
 #include "bamboomoor/admission/fairqueue.hpp"
 
 #include <algorithm>
-#include <utility>
+#include <cassert>
 
 namespace bamboomoor::admission
 {
 
-bool FairQueue::push(base::Millis now, QueueItem item)
+namespace
 {
-    Lane &lane = m_lanes[item.organisation];
-    if (lane.items.size() >= m_options.maxPerOrganisation || item.deadline <= now) {
-        return false;
+// Served tokens are counted in units of this part of a token.
+constexpr std::int64_t SCALE = 1'000;
+} // namespace
+
+void FairQueue::setWeight(const std::string &organisation, std::int64_t weight)
+{
+    assert(weight >= 1);
+    m_flows[organisation].weight = weight;
+}
+
+base::Result<void, Refusal> FairQueue::push(base::Millis now, const Item &item, base::Millis expectedWait)
+{
+    assert(item.cost >= 1 && !m_items.contains(item.id));
+    if (item.deadline < base::NEVER - expectedWait && now + expectedWait >= item.deadline) {
+        return base::failure(Refusal::DeadlineUnmeetable);
     }
-    if (lane.items.empty()) {
-        lane.served = std::max(lane.served, m_virtualTime);
+    Flow &flow = m_flows[item.organisation];
+    if (flow.waiting.size() >= m_options.maxPerOrganisation || m_items.size() >= m_options.maxTotal) {
+        return base::failure(Refusal::QueueFull);
     }
-    const Rank rank{-item.priority, ++m_lastNumber};
-    m_organisationOf[item.id] = {item.organisation, rank};
-    lane.items.emplace(rank, std::move(item));
-    return true;
+    if (flow.waiting.empty()) {
+        flow.served = std::max(flow.served, m_virtualTime);
+    }
+    flow.waiting.insert({item.priority, ++m_arrivals, item.id});
+    m_items.emplace(item.id, Waiting{item, m_arrivals});
+    m_backlog += item.cost;
+    if (item.deadline != base::NEVER) {
+        m_deadlines.emplace(item.deadline.count, item.id);
+    }
+    return base::success();
 }
 
-std::optional<QueueItem> FairQueue::pop(base::Millis now)
+std::optional<Item> FairQueue::pop(base::Millis now)
 {
-    Lane *next = nullptr;
-    std::map<Rank, QueueItem>::iterator chosen;
-    for (auto &[organisation, lane] : m_lanes) {
-        if (next != nullptr && lane.served >= next->served) {
+    Flow *next = nullptr;
+    const Item *chosen = nullptr;
+    for (auto &[name, flow] : m_flows) {
+        if (next != nullptr && next->served <= flow.served) {
             continue;
         }
-        const auto it = std::find_if(lane.items.begin(), lane.items.end(), [now](const auto &entry) {
-            return entry.second.deadline > now;
+        const auto found = std::find_if(flow.waiting.begin(), flow.waiting.end(), [this, now](const Rank &it) {
+            return m_items.at(it.id).item.deadline > now;
         });
-        if (it != lane.items.end()) {
-            next = &lane;
-            chosen = it;
+        if (found != flow.waiting.end()) {
+            next = &flow;
+            chosen = &m_items.at(found->id).item;
         }
     }
     if (next == nullptr) {
         return std::nullopt;
     }
+    Item item = *chosen;
     m_virtualTime = std::max(m_virtualTime, next->served);
-    next->served += chosen->second.cost;
-    return take(*next, chosen);
+    next->served += item.cost * SCALE / next->weight;
+    remove(item.id);
+    return item;
 }
 
-std::optional<QueueItem> FairQueue::take(Lane &lane, std::map<Rank, QueueItem>::iterator item)
+std::vector<Item> FairQueue::expire(base::Millis now)
 {
-    std::optional<QueueItem> taken(std::move(item->second));
-    lane.items.erase(item);
-    m_organisationOf.erase(taken->id);
-    return taken;
+    std::vector<Item> expired;
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now.count) {
+        const std::uint64_t id = m_deadlines.begin()->second;
+        expired.push_back(m_items.at(id).item);
+        remove(id);
+    }
+    return expired;
 }
 
-std::vector<std::uint64_t> FairQueue::expire(base::Millis now)
+void FairQueue::settle(const std::string &organisation, std::int64_t difference)
 {
-    std::vector<std::uint64_t> expired;
-    for (auto &[organisation, lane] : m_lanes) {
-        for (auto it = lane.items.begin(); it != lane.items.end();) {
-            const auto next = std::next(it);
-            if (it->second.deadline <= now) {
-                expired.push_back(it->second.id);
-                take(lane, it);
-            }
-            it = next;
-        }
+    const auto found = m_flows.find(organisation);
+    if (found != m_flows.end()) {
+        found->second.served += difference * SCALE / found->second.weight;
     }
-    return expired;
 }
 
 bool FairQueue::cancel(std::uint64_t id)
 {
-    const auto place = m_organisationOf.find(id);
-    if (place == m_organisationOf.end()) {
+    if (!m_items.contains(id)) {
         return false;
     }
-    Lane &lane = m_lanes.at(place->second.organisation);
-    take(lane, lane.items.find(place->second.rank));
+    remove(id);
     return true;
 }
 
+void FairQueue::remove(std::uint64_t id)
+{
+    const auto found = m_items.find(id);
+    const Item &item = found->second.item;
+    m_flows.at(item.organisation).waiting.erase({item.priority, found->second.arrival, id});
+    m_deadlines.erase({item.deadline.count, id});
+    m_backlog -= item.cost;
+    m_items.erase(found);
+}
+
+std::size_t FairQueue::size(const std::string &organisation) const
+{
+    const auto found = m_flows.find(organisation);
+    return found == m_flows.end() ? 0 : found->second.waiting.size();
+}
+
+base::Millis FairQueue::nextExpiry() const noexcept
+{
+    return m_deadlines.empty() ? base::NEVER : base::Millis{m_deadlines.begin()->first};
+}
+
 } // namespace bamboomoor::admission
--- a/src/bamboomoor/admission/fwd.hpp
+++ b/src/bamboomoor/admission/fwd.hpp
@@ -5,8 +5,9 @@
 
 namespace bamboomoor::admission
 {
-class FairQueue;
+enum class Refusal;
+enum class Ran;
 struct ErrorBody;
-struct QueueItem;
-struct QueueOptions;
+struct Item;
+class FairQueue;
 } // namespace bamboomoor::admission
--- a/src/bamboomoor/admission/refusal.cpp
+++ b/src/bamboomoor/admission/refusal.cpp
@@ -1,89 +1,78 @@
 /**
- * The refusals that callers meet.
+ * The table of refusals and the JSON form of errors.
  */
 #include "bamboomoor/admission/refusal.hpp"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
+#include <cassert>
+#include <utility>
 
 namespace bamboomoor::admission
 {
 
 namespace
 {
+constexpr int MILLIS_PER_SECOND = 1'000;
+constexpr int MAX_RETRY_SECONDS = 3'600;
 
-constexpr std::int64_t MILLIS_PER_SECOND = 1'000;
-constexpr int TOO_MANY_REQUESTS = 429;
-constexpr int UNAVAILABLE = 503;
-
-/** @brief The `type` field, by which clients tell whose fault it was. */
-std::string_view typeOf(int status) noexcept
-{
-    switch (status) {
-    case 401:
-        return "authentication_error";
-    case TOO_MANY_REQUESTS:
-        return "rate_limit_error";
-    default:
-        return status < 500 ? "invalid_request_error" : "server_error";
-    }
-}
-
+// In the order of Refusal.
+constexpr std::array TRAITS = {
+    RefusalTraits{401, ErrorType::Authentication, Ran::No, false},
+    RefusalTraits{401, ErrorType::Authentication, std::nullopt, false},
+    RefusalTraits{404, ErrorType::NotFound, Ran::No, false},
+    RefusalTraits{404, ErrorType::NotFound, Ran::No, false},
+    RefusalTraits{403, ErrorType::Permission, Ran::No, false},
+    RefusalTraits{429, ErrorType::RateLimit, Ran::No, true},
+    RefusalTraits{503, ErrorType::Unavailable, Ran::No, true},
+    RefusalTraits{503, ErrorType::Unavailable, Ran::No, true},
+    RefusalTraits{503, ErrorType::Unavailable, Ran::No, true},
+    RefusalTraits{503, ErrorType::Unavailable, Ran::No, true},
+    RefusalTraits{503, ErrorType::Unavailable, Ran::No, true},
+    RefusalTraits{413, ErrorType::InvalidRequest, Ran::No, false},
+    RefusalTraits{400, ErrorType::InvalidRequest, Ran::No, false},
+    RefusalTraits{502, ErrorType::Upstream, std::nullopt, false},
+    RefusalTraits{502, ErrorType::Upstream, Ran::Unknown, false},
+    RefusalTraits{400, ErrorType::InvalidRequest, Ran::No, false},
+    RefusalTraits{422, ErrorType::InvalidRequest, Ran::No, false},
+    RefusalTraits{409, ErrorType::Conflict, Ran::Unknown, false},
+    RefusalTraits{499, ErrorType::InvalidRequest, std::nullopt, false},
+    RefusalTraits{405, ErrorType::InvalidRequest, Ran::No, false},
+    RefusalTraits{503, ErrorType::Unavailable, Ran::No, true},
+    RefusalTraits{500, ErrorType::Unavailable, std::nullopt, false},
+};
+static_assert(TRAITS.size() == REFUSAL_NAMES.size());
 } // namespace
 
-int statusOf(Refusal refusal) noexcept
+RefusalTraits traits(Refusal refusal) noexcept
 {
-    switch (refusal) {
-    case Refusal::InvalidKey:
-    case Refusal::KeyWithdrawn:
-        return 401;
-    case Refusal::KeyInBody:
-    case Refusal::MalformedRequest:
-        return 400;
-    case Refusal::UnknownModel:
-    case Refusal::UnknownRoute:
-        return 404;
-    case Refusal::RateExceeded:
-        return TOO_MANY_REQUESTS;
-    case Refusal::IdempotencyMismatch:
-        return 422;
-    case Refusal::InProgress:
-        return 409;
-    case Refusal::UpstreamFailed:
-    case Refusal::OutcomeUnknown:
-        return 502;
-    case Refusal::Cancelled:
-        return 499;
-    case Refusal::QueueFull:
-    case Refusal::DeadlineUnmeetable:
-    case Refusal::NotFresh:
-    case Refusal::NoUpstream:
-    case Refusal::Draining:
-        return UNAVAILABLE;
-    }
-    return UNAVAILABLE;
+    const auto n = static_cast<std::size_t>(refusal);
+    assert(n < TRAITS.size());
+    return TRAITS[n];
 }
 
-std::string errorJson(const ErrorBody &error)
+std::string toJson(const ErrorBody &body)
 {
-    nlohmann::json inner{{"type", typeOf(statusOf(error.refusal))}, {"code", refusalName(error.refusal)},
-        {"message", error.message}, {"not_run", nullptr}};
-    if (error.notRun) {
-        inner["not_run"] = *error.notRun;
-    }
-    return nlohmann::json{{"error", std::move(inner)}}.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    const RefusalTraits fixed = traits(body.refusal);
+    const Ran ran = fixed.ran.value_or(body.ran);
+    nlohmann::ordered_json error;
+    error["type"] = ERROR_TYPE_NAMES.name(fixed.type);
+    error["code"] = REFUSAL_NAMES.name(body.refusal);
+    error["message"] = body.message;
+    error["not_run"] = ran == Ran::Unknown ? nlohmann::ordered_json() : nlohmann::ordered_json(ran == Ran::No);
+    nlohmann::ordered_json whole;
+    whole["error"] = std::move(error);
+    return whole.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
 
-http::Response errorResponse(const ErrorBody &error)
+int retryAfterSeconds(base::Millis span) noexcept
 {
-    const int status = statusOf(error.refusal);
-    http::Response response{status, {{"Content-Type", "application/json"}}, errorJson(error) + '\n'};
-    if (status == TOO_MANY_REQUESTS || status == UNAVAILABLE) {
-        const std::int64_t seconds = (error.retryAfter.count + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
-        response.headers.push_back({"Retry-After", std::to_string(std::max<std::int64_t>(1, seconds))});
-    }
-    return response;
+    const std::int64_t bounded =
+        std::min<std::int64_t>(span.count, std::int64_t{MAX_RETRY_SECONDS} * MILLIS_PER_SECOND);
+    const std::int64_t n = (bounded + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+    return static_cast<int>(std::max<std::int64_t>(n, 1));
 }
 
 } // namespace bamboomoor::admission
--- a/src/bamboomoor/admission/refusal.hpp
+++ b/src/bamboomoor/admission/refusal.hpp
@@ -1,11 +1,11 @@
 /**
- * The refusals that callers meet: their public codes, HTTP statuses, and the JSON of an error.
+ * The reasons for which a request is refused or fails, as callers see them: code, HTTP status, type, and whether the
+ * request has run.
  */
 #pragma once
 
 #include "bamboomoor/base/clock.hpp"
 #include "bamboomoor/base/nametable.hpp"
-#include "bamboomoor/http/message.hpp"
 
 #include <optional>
 #include <string>
@@ -14,73 +14,98 @@
 namespace bamboomoor::admission
 {
 
-/** @brief Why a request got no answer of an upstream. */
+/** @brief Why a request is refused or fails; the names are the public error codes. */
 enum class Refusal {
     InvalidKey,
     KeyWithdrawn,
-    KeyInBody,
     UnknownModel,
     UnknownRoute,
-    MalformedRequest,
+    WrongOrganisation,
     RateExceeded,
     QueueFull,
     DeadlineUnmeetable,
     NotFresh,
     NoUpstream,
     Draining,
-    IdempotencyMismatch,
-    InProgress,
+    BodyTooLarge,
+    MalformedRequest,
     UpstreamFailed,
     OutcomeUnknown,
-    Cancelled
+    KeyInBody,
+    IdempotencyMismatch,
+    InProgress,
+    Cancelled,
+    MethodNotAllowed,
+    Overloaded,
+    Internal
+};
+
+/** @brief The public error codes. */
+inline constexpr auto REFUSAL_NAMES = base::makeNames<Refusal>("invalid_key", "key_withdrawn", "unknown_model",
+    "unknown_route", "wrong_organisation", "rate_exceeded", "queue_full", "deadline_unmeetable", "not_fresh",
+    "no_upstream", "draining", "body_too_large", "malformed_request", "upstream_failed", "outcome_unknown",
+    "key_in_body", "idempotency_mismatch", "in_progress", "cancelled", "method_not_allowed", "overloaded", "internal");
+
+/** @brief Whether a request has had an effect. */
+enum class Ran { No, Yes, Unknown };
+
+/** @brief The names of Ran. */
+inline constexpr auto RAN_NAMES = base::makeNames<Ran>("no", "yes", "unknown");
+
+/** @brief The kinds of errors, as callers see them. */
+enum class ErrorType {
+    Authentication,
+    Permission,
+    InvalidRequest,
+    NotFound,
+    RateLimit,
+    Conflict,
+    Unavailable,
+    Upstream
 };
 
-/** @brief The public codes. */
-inline constexpr auto REFUSAL_NAMES =
-    base::makeNames<Refusal>("invalid_key", "key_withdrawn", "key_in_body", "unknown_model", "unknown_route",
-        "malformed_request", "rate_exceeded", "queue_full", "deadline_unmeetable", "not_fresh", "no_upstream",
-        "draining", "idempotency_mismatch", "in_progress", "upstream_failed", "outcome_unknown", "cancelled");
+/** @brief The public error types. */
+inline constexpr auto ERROR_TYPE_NAMES =
+    base::makeNames<ErrorType>("authentication_error", "permission_error", "invalid_request_error", "not_found_error",
+        "rate_limit_error", "conflict_error", "unavailable_error", "upstream_error");
+
+/** @brief What is fixed for a refusal. */
+struct RefusalTraits {
+    int httpStatus = 500;
+    ErrorType type = ErrorType::Unavailable;
+    // Nothing where it depends on how far the request got.
+    std::optional<Ran> ran;
+    // The answer carries Retry-After.
+    bool retryable = false;
+};
 
 /**
- * @brief Names a refusal.
+ * @brief Looks up what is fixed for a refusal.
  * @param refusal The refusal.
- * @return Its public code.
+ * @return Status, type and effect.
  */
-[[nodiscard]] constexpr std::string_view refusalName(Refusal refusal) noexcept
-{
-    return REFUSAL_NAMES.name(refusal);
-}
+[[nodiscard]] RefusalTraits traits(Refusal refusal) noexcept;
 
-/** @brief One error as a caller sees it. */
+/** @brief An error as a caller receives it. */
 struct ErrorBody {
-    Refusal refusal = Refusal::MalformedRequest;
-    // One line for people.
+    Refusal refusal = Refusal::Internal;
     std::string message;
-    // True: the request did not run; false: it ran; nothing: that is not known.
-    std::optional<bool> notRun;
-    // When to come back, in milliseconds; sent with statuses 429 and 503, in whole seconds, rounded up.
-    base::Millis retryAfter{1'000};
+    // Counts only where the traits leave it open.
+    Ran ran = Ran::Unknown;
 };
 
-/**
- * @brief Tells the HTTP status of a refusal.
- * @param refusal The refusal.
- * @return The status.
- */
-[[nodiscard]] int statusOf(Refusal refusal) noexcept;
-
 /**
  * @brief Writes an error.
- * @param error The error.
- * @return {"error":{"type","code","message","not_run"}} on one line.
+ * @param body The error.
+ * @return {"error":{"type","code","message","not_run"}}, not_run being null when the outcome is unknown.
  */
-[[nodiscard]] std::string errorJson(const ErrorBody &error);
+[[nodiscard]] std::string toJson(const ErrorBody &body);
 
 /**
- * @brief Makes a whole answer of an error.
- * @param error The error.
- * @return Status, Content-Type, Retry-After where the status asks for one, and the JSON.
+ * @brief Computes the value of the Retry-After header.
+ * @param span A time in milliseconds.
+ * @return Whole seconds, rounded up, from 1 to 3600.
  */
-[[nodiscard]] http::Response errorResponse(const ErrorBody &error);
+[[nodiscard]] int retryAfterSeconds(base::Millis span) noexcept;
 
 } // namespace bamboomoor::admission
--- a/src/bamboomoor/entry/admit.cpp
+++ b/src/bamboomoor/entry/admit.cpp
@@ -110,9 +110,9 @@
 {
     using admission::Refusal;
     using state::ClaimCode;
-    const auto end = [&](Refusal refusal, const char *message, std::optional<bool> notRun) {
+    const auto end = [&](Refusal refusal, const char *message, admission::Ran ran) {
         exchange.claimKey.clear();
-        refuse(exchange, refusal, message, notRun);
+        refuse(exchange, refusal, message, ran);
     };
     switch (outcome.code) {
     case ClaimCode::Opened:
@@ -123,19 +123,19 @@
         answerStored(exchange, outcome.answer.value());
         return;
     case ClaimCode::AlreadyOpen:
-        end(Refusal::InProgress, "the first request with this Idempotency-Key is in progress", std::nullopt);
+        end(Refusal::InProgress, "the first request with this Idempotency-Key is in progress", admission::Ran::Unknown);
         return;
     case ClaimCode::Unknown:
         end(Refusal::OutcomeUnknown, "whether the first request with this Idempotency-Key ran is not known",
-            std::nullopt);
+            admission::Ran::Unknown);
         return;
     case ClaimCode::DifferentRequest:
-        end(Refusal::IdempotencyMismatch, "this Idempotency-Key was used for another request", true);
+        end(Refusal::IdempotencyMismatch, "this Idempotency-Key was used for another request", admission::Ran::No);
         return;
     case ClaimCode::Full:
     case ClaimCode::Finished:
     case ClaimCode::NotOpen:
-        end(Refusal::QueueFull, "no further claim can be opened", true);
+        end(Refusal::QueueFull, "no further claim can be opened", admission::Ran::No);
         return;
     }
 }
@@ -144,8 +144,9 @@
 {
     if (answer.tooLarge) {
         exchange.claimKey.clear();
-        refuse(exchange, admission::Refusal::OutcomeUnknown,
-            "the request ran once with status " + std::to_string(answer.status) + "; its answer was not kept", false);
+        refuse(exchange, admission::Refusal::UpstreamFailed,
+            "the request ran once with status " + std::to_string(answer.status) + "; its answer was not kept",
+            admission::Ran::Yes);
         return;
     }
     m_context.metrics.answered("stored");
@@ -215,7 +216,7 @@
     const bool never = admission.retryAfter == base::NEVER;
     refuse(exchange, admission::Refusal::RateExceeded,
         never ? "the request may cost more tokens than the organisation's burst" : "the organisation's rate is used up",
-        true, never ? base::Millis{60'000} : admission.retryAfter);
+        admission::Ran::No, never ? base::Millis{60'000} : admission.retryAfter);
 }
 
 void Desk::decidedAll(const std::vector<budget::Admission> &admissions)
@@ -274,20 +275,25 @@
         return;
     }
     const int priority = exchange.resolved.generation ? static_cast<int>(exchange.resolved.generation->priority) : 0;
-    const bool queued = m_queues[target].push(m_context.clock.now(),
+    const auto queued = queueOf(target).push(m_context.clock.now(),
         {.id = exchange.id,
             .organisation = exchange.organisation,
             .cost = exchange.resolved.cost,
             .deadline = exchange.deadline,
             .priority = priority});
     if (!queued) {
-        refuse(exchange, admission::Refusal::QueueFull, "too many requests of the organisation wait");
+        refuse(exchange, queued.error(), "the request cannot wait for an upstream");
         return;
     }
     exchange.phase = Phase::Queued;
     ++m_queued;
 }
 
+admission::FairQueue &Desk::queueOf(const Target &target)
+{
+    return m_queues.try_emplace(target, admission::FairQueueOptions{}).first->second;
+}
+
 void Desk::pump()
 {
     std::vector<Target> targets;
--- a/src/bamboomoor/entry/attempt.cpp
+++ b/src/bamboomoor/entry/attempt.cpp
@@ -127,8 +127,8 @@
     const base::Millis now = m_context.clock.now();
     if (const auto refusal = checkKey(exchange)) {
         const bool notRun = exchange.delivery.giveUp() == routing::Decision::FailNotRun;
-        endWithError(exchange, *refusal, "the key or the configuration changed while the request waited",
-            notRun ? std::optional(true) : std::nullopt);
+        endWithError(exchange, notRun ? *refusal : admission::Refusal::OutcomeUnknown, "the key or the configuration changed while the request waited",
+            notRun ? admission::Ran::No : admission::Ran::Unknown);
         return true;
     }
     const Resolved &resolved = exchange.resolved;
@@ -301,7 +301,7 @@
     countToken(exchange, progress->tokens);
     if (!exchange.responder->write(text)) {
         cancelAttempt(exchange);
-        endWithError(exchange, admission::Refusal::Cancelled, "the caller stopped reading", std::nullopt);
+        endWithError(exchange, admission::Refusal::Cancelled, "the caller stopped reading", admission::Ran::Unknown);
     }
 }
 
@@ -488,12 +488,12 @@
     using admission::Refusal;
     if (decision == routing::Decision::FailNotRun) {
         const bool tried = exchange.delivery.attempts() > 0;
-        endWithError(exchange, tried ? Refusal::UpstreamFailed : Refusal::NoUpstream, message, true);
+        endWithError(exchange, tried ? Refusal::UpstreamFailed : Refusal::NoUpstream, message, admission::Ran::No);
         return;
     }
     const bool ran = decision == routing::Decision::FailRun;
     endWithError(exchange, ran ? Refusal::UpstreamFailed : Refusal::OutcomeUnknown, message,
-        ran ? std::optional(false) : std::nullopt);
+        ran ? admission::Ran::Yes : admission::Ran::Unknown);
 }
 
 } // namespace bamboomoor::entry
--- a/src/bamboomoor/entry/desk.cpp
+++ b/src/bamboomoor/entry/desk.cpp
@@ -3,7 +3,7 @@
  */
 #include "bamboomoor/entry/desk.hpp"
 #include "bamboomoor/base/digest.hpp"
-#include "bamboomoor/base/overloaded.hpp"
+#include "bamboomoor/entry/errors.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -108,8 +108,8 @@
     ++m_inProgress;
     if (!m_ring.push(Arrived{std::move(request), responder})) {
         --m_inProgress;
-        m_context.metrics.refused(admission::refusalName(admission::Refusal::QueueFull));
-        responder->respond(admission::errorResponse({admission::Refusal::QueueFull, "the entry is overloaded", true}));
+        m_context.metrics.refused(admission::REFUSAL_NAMES.name(admission::Refusal::Overloaded));
+        responder->respond(errorResponse({admission::Refusal::Overloaded, "the entry is overloaded", admission::Ran::No}));
     }
 }
 
@@ -142,10 +142,10 @@
     }
     for (const std::uint64_t id : rest) {
         Exchange &exchange = *m_exchanges.at(id);
-        const bool ran = exchange.delivery.attempts() > 0;
+        const bool sent = exchange.delivery.attempts() > 0;
         cancelAttempt(exchange);
-        endWithError(exchange, ran ? admission::Refusal::OutcomeUnknown : admission::Refusal::Draining,
-            "the entry stops", ran ? std::nullopt : std::optional(true));
+        endWithError(exchange, sent ? admission::Refusal::OutcomeUnknown : admission::Refusal::Draining,
+            "the entry stops", sent ? admission::Ran::Unknown : admission::Ran::No);
     }
 }
 
@@ -272,7 +272,7 @@
         return;
     }
     cancelAttempt(*exchange);
-    endWithError(*exchange, admission::Refusal::Cancelled, "the caller disconnected", std::nullopt);
+    endWithError(*exchange, admission::Refusal::Cancelled, "the caller disconnected", admission::Ran::Unknown);
 }
 
 void Desk::on(ConfigurationChanged & /*event*/)
@@ -289,10 +289,10 @@
         if (!sent) {
             const bool notRun = exchange.delivery.giveUp() == routing::Decision::FailNotRun;
             endWithError(exchange, admission::Refusal::KeyWithdrawn, "the key was withdrawn",
-                notRun ? std::optional(true) : std::nullopt);
+                notRun ? admission::Ran::No : admission::Ran::Unknown);
         } else if (exchange.resolved.generation && exchange.claimId == 0) {
             cancelAttempt(exchange);
-            endWithError(exchange, admission::Refusal::KeyWithdrawn, "the key was withdrawn", std::nullopt);
+            endWithError(exchange, admission::Refusal::KeyWithdrawn, "the key was withdrawn", admission::Ran::Unknown);
         }
     }
 }
@@ -312,8 +312,8 @@
 {
     const base::Millis now = m_context.clock.now();
     for (auto &[target, queue] : m_queues) {
-        for (const std::uint64_t id : queue.expire(now)) {
-            if (Exchange *exchange = find(id)) {
+        for (const admission::Item &item : queue.expire(now)) {
+            if (Exchange *exchange = find(item.id)) {
                 --m_queued;
                 exchange->phase = Phase::BackingOff;
                 refuse(*exchange, admission::Refusal::DeadlineUnmeetable, "no upstream was free before the deadline");
@@ -344,21 +344,21 @@
 }
 
 void Desk::refuse(Exchange &exchange, admission::Refusal refusal, const std::string &message,
-    std::optional<bool> notRun, base::Millis retryAfter)
+    admission::Ran ran, base::Millis retryAfter)
 {
-    m_context.metrics.refused(admission::refusalName(refusal));
-    http::Response response = admission::errorResponse({refusal, message, notRun, retryAfter});
+    m_context.metrics.refused(admission::REFUSAL_NAMES.name(refusal));
+    http::Response response = errorResponse({refusal, message, ran}, retryAfter);
     response.headers.push_back({"X-Request-Id", exchange.requestId});
     exchange.responder->respond(std::move(response));
     settle(exchange, 0);
-    if (notRun == true) {
+    if (ran == admission::Ran::No) {
         releaseClaim(exchange, false);
     }
     finish(exchange);
 }
 
 void Desk::endWithError(
-    Exchange &exchange, admission::Refusal refusal, const std::string &message, std::optional<bool> notRun)
+    Exchange &exchange, admission::Refusal refusal, const std::string &message, admission::Ran ran)
 {
     if (exchange.phase == Phase::Queued) {
         m_queues.at(exchange.resolved.target).cancel(exchange.id);
@@ -367,23 +367,23 @@
     if (exchange.phase == Phase::Budgeting) {
         m_holder.cancel(exchange.reservation);
     }
-    if (!exchange.streaming && notRun == true) {
-        refuse(exchange, refusal, message, notRun);
+    if (!exchange.streaming && ran == admission::Ran::No) {
+        refuse(exchange, refusal, message);
         return;
     }
-    m_context.metrics.refused(admission::refusalName(refusal));
+    m_context.metrics.refused(admission::REFUSAL_NAMES.name(refusal));
     if (exchange.streaming) {
-        exchange.responder->write("data: " + admission::errorJson({refusal, message, notRun}) + "\n\n");
+        exchange.responder->write("data: " + admission::toJson({refusal, message, ran}) + "\n\n");
         exchange.responder->end();
     } else {
-        http::Response response = admission::errorResponse({refusal, message, notRun});
+        http::Response response = errorResponse({refusal, message, ran});
         response.headers.push_back({"X-Request-Id", exchange.requestId});
         exchange.responder->respond(std::move(response));
     }
     const bool generation = exchange.resolved.generation.has_value();
     const std::int64_t prompt = generation ? exchange.resolved.generation->promptTokens : 0;
-    const bool ran = exchange.delivery.attempts() > 0;
-    settle(exchange, !ran ? 0 : generation ? prompt + exchange.generatedTokens : exchange.resolved.cost);
+    const bool sent = exchange.delivery.attempts() > 0;
+    settle(exchange, !sent ? 0 : generation ? prompt + exchange.generatedTokens : exchange.resolved.cost);
     releaseClaim(exchange, true);
     finish(exchange);
 }
--- a/src/bamboomoor/entry/desk.hpp
+++ b/src/bamboomoor/entry/desk.hpp
@@ -177,7 +177,7 @@
     void tick();
     void reviewLate();
     void refuse(Exchange &exchange, admission::Refusal refusal, const std::string &message,
-        std::optional<bool> notRun = true, base::Millis retryAfter = base::Millis{1'000});
+        admission::Ran ran = admission::Ran::No, base::Millis retryAfter = base::Millis{1'000});
     void finish(Exchange &exchange);
     [[nodiscard]] std::optional<admission::Refusal> checkKey(const Exchange &exchange) const;
     [[nodiscard]] Exchange *find(std::uint64_t id);
@@ -199,6 +199,7 @@
     void sendAsk();
     void settle(Exchange &exchange, std::int64_t actual);
     void enqueue(Exchange &exchange);
+    [[nodiscard]] admission::FairQueue &queueOf(const Target &target);
     void pump();
     bool pumpTarget(const Target &target);
 
@@ -220,7 +221,7 @@
     void giveUp(Exchange &exchange, routing::Decision decision, const std::string &message);
     void cancelAttempt(Exchange &exchange);
     void endWithError(
-        Exchange &exchange, admission::Refusal refusal, const std::string &message, std::optional<bool> notRun);
+        Exchange &exchange, admission::Refusal refusal, const std::string &message, admission::Ran ran);
     [[nodiscard]] std::optional<routing::FailureKind> judgeAnswer(Exchange &exchange) const;
 
     DeskOptions m_options;
