--- /dev/null
+++ b/test/bamboomoor/http/client.cpp
@@ -0,0 +1,147 @@
+/**
+ * Tests of the client against answers that are cut, silent or no HTTP: how each ends, and whether anything was sent.
+ */
+#include "rawserver.hpp"
+#include "support.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace bamboomoor;
+using namespace bamboomoor::http::test;
+using http::EndKind;
+
+namespace
+{
+
+http::Call callTo(const std::string &url, bool once = true)
+{
+    http::Call call;
+    call.method = "POST";
+    call.url = url;
+    call.body = "body";
+    call.firstByteTimeout = {1'000};
+    call.progressTimeout = {1'000};
+    call.once = once;
+    return call;
+}
+
+std::shared_ptr<Collector> send(http::Client &client, const http::Call &call)
+{
+    auto collector = std::make_shared<Collector>();
+    client.start(call, collector);
+    return collector;
+}
+
+constexpr const char *WHOLE = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(each_broken_answer_ends_as_what_it_is)
+{
+    struct Case {
+        std::string bytes;
+        Then then;
+        EndKind kind;
+        bool delimited;
+    };
+    const std::vector<Case> cases{
+        {WHOLE, Then::Close, EndKind::Complete, true},
+        {"HTTP/1.1 103 Early\r\nA: b\r\n\r\nHTTP/1.1 204 None\r\n\r\n", Then::Close, EndKind::Complete, true},
+        {"HTTP/1.1 200 OK\r\n\r\nto the end", Then::Close, EndKind::Complete, false},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", Then::Close, EndKind::Truncated, true},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", Then::Close, EndKind::Truncated, true},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", Then::Hold, EndKind::Silent, true},
+        {"", Then::Hold, EndKind::Silent, false},
+        {"", Then::Close, EndKind::ResetBeforeAnswer, false},
+        {"HTTP/1.1 200 OK\r\nContent-Len", Then::Hold, EndKind::Silent, false},
+        {"not HTTP at all\r\n\r\n", Then::Close, EndKind::Malformed, false},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + std::string(2'000, 'x'), Then::Close, EndKind::TooLarge,
+            true},
+    };
+    http::Client client;
+    for (const Case &it : cases) {
+        RawServer server(it.bytes, it.then);
+        http::Call call = callTo(server.url());
+        call.maxAnswerBytes = 1'000;
+        const auto answer = send(client, call);
+        BOOST_TEST_CONTEXT(it.bytes.substr(0, 60) << " -> " << http::END_KIND_NAMES.name(answer->await().kind))
+        {
+            BOOST_TEST((answer->await().kind == it.kind));
+            BOOST_TEST(answer->await().delimited == it.delimited);
+            BOOST_TEST(answer->await().bytesSent);
+            BOOST_TEST(server.requests() == 1);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_sent_where_nobody_listens)
+{
+    http::Client client;
+    std::string url;
+    {
+        const RawServer gone(WHOLE, Then::Close);
+        url = gone.url();
+    }
+    const auto refused = send(client, callTo(url));
+    BOOST_TEST((refused->await().kind == EndKind::ConnectFailed));
+    BOOST_TEST(!refused->await().bytesSent);
+    const auto unusable = send(client, callTo("ftp://127.0.0.1/"));
+    BOOST_TEST((unusable->await().kind == EndKind::Unusable));
+    BOOST_TEST(!unusable->await().bytesSent);
+    client.stop();
+    const auto late = send(client, callTo(url));
+    BOOST_TEST((late->await().kind == EndKind::Cancelled));
+    BOOST_TEST(!late->await().bytesSent);
+}
+
+BOOST_AUTO_TEST_CASE(a_call_marked_once_reaches_the_upstream_once)
+{
+    http::Client client;
+    RawServer server(WHOLE, Then::Hold);
+    for (int n = 1; n <= 20; ++n) {
+        // Leaves an open connection in the pool, on which the library would send again by itself.
+        BOOST_TEST(send(client, callTo(server.url(), false))->status() == 200);
+        server.change("", Then::Close);
+        const int before = server.requests();
+        const auto answer = send(client, callTo(server.url(), true));
+        BOOST_TEST((answer->await().kind == EndKind::ResetBeforeAnswer));
+        BOOST_TEST(answer->await().bytesSent);
+        BOOST_TEST(server.requests() == before + 1);
+        server.change(WHOLE, Then::Hold);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_cancelled_call_ends_and_closes_its_connection)
+{
+    http::Client client;
+    RawServer server("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", Then::Hold);
+    http::Call call = callTo(server.url());
+    call.progressTimeout = {60'000};
+    auto answer = std::make_shared<Collector>();
+    const http::CallId id = client.start(call, answer);
+    answer->awaitHead();
+    client.cancel(id);
+    client.cancel({id.value + 7});
+    BOOST_TEST((answer->await().kind == EndKind::Cancelled));
+    BOOST_TEST(answer->await().bytesSent);
+    while (server.closedByCaller() == 0) {
+        std::this_thread::yield();
+    }
+}
+
+BOOST_AUTO_TEST_CASE(stopping_the_client_ends_every_call)
+{
+    RawServer server("", Then::Hold);
+    std::vector<std::shared_ptr<Collector>> answers;
+    {
+        http::Client client;
+        for (int n = 0; n < 50; ++n) {
+            http::Call call = callTo(server.url());
+            call.firstByteTimeout = {60'000};
+            answers.push_back(send(client, call));
+        }
+    }
+    for (const auto &it : answers) {
+        BOOST_TEST((it->await().kind == EndKind::Cancelled));
+    }
+}
--- a/test/bamboomoor/http/server.cpp
+++ b/test/bamboomoor/http/server.cpp
@@ -4,6 +4,7 @@
 #include "support.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
 
 #include <atomic>
 #include <thread>
@@ -259,3 +260,26 @@
     kept->respond({200, {}, "too late"});
     BOOST_TEST(!kept->write("x"));
 }
+
+BOOST_AUTO_TEST_CASE(no_bytes_break_the_server)
+{
+    Fixture fixture(echo, shortTimes());
+    BOOST_TEST(rc::check("random requests", [&fixture] {
+        const auto piece = rc::gen::element<std::string>("GET / HTTP/1.1\r\n", "POST /a?b HTTP/1.1\r\n", "HEAD", " ",
+            "Host: x\r\n", "Content-Length: 3\r\n", "Content-Length: -1\r\n", "Transfer-Encoding: chunked\r\n", "\r\n",
+            "3\r\nabc\r\n", "0\r\n\r\n", "abc", "\n", "Expect: 100-continue\r\n", "Connection: close\r\n",
+            std::string(1, '\0'), "\xff", ":", "ffffffffffffffffff\r\n");
+        const auto pieces = *rc::gen::container<std::vector<std::string>>(piece);
+        const RawConnection caller(fixture.address);
+        for (const std::string &it : pieces) {
+            caller.send(it);
+        }
+        caller.endSending();
+        const std::string answer = caller.readAll();
+        return answer.empty() || answer.starts_with("HTTP/1.");
+    }));
+    BOOST_TEST(fixture.send({.url = "/"})->status() == 200);
+    fixture.await([](const http::ServerCounters &it) {
+        return it.openRequests == 0;
+    });
+}
--- a/test/bamboomoor/http/support.hpp
+++ b/test/bamboomoor/http/support.hpp
@@ -146,6 +146,11 @@
         [[maybe_unused]] const ssize_t sent = ::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     }
 
+    void endSending() const
+    {
+        shutdown(m_socket, SHUT_WR);
+    }
+
     /** @brief Reads until the text contains `mark`, or the other end closes. */
     [[nodiscard]] std::string readUntil(std::string_view mark) const
     {
