--- a/src/bamboomoor/http/client.cpp
+++ b/src/bamboomoor/http/client.cpp
@@ -67,6 +67,7 @@
     void startTransfer(PendingCall pending);
     void readFinished();
     void cutSilent();
+    void watch(const Transfer &transfer, base::Millis now);
     [[nodiscard]] int waitTime() const;
     [[nodiscard]] CURL *takeHandle();
     [[nodiscard]] std::unique_ptr<Transfer> detach(std::uint64_t id);
@@ -80,6 +81,8 @@
     absl::flat_hash_map<std::uint64_t, std::unique_ptr<Transfer>> m_transfers;
     absl::flat_hash_map<CURL *, std::uint64_t> m_ids;
     std::vector<CURL *> m_idleHandles;
+    // No transfer is overdue before this time, so that the transfers are looked through only then.
+    base::Millis m_nextCheck = base::NEVER;
 
     absl::Mutex m_mutex;
     std::uint64_t m_lastId ABSL_GUARDED_BY(m_mutex) = 0;
@@ -206,6 +209,7 @@
         recycle(std::move(transfer));
         return;
     }
+    watch(*transfer, m_clock.now());
     m_ids[handle] = pending.id;
     m_transfers[pending.id] = std::move(transfer);
 }
@@ -229,18 +233,29 @@
     }
 }
 
+void Client::Impl::watch(const Transfer &transfer, base::Millis now)
+{
+    m_nextCheck = std::min(m_nextCheck, transfer.nextCheck(now));
+}
+
 void Client::Impl::cutSilent()
 {
     const base::Millis now = m_clock.now();
+    if (now < m_nextCheck) {
+        return;
+    }
+    m_nextCheck = base::NEVER;
     std::vector<std::uint64_t> silent;
     for (const auto &[id, transfer] : m_transfers) {
         if (transfer->deadline() <= now) {
             silent.push_back(id);
+        } else {
+            watch(*transfer, now);
         }
     }
     for (const std::uint64_t id : silent) {
         if (auto transfer = detach(id)) {
-            transfer->finish(EndKind::Silent);
+            transfer->finish(transfer->isOverTotal(now) ? EndKind::TimedOut : EndKind::Silent);
             recycle(std::move(transfer));
         }
     }
@@ -248,12 +263,8 @@
 
 int Client::Impl::waitTime() const
 {
-    const base::Millis now = m_clock.now();
-    base::Millis wait{MAX_WAIT};
-    for (const auto &[id, transfer] : m_transfers) {
-        wait = std::min(wait, transfer->deadline() - now);
-    }
-    return static_cast<int>(std::max<std::int64_t>(wait.count, 1));
+    const base::Millis left = m_nextCheck - m_clock.now();
+    return static_cast<int>(std::clamp<std::int64_t>(left.count, 1, MAX_WAIT));
 }
 
 CURL *Client::Impl::takeHandle()
--- a/src/bamboomoor/http/fwd.hpp
+++ b/src/bamboomoor/http/fwd.hpp
@@ -13,6 +13,7 @@
 struct Call;
 struct Ending;
 struct ClientOptions;
+struct Fetched;
 class Responder;
 class Handler;
 class Server;
--- a/src/bamboomoor/http/internal/transfer.cpp
+++ b/src/bamboomoor/http/internal/transfer.cpp
@@ -98,6 +98,12 @@
     return std::min(next, m_started + m_call.totalTimeout);
 }
 
+// A first byte may bring the deadline forward, but not to before the progress timeout from now.
+base::Millis Transfer::nextCheck(base::Millis now) const noexcept
+{
+    return m_answered ? deadline() : std::min(deadline(), now + m_call.progressTimeout);
+}
+
 std::size_t Transfer::onHeaderLine(char *bytes, std::size_t size, std::size_t count, void *self)
 {
     auto &transfer = *static_cast<Transfer *>(self);
--- a/src/bamboomoor/http/internal/transfer.hpp
+++ b/src/bamboomoor/http/internal/transfer.hpp
@@ -40,6 +40,23 @@
      */
     [[nodiscard]] base::Millis deadline() const noexcept;
 
+    /**
+     * @brief Tells until when the call need not be looked at: no later deadline() lies before that time.
+     * @param now The present time, in milliseconds.
+     * @return The point of time, in milliseconds.
+     */
+    [[nodiscard]] base::Millis nextCheck(base::Millis now) const noexcept;
+
+    /**
+     * @brief Tells whether the call has used its whole time.
+     * @param now The present time, in milliseconds.
+     * @return True from the total timeout on.
+     */
+    [[nodiscard]] bool isOverTotal(base::Millis now) const noexcept
+    {
+        return now >= m_started + m_call.totalTimeout;
+    }
+
     /**
      * @brief Tells the listener the end by the library's verdict.
      * @param code The verdict.
--- a/test/bamboomoor/http/client.cpp
+++ b/test/bamboomoor/http/client.cpp
@@ -4,6 +4,8 @@
 #include "rawserver.hpp"
 #include "support.hpp"
 
+#include "bamboomoor/http/fetch.hpp"
+
 #include <boost/test/unit_test.hpp>
 
 using namespace bamboomoor;
@@ -129,6 +131,17 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_whole_answer_is_fetched)
+{
+    http::Client client;
+    RawServer server(WHOLE, Then::Close);
+    const http::Fetched fetched = http::fetch(client, callTo(server.url()));
+    BOOST_TEST(fetched.status == 200);
+    BOOST_TEST(fetched.body == "ok");
+    BOOST_TEST(http::headerValue(fetched.headers, "content-length") == "2");
+    BOOST_TEST((fetched.ending.kind == EndKind::Complete));
+}
+
 BOOST_AUTO_TEST_CASE(stopping_the_client_ends_every_call)
 {
     RawServer server("", Then::Hold);
--- a/test/bamboomoor/http/server.cpp
+++ b/test/bamboomoor/http/server.cpp
@@ -174,6 +174,33 @@
     BOOST_TEST(fixture.server.counters().callersGone == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(a_caller_that_does_not_read_is_cut)
+{
+    std::atomic<std::size_t> accepted = 0;
+    std::thread writer;
+    http::ServerOptions options;
+    options.maxStreamBytes = 100'000;
+    Fixture fixture(
+        [&](const http::Request &, const std::shared_ptr<http::Responder> &responder) {
+            writer = std::thread([responder, &accepted] {
+                responder->begin(200, {});
+                const std::string chunk(10'000, 'x');
+                while (responder->write(chunk)) {
+                    accepted += chunk.size();
+                }
+            });
+        },
+        options);
+    const RawConnection caller(fixture.address);
+    caller.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    fixture.await([](const http::ServerCounters &it) {
+        return it.slowReader == 1;
+    });
+    writer.join();
+    // What it reads in the end is cut: no last chunk.
+    BOOST_TEST(!caller.readAll().ends_with("\r\n0\r\n\r\n"));
+}
+
 BOOST_AUTO_TEST_CASE(oversize_and_malformed_requests_are_refused)
 {
     Fixture fixture(echo, shortTimes());
--- a/test/fakes/upstream.cpp
+++ b/test/fakes/upstream.cpp
@@ -3,6 +3,8 @@
  */
 #include "fakes/upstream.hpp"
 
+#include "bamboomoor/http/fetch.hpp"
+
 #include <utility>
 
 namespace bamboomoor::fakes
@@ -14,22 +16,6 @@
 // An announcement that takes longer is given up, in milliseconds.
 constexpr base::Millis ANNOUNCE_TIMEOUT{2'000};
 
-class IgnoringListener final : public http::Listener
-{
-public:
-    void onHead(int, http::Headers) override
-    {
-    }
-
-    void onData(std::string_view) override
-    {
-    }
-
-    void onEnd(http::Ending) override
-    {
-    }
-};
-
 http::ServerOptions serverOptions()
 {
     http::ServerOptions options;
@@ -127,7 +113,7 @@
     call.body = document.dump();
     call.totalTimeout = ANNOUNCE_TIMEOUT;
     call.once = false;
-    m_surroundings.client.start(std::move(call), std::make_shared<IgnoringListener>());
+    http::fetchThen(m_surroundings.client, std::move(call), [](const http::Fetched &) {});
 }
 
 void Upstream::leave()
