Queue answers outside the exchange's mutex

Cause: a thread sanitizer trial, with the packaged absl mutex replaced by std::mutex because the sanitizer cannot see into the package, reported two orders of the exchange's and the library's response mutex, and a test that read the responder without synchronisation. Ruled out: a deadlock, since one thread takes both orders. The tests now wait for the handler itself.

--- a/src/bamboomoor/http/internal/exchange.cpp
+++ b/src/bamboomoor/http/internal/exchange.cpp
@@ -97,34 +97,44 @@
 
 MHD_Result Exchange::settle()
 {
-    const absl::MutexLock lock(&m_mutex);
-    if (m_gone || m_state == State::Cut || m_scope->stopping) {
-        return MHD_NO;
-    }
-    if (m_queued) {
-        return MHD_YES;
-    }
-    if (m_state == State::Whole) {
-        return queueWhole();
-    }
-    if (m_state == State::Streaming || m_state == State::Ended) {
-        return queueStream();
-    }
-    m_suspended = true;
-    MHD_suspend_connection(m_connection);
-    return MHD_YES;
+    MHD_Connection *connection = nullptr;
+    Response response;
+    bool stream = false;
+    bool close = false;
+    {
+        const absl::MutexLock lock(&m_mutex);
+        if (m_gone || m_state == State::Cut || m_scope->stopping) {
+            return MHD_NO;
+        }
+        if (m_queued) {
+            return MHD_YES;
+        }
+        if (m_state == State::Open) {
+            m_suspended = true;
+            MHD_suspend_connection(m_connection);
+            return MHD_YES;
+        }
+        m_queued = true;
+        connection = m_connection;
+        response = std::move(m_response);
+        stream = m_state != State::Whole;
+        close = m_closeAfter || m_scope->quiescing;
+    }
+    // Outside the mutex: the library holds a mutex of the response while it reads the stream.
+    MHD_Response *made = stream ? makeStream() : makeWhole(std::move(response.body));
+    return queue(connection, made, response, close);
 }
 
-MHD_Result Exchange::queueWhole()
+MHD_Response *Exchange::makeWhole(std::string text)
 {
-    auto *body = new std::string(std::move(m_response.body));
+    auto *body = new std::string(std::move(text));
     const auto release = [](void *cls) {
         delete static_cast<std::string *>(cls);
     };
-    return queue(MHD_create_response_from_buffer_with_free_callback_cls(body->size(), body->data(), release, body));
+    return MHD_create_response_from_buffer_with_free_callback_cls(body->size(), body->data(), release, body);
 }
 
-MHD_Result Exchange::queueStream()
+MHD_Response *Exchange::makeStream()
 {
     constexpr std::size_t BLOCK_BYTES = 16'384;
     auto *self = new ExchangePointer(shared_from_this());
@@ -134,25 +144,24 @@
     const auto release = [](void *cls) {
         delete static_cast<ExchangePointer *>(cls);
     };
-    return queue(MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, BLOCK_BYTES, read, self, release));
+    return MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, BLOCK_BYTES, read, self, release);
 }
 
-MHD_Result Exchange::queue(MHD_Response *response)
+MHD_Result Exchange::queue(MHD_Connection *connection, MHD_Response *made, const Response &response, bool close)
 {
-    if (response == nullptr) {
+    if (made == nullptr) {
         return MHD_NO;
     }
-    for (const Header &it : m_response.headers) {
+    for (const Header &it : response.headers) {
         if (!isSetByServer(it.name)) {
-            MHD_add_response_header(response, it.name.c_str(), it.value.c_str());
+            MHD_add_response_header(made, it.name.c_str(), it.value.c_str());
         }
     }
-    if (m_closeAfter || m_scope->quiescing) {
-        MHD_add_response_header(response, "Connection", "close");
+    if (close) {
+        MHD_add_response_header(made, "Connection", "close");
     }
-    const auto queued = MHD_queue_response(m_connection, static_cast<unsigned>(m_response.status), response);
-    MHD_destroy_response(response);
-    m_queued = true;
+    const auto queued = MHD_queue_response(connection, static_cast<unsigned>(response.status), made);
+    MHD_destroy_response(made);
     return queued;
 }
 
--- a/src/bamboomoor/http/internal/exchange.hpp
+++ b/src/bamboomoor/http/internal/exchange.hpp
@@ -135,9 +135,10 @@
     enum class State { Open, Whole, Streaming, Ended, Cut };
 
     [[nodiscard]] ssize_t readStream(char *buf, std::size_t max);
-    [[nodiscard]] MHD_Result queueWhole() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
-    [[nodiscard]] MHD_Result queueStream() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
-    [[nodiscard]] MHD_Result queue(MHD_Response *response) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    [[nodiscard]] static MHD_Response *makeWhole(std::string text);
+    [[nodiscard]] MHD_Response *makeStream();
+    [[nodiscard]] static MHD_Result queue(
+        MHD_Connection *connection, MHD_Response *made, const Response &response, bool close);
     void wake() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     [[nodiscard]] bool isStalled() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     static void runCallbacks(const std::vector<std::function<void()>> &callbacks);
--- a/test/bamboomoor/http/server.cpp
+++ b/test/bamboomoor/http/server.cpp
@@ -139,10 +139,14 @@
 
 BOOST_AUTO_TEST_CASE(a_caller_that_disconnects_is_noticed_while_waiting_and_while_streaming)
 {
+    absl::Mutex mutex;
     std::shared_ptr<http::Responder> kept;
     absl::Notification gone;
     Fixture fixture([&](const http::Request &request, const std::shared_ptr<http::Responder> &responder) {
-        kept = responder;
+        {
+            const absl::MutexLock lock(&mutex);
+            kept = responder;
+        }
         responder->onGone([&gone] {
             gone.Notify();
         });
@@ -163,6 +167,7 @@
             }
         }
         gone.WaitForNotification();
+        const absl::MutexLock lock(&mutex);
         BOOST_TEST(kept->gone());
         BOOST_TEST(!kept->write("more"));
         fixture.await([](const http::ServerCounters &it) {
@@ -249,13 +254,13 @@
 BOOST_AUTO_TEST_CASE(stopping_answers_what_runs_and_refuses_new_connections)
 {
     std::shared_ptr<http::Responder> kept;
+    absl::Notification held;
     Fixture fixture([&](const http::Request &, const std::shared_ptr<http::Responder> &responder) {
         kept = responder;
+        held.Notify();
     });
     const auto answer = fixture.send({.url = "/"});
-    fixture.await([](const http::ServerCounters &it) {
-        return it.openRequests == 1;
-    });
+    held.WaitForNotification();
     fixture.server.quiesce();
     const auto refused = fixture.send({.url = "/"});
     BOOST_TEST((refused->await().kind == http::EndKind::ConnectFailed));
@@ -273,13 +278,13 @@
 BOOST_AUTO_TEST_CASE(stopping_at_the_limit_cuts_what_is_left)
 {
     std::shared_ptr<http::Responder> kept;
+    absl::Notification held;
     auto fixture = std::make_unique<Fixture>([&](const http::Request &, const std::shared_ptr<http::Responder> &it) {
         kept = it;
+        held.Notify();
     });
     const auto answer = fixture->send({.url = "/"});
-    fixture->await([](const http::ServerCounters &it) {
-        return it.openRequests == 1;
-    });
+    held.WaitForNotification();
     BOOST_TEST(!fixture->server.stop({10}));
     BOOST_TEST((answer->await().kind == http::EndKind::ResetBeforeAnswer));
     BOOST_TEST(answer->await().bytesSent);
