--- a/test/bamboomoor/http/server.cpp
+++ b/test/bamboomoor/http/server.cpp
@@ -4,6 +4,7 @@
 #include "support.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
 
 #include <atomic>
 #include <thread>
@@ -138,10 +139,14 @@
 
 BOOST_AUTO_TEST_CASE(a_caller_that_disconnects_is_noticed_while_waiting_and_while_streaming)
 {
+    absl::Mutex mutex;
     std::shared_ptr<http::Responder> kept;
     absl::Notification gone;
     Fixture fixture([&](const http::Request &request, const std::shared_ptr<http::Responder> &responder) {
-        kept = responder;
+        {
+            const absl::MutexLock lock(&mutex);
+            kept = responder;
+        }
         responder->onGone([&gone] {
             gone.Notify();
         });
@@ -162,6 +167,7 @@
             }
         }
         gone.WaitForNotification();
+        const absl::MutexLock lock(&mutex);
         BOOST_TEST(kept->gone());
         BOOST_TEST(!kept->write("more"));
         fixture.await([](const http::ServerCounters &it) {
@@ -173,6 +179,33 @@
     BOOST_TEST(fixture.server.counters().callersGone == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(a_caller_that_does_not_read_is_cut)
+{
+    std::atomic<std::size_t> accepted = 0;
+    std::thread writer;
+    http::ServerOptions options;
+    options.maxStreamBytes = 100'000;
+    Fixture fixture(
+        [&](const http::Request &, const std::shared_ptr<http::Responder> &responder) {
+            writer = std::thread([responder, &accepted] {
+                responder->begin(200, {});
+                const std::string chunk(10'000, 'x');
+                while (responder->write(chunk)) {
+                    accepted += chunk.size();
+                }
+            });
+        },
+        options);
+    const RawConnection caller(fixture.address);
+    caller.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    fixture.await([](const http::ServerCounters &it) {
+        return it.slowReader == 1;
+    });
+    writer.join();
+    // What it reads in the end is cut: no last chunk.
+    BOOST_TEST(!caller.readAll().ends_with("\r\n0\r\n\r\n"));
+}
+
 BOOST_AUTO_TEST_CASE(oversize_and_malformed_requests_are_refused)
 {
     Fixture fixture(echo, shortTimes());
@@ -221,13 +254,13 @@
 BOOST_AUTO_TEST_CASE(stopping_answers_what_runs_and_refuses_new_connections)
 {
     std::shared_ptr<http::Responder> kept;
+    absl::Notification held;
     Fixture fixture([&](const http::Request &, const std::shared_ptr<http::Responder> &responder) {
         kept = responder;
+        held.Notify();
     });
     const auto answer = fixture.send({.url = "/"});
-    fixture.await([](const http::ServerCounters &it) {
-        return it.openRequests == 1;
-    });
+    held.WaitForNotification();
     fixture.server.quiesce();
     const auto refused = fixture.send({.url = "/"});
     BOOST_TEST((refused->await().kind == http::EndKind::ConnectFailed));
@@ -245,13 +278,13 @@
 BOOST_AUTO_TEST_CASE(stopping_at_the_limit_cuts_what_is_left)
 {
     std::shared_ptr<http::Responder> kept;
+    absl::Notification held;
     auto fixture = std::make_unique<Fixture>([&](const http::Request &, const std::shared_ptr<http::Responder> &it) {
         kept = it;
+        held.Notify();
     });
     const auto answer = fixture->send({.url = "/"});
-    fixture->await([](const http::ServerCounters &it) {
-        return it.openRequests == 1;
-    });
+    held.WaitForNotification();
     BOOST_TEST(!fixture->server.stop({10}));
     BOOST_TEST((answer->await().kind == http::EndKind::ResetBeforeAnswer));
     BOOST_TEST(answer->await().bytesSent);
@@ -259,3 +292,26 @@
     kept->respond({200, {}, "too late"});
     BOOST_TEST(!kept->write("x"));
 }
+
+BOOST_AUTO_TEST_CASE(no_bytes_break_the_server)
+{
+    Fixture fixture(echo, shortTimes());
+    BOOST_TEST(rc::check("random requests", [&fixture] {
+        const auto piece = rc::gen::element<std::string>("GET / HTTP/1.1\r\n", "POST /a?b HTTP/1.1\r\n", "HEAD", " ",
+            "Host: x\r\n", "Content-Length: 3\r\n", "Content-Length: -1\r\n", "Transfer-Encoding: chunked\r\n", "\r\n",
+            "3\r\nabc\r\n", "0\r\n\r\n", "abc", "\n", "Expect: 100-continue\r\n", "Connection: close\r\n",
+            std::string(1, '\0'), "\xff", ":", "ffffffffffffffffff\r\n");
+        const auto pieces = *rc::gen::container<std::vector<std::string>>(piece);
+        const RawConnection caller(fixture.address);
+        for (const std::string &it : pieces) {
+            caller.send(it);
+        }
+        caller.endSending();
+        const std::string answer = caller.readAll();
+        return answer.empty() || answer.starts_with("HTTP/1.");
+    }));
+    BOOST_TEST(fixture.send({.url = "/"})->status() == 200);
+    fixture.await([](const http::ServerCounters &it) {
+        return it.openRequests == 0;
+    });
+}
