--- a/test/bamboomoor/placement/world.cpp
+++ b/test/bamboomoor/placement/world.cpp
@@ -27,7 +27,7 @@
 Catalogue catalogue()
 {
     Catalogue catalogue;
-    const std::array<std::uint64_t, 6> sizes = {60, 50, 45, 40, 30, 30};
+    const std::array<std::uint64_t, 9> sizes = {60, 55, 50, 50, 45, 40, 35, 30, 30};
     for (std::size_t n = 0; n < sizes.size(); ++n) {
         const std::string name = "m" + std::to_string(n);
         catalogue.entries.push_back({{name, "", "1"}, sizes[n], 1, 2});
@@ -81,6 +81,7 @@
         }
         break;
     case 4:
+    case 24:
         demand(choice);
         break;
     case 5:
@@ -118,14 +119,14 @@
         pump(planner);
         break;
     default:
-        m_now += base::Millis{rest % 8 == 0 ? 7'000 : 1'000};
+        m_now += base::Millis{rest % 4 == 0 ? 8'000 : 1'000};
         feed(m_leader, Tick{});
         feed(1 - m_leader, Tick{});
         break;
     }
 }
 
-void World::settle(std::uint32_t codes)
+void World::settle(std::uint32_t codes, int ticks)
 {
     while (!m_network.empty()) {
         codes = codes * 1'103'515'245U + 12'345U;
@@ -139,7 +140,7 @@
         it.up = true;
     }
     elect(m_leader);
-    for (int n = 0; n < 600; ++n) {
+    for (int n = 0; n < ticks; ++n) {
         m_now += base::Millis{500};
         for (TrueUpstream &it : upstreams) {
             announce(it);
--- a/test/bamboomoor/placement/world.hpp
+++ b/test/bamboomoor/placement/world.hpp
@@ -48,8 +48,9 @@
     /** @brief Applies one fuzzed step. @param code Any number. */
     void apply(std::uint32_t code);
 
-    /** @brief Ends all faults and lets time pass. @param codes Decides which outstanding orders still run. */
-    void settle(std::uint32_t codes);
+    /** @brief Ends all faults and lets time pass. @param codes Decides which orders still run. @param ticks Half
+     * seconds. */
+    void settle(std::uint32_t codes, int ticks);
 
     // The first violation seen; empty for none.
     std::string violation;
