--- a/src/bamboomoor/placement/internal/chooser.cpp
+++ b/src/bamboomoor/placement/internal/chooser.cpp
@@ -46,8 +46,9 @@
 }
 
 // Memory that the load would add, or nothing when it must not go there.
-std::optional<std::uint64_t> addedMib(const Scene &scene, const Site &site, const CatalogueEntry &entry)
+std::optional<std::uint64_t> addedMib(const Scene &scene, const Site &site, const Need &need)
 {
+    const CatalogueEntry &entry = *need.entry;
     const ModelRef &ref = entry.ref;
     if (isBlocked(scene, site) || isClaimed(scene, site, ref) || isElsewhere(site, ref) || isDrained(scene, site, ref)
         || (!ref.adapter.empty() && !hasBase(scene, site, ref))) {
@@ -55,7 +56,7 @@
     }
     const auto it = site.accelerator->slots.find(ref);
     if (it == site.accelerator->slots.end()) {
-        return entry.memoryMib;
+        return entry.memoryMib + need.extraMib;
     }
     const Slot &slot = it->second;
     // An unload that was not settled may still run, and would take the new replica away.
@@ -63,7 +64,7 @@
         return std::nullopt;
     }
     const std::uint64_t counted = slot.memoryMib();
-    return entry.memoryMib > counted ? entry.memoryMib - counted : 0;
+    return need.extraMib + (entry.memoryMib > counted ? entry.memoryMib - counted : 0);
 }
 
 std::uint32_t replicasIn(const Replicas &replicas, std::string_view dataCentre)
@@ -132,6 +133,15 @@
     return true;
 }
 
+// True for the only replica of a listed model, without adapters here that would have to move along.
+bool isLast(const Scene &scene, Survey &survey, const Site &site, const ModelRef &ref, const Slot &slot)
+{
+    const Replicas &replicas = survey.of(ref);
+    const bool settled = slot.reported && !slot.isOpen(OrderKind::Unload) && !isDrained(scene, site, ref);
+    return settled && ref.adapter.empty() && replicas.entry != nullptr && replicas.count() == 1
+        && areAdaptersSpare(scene, survey, site, ref, Urgency::Lost);
+}
+
 struct Victim {
     double cost = 0;
     std::uint64_t memoryMib = 0;
@@ -199,7 +209,7 @@
     const Replicas replicas = survey.of(need.entry->ref);
     forEachSite(scene, replicas, need, [&](const Site &site) {
         const std::uint64_t freeMib = site.accelerator->freeMib();
-        const std::optional<std::uint64_t> added = addedMib(scene, site, *need.entry);
+        const std::optional<std::uint64_t> added = addedMib(scene, site, need);
         if (!added || *added > freeMib) {
             return;
         }
@@ -221,7 +231,7 @@
     double least = 0;
     const Replicas replicas = survey.of(need.entry->ref);
     forEachSite(scene, replicas, need, [&](const Site &site) {
-        const std::optional<std::uint64_t> added = addedMib(scene, site, *need.entry);
+        const std::optional<std::uint64_t> added = addedMib(scene, site, need);
         std::uint64_t room = site.accelerator->freeMib();
         if (!added || site.accelerator->capacityMib < *added) {
             return;
@@ -245,4 +255,42 @@
     return best;
 }
 
+std::optional<Room> chooseCopies(const Scene &scene, Survey &survey, const Need &need)
+{
+    std::optional<Room> best;
+    std::uint64_t least = 0;
+    const Replicas replicas = survey.of(need.entry->ref);
+    forEachSite(scene, replicas, need, [&](const Site &site) {
+        const std::optional<std::uint64_t> added = addedMib(scene, site, need);
+        if (!added || site.accelerator->capacityMib < *added) {
+            return;
+        }
+        std::vector<std::pair<std::uint64_t, ModelRef>> copied;
+        std::uint64_t room = site.accelerator->freeMib();
+        for (const auto &[ref, slot] : site.accelerator->slots) {
+            if (isSpare(scene, survey, site, ref, slot, need.urgency)) {
+                room += slot.memoryMib();
+            } else if (isLast(scene, survey, site, ref, slot)) {
+                copied.emplace_back(slot.memoryMib(), ref);
+            }
+        }
+        std::sort(copied.begin(), copied.end());
+        Room found{site, {}};
+        std::uint64_t cost = 0;
+        for (const auto &[memory, ref] : copied) {
+            if (room >= *added) {
+                break;
+            }
+            room += memory;
+            cost += memory;
+            found.victims.push_back(ref);
+        }
+        if (room >= *added && !found.victims.empty() && (!best || cost < least)) {
+            best = std::move(found);
+            least = cost;
+        }
+    });
+    return best;
+}
+
 } // namespace bamboomoor::placement::internal
--- a/src/bamboomoor/placement/internal/chooser.hpp
+++ b/src/bamboomoor/placement/internal/chooser.hpp
@@ -32,6 +32,8 @@
 struct Claim {
     ModelRef ref;
     base::Millis until;
+    // False while copies are loaded elsewhere before anything leaves.
+    bool draining = true;
 };
 
 /** @brief Claims by upstream and accelerator. */
@@ -44,6 +46,8 @@
     double pressure = 0;
     // True when only a data centre without a replica will do.
     bool elsewhere = false;
+    // Memory in mebibytes that must be left for an adapter.
+    std::uint64_t extraMib = 0;
 };
 
 /** @brief A site and what must leave it. */
@@ -89,4 +93,13 @@
  */
 [[nodiscard]] std::optional<Room> chooseRoom(const Scene &scene, Survey &survey, const Need &need);
 
+/**
+ * @brief Chooses replicas, each the last of its model, whose copies elsewhere would let them make room.
+ * @param scene What it depends on.
+ * @param survey The replicas.
+ * @param need The load.
+ * @return The accelerator and the replicas to copy first, or nothing.
+ */
+[[nodiscard]] std::optional<Room> chooseCopies(const Scene &scene, Survey &survey, const Need &need);
+
 } // namespace bamboomoor::placement::internal
--- a/src/bamboomoor/placement/planner.hpp
+++ b/src/bamboomoor/placement/planner.hpp
@@ -107,6 +107,9 @@
     void probeMissingHolds();
     [[nodiscard]] std::vector<internal::Need> needs(internal::Survey &survey) const;
     void load(internal::Survey &survey);
+    [[nodiscard]] const internal::Claim *claimOf(const ModelRef &ref) const;
+    void loadCopies(internal::Survey &survey, const internal::Need &need);
+    void loadCopy(internal::Survey &survey, const internal::Need &need);
     [[nodiscard]] bool mayLoad(const internal::Survey &survey, const ModelRef &ref) const;
     void proposeLoad(internal::Survey &survey, const internal::Need &need, const internal::Site &site);
     void makeRoom(internal::Survey &survey, const internal::Need &need, const internal::Room &room);
--- a/src/bamboomoor/placement/planning.cpp
+++ b/src/bamboomoor/placement/planning.cpp
@@ -241,7 +241,7 @@
                 return dc.second > 0;
             });
         const bool spread = occupied > 1 || survey.dataCentres.size() < 2;
-        Need need{&it, Urgency::Demand, replicas.pressure, false};
+        Need need{&it, Urgency::Demand, replicas.pressure, false, 0};
         if (replicas.count() == 0) {
             need.urgency = Urgency::Lost;
         } else if (replicas.count() < std::max(it.minReplicas, 1U)) {
@@ -275,19 +275,63 @@
             proposeLoad(survey, need, *site);
             continue;
         }
-        const bool claimed = std::any_of(m_claims.begin(), m_claims.end(), [&need](const auto &it) {
-            return it.second.ref == need.entry->ref;
-        });
-        if (claimed || searches == 0) {
+        const internal::Claim *claim = claimOf(need.entry->ref);
+        if (searches == 0 || (claim != nullptr && claim->draining)) {
             continue;
         }
         --searches;
         if (const auto room = internal::chooseRoom(scene(), survey, need)) {
             makeRoom(survey, need, *room);
+        } else if (claim == nullptr && need.urgency <= Urgency::BelowMinimum) {
+            loadCopies(survey, need);
         }
     }
 }
 
+const internal::Claim *Planner::claimOf(const ModelRef &ref) const
+{
+    const auto it = std::find_if(m_claims.begin(), m_claims.end(), [&ref](const auto &claim) {
+        return claim.second.ref == ref;
+    });
+    return it == m_claims.end() ? nullptr : &it->second;
+}
+
+// Last resort for a model that must be reachable: further copies elsewhere let what stands in its way leave.
+void Planner::loadCopies(Survey &survey, const Need &need)
+{
+    const ModelRef &ref = need.entry->ref;
+    if (!ref.adapter.empty()) {
+        for (const CatalogueEntry &it : m_catalogue) {
+            const bool base = it.ref.model == ref.model && it.ref.adapter.empty();
+            if (base && survey.of(it.ref).live > 0 && survey.of(it.ref).pending == 0) {
+                loadCopy(survey, {&it, need.urgency, need.pressure, false, need.entry->memoryMib});
+            }
+        }
+        return;
+    }
+    const auto room = internal::chooseCopies(scene(), survey, need);
+    if (!room) {
+        return;
+    }
+    // The claim keeps the copies away from the memory that they are to free.
+    m_claims[{room->site.upstream->id, room->site.accelerator->id}] = {ref, m_now + m_options.claim, false};
+    for (const ModelRef &it : room->victims) {
+        loadCopy(survey, {survey.of(it).entry, need.urgency, 0, false, 0});
+    }
+}
+
+void Planner::loadCopy(Survey &survey, const Need &need)
+{
+    if (m_loadTokens < 1 || !mayLoad(survey, need.entry->ref)) {
+        return;
+    }
+    if (const auto site = internal::chooseSite(scene(), survey, need)) {
+        proposeLoad(survey, need, *site);
+    } else if (const auto room = internal::chooseRoom(scene(), survey, need)) {
+        makeRoom(survey, need, *room);
+    }
+}
+
 bool Planner::mayLoad(const Survey &survey, const ModelRef &ref) const
 {
     return ref.adapter.empty() ? survey.modelLoads < m_options.loadsAtOnce
@@ -309,7 +353,7 @@
 
 void Planner::makeRoom(Survey &survey, const Need &need, const internal::Room &room)
 {
-    m_claims[{room.site.upstream->id, room.site.accelerator->id}] = {need.entry->ref, m_now + m_options.claim};
+    m_claims[{room.site.upstream->id, room.site.accelerator->id}] = {need.entry->ref, m_now + m_options.claim, true};
     for (const ModelRef &it : room.victims) {
         startDrain(survey, room.site, it);
     }
--- a/test/bamboomoor/placement/world.cpp
+++ b/test/bamboomoor/placement/world.cpp
@@ -24,7 +24,13 @@
     return options;
 }
 
-Catalogue catalogue()
+Planner makePlanner()
+{
+    return Planner(makeTargetPolicy(PolicyKind::DemandAware), plannerOptions());
+}
+} // namespace
+
+Catalogue World::defaultCatalogue()
 {
     Catalogue catalogue;
     const std::array<std::uint64_t, 9> sizes = {60, 55, 50, 50, 45, 40, 35, 30, 30};
@@ -38,12 +44,6 @@
     return catalogue;
 }
 
-Planner makePlanner()
-{
-    return Planner(makeTargetPolicy(PolicyKind::DemandAware), plannerOptions());
-}
-} // namespace
-
 World::World()
     : m_planners{makePlanner(), makePlanner()}
 {
@@ -51,10 +51,16 @@
         upstreams[n].id = "w" + std::to_string(n);
         upstreams[n].checksFencing = n % 2 == 0;
     }
+    setCatalogue(defaultCatalogue());
+    elect(0);
+}
+
+void World::setCatalogue(const Catalogue &catalogue)
+{
+    m_catalogue = catalogue;
     for (std::size_t n = 0; n < PLANNERS; ++n) {
-        feed(n, catalogue());
+        feed(n, catalogue);
     }
-    elect(0);
 }
 
 void World::apply(std::uint32_t code)
@@ -162,7 +168,7 @@
 std::vector<std::string> World::unreachable() const
 {
     std::vector<std::string> names;
-    for (const CatalogueEntry &entry : catalogue().entries) {
+    for (const CatalogueEntry &entry : m_catalogue.entries) {
         bool found = false;
         for (const TrueUpstream &upstream : upstreams) {
             for (const TrueAccelerator &it : upstream.accelerators) {
@@ -349,7 +355,7 @@
 void World::demand(std::uint32_t code)
 {
     Demand demand;
-    for (const CatalogueEntry &it : catalogue().entries) {
+    for (const CatalogueEntry &it : m_catalogue.entries) {
         code = code * 1'103'515'245U + 12'345U;
         demand.samples.push_back({it.ref, static_cast<double>(code / 65'536 % 12), 0});
     }
--- a/test/bamboomoor/placement/world.hpp
+++ b/test/bamboomoor/placement/world.hpp
@@ -43,8 +43,15 @@
 class World
 {
 public:
+    /** @brief Makes empty upstreams and the default catalogue. */
     World();
 
+    /** @brief Replaces the models. @param catalogue The models. */
+    void setCatalogue(const Catalogue &catalogue);
+
+    /** @brief Lists models that fill most of the memory. @return The catalogue. */
+    [[nodiscard]] static Catalogue defaultCatalogue();
+
     /** @brief Applies one fuzzed step. @param code Any number. */
     void apply(std::uint32_t code);
 
@@ -74,6 +81,7 @@
     void demand(std::uint32_t code);
     void pump(std::size_t planner);
 
+    Catalogue m_catalogue;
     base::Millis m_now{100'000};
     std::array<Planner, PLANNERS> m_planners;
     // Events of the log and replies that a planner has not seen yet, in order.
