--- a/src/bamboomoor/entry/attempt.cpp
+++ b/src/bamboomoor/entry/attempt.cpp
@@ -127,7 +127,8 @@
     const base::Millis now = m_context.clock.now();
     if (const auto refusal = checkKey(exchange)) {
         const bool notRun = exchange.delivery.giveUp() == routing::Decision::FailNotRun;
-        endWithError(exchange, notRun ? *refusal : admission::Refusal::OutcomeUnknown, "the key or the configuration changed while the request waited",
+        endWithError(exchange, notRun ? *refusal : admission::Refusal::OutcomeUnknown,
+            "the key or the configuration changed while the request waited",
             notRun ? admission::Ran::No : admission::Ran::Unknown);
         return true;
     }
--- a/src/bamboomoor/entry/desk.hpp
+++ b/src/bamboomoor/entry/desk.hpp
@@ -220,8 +220,7 @@
     void failAttempt(Exchange &exchange, routing::FailureKind failure);
     void giveUp(Exchange &exchange, routing::Decision decision, const std::string &message);
     void cancelAttempt(Exchange &exchange);
-    void endWithError(
-        Exchange &exchange, admission::Refusal refusal, const std::string &message, admission::Ran ran);
+    void endWithError(Exchange &exchange, admission::Refusal refusal, const std::string &message, admission::Ran ran);
     [[nodiscard]] std::optional<routing::FailureKind> judgeAnswer(Exchange &exchange) const;
 
     DeskOptions m_options;
--- a/src/bamboomoor/entry/errors.hpp
+++ b/src/bamboomoor/entry/errors.hpp
@@ -16,8 +16,8 @@
  * @param retryAfter When to come back, in milliseconds; sent where the refusal is worth a further try.
  * @return Status, headers and the JSON of the error.
  */
-[[nodiscard]] inline http::Response errorResponse(const admission::ErrorBody &error,
-                                                  base::Millis retryAfter = base::Millis{1'000})
+[[nodiscard]] inline http::Response errorResponse(
+    const admission::ErrorBody &error, base::Millis retryAfter = base::Millis{1'000})
 {
     const admission::RefusalTraits traits = admission::traits(error.refusal);
     http::Response response{traits.httpStatus, {{"Content-Type", "application/json"}}, admission::toJson(error) + '\n'};
