--- /dev/null
+++ b/src/bamboomoor/control/placementdesk.cpp
@@ -0,0 +1,495 @@
+/**
+ * The thread of placement.
+ */
+#include "bamboomoor/control/placementdesk.hpp"
+
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace bamboomoor::control
+{
+
+namespace
+{
+
+constexpr std::size_t RING_SIZE = 16'384;
+constexpr double MILLIS_PER_SECOND = 1'000.0;
+// Of one replica whose model names no hint.
+constexpr double DEFAULT_RATE = 5.0;
+constexpr base::Millis ORDER_CONNECT_TIMEOUT{1'000};
+constexpr base::Millis ORDER_TIMEOUT{120'000};
+constexpr int OK = 200;
+constexpr int CONFLICT = 409;
+
+placement::CatalogueEntry entryOf(const config::Model &model, placement::ModelRef ref)
+{
+    placement::CatalogueEntry entry;
+    entry.ref = std::move(ref);
+    entry.memoryMib = static_cast<std::uint64_t>(model.memoryMib);
+    entry.minReplicas = static_cast<std::uint32_t>(std::max<std::int64_t>(1, model.minReplicas));
+    entry.ratePerReplica = model.concurrency > 0 ? static_cast<double>(model.concurrency) : DEFAULT_RATE;
+    return entry;
+}
+
+placement::Catalogue catalogueOf(const state::Machine &machine)
+{
+    const std::shared_ptr<const config::Document> document = machine.configuration().document();
+    placement::Catalogue catalogue;
+    for (const config::Model &model : document->models) {
+        catalogue.entries.push_back(entryOf(model, {model.name, "", ""}));
+        for (const config::Version &version : document->versions) {
+            if (version.model == model.name) {
+                catalogue.entries.push_back(entryOf(model, {model.name, "", version.version}));
+            }
+        }
+    }
+    for (const config::Adapter &adapter : document->adapters) {
+        catalogue.entries.push_back(
+            {{adapter.model, adapter.name, ""}, static_cast<std::uint64_t>(adapter.memoryMib), 1, DEFAULT_RATE});
+    }
+    return catalogue;
+}
+
+placement::Order orderOf(const state::RecordIntent &intent)
+{
+    placement::Order order;
+    order.id = intent.orderId;
+    order.fencing = intent.fencing;
+    order.upstream = intent.upstream;
+    order.incarnation = intent.incarnation;
+    order.accelerator = intent.accelerator;
+    order.kind = intent.kind == state::OrderKind::Load ? placement::OrderKind::Load : placement::OrderKind::Unload;
+    order.ref = {intent.model, intent.adapter, intent.version};
+    order.memoryMib = static_cast<std::uint64_t>(intent.memoryMib);
+    return order;
+}
+
+state::RecordIntent intentOf(const placement::Order &order)
+{
+    state::RecordIntent intent;
+    intent.orderId = order.id;
+    intent.fencing = order.fencing;
+    intent.upstream = order.upstream;
+    intent.incarnation = order.incarnation;
+    intent.accelerator = order.accelerator;
+    intent.kind = order.kind == placement::OrderKind::Load ? state::OrderKind::Load : state::OrderKind::Unload;
+    intent.model = order.ref.model;
+    intent.adapter = order.ref.adapter;
+    intent.version = order.ref.version;
+    intent.memoryMib = static_cast<std::int64_t>(order.memoryMib);
+    return intent;
+}
+
+state::OrderEnd endOf(placement::OrderEnd end)
+{
+    switch (end) {
+    case placement::OrderEnd::Done:
+        return state::OrderEnd::Done;
+    case placement::OrderEnd::Failed:
+        return state::OrderEnd::Failed;
+    case placement::OrderEnd::Void:
+        return state::OrderEnd::Void;
+    }
+    return state::OrderEnd::Failed;
+}
+
+std::optional<state::IntentCode> codeOf(const Proposed &verdict)
+{
+    if (!verdict.outcome || !std::holds_alternative<state::IntentOutcome>(*verdict.outcome)) {
+        return std::nullopt;
+    }
+    return std::get<state::IntentOutcome>(*verdict.outcome).code;
+}
+
+/** @brief Says what the verdict on an intent means to the planner; nothing while it may still be committed. */
+std::optional<placement::Input> readIntent(const std::string &orderId, const Proposed &verdict)
+{
+    if (verdict.status == consensus::ProposalStatus::Unknown) {
+        return std::nullopt;
+    }
+    if (codeOf(verdict) == state::IntentCode::Recorded) {
+        return placement::IntentCommitted{orderId};
+    }
+    return placement::IntentRefused{orderId};
+}
+
+nlohmann::json orderBody(const placement::Order &order)
+{
+    return {{"order_id", order.id}, {"fencing", order.fencing}, {"incarnation", order.incarnation},
+        {"kind", placement::ORDER_KIND_NAMES.name(order.kind)}, {"accelerator", order.accelerator},
+        {"model", order.ref.model}, {"adapter", order.ref.adapter}, {"version", order.ref.version},
+        {"memory_mib", order.memoryMib}};
+}
+
+} // namespace
+
+/** @brief Turns an upstream's answer to an order into an input of the planner. */
+class PlacementDesk::OrderListener final : public http::Listener
+{
+public:
+    OrderListener(PlacementDesk &desk, std::uint64_t term, std::string orderId)
+        : m_desk(desk)
+        , m_term(term)
+        , m_orderId(std::move(orderId))
+    {
+    }
+
+    void onHead(int status, http::Headers /*headers*/) override
+    {
+        m_status = status;
+    }
+
+    void onData(std::string_view bytes) override
+    {
+        m_body += bytes;
+    }
+
+    void onEnd(http::Ending ending) override
+    {
+        m_desk.post(Told{m_term, placement::OrderReply{m_orderId, judge(ending)}});
+    }
+
+private:
+    [[nodiscard]] placement::TransportResult judge(const http::Ending &ending) const
+    {
+        const bool whole = ending.kind == http::EndKind::Complete && ending.delimited;
+        if (!whole) {
+            return ending.bytesSent ? placement::TransportResult::Unknown : placement::TransportResult::Refused;
+        }
+        const nlohmann::json json = nlohmann::json::parse(m_body, nullptr, false);
+        const std::string outcome = json.is_object() ? json.value("outcome", std::string()) : std::string();
+        if (m_status == OK && outcome == "done") {
+            return placement::TransportResult::Done;
+        }
+        const bool refused = m_status == CONFLICT && outcome == "refused";
+        return refused ? placement::TransportResult::Refused : placement::TransportResult::Unknown;
+    }
+
+    PlacementDesk &m_desk;
+    const std::uint64_t m_term;
+    const std::string m_orderId;
+    int m_status = 0;
+    std::string m_body;
+};
+
+PlacementDesk::PlacementDesk(PlacementDeskOptions options, VoterDesk &voter, ListUpstreams upstreams,
+    http::Client &client, const base::Clock &clock)
+    : m_options(options)
+    , m_voter(voter)
+    , m_upstreams(std::move(upstreams))
+    , m_client(client)
+    , m_clock(clock)
+    , m_ring(RING_SIZE)
+    , m_planner(placement::makeTargetPolicy(placement::PolicyKind::DemandAware), options.planner)
+{
+}
+
+PlacementDesk::~PlacementDesk()
+{
+    stop();
+}
+
+void PlacementDesk::start()
+{
+    m_thread = std::thread([this] {
+        run();
+    });
+}
+
+void PlacementDesk::stop()
+{
+    m_stopping = true;
+    m_ring.close();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void PlacementDesk::report(const peer::wire::DemandReport &request, peer::Answer<peer::wire::DemandReply> answer)
+{
+    post(ReportEvent{request, std::move(answer)});
+}
+
+void PlacementDesk::onLeading(std::uint64_t term, const state::Machine &machine)
+{
+    placement::BecomeLeader input;
+    input.term = term;
+    input.lastFencing = machine.leaderLog().lastFencing();
+    for (const auto &[id, intent] : machine.leaderLog().openIntents()) {
+        input.openIntents.push_back(orderOf(intent));
+    }
+    post(Leading{term, std::move(input), catalogueOf(machine)});
+}
+
+void PlacementDesk::onNotLeading()
+{
+    post(NotLeading{});
+}
+
+void PlacementDesk::onConfiguration(const state::Machine &machine)
+{
+    post(CatalogueChanged{catalogueOf(machine)});
+}
+
+void PlacementDesk::post(Event event)
+{
+    if (m_ring.push(std::move(event))) {
+        return;
+    }
+    // A refused push leaves the event as it was.
+    if (auto *report = std::get_if<ReportEvent>(&event)) { // NOLINT(bugprone-use-after-move)
+        refuse(*report);
+    } else if (!m_ring.closed()) {
+        LOG(FATAL) << "event=placement_ring_full";
+    }
+}
+
+void PlacementDesk::refuse(ReportEvent &event) const
+{
+    peer::wire::DemandReply reply;
+    reply.set_leader(m_voter.status().leader);
+    event.answer(std::move(reply));
+}
+
+void PlacementDesk::run()
+{
+    while (!m_stopping) {
+        const base::Millis now = m_clock.now();
+        auto event = m_ring.pop(std::max(m_nextDecision - now, base::Millis{0}));
+        while (event) {
+            std::visit(
+                [this](auto &it) {
+                    on(it);
+                },
+                *event);
+            event = m_ring.pop({0});
+        }
+        if (m_clock.now() >= m_nextDecision) {
+            m_nextDecision = m_clock.now() + m_options.interval;
+            if (m_term != 0) {
+                decide();
+            }
+        }
+    }
+    while (auto event = m_ring.pop({0})) {
+        if (auto *report = std::get_if<ReportEvent>(&*event)) {
+            refuse(*report);
+        }
+    }
+}
+
+void PlacementDesk::on(ReportEvent &event)
+{
+    if (m_term == 0) {
+        refuse(event);
+        return;
+    }
+    EntryReport report{m_clock.now(), {}, {}};
+    const double seconds = std::max<double>(1.0, static_cast<double>(event.request.span_ms())) / MILLIS_PER_SECOND;
+    for (const auto &it : event.request.demands()) {
+        report.demand.push_back(
+            {{it.model(), it.adapter(), it.version()}, static_cast<double>(it.requests()) / seconds, it.queued()});
+    }
+    for (const auto &it : event.request.drained()) {
+        report.drained.insert({it.upstream(), {it.model(), it.adapter(), it.version()}});
+    }
+    m_entries[event.request.vm()] = std::move(report);
+    peer::wire::DemandReply reply;
+    reply.set_served(true);
+    reply.set_term(m_term);
+    reply.set_leader(m_voter.status().leader);
+    for (const auto &[upstream, ref] : m_draining) {
+        auto *drain = reply.add_draining();
+        drain->set_upstream(upstream);
+        drain->set_model(ref.model);
+        drain->set_adapter(ref.adapter);
+        drain->set_version(ref.version);
+    }
+    event.answer(std::move(reply));
+}
+
+void PlacementDesk::on(Leading &event)
+{
+    m_term = event.term;
+    m_reported.clear();
+    m_entries.clear();
+    m_draining.clear();
+    step(event.catalogue);
+    step(event.input);
+}
+
+void PlacementDesk::on(NotLeading & /*event*/)
+{
+    m_term = 0;
+    m_draining.clear();
+    static_cast<void>(m_planner.step(m_clock.now(), placement::StopLeading{}));
+}
+
+void PlacementDesk::on(CatalogueChanged &event)
+{
+    if (m_term != 0) {
+        step(event.catalogue);
+    }
+}
+
+void PlacementDesk::on(Told &event)
+{
+    if (event.term == m_term) {
+        step(event.input);
+    }
+}
+
+void PlacementDesk::decide()
+{
+    feedReports();
+    feedDemand();
+    confirmDrains();
+    step(placement::Tick{});
+}
+
+void PlacementDesk::feedReports()
+{
+    std::set<std::string> live;
+    for (const membership::Entry &it : m_upstreams()) {
+        const membership::Announcement &announcement = it.announcement;
+        if (announcement.kind != membership::UpstreamKind::ModelWorker) {
+            continue;
+        }
+        live.insert(announcement.id);
+        const std::pair<std::uint64_t, std::uint64_t> seen{announcement.incarnation, announcement.sequence};
+        auto &known = m_reported[announcement.id];
+        if (known != seen) {
+            known = seen;
+            step(placement::Report{announcement});
+        }
+    }
+    std::vector<std::string> expired;
+    for (const auto &[id, seen] : m_reported) {
+        if (live.count(id) == 0) {
+            expired.push_back(id);
+        }
+    }
+    for (const std::string &id : expired) {
+        m_reported.erase(id);
+        step(placement::UpstreamExpired{id});
+    }
+}
+
+void PlacementDesk::feedDemand()
+{
+    const base::Millis now = m_clock.now();
+    std::erase_if(m_entries, [&](const auto &it) {
+        return it.second.at + m_options.entrySilence < now;
+    });
+    std::map<placement::ModelRef, placement::DemandSample> sums;
+    for (const auto &[vm, report] : m_entries) {
+        for (const placement::DemandSample &it : report.demand) {
+            placement::DemandSample &sum = sums[it.ref];
+            sum.ref = it.ref;
+            sum.arrivalsPerSecond += it.arrivalsPerSecond;
+            sum.queued += it.queued;
+        }
+    }
+    placement::Demand demand;
+    for (auto &[ref, sum] : sums) {
+        demand.samples.push_back(std::move(sum));
+    }
+    step(demand);
+}
+
+void PlacementDesk::confirmDrains()
+{
+    // Right after a change of leader the entries have yet to report.
+    if (m_entries.empty()) {
+        return;
+    }
+    const std::set<Drain> draining = m_draining;
+    for (const Drain &drain : draining) {
+        const bool everywhere = std::all_of(m_entries.begin(), m_entries.end(), [&drain](const auto &it) {
+            return it.second.drained.count(drain) != 0;
+        });
+        if (everywhere) {
+            step(placement::DrainConfirmed{drain.second, drain.first});
+        }
+    }
+}
+
+void PlacementDesk::step(const placement::Input &input)
+{
+    for (const placement::Output &it : m_planner.step(m_clock.now(), input)) {
+        std::visit(
+            [this](const auto &output) {
+                carryOut(output);
+            },
+            it);
+    }
+}
+
+void PlacementDesk::carryOut(const placement::ProposeIntent &output)
+{
+    const std::string id = output.order.id;
+    m_voter.propose(state::encode(intentOf(output.order)), m_term, [this, term = m_term, id](const Proposed &verdict) {
+        if (auto input = readIntent(id, verdict)) {
+            post(Told{term, *std::move(input)});
+        }
+    });
+}
+
+void PlacementDesk::carryOut(const placement::SendOrder &output)
+{
+    const placement::Order &order = output.order;
+    const auto upstreams = m_upstreams();
+    const auto found = std::find_if(upstreams.begin(), upstreams.end(), [&order](const membership::Entry &it) {
+        return it.announcement.id == order.upstream && it.announcement.incarnation == order.incarnation;
+    });
+    if (found == upstreams.end()) {
+        post(Told{m_term, placement::OrderReply{order.id, placement::TransportResult::Refused}});
+        return;
+    }
+    LOG(INFO) << "event=order_sent order=" << order.id << " kind=" << placement::ORDER_KIND_NAMES.name(order.kind)
+              << " upstream=" << order.upstream << " accelerator=" << order.accelerator << " model=" << order.ref.model
+              << " adapter=" << order.ref.adapter;
+    http::Call call;
+    call.method = "POST";
+    call.url = "http://" + found->announcement.address + "/order";
+    call.headers = {{"Content-Type", "application/json"}};
+    call.body = orderBody(order).dump();
+    call.connectTimeout = ORDER_CONNECT_TIMEOUT;
+    call.firstByteTimeout = ORDER_TIMEOUT;
+    call.totalTimeout = ORDER_TIMEOUT;
+    call.once = true;
+    m_client.start(std::move(call), std::make_shared<OrderListener>(*this, m_term, order.id));
+}
+
+void PlacementDesk::carryOut(const placement::ProposeClose &output)
+{
+    const state::CloseIntent command{output.orderId, endOf(output.end)};
+    m_voter.propose(
+        state::encode(command), m_term, [this, term = m_term, id = output.orderId](const Proposed &verdict) {
+            // An order that is not open any more was closed by an earlier proposal.
+            if (codeOf(verdict)) {
+                post(Told{term, placement::CloseCommitted{id}});
+            }
+        });
+}
+
+void PlacementDesk::carryOut(const placement::StartDrain &output)
+{
+    m_draining.insert({output.upstream, output.ref});
+}
+
+void PlacementDesk::carryOut(const placement::StopDrain &output)
+{
+    m_draining.erase({output.upstream, output.ref});
+}
+
+void PlacementDesk::carryOut(const placement::StatusLine &output)
+{
+    LOG(INFO) << "event=placement " << output.text;
+}
+
+} // namespace bamboomoor::control
--- a/src/bamboomoor/daemon/daemon.cpp
+++ b/src/bamboomoor/daemon/daemon.cpp
@@ -113,13 +113,14 @@
     , m_leader(m_peers.names())
     , m_heard(registryOptions(m_settings))
     , m_book(registryOptions(m_settings))
-    , m_voter(isVoter(m_settings) ? std::make_unique<Voter>(m_settings, m_peers, m_clock, seedOf(m_settings)) : nullptr)
+    , m_voter(makeVoter())
     , m_sync({.vm = m_settings.vm, .voter = m_voter != nullptr}, m_heard, m_book, m_peers, m_clock)
     , m_desk(deskOptions(m_settings), {m_clock, m_inForce, m_book, m_peers, m_leader, m_client, m_metrics})
     , m_freshness(freshnessOptions(m_settings), m_inForce, m_peers, m_leader, m_clock,
           [this] {
               m_desk.configurationChanged();
           })
+    , m_demand({.vm = m_settings.vm}, m_desk, m_book, m_peers, m_leader, m_clock)
     , m_operators(
           m_settings.operatorToken, m_peers, m_leader,
           [this] {
@@ -135,6 +136,17 @@
 {
 }
 
+std::unique_ptr<Voter> Daemon::makeVoter()
+{
+    if (!isVoter(m_settings)) {
+        return nullptr;
+    }
+    const auto upstreams = [this] {
+        return m_book.list(m_clock.now());
+    };
+    return std::make_unique<Voter>(m_settings, m_peers, upstreams, m_client, m_clock, seedOf(m_settings));
+}
+
 Daemon::~Daemon()
 {
     stop();
@@ -151,6 +163,7 @@
     m_sync.start();
     m_desk.start();
     m_freshness.start();
+    m_demand.start();
     m_operators.start();
     const auto address = m_server.start(m_settings.listen);
     if (!address) {
@@ -182,6 +195,7 @@
         return;
     }
     m_operators.stop();
+    m_demand.stop();
     m_freshness.stop();
     m_desk.stop();
     m_server.stop({0});
--- a/src/bamboomoor/daemon/daemon.hpp
+++ b/src/bamboomoor/daemon/daemon.hpp
@@ -7,6 +7,7 @@
 #include "bamboomoor/daemon/operatordesk.hpp"
 #include "bamboomoor/daemon/peerservice.hpp"
 #include "bamboomoor/daemon/voter.hpp"
+#include "bamboomoor/entry/demandreport.hpp"
 #include "bamboomoor/entry/freshness.hpp"
 #include "bamboomoor/http/client.hpp"
 #include "bamboomoor/http/server.hpp"
@@ -60,6 +61,7 @@
 private:
     [[nodiscard]] nlohmann::json status() const;
     [[nodiscard]] nlohmann::json voterStatus() const;
+    [[nodiscard]] std::unique_ptr<Voter> makeVoter();
 
     const settings::Settings m_settings;
     base::SteadyClock m_clock;
@@ -78,6 +80,7 @@
     entry::UpstreamSync m_sync;
     entry::Desk m_desk;
     entry::Freshness m_freshness;
+    entry::DemandReport m_demand;
     OperatorDesk m_operators;
     Front m_front;
     PeerService m_peerService;
--- a/src/bamboomoor/daemon/peerservice.cpp
+++ b/src/bamboomoor/daemon/peerservice.cpp
@@ -147,10 +147,13 @@
     });
 }
 
-void PeerService::reportDemand(
-    const peer::wire::DemandReport & /*request*/, peer::Answer<peer::wire::DemandReply> answer)
+void PeerService::reportDemand(const peer::wire::DemandReport &request, peer::Answer<peer::wire::DemandReply> answer)
 {
-    answer({});
+    if (m_voter == nullptr) {
+        answer({});
+        return;
+    }
+    m_voter->placement().report(request, std::move(answer));
 }
 
 } // namespace bamboomoor::daemon
--- a/src/bamboomoor/daemon/voter.cpp
+++ b/src/bamboomoor/daemon/voter.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace bamboomoor::daemon
 {
@@ -41,6 +42,16 @@
     return options;
 }
 
+control::PlacementDeskOptions placementOptions(const settings::Settings &settings)
+{
+    control::PlacementDeskOptions options;
+    options.interval = settings.placement.decision;
+    options.planner.loadsPerSecond = static_cast<double>(settings.placement.loadsPerSecond);
+    options.planner.loadsAtOnce = static_cast<std::uint32_t>(settings.placement.loadsAtOnce);
+    options.planner.adaptersInFlight = static_cast<std::uint32_t>(settings.placement.adaptersInFlight);
+    return options;
+}
+
 } // namespace
 
 Voter::Voter(
@@ -48,21 +59,25 @@
     : m_desk(voterOptions(settings, seed), peers, clock)
     , m_freshen(m_desk, clock)
     , m_budget(budgetOptions(settings), m_desk, clock)
+    , m_placement(placementOptions(settings), m_desk, std::move(upstreams), client, clock)
 {
     m_desk.watch(m_freshen);
     m_desk.watch(m_budget);
+    m_desk.watch(m_placement);
 }
 
 base::Result<void, std::string> Voter::start()
 {
     m_freshen.start();
     m_budget.start();
+    m_placement.start();
     return m_desk.start();
 }
 
 void Voter::stop()
 {
     m_desk.stop();
+    m_placement.stop();
     m_budget.stop();
     m_freshen.stop();
 }
--- a/src/bamboomoor/daemon/voter.hpp
+++ b/src/bamboomoor/daemon/voter.hpp
@@ -5,6 +5,7 @@
 
 #include "bamboomoor/control/budgetdesk.hpp"
 #include "bamboomoor/control/freshendesk.hpp"
+#include "bamboomoor/control/placementdesk.hpp"
 #include "bamboomoor/control/voterdesk.hpp"
 #include "bamboomoor/settings/settings.hpp"
 
@@ -19,11 +20,13 @@
      * @brief Makes a voter that does not run yet.
      * @param settings The settings; its data folder is held.
      * @param peers Connections to the voters; outlives the voter.
+     * @param upstreams Lists the live upstreams.
+     * @param client Sends orders; outlives the voter.
      * @param clock The time; outlives the voter.
      * @param seed Seed of the election's random numbers.
      */
-    Voter(const settings::Settings &settings, const control::PeerBook &peers, const base::Clock &clock,
-        std::uint64_t seed);
+    Voter(const settings::Settings &settings, const control::PeerBook &peers, control::ListUpstreams upstreams,
+        http::Client &client, const base::Clock &clock, std::uint64_t seed);
 
     /**
      * @brief Starts all threads.
@@ -52,10 +55,17 @@
         return m_budget;
     }
 
+    /** @brief The thread of placement. @return The desk. */
+    [[nodiscard]] control::PlacementDesk &placement() noexcept
+    {
+        return m_placement;
+    }
+
 private:
     control::VoterDesk m_desk;
     control::FreshenDesk m_freshen;
     control::BudgetDesk m_budget;
+    control::PlacementDesk m_placement;
 };
 
 } // namespace bamboomoor::daemon
--- /dev/null
+++ b/src/bamboomoor/entry/demandreport.cpp
@@ -0,0 +1,107 @@
+/**
+ * The thread that reports this entry's demand to the leader.
+ */
+#include "bamboomoor/entry/demandreport.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace bamboomoor::entry
+{
+
+DemandReport::DemandReport(DemandReportOptions options, Desk &desk, UpstreamBook &book, const control::PeerBook &peers,
+    LeaderHint &leader, const base::Clock &clock)
+    : m_options(std::move(options))
+    , m_desk(desk)
+    , m_book(book)
+    , m_peers(peers)
+    , m_leader(leader)
+    , m_clock(clock)
+    , m_answers(1)
+{
+}
+
+DemandReport::~DemandReport()
+{
+    stop();
+}
+
+void DemandReport::start()
+{
+    m_countedSince = m_clock.now();
+    m_thread = std::thread([this] {
+        run();
+    });
+}
+
+void DemandReport::stop()
+{
+    m_stopping = true;
+    m_answers.close();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void DemandReport::run()
+{
+    while (!m_stopping) {
+        const base::Millis sentAt = m_clock.now();
+        const std::string voter = m_leader.get();
+        m_peers.find(voter)->call(
+            makeReport(), m_options.timeout, [this](std::optional<peer::wire::DemandReply> reply) {
+                static_cast<void>(m_answers.push(std::move(reply)));
+            });
+        // The timeout of the call ends this wait.
+        const auto answer = m_answers.pop(m_options.timeout * 2);
+        if (answer && *answer && (*answer)->served()) {
+            take(**answer);
+        }
+        const base::Millis rest = sentAt + m_options.interval - m_clock.now();
+        // Nothing is pushed between two questions; only a closed ring ends this wait early.
+        static_cast<void>(m_answers.pop(std::max(rest, base::Millis{0})));
+    }
+}
+
+peer::wire::DemandReport DemandReport::makeReport()
+{
+    const base::Millis now = m_clock.now();
+    peer::wire::DemandReport report;
+    report.set_vm(m_options.vm);
+    report.set_span_ms((now - m_countedSince).count);
+    m_countedSince = now;
+    for (const TargetDemand &it : m_desk.takeDemand()) {
+        if (it.target.kind == TargetKind::Generation) {
+            auto *demand = report.add_demands();
+            demand->set_model(it.target.model);
+            demand->set_adapter(it.target.adapter);
+            demand->set_version(it.target.version);
+            demand->set_requests(it.requests);
+            demand->set_queued(it.queued);
+        }
+    }
+    for (const DrainingReplica &it : m_draining) {
+        if (!m_desk.runsAt(it)) {
+            auto *drained = report.add_drained();
+            drained->set_upstream(it.upstream);
+            drained->set_model(it.model);
+            drained->set_adapter(it.adapter);
+            drained->set_version(it.version);
+        }
+    }
+    return report;
+}
+
+void DemandReport::take(const peer::wire::DemandReply &reply)
+{
+    std::set<DrainingReplica> draining;
+    for (const auto &it : reply.draining()) {
+        draining.insert({it.upstream(), it.model(), it.adapter(), it.version()});
+    }
+    if (draining != m_draining) {
+        m_draining = draining;
+        m_book.setDraining(std::move(draining));
+    }
+}
+
+} // namespace bamboomoor::entry
--- a/src/bamboomoor/entry/desk.cpp
+++ b/src/bamboomoor/entry/desk.cpp
@@ -307,6 +307,10 @@
     reviewLate();
     m_retries.prune(now);
     m_context.metrics.fill(m_ring.size(), m_queued);
+    const absl::MutexLock lock(&m_mutex);
+    for (const auto &[target, queue] : m_queues) {
+        m_demand[target].queued = queue.size();
+    }
 }
 
 void Desk::reviewLate()
@@ -407,11 +411,13 @@
     return taken;
 }
 
-std::size_t Desk::running(const std::string &upstream, const Target &target) const
+bool Desk::runsAt(const DrainingReplica &replica) const
 {
     const absl::MutexLock lock(&m_mutex);
-    const auto it = m_running.find({upstream, target});
-    return it == m_running.end() ? 0 : it->second;
+    return std::any_of(m_running.begin(), m_running.end(), [&replica](const auto &it) {
+        const auto &[upstream, target] = it.first;
+        return upstream == replica.upstream && target.model == replica.model && target.adapter == replica.adapter;
+    });
 }
 
 } // namespace bamboomoor::entry
--- a/src/bamboomoor/entry/desk.hpp
+++ b/src/bamboomoor/entry/desk.hpp
@@ -52,8 +52,8 @@
 struct TargetDemand {
     Target target;
     std::uint64_t requests = 0;
+    // Requests that wait at present.
     std::uint64_t queued = 0;
-    std::uint64_t running = 0;
 };
 
 /** @brief The threads and books that a Desk works with; all outlive it. */
@@ -113,12 +113,11 @@
     [[nodiscard]] std::vector<TargetDemand> takeDemand();
 
     /**
-     * @brief Counts this entry's requests at one upstream for one target.
-     * @param upstream The upstream.
-     * @param target The target.
-     * @return The number of open attempts.
+     * @brief Tells whether this entry has requests at a replica, of whichever version.
+     * @param replica The replica.
+     * @return True while an attempt is open.
      */
-    [[nodiscard]] std::size_t running(const std::string &upstream, const Target &target) const;
+    [[nodiscard]] bool runsAt(const DrainingReplica &replica) const;
 
 private:
     struct Arrived {
--- a/src/bamboomoor/entry/upstreambook.cpp
+++ b/src/bamboomoor/entry/upstreambook.cpp
@@ -40,12 +40,10 @@
     for (const membership::Accelerator &accelerator : announcement.accelerators) {
         const bool holds = std::any_of(accelerator.resident.begin(), accelerator.resident.end(), [&](const auto &it) {
             return it.model == target.model && it.adapter == target.adapter
-                && (target.version.empty() || it.version == target.version);
+                && (target.version.empty() || it.version == target.version)
+                && m_draining.count({announcement.id, it.model, it.adapter, it.version}) == 0;
         });
-        if (holds
-            && m_draining.count({announcement.id, announcement.incarnation, accelerator.id, target.model,
-                   target.adapter, target.version})
-                == 0) {
+        if (holds) {
             return true;
         }
     }
--- a/src/bamboomoor/entry/upstreambook.hpp
+++ b/src/bamboomoor/entry/upstreambook.hpp
@@ -22,8 +22,6 @@
 /** @brief A replica that gets no new work because its unloading is planned. */
 struct DrainingReplica {
     std::string upstream;
-    std::uint64_t incarnation = 0;
-    std::string accelerator;
     std::string model;
     std::string adapter;
     std::string version;
