--- a/src/bamboomoor/storage/logstore.cpp
+++ b/src/bamboomoor/storage/logstore.cpp
@@ -161,6 +161,17 @@
     return guard(rewriteLog());
 }
 
+Result<void> LogStore::persist(const consensus::Persist &work)
+{
+    if (work.hardState) {
+        BOOST_OUTCOME_TRY(saveHardState(*work.hardState));
+    }
+    if (work.snapshot) {
+        BOOST_OUTCOME_TRY(saveSnapshot(*work.snapshot));
+    }
+    return append(work.entries);
+}
+
 Result<void> LogStore::sync()
 {
     BOOST_OUTCOME_TRY(usable());
--- a/src/bamboomoor/storage/logstore.hpp
+++ b/src/bamboomoor/storage/logstore.hpp
@@ -5,7 +5,7 @@
  */
 #pragma once
 
-#include "bamboomoor/consensus/types.hpp"
+#include "bamboomoor/consensus/inputs.hpp"
 #include "bamboomoor/storage/codec.hpp"
 #include "bamboomoor/storage/filesystem.hpp"
 
@@ -60,6 +60,13 @@
      */
     [[nodiscard]] Result<void> saveSnapshot(const consensus::Snapshot &snapshot);
 
+    /**
+     * @brief Adds the work of one step of the core; several steps may share one sync().
+     * @param work The work; its snapshot, when there is one, is synced before the call returns.
+     * @return Io, Sync, or Failed.
+     */
+    [[nodiscard]] Result<void> persist(const consensus::Persist &work);
+
     /**
      * @brief Brings all added work to synced disk by one write and one sync.
      * @return Io, Sync, or Failed.
--- a/test/bamboomoor/consensus/rules.cpp
+++ b/test/bamboomoor/consensus/rules.cpp
@@ -89,11 +89,16 @@
     }
 
     void acknowledge(const VoterId &id, std::uint64_t index)
+    {
+        from(id, node->term(), acknowledgement(index));
+    }
+
+    [[nodiscard]] static AppendReply acknowledgement(std::uint64_t index)
     {
         AppendReply reply;
         reply.success = true;
         reply.prevIndex = reply.matchIndex = reply.receivedIndex = index;
-        from(id, node->term(), reply);
+        return reply;
     }
 };
 
@@ -126,6 +131,19 @@
     BOOST_TEST(solo.sent<AppendReply>().value().matchIndex == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(a_leader_counts_itself_only_after_its_sync)
+{
+    Solo solo;
+    solo.lead();
+    solo.acknowledge("b", 2);
+    solo.unsynced(Propose{1, "x", std::nullopt});
+    const std::uint64_t sequence = solo.out.persist.value().sequence;
+    solo.unsynced(Message{"b", "a", solo.node->term(), Solo::acknowledgement(3)});
+    BOOST_TEST(solo.node->commitIndex() == 2U);
+    solo.unsynced(PersistDone{sequence});
+    BOOST_TEST(solo.node->commitIndex() == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(an_entry_of_an_older_term_is_not_committed_by_counting)
 {
     Solo solo;
