--- a/src/bamboomoor/consensus/log.hpp
+++ b/src/bamboomoor/consensus/log.hpp
@@ -22,19 +22,28 @@
      */
     void reset(std::uint64_t index, std::uint64_t term);
 
-    /** @brief The index of the entry before the first held one. */
+    /**
+     * @brief Tells where the held entries begin.
+     * @return The index of the entry before the first held one.
+     */
     [[nodiscard]] std::uint64_t baseIndex() const noexcept
     {
         return m_baseIndex;
     }
 
-    /** @brief The index of the newest entry, or the base. */
+    /**
+     * @brief Tells where the held entries end.
+     * @return The index of the newest entry, or the base.
+     */
     [[nodiscard]] std::uint64_t lastIndex() const noexcept
     {
         return m_baseIndex + m_entries.size();
     }
 
-    /** @brief The term of the newest entry, or of the base. */
+    /**
+     * @brief Tells the newest term in the log.
+     * @return The term of the newest entry, or of the base.
+     */
     [[nodiscard]] std::uint64_t lastTerm() const noexcept
     {
         return m_entries.empty() ? m_baseTerm : m_entries.back().term;
--- a/src/bamboomoor/consensus/node.hpp
+++ b/src/bamboomoor/consensus/node.hpp
@@ -56,43 +56,64 @@
      */
     [[nodiscard]] base::Millis nextDeadline() const noexcept;
 
-    /** @brief The present role. */
+    /**
+     * @brief Tells the present role.
+     * @return The role.
+     */
     [[nodiscard]] Role role() const noexcept
     {
         return m_role;
     }
 
-    /** @brief The present term. */
+    /**
+     * @brief Tells the present term.
+     * @return The term; 0 before the first one.
+     */
     [[nodiscard]] std::uint64_t term() const noexcept
     {
         return m_hard.term;
     }
 
-    /** @brief The leader that this member follows, itself when it leads, or empty. */
+    /**
+     * @brief Tells the leader known to this member.
+     * @return Its id, this member's own when it leads, or empty.
+     */
     [[nodiscard]] const VoterId &leader() const noexcept
     {
         return m_leader;
     }
 
-    /** @brief The newest entry known to be committed. */
+    /**
+     * @brief Tells the newest entry known to be committed.
+     * @return Its index, or 0.
+     */
     [[nodiscard]] std::uint64_t commitIndex() const noexcept
     {
         return m_commit;
     }
 
-    /** @brief The newest entry of the log. */
+    /**
+     * @brief Tells the newest entry of the log.
+     * @return Its index, or 0.
+     */
     [[nodiscard]] std::uint64_t lastIndex() const noexcept
     {
         return m_log.lastIndex();
     }
 
-    /** @brief The newest membership in the log, committed or not. */
+    /**
+     * @brief Tells the newest membership in the log, committed or not.
+     * @return The membership; valid until the next step.
+     */
     [[nodiscard]] const Membership &membership() const noexcept
     {
         return m_memberships.rbegin()->second;
     }
 
-    /** @brief Whether the member may vote: false for a disk that started empty, until it was a learner. */
+    /**
+     * @brief Tells whether the member may vote.
+     * @return False for a disk that started empty, until a present leader lists it as a learner.
+     */
     [[nodiscard]] bool joined() const noexcept
     {
         return m_hard.joined;
