--- a/src/bamboomoor/daemon/daemon.cpp
+++ b/src/bamboomoor/daemon/daemon.cpp
@@ -34,8 +34,8 @@
 /** @brief Tells apart the starts of this daemon; later starts have greater numbers. */
 std::uint64_t incarnation()
 {
-    static const auto NUMBER = static_cast<std::uint64_t>(base::wallClock().count);
-    return NUMBER;
+    static const auto number = static_cast<std::uint64_t>(base::wallClock().count);
+    return number;
 }
 
 std::uint64_t seedOf(const settings::Settings &settings)
--- a/src/bamboomoor/daemon/voter.cpp
+++ b/src/bamboomoor/daemon/voter.cpp
@@ -54,8 +54,8 @@
 
 } // namespace
 
-Voter::Voter(
-    const settings::Settings &settings, const control::PeerBook &peers, const base::Clock &clock, std::uint64_t seed)
+Voter::Voter(const settings::Settings &settings, const control::PeerBook &peers, control::ListUpstreams upstreams,
+    http::Client &client, const base::Clock &clock, std::uint64_t seed)
     : m_desk(voterOptions(settings, seed), peers, clock)
     , m_freshen(m_desk, clock)
     , m_budget(budgetOptions(settings), m_desk, clock)
