Let demand outweigh a third replica elsewhere, and provide for less headroom

Targets filled the memory on paper, so every replica counted as wanted and hot models found no room. A need for demand may now take a third or further replica whose model stays at least 1.5 times less loaded without it, and headroom is 1.1 instead of 1.3.

--- a/bench/placement.cpp
+++ b/bench/placement.cpp
@@ -14,6 +14,7 @@
 #include <deque>
 #include <random>
 #include <string>
+#include <string_view>
 
 namespace
 {
@@ -271,13 +272,17 @@
     std::map<ModelRef, std::int64_t> m_outages;
 };
 
-void comparePolicies()
+// Compares one policy, or all for an empty name.
+void comparePolicies(std::string_view only)
 {
     constexpr std::int64_t WARM_UP = 1'200;
     constexpr std::int64_t SECONDS = WARM_UP + std::int64_t{6} * 3'600;
     std::printf(
         "%-14s %10s %12s %8s %12s %12s\n", "policy", "attainment", "moves/hour", "outages", "longest s", "outage s");
     for (const PolicyKind kind : {PolicyKind::DemandAware, PolicyKind::StaticSpread, PolicyKind::GreedyDemand}) {
+        if (!only.empty() && only != POLICY_KIND_NAMES.name(kind)) {
+            continue;
+        }
         Site site(kind, 18, 30, 3);
         Score score;
         for (std::int64_t n = 0; n < SECONDS; ++n) {
@@ -328,9 +333,9 @@
 
 } // namespace
 
-int main()
+int main(int argc, char **argv)
 {
-    comparePolicies();
+    comparePolicies(argc > 1 ? argv[1] : "");
     measurePlanning();
     return 0;
 }
--- a/src/bamboomoor/placement/internal/chooser.cpp
+++ b/src/bamboomoor/placement/internal/chooser.cpp
@@ -107,26 +107,38 @@
     return least;
 }
 
+// Demand may take a third or further replica from a model that stays much less loaded without it.
+bool isOutweighed(const Replicas &replicas, const Need &need)
+{
+    constexpr double MARGIN = 1.5;
+    const std::uint32_t least = std::max(replicas.entry->minReplicas, std::min(replicas.target, 2U));
+    if (need.urgency != Urgency::Demand || need.pressure <= 1 || replicas.live <= least) {
+        return false;
+    }
+    const double left = replicas.pressure * replicas.live / (replicas.live - 1);
+    return left * MARGIN < need.pressure;
+}
+
 bool isSpare(
-    const Scene &scene, Survey &survey, const Site &site, const ModelRef &ref, const Slot &slot, Urgency urgency)
+    const Scene &scene, Survey &survey, const Site &site, const ModelRef &ref, const Slot &slot, const Need &need)
 {
     if (!slot.reported || slot.isOpen(OrderKind::Unload) || slot.isOpen(OrderKind::Load)
         || isDrained(scene, site, ref)) {
         return false;
     }
-    if (urgency >= Urgency::SingleReplica && scene.now - slot.reportedSince < scene.minStay) {
+    if (need.urgency >= Urgency::SingleReplica && scene.now - slot.reportedSince < scene.minStay) {
         return false;
     }
     const Replicas &replicas = survey.of(ref);
-    return replicas.live > keepOf(replicas, urgency);
+    return replicas.live > keepOf(replicas, need.urgency) || isOutweighed(replicas, need);
 }
 
 // A base model leaves together with its adapters there.
-bool areAdaptersSpare(const Scene &scene, Survey &survey, const Site &site, const ModelRef &ref, Urgency urgency)
+bool areAdaptersSpare(const Scene &scene, Survey &survey, const Site &site, const ModelRef &ref, const Need &need)
 {
     for (const auto &[other, slot] : site.accelerator->slots) {
         const bool adapter = other.model == ref.model && !other.adapter.empty();
-        if (adapter && slot.memoryMib() > 0 && !isSpare(scene, survey, site, other, slot, urgency)) {
+        if (adapter && slot.memoryMib() > 0 && !isSpare(scene, survey, site, other, slot, need)) {
             return false;
         }
     }
@@ -134,12 +146,13 @@
 }
 
 // True for the only replica of a listed model, without adapters here that would have to move along.
-bool isLast(const Scene &scene, Survey &survey, const Site &site, const ModelRef &ref, const Slot &slot)
+bool isLast(
+    const Scene &scene, Survey &survey, const Site &site, const ModelRef &ref, const Slot &slot, const Need &need)
 {
     const Replicas &replicas = survey.of(ref);
     const bool settled = slot.reported && !slot.isOpen(OrderKind::Unload) && !isDrained(scene, site, ref);
     return settled && ref.adapter.empty() && replicas.entry != nullptr && replicas.count() == 1
-        && areAdaptersSpare(scene, survey, site, ref, Urgency::Lost);
+        && areAdaptersSpare(scene, survey, site, ref, need);
 }
 
 struct Victim {
@@ -154,10 +167,10 @@
     for (const auto &[ref, slot] : site.accelerator->slots) {
         const bool ownBase =
             !need.entry->ref.adapter.empty() && ref.adapter.empty() && ref.model == need.entry->ref.model;
-        if (ownBase || ref == need.entry->ref || !isSpare(scene, survey, site, ref, slot, need.urgency)) {
+        if (ownBase || ref == need.entry->ref || !isSpare(scene, survey, site, ref, slot, need)) {
             continue;
         }
-        if (ref.adapter.empty() && !areAdaptersSpare(scene, survey, site, ref, need.urgency)) {
+        if (ref.adapter.empty() && !areAdaptersSpare(scene, survey, site, ref, need)) {
             continue;
         }
         const Replicas &replicas = survey.of(ref);
@@ -268,9 +281,9 @@
         std::vector<std::pair<std::uint64_t, ModelRef>> copied;
         std::uint64_t room = site.accelerator->freeMib();
         for (const auto &[ref, slot] : site.accelerator->slots) {
-            if (isSpare(scene, survey, site, ref, slot, need.urgency)) {
+            if (isSpare(scene, survey, site, ref, slot, need)) {
                 room += slot.memoryMib();
-            } else if (isLast(scene, survey, site, ref, slot)) {
+            } else if (isLast(scene, survey, site, ref, slot, need)) {
                 copied.emplace_back(slot.memoryMib(), ref);
             }
         }
--- a/src/bamboomoor/placement/target.hpp
+++ b/src/bamboomoor/placement/target.hpp
@@ -68,7 +68,7 @@
     // Share of the memory that targets may fill; the rest lets a new replica load before an old one unloads.
     double fill = 0.9;
     // Multiple of the demand that is provided for.
-    double headroom = 1.3;
+    double headroom = 1.1;
     // Milliseconds for which a target outlives its demand.
     base::Millis hold{600'000};
 };
