Keep the level when a limit changes; test leases and recalls

Cause: setLimit added the difference when the burst grew and capped when it shrank, so lowering and raising a limit filled the bucket each time.

Random runs met the ends of leases too rarely: without the holder's lease, the age limit of ceilings, or recalls, they passed. lease.cpp tests these directly, and each of those changes by hand makes it fail.

--- a/src/bamboomoor/budget/bucket.cpp
+++ b/src/bamboomoor/budget/bucket.cpp
@@ -115,7 +115,7 @@
     const auto deficit = static_cast<long double>(gap) * static_cast<long double>(m_limit.rate)
         / static_cast<long double>(NANOS_PER_MILLI * (PERMILLE + m_drift));
     auto missing = static_cast<Tokens>(std::min<long double>(deficit, MAX_TOKENS)) + (gap > 0 ? 1 : 0);
-    missing = std::max<Tokens>(missing - std::max<Tokens>(m_limit.burst - next.burst, 0), 0);
+    missing = std::max<Tokens>(missing + next.burst - m_limit.burst, 0);
     m_limit = next;
     m_baseFullAt = nowNanos + (missing > 0 ? NANOS_PER_MILLI : 0) + duration(std::min(missing, MAX_TOKENS));
     m_operations.clear();
--- a/src/bamboomoor/budget/bucket.hpp
+++ b/src/bamboomoor/budget/bucket.hpp
@@ -51,7 +51,7 @@
     void refund(std::uint64_t mark, Tokens tokens);
 
     /**
-     * @brief Changes rate and burst; a smaller burst caps the level, a greater one adds the difference.
+     * @brief Changes rate and burst; the level stays, or falls to a smaller burst.
      * @param now The present time.
      * @param limit The new rate and burst.
      */
--- /dev/null
+++ b/test/bamboomoor/budget/lease.cpp
@@ -0,0 +1,90 @@
+/**
+ * Tests of the ends of leases and of recalls, which random runs meet too rarely.
+ */
+#include "fleet.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace bamboomoor;
+using namespace bamboomoor::budget;
+
+namespace
+{
+Holder makeHolder()
+{
+    HolderOptions options;
+    options.name = "vm0";
+    options.idle = {60'000};
+    return Holder(options);
+}
+
+// Grants the one need and 100 tokens more.
+Reply grant(const Ask &ask)
+{
+    return {ask.holder, ask.session, 1, ask.sequence, AskStatus::Done, base::Millis{2'000},
+        {{"o", 1, ask.entries[0].needs[0] + 100, {{Verdict::Admitted, {}}}, false}}};
+}
+
+Verdict admitAt(Holder &holder, std::int64_t now)
+{
+    return holder.admit({now}, "o", 1).verdict;
+}
+} // namespace
+
+BOOST_AUTO_TEST_CASE(grants_end_by_the_time_of_the_first_sending)
+{
+    Holder holder = makeHolder();
+    BOOST_TEST((admitAt(holder, 0) == Verdict::Waiting));
+    const Ask ask = holder.takeAsk({0}).value();
+    BOOST_TEST(holder.takeAsk({1'000}).value().sequence == ask.sequence);
+    BOOST_TEST(holder.onReply({1'500}, grant(ask)).size() == 1);
+    BOOST_TEST((admitAt(holder, 1'950) == Verdict::Admitted));
+    BOOST_TEST((admitAt(holder, 1'965) == Verdict::Waiting));
+}
+
+BOOST_AUTO_TEST_CASE(a_reply_after_the_lease_grants_nothing)
+{
+    Holder holder = makeHolder();
+    BOOST_TEST((admitAt(holder, 0) == Verdict::Waiting));
+    const Ask ask = holder.takeAsk({0}).value();
+    BOOST_TEST(holder.onReply({1'965}, grant(ask)).empty());
+    BOOST_TEST(holder.held("o") == 0);
+    BOOST_TEST((holder.takeAsk({1'965}).value().session > ask.session));
+}
+
+BOOST_AUTO_TEST_CASE(an_authority_grants_only_after_a_recent_ceiling)
+{
+    Authority authority({}, {0}, {});
+    authority.setLimits({0}, {{"o", 1'000, 1'000}});
+    std::uint64_t sequence = 0;
+    const auto verdictAt = [&](std::int64_t now) {
+        const Ask ask{"vm0", {1, 1}, 0, ++sequence, {{"o", {}, 0, 0, {}, {10}, 0}}};
+        return authority.onAsk({now}, ask).entries.at(0).needs.at(0).verdict;
+    };
+    BOOST_TEST((verdictAt(0) == Verdict::Waiting));
+    const Ceiling first = authority.ceilingWanted({1}).value();
+    BOOST_TEST(first.entries.at(0).exposure >= 10);
+    BOOST_TEST((verdictAt(2) == Verdict::Waiting));
+    authority.onCeilingCommitted(first.number);
+    BOOST_TEST((verdictAt(3'000) == Verdict::Admitted));
+    BOOST_TEST((verdictAt(3'001) == Verdict::Waiting));
+    authority.onCeilingCommitted(authority.ceilingWanted({3'002}).value().number);
+    BOOST_TEST((verdictAt(3'003) == Verdict::Admitted));
+}
+
+BOOST_AUTO_TEST_CASE(idle_tokens_are_recalled_for_another_holder)
+{
+    test::Faults faults;
+    faults.idle = {60'000};
+    test::Fleet fleet(1, 2, faults, {"o", 1, 1'000}, 10);
+    fleet.run(50'000);
+    for (int n = 0; n < 20; ++n) {
+        fleet.request(0, 10, 10, 0);
+        fleet.run(fleet.now() + 10'000);
+    }
+    fleet.run(fleet.now() + 300'000);
+    fleet.request(1, 790, 790, 0);
+    fleet.run(fleet.now() + 900'000);
+    BOOST_TEST(fleet.refused == 0);
+    BOOST_TEST(fleet.uses.size() == 21);
+}
