--- a/src/bamboomoor/budget/bucket.cpp
+++ b/src/bamboomoor/budget/bucket.cpp
@@ -16,6 +16,8 @@
 constexpr std::int64_t PERMILLE = 1'000;
 // Spends are expected to be known by then, in nanoseconds; a later one lowers the level more than it needs to.
 constexpr std::int64_t LATENESS = 1'000 * NANOS_PER_MILLI;
+// Debts do not lower the level further than this time takes to refill, in nanoseconds.
+constexpr std::int64_t FURTHEST = INT64_MAX / 4;
 constexpr std::size_t MAX_OPERATIONS = 4'096;
 
 Limit bounded(const Limit &limit)
@@ -75,7 +77,7 @@
     std::int64_t full = from == 0 ? m_baseFullAt : m_operations[from - 1].fullAt;
     for (std::size_t n = from; n < m_operations.size(); ++n) {
         Operation &it = m_operations[n];
-        full = std::max(full, it.at) + duration(it.tokens);
+        full = std::min(std::max(full, it.at) + duration(it.tokens), FURTHEST);
         it.fullAt = full;
     }
 }
@@ -110,6 +112,9 @@
 void Bucket::setLimit(base::Millis now, const Limit &limit)
 {
     const Limit next = bounded(limit);
+    if (next.rate == m_limit.rate && next.burst == m_limit.burst) {
+        return;
+    }
     const std::int64_t nowNanos = now.count * NANOS_PER_MILLI;
     const std::int64_t gap = std::max<std::int64_t>(fullAt() - nowNanos, 0);
     const auto deficit = static_cast<long double>(gap) * static_cast<long double>(m_limit.rate)
--- a/test/bamboomoor/budget/bucket.cpp
+++ b/test/bamboomoor/budget/bucket.cpp
@@ -64,6 +64,15 @@
     BOOST_TEST(held);
 }
 
+BOOST_AUTO_TEST_CASE(the_same_limit_set_again_changes_nothing)
+{
+    budget::Bucket bucket({0}, {"o", 1, 500}, 0, 500);
+    const std::uint64_t mark = bucket.spend({0}, {0}, 400);
+    bucket.setLimit({0}, {"o", 1, 500});
+    bucket.refund(mark, 400);
+    BOOST_TEST(bucket.level({1}) == 500);
+}
+
 BOOST_AUTO_TEST_CASE(a_changed_limit_keeps_the_lesser_level)
 {
     budget::Bucket bucket({0}, {"o", 1000, 500}, 0, 500);
