Stop a loaded server without cutting a request

Cause: a test that stops a server under 64 callers saw 2 to 63 requests cut in each round: connections that were accepted, but whose request was not read yet, did not count as open. stop() now waits until no connection may hold a request. In one of these trials the process aborted; the likely cause, not reproduced in 62 further runs, is the library's quiesce call, which panics when a worker removes the port from its epoll set first. The server therefore accepts by itself and gives connections to one library daemon per thread; the call is gone.

--- a/src/bamboomoor/http/internal/listen.cpp
+++ b/src/bamboomoor/http/internal/listen.cpp
@@ -3,12 +3,14 @@
  */
 #include "bamboomoor/http/internal/listen.hpp"
 
+#include <linux/filter.h>
 #include <netdb.h>
 #include <netinet/in.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <cerrno>
 #include <memory>
 #include <system_error>
@@ -75,6 +77,19 @@
     return ListeningSocket{socket, address.substr(0, colon + 1) + portOf(socket)};
 }
 
+void dropNewConnections(int socket) noexcept
+{
+    // The filter sees a packet from its TCP header on; byte 13 holds the flags, and 2 is SYN.
+    std::array<sock_filter, 4> code{{
+        BPF_STMT(BPF_LD | BPF_B | BPF_ABS, 13),
+        BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, 2, 0, 1),
+        BPF_STMT(BPF_RET | BPF_K, 0),
+        BPF_STMT(BPF_RET | BPF_K, 0xffffffff),
+    }};
+    const sock_fprog program{static_cast<unsigned short>(code.size()), code.data()};
+    setsockopt(socket, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
+}
+
 void raiseFileLimit() noexcept
 {
     rlimit limit{};
--- a/src/bamboomoor/http/internal/listen.hpp
+++ b/src/bamboomoor/http/internal/listen.hpp
@@ -25,6 +25,13 @@
  */
 [[nodiscard]] base::Result<ListeningSocket, ServerError> listenOn(const std::string &address);
 
+/**
+ * @brief Lets a listening socket drop the first packet of every further connection, while handshakes under way end.
+ * A caller whose packet was dropped sends it again a second later, and is refused once the socket is closed.
+ * @param socket A listening socket.
+ */
+void dropNewConnections(int socket) noexcept;
+
 /** @brief Raises the process's bound on open files to the highest that is allowed. */
 void raiseFileLimit() noexcept;
 
--- a/src/bamboomoor/http/internal/tally.hpp
+++ b/src/bamboomoor/http/internal/tally.hpp
@@ -22,6 +22,7 @@
     std::atomic<std::uint64_t> slowReader = 0;
     std::atomic<std::uint64_t> callersGone = 0;
     std::atomic<std::uint64_t> withoutRequest = 0;
+    std::atomic<std::uint64_t> overConnections = 0;
 };
 
 } // namespace bamboomoor::http::internal
--- a/src/bamboomoor/http/internal/watch.cpp
+++ b/src/bamboomoor/http/internal/watch.cpp
@@ -9,9 +9,11 @@
 
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cassert>
 
@@ -23,6 +25,8 @@
 
 // The time between two sweeps, in milliseconds.
 constexpr int SWEEP_INTERVAL = 200;
+// The time in which a new connection is expected to send its first request.
+constexpr base::Millis FRESH_TIME{500};
 
 } // namespace
 
@@ -116,6 +120,28 @@
     }
 }
 
+bool Watch::isQuiet() const
+{
+    const base::Millis now = m_clock.now();
+    const absl::MutexLock lock(&m_mutex);
+    return std::none_of(m_connections.begin(), m_connections.end(), [now](const auto &it) {
+        return mayHoldRequest(it.second, now);
+    });
+}
+
+bool Watch::mayHoldRequest(const Watched &watched, base::Millis now) noexcept
+{
+    if (watched.phase != Phase::Idle) {
+        return true;
+    }
+    if (watched.peerClosed || watched.shutDown) {
+        return false;
+    }
+    int unread = 0;
+    ioctl(watched.socket, FIONREAD, &unread);
+    return unread > 0 || (!watched.hadRequest && now - watched.since < FRESH_TIME);
+}
+
 void Watch::cutAll()
 {
     std::vector<std::shared_ptr<Exchange>> open;
--- a/src/bamboomoor/http/internal/watch.hpp
+++ b/src/bamboomoor/http/internal/watch.hpp
@@ -81,6 +81,13 @@
      */
     void move(ConnectionId id, Phase phase, std::size_t bodyBytes = 0);
 
+    /**
+     * @brief Tells whether closing all connections would cut a request.
+     * @return False while a request is being read or answered, its bytes wait in a socket, or a new connection may
+     * still send one.
+     */
+    [[nodiscard]] bool isQuiet() const;
+
     /** @brief Cuts every request that is not answered. */
     void cutAll();
 
@@ -99,6 +106,7 @@
     void run();
     void noteClosed(std::uint64_t id);
     void sweep();
+    [[nodiscard]] static bool mayHoldRequest(const Watched &watched, base::Millis now) noexcept;
     [[nodiscard]] bool isOverdue(const Watched &watched, base::Millis now) const noexcept;
 
     const WatchLimits m_limits;
--- a/src/bamboomoor/http/server.cpp
+++ b/src/bamboomoor/http/server.cpp
@@ -8,15 +8,18 @@
 #include "bamboomoor/http/internal/tally.hpp"
 
 #include <microhttpd.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <array>
+#include <algorithm>
+#include <atomic>
 #include <cassert>
 #include <csignal>
 #include <optional>
 #include <thread>
 #include <utility>
+#include <vector>
 
 namespace bamboomoor::http
 {
@@ -33,6 +36,11 @@
 
 // The time between two looks at the open requests while stopping, in milliseconds.
 constexpr int STOP_POLL_INTERVAL = 5;
+constexpr int QUIET_POLLS = 4;
+// The longest wait of the accepting thread, in milliseconds.
+constexpr int ACCEPT_WAIT = 50;
+// The time that a handshake under way may take to end, in milliseconds.
+constexpr base::Millis HANDSHAKE_TIME{200};
 
 unsigned toSeconds(base::Millis span) noexcept
 {
@@ -60,7 +68,7 @@
     }
 
     [[nodiscard]] base::Result<std::string, ServerError> start(const std::string &address);
-    void quiesce();
+    void quiesce(base::Millis handshakeTime);
     bool stop(base::Millis limit);
     [[nodiscard]] ServerCounters counters() const;
 
@@ -74,20 +82,27 @@
 
     [[nodiscard]] MHD_Result access(
         MHD_Connection *connection, const char *method, std::string_view upload, const ExchangePointer &exchange);
+    [[nodiscard]] bool startDaemons();
     [[nodiscard]] MHD_Daemon *startDaemon();
-    void adoptWaitingConnections(int socket);
+    void stopDaemons();
+    void acceptLoop();
+    void acceptWaiting();
     [[nodiscard]] bool awaitAnswers(base::Millis limit) const;
 
     Handler &m_handler;
     const std::shared_ptr<internal::ExchangeScope> m_scope;
     std::optional<internal::Watch> m_watch;
     int m_listener = -1;
-    MHD_Daemon *m_daemon = nullptr;
+    // One for each thread; connections are given to them in turn.
+    std::vector<MHD_Daemon *> m_daemons;
+    std::size_t m_nextDaemon = 0;
+    std::atomic<bool> m_accepting = false;
+    std::thread m_acceptor;
 };
 
 base::Result<std::string, ServerError> Server::Impl::start(const std::string &address)
 {
-    assert(m_daemon == nullptr);
+    assert(m_daemons.empty());
     std::signal(SIGPIPE, SIG_IGN);
     internal::raiseFileLimit();
     auto listening = internal::listenOn(address);
@@ -97,22 +112,55 @@
     m_listener = listening.value().socket;
     const ServerOptions &options = m_scope->options;
     m_watch.emplace(internal::WatchLimits{options.idleTimeout, options.slowSenderTimeout}, m_scope->tally);
-    m_daemon = startDaemon();
-    if (m_daemon == nullptr) {
+    if (!startDaemons()) {
         close(std::exchange(m_listener, -1));
         return base::failure(ServerError{"the HTTP library did not start"});
     }
+    m_accepting = true;
+    m_acceptor = std::thread([this] {
+        acceptLoop();
+    });
     return listening.value().address;
 }
 
+bool Server::Impl::startDaemons()
+{
+    for (unsigned n = 0; n < m_scope->options.threads; ++n) {
+        MHD_Daemon *daemon = startDaemon();
+        if (daemon == nullptr) {
+            stopDaemons();
+            return false;
+        }
+        m_daemons.push_back(daemon);
+    }
+    return !m_daemons.empty();
+}
+
+void Server::Impl::stopDaemons()
+{
+    for (MHD_Daemon *it : std::exchange(m_daemons, {})) {
+        MHD_stop_daemon(it);
+    }
+}
+
+// The server accepts by itself: the library's own way to stop accepting can abort the process under load.
+void Server::Impl::acceptLoop()
+{
+    while (m_accepting) {
+        pollfd polled{m_listener, POLLIN, 0};
+        poll(&polled, 1, ACCEPT_WAIT);
+        acceptWaiting();
+    }
+}
+
 MHD_Daemon *Server::Impl::startDaemon()
 {
     const ServerOptions &options = m_scope->options;
     // Twice the head's bound, so that a head up to that size is refused by the server, and counted.
     const std::size_t poolBytes = options.maxHeaderBytes * 2 + 16'384;
-    const unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME;
-    return MHD_start_daemon(flags, 0, nullptr, nullptr, &Impl::onAccess, this, MHD_OPTION_LISTEN_SOCKET, m_listener,
-        MHD_OPTION_THREAD_POOL_SIZE, options.threads, MHD_OPTION_CONNECTION_LIMIT, options.maxConnections,
+    const unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_NO_LISTEN_SOCKET;
+    const unsigned connections = std::max(options.maxConnections / options.threads, 1U);
+    return MHD_start_daemon(flags, 0, nullptr, nullptr, &Impl::onAccess, this, MHD_OPTION_CONNECTION_LIMIT, connections,
         MHD_OPTION_CONNECTION_TIMEOUT, toSeconds(options.idleTimeout), MHD_OPTION_CONNECTION_MEMORY_LIMIT, poolBytes,
         MHD_OPTION_URI_LOG_CALLBACK, &Impl::onTarget, this, MHD_OPTION_NOTIFY_COMPLETED, &Impl::onCompleted, this,
         MHD_OPTION_NOTIFY_CONNECTION, &Impl::onConnection, this, MHD_OPTION_END);
@@ -183,31 +231,34 @@
     }
 }
 
-void Server::Impl::quiesce()
+void Server::Impl::quiesce(base::Millis handshakeTime)
 {
-    if (m_daemon == nullptr || m_scope->quiescing.exchange(true)) {
+    if (m_daemons.empty() || m_scope->quiescing.exchange(true)) {
         return;
     }
-    const MHD_socket socket = MHD_quiesce_daemon(m_daemon);
-    if (socket != MHD_INVALID_SOCKET) {
-        adoptWaitingConnections(socket);
-    }
+    // First no new handshakes, then the end of those under way, so that closing the port resets nobody.
+    internal::dropNewConnections(m_listener);
+    std::this_thread::sleep_for(std::chrono::milliseconds(handshakeTime.count));
+    m_accepting = false;
+    m_acceptor.join();
+    acceptWaiting();
     close(std::exchange(m_listener, -1));
 }
 
-// Connections that the kernel has completed but the library has not accepted are served, not reset.
-void Server::Impl::adoptWaitingConnections(int socket)
+void Server::Impl::acceptWaiting()
 {
     while (true) {
         sockaddr_storage address{};
         socklen_t size = sizeof(address);
         auto *generic = reinterpret_cast<sockaddr *>(&address);
-        const int connection = accept4(socket, generic, &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        const int connection = accept4(m_listener, generic, &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (connection < 0) {
             return;
         }
         // The library closes the socket itself when it cannot take it.
-        MHD_add_connection(m_daemon, connection, generic, size);
+        if (MHD_add_connection(m_daemons[m_nextDaemon++ % m_daemons.size()], connection, generic, size) != MHD_YES) {
+            ++m_scope->tally->overConnections;
+        }
     }
 }
 
@@ -215,10 +266,13 @@
 {
     const base::SteadyClock clock;
     const base::Millis deadline = clock.now() + limit;
-    while (m_scope->tally->openRequests != 0) {
+    // Quiet several times on end: a connection just accepted is not known to the watch at once.
+    int quiet = 0;
+    while (quiet < QUIET_POLLS) {
         if (clock.now() >= deadline) {
-            return false;
+            return m_scope->tally->openRequests == 0;
         }
+        quiet = m_scope->tally->openRequests == 0 && m_watch->isQuiet() ? quiet + 1 : 0;
         std::this_thread::sleep_for(std::chrono::milliseconds(STOP_POLL_INTERVAL));
     }
     return true;
@@ -226,15 +280,15 @@
 
 bool Server::Impl::stop(base::Millis limit)
 {
-    if (m_daemon == nullptr) {
+    if (m_daemons.empty()) {
         return true;
     }
-    quiesce();
+    quiesce(std::min(limit, HANDSHAKE_TIME));
     const bool answered = awaitAnswers(limit);
     // No connection may be suspended when the library stops.
     m_scope->stopping = true;
     m_watch->cutAll();
-    MHD_stop_daemon(std::exchange(m_daemon, nullptr));
+    stopDaemons();
     m_watch.reset();
     return answered;
 }
@@ -254,6 +308,7 @@
     counters.slowReader = tally.slowReader;
     counters.callersGone = tally.callersGone;
     counters.withoutRequest = tally.withoutRequest;
+    counters.overConnections = tally.overConnections;
     return counters;
 }
 
@@ -274,7 +329,7 @@
 
 void Server::quiesce()
 {
-    m_impl->quiesce();
+    m_impl->quiesce(HANDSHAKE_TIME);
 }
 
 bool Server::stop(base::Millis limit)
--- a/src/bamboomoor/http/server.hpp
+++ b/src/bamboomoor/http/server.hpp
@@ -115,6 +115,8 @@
     std::uint64_t callersGone = 0;
     // Connections that ended without one request whose head was read: idle, half-sent or malformed.
     std::uint64_t withoutRequest = 0;
+    // Connections closed at once, because maxConnections were open.
+    std::uint64_t overConnections = 0;
 };
 
 /** @brief Why a server did not start. */
@@ -145,7 +147,10 @@
      */
     [[nodiscard]] base::Result<std::string, ServerError> start(const std::string &address);
 
-    /** @brief Accepts no further connection; requests on open ones are answered, then their connection closes. */
+    /**
+     * @brief Accepts no further connection; requests on open ones are answered, then their connection closes.
+     * Takes 200 ms, in which handshakes under way end.
+     */
     void quiesce();
 
     /**
--- a/src/bamboomoor/http/sse.hpp
+++ b/src/bamboomoor/http/sse.hpp
@@ -54,7 +54,7 @@
     void readLine(std::vector<std::string> &events);
     void readField(std::string_view line);
 
-    const std::size_t m_maxEventBytes;
+    std::size_t m_maxEventBytes;
     // The bytes of the line being read, without its end; at most m_maxEventBytes.
     std::string m_line;
     // The data lines of the event being read; at most m_maxEventBytes.
--- a/test/bamboomoor/http/server.cpp
+++ b/test/bamboomoor/http/server.cpp
@@ -3,6 +3,8 @@
  */
 #include "support.hpp"
 
+#include "bamboomoor/http/fetch.hpp"
+
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 
@@ -241,6 +243,31 @@
     BOOST_TEST(fixture.server.counters().requests == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(connections_over_the_bound_are_closed)
+{
+    http::ServerOptions options;
+    options.maxConnections = 4;
+    options.threads = 1;
+    Fixture fixture(echo, options);
+    const std::string text = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+    std::vector<std::unique_ptr<RawConnection>> open;
+    for (int n = 0; n < 4; ++n) {
+        open.push_back(std::make_unique<RawConnection>(fixture.address));
+        open.back()->send(text);
+        BOOST_TEST(!open.back()->readUntil("GET /").empty());
+    }
+    const RawConnection over(fixture.address);
+    over.send(text);
+    BOOST_TEST(over.readAll().empty());
+    open.pop_back();
+    fixture.await([](const http::ServerCounters &it) {
+        return it.openConnections < 4;
+    });
+    const RawConnection later(fixture.address);
+    later.send(text);
+    BOOST_TEST(!later.readUntil("GET /").empty());
+}
+
 BOOST_AUTO_TEST_CASE(requests_on_one_connection_do_not_mix)
 {
     Fixture fixture(echo);
@@ -315,3 +342,42 @@
         return it.openRequests == 0;
     });
 }
+
+BOOST_AUTO_TEST_CASE(stopping_under_load_cuts_no_request)
+{
+    constexpr int ROUNDS = 3;
+    constexpr int CALLERS = 64;
+    for (int round = 0; round < ROUNDS; ++round) {
+        Fixture fixture(echo);
+        std::atomic<int> open = 0;
+        std::atomic<int> whole = 0;
+        std::atomic<int> cut = 0;
+        std::atomic<bool> stopped = false;
+        std::function<void()> next = [&] {
+            ++open;
+            http::Call call{.url = "http://" + fixture.address + "/"};
+            call.connectTimeout = {5'000};
+            http::fetchThen(fixture.client, call, [&](const http::Fetched &it) {
+                const bool complete = it.ending.kind == http::EndKind::Complete;
+                whole += complete ? 1 : 0;
+                cut += !complete && it.ending.bytesSent ? 1 : 0;
+                if (complete && !stopped) {
+                    next();
+                }
+                --open;
+            });
+        };
+        for (int n = 0; n < CALLERS; ++n) {
+            next();
+        }
+        while (whole < 200) {
+            std::this_thread::sleep_for(1ms);
+        }
+        BOOST_TEST(fixture.server.stop({20'000}));
+        stopped = true;
+        while (open > 0) {
+            std::this_thread::sleep_for(1ms);
+        }
+        BOOST_TEST(cut == 0);
+    }
+}
--- a/test/fakes/fleet.cpp
+++ b/test/fakes/fleet.cpp
@@ -6,6 +6,7 @@
 #include "fakes/engine.hpp"
 #include "fakes/service.hpp"
 
+#include <atomic>
 #include <chrono>
 #include <thread>
 #include <utility>
@@ -55,9 +56,18 @@
     }
     const base::Millis notice = m_surroundings.options.announceInterval * 2;
     std::this_thread::sleep_for(std::chrono::milliseconds(notice.count));
-    bool answered = true;
+    std::atomic<bool> answered = true;
+    std::vector<std::thread> stopping;
+    stopping.reserve(m_upstreams.size());
     for (const auto &it : m_upstreams) {
-        answered = it->stop(limit) && answered;
+        stopping.emplace_back([&answered, &it, limit] {
+            if (!it->stop(limit)) {
+                answered = false;
+            }
+        });
+    }
+    for (std::thread &it : stopping) {
+        it.join();
     }
     return answered;
 }
