Wait in a test until the writing thread is known

Cause: the writer could be cut before the handler had stored its thread, and joining it then ended the test program; seen once, under the thread sanitizer. The handler now says when it has stored it.

--- a/test/bamboomoor/http/server.cpp
+++ b/test/bamboomoor/http/server.cpp
@@ -185,6 +185,7 @@
 {
     std::atomic<std::size_t> accepted = 0;
     std::thread writer;
+    absl::Notification started;
     http::ServerOptions options;
     options.maxStreamBytes = 100'000;
     Fixture fixture(
@@ -196,6 +197,7 @@
                     accepted += chunk.size();
                 }
             });
+            started.Notify();
         },
         options);
     const RawConnection caller(fixture.address);
@@ -203,6 +205,7 @@
     fixture.await([](const http::ServerCounters &it) {
         return it.slowReader == 1;
     });
+    started.WaitForNotification();
     writer.join();
     // What it reads in the end is cut: no last chunk.
     BOOST_TEST(!caller.readAll().ends_with("\r\n0\r\n\r\n"));
