Let an organisation with only expired items begin at the virtual time

Cause: push took such an organisation for one with waiting items, so it kept an older served value and got up to a fraction of a token more than its bound. Rounding of the weights was ruled out, it is below a hundredth of that.

--- a/src/bamboomoor/admission/fairqueue.cpp
+++ b/src/bamboomoor/admission/fairqueue.cpp
@@ -31,7 +31,8 @@
     if (flow.waiting.size() >= m_options.maxPerOrganisation || m_items.size() >= m_options.maxTotal) {
         return base::failure(Refusal::QueueFull);
     }
-    if (flow.waiting.empty()) {
+    // One whose items are all past their deadline has nothing waiting either.
+    if (next(now, flow) == nullptr) {
         flow.served = std::max(flow.served, m_virtualTime);
     }
     flow.waiting.insert({item.priority, ++m_arrivals, item.id});
@@ -45,30 +46,39 @@
 
 std::optional<Item> FairQueue::pop(base::Millis now)
 {
-    Flow *next = nullptr;
+    Flow *least = nullptr;
     const Item *chosen = nullptr;
     for (auto &[name, flow] : m_flows) {
-        if (next != nullptr && next->served <= flow.served) {
+        if (least != nullptr && least->served <= flow.served) {
             continue;
         }
-        const auto found = std::find_if(flow.waiting.begin(), flow.waiting.end(), [this, now](const Rank &it) {
-            return m_items.at(it.id).item.deadline > now;
-        });
-        if (found != flow.waiting.end()) {
-            next = &flow;
-            chosen = &m_items.at(found->id).item;
+        const Item *first = next(now, flow);
+        if (first != nullptr) {
+            least = &flow;
+            chosen = first;
         }
     }
-    if (next == nullptr) {
+    if (least == nullptr) {
         return std::nullopt;
     }
     Item item = *chosen;
-    m_virtualTime = std::max(m_virtualTime, next->served);
-    next->served += item.cost * SCALE / next->weight;
+    m_virtualTime = std::max(m_virtualTime, least->served);
+    least->served += item.cost * SCALE / least->weight;
     remove(item.id);
     return item;
 }
 
+const Item *FairQueue::next(base::Millis now, const Flow &flow) const
+{
+    for (const Rank &it : flow.waiting) {
+        const Item &item = m_items.at(it.id).item;
+        if (item.deadline > now) {
+            return &item;
+        }
+    }
+    return nullptr;
+}
+
 std::vector<Item> FairQueue::expire(base::Millis now)
 {
     std::vector<Item> expired;
--- a/src/bamboomoor/admission/fairqueue.hpp
+++ b/src/bamboomoor/admission/fairqueue.hpp
@@ -157,6 +157,8 @@
         std::uint64_t arrival = 0;
     };
 
+    // The first item that is not past its deadline, or null.
+    [[nodiscard]] const Item *next(base::Millis now, const Flow &flow) const;
     void remove(std::uint64_t id);
 
     FairQueueOptions m_options;
