Reserve a lacking need on top of the usual reserve

Cause: a ceiling raised for a large need reserved just that much, so smaller needs used part of it before the large one was asked for again, until the request's patience ended. A lost lease was ruled out by a trace of the asks.

--- a/src/bamboomoor/budget/ceiling.cpp
+++ b/src/bamboomoor/budget/ceiling.cpp
@@ -77,7 +77,7 @@
         }
         const Tokens free = std::max<Tokens>(spare(m_now, account), 0);
         const Tokens usual = usualReserve(account.bucket->limit());
-        const Tokens reserve = std::min(std::max(usual, account.lacking), free);
+        const Tokens reserve = std::min(usual + account.lacking, free);
         account.recorded = free - reserve;
         account.proposed = true;
         account.lacking = 0;
