Set the drift of clocks in thousandths for both sides of the budget

Cause: the margin of 100 ms on a lease of 1,000 ms became a drift of 100 per thousand, and the buckets refilled 10 % slower than the rate; the holders assumed 10 per thousand. One setting, 10 by default, serves both.

--- a/src/bamboomoor/daemon/voter.cpp
+++ b/src/bamboomoor/daemon/voter.cpp
@@ -13,8 +13,6 @@
 namespace
 {
 
-constexpr std::int64_t PERMILLE = 1'000;
-
 control::VoterOptions voterOptions(const settings::Settings &settings, std::uint64_t seed)
 {
     control::VoterOptions options;
@@ -37,8 +35,7 @@
     budget::AuthorityOptions options;
     options.lease = settings.budget.grantLease;
     options.authorityLease = settings.budget.reserve;
-    options.driftPermille = std::max<std::int64_t>(
-        1, settings.budget.driftMargin.count * PERMILLE / std::max<std::int64_t>(1, settings.budget.grantLease.count));
+    options.driftPermille = settings.budget.driftPermille;
     return options;
 }
 
--- a/src/bamboomoor/entry/desk.cpp
+++ b/src/bamboomoor/entry/desk.cpp
@@ -54,6 +54,7 @@
     budget::HolderOptions holder;
     holder.name = options.vm;
     holder.incarnation = options.incarnation;
+    holder.driftPermille = options.driftPermille;
     return holder;
 }
 
--- a/src/bamboomoor/entry/desk.hpp
+++ b/src/bamboomoor/entry/desk.hpp
@@ -44,6 +44,7 @@
     std::size_t ringSize = 65'536;
     std::size_t queueLimit = 10'000;
     std::uint64_t engineDepth = 16;
+    std::int64_t driftPermille = 10;
     base::Millis progressTimeout{10'000};
     std::uint64_t seed = 1;
 };
--- a/src/bamboomoor/settings/settings.cpp
+++ b/src/bamboomoor/settings/settings.cpp
@@ -24,6 +24,7 @@
 constexpr std::int64_t MAX_COUNT = 1'000'000;
 constexpr std::int64_t MAX_THREADS = 1'024;
 constexpr std::int64_t MAX_BODY_BYTES = 1'073'741'824;
+constexpr std::int64_t MAX_DRIFT_PERMILLE = 100;
 constexpr std::int64_t MIN_FRESHNESS_MS = 100;
 // A change of configuration must be in force everywhere within 3 seconds.
 constexpr std::int64_t MAX_FRESHNESS_MS = 2'500;
@@ -71,7 +72,7 @@
 void readBudget(TableReader &in, BudgetSettings &out)
 {
     readSpan(in, "grant_lease_ms", out.grantLease);
-    readSpan(in, "drift_margin_ms", out.driftMargin);
+    readCount(in, "drift_permille", out.driftPermille, {1, MAX_DRIFT_PERMILLE});
     readSpan(in, "reserve_ms", out.reserve);
 }
 
--- a/src/bamboomoor/settings/settings.hpp
+++ b/src/bamboomoor/settings/settings.hpp
@@ -66,11 +66,11 @@
 /** @brief Section [budget]: grants of tokens from the authority to entries. */
 struct BudgetSettings {
     // How long an entry may spend from a grant, by its own clock.
-    base::Millis grantLease{1'000};
-    // How much the authority waits beyond a lease for clocks that run apart.
-    base::Millis driftMargin{100};
-    // How far ahead the authority reserves tokens in the replicated log.
-    base::Millis reserve{2'000};
+    base::Millis grantLease{2'000};
+    // The most by which any clock runs fast or slow, in thousandths; the budgets refill slower by as much.
+    std::int64_t driftPermille = 10;
+    // How long a committed ceiling lets the authority grant.
+    base::Millis reserve{3'000};
 
     friend bool operator==(const BudgetSettings &, const BudgetSettings &) = default;
 };
