--- a/src/bamboomoor/entry/admit.cpp
+++ b/src/bamboomoor/entry/admit.cpp
@@ -50,7 +50,7 @@
     request.set_command(attempt.payload);
     m_context.peers.find(voter)->call(
         request, CLAIM_CALL_TIMEOUT, [this, voter, attempt](const std::optional<peer::wire::ProposeReply> &reply) {
-            ClaimReplied event{attempt, std::nullopt};
+            ClaimReplied event{attempt, std::nullopt, false};
             if (reply && !reply->leader().empty()) {
                 m_context.leader.learn(reply->leader());
             } else if (!reply || reply->verdict() == peer::wire::NOT_LEADER) {
@@ -58,6 +58,7 @@
             }
             if (reply && reply->verdict() == peer::wire::APPLIED) {
                 const auto outcome = state::decodeOutcome(reply->outcome());
+                event.applied = outcome.has_value();
                 if (outcome && std::holds_alternative<state::ClaimOutcome>(outcome.value())) {
                     event.outcome = std::get<state::ClaimOutcome>(outcome.value());
                 }
@@ -66,6 +67,13 @@
         });
 }
 
+void Desk::abandonEarlier()
+{
+    // Whether an earlier process of this daemon had its open requests run will never be told by it.
+    const state::AbandonClaims command{m_options.vm, m_options.incarnation - 1};
+    proposeClaim({0, state::encode(command), base::NEVER});
+}
+
 void Desk::retryClaims(base::Millis now)
 {
     std::vector<ClaimTry> due;
@@ -83,7 +91,7 @@
 void Desk::on(ClaimReplied &event)
 {
     const base::Millis now = m_context.clock.now();
-    if (!event.outcome && now < event.sent.deadline) {
+    if (!event.applied && now < event.sent.deadline) {
         m_claimRetries.push_back({now + CLAIM_RETRY_DELAY, std::move(event.sent)});
         return;
     }
--- a/src/bamboomoor/entry/desk.cpp
+++ b/src/bamboomoor/entry/desk.cpp
@@ -109,7 +109,8 @@
     if (!m_ring.push(Arrived{std::move(request), responder})) {
         --m_inProgress;
         m_context.metrics.refused(admission::REFUSAL_NAMES.name(admission::Refusal::Overloaded));
-        responder->respond(errorResponse({admission::Refusal::Overloaded, "the entry is overloaded", admission::Ran::No}));
+        responder->respond(
+            errorResponse({admission::Refusal::Overloaded, "the entry is overloaded", admission::Ran::No}));
     }
 }
 
@@ -120,6 +121,7 @@
 
 void Desk::run()
 {
+    abandonEarlier();
     while (!m_stopping) {
         const base::Millis now = m_context.clock.now();
         auto event = m_ring.pop(std::max(m_nextTick - now, base::Millis{0}));
@@ -343,8 +345,8 @@
     }
 }
 
-void Desk::refuse(Exchange &exchange, admission::Refusal refusal, const std::string &message,
-    admission::Ran ran, base::Millis retryAfter)
+void Desk::refuse(Exchange &exchange, admission::Refusal refusal, const std::string &message, admission::Ran ran,
+    base::Millis retryAfter)
 {
     m_context.metrics.refused(admission::REFUSAL_NAMES.name(refusal));
     http::Response response = errorResponse({refusal, message, ran}, retryAfter);
@@ -357,8 +359,7 @@
     finish(exchange);
 }
 
-void Desk::endWithError(
-    Exchange &exchange, admission::Refusal refusal, const std::string &message, admission::Ran ran)
+void Desk::endWithError(Exchange &exchange, admission::Refusal refusal, const std::string &message, admission::Ran ran)
 {
     if (exchange.phase == Phase::Queued) {
         m_queues.at(exchange.resolved.target).cancel(exchange.id);
--- a/src/bamboomoor/entry/desk.hpp
+++ b/src/bamboomoor/entry/desk.hpp
@@ -155,8 +155,10 @@
     };
     struct ClaimReplied {
         ClaimTry sent;
-        // Nothing when it is not known what became of the command.
+        // Nothing when it is not known what became of the command, and for commands about many claims.
         std::optional<state::ClaimOutcome> outcome;
+        // True when the command was applied.
+        bool applied = false;
     };
     struct ClaimRetry {
         base::Millis at;
@@ -190,6 +192,7 @@
     void releaseClaim(Exchange &exchange, bool mayHaveRun);
     void storeAnswer(Exchange &exchange, http::Response answer);
     void proposeClaim(ClaimTry attempt);
+    void abandonEarlier();
     void retryClaims(base::Millis now);
     void opened(Exchange &exchange, const state::ClaimOutcome &outcome);
     void admit(Exchange &exchange);
@@ -220,8 +223,7 @@
     void failAttempt(Exchange &exchange, routing::FailureKind failure);
     void giveUp(Exchange &exchange, routing::Decision decision, const std::string &message);
     void cancelAttempt(Exchange &exchange);
-    void endWithError(
-        Exchange &exchange, admission::Refusal refusal, const std::string &message, admission::Ran ran);
+    void endWithError(Exchange &exchange, admission::Refusal refusal, const std::string &message, admission::Ran ran);
     [[nodiscard]] std::optional<routing::FailureKind> judgeAnswer(Exchange &exchange) const;
 
     DeskOptions m_options;
