--- a/src/bamboomoor/entry/desk.cpp
+++ b/src/bamboomoor/entry/desk.cpp
@@ -122,6 +122,7 @@
 
 void Desk::run()
 {
+    abandonEarlier();
     while (!m_stopping) {
         const base::Millis now = m_context.clock.now();
         auto event = m_ring.pop(std::max(m_nextTick - now, base::Millis{0}));
--- a/src/bamboomoor/entry/desk.hpp
+++ b/src/bamboomoor/entry/desk.hpp
@@ -155,8 +155,10 @@
     };
     struct ClaimReplied {
         ClaimTry sent;
-        // Nothing when it is not known what became of the command.
+        // Nothing when it is not known what became of the command, and for commands about many claims.
         std::optional<state::ClaimOutcome> outcome;
+        // True when the command was applied.
+        bool applied = false;
     };
     struct ClaimRetry {
         base::Millis at;
@@ -190,6 +192,7 @@
     void releaseClaim(Exchange &exchange, bool mayHaveRun);
     void storeAnswer(Exchange &exchange, http::Response answer);
     void proposeClaim(ClaimTry attempt);
+    void abandonEarlier();
     void retryClaims(base::Millis now);
     void opened(Exchange &exchange, const state::ClaimOutcome &outcome);
     void admit(Exchange &exchange);
