Wait for the next budget authority instead of refusing for the rate

Cause: a holder gave a waiting request up after 1 s, which an election can take, and the refusal said rate_exceeded although no authority had answered. Conclusion: waiting requests outlast an election, and a refusal while the authority is silent says overloaded.

--- a/src/bamboomoor/entry/admit.cpp
+++ b/src/bamboomoor/entry/admit.cpp
@@ -20,6 +20,8 @@
 constexpr base::Millis CLAIM_CALL_TIMEOUT{1'000};
 constexpr base::Millis CLAIM_RETRY_DELAY{50};
 constexpr base::Millis ASK_TIMEOUT{500};
+// Without an answer for this time a refusal says nothing about the rate.
+constexpr base::Millis BUDGET_SILENCE{1'000};
 
 std::string digestOf(const http::Request &request)
 {
@@ -221,6 +223,10 @@
     }
     m_byReservation.erase(exchange.reservation);
     exchange.reservation = 0;
+    if (m_context.clock.now() - m_budgetHeardAt > BUDGET_SILENCE) {
+        refuse(exchange, admission::Refusal::Overloaded, "the budget's authority does not answer");
+        return;
+    }
     const bool never = admission.retryAfter == base::NEVER;
     refuse(exchange, admission::Refusal::RateExceeded,
         never ? "the request may cost more tokens than the organisation's burst" : "the organisation's rate is used up",
@@ -240,6 +246,7 @@
 
 void Desk::on(BudgetReplied &event)
 {
+    m_budgetHeardAt = m_context.clock.now();
     decidedAll(m_holder.onReply(m_context.clock.now(), event.reply));
 }
 
--- a/src/bamboomoor/entry/desk.cpp
+++ b/src/bamboomoor/entry/desk.cpp
@@ -18,6 +18,8 @@
 
 constexpr base::Millis BUSY_TICK{5};
 constexpr base::Millis IDLE_TICK{50};
+// Longer than the election of another authority.
+constexpr base::Millis BUDGET_PATIENCE{4'000};
 constexpr std::size_t MAX_EVENTS_PER_PUMP = 256;
 constexpr std::string_view BEARER = "Bearer ";
 
@@ -55,6 +57,7 @@
     holder.name = options.vm;
     holder.incarnation = options.incarnation;
     holder.driftPermille = options.driftPermille;
+    holder.patience = BUDGET_PATIENCE;
     return holder;
 }
 
--- a/src/bamboomoor/entry/desk.hpp
+++ b/src/bamboomoor/entry/desk.hpp
@@ -245,6 +245,8 @@
     std::map<Target, admission::FairQueue> m_queues;
     std::size_t m_queued = 0;
     std::vector<ClaimRetry> m_claimRetries;
+    // When the budget's authority answered last.
+    base::Millis m_budgetHeardAt;
     base::Millis m_nextTick;
 
     mutable absl::Mutex m_mutex;
