Bound the reserve of a budget by a quarter of its burst

Cause: after a leader's death its follower counts the last reserve as spent until the old grants have ended. A reserve of one second of the rate was the whole burst of an organisation whose burst is one second of its rate, so that the follower refused everything of it for some seconds, as system_budget found (retry after 1 ms in each refusal, the authority answering at once). Ruled out: the holder's patience (raised before, same refusals); a silent authority (it had answered 0 ms before each refusal). The 1,000 cases of each budget property pass. Conclusion: a following authority has three quarters of each burst.

--- a/src/bamboomoor/budget/ceiling.cpp
+++ b/src/bamboomoor/budget/ceiling.cpp
@@ -15,12 +15,16 @@
 {
 // A reserve is at least the burst divided by this.
 constexpr Tokens RESERVE_DIVISOR = 16;
+// A reserve is at most the burst divided by this, as a following authority counts it as spent for a while.
+constexpr Tokens EXPOSURE_DIVISOR = 4;
 // A record that lags by more than the burst divided by this is renewed.
 constexpr Tokens LAG_DIVISOR = 8;
 
 Tokens usualReserve(const Limit &limit)
 {
-    return std::min(std::max(limit.burst / RESERVE_DIVISOR, limit.rate), limit.burst);
+    const Tokens least = limit.burst / RESERVE_DIVISOR;
+    const Tokens most = limit.burst / EXPOSURE_DIVISOR;
+    return std::clamp<Tokens>(limit.rate, std::max<Tokens>(least, 1), std::max<Tokens>(most, 1));
 }
 } // namespace
 
