Test that a running stream ends when its key is withdrawn

Before: no check. Seen failing with the desk's check of running streams taken out: the stream went on to [DONE].

--- a/test/system/once.sh
+++ b/test/system/once.sh
@@ -50,7 +50,13 @@
 [ "$runs" = 1 ] || fail "the amendment ran $runs times"
 say "five sends of one amendment ran once"
 
+chat 3 key-zenith clause ',"stream":true,"max_tokens":8000' >"$FLEET_DIR/stream" &
+stream_pid=$!
+eventually 30 grep -q content "$FLEET_DIR/stream" || fail "the long stream does not begin"
 operate 1 key withdraw zenith main --author demo || fail "key withdraw"
+wait "$stream_pid" || fail "the stream was cut instead of ended"
+[ "$(code_of "$(grep '^data: ' "$FLEET_DIR/stream" | tail -n 1 | cut -c7-)")" = key_withdrawn ] \
+    || fail "a stream goes on under a withdrawn key: $(tail -c 200 "$FLEET_DIR/stream")"
 withdrawn() {
     [ "$(code_of "$(curl -s -m 5 -H 'Authorization: Bearer key-zenith' "http://$(entry "$1")/registry/x")")" = invalid_key ]
 }
