Write a step of the core by the store's own call

Cause: the voter's thread repeated LogStore::persist step by step, which the store's tests cover and the copy was not; and an attempt kept a flag that nothing read. Behaviour is the same.

--- a/src/bamboomoor/control/voterdesk.cpp
+++ b/src/bamboomoor/control/voterdesk.cpp
@@ -251,15 +251,7 @@
 
 storage::Result<void> VoterDesk::write(const consensus::Persist &persist)
 {
-    if (persist.hardState) {
-        BOOST_OUTCOME_TRY(m_store->saveHardState(*persist.hardState));
-    }
-    if (persist.snapshot) {
-        BOOST_OUTCOME_TRY(m_store->saveSnapshot(*persist.snapshot));
-    }
-    if (!persist.entries.empty()) {
-        BOOST_OUTCOME_TRY(m_store->append(persist.entries));
-    }
+    BOOST_OUTCOME_TRY(m_store->persist(persist));
     return m_store->sync();
 }
 
--- a/src/bamboomoor/entry/exchange.hpp
+++ b/src/bamboomoor/entry/exchange.hpp
@@ -40,7 +40,6 @@
     std::string body;
     http::SseParser parser = http::SseParser();
     bool sawDone = false;
-    bool sawByte = false;
 };
 
 /** @brief A request in progress. */
