--- a/src/bamboomoor/base/clock.hpp
+++ b/src/bamboomoor/base/clock.hpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
+#include <ctime>
 
 namespace bamboomoor::base
 {
@@ -72,8 +73,12 @@
 public:
     [[nodiscard]] Millis now() const noexcept override
     {
-        const auto since = std::chrono::steady_clock::now().time_since_epoch();
-        return {std::chrono::duration_cast<std::chrono::milliseconds>(since).count()};
+        // Counts the time of a suspended VM too, in which the leases of others go on.
+        timespec since{};
+        clock_gettime(CLOCK_BOOTTIME, &since);
+        constexpr std::int64_t MILLIS_PER_SECOND = 1'000;
+        constexpr std::int64_t NANOS_PER_MILLI = 1'000'000;
+        return {since.tv_sec * MILLIS_PER_SECOND + since.tv_nsec / NANOS_PER_MILLI};
     }
 };
 
--- a/src/bamboomoor/config/check.cpp
+++ b/src/bamboomoor/config/check.cpp
@@ -82,6 +82,43 @@
     return std::nullopt;
 }
 
+Problem checkShares(const Document &document, const Relay &relay, std::size_t n)
+{
+    std::int64_t weights = 0;
+    for (const Share &share : relay.shares) {
+        weights += share.weight;
+        if (findService(document, share.service) == nullptr) {
+            return ConfigError{.place = placeOf("relay", n, "share"),
+                .message = "\"" + share.service + "\" is not the name of a [[service]]"};
+        }
+    }
+    if (weights > 0) {
+        return std::nullopt;
+    }
+    return ConfigError{.place = placeOf("relay", n, "share"), .message = "the weights must add up to more than 0"};
+}
+
+Problem checkRelays(const Document &document)
+{
+    std::set<std::string_view> services;
+    for (std::size_t n = 0; n < document.services.size(); ++n) {
+        if (!services.insert(document.services[n].name).second) {
+            return duplicate(placeOf("service", n, "name"), document.services[n].name, "services");
+        }
+    }
+    std::set<std::pair<std::string_view, std::string_view>> places;
+    for (std::size_t n = 0; n < document.relays.size(); ++n) {
+        const Relay &it = document.relays[n];
+        if (!places.emplace(it.host, it.prefix).second) {
+            return duplicate(placeOf("relay", n, "prefix"), it.host + it.prefix, "relays");
+        }
+        if (auto problem = checkShares(document, it, n); problem.has_value()) {
+            return problem;
+        }
+    }
+    return std::nullopt;
+}
+
 Problem checkModels(const Document &document)
 {
     std::set<std::string_view> names;
@@ -184,7 +221,7 @@
 
 std::optional<ConfigError> check(const Document &document)
 {
-    for (auto *part : {checkOrganisations, checkRoutes, checkModels, checkVersions, checkMemory}) {
+    for (auto *part : {checkOrganisations, checkRoutes, checkRelays, checkModels, checkVersions, checkMemory}) {
         if (auto problem = part(document); problem.has_value()) {
             return problem;
         }
--- a/src/bamboomoor/config/diff.cpp
+++ b/src/bamboomoor/config/diff.cpp
@@ -79,6 +79,12 @@
     addParts(out, document, &Document::routes, [](const Route &it) {
         return "route " + it.prefix;
     });
+    addParts(out, document, &Document::relays, [](const Relay &it) {
+        return "relay " + it.name;
+    });
+    addParts(out, document, &Document::services, [](const Service &it) {
+        return "service " + it.name;
+    });
     addParts(out, document, &Document::models, [](const Model &it) {
         return "model " + it.name;
     });
--- a/src/bamboomoor/config/document.hpp
+++ b/src/bamboomoor/config/document.hpp
@@ -5,8 +5,10 @@
 #pragma once
 
 #include "bamboomoor/base/clock.hpp"
+#include "bamboomoor/base/nametable.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +35,12 @@
     std::int64_t rate = 1;
     // Tokens that may be spent at once across the fleet, at least 1.
     std::int64_t burst = 1;
+    // True when rate and burst do not bind it.
+    bool unlimited = false;
+    // Rank of its requests, 0 first; goes before the rank of the route. Nothing leaves the route's.
+    std::optional<std::int64_t> priority = {};
+    // What a relayed request costs that does not tell its tokens.
+    std::int64_t plainTokens = 1;
     std::vector<Key> keys;
 
     friend bool operator==(const Organisation &, const Organisation &) = default;
@@ -56,6 +64,87 @@
     friend bool operator==(const Route &, const Route &) = default;
 };
 
+/** @brief What of a relayed request may be repeated. */
+enum class Repeat {
+    // It may run more than once.
+    Idempotent,
+    // It runs at most once.
+    AtMostOnce,
+    // A stream of events, which runs at most once unless its route is resumable.
+    Stream
+};
+
+/** @brief The names of Repeat. */
+inline constexpr auto REPEAT_NAMES = base::makeNames<Repeat>("idempotent", "at_most_once", "stream");
+
+/** @brief A part of a relay route's requests. */
+struct Share {
+    // The name of a Service.
+    std::string service;
+    // Requests of this share for each one of a share of weight 1.
+    std::int64_t weight = 1;
+
+    friend bool operator==(const Share &, const Share &) = default;
+};
+
+/** @brief A host and path prefix whose requests are relayed to services as they are. */
+struct Relay {
+    std::string name;
+    // The Host header in lower case, without port; with the prefix unique.
+    std::string host;
+    // Starts and ends with a slash; the longest one that begins a path wins.
+    std::string prefix;
+    Repeat repeat = Repeat::AtMostOnce;
+    // True when a stream may go on at another upstream after its last event.
+    bool resumable = false;
+    // The longest time that a caller is kept waiting.
+    base::Millis timeout{30'000};
+    // The latency objective: to the answer, or to the first event of a stream.
+    base::Millis objective{1'000};
+    // The longest pause between two events; 0 for none.
+    base::Millis pauseObjective;
+    // The most upstreams that one request is sent to.
+    std::int64_t attempts = 1;
+    // Rank of its requests, 0 first.
+    std::int64_t priority = 0;
+    // True when callers need no key.
+    bool open = false;
+    // True when requests of one session are best served by one upstream.
+    bool sticky = false;
+    // At least one weight is above 0.
+    std::vector<Share> shares;
+
+    friend bool operator==(const Relay &, const Relay &) = default;
+};
+
+/** @brief The engine behind a service of model workers. */
+struct Engine {
+    // Requests that one worker runs at once.
+    std::int64_t slots = 1;
+    // Tokens that one worker keeps in memory.
+    std::int64_t cacheTokens = 0;
+    // Accelerator memory of one worker for models and adapters, in MiB.
+    std::int64_t memoryMib = 0;
+    // Adapters that one worker holds.
+    std::int64_t adapterPlaces = 0;
+    // Loads from the weight store that may begin, over all workers, in thousandths a second.
+    std::int64_t loadsPerSecondMilli = 0;
+
+    friend bool operator==(const Engine &, const Engine &) = default;
+};
+
+/** @brief A service that requests are relayed to. */
+struct Service {
+    // Unique among the services.
+    std::string name;
+    // Connections that one upstream accepts from all callers together.
+    std::int64_t maxConnections = 0;
+    // Held for a service of model workers.
+    std::optional<Engine> engine;
+
+    friend bool operator==(const Service &, const Service &) = default;
+};
+
 /** @brief A language model. */
 struct Model {
     // Unique among models and adapters, as callers ask for both by name.
@@ -70,6 +159,14 @@
     std::int64_t tokensPerSecond = 0;
     // Requests that one replica serves at once, a hint for placement; 0 when not known.
     std::int64_t concurrency = 0;
+    // The service whose workers hold it; empty for engines that take requests by the product's own interface.
+    std::string service = {};
+    // Adapters named a1, a2 and so on that belong to it without an entry of their own.
+    std::int64_t numberedAdapters = 0;
+    // Accelerator memory of one of these, in MiB.
+    std::int64_t adapterMemoryMib = 0;
+    // Time of a load from the weight store.
+    base::Millis loadTime = {};
 
     friend bool operator==(const Model &, const Model &) = default;
 };
@@ -116,6 +213,12 @@
     std::int64_t defaultTokens = 1'024;
     // The longest time that a request waits in a queue.
     base::Millis queueDeadline{30'000};
+    // The longest head and body of a relayed request.
+    std::int64_t maxHeaderBytes = 16'384;
+    std::int64_t maxBodyBytes = 4'194'304;
+    // How long the head of a relayed request may take, and how long a caller's connection may be idle.
+    base::Millis headerTimeout{10'000};
+    base::Millis idleTimeout{60'000};
 
     friend bool operator==(const Limits &, const Limits &) = default;
 };
@@ -125,6 +228,8 @@
     Limits limits;
     std::vector<Organisation> organisations;
     std::vector<Route> routes;
+    std::vector<Relay> relays;
+    std::vector<Service> services;
     std::vector<Model> models;
     std::vector<Adapter> adapters;
     std::vector<Version> versions;
--- a/src/bamboomoor/config/lookup.cpp
+++ b/src/bamboomoor/config/lookup.cpp
@@ -46,6 +46,11 @@
     return findNamed(document.organisations, name);
 }
 
+const Service *findService(const Document &document, std::string_view name) noexcept
+{
+    return findNamed(document.services, name);
+}
+
 const Model *findModel(const Document &document, std::string_view name) noexcept
 {
     return findNamed(document.models, name);
--- a/src/bamboomoor/config/lookup.hpp
+++ b/src/bamboomoor/config/lookup.hpp
@@ -28,6 +28,14 @@
  */
 [[nodiscard]] const Organisation *findOrganisation(const Document &document, std::string_view name) noexcept;
 
+/**
+ * @brief Finds a service.
+ * @param document The document.
+ * @param name Its name.
+ * @return The service, or null.
+ */
+[[nodiscard]] const Service *findService(const Document &document, std::string_view name) noexcept;
+
 /**
  * @brief Finds a model.
  * @param document The document.
--- a/src/bamboomoor/config/parse.cpp
+++ b/src/bamboomoor/config/parse.cpp
@@ -22,10 +22,13 @@
 constexpr std::int64_t MAX_COUNT = 1'000'000;
 constexpr std::int64_t MAX_REPLICAS = 10'000;
 constexpr std::int64_t MAX_SPAN_MS = 2'592'000'000;
+constexpr std::int64_t NO_PRIORITY = -1;
 constexpr Range TOKENS{1, MAX_TOKENS};
 constexpr Range HINT{0, MAX_TOKENS};
 constexpr Range MEMORY{1, MAX_MEMORY_MIB};
 constexpr Range SPAN{1, MAX_SPAN_MS};
+constexpr Range COUNT{1, MAX_COUNT};
+constexpr Range RANK{0, MAX_COUNT};
 
 Limits readLimits(TableReader &in)
 {
@@ -33,6 +36,10 @@
     out.maxTokens = in.number("max_tokens", out.maxTokens, TOKENS);
     out.defaultTokens = in.number("default_tokens", out.defaultTokens, TOKENS);
     out.queueDeadline.count = in.number("queue_deadline_ms", out.queueDeadline.count, SPAN);
+    out.maxHeaderBytes = in.number("max_header_bytes", out.maxHeaderBytes, COUNT);
+    out.maxBodyBytes = in.number("max_body_bytes", out.maxBodyBytes, MEMORY);
+    out.headerTimeout.count = in.number("header_timeout_ms", out.headerTimeout.count, SPAN);
+    out.idleTimeout.count = in.number("idle_timeout_ms", out.idleTimeout.count, SPAN);
     if (out.defaultTokens > out.maxTokens) {
         in.fail("default_tokens", "must be at most max_tokens");
     }
@@ -45,6 +52,10 @@
     out.name = in.text("name", Form::Name);
     out.rate = in.number("rate", TOKENS);
     out.burst = in.number("burst", TOKENS);
+    out.unlimited = in.flag("unlimited", out.unlimited);
+    const std::int64_t priority = in.number("priority", NO_PRIORITY, {NO_PRIORITY, MAX_COUNT});
+    out.priority = priority == NO_PRIORITY ? std::nullopt : std::optional(priority);
+    out.plainTokens = in.number("plain_tokens", out.plainTokens, TOKENS);
     in.tables("key", [&out](TableReader &row) {
         std::string id = row.text("id", Form::Name);
         std::string hash = row.text("hash", Form::Sha256);
@@ -73,6 +84,52 @@
     return out;
 }
 
+Relay readRelay(TableReader &in)
+{
+    Relay out;
+    out.name = in.text("name", Form::Filled);
+    out.host = in.text("host", Form::Filled);
+    out.prefix = in.text("prefix", Form::Filled);
+    if (!out.prefix.starts_with('/') || !out.prefix.ends_with('/')) {
+        in.fail("prefix", "must start and end with a slash");
+    }
+    const auto repeat = REPEAT_NAMES.find(in.text("repeat", Form::Filled));
+    if (!repeat) {
+        in.fail("repeat", "must be one of " + REPEAT_NAMES.list());
+    }
+    out.repeat = repeat.value_or(out.repeat);
+    out.resumable = in.flag("resumable", out.resumable);
+    out.timeout.count = in.number("timeout_ms", out.timeout.count, SPAN);
+    out.objective.count = in.number("objective_ms", out.objective.count, SPAN);
+    out.pauseObjective.count = in.number("pause_objective_ms", out.pauseObjective.count, {0, MAX_SPAN_MS});
+    out.attempts = in.number("attempts", out.attempts, COUNT);
+    out.priority = in.number("priority", out.priority, RANK);
+    out.open = in.flag("open", out.open);
+    out.sticky = in.flag("sticky", out.sticky);
+    in.tables("share", [&out](TableReader &row) {
+        std::string service = row.text("service", Form::Filled);
+        out.shares.push_back({.service = std::move(service), .weight = row.number("weight", 1, RANK)});
+    });
+    return out;
+}
+
+Service readService(TableReader &in)
+{
+    Service out;
+    out.name = in.text("name", Form::Filled);
+    out.maxConnections = in.number("max_connections", out.maxConnections, RANK);
+    in.tables("engine", [&out](TableReader &row) {
+        Engine engine;
+        engine.slots = row.number("slots", COUNT);
+        engine.cacheTokens = row.number("cache_tokens", HINT);
+        engine.memoryMib = row.number("memory_mib", MEMORY);
+        engine.adapterPlaces = row.number("adapter_places", RANK);
+        engine.loadsPerSecondMilli = row.number("loads_per_second_milli", HINT);
+        out.engine = engine;
+    });
+    return out;
+}
+
 Model readModel(TableReader &in)
 {
     Model out;
@@ -82,6 +139,10 @@
     out.resident = in.flag("resident", out.resident);
     out.tokensPerSecond = in.number("tokens_per_second", out.tokensPerSecond, HINT);
     out.concurrency = in.number("concurrency", out.concurrency, {0, MAX_COUNT});
+    out.service = in.optionalText("service", Form::Filled).value_or("");
+    out.numberedAdapters = in.number("numbered_adapters", out.numberedAdapters, RANK);
+    out.adapterMemoryMib = in.number("adapter_memory_mib", out.adapterMemoryMib, {0, MAX_MEMORY_MIB});
+    out.loadTime.count = in.number("load_ms", out.loadTime.count, {0, MAX_SPAN_MS});
     return out;
 }
 
@@ -137,6 +198,8 @@
     });
     readParts(in, "organisation", out.organisations, readOrganisation);
     readParts(in, "route", out.routes, readRoute);
+    readParts(in, "relay", out.relays, readRelay);
+    readParts(in, "service", out.services, readService);
     readParts(in, "model", out.models, readModel);
     readParts(in, "adapter", out.adapters, readAdapter);
     readParts(in, "version", out.versions, readVersion);
--- a/src/bamboomoor/config/print.cpp
+++ b/src/bamboomoor/config/print.cpp
@@ -77,6 +77,11 @@
     out.text("name", it.name);
     out.number("rate", it.rate);
     out.number("burst", it.burst);
+    out.flag("unlimited", it.unlimited);
+    if (it.priority) {
+        out.number("priority", *it.priority);
+    }
+    out.number("plain_tokens", it.plainTokens);
     for (const Key &key : it.keys) {
         out.table("[[organisation.key]]");
         out.text("id", key.id);
@@ -97,6 +102,43 @@
     out.number("tokens", it.tokens);
 }
 
+void printRelay(Printer &out, const Relay &it)
+{
+    out.table("[[relay]]");
+    out.text("name", it.name);
+    out.text("host", it.host);
+    out.text("prefix", it.prefix);
+    out.text("repeat", REPEAT_NAMES.name(it.repeat));
+    out.flag("resumable", it.resumable);
+    out.number("timeout_ms", it.timeout.count);
+    out.number("objective_ms", it.objective.count);
+    out.number("pause_objective_ms", it.pauseObjective.count);
+    out.number("attempts", it.attempts);
+    out.number("priority", it.priority);
+    out.flag("open", it.open);
+    out.flag("sticky", it.sticky);
+    for (const Share &share : it.shares) {
+        out.table("[[relay.share]]");
+        out.text("service", share.service);
+        out.number("weight", share.weight);
+    }
+}
+
+void printService(Printer &out, const Service &it)
+{
+    out.table("[[service]]");
+    out.text("name", it.name);
+    out.number("max_connections", it.maxConnections);
+    if (it.engine) {
+        out.table("[[service.engine]]");
+        out.number("slots", it.engine->slots);
+        out.number("cache_tokens", it.engine->cacheTokens);
+        out.number("memory_mib", it.engine->memoryMib);
+        out.number("adapter_places", it.engine->adapterPlaces);
+        out.number("loads_per_second_milli", it.engine->loadsPerSecondMilli);
+    }
+}
+
 void printModel(Printer &out, const Model &it)
 {
     out.table("[[model]]");
@@ -106,6 +148,12 @@
     out.flag("resident", it.resident);
     out.number("tokens_per_second", it.tokensPerSecond);
     out.number("concurrency", it.concurrency);
+    if (!it.service.empty()) {
+        out.text("service", it.service);
+        out.number("numbered_adapters", it.numberedAdapters);
+        out.number("adapter_memory_mib", it.adapterMemoryMib);
+        out.number("load_ms", it.loadTime.count);
+    }
 }
 
 void printAdapter(Printer &out, const Adapter &it)
@@ -142,12 +190,22 @@
     out.number("max_tokens", document.limits.maxTokens);
     out.number("default_tokens", document.limits.defaultTokens);
     out.number("queue_deadline_ms", document.limits.queueDeadline.count);
+    out.number("max_header_bytes", document.limits.maxHeaderBytes);
+    out.number("max_body_bytes", document.limits.maxBodyBytes);
+    out.number("header_timeout_ms", document.limits.headerTimeout.count);
+    out.number("idle_timeout_ms", document.limits.idleTimeout.count);
     for (const auto &it : document.organisations) {
         printOrganisation(out, it);
     }
     for (const auto &it : document.routes) {
         printRoute(out, it);
     }
+    for (const auto &it : document.relays) {
+        printRelay(out, it);
+    }
+    for (const auto &it : document.services) {
+        printService(out, it);
+    }
     for (const auto &it : document.models) {
         printModel(out, it);
     }
--- /dev/null
+++ b/src/bamboomoor/consensus/groupplan.cpp
@@ -0,0 +1,145 @@
+/**
+ * The plan of a group's membership.
+ */
+#include "bamboomoor/consensus/groupplan.hpp"
+
+#include <algorithm>
+
+namespace bamboomoor::consensus
+{
+
+namespace
+{
+
+bool contains(const std::vector<VoterId> &ids, const VoterId &id)
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+std::size_t majorityOf(std::size_t voters) noexcept
+{
+    return voters / 2 + 1;
+}
+
+} // namespace
+
+void GroupPlan::ask(base::Millis now, const VoterId &id)
+{
+    m_candidates[id] = now;
+}
+
+std::optional<GroupChange> GroupPlan::next(base::Millis now, const GroupView &view)
+{
+    std::erase_if(m_candidates, [&](const auto &it) {
+        return now - it.second > m_options.candidacy;
+    });
+    if (auto change = removeVoter(now, view)) {
+        return change;
+    }
+    if (auto change = promote(now, view)) {
+        return change;
+    }
+    if (auto change = addLearner(now, view)) {
+        return change;
+    }
+    return removeLearner(now, view);
+}
+
+bool GroupPlan::isSuperseded(const GroupView &view, const VoterId &id) const
+{
+    const std::string address = addressIn(id);
+    const auto replaces = [&](const VoterId &other) {
+        return other != id && addressIn(other) == address;
+    };
+    const auto &learners = view.membership.learners;
+    return !address.empty() && id != view.self
+        && (std::any_of(learners.begin(), learners.end(), replaces)
+            || std::any_of(m_candidates.begin(), m_candidates.end(), [&](const auto &it) {
+                   return replaces(it.first);
+               }));
+}
+
+bool GroupPlan::isHeard(base::Millis now, const GroupView &view, const VoterId &id, base::Millis limit) const
+{
+    const auto it = view.heardAt.find(id);
+    const bool heard = it != view.heardAt.end() && now - it->second <= limit;
+    return id == view.self || (heard && !isSuperseded(view, id));
+}
+
+std::size_t GroupPlan::heardVoters(base::Millis now, const GroupView &view) const
+{
+    const auto &voters = view.membership.voters;
+    return static_cast<std::size_t>(std::count_if(voters.begin(), voters.end(), [&](const VoterId &it) {
+        return isHeard(now, view, it, m_options.silence);
+    }));
+}
+
+bool GroupPlan::hasRoom(base::Millis now, const GroupView &view) const
+{
+    const auto &voters = view.membership.voters;
+    return voters.size() < m_options.size || std::any_of(voters.begin(), voters.end(), [&](const VoterId &it) {
+        return !isHeard(now, view, it, m_options.silence);
+    });
+}
+
+std::optional<GroupChange> GroupPlan::removeVoter(base::Millis now, const GroupView &view) const
+{
+    const auto &voters = view.membership.voters;
+    if (voters.size() <= m_options.size || heardVoters(now, view) < majorityOf(voters.size() - 1)) {
+        return std::nullopt;
+    }
+    const VoterId *longestSilent = nullptr;
+    base::Millis heardAt = base::NEVER;
+    for (const VoterId &it : voters) {
+        const auto heard = view.heardAt.find(it);
+        if (!isHeard(now, view, it, m_options.silence) && heard != view.heardAt.end() && heard->second < heardAt) {
+            longestSilent = &it;
+            heardAt = heard->second;
+        }
+    }
+    if (longestSilent == nullptr) {
+        return std::nullopt;
+    }
+    return GroupChange{ChangeKind::Remove, *longestSilent};
+}
+
+std::optional<GroupChange> GroupPlan::promote(base::Millis now, const GroupView &view) const
+{
+    const std::size_t votersAfter = view.membership.voters.size() + 1;
+    // At most one voter above the size: the member that is replaced goes before the next one comes.
+    if (votersAfter > m_options.size + 1 || heardVoters(now, view) + 1 < majorityOf(votersAfter)
+        || !hasRoom(now, view)) {
+        return std::nullopt;
+    }
+    for (const VoterId &it : view.membership.learners) {
+        if (isHeard(now, view, it, m_options.silence)) {
+            return GroupChange{ChangeKind::Promote, it};
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<GroupChange> GroupPlan::addLearner(base::Millis now, const GroupView &view) const
+{
+    if (!hasRoom(now, view)) {
+        return std::nullopt;
+    }
+    for (const auto &[id, askedAt] : m_candidates) {
+        if (!contains(view.membership.voters, id) && !contains(view.membership.learners, id)) {
+            return GroupChange{ChangeKind::AddLearner, id};
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<GroupChange> GroupPlan::removeLearner(base::Millis now, const GroupView &view) const
+{
+    for (const VoterId &it : view.membership.learners) {
+        if (!isHeard(now, view, it, m_options.learnerSilence)) {
+            return GroupChange{ChangeKind::Remove, it};
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace bamboomoor::consensus
--- a/src/bamboomoor/consensus/membership.cpp
+++ b/src/bamboomoor/consensus/membership.cpp
@@ -111,6 +111,17 @@
     }
 }
 
+std::map<VoterId, base::Millis> Node::heardAt() const
+{
+    std::map<VoterId, base::Millis> heard;
+    if (m_role == Role::Leader) {
+        for (const auto &[id, progress] : m_progress) {
+            heard.emplace(id, progress.heardAt);
+        }
+    }
+    return heard;
+}
+
 const Membership &Node::membershipAt(std::uint64_t index) const
 {
     const auto it = m_memberships.upper_bound(index);
--- a/src/bamboomoor/consensus/node.hpp
+++ b/src/bamboomoor/consensus/node.hpp
@@ -127,6 +127,12 @@
      */
     [[nodiscard]] std::optional<base::Millis> confirmedAt() const noexcept;
 
+    /**
+     * @brief Tells when this leader heard each other member last.
+     * @return Points of time by member; empty when this member does not lead.
+     */
+    [[nodiscard]] std::map<VoterId, base::Millis> heardAt() const;
+
 private:
     struct PendingPersist {
         std::uint64_t sequence = 0;
--- a/src/bamboomoor/consensus/types.hpp
+++ b/src/bamboomoor/consensus/types.hpp
@@ -17,6 +17,20 @@
 /** @brief The identity of one member of the group; not empty, without line feeds, never used for a second disk. */
 using VoterId = std::string;
 
+// Parts an identity from the address at which its disk is served, in ids such as "4f1c@10.0.0.1:7600".
+inline constexpr char ADDRESS_MARK = '@';
+
+/**
+ * @brief Reads the address out of a member's id.
+ * @param id The id.
+ * @return "IP:PORT", or an empty text when the id holds none.
+ */
+[[nodiscard]] inline std::string addressIn(const VoterId &id)
+{
+    const std::size_t mark = id.find(ADDRESS_MARK);
+    return mark == VoterId::npos ? std::string() : id.substr(mark + 1);
+}
+
 /** @brief What an entry of the log means. */
 enum class EntryKind { Noop, Command, Voters };
 
--- a/src/bamboomoor/control/freshendesk.cpp
+++ b/src/bamboomoor/control/freshendesk.cpp
@@ -76,6 +76,8 @@
         peer::wire::FreshenReply reply = describe(*outcome.machine, !known);
         reply.set_leader(outcome.leader);
         reply.set_term(outcome.term);
+        const std::vector<std::string> voters = m_voter.status().voters;
+        reply.mutable_voters()->Add(voters.begin(), voters.end());
         if (!known) {
             answer(std::move(reply));
             return;
--- a/src/bamboomoor/control/placementdesk.hpp
+++ b/src/bamboomoor/control/placementdesk.hpp
@@ -6,6 +6,7 @@
 
 #include "bamboomoor/base/clock.hpp"
 #include "bamboomoor/base/ring.hpp"
+#include "bamboomoor/control/demandtaker.hpp"
 #include "bamboomoor/control/voterdesk.hpp"
 #include "bamboomoor/http/client.hpp"
 #include "bamboomoor/membership/registry.hpp"
@@ -39,7 +40,7 @@
 };
 
 /** @brief Runs the planner at the leader. */
-class PlacementDesk final : public VoterWatcher
+class PlacementDesk final : public VoterWatcher, public DemandTaker
 {
 public:
     /**
@@ -62,12 +63,7 @@
     /** @brief Ends the thread. */
     void stop();
 
-    /**
-     * @brief Takes an entry's report of demand and drains.
-     * @param request The report.
-     * @param answer Takes what is to drain; not served where this voter does not lead.
-     */
-    void report(const peer::wire::DemandReport &request, peer::Answer<peer::wire::DemandReply> answer);
+    void report(const peer::wire::DemandReport &request, peer::Answer<peer::wire::DemandReply> answer) override;
 
     void onLeading(std::uint64_t term, const state::Machine &machine) override;
     void onNotLeading() override;
--- a/src/bamboomoor/control/voterdesk.cpp
+++ b/src/bamboomoor/control/voterdesk.cpp
@@ -30,6 +30,7 @@
     const auto command = state::decode(entry.payload);
     return command.has_value()
         && (std::holds_alternative<state::ApplyConfig>(command.value())
+            || std::holds_alternative<state::ReplaceConfig>(command.value())
             || std::holds_alternative<state::AddKey>(command.value())
             || std::holds_alternative<state::WithdrawKey>(command.value()));
 }
@@ -366,6 +367,7 @@
     status.appliedIndex = m_applied;
     status.voters = m_node->membership().voters;
     status.learners = m_node->membership().learners;
+    status.heardAt = m_node->heardAt();
     status.failed = m_failed;
     const absl::MutexLock lock(&m_mutex);
     m_status = std::move(status);
--- a/src/bamboomoor/control/voterdesk.hpp
+++ b/src/bamboomoor/control/voterdesk.hpp
@@ -63,6 +63,8 @@
     std::uint64_t appliedIndex = 0;
     std::vector<std::string> voters;
     std::vector<std::string> learners;
+    // When this leader heard each other member last; empty when it does not lead.
+    std::map<std::string, base::Millis> heardAt;
     bool failed = false;
 };
 
--- a/src/bamboomoor/daemon/daemon.cpp
+++ b/src/bamboomoor/daemon/daemon.cpp
@@ -88,6 +88,14 @@
     return options;
 }
 
+std::optional<VoterParts> partsOf(Voter *voter)
+{
+    if (voter == nullptr) {
+        return std::nullopt;
+    }
+    return VoterParts{voter->desk(), voter->freshen(), voter->budget(), voter->placement()};
+}
+
 Json describe(const membership::Entry &entry)
 {
     const membership::Announcement &it = entry.announcement;
@@ -115,7 +123,8 @@
     , m_heard(registryOptions(m_settings))
     , m_book(registryOptions(m_settings))
     , m_voter(makeVoter())
-    , m_sync({.vm = m_settings.vm, .voter = m_voter != nullptr}, m_heard, m_book, m_peers, m_clock)
+    , m_sync(
+          {.vm = m_settings.vm, .self = m_settings.vm, .voter = m_voter != nullptr}, m_heard, m_book, m_peers, m_clock)
     , m_desk(deskOptions(m_settings), {m_clock, m_inForce, m_book, m_peers, m_leader, m_client, m_metrics})
     , m_freshness(freshnessOptions(m_settings), m_inForce, m_peers, m_leader, m_clock,
           [this] {
@@ -131,7 +140,8 @@
               m_drainRequested = true;
           })
     , m_front({m_clock, m_inForce, m_heard, m_book, m_sync, m_metrics, m_desk, m_operators})
-    , m_peerService(m_voter.get(), m_book, m_clock, m_clock.now() + m_settings.upstreams.lease * WARMING_LEASES)
+    , m_peerService(
+          partsOf(m_voter.get()), m_book, m_clock, m_clock.now() + m_settings.upstreams.lease * WARMING_LEASES)
     , m_server(m_front, serverOptions(m_settings))
     , m_peerServer(m_peerService)
 {
--- a/src/bamboomoor/daemon/peerservice.cpp
+++ b/src/bamboomoor/daemon/peerservice.cpp
@@ -45,6 +45,10 @@
         record.set_has_document(true);
         record.set_document(*info.text);
     }
+    if (withDocument && info.source) {
+        record.set_has_source(true);
+        record.set_source(*info.source);
+    }
     return record;
 }
 
@@ -78,20 +82,20 @@
 void PeerService::deliver(const peer::wire::Envelope &envelope)
 {
     auto message = control::fromWire(envelope);
-    if (m_voter != nullptr && message) {
-        m_voter->desk().deliver(*std::move(message));
+    if (m_voter && message) {
+        m_voter->desk.deliver(*std::move(message));
     }
 }
 
 void PeerService::propose(const peer::wire::ProposeRequest &request, peer::Answer<peer::wire::ProposeReply> answer)
 {
-    if (m_voter == nullptr) {
+    if (!m_voter) {
         peer::wire::ProposeReply reply;
         reply.set_verdict(peer::wire::NOT_LEADER);
         answer(std::move(reply));
         return;
     }
-    m_voter->desk().propose(
+    m_voter->desk.propose(
         request.command(), std::nullopt, [answer = std::move(answer)](const control::Proposed &verdict) {
             answer(describe(verdict));
         });
@@ -99,20 +103,20 @@
 
 void PeerService::freshen(const peer::wire::FreshenRequest &request, peer::Answer<peer::wire::FreshenReply> answer)
 {
-    if (m_voter == nullptr) {
+    if (!m_voter) {
         answer({});
         return;
     }
-    m_voter->freshen().freshen(request, std::move(answer));
+    m_voter->freshen.freshen(request, std::move(answer));
 }
 
 void PeerService::witness(const peer::wire::WitnessRequest & /*request*/, peer::Answer<peer::wire::WitnessReply> answer)
 {
-    if (m_voter == nullptr) {
+    if (!m_voter) {
         answer({});
         return;
     }
-    m_voter->desk().testify([answer = std::move(answer)](const control::Testimony &testimony) {
+    m_voter->desk.testify([answer = std::move(answer)](const control::Testimony &testimony) {
         peer::wire::WitnessReply reply;
         reply.set_usable(testimony.usable);
         reply.set_version(testimony.version);
@@ -123,37 +127,46 @@
 
 void PeerService::ask(const peer::wire::BudgetAsk &request, peer::Answer<peer::wire::BudgetReply> answer)
 {
-    if (m_voter == nullptr) {
+    if (!m_voter) {
         answer({});
         return;
     }
-    m_voter->budget().ask(request, std::move(answer));
+    m_voter->budget.ask(request, std::move(answer));
 }
 
 void PeerService::syncUpstreams(const peer::wire::UpstreamSync &request, peer::Answer<peer::wire::UpstreamSync> answer)
 {
     const base::Millis now = m_clock.now();
-    answer(entry::answerSync(request, m_book, now, m_voter == nullptr || now < m_warmUntil));
+    answer(entry::answerSync(request, m_book, now, !m_voter || now < m_warmUntil));
 }
 
 void PeerService::history(const peer::wire::HistoryRequest &request, peer::Answer<peer::wire::HistoryReply> answer)
 {
-    if (m_voter == nullptr) {
+    if (!m_voter) {
         answer({});
         return;
     }
-    m_voter->desk().read([version = request.version(), answer = std::move(answer)](const control::ReadOutcome &it) {
+    m_voter->desk.read([version = request.version(), answer = std::move(answer)](const control::ReadOutcome &it) {
         answer(readHistory(it, version));
     });
 }
 
 void PeerService::reportDemand(const peer::wire::DemandReport &request, peer::Answer<peer::wire::DemandReply> answer)
 {
-    if (m_voter == nullptr) {
+    if (!m_voter) {
+        answer({});
+        return;
+    }
+    m_voter->demand.report(request, std::move(answer));
+}
+
+void PeerService::join(const peer::wire::JoinRequest &request, peer::Answer<peer::wire::JoinReply> answer)
+{
+    if (m_group == nullptr) {
         answer({});
         return;
     }
-    m_voter->placement().report(request, std::move(answer));
+    m_group->join(request, std::move(answer));
 }
 
 } // namespace bamboomoor::daemon
--- a/src/bamboomoor/daemon/peerservice.hpp
+++ b/src/bamboomoor/daemon/peerservice.hpp
@@ -3,25 +3,40 @@
  */
 #pragma once
 
-#include "bamboomoor/daemon/voter.hpp"
+#include "bamboomoor/control/budgetdesk.hpp"
+#include "bamboomoor/control/demandtaker.hpp"
+#include "bamboomoor/control/freshendesk.hpp"
+#include "bamboomoor/control/groupdesk.hpp"
+#include "bamboomoor/control/voterdesk.hpp"
 #include "bamboomoor/entry/upstreambook.hpp"
 #include "bamboomoor/peer/server.hpp"
 
+#include <optional>
+
 namespace bamboomoor::daemon
 {
 
+/** @brief The parts of a voter that answer peers. */
+struct VoterParts {
+    control::VoterDesk &desk;
+    control::FreshenDesk &freshen;
+    control::BudgetDesk &budget;
+    control::DemandTaker &demand;
+};
+
 /** @brief The calls of peers; a daemon that is no voter answers that it does not lead. */
 class PeerService final : public peer::Handler
 {
 public:
     /**
      * @brief Makes the service.
-     * @param voter This daemon's voter, or null; outlives the service.
+     * @param voter The parts of this daemon's voter, if it is one; they outlive the service.
      * @param book The upstreams known here; outlives the service.
      * @param clock The time; outlives the service.
      * @param warmUntil Until when upstreams that live may be missing in the book.
      */
-    PeerService(Voter *voter, entry::UpstreamBook &book, const base::Clock &clock, base::Millis warmUntil) noexcept
+    PeerService(std::optional<VoterParts> voter, entry::UpstreamBook &book, const base::Clock &clock,
+        base::Millis warmUntil) noexcept
         : m_voter(voter)
         , m_book(book)
         , m_clock(clock)
@@ -37,9 +52,18 @@
     void syncUpstreams(const peer::wire::UpstreamSync &request, peer::Answer<peer::wire::UpstreamSync> answer) override;
     void history(const peer::wire::HistoryRequest &request, peer::Answer<peer::wire::HistoryReply> answer) override;
     void reportDemand(const peer::wire::DemandReport &request, peer::Answer<peer::wire::DemandReply> answer) override;
+    void join(const peer::wire::JoinRequest &request, peer::Answer<peer::wire::JoinReply> answer) override;
+
+    /** @brief Answers questions for a place from now on. @param group Outlives the service. */
+    void setGroup(control::GroupDesk &group) noexcept
+    {
+        m_group = &group;
+    }
 
 private:
-    Voter *m_voter;
+    std::optional<VoterParts> m_voter;
+    // Null in a group whose voters are in the settings.
+    control::GroupDesk *m_group = nullptr;
     entry::UpstreamBook &m_book;
     const base::Clock &m_clock;
     const base::Millis m_warmUntil;
--- a/src/bamboomoor/entry/demandreport.cpp
+++ b/src/bamboomoor/entry/demandreport.cpp
@@ -9,10 +9,10 @@
 namespace bamboomoor::entry
 {
 
-DemandReport::DemandReport(DemandReportOptions options, Desk &desk, UpstreamBook &book, const control::PeerBook &peers,
-    LeaderHint &leader, const base::Clock &clock)
+DemandReport::DemandReport(DemandReportOptions options, DemandSource &source, UpstreamBook &book,
+    const control::PeerBook &peers, LeaderHint &leader, const base::Clock &clock)
     : m_options(std::move(options))
-    , m_desk(desk)
+    , m_source(source)
     , m_book(book)
     , m_peers(peers)
     , m_leader(leader)
@@ -70,7 +70,7 @@
     report.set_vm(m_options.vm);
     report.set_span_ms((now - m_countedSince).count);
     m_countedSince = now;
-    for (const TargetDemand &it : m_desk.takeDemand()) {
+    for (const TargetDemand &it : m_source.takeDemand()) {
         if (it.target.kind == TargetKind::Generation) {
             auto *demand = report.add_demands();
             demand->set_model(it.target.model);
@@ -81,7 +81,7 @@
         }
     }
     for (const DrainingReplica &it : m_draining) {
-        if (!m_desk.runsAt(it)) {
+        if (!m_source.runsAt(it)) {
             auto *drained = report.add_drained();
             drained->set_upstream(it.upstream);
             drained->set_model(it.model);
--- a/src/bamboomoor/entry/demandreport.hpp
+++ b/src/bamboomoor/entry/demandreport.hpp
@@ -6,8 +6,8 @@
 #include "bamboomoor/base/clock.hpp"
 #include "bamboomoor/base/ring.hpp"
 #include "bamboomoor/control/peerbook.hpp"
-#include "bamboomoor/entry/desk.hpp"
 #include "bamboomoor/entry/leaderhint.hpp"
+#include "bamboomoor/entry/target.hpp"
 #include "bamboomoor/entry/upstreambook.hpp"
 
 #include "peer.pb.h"
@@ -17,10 +17,39 @@
 #include <set>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace bamboomoor::entry
 {
 
+/** @brief What placement needs to know of an entry: the requests for one target since the last report. */
+struct TargetDemand {
+    Target target;
+    std::uint64_t requests = 0;
+    // Requests that wait at present.
+    std::uint64_t queued = 0;
+};
+
+/** @brief Counts the demand of an entry; usable from any thread. */
+class DemandSource
+{
+public:
+    virtual ~DemandSource() = default;
+
+    /**
+     * @brief Reads and resets the demand since the last call.
+     * @return One entry for each target with requests.
+     */
+    [[nodiscard]] virtual std::vector<TargetDemand> takeDemand() = 0;
+
+    /**
+     * @brief Tells whether this entry has requests at a replica, of whichever version.
+     * @param replica The replica.
+     * @return True while an attempt is open.
+     */
+    [[nodiscard]] virtual bool runsAt(const DrainingReplica &replica) const = 0;
+};
+
 /** @brief The settings of the thread. */
 struct DemandReportOptions {
     std::string vm;
@@ -35,13 +64,13 @@
     /**
      * @brief Makes a thread that does not run yet.
      * @param options The settings.
-     * @param desk Counts the demand; outlives the thread.
+     * @param source Counts the demand; outlives the thread.
      * @param book Takes what drains; outlives the thread.
      * @param peers Connections to the voters; outlives the thread.
      * @param leader The guess at the leader; outlives the thread.
      * @param clock The time; outlives the thread.
      */
-    DemandReport(DemandReportOptions options, Desk &desk, UpstreamBook &book, const control::PeerBook &peers,
+    DemandReport(DemandReportOptions options, DemandSource &source, UpstreamBook &book, const control::PeerBook &peers,
         LeaderHint &leader, const base::Clock &clock);
     ~DemandReport();
     DemandReport(const DemandReport &) = delete;
@@ -59,7 +88,7 @@
     void take(const peer::wire::DemandReply &reply);
 
     DemandReportOptions m_options;
-    Desk &m_desk;
+    DemandSource &m_source;
     UpstreamBook &m_book;
     const control::PeerBook &m_peers;
     LeaderHint &m_leader;
--- a/src/bamboomoor/entry/desk.hpp
+++ b/src/bamboomoor/entry/desk.hpp
@@ -10,6 +10,7 @@
 #include "bamboomoor/base/ring.hpp"
 #include "bamboomoor/budget/holder.hpp"
 #include "bamboomoor/control/peerbook.hpp"
+#include "bamboomoor/entry/demandreport.hpp"
 #include "bamboomoor/entry/exchange.hpp"
 #include "bamboomoor/entry/inforce.hpp"
 #include "bamboomoor/entry/leaderhint.hpp"
@@ -49,14 +50,6 @@
     std::uint64_t seed = 1;
 };
 
-/** @brief What placement needs to know of an entry: the requests for one target since the last report. */
-struct TargetDemand {
-    Target target;
-    std::uint64_t requests = 0;
-    // Requests that wait at present.
-    std::uint64_t queued = 0;
-};
-
 /** @brief The threads and books that a Desk works with; all outlive it. */
 struct DeskContext {
     const base::Clock &clock;
@@ -69,7 +62,7 @@
 };
 
 /** @brief Serves callers. */
-class Desk
+class Desk final : public DemandSource
 {
 public:
     /**
@@ -78,7 +71,7 @@
      * @param context What it works with.
      */
     Desk(DeskOptions options, DeskContext context);
-    ~Desk();
+    ~Desk() override;
     Desk(const Desk &) = delete;
     Desk &operator=(const Desk &) = delete;
 
@@ -107,18 +100,8 @@
         return m_inProgress;
     }
 
-    /**
-     * @brief Reads and resets the demand since the last call.
-     * @return One entry for each target with requests.
-     */
-    [[nodiscard]] std::vector<TargetDemand> takeDemand();
-
-    /**
-     * @brief Tells whether this entry has requests at a replica, of whichever version.
-     * @param replica The replica.
-     * @return True while an attempt is open.
-     */
-    [[nodiscard]] bool runsAt(const DrainingReplica &replica) const;
+    [[nodiscard]] std::vector<TargetDemand> takeDemand() override;
+    [[nodiscard]] bool runsAt(const DrainingReplica &replica) const override;
 
 private:
     struct Arrived {
--- a/src/bamboomoor/entry/freshness.cpp
+++ b/src/bamboomoor/entry/freshness.cpp
@@ -39,7 +39,7 @@
     return false;
 }
 
-Freshness::Freshness(FreshnessOptions options, InForce &inForce, const control::PeerBook &peers, LeaderHint &leader,
+Freshness::Freshness(FreshnessOptions options, InForce &inForce, control::PeerBook &peers, LeaderHint &leader,
     const base::Clock &clock, std::function<void()> onChange)
     : m_options(std::move(options))
     , m_inForce(inForce)
@@ -105,6 +105,7 @@
         }
         if (answer->reply && answer->reply->confirmed()) {
             m_leader.learn(answer->reply->leader());
+            learnVoters(*answer->reply);
             return take(*answer->reply, sentAt);
         }
         if (answer->reply && !answer->reply->leader().empty() && answer->reply->leader() != voter) {
@@ -117,6 +118,15 @@
     return false;
 }
 
+void Freshness::learnVoters(const peer::wire::FreshenReply &reply)
+{
+    if (m_options.learnsVoters) {
+        const std::vector<std::string> voters(reply.voters().begin(), reply.voters().end());
+        m_peers.learn(voters);
+        m_leader.learnVoters(voters);
+    }
+}
+
 bool Freshness::take(const peer::wire::FreshenReply &reply, base::Millis sentAt)
 {
     if (reply.has_document()) {
@@ -152,7 +162,8 @@
     const base::Millis sentAt = m_clock.now();
     peer::wire::WitnessRequest request;
     request.set_vm(m_options.vm);
-    for (const std::string &voter : m_peers.names()) {
+    const std::vector<std::string> voters = m_peers.names();
+    for (const std::string &voter : voters) {
         m_peers.find(voter)->call(
             request, m_options.timeout, [this, round, voter](std::optional<peer::wire::WitnessReply> reply) {
                 VoterAnswer answer{round, std::nullopt};
@@ -164,7 +175,7 @@
     }
     std::vector<WitnessAnswer> answers;
     std::size_t replies = 0;
-    while (replies < m_peers.names().size()) {
+    while (replies < voters.size()) {
         auto answer = m_testimonies.pop(m_options.timeout * 2);
         if (!answer) {
             return;
--- a/src/bamboomoor/entry/freshness.hpp
+++ b/src/bamboomoor/entry/freshness.hpp
@@ -32,6 +32,8 @@
     base::Millis timeout{700};
     // The pause after an answer without confirmation.
     base::Millis pause{50};
+    // True in a group that finds itself: the voters are those that the leader names.
+    bool learnsVoters = false;
 };
 
 /** @brief What one voter testified without a leader. */
@@ -62,7 +64,7 @@
      * @param clock The time; outlives the thread.
      * @param onChange Called on the thread after another version was taken.
      */
-    Freshness(FreshnessOptions options, InForce &inForce, const control::PeerBook &peers, LeaderHint &leader,
+    Freshness(FreshnessOptions options, InForce &inForce, control::PeerBook &peers, LeaderHint &leader,
         const base::Clock &clock, std::function<void()> onChange);
     ~Freshness();
     Freshness(const Freshness &) = delete;
@@ -87,12 +89,13 @@
     void run();
     [[nodiscard]] bool askLeader();
     void askVoters();
+    void learnVoters(const peer::wire::FreshenReply &reply);
     [[nodiscard]] bool take(const peer::wire::FreshenReply &reply, base::Millis sentAt);
     void watchLease();
 
     FreshnessOptions m_options;
     InForce &m_inForce;
-    const control::PeerBook &m_peers;
+    control::PeerBook &m_peers;
     LeaderHint &m_leader;
     const base::Clock &m_clock;
     std::function<void()> m_onChange;
--- a/src/bamboomoor/entry/upstreamsync.cpp
+++ b/src/bamboomoor/entry/upstreamsync.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <set>
 #include <utility>
 
 namespace bamboomoor::entry
@@ -28,11 +29,8 @@
     , m_answers(RING_SIZE)
     , m_synced(m_options.voter)
 {
-    for (const std::string &it : peers.names()) {
-        m_voters[it] = {};
-    }
     // Daemons spread their pulls over the voters.
-    const auto &names = peers.names();
+    const auto names = peers.names();
     m_puller = names[std::hash<std::string>()(m_options.vm) % names.size()];
 }
 
@@ -64,7 +62,7 @@
         const base::Millis now = m_clock.now();
         if (now >= next) {
             m_heard.expire(now);
-            m_book.expire(now);
+            m_book.expire(bookTime());
             askAll();
             next = now + m_options.interval;
         }
@@ -74,10 +72,26 @@
     }
 }
 
+void UpstreamSync::followVoters()
+{
+    const std::vector<std::string> names = m_peers.names();
+    const std::set<std::string> present(names.begin(), names.end());
+    std::erase_if(m_voters, [&present](const auto &it) {
+        return !present.contains(it.first);
+    });
+    for (const std::string &it : present) {
+        m_voters.try_emplace(it);
+    }
+    if (!present.contains(m_puller)) {
+        choosePuller(m_puller);
+    }
+}
+
 void UpstreamSync::askAll()
 {
+    followVoters();
     for (auto &[voter, state] : m_voters) {
-        const bool self = voter == m_options.vm;
+        const bool self = voter == m_options.self;
         if (!self && !state.waiting) {
             ask(voter, state, !m_options.voter && voter == m_puller);
         }
@@ -109,7 +123,11 @@
 
 void UpstreamSync::take(Answer answer)
 {
-    VoterState &state = m_voters.at(answer.voter);
+    const auto found = m_voters.find(answer.voter);
+    if (found == m_voters.end()) {
+        return;
+    }
+    VoterState &state = found->second;
     state.waiting = false;
     if (!answer.reply) {
         choosePuller(answer.voter);
@@ -130,9 +148,16 @@
         choosePuller(answer.voter);
     } else {
         m_synced = true;
+        m_pulledAt = answer.sentAt.count;
     }
 }
 
+base::Millis UpstreamSync::bookTime() const noexcept
+{
+    const base::Millis now = m_clock.now();
+    return m_options.keepsWhenCutOff ? std::min(now, base::Millis{m_pulledAt} + m_options.pullGrace) : now;
+}
+
 void UpstreamSync::choosePuller(const std::string &failed)
 {
     if (m_puller != failed) {
--- a/src/bamboomoor/entry/upstreamsync.hpp
+++ b/src/bamboomoor/entry/upstreamsync.hpp
@@ -23,10 +23,16 @@
 /** @brief The settings of the thread. */
 struct UpstreamSyncOptions {
     std::string vm;
+    // This daemon's name among the voters, if it is one.
+    std::string self;
     // True when this daemon is itself a voter: it pulls nothing, as all is pushed to it.
     bool voter = false;
     base::Millis interval{200};
     base::Millis timeout{500};
+    // True when an entry that is cut off from the voters goes on with the upstreams that it knew.
+    bool keepsWhenCutOff = false;
+    // How long after the last pull leases still run out.
+    base::Millis pullGrace{1'000};
 };
 
 /** @brief Spreads upstreams. */
@@ -62,6 +68,12 @@
         return m_synced;
     }
 
+    /**
+     * @brief Tells the time by which leases of the book are to be judged.
+     * @return The present time; for an entry that keeps upstreams when cut off, not much after its last pull.
+     */
+    [[nodiscard]] base::Millis bookTime() const noexcept;
+
 private:
     struct Answer {
         std::string voter;
@@ -80,6 +92,7 @@
 
     void run();
     void askAll();
+    void followVoters();
     void ask(const std::string &voter, VoterState &state, bool pull);
     void take(Answer answer);
     void choosePuller(const std::string &failed);
@@ -93,6 +106,8 @@
     std::thread m_thread;
     std::atomic<bool> m_stopping{false};
     std::atomic<bool> m_synced{false};
+    // When the last whole pull was asked for.
+    std::atomic<std::int64_t> m_pulledAt{0};
     // Used by the thread only.
     std::map<std::string, VoterState> m_voters;
     std::string m_puller;
--- /dev/null
+++ b/src/bamboomoor/gateway/controlapi.cpp
@@ -0,0 +1,153 @@
+/**
+ * The calls of operators and upstreams to a control VM.
+ */
+#include "bamboomoor/gateway/controlapi.hpp"
+
+#include "bamboomoor/config/parse.hpp"
+#include "bamboomoor/peer/channel.hpp"
+#include "bamboomoor/state/command.hpp"
+#include "bamboomoor/state/outcome.hpp"
+
+#include <utility>
+
+namespace bamboomoor::gateway
+{
+
+void ControlApi::handle(http::Request request, std::shared_ptr<http::Responder> responder)
+{
+    ControlCall call = m_context.dialect.read(request);
+    std::visit(
+        [this, &responder](auto &it) {
+            on(it, responder);
+        },
+        call);
+}
+
+void ControlApi::on(BadCall &call, const Responder &responder)
+{
+    m_context.log.write(base::LogLine("call_unreadable").add("reason", call.reason).add("status", call.answer.status));
+    responder->respond(std::move(call.answer));
+}
+
+bool ControlApi::isLed()
+{
+    const std::int64_t now = m_context.clock.now().count;
+    if (!m_context.group.leader().empty()) {
+        m_ledAt = now;
+    }
+    return now - m_ledAt <= m_options.leaderless.count;
+}
+
+void ControlApi::announce(membership::Announcement announcement)
+{
+    const base::Millis now = m_context.clock.now();
+    const std::string id = announcement.id;
+    const auto incarnation = static_cast<std::int64_t>(announcement.incarnation);
+    const auto sequence = static_cast<std::int64_t>(announcement.sequence);
+    m_context.heard.announce(now, announcement);
+    const membership::Verdict verdict = m_context.book.announce(now, std::move(announcement));
+    if (verdict != membership::Verdict::Renewed) {
+        m_context.log.write(base::LogLine("upstream")
+                                .add("verdict", membership::VERDICT_NAMES.name(verdict))
+                                .add("upstream", id)
+                                .add("incarnation", incarnation)
+                                .add("sequence", sequence));
+    }
+}
+
+void ControlApi::on(AnnounceCall &call, const Responder &responder)
+{
+    announce(std::move(call.announcement));
+    responder->respond(isLed() ? m_context.dialect.done() : m_context.dialect.unavailable("no leader is known here"));
+}
+
+void ControlApi::on(const WithdrawCall &call, const Responder &responder)
+{
+    const base::Millis now = m_context.clock.now();
+    for (membership::Entry &it : m_context.book.list(now)) {
+        if (it.announcement.id == call.id) {
+            it.announcement.leaving = true;
+            ++it.announcement.sequence;
+            announce(std::move(it.announcement));
+            break;
+        }
+    }
+    responder->respond(isLed() ? m_context.dialect.done() : m_context.dialect.unavailable("no leader is known here"));
+}
+
+peer::Client *ControlApi::leader() const
+{
+    const std::string name = m_context.group.leader();
+    return name.empty() ? nullptr : m_context.peers.find(name);
+}
+
+void ControlApi::on(const ReplaceCall &call, const Responder &responder)
+{
+    if (const auto problem = config::check(call.document)) {
+        const std::string reason = problem->place + ": " + problem->message;
+        m_context.log.write(base::LogLine("configuration_refused")
+                                .add("version", static_cast<std::int64_t>(call.version))
+                                .add("reason", reason));
+        responder->respond(m_context.dialect.invalid(reason));
+        return;
+    }
+    peer::Client *leader = this->leader();
+    if (leader == nullptr) {
+        responder->respond(m_context.dialect.unavailable("no leader is known here"));
+        return;
+    }
+    state::ReplaceConfig command;
+    command.author = "operator";
+    command.wallMillis = base::wallClock().count;
+    command.version = call.version;
+    command.documentText = config::print(call.document);
+    command.source = call.source;
+    peer::wire::ProposeRequest request;
+    request.set_command(state::encode(command));
+    leader->call(request, m_options.timeout,
+        [this, responder, version = call.version](const std::optional<peer::wire::ProposeReply> &reply) {
+            responder->respond(answerReplace(version, reply));
+        });
+}
+
+http::Response ControlApi::answerReplace(
+    std::uint64_t version, const std::optional<peer::wire::ProposeReply> &reply) const
+{
+    base::LogLine line("configuration_call");
+    line.add("version", static_cast<std::int64_t>(version));
+    if (!reply || reply->verdict() != peer::wire::APPLIED) {
+        m_context.log.write(line.add("outcome", "unknown").add("reason", reply ? reply->reason() : "no_answer"));
+        return m_context.dialect.unavailable("the leader did not confirm the change");
+    }
+    const auto outcome = state::decodeOutcome(reply->outcome());
+    const auto *change = outcome ? std::get_if<state::ChangeOutcome>(&outcome.value()) : nullptr;
+    if (change == nullptr) {
+        m_context.log.write(line.add("outcome", "unreadable"));
+        return m_context.dialect.unavailable("the leader's answer cannot be read");
+    }
+    m_context.log.write(line.add("outcome", state::CHANGE_CODE_NAMES.name(change->code))
+                            .add("in_force", static_cast<std::int64_t>(change->version)));
+    return change->code == state::ChangeCode::Accepted ? m_context.dialect.done()
+                                                       : m_context.dialect.invalid(change->message);
+}
+
+void ControlApi::on(const ReadCall & /*call*/, const Responder &responder)
+{
+    peer::Client *leader = this->leader();
+    if (leader == nullptr) {
+        responder->respond(m_context.dialect.unavailable("no leader is known here"));
+        return;
+    }
+    peer::wire::HistoryRequest request;
+    request.set_version(peer::VERSION_IN_FORCE);
+    leader->call(request, m_options.timeout, [this, responder](const std::optional<peer::wire::HistoryReply> &reply) {
+        const bool confirmed = reply && reply->confirmed() && !reply->records().empty();
+        if (!confirmed || !reply->records(0).has_source()) {
+            responder->respond(m_context.dialect.unavailable("no quorum confirms a configuration"));
+            return;
+        }
+        responder->respond(m_context.dialect.document(reply->records(0).source()));
+    });
+}
+
+} // namespace bamboomoor::gateway
--- /dev/null
+++ b/src/bamboomoor/gateway/controldaemon.hpp
@@ -0,0 +1,74 @@
+/**
+ * A daemon on a control VM of an infrastructure: a member of the control group, which finds itself from seeds, and the
+ * calls of operators and upstreams.
+ */
+#pragma once
+
+#include "bamboomoor/base/eventlog.hpp"
+#include "bamboomoor/control/budgetdesk.hpp"
+#include "bamboomoor/control/freshendesk.hpp"
+#include "bamboomoor/control/groupdesk.hpp"
+#include "bamboomoor/control/peerbook.hpp"
+#include "bamboomoor/control/voterdesk.hpp"
+#include "bamboomoor/daemon/peerservice.hpp"
+#include "bamboomoor/entry/upstreambook.hpp"
+#include "bamboomoor/entry/upstreamsync.hpp"
+#include "bamboomoor/gateway/controlapi.hpp"
+#include "bamboomoor/gateway/dialect.hpp"
+#include "bamboomoor/gateway/process.hpp"
+#include "bamboomoor/gateway/residencydesk.hpp"
+#include "bamboomoor/http/client.hpp"
+#include "bamboomoor/http/server.hpp"
+#include "bamboomoor/peer/server.hpp"
+#include "bamboomoor/settings/settings.hpp"
+
+#include <atomic>
+#include <string>
+
+namespace bamboomoor::gateway
+{
+
+/** @brief Owns every part of a control VM's daemon. */
+class ControlDaemon final : public Process
+{
+public:
+    /**
+     * @brief Makes a daemon that does not run yet.
+     * @param settings The settings, with seeds and a data folder.
+     * @param identity The identity of the data folder.
+     * @param dialects Translate to the infrastructure; outlive the daemon.
+     * @param log Takes its lines; outlives the daemon.
+     */
+    ControlDaemon(settings::Settings settings, std::string identity, const Dialects &dialects, base::EventLog &log);
+    ~ControlDaemon() override;
+    ControlDaemon(const ControlDaemon &) = delete;
+    ControlDaemon &operator=(const ControlDaemon &) = delete;
+
+    [[nodiscard]] base::Result<void, std::string> start() override;
+    bool drain() override;
+    void stop() override;
+    void reload(const settings::Settings &settings) override;
+
+private:
+    settings::Settings m_settings;
+    const std::string m_identity;
+    base::EventLog &m_log;
+    base::SteadyClock m_clock;
+    std::atomic<bool> m_stopped{false};
+    control::PeerBook m_peers;
+    entry::UpstreamBook m_heard;
+    entry::UpstreamBook m_book;
+    http::Client m_client;
+    control::VoterDesk m_voter;
+    control::FreshenDesk m_freshen;
+    control::BudgetDesk m_budget;
+    ResidencyDesk m_residency;
+    control::GroupDesk m_group;
+    entry::UpstreamSync m_sync;
+    ControlApi m_api;
+    daemon::PeerService m_peerService;
+    http::Server m_server;
+    peer::Server m_peerServer;
+};
+
+} // namespace bamboomoor::gateway
--- /dev/null
+++ b/src/bamboomoor/gateway/entrydaemon.cpp
@@ -0,0 +1,188 @@
+/**
+ * A daemon on an entry VM of an infrastructure.
+ */
+#include "bamboomoor/gateway/entrydaemon.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <thread>
+#include <utility>
+
+namespace bamboomoor::gateway
+{
+
+namespace
+{
+
+constexpr base::Millis DRAIN_POLL{50};
+// The budget's holder: between two reports, and the longest wait of a request for tokens.
+constexpr base::Millis BUDGET_REPORT{60};
+constexpr base::Millis BUDGET_PATIENCE{600};
+
+std::uint64_t incarnation()
+{
+    static const auto number = static_cast<std::uint64_t>(base::wallClock().count);
+    return number;
+}
+
+std::vector<control::VoterAddress> seedAddresses(const settings::Settings &settings)
+{
+    std::vector<control::VoterAddress> addresses;
+    for (const std::string &it : seedNames(settings)) {
+        addresses.push_back({it, control::addressIn(it)});
+    }
+    return addresses;
+}
+
+membership::RegistryOptions registryOptions(const settings::Settings &settings)
+{
+    membership::RegistryOptions options;
+    options.lease = settings.upstreams.lease;
+    options.epoch = incarnation();
+    return options;
+}
+
+entry::UpstreamSyncOptions syncOptions(const settings::Settings &settings)
+{
+    entry::UpstreamSyncOptions options;
+    options.vm = settings.vm;
+    options.keepsWhenCutOff = settings.relay.servesWhenCutOff;
+    return options;
+}
+
+RunnerOptions runnerOptions(const settings::Settings &settings)
+{
+    RunnerOptions options;
+    options.core.fleet.dataCentre = settings.dataCentre;
+    options.core.fleet.seed = std::hash<std::string>()(settings.vm) ^ incarnation();
+    options.core.retries.permille = settings.relay.retryPermille;
+    options.core.retries.window = settings.relay.retryWindow;
+    options.core.budget.name = settings.vm;
+    options.core.budget.incarnation = incarnation();
+    options.core.budget.driftPermille = settings.budget.driftPermille;
+    options.core.budget.report = BUDGET_REPORT;
+    options.core.budget.patience = BUDGET_PATIENCE;
+    return options;
+}
+
+entry::FreshnessOptions freshnessOptions(const settings::Settings &settings)
+{
+    entry::FreshnessOptions options;
+    options.vm = settings.vm;
+    options.lease = settings.control.freshnessLease;
+    options.learnsVoters = true;
+    return options;
+}
+
+http::ServerOptions serverOptions(const settings::Settings &settings)
+{
+    http::ServerOptions options;
+    options.maxBodyBytes = static_cast<std::size_t>(settings.entry.maxBodyBytes);
+    options.threads = static_cast<unsigned>(settings.entry.threads);
+    options.maxConnections = MAX_CALLERS;
+    return options;
+}
+
+} // namespace
+
+EntryDaemon::EntryDaemon(settings::Settings settings, const Dialects &dialects, base::EventLog &log)
+    : m_settings(std::move(settings))
+    , m_log(log)
+    , m_peers(seedAddresses(m_settings))
+    , m_leader(m_peers.names())
+    , m_heard(registryOptions(m_settings))
+    , m_book(registryOptions(m_settings))
+    , m_sync(syncOptions(m_settings), m_heard, m_book, m_peers, m_clock)
+    , m_runner(runnerOptions(m_settings),
+          {m_clock, m_inForce, m_book, m_sync, m_peers, m_leader, m_client, *dialects.callers, *dialects.upstreams,
+              m_metrics, m_log})
+    , m_freshness(freshnessOptions(m_settings), m_inForce, m_peers, m_leader, m_clock,
+          [this] {
+              m_runner.configurationChanged();
+          })
+    , m_demand({.vm = m_settings.vm}, m_runner, m_book, m_peers, m_leader, m_clock)
+    , m_readiness(
+          [this] {
+              return unready();
+          },
+          [this] {
+              return m_metrics.text();
+          })
+    , m_server(m_runner, serverOptions(m_settings))
+    , m_readinessServer(m_readiness, controlServerOptions())
+{
+    m_leader.setSeeds(m_peers.names());
+}
+
+EntryDaemon::~EntryDaemon()
+{
+    stop();
+}
+
+base::Result<void, std::string> EntryDaemon::start()
+{
+    m_sync.start();
+    m_runner.start();
+    m_freshness.start();
+    m_demand.start();
+    const auto readiness = m_readinessServer.start(m_settings.readinessListen);
+    if (!readiness) {
+        return base::failure("readiness_listen: " + readiness.error().message);
+    }
+    const auto address = m_server.start(m_settings.listen);
+    if (!address) {
+        return base::failure("listen: " + address.error().message);
+    }
+    m_log.write(base::LogLine("started").add("role", "entry").add("vm", m_settings.vm).add("listen", address.value()));
+    return base::success();
+}
+
+std::string_view EntryDaemon::unready() const
+{
+    if (m_draining) {
+        return "draining";
+    }
+    if (!m_inForce.current()) {
+        return "not_configured";
+    }
+    return m_sync.synced() ? "" : "upstreams_unknown";
+}
+
+void EntryDaemon::reload(const settings::Settings &settings)
+{
+    m_leader.setSeeds(seedNames(settings));
+}
+
+bool EntryDaemon::drain()
+{
+    m_log.write(base::LogLine("draining").add("open", static_cast<std::int64_t>(m_runner.inProgress())));
+    const base::Millis limit = m_clock.now() + m_settings.entry.drainLimit;
+    m_draining = true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(m_settings.entry.drainNotice.count));
+    m_server.quiesce();
+    while (m_runner.inProgress() > 0 && m_clock.now() < limit) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(DRAIN_POLL.count));
+    }
+    const bool whole = m_server.stop(std::max(limit - m_clock.now(), base::Millis{0}));
+    m_log.write(base::LogLine("drained").add("whole", whole ? 1 : 0));
+    return whole;
+}
+
+void EntryDaemon::stop()
+{
+    if (m_stopped.exchange(true)) {
+        return;
+    }
+    m_demand.stop();
+    m_freshness.stop();
+    m_runner.stop();
+    m_server.stop({0});
+    m_readinessServer.stop({0});
+    m_sync.stop();
+    m_client.stop();
+    m_peers.stop();
+    m_log.write(base::LogLine("stopped").add("role", "entry").add("vm", m_settings.vm));
+}
+
+} // namespace bamboomoor::gateway
--- /dev/null
+++ b/src/bamboomoor/gateway/entrydaemon.hpp
@@ -0,0 +1,73 @@
+/**
+ * A daemon on an entry VM of an infrastructure: it relays callers' requests and has no disk.
+ */
+#pragma once
+
+#include "bamboomoor/base/eventlog.hpp"
+#include "bamboomoor/control/peerbook.hpp"
+#include "bamboomoor/entry/demandreport.hpp"
+#include "bamboomoor/entry/freshness.hpp"
+#include "bamboomoor/entry/upstreambook.hpp"
+#include "bamboomoor/entry/upstreamsync.hpp"
+#include "bamboomoor/gateway/dialect.hpp"
+#include "bamboomoor/gateway/process.hpp"
+#include "bamboomoor/gateway/readiness.hpp"
+#include "bamboomoor/gateway/relaymetrics.hpp"
+#include "bamboomoor/gateway/runner.hpp"
+#include "bamboomoor/http/client.hpp"
+#include "bamboomoor/http/server.hpp"
+#include "bamboomoor/settings/settings.hpp"
+
+#include <atomic>
+#include <string>
+#include <string_view>
+
+namespace bamboomoor::gateway
+{
+
+/** @brief Owns every part of an entry. */
+class EntryDaemon final : public Process
+{
+public:
+    /**
+     * @brief Makes a daemon that does not run yet.
+     * @param settings The settings.
+     * @param dialects Translate to the infrastructure; outlive the daemon.
+     * @param log Takes its lines; outlives the daemon.
+     */
+    EntryDaemon(settings::Settings settings, const Dialects &dialects, base::EventLog &log);
+    ~EntryDaemon() override;
+    EntryDaemon(const EntryDaemon &) = delete;
+    EntryDaemon &operator=(const EntryDaemon &) = delete;
+
+    [[nodiscard]] base::Result<void, std::string> start() override;
+    bool drain() override;
+    void stop() override;
+    void reload(const settings::Settings &settings) override;
+
+private:
+    [[nodiscard]] std::string_view unready() const;
+
+    settings::Settings m_settings;
+    base::EventLog &m_log;
+    base::SteadyClock m_clock;
+    std::atomic<bool> m_draining{false};
+    std::atomic<bool> m_stopped{false};
+    control::PeerBook m_peers;
+    entry::LeaderHint m_leader;
+    entry::InForce m_inForce;
+    // Stays empty, as upstreams announce themselves to control VMs.
+    entry::UpstreamBook m_heard;
+    entry::UpstreamBook m_book;
+    RelayMetrics m_metrics;
+    http::Client m_client;
+    entry::UpstreamSync m_sync;
+    Runner m_runner;
+    entry::Freshness m_freshness;
+    entry::DemandReport m_demand;
+    Readiness m_readiness;
+    http::Server m_server;
+    http::Server m_readinessServer;
+};
+
+} // namespace bamboomoor::gateway
--- /dev/null
+++ b/src/bamboomoor/gateway/fwd.hpp
@@ -0,0 +1,17 @@
+/**
+ * Forward declarations of the gateway module.
+ */
+#pragma once
+
+namespace bamboomoor::gateway
+{
+class CallerDialect;
+class ControlApi;
+class ControlDaemon;
+class ControlDialect;
+class EntryDaemon;
+class RelayMetrics;
+class Runner;
+class UpstreamDialect;
+struct Dialects;
+} // namespace bamboomoor::gateway
--- /dev/null
+++ b/src/bamboomoor/gateway/process.hpp
@@ -0,0 +1,61 @@
+/**
+ * The life of a process of an infrastructure: settings, signals, reload, and the graceful end.
+ */
+#pragma once
+
+#include "bamboomoor/base/outcome.hpp"
+#include "bamboomoor/gateway/dialect.hpp"
+#include "bamboomoor/http/server.hpp"
+#include "bamboomoor/settings/settings.hpp"
+
+#include <string>
+#include <vector>
+
+namespace bamboomoor::gateway
+{
+
+/** @brief A daemon as its process sees it. */
+class Process
+{
+public:
+    virtual ~Process() = default;
+
+    /** @brief Starts all threads and listens. @return Nothing, or one line that says what failed. */
+    [[nodiscard]] virtual base::Result<void, std::string> start() = 0;
+
+    /** @brief Finishes what is in progress and takes nothing new. @return True when nothing was cut. */
+    virtual bool drain() = 0;
+
+    /** @brief Ends all threads. */
+    virtual void stop() = 0;
+
+    /** @brief Takes changed settings, as far as they can change while it runs. @param settings The settings. */
+    virtual void reload(const settings::Settings &settings) = 0;
+};
+
+// Callers' connections of an entry; the rest of its descriptors is for upstreams, peers and files.
+inline constexpr unsigned MAX_CALLERS = 2'500;
+
+/**
+ * @brief Names the seeds of the settings.
+ * @param settings The settings.
+ * @return Names without an identity, which hold the peer addresses of the seeds.
+ */
+[[nodiscard]] std::vector<std::string> seedNames(const settings::Settings &settings);
+
+/**
+ * @brief Makes the bounds of a server for operators, upstreams or the balancer.
+ * @return The bounds.
+ */
+[[nodiscard]] http::ServerOptions controlServerOptions();
+
+/**
+ * @brief Runs `bamboomoor entry` or `bamboomoor control` until SIGTERM or SIGINT.
+ * @param argc Number of arguments, the command's name included.
+ * @param argv The arguments.
+ * @param dialects Translate to the infrastructure.
+ * @return 0 after a drain that cut nothing, 1 after a failure, 2 for wrong usage.
+ */
+[[nodiscard]] int runProcess(int argc, const char **argv, const Dialects &dialects);
+
+} // namespace bamboomoor::gateway
--- /dev/null
+++ b/src/bamboomoor/gateway/relaymetrics.cpp
@@ -0,0 +1,78 @@
+/**
+ * The counters and histograms of relayed requests.
+ */
+#include "bamboomoor/gateway/relaymetrics.hpp"
+
+#include <prometheus/text_serializer.h>
+
+namespace bamboomoor::gateway
+{
+
+namespace
+{
+
+constexpr double MILLIS_PER_SECOND = 1'000.0;
+
+prometheus::Histogram &histogram(prometheus::Registry &registry, const char *name, const char *help)
+{
+    const prometheus::Histogram::BucketBoundaries bounds{
+        0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 3.0, 5.0, 10.0, 20.0};
+    return prometheus::BuildHistogram().Name(name).Help(help).Register(registry).Add({}, bounds);
+}
+
+prometheus::Gauge &gauge(prometheus::Registry &registry, const char *name, const char *help)
+{
+    return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+} // namespace
+
+RelayMetrics::RelayMetrics()
+    : m_steps(prometheus::BuildCounter()
+                  .Name("bamboomoor_relay_decisions_total")
+                  .Help("Decisions about relayed requests, by step and reason")
+                  .Register(m_registry))
+    , m_dropped(prometheus::BuildCounter()
+                    .Name("bamboomoor_relay_events_dropped_total")
+                    .Help("Events that did not fit the ring of the relay's thread")
+                    .Register(m_registry)
+                    .Add({}))
+    , m_firstEvent(histogram(m_registry, "bamboomoor_relay_first_event_seconds", "From arrival to the first event"))
+    , m_answer(histogram(m_registry, "bamboomoor_relay_answer_seconds", "From arrival to the end of the answer"))
+    , m_refusal(histogram(m_registry, "bamboomoor_relay_refusal_seconds", "From arrival to a refusal"))
+    , m_ring(gauge(m_registry, "bamboomoor_relay_ring_events", "Events that wait for the relay's thread"))
+    , m_open(gauge(m_registry, "bamboomoor_relay_open_requests", "Relayed requests in progress"))
+{
+}
+
+void RelayMetrics::count(const relay::Decision &decision)
+{
+    const std::string step(relay::STEP_NAMES.name(decision.step));
+    m_steps.Add({{"step", step}, {"reason", std::string(decision.reason)}}).Increment();
+    const double age = static_cast<double>(decision.age.count) / MILLIS_PER_SECOND;
+    if (decision.step == relay::Step::FirstEvent) {
+        m_firstEvent.Observe(age);
+    } else if (decision.step == relay::Step::Answered) {
+        m_answer.Observe(age);
+    } else if (decision.step == relay::Step::Refused) {
+        m_refusal.Observe(age);
+    }
+}
+
+void RelayMetrics::fill(std::size_t ring, std::size_t open)
+{
+    m_ring.Set(static_cast<double>(ring));
+    m_open.Set(static_cast<double>(open));
+}
+
+void RelayMetrics::dropped()
+{
+    m_dropped.Increment();
+}
+
+std::string RelayMetrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(m_registry.Collect());
+}
+
+} // namespace bamboomoor::gateway
--- /dev/null
+++ b/src/bamboomoor/gateway/runner.cpp
@@ -0,0 +1,361 @@
+/**
+ * The thread that runs the relay's core.
+ */
+#include "bamboomoor/gateway/runner.hpp"
+
+#include "bamboomoor/control/budgetwire.hpp"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace bamboomoor::gateway
+{
+
+namespace
+{
+
+constexpr std::size_t MAX_EVENTS_PER_TURN = 256;
+
+} // namespace
+
+/** @brief Posts what comes of one attempt, on the client's thread. */
+class Runner::AttemptListener final : public http::Listener
+{
+public:
+    AttemptListener(Runner &runner, std::uint64_t attempt, std::string requestId)
+        : m_runner(runner)
+        , m_attempt(attempt)
+        , m_requestId(std::move(requestId))
+    {
+    }
+
+    void onHead(int status, http::Headers headers) override
+    {
+        m_broken = !m_runner.push(
+            Head{m_attempt, m_runner.m_context.dialect.readHead(status, std::move(headers), m_requestId)});
+    }
+
+    void onData(std::string_view bytes) override
+    {
+        m_broken = m_broken || !m_runner.push(Data{m_attempt, std::string(bytes)});
+    }
+
+    void onEnd(http::Ending ending) override
+    {
+        if (m_broken) {
+            ending.kind = http::EndKind::Truncated;
+        }
+        static_cast<void>(m_runner.push(Ended{m_attempt, std::move(ending)}));
+    }
+
+private:
+    Runner &m_runner;
+    const std::uint64_t m_attempt;
+    const std::string m_requestId;
+    // A part of the answer did not fit the ring.
+    bool m_broken = false;
+};
+
+Runner::Runner(RunnerOptions options, RunnerContext context)
+    : m_options(std::move(options))
+    , m_context(context)
+    , m_ring(m_options.ringSize)
+    , m_core(m_options.core, *this)
+{
+}
+
+Runner::~Runner()
+{
+    stop();
+}
+
+void Runner::start()
+{
+    m_thread = std::thread([this] {
+        run();
+    });
+}
+
+void Runner::stop()
+{
+    m_stopping = true;
+    m_ring.close();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+bool Runner::push(Event event)
+{
+    if (m_ring.push(std::move(event))) {
+        return true;
+    }
+    m_context.metrics.dropped();
+    return false;
+}
+
+void Runner::handle(http::Request request, std::shared_ptr<http::Responder> responder)
+{
+    auto read = m_context.callers.read(std::move(request));
+    if (!read) {
+        m_context.log.write(base::LogLine("request_unreadable").add("status", read.error().status));
+        responder->respond(std::move(read.error()));
+        return;
+    }
+    const std::string id = read.value().id;
+    if (!push(Arrived{std::move(read.value()), responder})) {
+        responder->respond(m_context.callers.refusal({relay::Reason::Stopping, true, m_options.core.shortRetry}, id));
+    }
+}
+
+void Runner::configurationChanged()
+{
+    static_cast<void>(push(TableChanged{}));
+}
+
+void Runner::run()
+{
+    while (!m_stopping) {
+        const base::Millis now = m_context.clock.now();
+        const base::Millis due = std::min(m_core.nextDeadline(now), m_nextRefresh);
+        auto event = m_ring.pop(std::max(due - now, base::Millis{0}));
+        for (std::size_t n = 0; event && n < MAX_EVENTS_PER_TURN; ++n) {
+            const base::Millis at = m_context.clock.now();
+            std::visit(
+                [this, at](auto &it) {
+                    on(at, it);
+                },
+                *event);
+            event = n + 1 < MAX_EVENTS_PER_TURN ? m_ring.pop({0}) : std::nullopt;
+        }
+        const base::Millis after = m_context.clock.now();
+        m_core.tick(after);
+        sendAsk(after);
+        if (after >= m_nextRefresh) {
+            m_nextRefresh = after + m_options.refresh;
+            refreshUpstreams();
+            collectDemand();
+            m_context.metrics.fill(m_ring.size(), m_core.inProgress());
+        }
+        m_inProgress = m_core.inProgress();
+    }
+    while (auto event = m_ring.pop({0})) {
+        if (auto *arrived = std::get_if<Arrived>(&*event)) {
+            arrived->responder->respond(m_context.callers.refusal(
+                {relay::Reason::Stopping, true, m_options.core.shortRetry}, arrived->request.id));
+        }
+    }
+    m_core.stop(m_context.clock.now());
+    m_inProgress = 0;
+}
+
+void Runner::on(base::Millis now, Arrived &event)
+{
+    const std::uint64_t exchange = ++m_lastExchange;
+    event.responder->onGone([this, exchange] {
+        static_cast<void>(push(CallerGone{exchange}));
+    });
+    m_callers.emplace(exchange, Caller{std::move(event.responder), event.request.id});
+    m_core.arrive(now, exchange, std::move(event.request));
+}
+
+void Runner::on(base::Millis now, CallerGone &event)
+{
+    m_core.leave(now, event.exchange);
+    m_callers.erase(event.exchange);
+}
+
+void Runner::on(base::Millis now, Head &event)
+{
+    m_core.head(now, event.attempt, std::move(event.head));
+}
+
+void Runner::on(base::Millis now, Data &event)
+{
+    m_core.data(now, event.attempt, event.bytes);
+}
+
+void Runner::on(base::Millis now, Ended &event)
+{
+    if (m_calls.erase(event.attempt) == 0) {
+        return;
+    }
+    relay::AttemptEnd end;
+    end.complete = event.ending.kind == http::EndKind::Complete;
+    end.bytesSent = event.ending.bytesSent;
+    end.how = http::END_KIND_NAMES.name(event.ending.kind);
+    m_core.ended(now, event.attempt, end);
+}
+
+void Runner::on(base::Millis now, BudgetReplied &event)
+{
+    m_core.budgetReplied(now, event.reply);
+}
+
+void Runner::on(base::Millis /*now*/, TableChanged & /*event*/)
+{
+    if (const auto held = m_context.inForce.current()) {
+        const std::shared_ptr<const config::Document> document(held, &held->document);
+        m_core.setTable(std::make_shared<const relay::RouteTable>(held->version, document));
+    }
+}
+
+void Runner::refreshUpstreams()
+{
+    const base::Millis bookTime = m_context.sync.bookTime();
+    std::vector<relay::Worker> workers;
+    for (const membership::Entry &it : m_context.upstreams.list(bookTime)) {
+        const membership::Announcement &announcement = it.announcement;
+        if (announcement.leaving) {
+            continue;
+        }
+        relay::Worker worker;
+        worker.id = announcement.id;
+        worker.address = announcement.address;
+        worker.dataCentre = announcement.dataCentre;
+        worker.service = announcement.service;
+        worker.incarnation = announcement.incarnation;
+        worker.sequence = announcement.sequence;
+        for (const membership::Accelerator &accelerator : announcement.accelerators) {
+            for (const membership::Resident &held : accelerator.resident) {
+                worker.holds.insert(relay::holdingOf(held.model, held.adapter));
+            }
+        }
+        workers.push_back(std::move(worker));
+    }
+    m_core.setWorkers(std::move(workers));
+}
+
+void Runner::collectDemand()
+{
+    auto demand = m_core.takeDemand();
+    const absl::MutexLock lock(&m_mutex);
+    for (relay::HoldingDemand &it : demand) {
+        entry::TargetDemand report;
+        report.target = {entry::TargetKind::Generation, std::move(it.model), std::move(it.adapter), {}, {}};
+        report.requests = it.requests;
+        report.queued = it.missed;
+        m_demand.push_back(std::move(report));
+    }
+}
+
+std::vector<entry::TargetDemand> Runner::takeDemand()
+{
+    const absl::MutexLock lock(&m_mutex);
+    return std::exchange(m_demand, {});
+}
+
+bool Runner::runsAt(const entry::DrainingReplica & /*replica*/) const
+{
+    return false;
+}
+
+void Runner::sendAsk(base::Millis now)
+{
+    const auto ask = m_core.takeAsk(now);
+    if (!ask) {
+        return;
+    }
+    const std::string voter = m_context.leader.get();
+    m_context.peers.find(voter)->call(control::toWire(*ask), m_options.budgetTimeout,
+        [this, voter](const std::optional<peer::wire::BudgetReply> &reply) {
+            if (reply && reply->served()) {
+                static_cast<void>(push(BudgetReplied{control::fromWire(*reply)}));
+            } else if (reply && !reply->leader().empty()) {
+                m_context.leader.learn(reply->leader());
+            } else {
+                m_context.leader.skip(voter);
+            }
+        });
+}
+
+std::shared_ptr<http::Responder> Runner::take(std::uint64_t exchange)
+{
+    auto node = m_callers.extract(exchange);
+    return node.empty() ? nullptr : std::move(node.mapped().responder);
+}
+
+void Runner::respond(std::uint64_t exchange, http::Response response)
+{
+    if (const auto responder = take(exchange)) {
+        responder->respond(std::move(response));
+    }
+}
+
+void Runner::refuse(std::uint64_t exchange, const relay::Refused &refused)
+{
+    auto node = m_callers.extract(exchange);
+    if (!node.empty()) {
+        node.mapped().responder->respond(m_context.callers.refusal(refused, node.mapped().requestId));
+    }
+}
+
+void Runner::begin(std::uint64_t exchange, int status, http::Headers headers)
+{
+    const auto it = m_callers.find(exchange);
+    if (it != m_callers.end()) {
+        it->second.responder->begin(status, std::move(headers));
+    }
+}
+
+bool Runner::write(std::uint64_t exchange, std::string_view bytes)
+{
+    const auto it = m_callers.find(exchange);
+    return it != m_callers.end() && it->second.responder->write(bytes);
+}
+
+void Runner::end(std::uint64_t exchange)
+{
+    if (const auto responder = take(exchange)) {
+        responder->end();
+    }
+}
+
+void Runner::abort(std::uint64_t exchange)
+{
+    if (const auto responder = take(exchange)) {
+        responder->abort();
+    }
+}
+
+void Runner::send(const relay::Attempt &attempt, const relay::Request &request)
+{
+    http::Call call = m_context.dialect.call(attempt, request);
+    call.connectTimeout = std::min(m_options.connectTimeout, attempt.remaining);
+    // The core ends silent attempts by itself.
+    call.totalTimeout = attempt.remaining + m_options.answerGrace;
+    call.firstByteTimeout = call.totalTimeout;
+    call.progressTimeout = call.totalTimeout;
+    m_calls[attempt.id] =
+        m_context.client.start(std::move(call), std::make_shared<AttemptListener>(*this, attempt.id, request.id));
+}
+
+void Runner::cancel(std::uint64_t attempt)
+{
+    const auto it = m_calls.find(attempt);
+    if (it != m_calls.end()) {
+        m_context.client.cancel(it->second);
+        m_calls.erase(it);
+    }
+}
+
+void Runner::note(const relay::Decision &decision)
+{
+    m_context.metrics.count(decision);
+    base::LogLine line(relay::STEP_NAMES.name(decision.step));
+    line.add("id", decision.request).add("route", decision.route).add("org", decision.organisation);
+    line.add("reason", decision.reason).add("upstream", decision.upstream);
+    if (decision.attempt != 0) {
+        line.add("attempt", static_cast<std::int64_t>(decision.attempt));
+        line.add("expected_wait_ms", decision.expectedWait);
+    }
+    if (decision.status != 0) {
+        line.add("status", decision.status);
+    }
+    line.add("age_ms", decision.age).add("config", static_cast<std::int64_t>(decision.version));
+    m_context.log.write(line);
+}
+
+} // namespace bamboomoor::gateway
--- /dev/null
+++ b/src/bamboomoor/gateway/runner.hpp
@@ -0,0 +1,168 @@
+/**
+ * The thread that runs the relay's core: it takes callers' requests and upstreams' answers from a ring, and carries
+ * out what the core decides.
+ */
+#pragma once
+
+#include "bamboomoor/base/clock.hpp"
+#include "bamboomoor/base/eventlog.hpp"
+#include "bamboomoor/base/ring.hpp"
+#include "bamboomoor/control/peerbook.hpp"
+#include "bamboomoor/entry/demandreport.hpp"
+#include "bamboomoor/entry/inforce.hpp"
+#include "bamboomoor/entry/leaderhint.hpp"
+#include "bamboomoor/entry/upstreambook.hpp"
+#include "bamboomoor/entry/upstreamsync.hpp"
+#include "bamboomoor/gateway/dialect.hpp"
+#include "bamboomoor/gateway/relaymetrics.hpp"
+#include "bamboomoor/http/client.hpp"
+#include "bamboomoor/http/server.hpp"
+#include "bamboomoor/relay/core.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <thread>
+#include <unordered_map>
+#include <variant>
+
+namespace bamboomoor::gateway
+{
+
+/** @brief The settings of a runner. */
+struct RunnerOptions {
+    relay::CoreOptions core;
+    std::size_t ringSize = 65'536;
+    // Between two looks at the upstreams.
+    base::Millis refresh{200};
+    // The longest wait for a new connection to an upstream.
+    base::Millis connectTimeout{400};
+    // What an upstream gets beyond the time that is left, so that an answer of its own comes first.
+    base::Millis answerGrace{200};
+    // The longest wait for the budget's authority.
+    base::Millis budgetTimeout{400};
+};
+
+/** @brief What a runner works with; all outlives it. */
+struct RunnerContext {
+    const base::Clock &clock;
+    const entry::InForce &inForce;
+    const entry::UpstreamBook &upstreams;
+    const entry::UpstreamSync &sync;
+    const control::PeerBook &peers;
+    entry::LeaderHint &leader;
+    http::Client &client;
+    const CallerDialect &callers;
+    const UpstreamDialect &dialect;
+    RelayMetrics &metrics;
+    base::EventLog &log;
+};
+
+/** @brief Relays requests. */
+class Runner final : public http::Handler, public entry::DemandSource, private relay::Effects
+{
+public:
+    /** @brief Makes a runner that does not run yet. @param options The settings. @param context What it works with. */
+    Runner(RunnerOptions options, RunnerContext context);
+    ~Runner() override;
+    Runner(const Runner &) = delete;
+    Runner &operator=(const Runner &) = delete;
+
+    /** @brief Starts the thread. */
+    void start();
+
+    /** @brief Ends the thread; requests in progress get their final answer. */
+    void stop();
+
+    void handle(http::Request request, std::shared_ptr<http::Responder> responder) override;
+
+    /** @brief Tells that another configuration is in force. */
+    void configurationChanged();
+
+    /** @brief Counts the requests in progress. @return Their number. */
+    [[nodiscard]] std::size_t inProgress() const noexcept
+    {
+        return m_inProgress;
+    }
+
+    [[nodiscard]] std::vector<entry::TargetDemand> takeDemand() override;
+    [[nodiscard]] bool runsAt(const entry::DrainingReplica &replica) const override;
+
+private:
+    struct Arrived {
+        relay::Request request;
+        std::shared_ptr<http::Responder> responder;
+    };
+    struct CallerGone {
+        std::uint64_t exchange = 0;
+    };
+    struct Head {
+        std::uint64_t attempt = 0;
+        relay::AnswerHead head;
+    };
+    struct Data {
+        std::uint64_t attempt = 0;
+        std::string bytes;
+    };
+    struct Ended {
+        std::uint64_t attempt = 0;
+        http::Ending ending;
+    };
+    struct BudgetReplied {
+        budget::Reply reply;
+    };
+    struct TableChanged {
+    };
+    using Event = std::variant<Arrived, CallerGone, Head, Data, Ended, BudgetReplied, TableChanged>;
+    class AttemptListener;
+
+    void run();
+    void on(base::Millis now, Arrived &event);
+    void on(base::Millis now, CallerGone &event);
+    void on(base::Millis now, Head &event);
+    void on(base::Millis now, Data &event);
+    void on(base::Millis now, Ended &event);
+    void on(base::Millis now, BudgetReplied &event);
+    void on(base::Millis now, TableChanged &event);
+    void refreshUpstreams();
+    void collectDemand();
+    void sendAsk(base::Millis now);
+    [[nodiscard]] bool push(Event event);
+
+    void respond(std::uint64_t exchange, http::Response response) override;
+    void refuse(std::uint64_t exchange, const relay::Refused &refused) override;
+    void begin(std::uint64_t exchange, int status, http::Headers headers) override;
+    bool write(std::uint64_t exchange, std::string_view bytes) override;
+    void end(std::uint64_t exchange) override;
+    void abort(std::uint64_t exchange) override;
+    void send(const relay::Attempt &attempt, const relay::Request &request) override;
+    void cancel(std::uint64_t attempt) override;
+    void note(const relay::Decision &decision) override;
+
+    struct Caller {
+        std::shared_ptr<http::Responder> responder;
+        std::string requestId;
+    };
+    [[nodiscard]] std::shared_ptr<http::Responder> take(std::uint64_t exchange);
+
+    RunnerOptions m_options;
+    RunnerContext m_context;
+    base::Ring<Event> m_ring;
+    std::thread m_thread;
+    std::atomic<bool> m_stopping{false};
+    std::atomic<std::size_t> m_inProgress{0};
+
+    // Used by the thread only.
+    relay::Core m_core;
+    std::uint64_t m_lastExchange = 0;
+    std::unordered_map<std::uint64_t, Caller> m_callers;
+    std::unordered_map<std::uint64_t, http::CallId> m_calls;
+    base::Millis m_nextRefresh;
+    membership::Position m_seen;
+
+    mutable absl::Mutex m_mutex;
+    std::vector<entry::TargetDemand> m_demand ABSL_GUARDED_BY(m_mutex);
+};
+
+} // namespace bamboomoor::gateway
--- a/src/bamboomoor/peer/client.cpp
+++ b/src/bamboomoor/peer/client.cpp
@@ -215,4 +215,12 @@
         });
 }
 
+void Client::call(const wire::JoinRequest &request, base::Millis timeout, OnReply<wire::JoinReply> onReply)
+{
+    start<wire::JoinRequest, wire::JoinReply>(
+        *m_calls, link(), request, timeout, std::move(onReply), [](auto *stub, auto... args) {
+            stub->Join(args...);
+        });
+}
+
 } // namespace bamboomoor::peer
--- a/src/bamboomoor/peer/client.hpp
+++ b/src/bamboomoor/peer/client.hpp
@@ -63,6 +63,8 @@
     void call(const wire::HistoryRequest &request, base::Millis timeout, OnReply<wire::HistoryReply> onReply);
     /** @copydoc call */
     void call(const wire::DemandReport &request, base::Millis timeout, OnReply<wire::DemandReply> onReply);
+    /** @copydoc call */
+    void call(const wire::JoinRequest &request, base::Millis timeout, OnReply<wire::JoinReply> onReply);
 
     /** @brief Cancels all calls and waits until their replies are taken; later calls get no reply at once. */
     void stop();
--- a/src/bamboomoor/peer/server.cpp
+++ b/src/bamboomoor/peer/server.cpp
@@ -57,6 +57,7 @@
     BAMBOOMOOR_PEER_CALL(SyncUpstreams, syncUpstreams, UpstreamSync, UpstreamSync)
     BAMBOOMOOR_PEER_CALL(History, history, HistoryRequest, HistoryReply)
     BAMBOOMOOR_PEER_CALL(ReportDemand, reportDemand, DemandReport, DemandReply)
+    BAMBOOMOOR_PEER_CALL(Join, join, JoinRequest, JoinReply)
 
 #undef BAMBOOMOOR_PEER_CALL
 
--- a/src/bamboomoor/peer/server.hpp
+++ b/src/bamboomoor/peer/server.hpp
@@ -40,6 +40,9 @@
     virtual void history(const wire::HistoryRequest &request, Answer<wire::HistoryReply> answer) = 0;
     /** @brief Takes a report of demand. @param request The report. @param answer Takes the reply. */
     virtual void reportDemand(const wire::DemandReport &request, Answer<wire::DemandReply> answer) = 0;
+    /** @brief Takes a disk that wants into the control group. @param request The disk. @param answer Takes the reply.
+     */
+    virtual void join(const wire::JoinRequest &request, Answer<wire::JoinReply> answer) = 0;
 };
 
 /** @brief Why a server could not start. */
--- /dev/null
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -0,0 +1,285 @@
+/**
+ * Attempts at upstreams: the choice of one, its answer, and what follows when it fails.
+ */
+#include "bamboomoor/relay/core.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace bamboomoor::relay
+{
+
+namespace
+{
+
+constexpr int OK_FIRST = 200;
+constexpr int OK_LAST = 299;
+constexpr int SERVER_ERROR = 500;
+constexpr std::int64_t LAST_PRIORITY = 9;
+
+bool isSuccess(int status) noexcept
+{
+    return status >= OK_FIRST && status <= OK_LAST;
+}
+
+/** @brief Tells whether a status says that a request has not run, which holds only where the upstream says so too. */
+bool promisesNotRun(int status) noexcept
+{
+    static constexpr std::array<int, 4> STATUSES{408, 421, 429, 503};
+    return std::find(STATUSES.begin(), STATUSES.end(), status) != STATUSES.end();
+}
+
+} // namespace
+
+void Core::dispatch(base::Millis now, Exchange &exchange)
+{
+    const auto choice = m_fleet.choose(now, exchange.wanted);
+    if (!choice) {
+        refuseForLack(now, exchange);
+        return;
+    }
+    const base::Millis left = exchange.deadline - now;
+    if (isStream(exchange) && exchange.sent == 0 && choice->expectedWait > left) {
+        giveUp(now, exchange, Reason::TooLate, std::min(choice->expectedWait - left, m_options.loadRetry));
+        return;
+    }
+    send(now, exchange, *choice);
+}
+
+void Core::refuseForLack(base::Millis now, Exchange &exchange)
+{
+    const Lack lack = m_fleet.lackOf(exchange.wanted);
+    if (lack == Lack::NotHeld) {
+        ++m_demand[{exchange.request.model, exchange.request.adapter}].missed;
+    }
+    if (exchange.mayHaveRun) {
+        giveUp(now, exchange, Reason::UpstreamFailed, {});
+    } else if (lack == Lack::AllTried) {
+        giveUp(now, exchange, Reason::UpstreamRefused, m_options.shortRetry);
+    } else {
+        giveUp(now, exchange, lack == Lack::NotHeld ? Reason::NotHeld : Reason::NoUpstream, m_options.loadRetry);
+    }
+}
+
+void Core::send(base::Millis now, Exchange &exchange, Choice choice)
+{
+    exchange.choice = std::move(choice);
+    exchange.wanted.except.insert(exchange.choice.id);
+    exchange.sentAt = now;
+    exchange.heardAt = now;
+    exchange.started = false;
+    exchange.head.reset();
+    exchange.body.clear();
+    exchange.cutter = {};
+    Attempt &attempt = exchange.attempt;
+    attempt.id = ++m_lastAttempt;
+    attempt.exchange = exchange.id;
+    attempt.upstream = exchange.choice.id;
+    attempt.address = exchange.choice.address;
+    attempt.organisation = exchange.organisation;
+    attempt.priority = std::clamp<std::int64_t>(exchange.priority, 0, LAST_PRIORITY);
+    attempt.remaining = exchange.deadline - now;
+    attempt.lastEventId = exchange.lastEventId;
+    attempt.repeatable = exchange.route->repeat == config::Repeat::Idempotent || exchange.route->resumable;
+    ++exchange.sent;
+    m_byAttempt.emplace(attempt.id, exchange.id);
+    m_fleet.began(now, exchange.choice, exchange.wanted);
+    note(now, exchange, Step::Sent, {});
+    lookAt(exchange, std::min(exchange.deadline, now + silenceLimit(exchange)));
+    m_effects.send(attempt, exchange.request);
+}
+
+void Core::head(base::Millis now, std::uint64_t attempt, AnswerHead head)
+{
+    Exchange *exchange = findByAttempt(attempt);
+    if (exchange == nullptr) {
+        return;
+    }
+    exchange->heardAt = now;
+    if (head.owner == AnswerOwner::Other) {
+        m_effects.cancel(attempt);
+        fail(now, *exchange, Result::Failed, false, true, "foreign_answer");
+        return;
+    }
+    const bool success = isSuccess(head.status);
+    if (success && (!head.isSigned || head.owner == AnswerOwner::Unknown)) {
+        m_effects.cancel(attempt);
+        fail(now, *exchange, Result::Failed, false, true, "unsigned_answer");
+        return;
+    }
+    exchange->head = std::move(head);
+}
+
+void Core::data(base::Millis now, std::uint64_t attempt, std::string_view bytes)
+{
+    Exchange *exchange = findByAttempt(attempt);
+    if (exchange == nullptr || !exchange->head) {
+        return;
+    }
+    exchange->heardAt = now;
+    if (isStream(*exchange) && isSuccess(exchange->head->status)) {
+        relayEvents(now, *exchange, bytes);
+    } else {
+        exchange->body += bytes;
+    }
+}
+
+void Core::relayEvents(base::Millis now, Exchange &exchange, std::string_view bytes)
+{
+    const std::string_view events = exchange.cutter.feed(bytes);
+    if (exchange.cutter.failed()) {
+        m_effects.cancel(exchange.attempt.id);
+        fail(now, exchange, Result::Failed, false, true, "event_too_long");
+        return;
+    }
+    if (events.empty()) {
+        return;
+    }
+    if (!exchange.started) {
+        exchange.started = true;
+        m_fleet.started(now, exchange.choice, exchange.sentAt);
+        note(now, exchange, Step::FirstEvent, {}, exchange.head->status);
+    }
+    exchange.mayHaveRun = true;
+    if (!exchange.begun) {
+        exchange.begun = true;
+        m_effects.begin(exchange.id, exchange.head->status, exchange.head->headers);
+    }
+    if (!exchange.cutter.lastId().empty()) {
+        exchange.lastEventId = exchange.cutter.lastId();
+    }
+    if (!m_effects.write(exchange.id, events)) {
+        leave(now, exchange.id);
+    }
+}
+
+void Core::ended(base::Millis now, std::uint64_t attempt, const AttemptEnd &end)
+{
+    Exchange *exchange = findByAttempt(attempt);
+    if (exchange == nullptr) {
+        return;
+    }
+    if (!end.complete || !exchange->head) {
+        const bool reached = end.bytesSent || exchange->head.has_value();
+        const Result result = reached ? Result::Failed : Result::NotReached;
+        fail(now, *exchange, result, !reached, reached, end.how);
+        return;
+    }
+    if (isStream(*exchange) && isSuccess(exchange->head->status)) {
+        endStream(now, *exchange);
+    } else {
+        endWhole(now, *exchange);
+    }
+}
+
+void Core::endStream(base::Millis now, Exchange &exchange)
+{
+    if (!exchange.cutter.atBoundary()) {
+        fail(now, exchange, Result::Failed, false, true, "cut_in_event");
+        return;
+    }
+    if (!exchange.begun) {
+        exchange.begun = true;
+        m_effects.begin(exchange.id, exchange.head->status, exchange.head->headers);
+    }
+    exchange.mayHaveRun = true;
+    note(now, exchange, Step::Answered, {}, exchange.head->status);
+    closeAttempt(now, exchange, Result::Answered);
+    m_effects.end(exchange.id);
+    finish(now, exchange);
+}
+
+void Core::endWhole(base::Millis now, Exchange &exchange)
+{
+    const AnswerHead &head = *exchange.head;
+    if (head.misdirected) {
+        m_fleet.lacks(exchange.choice.id, exchange.wanted.holding);
+    }
+    if (head.notRun || head.misdirected) {
+        fail(now, exchange, Result::Refused, true, true, head.misdirected ? "misdirected" : "refused");
+        return;
+    }
+    exchange.mayHaveRun = true;
+    const bool retries = head.status >= SERVER_ERROR && mayRunAgain(exchange);
+    if (exchange.begun || retries || promisesNotRun(head.status)) {
+        fail(now, exchange, Result::Failed, false, true, "error_answer");
+        return;
+    }
+    deliver(now, exchange);
+}
+
+void Core::deliver(base::Millis now, Exchange &exchange)
+{
+    AnswerHead &head = *exchange.head;
+    if (!exchange.started) {
+        exchange.started = true;
+        m_fleet.started(now, exchange.choice, exchange.sentAt);
+    }
+    note(now, exchange, Step::Answered, {}, head.status);
+    closeAttempt(now, exchange, head.status >= SERVER_ERROR ? Result::Failed : Result::Answered);
+    m_effects.respond(exchange.id, {head.status, std::move(head.headers), std::move(exchange.body)});
+    finish(now, exchange);
+}
+
+bool Core::mayRunAgain(const Exchange &exchange) const
+{
+    switch (exchange.route->repeat) {
+    case config::Repeat::Idempotent:
+        return true;
+    case config::Repeat::AtMostOnce:
+        return false;
+    case config::Repeat::Stream:
+        return exchange.route->resumable;
+    }
+    return false;
+}
+
+void Core::fail(base::Millis now, Exchange &exchange, Result result, bool notRun, bool reached, std::string_view how)
+{
+    exchange.mayHaveRun = exchange.mayHaveRun || !notRun;
+    if (!reached) {
+        --exchange.sent;
+        ++exchange.unreached;
+    }
+    const bool repeatable = mayRunAgain(exchange) || !exchange.mayHaveRun;
+    const bool inTime = now < exchange.deadline;
+    const bool hasTries = exchange.sent < exchange.route->attempts && exchange.unreached < m_options.unreached;
+    const bool keepsAnswer = exchange.head && exchange.head->status >= SERVER_ERROR && !notRun && !exchange.begun
+        && !promisesNotRun(exchange.head->status);
+    const bool retries = repeatable && inTime && hasTries && m_fleet.choose(now, exchange.wanted).has_value()
+        && (!reached || m_retries.takeRetry(now, exchange.service));
+    if (!retries && keepsAnswer && how == "error_answer") {
+        deliver(now, exchange);
+        return;
+    }
+    note(now, exchange, Step::AttemptFailed, how, exchange.head ? exchange.head->status : 0);
+    closeAttempt(now, exchange, result);
+    if (retries) {
+        dispatch(now, exchange);
+        return;
+    }
+    giveUp(now, exchange, exchange.mayHaveRun ? Reason::UpstreamFailed : Reason::UpstreamRefused,
+        exchange.mayHaveRun ? base::Millis{} : m_options.shortRetry);
+}
+
+void Core::closeAttempt(base::Millis now, Exchange &exchange, Result result)
+{
+    if (exchange.attempt.id == 0) {
+        return;
+    }
+    m_fleet.ended(now, exchange.choice, exchange.started, result);
+    m_byAttempt.erase(exchange.attempt.id);
+    exchange.attempt.id = 0;
+}
+
+void Core::cancelAttempt(base::Millis now, Exchange &exchange)
+{
+    if (exchange.attempt.id != 0) {
+        exchange.mayHaveRun = true;
+        m_effects.cancel(exchange.attempt.id);
+        closeAttempt(now, exchange, Result::Cancelled);
+    }
+}
+
+} // namespace bamboomoor::relay
--- /dev/null
+++ b/src/bamboomoor/relay/core.cpp
@@ -0,0 +1,303 @@
+/**
+ * The path of relayed requests: arrival, admission, timers and ends. Attempts are in attempts.cpp.
+ */
+#include "bamboomoor/relay/core.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace bamboomoor::relay
+{
+
+namespace
+{
+
+// Between two looks at budgets while requests wait for one.
+constexpr base::Millis BUDGET_TICK{20};
+
+} // namespace
+
+Core::Core(CoreOptions options, Effects &effects)
+    : m_options(std::move(options))
+    , m_effects(effects)
+    , m_fleet(m_options.fleet)
+    , m_retries(m_options.retries)
+    , m_holder(m_options.budget)
+{
+}
+
+void Core::setTable(std::shared_ptr<const RouteTable> table)
+{
+    assert(table != nullptr);
+    m_table = std::move(table);
+}
+
+void Core::setWorkers(std::vector<Worker> workers)
+{
+    m_fleet.update(std::move(workers));
+}
+
+Core::Exchange *Core::find(std::uint64_t exchange)
+{
+    const auto it = m_exchanges.find(exchange);
+    return it == m_exchanges.end() ? nullptr : it->second.get();
+}
+
+Core::Exchange *Core::findByAttempt(std::uint64_t attempt)
+{
+    const auto it = m_byAttempt.find(attempt);
+    return it == m_byAttempt.end() ? nullptr : find(it->second);
+}
+
+void Core::arrive(base::Millis now, std::uint64_t id, Request request)
+{
+    auto owned = std::make_unique<Exchange>();
+    Exchange &exchange = *owned;
+    exchange.id = id;
+    exchange.request = std::move(request);
+    exchange.table = m_table;
+    exchange.arrivedAt = now;
+    exchange.lookAt = base::NEVER;
+    exchange.lastEventId = exchange.request.lastEventId;
+    m_exchanges.emplace(id, std::move(owned));
+    if (!m_table) {
+        giveUp(now, exchange, Reason::NotConfigured, m_options.loadRetry);
+        return;
+    }
+    exchange.route = m_table->find(exchange.request.host, exchange.request.path);
+    if (exchange.route == nullptr) {
+        giveUp(now, exchange, Reason::UnknownRoute, {});
+        return;
+    }
+    admit(now, exchange);
+}
+
+void Core::admit(base::Millis now, Exchange &exchange)
+{
+    const config::Relay &route = *exchange.route;
+    const Request &request = exchange.request;
+    exchange.deadline = now + std::min(route.timeout, request.patience.value_or(route.timeout));
+    exchange.service = RouteTable::serviceOf(route, request.id);
+    exchange.priority = route.priority;
+    exchange.wanted.service = exchange.service;
+    exchange.wanted.promptTokens = request.promptTokens.value_or(0);
+    exchange.wanted.parts = request.parts;
+    const config::Service *service = exchange.table->service(exchange.service);
+    if (service != nullptr && service->engine && !request.model.empty()) {
+        exchange.wanted.holding = holdingOf(request.model, request.adapter);
+        HoldingDemand &demand = m_demand[{request.model, request.adapter}];
+        demand.model = request.model;
+        demand.adapter = request.adapter;
+        ++demand.requests;
+    }
+    const bool needsKey = exchange.table->wantsKeys() && !route.open;
+    const config::Organisation *organisation = exchange.table->organisationOf(request.key);
+    if (needsKey && organisation == nullptr) {
+        giveUp(now, exchange, Reason::UnknownKey, {});
+        return;
+    }
+    m_retries.countRequest(now, exchange.service);
+    lookAt(exchange, exchange.deadline);
+    if (!needsKey) {
+        dispatch(now, exchange);
+        return;
+    }
+    exchange.organisation = organisation->name;
+    exchange.priority = organisation->priority.value_or(route.priority);
+    if (organisation->unlimited) {
+        dispatch(now, exchange);
+        return;
+    }
+    const bool sized = request.promptTokens || request.maxTokens;
+    exchange.cost =
+        sized ? request.promptTokens.value_or(0) + request.maxTokens.value_or(0) : organisation->plainTokens;
+    const budget::Admission admission =
+        m_holder.admit(now, organisation->name, std::max<std::int64_t>(1, exchange.cost));
+    exchange.reservation = admission.reservation;
+    m_byReservation.emplace(admission.reservation, exchange.id);
+    decided(now, admission);
+}
+
+void Core::decided(base::Millis now, const budget::Admission &admission)
+{
+    const auto it = m_byReservation.find(admission.reservation);
+    Exchange *exchange = it == m_byReservation.end() ? nullptr : find(it->second);
+    if (exchange == nullptr || admission.verdict == budget::Verdict::Waiting) {
+        return;
+    }
+    if (admission.verdict == budget::Verdict::Admitted) {
+        dispatch(now, *exchange);
+        return;
+    }
+    m_byReservation.erase(it);
+    exchange->reservation = 0;
+    if (now - m_budgetHeardAt > m_options.budgetSilence) {
+        giveUp(now, *exchange, Reason::RateUnknown, m_options.loadRetry);
+        return;
+    }
+    giveUp(now, *exchange, Reason::RateExceeded,
+        admission.retryAfter == base::NEVER ? base::Millis{} : admission.retryAfter);
+}
+
+void Core::budgetReplied(base::Millis now, const budget::Reply &reply)
+{
+    m_budgetHeardAt = now;
+    for (const budget::Admission &it : m_holder.onReply(now, reply)) {
+        decided(now, it);
+    }
+}
+
+std::optional<budget::Ask> Core::takeAsk(base::Millis now)
+{
+    return m_holder.takeAsk(now);
+}
+
+void Core::tick(base::Millis now)
+{
+    for (const budget::Admission &it : m_holder.tick(now)) {
+        decided(now, it);
+    }
+    while (!m_looks.empty() && m_looks.begin()->first <= now) {
+        Exchange *exchange = find(m_looks.begin()->second);
+        assert(exchange != nullptr);
+        lookAt(*exchange, base::NEVER);
+        look(now, *exchange);
+    }
+}
+
+base::Millis Core::nextDeadline(base::Millis now) const noexcept
+{
+    const base::Millis look = m_looks.empty() ? base::NEVER : m_looks.begin()->first;
+    return m_byReservation.empty() ? look : std::min(look, now + BUDGET_TICK);
+}
+
+void Core::lookAt(Exchange &exchange, base::Millis at)
+{
+    m_looks.erase({exchange.lookAt, exchange.id});
+    exchange.lookAt = at;
+    if (at != base::NEVER) {
+        m_looks.emplace(at, exchange.id);
+    }
+}
+
+bool Core::isStream(const Exchange &exchange) const
+{
+    return exchange.route != nullptr && exchange.route->repeat == config::Repeat::Stream;
+}
+
+base::Millis Core::silenceLimit(const Exchange &exchange) const
+{
+    const config::Relay &route = *exchange.route;
+    if (exchange.started && isStream(exchange)) {
+        return std::max(m_options.leastSilence, route.pauseObjective * 3);
+    }
+    return std::max(m_options.leastSilence, route.objective * 2);
+}
+
+void Core::look(base::Millis now, Exchange &exchange)
+{
+    if (now >= exchange.deadline) {
+        cancelAttempt(now, exchange);
+        giveUp(now, exchange, Reason::TimedOut, m_options.shortRetry);
+        return;
+    }
+    if (exchange.attempt.id == 0) {
+        lookAt(exchange, exchange.deadline);
+        return;
+    }
+    const base::Millis silentAt = exchange.heardAt + silenceLimit(exchange);
+    const bool elsewhere = mayRunAgain(exchange) && exchange.sent < exchange.route->attempts;
+    if (!elsewhere) {
+        lookAt(exchange, exchange.deadline);
+        return;
+    }
+    if (now < silentAt) {
+        lookAt(exchange, std::min(silentAt, exchange.deadline));
+        return;
+    }
+    // A silent upstream is left only when the request can go on at another one.
+    const bool hasOther = m_fleet.choose(now, exchange.wanted).has_value();
+    if (!hasOther || !m_retries.takeRetry(now, exchange.service)) {
+        lookAt(exchange, exchange.deadline);
+        return;
+    }
+    note(now, exchange, Step::AttemptFailed, "silent");
+    m_effects.cancel(exchange.attempt.id);
+    exchange.mayHaveRun = true;
+    closeAttempt(now, exchange, Result::Failed);
+    dispatch(now, exchange);
+}
+
+void Core::leave(base::Millis now, std::uint64_t id)
+{
+    Exchange *exchange = find(id);
+    if (exchange == nullptr) {
+        return;
+    }
+    note(now, *exchange, Step::Cancelled, REASON_NAMES.name(Reason::CallerGone));
+    cancelAttempt(now, *exchange);
+    finish(now, *exchange);
+}
+
+void Core::stop(base::Millis now)
+{
+    while (!m_exchanges.empty()) {
+        Exchange &exchange = *m_exchanges.begin()->second;
+        cancelAttempt(now, exchange);
+        giveUp(now, exchange, Reason::Stopping, m_options.shortRetry);
+    }
+}
+
+void Core::giveUp(base::Millis now, Exchange &exchange, Reason reason, base::Millis retryAfter)
+{
+    const std::string_view name = REASON_NAMES.name(reason);
+    if (exchange.begun) {
+        note(now, exchange, Step::Cut, name);
+        m_effects.abort(exchange.id);
+    } else {
+        note(now, exchange, exchange.mayHaveRun ? Step::Failed : Step::Refused, name);
+        m_effects.refuse(exchange.id, {reason, !exchange.mayHaveRun, retryAfter});
+    }
+    finish(now, exchange);
+}
+
+void Core::finish(base::Millis now, Exchange &exchange)
+{
+    if (exchange.reservation != 0) {
+        m_holder.settle(now, exchange.reservation, exchange.mayHaveRun ? exchange.cost : 0);
+        m_holder.cancel(exchange.reservation);
+        m_byReservation.erase(exchange.reservation);
+    }
+    lookAt(exchange, base::NEVER);
+    m_exchanges.erase(exchange.id);
+}
+
+std::vector<HoldingDemand> Core::takeDemand()
+{
+    std::vector<HoldingDemand> demand;
+    for (auto &[key, it] : m_demand) {
+        demand.push_back(std::move(it));
+    }
+    m_demand.clear();
+    return demand;
+}
+
+void Core::note(base::Millis now, const Exchange &exchange, Step step, std::string_view reason, int status) const
+{
+    Decision decision;
+    decision.step = step;
+    decision.request = exchange.request.id;
+    decision.route = exchange.route == nullptr ? std::string_view() : std::string_view(exchange.route->name);
+    decision.organisation = exchange.organisation;
+    decision.upstream = exchange.attempt.upstream;
+    decision.reason = reason;
+    decision.status = status;
+    decision.attempt = exchange.attempt.id;
+    decision.age = now - exchange.arrivedAt;
+    decision.version = exchange.table ? exchange.table->version() : 0;
+    decision.expectedWait = exchange.choice.expectedWait;
+    m_effects.note(decision);
+}
+
+} // namespace bamboomoor::relay
--- /dev/null
+++ b/src/bamboomoor/relay/core.hpp
@@ -0,0 +1,312 @@
+/**
+ * The path of relayed requests from arrival to answer, as a state machine: time and events enter, effects leave
+ * through an interface. One core holds all requests of an entry; it owns no thread, socket or clock.
+ *
+ * A request is admitted (route, key, rate), sent to an upstream, and answered; a failed attempt is repeated only where
+ * the request may run again or has provably not run, within attempts, time and the retry allowance. A request that
+ * cannot be served is refused at once.
+ */
+#pragma once
+
+#include "bamboomoor/admission/refusal.hpp"
+#include "bamboomoor/base/clock.hpp"
+#include "bamboomoor/base/nametable.hpp"
+#include "bamboomoor/budget/holder.hpp"
+#include "bamboomoor/relay/eventcutter.hpp"
+#include "bamboomoor/relay/fleet.hpp"
+#include "bamboomoor/relay/request.hpp"
+#include "bamboomoor/relay/retryallowance.hpp"
+#include "bamboomoor/relay/routetable.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace bamboomoor::relay
+{
+
+/** @brief One sending of a request to an upstream. */
+struct Attempt {
+    std::uint64_t id = 0;
+    std::uint64_t exchange = 0;
+    std::string upstream;
+    // "IP:PORT".
+    std::string address;
+    // The organisation of the caller's key, empty without one.
+    std::string organisation;
+    // 0 first, at most 9.
+    std::int64_t priority = 0;
+    // How much time the upstream has.
+    base::Millis remaining;
+    // Where a stream goes on; empty at its start.
+    std::string lastEventId;
+    // True when the library may send it a second time over another connection.
+    bool repeatable = false;
+};
+
+/** @brief How an attempt ended, as the transport saw it. */
+struct AttemptEnd {
+    // The answer came to its proper end.
+    bool complete = false;
+    // False only when it is certain that no byte of the request left.
+    bool bytesSent = true;
+    // One word of the transport.
+    std::string_view how;
+};
+
+/** @brief Why a request is refused or fails. */
+enum class Reason {
+    NotConfigured,
+    UnknownRoute,
+    UnknownKey,
+    RateExceeded,
+    RateUnknown,
+    NoUpstream,
+    NotHeld,
+    TooLate,
+    UpstreamRefused,
+    UpstreamFailed,
+    TimedOut,
+    CallerGone,
+    Stopping
+};
+
+/** @brief The names of the reasons in logs and counters. */
+inline constexpr auto REASON_NAMES = base::makeNames<Reason>("not_configured", "unknown_route", "unknown_key",
+    "rate_exceeded", "rate_unknown", "no_upstream", "not_held", "too_late", "upstream_refused", "upstream_failed",
+    "timed_out", "caller_gone", "stopping");
+
+/** @brief A final answer by the entry itself. */
+struct Refused {
+    Reason reason = Reason::UpstreamFailed;
+    // No run of the request has begun or will begin.
+    bool notRun = true;
+    // When the caller may come back; 0 for no word.
+    base::Millis retryAfter;
+};
+
+/** @brief What was decided about a request, for logs and counters. */
+enum class Step { Sent, FirstEvent, AttemptFailed, Answered, Refused, Failed, Cut, Cancelled };
+
+/** @brief The names of the steps. */
+inline constexpr auto STEP_NAMES =
+    base::makeNames<Step>("sent", "first_event", "attempt_failed", "answered", "refused", "failed", "cut", "cancelled");
+
+/** @brief One decision with what it rested on. */
+struct Decision {
+    Step step = Step::Sent;
+    // The caller's id of the request.
+    std::string_view request;
+    std::string_view route;
+    std::string_view organisation;
+    std::string_view upstream;
+    std::string_view reason;
+    int status = 0;
+    std::uint64_t attempt = 0;
+    // Since the request arrived.
+    base::Millis age;
+    // The version of the configuration that decided.
+    std::uint64_t version = 0;
+    // The wait that was expected at the upstream.
+    base::Millis expectedWait;
+};
+
+/** @brief What the core wants done; every method returns at once and does not call back. */
+class Effects
+{
+public:
+    virtual ~Effects() = default;
+
+    /** @brief Answers with an upstream's whole answer. @param exchange The request. @param response The answer. */
+    virtual void respond(std::uint64_t exchange, http::Response response) = 0;
+    /** @brief Answers by the entry itself. @param exchange The request. @param refused Why. */
+    virtual void refuse(std::uint64_t exchange, const Refused &refused) = 0;
+    /** @brief Begins a stream. @param exchange The request. @param status Its status. @param headers Its headers. */
+    virtual void begin(std::uint64_t exchange, int status, http::Headers headers) = 0;
+    /** @brief Sends whole events. @param exchange The request. @param bytes The events. @return False if it is cut. */
+    virtual bool write(std::uint64_t exchange, std::string_view bytes) = 0;
+    /** @brief Ends a stream properly. @param exchange The request. */
+    virtual void end(std::uint64_t exchange) = 0;
+    /** @brief Cuts a stream, so that the caller sees it. @param exchange The request. */
+    virtual void abort(std::uint64_t exchange) = 0;
+    /** @brief Sends a request to an upstream. @param attempt Where and how. @param request The request. */
+    virtual void send(const Attempt &attempt, const Request &request) = 0;
+    /** @brief Breaks an attempt off; nothing of it reaches the core any more. @param attempt Its id. */
+    virtual void cancel(std::uint64_t attempt) = 0;
+    /** @brief Tells what was decided. @param decision The decision; its texts are valid during the call. */
+    virtual void note(const Decision &decision) = 0;
+};
+
+/** @brief The settings of a core. */
+struct CoreOptions {
+    FleetOptions fleet;
+    RetryOptions retries;
+    budget::HolderOptions budget;
+    // When a caller comes back for a model that is being loaded, or a service without upstreams.
+    base::Millis loadRetry{1'000};
+    // When a caller comes back after a refusal that says nothing of a time.
+    base::Millis shortRetry{250};
+    // Connections refused before anything was sent, after which a request is given up.
+    int unreached = 3;
+    // Without an answer of the budget's authority for this time, a refusal says nothing about the rate.
+    base::Millis budgetSilence{1'000};
+    // The least silence after which an attempt that may be repeated is tried elsewhere.
+    base::Millis leastSilence{1'200};
+};
+
+/** @brief The requests for one model or adapter since the last count. */
+struct HoldingDemand {
+    std::string model;
+    std::string adapter;
+    std::uint64_t requests = 0;
+    // Those of them that found it nowhere.
+    std::uint64_t missed = 0;
+};
+
+/** @brief All requests of an entry. */
+class Core
+{
+public:
+    /**
+     * @brief Makes a core without configuration and upstreams.
+     * @param options The settings.
+     * @param effects Carries out what is decided; outlives the core.
+     */
+    Core(CoreOptions options, Effects &effects);
+
+    /** @brief Takes another configuration. @param table The relays, not null. */
+    void setTable(std::shared_ptr<const RouteTable> table);
+
+    /** @brief Takes the upstreams that may get work. @param workers All of them. */
+    void setWorkers(std::vector<Worker> workers);
+
+    /**
+     * @brief Takes a caller's request.
+     * @param now The present time.
+     * @param exchange Names it; not used before.
+     * @param request The request.
+     */
+    void arrive(base::Millis now, std::uint64_t exchange, Request request);
+
+    /** @brief The caller has gone. @param now The present time. @param exchange The request. */
+    void leave(base::Millis now, std::uint64_t exchange);
+
+    /** @brief The head of an answer. @param now The present time. @param attempt Whose. @param head The head. */
+    void head(base::Millis now, std::uint64_t attempt, AnswerHead head);
+
+    /** @brief Bytes of an answer. @param now The present time. @param attempt Whose. @param bytes The bytes. */
+    void data(base::Millis now, std::uint64_t attempt, std::string_view bytes);
+
+    /** @brief The end of an attempt. @param now The present time. @param attempt Which. @param end How. */
+    void ended(base::Millis now, std::uint64_t attempt, const AttemptEnd &end);
+
+    /** @brief An answer of the budget's authority. @param now The present time. @param reply The answer. */
+    void budgetReplied(base::Millis now, const budget::Reply &reply);
+
+    /** @brief Takes the ask to the budget's authority. @param now The present time. @return The ask, or nothing. */
+    [[nodiscard]] std::optional<budget::Ask> takeAsk(base::Millis now);
+
+    /** @brief Lets time pass. @param now The present time. */
+    void tick(base::Millis now);
+
+    /** @brief Ends all requests. @param now The present time. */
+    void stop(base::Millis now);
+
+    /** @brief Tells when tick() is due. @param now The present time. @return A point of time, or base::NEVER. */
+    [[nodiscard]] base::Millis nextDeadline(base::Millis now) const noexcept;
+
+    /** @brief Counts the requests in progress. @return Their number. */
+    [[nodiscard]] std::size_t inProgress() const noexcept
+    {
+        return m_exchanges.size();
+    }
+
+    /** @brief Reads and resets the demand for models. @return One entry for each model or adapter asked for. */
+    [[nodiscard]] std::vector<HoldingDemand> takeDemand();
+
+private:
+    struct Exchange {
+        std::uint64_t id = 0;
+        Request request;
+        // Keeps the route alive.
+        std::shared_ptr<const RouteTable> table;
+        const config::Relay *route = nullptr;
+        std::string service;
+        std::string organisation;
+        std::int64_t priority = 0;
+        std::int64_t cost = 0;
+        // 0 without a bound.
+        std::uint64_t reservation = 0;
+        base::Millis arrivedAt;
+        // When the route's timeout or the caller's patience ends.
+        base::Millis deadline;
+        Wanted wanted;
+        // The attempt under way; its id is 0 while there is none.
+        Attempt attempt;
+        Choice choice;
+        base::Millis sentAt;
+        base::Millis heardAt;
+        bool started = false;
+        std::optional<AnswerHead> head;
+        std::string body;
+        EventCutter cutter;
+        // Attempts that may have reached an upstream.
+        std::int64_t sent = 0;
+        int unreached = 0;
+        // True when an attempt may have run.
+        bool mayHaveRun = false;
+        // The head of the stream has gone to the caller.
+        bool begun = false;
+        // The last event that went to the caller, or that the caller had.
+        std::string lastEventId;
+        // When tick() looks at it.
+        base::Millis lookAt;
+    };
+
+    void admit(base::Millis now, Exchange &exchange);
+    void decided(base::Millis now, const budget::Admission &admission);
+    void dispatch(base::Millis now, Exchange &exchange);
+    void send(base::Millis now, Exchange &exchange, Choice choice);
+    void refuseForLack(base::Millis now, Exchange &exchange);
+    void relayEvents(base::Millis now, Exchange &exchange, std::string_view bytes);
+    void endWhole(base::Millis now, Exchange &exchange);
+    void endStream(base::Millis now, Exchange &exchange);
+    void deliver(base::Millis now, Exchange &exchange);
+    void fail(base::Millis now, Exchange &exchange, Result result, bool notRun, bool reached, std::string_view how);
+    [[nodiscard]] bool mayRunAgain(const Exchange &exchange) const;
+    void giveUp(base::Millis now, Exchange &exchange, Reason reason, base::Millis retryAfter);
+    void closeAttempt(base::Millis now, Exchange &exchange, Result result);
+    void cancelAttempt(base::Millis now, Exchange &exchange);
+    void finish(base::Millis now, Exchange &exchange);
+    void look(base::Millis now, Exchange &exchange);
+    void lookAt(Exchange &exchange, base::Millis at);
+    [[nodiscard]] base::Millis silenceLimit(const Exchange &exchange) const;
+    [[nodiscard]] bool isStream(const Exchange &exchange) const;
+    void note(base::Millis now, const Exchange &exchange, Step step, std::string_view reason, int status = 0) const;
+    [[nodiscard]] Exchange *find(std::uint64_t exchange);
+    [[nodiscard]] Exchange *findByAttempt(std::uint64_t attempt);
+
+    CoreOptions m_options;
+    Effects &m_effects;
+    // Null before the first configuration.
+    std::shared_ptr<const RouteTable> m_table;
+    Fleet m_fleet;
+    RetryAllowance m_retries;
+    budget::Holder m_holder;
+    base::Millis m_budgetHeardAt;
+    std::unordered_map<std::uint64_t, std::unique_ptr<Exchange>> m_exchanges;
+    std::unordered_map<std::uint64_t, std::uint64_t> m_byAttempt;
+    std::unordered_map<std::uint64_t, std::uint64_t> m_byReservation;
+    // Exchanges by the time at which tick() looks at them.
+    std::set<std::pair<base::Millis, std::uint64_t>> m_looks;
+    std::uint64_t m_lastAttempt = 0;
+    std::map<std::pair<std::string, std::string>, HoldingDemand> m_demand;
+};
+
+} // namespace bamboomoor::relay
--- /dev/null
+++ b/src/bamboomoor/relay/fleet.cpp
@@ -0,0 +1,236 @@
+/**
+ * The choice of an upstream.
+ */
+#include "bamboomoor/relay/fleet.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <utility>
+
+namespace bamboomoor::relay
+{
+
+namespace
+{
+
+// Weight of the newest observation in a running mean.
+constexpr double NEWEST = 0.3;
+// Costs that differ by less are alike; in prompt tokens.
+constexpr double ALIKE = 150;
+
+std::uint64_t combine(std::uint64_t seed, const std::string &text)
+{
+    constexpr std::uint64_t MULTIPLIER = 0x9E3779B97F4A7C15ULL;
+    return (seed ^ std::hash<std::string>()(text)) * MULTIPLIER;
+}
+
+} // namespace
+
+std::string holdingOf(const std::string &model, const std::string &adapter)
+{
+    return adapter.empty() ? model : model + '/' + adapter;
+}
+
+Fleet::Fleet(FleetOptions options)
+    : m_options(std::move(options))
+    , m_random(m_options.seed)
+{
+}
+
+void Fleet::update(std::vector<Worker> workers)
+{
+    std::map<std::string, Known> next;
+    for (Worker &it : workers) {
+        Known known;
+        if (Known *before = find(it.id); before != nullptr && before->worker.address == it.address) {
+            known = std::move(*before);
+            if (known.worker != it) {
+                known.missing.clear();
+            }
+        }
+        known.worker = std::move(it);
+        std::string id = known.worker.id;
+        next.insert_or_assign(std::move(id), std::move(known));
+    }
+    m_workers = std::move(next);
+    m_services.clear();
+    for (auto &[id, known] : m_workers) {
+        m_services[known.worker.service].push_back(&known);
+    }
+}
+
+Fleet::Known *Fleet::find(const std::string &id)
+{
+    const auto it = m_workers.find(id);
+    return it == m_workers.end() ? nullptr : &it->second;
+}
+
+bool Fleet::canServe(const Known &known, const Wanted &wanted) const
+{
+    if (known.missing.contains(wanted.holding) || known.missing.contains(std::string())) {
+        return false;
+    }
+    return wanted.holding.empty() || known.worker.holds.contains(wanted.holding);
+}
+
+std::optional<Choice> Fleet::choose(base::Millis now, const Wanted &wanted)
+{
+    struct Found {
+        const Known *known;
+        double cost;
+        std::int64_t newTokens;
+    };
+    std::vector<Found> found;
+    double least = INFINITY;
+    const auto service = m_services.find(wanted.service);
+    if (service == m_services.end()) {
+        return std::nullopt;
+    }
+    for (const Known *it : service->second) {
+        if (!canServe(*it, wanted) || wanted.except.contains(it->worker.id)) {
+            continue;
+        }
+        const std::int64_t newTokens = wanted.promptTokens - keptTokens(*it, wanted);
+        const double cost = costOf(now, *it, wanted, newTokens);
+        found.push_back({it, cost, newTokens});
+        least = std::min(least, cost);
+    }
+    std::erase_if(found, [least](const Found &it) {
+        return it.cost > least + ALIKE;
+    });
+    if (found.empty()) {
+        return std::nullopt;
+    }
+    const Found &chosen = found[m_random() % found.size()];
+    const double wait = chosen.cost - static_cast<double>(chosen.newTokens);
+    return Choice{chosen.known->worker.id, chosen.known->worker.address,
+        {static_cast<std::int64_t>(std::max(0.0, wait) / static_cast<double>(m_options.tokensPerMilli))},
+        chosen.newTokens};
+}
+
+Lack Fleet::lackOf(const Wanted &wanted) const
+{
+    const auto service = m_services.find(wanted.service);
+    if (service == m_services.end()) {
+        return Lack::NoUpstream;
+    }
+    const bool held = std::any_of(service->second.begin(), service->second.end(), [&](const Known *it) {
+        return canServe(*it, wanted);
+    });
+    return held ? Lack::AllTried : Lack::NotHeld;
+}
+
+double Fleet::fading(base::Millis now, const State &state) const
+{
+    const auto age = static_cast<double>((now - state.measuredAt).count);
+    return std::exp2(-age / static_cast<double>(m_options.halfLife.count));
+}
+
+double Fleet::costOf(base::Millis now, const Known &known, const Wanted &wanted, std::int64_t newTokens) const
+{
+    const State &state = known.state;
+    const double fade = fading(now, state);
+    double cost = static_cast<double>(newTokens + state.waitingTokens + state.running * m_options.tokensPerRun);
+    cost += state.excessWait * fade * static_cast<double>(m_options.tokensPerMilli);
+    cost += state.failures * fade * static_cast<double>(m_options.tokensPerFailure);
+    cost += known.worker.dataCentre == m_options.dataCentre ? 0 : static_cast<double>(m_options.tokensPerDistance);
+    if (now < state.avoidedUntil) {
+        cost += static_cast<double>(m_options.tokensPerFailure);
+    }
+    return cost + (wanted.holding.empty() ? 0 : 1);
+}
+
+std::int64_t Fleet::keptTokens(const Known &known, const Wanted &wanted) const
+{
+    std::uint64_t prefix = std::hash<std::string>()(wanted.holding);
+    std::int64_t kept = 0;
+    for (const PromptPart &it : wanted.parts) {
+        prefix = combine(prefix, it.id);
+        if (!known.state.prompts.contains(prefix)) {
+            break;
+        }
+        kept += it.tokens;
+    }
+    return std::min(kept, wanted.promptTokens);
+}
+
+void Fleet::remember(State &state, const Wanted &wanted) const
+{
+    std::uint64_t prefix = std::hash<std::string>()(wanted.holding);
+    for (const PromptPart &it : wanted.parts) {
+        prefix = combine(prefix, it.id);
+        const auto [place, isNew] = state.prompts.try_emplace(prefix, 0);
+        if (!isNew) {
+            state.promptsByUse.erase(place->second);
+        }
+        place->second = ++state.uses;
+        state.promptsByUse.emplace(place->second, prefix);
+    }
+    while (state.prompts.size() > m_options.rememberedPrompts) {
+        state.prompts.erase(state.promptsByUse.begin()->second);
+        state.promptsByUse.erase(state.promptsByUse.begin());
+    }
+}
+
+void Fleet::began(base::Millis /*now*/, const Choice &choice, const Wanted &wanted)
+{
+    if (Known *known = find(choice.id)) {
+        ++known->state.running;
+        known->state.waitingTokens += choice.newTokens;
+        remember(known->state, wanted);
+    }
+}
+
+void Fleet::started(base::Millis now, const Choice &choice, base::Millis sentAt)
+{
+    Known *known = find(choice.id);
+    if (known == nullptr) {
+        return;
+    }
+    State &state = known->state;
+    state.waitingTokens = std::max<std::int64_t>(0, state.waitingTokens - choice.newTokens);
+    const double explained = static_cast<double>(choice.newTokens) / static_cast<double>(m_options.tokensPerMilli);
+    const double excess = std::max(0.0, static_cast<double>((now - sentAt).count) - explained);
+    const double fade = fading(now, state);
+    state.excessWait = state.excessWait * fade * (1 - NEWEST) + excess * NEWEST;
+    state.failures *= fade;
+    state.measuredAt = now;
+}
+
+void Fleet::ended(base::Millis now, const Choice &choice, bool started, Result result)
+{
+    Known *known = find(choice.id);
+    if (known == nullptr) {
+        return;
+    }
+    State &state = known->state;
+    state.running = std::max<std::int64_t>(0, state.running - 1);
+    if (!started) {
+        state.waitingTokens = std::max<std::int64_t>(0, state.waitingTokens - choice.newTokens);
+    }
+    if (result == Result::Cancelled) {
+        return;
+    }
+    const double fade = fading(now, state);
+    const double failed = result == Result::Answered ? 0 : 1;
+    state.failures = state.failures * fade * (1 - NEWEST) + failed * NEWEST;
+    state.excessWait *= fade;
+    state.measuredAt = now;
+    if (result == Result::NotReached) {
+        state.avoidance = std::clamp(state.avoidance * 2, m_options.firstAvoidance, m_options.longestAvoidance);
+        state.avoidedUntil = now + state.avoidance;
+    } else if (result == Result::Answered) {
+        state.avoidance = {};
+        state.avoidedUntil = {};
+    }
+}
+
+void Fleet::lacks(const std::string &id, const std::string &holding)
+{
+    if (Known *known = find(id)) {
+        known->missing.insert(holding);
+    }
+}
+
+} // namespace bamboomoor::relay
--- /dev/null
+++ b/src/bamboomoor/relay/fleet.hpp
@@ -0,0 +1,201 @@
+/**
+ * The upstreams of all services as one entry sees them, and the choice among them.
+ *
+ * The load that it answers: prompts of very different length on engines that read one prompt after the other. Each
+ * engine is weighed by the prompt tokens that this entry has waiting there, less what the engine still keeps of the
+ * new prompt, by the wait that first events showed lately, and by recent failures.
+ */
+#pragma once
+
+#include "bamboomoor/base/clock.hpp"
+#include "bamboomoor/base/nametable.hpp"
+#include "bamboomoor/relay/request.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace bamboomoor::relay
+{
+
+/** @brief An upstream as it announced itself. */
+struct Worker {
+    std::string id;
+    // "IP:PORT".
+    std::string address;
+    std::string dataCentre;
+    std::string service;
+    // Models, and adapters as MODEL/ADAPTER.
+    std::set<std::string> holds;
+    // Tell one announcement from another.
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+
+    friend bool operator==(const Worker &, const Worker &) = default;
+};
+
+/**
+ * @brief Names what an upstream must hold for a request.
+ * @param model The model.
+ * @param adapter The adapter, or empty.
+ * @return MODEL or MODEL/ADAPTER.
+ */
+[[nodiscard]] std::string holdingOf(const std::string &model, const std::string &adapter);
+
+/** @brief The settings of a fleet. */
+struct FleetOptions {
+    // The data centre of this entry, preferred where waits are alike.
+    std::string dataCentre;
+    std::uint64_t seed = 1;
+    // Prompt tokens that an engine reads in a millisecond.
+    std::int64_t tokensPerMilli = 19;
+    // What a request in progress costs its engine, in prompt tokens.
+    std::int64_t tokensPerRun = 60;
+    // What another data centre costs, in prompt tokens.
+    std::int64_t tokensPerDistance = 30;
+    // What an upstream of failures alone costs, in prompt tokens.
+    std::int64_t tokensPerFailure = 40'000;
+    // Failures and waits count half after this time.
+    base::Millis halfLife{1'500};
+    // An upstream that refused a connection is avoided for this time at first, and at most for the second one.
+    base::Millis firstAvoidance{300};
+    base::Millis longestAvoidance{4'000};
+    // Prompts remembered for each upstream.
+    std::size_t rememberedPrompts = 256;
+};
+
+/** @brief What is looked for. */
+struct Wanted {
+    std::string service;
+    // Empty for a plain service.
+    std::string holding;
+    std::vector<PromptPart> parts;
+    std::int64_t promptTokens = 0;
+    // Upstreams that this request was at already.
+    std::set<std::string> except;
+};
+
+/** @brief The upstream that was chosen. */
+struct Choice {
+    std::string id;
+    std::string address;
+    // The wait to expect there before the prompt is read, in milliseconds.
+    base::Millis expectedWait;
+    // Prompt tokens that it does not keep.
+    std::int64_t newTokens = 0;
+};
+
+/** @brief Why no upstream was chosen. */
+enum class Lack { NoUpstream, NotHeld, AllTried };
+
+/** @brief The names of Lack. */
+inline constexpr auto LACK_NAMES = base::makeNames<Lack>("no_upstream", "not_held", "all_tried");
+
+/** @brief How an attempt at an upstream ended. */
+enum class Result { Answered, Failed, Refused, NotReached, Cancelled };
+
+/** @brief The upstreams and what is known of their state. */
+class Fleet
+{
+public:
+    /** @brief Makes an empty fleet. @param options The settings. */
+    explicit Fleet(FleetOptions options);
+
+    /**
+     * @brief Takes all upstreams that may get work; what is known of the state of those that stay is kept.
+     * @param workers The upstreams.
+     */
+    void update(std::vector<Worker> workers);
+
+    /**
+     * @brief Chooses an upstream.
+     * @param now The present time.
+     * @param wanted What is looked for.
+     * @return The one with the shortest wait to expect, or nothing.
+     */
+    [[nodiscard]] std::optional<Choice> choose(base::Millis now, const Wanted &wanted);
+
+    /**
+     * @brief Tells why choose() found nothing.
+     * @param wanted What was looked for.
+     * @return The reason.
+     */
+    [[nodiscard]] Lack lackOf(const Wanted &wanted) const;
+
+    /**
+     * @brief Notes that a request was sent.
+     * @param now The present time.
+     * @param choice Where to.
+     * @param wanted What was looked for.
+     */
+    void began(base::Millis now, const Choice &choice, const Wanted &wanted);
+
+    /**
+     * @brief Notes the first event or byte of an answer.
+     * @param now The present time.
+     * @param choice Where from.
+     * @param sentAt When the request was sent.
+     */
+    void started(base::Millis now, const Choice &choice, base::Millis sentAt);
+
+    /**
+     * @brief Notes the end of a request.
+     * @param now The present time.
+     * @param choice Where it was.
+     * @param started Whether started() was called for it.
+     * @param result How it ended.
+     */
+    void ended(base::Millis now, const Choice &choice, bool started, Result result);
+
+    /**
+     * @brief Notes that an upstream lacks what it announced; until its next announcement it is not asked for it.
+     * @param id The upstream.
+     * @param holding What it lacks; empty when another process serves at its address.
+     */
+    void lacks(const std::string &id, const std::string &holding);
+
+private:
+    struct State {
+        std::int64_t running = 0;
+        // Prompt tokens of requests without a first event.
+        std::int64_t waitingTokens = 0;
+        // Share of failures lately, from 0 to 1, as of measuredAt.
+        double failures = 0;
+        // The wait for first events beyond what this entry's own requests explain, in milliseconds.
+        double excessWait = 0;
+        base::Millis measuredAt;
+        base::Millis avoidedUntil;
+        base::Millis avoidance;
+        // Prefixes of prompts sent there, by the time of their use.
+        std::unordered_map<std::uint64_t, std::uint64_t> prompts;
+        std::map<std::uint64_t, std::uint64_t> promptsByUse;
+        std::uint64_t uses = 0;
+    };
+    struct Known {
+        Worker worker;
+        State state;
+        // Announced and yet not there.
+        std::set<std::string> missing;
+    };
+
+    [[nodiscard]] bool canServe(const Known &known, const Wanted &wanted) const;
+    [[nodiscard]] double costOf(
+        base::Millis now, const Known &known, const Wanted &wanted, std::int64_t newTokens) const;
+    [[nodiscard]] std::int64_t keptTokens(const Known &known, const Wanted &wanted) const;
+    [[nodiscard]] double fading(base::Millis now, const State &state) const;
+    void remember(State &state, const Wanted &wanted) const;
+    Known *find(const std::string &id);
+
+    FleetOptions m_options;
+    std::mt19937_64 m_random;
+    std::map<std::string, Known> m_workers;
+    // Upstreams by service; the pointers lead into m_workers.
+    std::map<std::string, std::vector<Known *>> m_services;
+};
+
+} // namespace bamboomoor::relay
--- a/src/bamboomoor/settings/settings.cpp
+++ b/src/bamboomoor/settings/settings.cpp
@@ -29,6 +29,8 @@
 // A change of configuration must be in force everywhere within 3 seconds.
 constexpr std::int64_t MAX_FRESHNESS_MS = 2'500;
 constexpr std::int64_t HEARTBEATS_PER_ELECTION = 3;
+constexpr std::int64_t MAX_GROUP = 9;
+constexpr std::int64_t MAX_PERMILLE = 1'000;
 
 void readSpan(TableReader &in, std::string_view key, base::Millis &span, Range range = {1, MAX_SPAN_MS})
 {
@@ -53,6 +55,7 @@
 void readUpstreams(TableReader &in, UpstreamSettings &out)
 {
     readSpan(in, "lease_ms", out.lease);
+    readSpan(in, "warm_up_ms", out.warmUp, {0, MAX_SPAN_MS});
     readSpan(in, "progress_timeout_ms", out.progressTimeout);
     readCount(in, "engine_depth", out.engineDepth);
 }
@@ -98,21 +101,41 @@
         }
         out.push_back(std::move(voter));
     });
-    if (out.empty()) {
-        in.fail("voter", "is missing; must name at least one [[voter]] with name and address");
-    }
+}
+
+void readGroup(TableReader &in, GroupSettings &out)
+{
+    in.tables("seed", [&out](TableReader &row) {
+        out.seeds.push_back(row.text("address", Form::Address));
+    });
+    in.table("group", [&out](TableReader &it) {
+        readCount(it, "size", out.size, {1, MAX_GROUP});
+    });
+}
+
+void readRelay(TableReader &in, RelaySettings &out)
+{
+    readCount(in, "retry_permille", out.retryPermille, {0, MAX_PERMILLE});
+    readSpan(in, "retry_window_ms", out.retryWindow);
+    out.servesWhenCutOff = in.flag("serves_when_cut_off", out.servesWhenCutOff);
 }
 
 // Checks what one key alone does not show.
 void checkTogether(TableReader &in, const Settings &settings)
 {
+    if (settings.voters.empty() == settings.group.seeds.empty()) {
+        in.fail("voter", "is missing; must name at least one [[voter]] with name and address, or a [[seed]] instead");
+    }
+    if (settings.group.seeds.empty() && settings.operatorToken.empty()) {
+        in.fail("operator_token", "is missing; must be a text that is not empty");
+    }
     const bool isVoter = std::any_of(settings.voters.begin(), settings.voters.end(), [&](const Voter &it) {
         return it.name == settings.vm;
     });
     if (isVoter && !settings.dataFolder.has_value()) {
         in.fail("data_folder", "is missing; a VM that is a [[voter]] must have one");
     }
-    if (settings.bootstrap && !isVoter) {
+    if (settings.bootstrap && !isVoter && settings.group.seeds.empty()) {
         in.fail("bootstrap", "must be false on a VM that is no [[voter]]");
     }
     if (settings.listen == settings.peerListen) {
@@ -130,8 +153,13 @@
     out.peerListen = in.text("peer_listen", Form::Address);
     out.dataFolder = in.optionalText("data_folder", Form::Filled);
     out.bootstrap = in.flag("bootstrap", false);
-    out.operatorToken = in.text("operator_token", Form::Filled);
+    out.readinessListen = in.optionalText("readiness_listen", Form::Address).value_or("");
+    out.operatorToken = in.optionalText("operator_token", Form::Filled).value_or("");
     readVoters(in, out.voters);
+    readGroup(in, out.group);
+    in.table("relay", [&out](TableReader &it) {
+        readRelay(it, out.relay);
+    });
     in.table("control", [&out](TableReader &it) {
         readControl(it, out.control);
     });
--- a/src/bamboomoor/settings/settings.hpp
+++ b/src/bamboomoor/settings/settings.hpp
@@ -27,6 +27,28 @@
     friend bool operator==(const Voter &, const Voter &) = default;
 };
 
+/** @brief Section [group]: a control group that finds itself; goes with [[seed]] instead of [[voter]]. */
+struct GroupSettings {
+    // Control addresses of some members, "IP:PORT"; their peer port is that of this daemon. Empty without a group.
+    std::vector<std::string> seeds;
+    // Voters wanted; twice the losses to be borne, and one.
+    std::int64_t size = 5;
+
+    friend bool operator==(const GroupSettings &, const GroupSettings &) = default;
+};
+
+/** @brief Section [relay]: how an entry relays requests to services. */
+struct RelaySettings {
+    // Attempts beyond the first that a service may get, in thousandths of the requests for it.
+    std::int64_t retryPermille = 200;
+    // The time over which retries are counted.
+    base::Millis retryWindow{10'000};
+    // True when an entry that is cut off from the control group goes on with what it knows.
+    bool servesWhenCutOff = true;
+
+    friend bool operator==(const RelaySettings &, const RelaySettings &) = default;
+};
+
 /** @brief Section [control]: the control group's timing. */
 struct ControlSettings {
     // At least 3 heartbeats.
@@ -41,6 +63,8 @@
 /** @brief Section [upstreams]: how upstreams are watched. */
 struct UpstreamSettings {
     base::Millis lease{3'000};
+    // How long a control VM that has just started may lack upstreams that live; 0 for two leases.
+    base::Millis warmUp;
     // The longest silence within one answer.
     base::Millis progressTimeout{10'000};
     // The most requests of this entry at one engine.
@@ -100,10 +124,14 @@
     std::optional<std::filesystem::path> dataFolder;
     // True only while a new control group is founded; needs a data folder and a place in the list of voters.
     bool bootstrap = false;
-    // The control group; never empty.
+    // Where the balancer asks for readiness and where metrics are served, "IP:PORT"; empty for listen.
+    std::string readinessListen;
+    // The control group; empty exactly where there are seeds.
     std::vector<Voter> voters;
-    // The secret that operators present, as given; never empty.
+    // The secret that operators present, as given; empty only where there are seeds.
     std::string operatorToken;
+    GroupSettings group;
+    RelaySettings relay;
     ControlSettings control;
     UpstreamSettings upstreams;
     EntrySettings entry;
--- a/src/bamboomoor/state/command.hpp
+++ b/src/bamboomoor/state/command.hpp
@@ -32,6 +32,21 @@
     friend bool operator==(const ApplyConfig &, const ApplyConfig &) = default;
 };
 
+/** @brief Puts a document in force whose version its operator chose; changes nothing unless it is the highest. */
+struct ReplaceConfig {
+    std::string author;
+    // When it was asked for, milliseconds since the Unix epoch; for people to read.
+    std::int64_t wallMillis = 0;
+    // At least 1.
+    std::uint64_t version = 0;
+    // TOML of the config module.
+    std::string documentText;
+    // The bytes that the operator sent, given back as they are.
+    std::string source;
+
+    friend bool operator==(const ReplaceConfig &, const ReplaceConfig &) = default;
+};
+
 /** @brief Gives an organisation a key. */
 struct AddKey {
     std::string changeId;
@@ -189,7 +204,7 @@
 
 /** @brief Any command. */
 using Command = std::variant<ApplyConfig, AddKey, WithdrawKey, OpenClaim, FinishClaim, AbandonClaims, SweepClaims,
-    RaiseCeiling, RecordIntent, CloseIntent, ReleaseClaim>;
+    RaiseCeiling, RecordIntent, CloseIntent, ReleaseClaim, ReplaceConfig>;
 
 /** @brief Why bytes are no command. */
 struct DecodeError {
--- a/src/bamboomoor/state/confighistory.cpp
+++ b/src/bamboomoor/state/confighistory.cpp
@@ -100,6 +100,28 @@
     return applyOnce(change, std::move(request));
 }
 
+ChangeOutcome ConfigHistory::apply(const ReplaceConfig &change)
+{
+    // A repeated or overtaken change is no mistake of its sender.
+    if (change.version <= m_inForce.version) {
+        return refuse(ChangeCode::Accepted, "version " + std::to_string(m_inForce.version) + " is in force");
+    }
+    auto parsed = config::parse(change.documentText);
+    if (parsed.has_error()) {
+        return refuse(ChangeCode::InvalidDocument, parsed.error().place + ": " + parsed.error().message);
+    }
+    if (const auto problem = config::check(parsed.value()); problem.has_value()) {
+        return refuse(ChangeCode::InvalidDocument, problem->place + ": " + problem->message);
+    }
+    VersionInfo next;
+    next.version = change.version;
+    next.author = change.author;
+    next.wallMillis = change.wallMillis;
+    next.summary = summarise(*m_document, parsed.value());
+    next.source = change.source;
+    return install(std::move(parsed).value(), std::move(next));
+}
+
 std::optional<ChangeOutcome> ConfigHistory::findDecided(const Request &request) const
 {
     const auto it = m_decided.find(request.changeId);
@@ -199,10 +221,15 @@
     next.changeId = request.changeId;
     next.wallMillis = request.wallMillis;
     next.summary = std::move(summary);
+    return install(std::move(document), std::move(next));
+}
+
+ChangeOutcome ConfigHistory::install(config::Document document, VersionInfo next)
+{
     next.text = config::print(document);
     next.digest = base::sha256(*next.text);
     m_document = std::make_shared<const config::Document>(std::move(document));
-    m_textBytes += next.text->size();
+    m_textBytes += bytesOf(next);
     m_inForce = next;
     m_versions.push_back(std::move(next));
     trimVersions();
@@ -280,10 +307,14 @@
 
 void ConfigHistory::dropText(VersionInfo &info)
 {
-    if (info.text.has_value()) {
-        m_textBytes -= info.text->size();
-        info.text.reset();
-    }
+    m_textBytes -= bytesOf(info);
+    info.text.reset();
+    info.source.reset();
+}
+
+std::size_t ConfigHistory::bytesOf(const VersionInfo &info) noexcept
+{
+    return (info.text ? info.text->size() : 0) + (info.source ? info.source->size() : 0);
 }
 
 const VersionInfo *ConfigHistory::find(std::uint64_t version) const noexcept
@@ -291,10 +322,11 @@
     if (version == m_inForce.version) {
         return &m_inForce;
     }
-    if (m_versions.empty() || version < m_versions.front().version || version > m_versions.back().version) {
-        return nullptr;
-    }
-    return &m_versions[version - m_versions.front().version];
+    const auto it = std::lower_bound(
+        m_versions.begin(), m_versions.end(), version, [](const VersionInfo &info, std::uint64_t wanted) {
+            return info.version < wanted;
+        });
+    return it != m_versions.end() && it->version == version ? &*it : nullptr;
 }
 
 } // namespace bamboomoor::state
--- a/src/bamboomoor/state/confighistory.hpp
+++ b/src/bamboomoor/state/confighistory.hpp
@@ -24,7 +24,7 @@
 
 /** @brief One version of the configuration. */
 struct VersionInfo {
-    // Counts from 1; 0 is the empty document before the first change.
+    // Grows from 1, in steps where operators choose it; 0 is the empty document before the first change.
     std::uint64_t version = 0;
     // config::digest of the document.
     std::string digest;
@@ -36,6 +36,8 @@
     std::string summary;
     // The canonical form; nothing for an old version whose text is no longer kept.
     std::optional<std::string> text;
+    // The bytes of a document that came in a form of the operator's; kept as long as the text.
+    std::optional<std::string> source;
 
     friend bool operator==(const VersionInfo &, const VersionInfo &) = default;
 };
@@ -59,6 +61,13 @@
     ChangeOutcome apply(const AddKey &change);
     ChangeOutcome apply(const WithdrawKey &change);
 
+    /**
+     * @brief Puts a document in force if its version is the highest.
+     * @param change The document with its version.
+     * @return Accepted with the version in force afterwards, also when that is a higher one; or InvalidDocument.
+     */
+    ChangeOutcome apply(const ReplaceConfig &change);
+
     /**
      * @brief Reads the version in force.
      * @return The version, always with its text.
@@ -131,6 +140,8 @@
     [[nodiscard]] ChangeOutcome decide(const AddKey &change, const Request &request);
     [[nodiscard]] ChangeOutcome decide(const WithdrawKey &change, const Request &request);
     [[nodiscard]] ChangeOutcome accept(config::Document document, std::string summary, const Request &request);
+    [[nodiscard]] ChangeOutcome install(config::Document document, VersionInfo next);
+    [[nodiscard]] static std::size_t bytesOf(const VersionInfo &info) noexcept;
     template<class Change>
     ChangeOutcome applyOnce(const Change &change, Request request);
     [[nodiscard]] std::optional<std::string> findWithdrawn(const config::Document &document) const;
@@ -144,7 +155,7 @@
     VersionInfo m_inForce;
     // Parsed from m_inForce.text; never null.
     std::shared_ptr<const config::Document> m_document;
-    // Versions without a gap, the last one equal to m_inForce.
+    // Versions by ascending number, the last one equal to m_inForce.
     std::deque<VersionInfo> m_versions;
     // The sum of the sizes of all texts in m_versions.
     std::size_t m_textBytes = 0;
--- a/src/bamboomoor/state/confighistory_json.cpp
+++ b/src/bamboomoor/state/confighistory_json.cpp
@@ -19,6 +19,9 @@
     if (info.text.has_value()) {
         out["text"] = *info.text;
     }
+    if (info.source.has_value()) {
+        out["source"] = internal::toBase64(*info.source);
+    }
     return out;
 }
 
@@ -34,6 +37,9 @@
     if (json.contains("text")) {
         info.text = json.at("text").get<std::string>();
     }
+    if (json.contains("source")) {
+        info.source = internal::readBytes(json.at("source"));
+    }
     return info;
 }
 
@@ -66,7 +72,7 @@
     m_textBytes = 0;
     for (const auto &it : json.at("versions")) {
         m_versions.push_back(loadVersion(it));
-        m_textBytes += m_versions.back().text.value_or("").size();
+        m_textBytes += bytesOf(m_versions.back());
     }
     for (const auto &it : json.at("decided")) {
         Decided decided;
--- a/src/bamboomoor/state/json.cpp
+++ b/src/bamboomoor/state/json.cpp
@@ -16,7 +16,7 @@
 // Names of the alternatives, in the order of the variants.
 constexpr std::array<std::string_view, std::variant_size_v<Command>> COMMAND_NAMES{"apply_config", "add_key",
     "withdraw_key", "open_claim", "finish_claim", "abandon_claims", "sweep_claims", "raise_ceiling", "record_intent",
-    "close_intent", "release_claim"};
+    "close_intent", "release_claim", "replace_config"};
 constexpr std::array<std::string_view, std::variant_size_v<Outcome>> OUTCOME_NAMES{
     "change", "claim", "count", "ceiling", "intent", "malformed"};
 
@@ -111,6 +111,21 @@
     value.body = internal::readBytes(json.at("body"));
 }
 
+void to_json(json &json, const ReplaceConfig &value)
+{
+    json = {{"author", value.author}, {"wallMillis", value.wallMillis}, {"version", value.version},
+        {"documentText", value.documentText}, {"source", internal::toBase64(value.source)}};
+}
+
+void from_json(const json &json, ReplaceConfig &value)
+{
+    json.at("author").get_to(value.author);
+    json.at("wallMillis").get_to(value.wallMillis);
+    json.at("version").get_to(value.version);
+    json.at("documentText").get_to(value.documentText);
+    value.source = internal::readBytes(json.at("source"));
+}
+
 void to_json(json &json, const RecordIntent &value)
 {
     json = {{"orderId", value.orderId}, {"fencing", value.fencing}, {"upstream", value.upstream},
--- a/src/bamboomoor/state/json.hpp
+++ b/src/bamboomoor/state/json.hpp
@@ -95,6 +95,8 @@
 
 void to_json(nlohmann::json &json, const FinishClaim &value);
 void from_json(const nlohmann::json &json, FinishClaim &value);
+void to_json(nlohmann::json &json, const ReplaceConfig &value);
+void from_json(const nlohmann::json &json, ReplaceConfig &value);
 void to_json(nlohmann::json &json, const RecordIntent &value);
 void from_json(const nlohmann::json &json, RecordIntent &value);
 void to_json(nlohmann::json &json, const CloseIntent &value);
--- a/src/bamboomoor/state/machine.cpp
+++ b/src/bamboomoor/state/machine.cpp
@@ -43,6 +43,9 @@
         [this](const ApplyConfig &it) -> Outcome {
             return m_configuration.apply(it);
         },
+        [this](const ReplaceConfig &it) -> Outcome {
+            return m_configuration.apply(it);
+        },
         [this](const AddKey &it) -> Outcome {
             return m_configuration.apply(it);
         },
