Order models and adapters to workers by the demand that entries report

Residency decides (pure), ResidencyDesk runs it at the leader: lost models first, then adapters, then copies of the model whose workers are loaded most, within the store's rate; every order names the number of orders accepted before.

--- a/src/bamboomoor/control/voterdesk.cpp
+++ b/src/bamboomoor/control/voterdesk.cpp
@@ -368,6 +368,7 @@
     status.voters = m_node->membership().voters;
     status.learners = m_node->membership().learners;
     status.heardAt = m_node->heardAt();
+    status.confirmedAt = m_node->confirmedAt();
     status.failed = m_failed;
     const absl::MutexLock lock(&m_mutex);
     m_status = std::move(status);
--- a/src/bamboomoor/control/voterdesk.hpp
+++ b/src/bamboomoor/control/voterdesk.hpp
@@ -65,6 +65,8 @@
     std::vector<std::string> learners;
     // When this leader heard each other member last; empty when it does not lead.
     std::map<std::string, base::Millis> heardAt;
+    // When a quorum is known to have followed this leader last; nothing when it does not lead.
+    std::optional<base::Millis> confirmedAt;
     bool failed = false;
 };
 
--- a/src/bamboomoor/entry/upstreambook.cpp
+++ b/src/bamboomoor/entry/upstreambook.cpp
@@ -79,6 +79,12 @@
     return copies;
 }
 
+std::set<DrainingReplica> UpstreamBook::draining() const
+{
+    const absl::MutexLock lock(&m_mutex);
+    return m_draining;
+}
+
 void UpstreamBook::setDraining(std::set<DrainingReplica> draining)
 {
     const absl::MutexLock lock(&m_mutex);
--- a/src/bamboomoor/entry/upstreambook.hpp
+++ b/src/bamboomoor/entry/upstreambook.hpp
@@ -82,6 +82,12 @@
      */
     [[nodiscard]] std::vector<membership::Entry> list(base::Millis now) const;
 
+    /**
+     * @brief Reads the replicas that get no new work.
+     * @return All of them.
+     */
+    [[nodiscard]] std::set<DrainingReplica> draining() const;
+
     /**
      * @brief Replaces the replicas that get no new work.
      * @param draining All of them.
--- a/src/bamboomoor/gateway/controldaemon.cpp
+++ b/src/bamboomoor/gateway/controldaemon.cpp
@@ -65,6 +65,13 @@
     return options;
 }
 
+ResidencyDeskOptions residencyOptions(const settings::Settings &settings)
+{
+    ResidencyDeskOptions options;
+    options.vm = settings.vm;
+    return options;
+}
+
 control::GroupDeskOptions groupOptions(const settings::Settings &settings, const std::string &identity)
 {
     control::GroupDeskOptions options;
@@ -102,6 +109,7 @@
     , m_voter(voterOptions(m_settings, m_identity), m_peers, m_clock)
     , m_freshen(m_voter, m_clock)
     , m_budget(budgetOptions(m_settings), m_voter, m_clock)
+    , m_residency(residencyOptions(m_settings), {m_clock, m_voter, m_book, m_client, *dialects.orders, m_log})
     , m_group(groupOptions(m_settings, m_identity), m_voter, m_peers, m_clock)
     , m_sync(syncOptions(m_settings, m_identity), m_heard, m_book, m_peers, m_clock)
     , m_api({}, {m_clock, *dialects.control, m_peers, m_group, m_heard, m_book, m_log})
@@ -125,6 +133,7 @@
 {
     m_freshen.start();
     m_budget.start();
+    m_residency.start();
     BOOST_OUTCOME_TRY(m_voter.start());
     if (!m_peerServer.start(m_settings.peerListen)) {
         return base::failure("peer_listen: cannot listen on " + m_settings.peerListen);
@@ -165,6 +174,7 @@
     m_sync.stop();
     m_client.stop();
     m_voter.stop();
+    m_residency.stop();
     m_budget.stop();
     m_freshen.stop();
     m_peerServer.stop();
--- a/src/bamboomoor/gateway/dialect.hpp
+++ b/src/bamboomoor/gateway/dialect.hpp
@@ -9,12 +9,15 @@
 #include "bamboomoor/http/client.hpp"
 #include "bamboomoor/http/message.hpp"
 #include "bamboomoor/membership/announcement.hpp"
+#include "bamboomoor/placement/residency.hpp"
 #include "bamboomoor/relay/core.hpp"
 #include "bamboomoor/relay/request.hpp"
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 namespace bamboomoor::gateway
@@ -121,11 +124,50 @@
     [[nodiscard]] virtual http::Response unavailable(const std::string &reason) const = 0;
 };
 
+/** @brief Who gives an order. */
+struct OrderSender {
+    // The control VM.
+    std::string holder;
+    // Greater at every later leader.
+    std::uint64_t fencing = 0;
+};
+
+/** @brief Translates orders to workers. */
+class OrderDialect
+{
+public:
+    virtual ~OrderDialect() = default;
+
+    /**
+     * @brief Writes an order.
+     * @param order The order.
+     * @param sender Who gives it.
+     * @return The call, without time limits.
+     */
+    [[nodiscard]] virtual http::Call order(const placement::ResidencyOrder &order, const OrderSender &sender) const = 0;
+
+    /** @brief Reads the answer to an order. @param status Its HTTP status. @return What became of the order. */
+    [[nodiscard]] virtual placement::OrderVerdict readOrder(int status) const = 0;
+
+    /** @brief Writes the question for what a worker holds. @param inspection The worker. @return The call. */
+    [[nodiscard]] virtual http::Call inspect(const placement::Inspection &inspection) const = 0;
+
+    /**
+     * @brief Reads what a worker holds.
+     * @param status The HTTP status.
+     * @param body The body.
+     * @return The find, or nothing for an answer that cannot be read.
+     */
+    [[nodiscard]] virtual std::optional<placement::Inspected> readInspection(
+        int status, std::string_view body) const = 0;
+};
+
 /** @brief All dialects of one infrastructure. */
 struct Dialects {
     std::unique_ptr<CallerDialect> callers;
     std::unique_ptr<UpstreamDialect> upstreams;
     std::unique_ptr<ControlDialect> control;
+    std::unique_ptr<OrderDialect> orders;
 };
 
 } // namespace bamboomoor::gateway
--- a/src/bamboomoor/gateway/entrydaemon.cpp
+++ b/src/bamboomoor/gateway/entrydaemon.cpp
@@ -16,6 +16,8 @@
 {
 
 constexpr base::Millis DRAIN_POLL{50};
+// Between two reports of demand, which placement follows.
+constexpr base::Millis DEMAND_INTERVAL{400};
 // The budget's holder: between two reports, and the longest wait of a request for tokens.
 constexpr base::Millis BUDGET_REPORT{60};
 constexpr base::Millis BUDGET_PATIENCE{600};
@@ -75,6 +77,14 @@
     return options;
 }
 
+entry::DemandReportOptions demandOptions(const settings::Settings &settings)
+{
+    entry::DemandReportOptions options;
+    options.vm = settings.vm;
+    options.interval = DEMAND_INTERVAL;
+    return options;
+}
+
 http::ServerOptions serverOptions(const settings::Settings &settings)
 {
     http::ServerOptions options;
@@ -101,7 +111,7 @@
           [this] {
               m_runner.configurationChanged();
           })
-    , m_demand({.vm = m_settings.vm}, m_runner, m_book, m_peers, m_leader, m_clock)
+    , m_demand(demandOptions(m_settings), m_runner, m_book, m_peers, m_leader, m_clock)
     , m_readiness(
           [this] {
               return unready();
--- a/src/bamboomoor/gateway/residencydesk.cpp
+++ b/src/bamboomoor/gateway/residencydesk.cpp
@@ -1,32 +1,346 @@
 /**
- * The thread that decides what workers hold.
+ * The thread that runs the residency's plan.
  */
 #include "bamboomoor/gateway/residencydesk.hpp"
 
+#include <glog/logging.h>
+
+#include <algorithm>
 #include <utility>
 
 namespace bamboomoor::gateway
 {
 
-void ResidencyDesk::report(const peer::wire::DemandReport & /*request*/, peer::Answer<peer::wire::DemandReply> answer)
+namespace
 {
-    peer::wire::DemandReply reply;
-    reply.set_served(m_leading);
-    answer(std::move(reply));
+
+constexpr std::size_t RING_SIZE = 4'096;
+constexpr double MILLIS_PER_SECOND = 1'000.0;
+
+std::map<std::string, placement::EngineSpec> enginesOf(const state::Machine &machine)
+{
+    const auto document = machine.configuration().document();
+    std::map<std::string, placement::EngineSpec> engines;
+    for (const config::Service &it : document->services) {
+        if (it.engine) {
+            placement::EngineSpec &engine = engines[it.name];
+            engine.memoryMib = it.engine->memoryMib;
+            engine.adapterPlaces = it.engine->adapterPlaces;
+            engine.loadsPerSecond = static_cast<double>(it.engine->loadsPerSecondMilli) / MILLIS_PER_SECOND;
+        }
+    }
+    for (const config::Model &it : document->models) {
+        const auto engine = engines.find(it.service);
+        if (engine != engines.end()) {
+            engine->second.models[it.name] = {it.memoryMib, it.numberedAdapters, it.adapterMemoryMib, it.loadTime};
+        }
+    }
+    return engines;
+}
+
+placement::WorkerReport reportOf(const membership::Announcement &announcement)
+{
+    placement::WorkerReport report;
+    report.id = announcement.id;
+    report.incarnation = announcement.incarnation;
+    report.address = announcement.address;
+    report.service = announcement.service;
+    report.leaving = announcement.leaving;
+    for (const membership::Accelerator &accelerator : announcement.accelerators) {
+        for (const membership::Resident &it : accelerator.resident) {
+            auto &adapters = report.holdings.models[it.model];
+            if (!it.adapter.empty()) {
+                adapters.insert(it.adapter);
+            }
+        }
+    }
+    return report;
+}
+
+} // namespace
+
+/** @brief Posts what became of an order. */
+class ResidencyDesk::OrderListener final : public http::Listener
+{
+public:
+    OrderListener(ResidencyDesk &desk, std::uint64_t term, std::string worker)
+        : m_desk(desk)
+        , m_term(term)
+        , m_worker(std::move(worker))
+    {
+    }
+
+    void onHead(int status, http::Headers /*headers*/) override
+    {
+        m_status = status;
+    }
+
+    void onData(std::string_view /*bytes*/) override
+    {
+    }
+
+    void onEnd(http::Ending ending) override
+    {
+        const bool answered = ending.kind == http::EndKind::Complete;
+        m_desk.post(Ordered{m_term, m_worker,
+            answered ? m_desk.m_context.dialect.readOrder(m_status) : placement::OrderVerdict::Unknown});
+    }
+
+private:
+    ResidencyDesk &m_desk;
+    const std::uint64_t m_term;
+    const std::string m_worker;
+    int m_status = 0;
+};
+
+/** @brief Posts what a worker holds. */
+class ResidencyDesk::LookListener final : public http::Listener
+{
+public:
+    LookListener(ResidencyDesk &desk, std::uint64_t term, std::string worker)
+        : m_desk(desk)
+        , m_term(term)
+        , m_worker(std::move(worker))
+    {
+    }
+
+    void onHead(int status, http::Headers /*headers*/) override
+    {
+        m_status = status;
+    }
+
+    void onData(std::string_view bytes) override
+    {
+        m_body += bytes;
+    }
+
+    void onEnd(http::Ending ending) override
+    {
+        const bool answered = ending.kind == http::EndKind::Complete;
+        m_desk.post(Looked{
+            m_term, m_worker, answered ? m_desk.m_context.dialect.readInspection(m_status, m_body) : std::nullopt});
+    }
+
+private:
+    ResidencyDesk &m_desk;
+    const std::uint64_t m_term;
+    const std::string m_worker;
+    int m_status = 0;
+    std::string m_body;
+};
+
+ResidencyDesk::ResidencyDesk(ResidencyDeskOptions options, ResidencyDeskContext context)
+    : m_options(std::move(options))
+    , m_context(context)
+    , m_ring(RING_SIZE)
+{
+}
+
+ResidencyDesk::~ResidencyDesk()
+{
+    stop();
+}
+
+void ResidencyDesk::start()
+{
+    m_thread = std::thread([this] {
+        run();
+    });
 }
 
-void ResidencyDesk::onLeading(std::uint64_t /*term*/, const state::Machine & /*machine*/)
+void ResidencyDesk::stop()
 {
-    m_leading = true;
+    m_stopping = true;
+    m_ring.close();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void ResidencyDesk::report(const peer::wire::DemandReport &request, peer::Answer<peer::wire::DemandReply> answer)
+{
+    post(ReportEvent{request, std::move(answer)});
+}
+
+void ResidencyDesk::onLeading(std::uint64_t term, const state::Machine &machine)
+{
+    post(Leading{term, enginesOf(machine)});
 }
 
 void ResidencyDesk::onNotLeading()
 {
-    m_leading = false;
+    post(NotLeading{});
+}
+
+void ResidencyDesk::onConfiguration(const state::Machine &machine)
+{
+    post(Configured{enginesOf(machine)});
+}
+
+void ResidencyDesk::post(Event event)
+{
+    if (m_ring.push(std::move(event))) {
+        return;
+    }
+    // A refused push leaves the event as it was.
+    if (auto *report = std::get_if<ReportEvent>(&event)) { // NOLINT(bugprone-use-after-move)
+        report->answer({});
+    } else if (!m_ring.closed()) {
+        LOG(FATAL) << "event=residency_ring_full";
+    }
+}
+
+void ResidencyDesk::run()
+{
+    base::Millis next = m_context.clock.now();
+    while (!m_stopping) {
+        const base::Millis idle = m_plan ? next : m_context.clock.now() + base::Millis{1'000};
+        auto event = m_ring.pop(std::max(idle - m_context.clock.now(), base::Millis{0}));
+        const bool woken = event.has_value();
+        while (event) {
+            std::visit(
+                [this](auto &it) {
+                    on(it);
+                },
+                *event);
+            event = m_ring.pop({0});
+        }
+        if (m_plan && (woken || m_context.clock.now() >= next)) {
+            decide();
+            next = m_context.clock.now() + m_options.interval;
+        }
+    }
+    while (auto event = m_ring.pop({0})) {
+        if (auto *report = std::get_if<ReportEvent>(&*event)) {
+            report->answer({});
+        }
+    }
+}
+
+void ResidencyDesk::on(ReportEvent &event)
+{
+    peer::wire::DemandReply reply;
+    if (!m_plan) {
+        reply.set_leader(m_context.voter.status().leader);
+        event.answer(std::move(reply));
+        return;
+    }
+    const double seconds = std::max<double>(1.0, static_cast<double>(event.request.span_ms())) / MILLIS_PER_SECOND;
+    std::vector<placement::ResidencyDemand> demand;
+    for (const auto &it : event.request.demands()) {
+        demand.push_back({it.model(), it.adapter(), static_cast<double>(it.requests()) / seconds, it.queued()});
+    }
+    m_plan->setDemand(m_context.clock.now(), event.request.vm(), demand);
+    reply.set_served(true);
+    reply.set_term(m_term);
+    for (const auto &[worker, model] : m_plan->draining()) {
+        auto *drain = reply.add_draining();
+        drain->set_upstream(worker);
+        drain->set_model(model);
+    }
+    event.answer(std::move(reply));
+}
+
+void ResidencyDesk::on(Leading &event)
+{
+    m_term = event.term;
+    m_fenced = false;
+    m_plan.emplace(m_options.plan);
+    m_plan->setEngines(std::move(event.engines));
+}
+
+void ResidencyDesk::on(NotLeading & /*event*/)
+{
+    m_term = 0;
+    m_plan.reset();
+}
+
+void ResidencyDesk::on(Configured &event)
+{
+    if (m_plan) {
+        m_plan->setEngines(std::move(event.engines));
+    }
+}
+
+void ResidencyDesk::on(Ordered &event)
+{
+    if (!m_plan || event.term != m_term) {
+        return;
+    }
+    m_context.log.write(base::LogLine("order_answered")
+                            .add("upstream", event.worker)
+                            .add("verdict", placement::ORDER_VERDICT_NAMES.name(event.verdict))
+                            .add("term", static_cast<std::int64_t>(event.term)));
+    m_fenced = m_fenced || event.verdict == placement::OrderVerdict::Fenced;
+    m_plan->ordered(m_context.clock.now(), event.worker, event.verdict);
+}
+
+void ResidencyDesk::on(Looked &event)
+{
+    if (m_plan && event.term == m_term) {
+        m_plan->inspected(m_context.clock.now(), event.worker, event.found);
+    }
+}
+
+void ResidencyDesk::takeWorkers(base::Millis now)
+{
+    std::vector<placement::WorkerReport> reports;
+    for (const membership::Entry &it : m_context.upstreams.list(now)) {
+        reports.push_back(reportOf(it.announcement));
+    }
+    m_plan->setWorkers(now, reports);
+}
+
+bool ResidencyDesk::surelyLeads(base::Millis now) const
+{
+    const auto confirmedAt = m_context.voter.status().confirmedAt;
+    return !m_fenced && confirmedAt && now - *confirmedAt < m_options.leadership;
+}
+
+void ResidencyDesk::decide()
+{
+    const base::Millis now = m_context.clock.now();
+    takeWorkers(now);
+    if (!surelyLeads(now)) {
+        return;
+    }
+    const placement::ResidencyActions actions = m_plan->plan(now);
+    for (const placement::ResidencyOrder &it : actions.orders) {
+        send(it);
+    }
+    for (const placement::Inspection &it : actions.inspections) {
+        look(it);
+    }
+}
+
+http::Call ResidencyDesk::limited(http::Call call) const
+{
+    call.connectTimeout = m_options.connectTimeout;
+    call.firstByteTimeout = m_options.timeout;
+    call.progressTimeout = m_options.timeout;
+    call.totalTimeout = m_options.timeout;
+    return call;
+}
+
+void ResidencyDesk::send(const placement::ResidencyOrder &order)
+{
+    m_context.log.write(base::LogLine("order_sent")
+                            .add("upstream", order.worker)
+                            .add("kind", placement::RESIDENCY_ORDER_NAMES.name(order.kind))
+                            .add("model", order.model)
+                            .add("adapter", order.adapter)
+                            .add("reason", order.reason)
+                            .add("expected", static_cast<std::int64_t>(order.expected))
+                            .add("term", static_cast<std::int64_t>(m_term)));
+    const OrderSender sender{m_options.vm, m_term};
+    m_context.client.start(
+        limited(m_context.dialect.order(order, sender)), std::make_shared<OrderListener>(*this, m_term, order.worker));
 }
 
-void ResidencyDesk::onConfiguration(const state::Machine & /*machine*/)
+void ResidencyDesk::look(const placement::Inspection &inspection)
 {
+    m_context.client.start(limited(m_context.dialect.inspect(inspection)),
+        std::make_shared<LookListener>(*this, m_term, inspection.worker));
 }
 
 } // namespace bamboomoor::gateway
--- a/src/bamboomoor/gateway/residencydesk.hpp
+++ b/src/bamboomoor/gateway/residencydesk.hpp
@@ -1,20 +1,71 @@
 /**
- * The thread that decides, while this voter leads, what the workers of the infrastructure hold.
+ * The thread that runs the residency's plan while this voter leads: it takes the entries' demand, sends orders to
+ * workers, and tells the entries what drains.
  */
 #pragma once
 
+#include "bamboomoor/base/clock.hpp"
+#include "bamboomoor/base/eventlog.hpp"
+#include "bamboomoor/base/ring.hpp"
 #include "bamboomoor/control/demandtaker.hpp"
 #include "bamboomoor/control/voterdesk.hpp"
+#include "bamboomoor/entry/upstreambook.hpp"
+#include "bamboomoor/gateway/dialect.hpp"
+#include "bamboomoor/http/client.hpp"
+#include "bamboomoor/placement/residency.hpp"
 
 #include <atomic>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <thread>
+#include <variant>
 
 namespace bamboomoor::gateway
 {
 
+/** @brief The settings of the thread. */
+struct ResidencyDeskOptions {
+    // This control VM, as it names itself in orders.
+    std::string vm;
+    placement::ResidencyOptions plan;
+    // Between two decisions without news.
+    base::Millis interval{200};
+    // The longest wait for a worker's answer.
+    base::Millis timeout{1'000};
+    base::Millis connectTimeout{400};
+    // How old the last confirmation of the leadership by a quorum may be when an order is sent; less than the
+    // election timeout, after which another one may lead.
+    base::Millis leadership{600};
+};
+
+/** @brief What the thread works with; all outlives it. */
+struct ResidencyDeskContext {
+    const base::Clock &clock;
+    const control::VoterDesk &voter;
+    const entry::UpstreamBook &upstreams;
+    http::Client &client;
+    const OrderDialect &dialect;
+    base::EventLog &log;
+};
+
 /** @brief Follows the demand for models and adapters. */
 class ResidencyDesk final : public control::VoterWatcher, public control::DemandTaker
 {
 public:
+    /** @brief Makes a desk that does not run yet. @param options The settings. @param context What it works with. */
+    ResidencyDesk(ResidencyDeskOptions options, ResidencyDeskContext context);
+    ~ResidencyDesk() override;
+    ResidencyDesk(const ResidencyDesk &) = delete;
+    ResidencyDesk &operator=(const ResidencyDesk &) = delete;
+
+    /** @brief Starts the thread. */
+    void start();
+
+    /** @brief Ends the thread. */
+    void stop();
+
     void report(const peer::wire::DemandReport &request, peer::Answer<peer::wire::DemandReply> answer) override;
 
     void onLeading(std::uint64_t term, const state::Machine &machine) override;
@@ -22,7 +73,61 @@
     void onConfiguration(const state::Machine &machine) override;
 
 private:
-    std::atomic<bool> m_leading{false};
+    using Engines = std::map<std::string, placement::EngineSpec>;
+    struct ReportEvent {
+        peer::wire::DemandReport request;
+        peer::Answer<peer::wire::DemandReply> answer;
+    };
+    struct Leading {
+        std::uint64_t term = 0;
+        Engines engines;
+    };
+    struct NotLeading {
+    };
+    struct Configured {
+        Engines engines;
+    };
+    struct Ordered {
+        std::uint64_t term = 0;
+        std::string worker;
+        placement::OrderVerdict verdict = placement::OrderVerdict::Unknown;
+    };
+    struct Looked {
+        std::uint64_t term = 0;
+        std::string worker;
+        std::optional<placement::Inspected> found;
+    };
+    using Event = std::variant<ReportEvent, Leading, NotLeading, Configured, Ordered, Looked>;
+    class OrderListener;
+    class LookListener;
+
+    void run();
+    void on(ReportEvent &event);
+    void on(Leading &event);
+    void on(NotLeading &event);
+    void on(Configured &event);
+    void on(Ordered &event);
+    void on(Looked &event);
+    void post(Event event);
+    void decide();
+    void takeWorkers(base::Millis now);
+    [[nodiscard]] bool surelyLeads(base::Millis now) const;
+    void send(const placement::ResidencyOrder &order);
+    void look(const placement::Inspection &inspection);
+    [[nodiscard]] http::Call limited(http::Call call) const;
+
+    ResidencyDeskOptions m_options;
+    ResidencyDeskContext m_context;
+    base::Ring<Event> m_ring;
+    std::thread m_thread;
+    std::atomic<bool> m_stopping{false};
+
+    // Used by the thread only.
+    std::optional<placement::Residency> m_plan;
+    // 0 while this voter does not lead.
+    std::uint64_t m_term = 0;
+    // Another leader has ordered; nothing more is ordered in this term.
+    bool m_fenced = false;
 };
 
 } // namespace bamboomoor::gateway
--- a/src/bamboomoor/gateway/runner.cpp
+++ b/src/bamboomoor/gateway/runner.cpp
@@ -205,6 +205,7 @@
 void Runner::refreshUpstreams()
 {
     const base::Millis bookTime = m_context.sync.bookTime();
+    const std::set<entry::DrainingReplica> draining = m_context.upstreams.draining();
     std::vector<relay::Worker> workers;
     for (const membership::Entry &it : m_context.upstreams.list(bookTime)) {
         const membership::Announcement &announcement = it.announcement;
@@ -220,6 +221,9 @@
         worker.sequence = announcement.sequence;
         for (const membership::Accelerator &accelerator : announcement.accelerators) {
             for (const membership::Resident &held : accelerator.resident) {
+                if (draining.contains({announcement.id, held.model, {}, {}})) {
+                    continue;
+                }
                 worker.holds.insert(relay::holdingOf(held.model, held.adapter));
             }
         }
--- /dev/null
+++ b/src/bamboomoor/placement/residency.cpp
@@ -0,0 +1,310 @@
+/**
+ * The plan of what workers hold: state of workers, orders and their outcomes. The decisions are in residencyplan.cpp.
+ */
+#include "bamboomoor/placement/residency.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace bamboomoor::placement
+{
+
+void Residency::setEngines(std::map<std::string, EngineSpec> engines)
+{
+    m_engines = std::move(engines);
+}
+
+void Residency::setWorkers(base::Millis now, const std::vector<WorkerReport> &workers)
+{
+    std::set<std::string> present;
+    for (const WorkerReport &it : workers) {
+        if (!m_engines.contains(it.service)) {
+            continue;
+        }
+        present.insert(it.id);
+        State &state = m_workers[it.id];
+        const bool restarted = state.report.incarnation != it.incarnation || state.report.address != it.address;
+        if (restarted) {
+            state = {};
+        }
+        state.report = it;
+        const bool settled = !state.underWay && now - state.orderedAt > m_options.announcementLag;
+        if (it.holdings.models.contains(state.loading)) {
+            state.view.models.try_emplace(state.loading);
+            state.heldSince[state.loading] = now;
+            state.loading.clear();
+        }
+        if (restarted || (settled && state.loading.empty())) {
+            state.view = it.holdings;
+        }
+    }
+    std::erase_if(m_workers, [&present](const auto &it) {
+        return !present.contains(it.first);
+    });
+}
+
+void Residency::setDemand(base::Millis now, const std::string &entry, const std::vector<ResidencyDemand> &demand)
+{
+    auto &rates = m_demand[entry];
+    std::map<std::pair<std::string, std::string>, double> latest;
+    for (const ResidencyDemand &it : demand) {
+        latest[{it.model, it.adapter}] += it.rate;
+        if (it.missed > 0) {
+            m_missed.emplace(it.model, it.adapter);
+        }
+    }
+    for (const auto &[key, rate] : latest) {
+        rates.try_emplace(key, Rate{0, now});
+    }
+    for (auto &[key, rate] : rates) {
+        const auto it = latest.find(key);
+        const double newest = it == latest.end() ? 0 : it->second;
+        const double age = static_cast<double>((now - rate.at).count);
+        const double keep = std::exp2(-age / static_cast<double>(m_options.halfLife.count));
+        rate.rate = rate.rate * keep + newest * (1 - keep);
+        rate.at = now;
+    }
+}
+
+void Residency::survey(base::Millis now)
+{
+    m_survey = {};
+    for (const auto &[id, state] : m_workers) {
+        if (!state.report.leaving) {
+            surveyWorker(state);
+        }
+    }
+    for (const auto &[entry, rates] : m_demand) {
+        for (const auto &[key, rate] : rates) {
+            const double age = static_cast<double>((now - rate.at).count);
+            const double present = rate.rate * std::exp2(-age / static_cast<double>(m_options.halfLife.count));
+            m_survey.demand[key] += present;
+            m_survey.modelDemand[key.first] += present;
+        }
+    }
+}
+
+void Residency::surveyWorker(const State &state)
+{
+    const std::string &service = state.report.service;
+    for (const auto &[model, adapters] : state.view.models) {
+        if (isEvicting(state, model)) {
+            continue;
+        }
+        ++m_survey.replicas[{service, model}];
+        for (const std::string &adapter : adapters) {
+            ++m_survey.adapters[{service, model, adapter}];
+        }
+    }
+    const std::string coming = !state.loading.empty() ? state.loading : state.task ? state.task->model : std::string();
+    if (!coming.empty() && !state.view.models.contains(coming)) {
+        ++m_survey.replicas[{service, coming}];
+    }
+}
+
+double Residency::demandOf(const std::string &model, const std::string &adapter) const
+{
+    const auto it = m_survey.demand.find({model, adapter});
+    return it == m_survey.demand.end() ? 0 : it->second;
+}
+
+double Residency::modelDemand(const std::string &model) const
+{
+    const auto it = m_survey.modelDemand.find(model);
+    return it == m_survey.modelDemand.end() ? 0 : it->second;
+}
+
+const EngineSpec *Residency::engineOf(const State &state) const
+{
+    const auto it = m_engines.find(state.report.service);
+    return it == m_engines.end() ? nullptr : &it->second;
+}
+
+const ModelSpec *Residency::modelOf(const State &state, const std::string &model) const
+{
+    const EngineSpec *engine = engineOf(state);
+    if (engine == nullptr) {
+        return nullptr;
+    }
+    const auto it = engine->models.find(model);
+    return it == engine->models.end() ? nullptr : &it->second;
+}
+
+std::int64_t Residency::usedMib(const State &state) const
+{
+    const EngineSpec *engine = engineOf(state);
+    std::int64_t used = 0;
+    const auto add = [&](const std::string &model, std::size_t adapters) {
+        const ModelSpec *spec = modelOf(state, model);
+        // What is not in the catalogue any more may take any part of the memory.
+        used += spec == nullptr ? engine->memoryMib
+                                : spec->memoryMib + static_cast<std::int64_t>(adapters) * spec->adapterMemoryMib;
+    };
+    for (const auto &[model, adapters] : state.view.models) {
+        add(model, adapters.size());
+    }
+    if (!state.loading.empty() && !state.view.models.contains(state.loading)) {
+        add(state.loading, 0);
+    }
+    return used;
+}
+
+std::size_t Residency::usedPlaces(const State &state) const
+{
+    std::size_t places = 0;
+    for (const auto &[model, adapters] : state.view.models) {
+        places += adapters.size();
+    }
+    return places;
+}
+
+bool Residency::isEvicting(const State &state, const std::string &model) const
+{
+    return state.task
+        && std::find(state.task->evicted.begin(), state.task->evicted.end(), model) != state.task->evicted.end();
+}
+
+bool Residency::holdsOrLoads(const State &state, const std::string &model) const
+{
+    return state.view.models.contains(model) || state.loading == model || (state.task && state.task->model == model);
+}
+
+std::size_t Residency::replicas(const std::string &service, const std::string &model) const
+{
+    const auto it = m_survey.replicas.find({service, model});
+    return it == m_survey.replicas.end() ? 0 : it->second;
+}
+
+std::size_t Residency::adapterReplicas(
+    const std::string &service, const std::string &model, const std::string &adapter) const
+{
+    const auto it = m_survey.adapters.find({service, model, adapter});
+    return it == m_survey.adapters.end() ? 0 : it->second;
+}
+
+double Residency::loadOf(const State &state) const
+{
+    double load = 0;
+    for (const auto &[model, adapters] : state.view.models) {
+        if (!isEvicting(state, model)) {
+            const std::size_t count = std::max<std::size_t>(1, replicas(state.report.service, model));
+            load += modelDemand(model) / static_cast<double>(count);
+        }
+    }
+    for (const std::string &coming : {state.loading, state.task ? state.task->model : std::string()}) {
+        if (!coming.empty() && !state.view.models.contains(coming)) {
+            const std::size_t count = std::max<std::size_t>(1, replicas(state.report.service, coming));
+            load += modelDemand(coming) / static_cast<double>(count);
+            break;
+        }
+    }
+    return load;
+}
+
+bool Residency::isIdle(base::Millis now, const State &state) const
+{
+    return !state.underWay && !state.inspecting && now >= state.notBefore;
+}
+
+void Residency::send(base::Millis now, State &state, ResidencyOrder order, ResidencyActions &out)
+{
+    order.worker = state.report.id;
+    order.address = state.report.address;
+    order.expected = state.orders.value_or(0);
+    state.underWay = order;
+    state.orderedAt = now;
+    out.orders.push_back(std::move(order));
+}
+
+void Residency::ordered(base::Millis now, const std::string &worker, OrderVerdict verdict)
+{
+    const auto it = m_workers.find(worker);
+    if (it == m_workers.end() || !it->second.underWay) {
+        return;
+    }
+    State &state = it->second;
+    const ResidencyOrder order = *std::exchange(state.underWay, std::nullopt);
+    state.orderedAt = now;
+    switch (verdict) {
+    case OrderVerdict::Accepted:
+        state.orders = order.expected + 1;
+        carryOut(now, state, order);
+        return;
+    case OrderVerdict::Holds:
+        state.orders = order.expected;
+        carryOut(now, state, order);
+        state.mustInspect = true;
+        return;
+    case OrderVerdict::Conflict:
+    case OrderVerdict::Unknown:
+        state.orders.reset();
+        state.mustInspect = true;
+        state.notBefore = now + m_options.retry;
+        return;
+    case OrderVerdict::Fenced:
+    case OrderVerdict::Rejected:
+        state.orders.reset();
+        state.mustInspect = true;
+        state.task.reset();
+        state.notBefore = now + m_options.retry * 4;
+        return;
+    }
+}
+
+void Residency::carryOut(base::Millis now, State &state, const ResidencyOrder &order)
+{
+    if (order.kind == ResidencyOrderKind::Load && order.adapter.empty()) {
+        state.loading = order.model;
+        state.task.reset();
+    } else if (order.kind == ResidencyOrderKind::Load) {
+        state.view.models[order.model].insert(order.adapter);
+        m_missed.erase({order.model, order.adapter});
+    } else if (order.adapter.empty()) {
+        state.view.models.erase(order.model);
+        state.heldSince.erase(order.model);
+        // The memory is free once the runs have ended, which a look shows.
+        state.mustInspect = true;
+        state.notBefore = now + m_options.retry;
+    } else {
+        state.view.models[order.model].erase(order.adapter);
+    }
+}
+
+void Residency::inspected(base::Millis now, const std::string &worker, const std::optional<Inspected> &found)
+{
+    const auto it = m_workers.find(worker);
+    if (it == m_workers.end()) {
+        return;
+    }
+    State &state = it->second;
+    state.inspecting = false;
+    if (!found) {
+        state.notBefore = now + m_options.retry * 2;
+        return;
+    }
+    state.orders = found->orders;
+    if (found->busy) {
+        state.mustInspect = true;
+        state.notBefore = now + m_options.retry;
+        return;
+    }
+    state.mustInspect = false;
+    state.view = found->holdings;
+    state.loading.clear();
+}
+
+std::set<std::pair<std::string, std::string>> Residency::draining() const
+{
+    std::set<std::pair<std::string, std::string>> out;
+    for (const auto &[id, state] : m_workers) {
+        if (state.task) {
+            for (const std::string &model : state.task->evicted) {
+                out.emplace(id, model);
+            }
+        }
+    }
+    return out;
+}
+
+} // namespace bamboomoor::placement
--- /dev/null
+++ b/src/bamboomoor/placement/residency.hpp
@@ -0,0 +1,279 @@
+/**
+ * Decides which models and adapters the workers of engines hold, where an engine takes one order at a time and counts
+ * its orders.
+ *
+ * The load that it answers: a few models get most requests, and which ones they are changes within seconds, while
+ * every model and adapter must stay reachable and the weight store serves few loads a second. Lost models come first,
+ * then the adapters that callers missed, then copies of the model whose workers are loaded most.
+ *
+ * Every order names the number of orders that its worker has accepted before, so that of several orders in doubt at
+ * most one takes effect; memory and places of an order count from its sending.
+ */
+#pragma once
+
+#include "bamboomoor/base/clock.hpp"
+#include "bamboomoor/base/nametable.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace bamboomoor::placement
+{
+
+/** @brief Settings of a residency. */
+struct ResidencyOptions {
+    // A worker's announcement made so soon after an order may not show it.
+    base::Millis announcementLag{1'500};
+    // Between the word to entries that a model drains and its unloading.
+    base::Millis drain{900};
+    // The pause before a worker is tried again that was busy or did not answer.
+    base::Millis retry{300};
+    // Between two decisions about copies of models.
+    base::Millis review{500};
+    // A copy that is younger is not evicted.
+    base::Millis minStay{8'000};
+    // Demand counts half after this time.
+    base::Millis halfLife{3'000};
+    // How much above the mean the most loaded worker must be before a model is copied.
+    double imbalance = 1.25;
+    // How far below the most loaded worker the new copy's worker must stay.
+    double gain = 0.8;
+    // Demand of a model, in requests a second, below which it is not copied.
+    double leastDemand = 0.7;
+    // Loads that the store's rate allows at once.
+    double burst = 2;
+};
+
+/** @brief A model that is to be reachable. */
+struct ModelSpec {
+    std::int64_t memoryMib = 0;
+    // Adapters named a1, a2 and so on.
+    std::int64_t adapters = 0;
+    std::int64_t adapterMemoryMib = 0;
+    base::Millis loadTime;
+};
+
+/** @brief The engine of a service and its models. */
+struct EngineSpec {
+    std::int64_t memoryMib = 0;
+    std::int64_t adapterPlaces = 0;
+    // Loads from the weight store a second, over all workers.
+    double loadsPerSecond = 0;
+    std::map<std::string, ModelSpec> models;
+};
+
+/** @brief What a worker holds, by its own word. */
+struct Holdings {
+    // The adapters of each model.
+    std::map<std::string, std::set<std::string>> models;
+
+    friend bool operator==(const Holdings &, const Holdings &) = default;
+};
+
+/** @brief A worker as it announced itself. */
+struct WorkerReport {
+    std::string id;
+    std::uint64_t incarnation = 0;
+    std::string address;
+    std::string service;
+    bool leaving = false;
+    Holdings holdings;
+};
+
+/** @brief What an order does. */
+enum class ResidencyOrderKind { Load, Unload };
+
+/** @brief The names of the kinds. */
+inline constexpr auto RESIDENCY_ORDER_NAMES = base::makeNames<ResidencyOrderKind>("load", "unload");
+
+/** @brief An order to a worker. */
+struct ResidencyOrder {
+    std::string worker;
+    std::string address;
+    ResidencyOrderKind kind = ResidencyOrderKind::Load;
+    std::string model;
+    // Empty for the model itself.
+    std::string adapter;
+    // The orders that the worker has accepted before.
+    std::uint64_t expected = 0;
+    // Why it is given, for the log.
+    std::string_view reason;
+};
+
+/** @brief A look at what a worker holds. */
+struct Inspection {
+    std::string worker;
+    std::string address;
+};
+
+/** @brief What became of an order. */
+enum class OrderVerdict {
+    // It is being carried out.
+    Accepted,
+    // It held already.
+    Holds,
+    // Another order is under way, or the number of orders differs.
+    Conflict,
+    // Another leader has ordered since.
+    Fenced,
+    // The worker is another one, or knows no such order.
+    Rejected,
+    // It may or may not take effect.
+    Unknown
+};
+
+/** @brief The names of the verdicts. */
+inline constexpr auto ORDER_VERDICT_NAMES =
+    base::makeNames<OrderVerdict>("accepted", "holds", "conflict", "fenced", "rejected", "unknown");
+
+/** @brief What an inspection found. */
+struct Inspected {
+    Holdings holdings;
+    std::uint64_t orders = 0;
+    bool busy = false;
+};
+
+/** @brief Demand for a model or adapter in one report. */
+struct ResidencyDemand {
+    std::string model;
+    std::string adapter;
+    // Requests a second.
+    double rate = 0;
+    // Requests that found it nowhere.
+    std::uint64_t missed = 0;
+};
+
+/** @brief What is to be done now. */
+struct ResidencyActions {
+    std::vector<ResidencyOrder> orders;
+    std::vector<Inspection> inspections;
+};
+
+/** @brief The plan of one leader. */
+class Residency
+{
+public:
+    /** @brief Makes a plan that knows nothing. @param options The settings. */
+    explicit Residency(ResidencyOptions options = {}) noexcept
+        : m_options(options)
+    {
+    }
+
+    /** @brief Takes the engines. @param engines Engines by service. */
+    void setEngines(std::map<std::string, EngineSpec> engines);
+
+    /** @brief Takes all live workers. @param now The present time. @param workers Their announcements. */
+    void setWorkers(base::Millis now, const std::vector<WorkerReport> &workers);
+
+    /**
+     * @brief Takes an entry's demand since its last report.
+     * @param now The present time.
+     * @param entry Names the entry.
+     * @param demand The demand.
+     */
+    void setDemand(base::Millis now, const std::string &entry, const std::vector<ResidencyDemand> &demand);
+
+    /** @brief Takes an order's outcome. @param now The present time. @param worker Whose. @param verdict The outcome.
+     */
+    void ordered(base::Millis now, const std::string &worker, OrderVerdict verdict);
+
+    /** @brief Takes what a look found. @param now The present time. @param worker Whose. @param found The find. */
+    void inspected(base::Millis now, const std::string &worker, const std::optional<Inspected> &found);
+
+    /** @brief Decides. @param now The present time. @return Orders and looks, at most one for each worker. */
+    [[nodiscard]] ResidencyActions plan(base::Millis now);
+
+    /** @brief Lists what entries must not use any more. @return Worker and model. */
+    [[nodiscard]] std::set<std::pair<std::string, std::string>> draining() const;
+
+private:
+    // A model that is to come to a worker, and those that must go for it.
+    struct Task {
+        std::string model;
+        std::vector<std::string> evicted;
+        std::string_view reason;
+        // When the entries no longer use what goes.
+        base::Millis drainedAt;
+    };
+    struct State {
+        WorkerReport report;
+        Holdings view;
+        std::map<std::string, base::Millis> heldSince;
+        // Nothing until it was seen or guessed.
+        std::optional<std::uint64_t> orders;
+        std::optional<ResidencyOrder> underWay;
+        bool inspecting = false;
+        bool mustInspect = false;
+        // A model whose load was accepted and that is not there yet.
+        std::string loading;
+        base::Millis orderedAt;
+        base::Millis notBefore;
+        std::optional<Task> task;
+    };
+    struct Rate {
+        double rate = 0;
+        base::Millis at;
+    };
+    // Sums over workers and entries as of one moment.
+    struct Survey {
+        // Workers that hold a model, or will, by service and model.
+        std::map<std::pair<std::string, std::string>, std::size_t> replicas;
+        // Workers that hold an adapter, by service, model and adapter.
+        std::map<std::tuple<std::string, std::string, std::string>, std::size_t> adapters;
+        // Requests a second by model and adapter, and by model.
+        std::map<std::pair<std::string, std::string>, double> demand;
+        std::map<std::string, double> modelDemand;
+    };
+
+    [[nodiscard]] const EngineSpec *engineOf(const State &state) const;
+    [[nodiscard]] const ModelSpec *modelOf(const State &state, const std::string &model) const;
+    [[nodiscard]] std::int64_t usedMib(const State &state) const;
+    [[nodiscard]] std::size_t usedPlaces(const State &state) const;
+    [[nodiscard]] bool holdsOrLoads(const State &state, const std::string &model) const;
+    [[nodiscard]] bool isEvicting(const State &state, const std::string &model) const;
+    [[nodiscard]] std::size_t replicas(const std::string &service, const std::string &model) const;
+    [[nodiscard]] double demandOf(const std::string &model, const std::string &adapter) const;
+    [[nodiscard]] double modelDemand(const std::string &model) const;
+    [[nodiscard]] double loadOf(const State &state) const;
+    void survey(base::Millis now);
+    void surveyWorker(const State &state);
+    [[nodiscard]] bool isIdle(base::Millis now, const State &state) const;
+    void refillLoads(base::Millis now);
+    void pruneTasks();
+    void continueTask(base::Millis now, State &state, ResidencyActions &out);
+    void orderAdapter(base::Millis now, State &state, ResidencyActions &out);
+    [[nodiscard]] std::optional<std::pair<std::string, std::string>> wantedAdapter(const State &state) const;
+    [[nodiscard]] std::optional<std::pair<std::string, std::string>> spareAdapter(
+        const State &state, double above) const;
+    [[nodiscard]] std::size_t adapterReplicas(
+        const std::string &service, const std::string &model, const std::string &adapter) const;
+    void reviewModels(base::Millis now, const std::string &service, const EngineSpec &engine);
+    void placeLost(base::Millis now, const std::string &service, const EngineSpec &engine);
+    void copyHottest(base::Millis now, const std::string &service, const EngineSpec &engine);
+    [[nodiscard]] std::optional<std::vector<std::string>> evictionsFor(
+        base::Millis now, const State &state, std::int64_t neededMib, double budget) const;
+    void send(base::Millis now, State &state, ResidencyOrder order, ResidencyActions &out);
+    void carryOut(base::Millis now, State &state, const ResidencyOrder &order);
+
+    ResidencyOptions m_options;
+    std::map<std::string, EngineSpec> m_engines;
+    std::map<std::string, State> m_workers;
+    // By entry and by model and adapter.
+    std::map<std::string, std::map<std::pair<std::string, std::string>, Rate>> m_demand;
+    // Adapters that callers missed, until they are ordered.
+    std::set<std::pair<std::string, std::string>> m_missed;
+    // Loads that may start now.
+    double m_loads = 0;
+    base::Millis m_loadsAt;
+    base::Millis m_reviewAt;
+    Survey m_survey;
+};
+
+} // namespace bamboomoor::placement
