--- a/src/bamboomoor/gateway/residencydesk.cpp
+++ b/src/bamboomoor/gateway/residencydesk.cpp
@@ -246,6 +246,7 @@
     m_term = event.term;
     m_fenced = false;
     m_plan.emplace(m_options.plan);
+    m_plan->begin(m_context.clock.now());
     m_plan->setEngines(std::move(event.engines));
 }
 
--- a/src/bamboomoor/placement/residency.hpp
+++ b/src/bamboomoor/placement/residency.hpp
@@ -35,6 +35,8 @@
     base::Millis drain{900};
     // The pause before a worker is tried again that was busy or did not answer.
     base::Millis retry{300};
+    // How long a new leader waits for announcements before it takes a model for lost; a few heartbeats.
+    base::Millis settle{4'000};
     // Between two decisions about copies of models.
     base::Millis review{500};
     // A copy that is younger is not evicted.
@@ -166,6 +168,12 @@
     {
     }
 
+    /** @brief Begins to lead. @param now The present time. */
+    void begin(base::Millis now) noexcept
+    {
+        m_settledAt = now + m_options.settle;
+    }
+
     /** @brief Takes the engines. @param engines Engines by service. */
     void setEngines(std::map<std::string, EngineSpec> engines);
 
@@ -273,6 +281,8 @@
     double m_loads = 0;
     base::Millis m_loadsAt;
     base::Millis m_reviewAt;
+    // Until then workers that live may not have announced themselves.
+    base::Millis m_settledAt;
     Survey m_survey;
 };
 
--- a/src/bamboomoor/placement/residencyplan.cpp
+++ b/src/bamboomoor/placement/residencyplan.cpp
@@ -32,7 +32,7 @@
     refillLoads(now);
     pruneTasks();
     survey(now);
-    if (now >= m_reviewAt) {
+    if (now >= m_reviewAt && now >= m_settledAt) {
         m_reviewAt = now + m_options.review;
         for (const auto &[service, engine] : m_engines) {
             reviewModels(now, service, engine);
