--- a/src/bamboomoor/entry/demandreport.cpp
+++ b/src/bamboomoor/entry/demandreport.cpp
@@ -78,8 +78,14 @@
             demand->set_version(it.target.version);
             demand->set_requests(it.requests);
             demand->set_queued(it.queued);
+            demand->set_tokens(it.tokens);
         }
     }
+    for (const auto &[upstream, tokens] : m_source.waiting()) {
+        auto *load = report.add_waiting();
+        load->set_upstream(upstream);
+        load->set_waiting_tokens(tokens);
+    }
     for (const DrainingReplica &it : m_draining) {
         if (!m_source.runsAt(it)) {
             auto *drained = report.add_drained();
@@ -94,6 +100,11 @@
 
 void DemandReport::take(const peer::wire::DemandReply &reply)
 {
+    std::map<std::string, std::int64_t> waiting;
+    for (const auto &it : reply.waiting()) {
+        waiting.emplace(it.upstream(), it.waiting_tokens());
+    }
+    m_source.setForeignLoad(std::move(waiting));
     std::set<DrainingReplica> draining;
     for (const auto &it : reply.draining()) {
         draining.insert({it.upstream(), it.model(), it.adapter(), it.version()});
--- a/src/bamboomoor/entry/demandreport.hpp
+++ b/src/bamboomoor/entry/demandreport.hpp
@@ -13,6 +13,8 @@
 #include "peer.pb.h"
 
 #include <atomic>
+#include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -28,6 +30,8 @@
     std::uint64_t requests = 0;
     // Requests that wait at present.
     std::uint64_t queued = 0;
+    // Tokens of the prompts of these requests; 0 where they are not counted.
+    std::int64_t tokens = 0;
 };
 
 /** @brief Counts the demand of an entry; usable from any thread. */
@@ -48,6 +52,21 @@
      * @return True while an attempt is open.
      */
     [[nodiscard]] virtual bool runsAt(const DrainingReplica &replica) const = 0;
+
+    /**
+     * @brief Lists what this entry has waiting at upstreams.
+     * @return Prompt tokens by upstream; none where they are not counted.
+     */
+    [[nodiscard]] virtual std::map<std::string, std::int64_t> waiting() const
+    {
+        return {};
+    }
+
+    /** @brief Takes what other entries have waiting. @param waiting Prompt tokens by upstream. */
+    virtual void setForeignLoad(std::map<std::string, std::int64_t> waiting)
+    {
+        static_cast<void>(waiting);
+    }
 };
 
 /** @brief The settings of the thread. */
--- a/src/bamboomoor/gateway/entrydaemon.cpp
+++ b/src/bamboomoor/gateway/entrydaemon.cpp
@@ -17,7 +17,7 @@
 
 constexpr base::Millis DRAIN_POLL{50};
 // Between two reports of demand, which placement follows.
-constexpr base::Millis DEMAND_INTERVAL{400};
+constexpr base::Millis DEMAND_INTERVAL{250};
 // The budget's holder: between two reports, and the longest wait of a request for tokens.
 constexpr base::Millis BUDGET_REPORT{60};
 constexpr base::Millis BUDGET_PATIENCE{600};
--- a/src/bamboomoor/gateway/residencydesk.cpp
+++ b/src/bamboomoor/gateway/residencydesk.cpp
@@ -16,6 +16,8 @@
 
 constexpr std::size_t RING_SIZE = 4'096;
 constexpr double MILLIS_PER_SECOND = 1'000.0;
+// Demand is weighed in prompts of this length, as long ones load an engine more than short ones.
+constexpr double TOKENS_PER_REQUEST = 2'000.0;
 
 std::map<std::string, placement::EngineSpec> enginesOf(const state::Machine &machine)
 {
@@ -46,6 +48,7 @@
     report.address = announcement.address;
     report.service = announcement.service;
     report.leaving = announcement.leaving;
+    report.localCopies.insert(announcement.localCopies.begin(), announcement.localCopies.end());
     for (const membership::Accelerator &accelerator : announcement.accelerators) {
         for (const membership::Resident &it : accelerator.resident) {
             auto &adapters = report.holdings.models[it.model];
@@ -228,11 +231,13 @@
     const double seconds = std::max<double>(1.0, static_cast<double>(event.request.span_ms())) / MILLIS_PER_SECOND;
     std::vector<placement::ResidencyDemand> demand;
     for (const auto &it : event.request.demands()) {
-        demand.push_back({it.model(), it.adapter(), static_cast<double>(it.requests()) / seconds, it.queued()});
+        const double tokens = static_cast<double>(it.tokens()) / seconds / TOKENS_PER_REQUEST;
+        demand.push_back({it.model(), it.adapter(), tokens, it.queued()});
     }
     m_plan->setDemand(m_context.clock.now(), event.request.vm(), demand);
     reply.set_served(true);
     reply.set_term(m_term);
+    exchangeLoads(event.request, reply);
     for (const auto &[worker, model] : m_plan->draining()) {
         auto *drain = reply.add_draining();
         drain->set_upstream(worker);
@@ -241,6 +246,32 @@
     event.answer(std::move(reply));
 }
 
+void ResidencyDesk::exchangeLoads(const peer::wire::DemandReport &request, peer::wire::DemandReply &reply)
+{
+    const base::Millis now = m_context.clock.now();
+    EntryLoad &own = m_loads[request.vm()];
+    own = {now, {}};
+    for (const auto &it : request.waiting()) {
+        own.waiting[it.upstream()] += it.waiting_tokens();
+    }
+    std::erase_if(m_loads, [&](const auto &it) {
+        return now - it.second.at > m_options.loadAge;
+    });
+    std::map<std::string, std::int64_t> others;
+    for (const auto &[vm, load] : m_loads) {
+        for (const auto &[upstream, tokens] : load.waiting) {
+            others[upstream] += vm == request.vm() ? 0 : tokens;
+        }
+    }
+    for (const auto &[upstream, tokens] : others) {
+        if (tokens > 0) {
+            auto *load = reply.add_waiting();
+            load->set_upstream(upstream);
+            load->set_waiting_tokens(tokens);
+        }
+    }
+}
+
 void ResidencyDesk::on(Leading &event)
 {
     m_term = event.term;
--- a/src/bamboomoor/gateway/residencydesk.hpp
+++ b/src/bamboomoor/gateway/residencydesk.hpp
@@ -35,6 +35,8 @@
     // The longest wait for a worker's answer.
     base::Millis timeout{1'000};
     base::Millis connectTimeout{400};
+    // An entry's word of what it has waiting is forgotten after this time.
+    base::Millis loadAge{1'500};
     // How old the last confirmation of the leadership by a quorum may be when an order is sent; less than the
     // election timeout, after which another one may lead.
     base::Millis leadership{600};
@@ -110,6 +112,7 @@
     void on(Looked &event);
     void post(Event event);
     void decide();
+    void exchangeLoads(const peer::wire::DemandReport &request, peer::wire::DemandReply &reply);
     void takeWorkers(base::Millis now);
     [[nodiscard]] bool surelyLeads(base::Millis now) const;
     void send(const placement::ResidencyOrder &order);
@@ -122,8 +125,15 @@
     std::thread m_thread;
     std::atomic<bool> m_stopping{false};
 
+    struct EntryLoad {
+        base::Millis at;
+        // Prompt tokens that wait, by upstream.
+        std::map<std::string, std::int64_t> waiting;
+    };
+
     // Used by the thread only.
     std::optional<placement::Residency> m_plan;
+    std::map<std::string, EntryLoad> m_loads;
     // 0 while this voter does not lead.
     std::uint64_t m_term = 0;
     // Another leader has ordered; nothing more is ordered in this term.
--- a/src/bamboomoor/gateway/runner.cpp
+++ b/src/bamboomoor/gateway/runner.cpp
@@ -202,6 +202,11 @@
     }
 }
 
+void Runner::on(base::Millis now, ForeignLoad &event)
+{
+    m_core.setForeignLoad(now, event.waiting);
+}
+
 void Runner::refreshUpstreams()
 {
     const base::Millis bookTime = m_context.sync.bookTime();
@@ -235,12 +240,15 @@
 void Runner::collectDemand()
 {
     auto demand = m_core.takeDemand();
+    auto waiting = m_core.waiting();
     const absl::MutexLock lock(&m_mutex);
+    m_waiting = std::move(waiting);
     for (relay::HoldingDemand &it : demand) {
         entry::TargetDemand report;
         report.target = {entry::TargetKind::Generation, std::move(it.model), std::move(it.adapter), {}, {}};
         report.requests = it.requests;
         report.queued = it.missed;
+        report.tokens = it.tokens;
         m_demand.push_back(std::move(report));
     }
 }
@@ -251,6 +259,17 @@
     return std::exchange(m_demand, {});
 }
 
+std::map<std::string, std::int64_t> Runner::waiting() const
+{
+    const absl::MutexLock lock(&m_mutex);
+    return m_waiting;
+}
+
+void Runner::setForeignLoad(std::map<std::string, std::int64_t> waiting)
+{
+    static_cast<void>(push(ForeignLoad{std::move(waiting)}));
+}
+
 bool Runner::runsAt(const entry::DrainingReplica & /*replica*/) const
 {
     return false;
--- a/src/bamboomoor/gateway/runner.hpp
+++ b/src/bamboomoor/gateway/runner.hpp
@@ -21,6 +21,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <thread>
@@ -88,6 +89,8 @@
 
     [[nodiscard]] std::vector<entry::TargetDemand> takeDemand() override;
     [[nodiscard]] bool runsAt(const entry::DrainingReplica &replica) const override;
+    [[nodiscard]] std::map<std::string, std::int64_t> waiting() const override;
+    void setForeignLoad(std::map<std::string, std::int64_t> waiting) override;
 
 private:
     struct Arrived {
@@ -114,7 +117,10 @@
     };
     struct TableChanged {
     };
-    using Event = std::variant<Arrived, CallerGone, Head, Data, Ended, BudgetReplied, TableChanged>;
+    struct ForeignLoad {
+        std::map<std::string, std::int64_t> waiting;
+    };
+    using Event = std::variant<Arrived, CallerGone, Head, Data, Ended, BudgetReplied, TableChanged, ForeignLoad>;
     class AttemptListener;
 
     void run();
@@ -125,6 +131,7 @@
     void on(base::Millis now, Ended &event);
     void on(base::Millis now, BudgetReplied &event);
     void on(base::Millis now, TableChanged &event);
+    void on(base::Millis now, ForeignLoad &event);
     void refreshUpstreams();
     void collectDemand();
     void sendAsk(base::Millis now);
@@ -163,6 +170,7 @@
 
     mutable absl::Mutex m_mutex;
     std::vector<entry::TargetDemand> m_demand ABSL_GUARDED_BY(m_mutex);
+    std::map<std::string, std::int64_t> m_waiting ABSL_GUARDED_BY(m_mutex);
 };
 
 } // namespace bamboomoor::gateway
--- a/src/bamboomoor/http/internal/watch.cpp
+++ b/src/bamboomoor/http/internal/watch.cpp
@@ -201,9 +201,13 @@
     const base::Millis now = m_clock.now();
     const absl::MutexLock lock(&m_mutex);
     for (auto &[id, watched] : m_connections) {
-        if (!watched.shutDown && isOverdue(watched, now)) {
+        if (watched.shutDown) {
+            continue;
+        }
+        const bool overdue = isOverdue(watched, now);
+        if (overdue || (m_closingIdle && !mayHoldRequest(watched, now))) {
             watched.shutDown = true;
-            ++m_tally->slowSender;
+            m_tally->slowSender += overdue ? 1 : 0;
             // The library sees the end of the connection and closes it by itself.
             shutdown(watched.socket, SHUT_RDWR);
         }
--- a/src/bamboomoor/http/internal/watch.hpp
+++ b/src/bamboomoor/http/internal/watch.hpp
@@ -91,6 +91,12 @@
     /** @brief Cuts every request that is not answered. */
     void cutAll();
 
+    /** @brief Closes connections without a request from now on, as soon as none is on its way in them. */
+    void closeIdle() noexcept
+    {
+        m_closingIdle = true;
+    }
+
 private:
     struct Watched {
         int socket = -1;
@@ -119,6 +125,7 @@
     absl::flat_hash_map<std::uint64_t, Watched> m_connections ABSL_GUARDED_BY(m_mutex);
     std::uint64_t m_lastId ABSL_GUARDED_BY(m_mutex) = 0;
     std::atomic<bool> m_stopping = false;
+    std::atomic<bool> m_closingIdle = false;
     std::thread m_thread;
 };
 
--- a/src/bamboomoor/http/server.cpp
+++ b/src/bamboomoor/http/server.cpp
@@ -243,6 +243,7 @@
     m_acceptor.join();
     acceptWaiting();
     close(std::exchange(m_listener, -1));
+    m_watch->closeIdle();
 }
 
 void Server::Impl::acceptWaiting()
--- a/src/bamboomoor/http/server.hpp
+++ b/src/bamboomoor/http/server.hpp
@@ -148,7 +148,8 @@
     [[nodiscard]] base::Result<std::string, ServerError> start(const std::string &address);
 
     /**
-     * @brief Accepts no further connection; requests on open ones are answered, then their connection closes.
+     * @brief Accepts no further connection; requests on open ones are answered, then their connection closes, and a
+     * connection without a request closes too.
      * Takes 200 ms, in which handshakes under way end.
      */
     void quiesce();
--- a/src/bamboomoor/membership/announcement.hpp
+++ b/src/bamboomoor/membership/announcement.hpp
@@ -80,6 +80,8 @@
     std::string service;
     // Empty for a plain service.
     std::vector<Accelerator> accelerators;
+    // Models whose weights lie with the upstream itself, so that it loads them fast; empty where it does not tell.
+    std::vector<std::string> localCopies = {};
     // True when the upstream refuses orders with an old fencing number.
     bool checksFencing = false;
     Load load;
--- a/src/bamboomoor/membership/codec.cpp
+++ b/src/bamboomoor/membership/codec.cpp
@@ -45,11 +45,15 @@
     for (const OrderOutcome &it : announcement.lastOrders) {
         orders.push_back({{"order_id", it.orderId}, {"outcome", ORDER_RESULT_NAMES.name(it.outcome)}});
     }
-    return {{"id", announcement.id}, {"incarnation", announcement.incarnation}, {"sequence", announcement.sequence},
+    json out = {{"id", announcement.id}, {"incarnation", announcement.incarnation}, {"sequence", announcement.sequence},
         {"address", announcement.address}, {"data_centre", announcement.dataCentre},
         {"kind", UPSTREAM_KIND_NAMES.name(announcement.kind)}, {"service", announcement.service},
         {"accelerators", std::move(accelerators)}, {"checks_fencing", announcement.checksFencing},
         {"load", toJson(announcement.load)}, {"leaving", announcement.leaving}, {"orders", std::move(orders)}};
+    if (!announcement.localCopies.empty()) {
+        out["local_copies"] = announcement.localCopies;
+    }
+    return out;
 }
 
 Resident readResident(Reader &reader)
@@ -111,6 +115,9 @@
     if (reader.has("orders")) {
         announcement.lastOrders = reader.list<OrderOutcome>("orders", readOutcome);
     }
+    if (reader.has("local_copies")) {
+        announcement.localCopies = reader.names("local_copies");
+    }
     return announcement;
 }
 
--- a/src/bamboomoor/membership/internal/reader.cpp
+++ b/src/bamboomoor/membership/internal/reader.cpp
@@ -79,6 +79,28 @@
     return value;
 }
 
+std::vector<std::string> Reader::names(const char *field)
+{
+    std::vector<std::string> names;
+    const nlohmann::json *found = get(field);
+    if (found == nullptr) {
+        return names;
+    }
+    if (!found->is_array()) {
+        fail(ParseErrorKind::WrongType, field);
+        return names;
+    }
+    for (const nlohmann::json &it : *found) {
+        if (!it.is_string() || it.get_ref<const std::string &>().empty()
+            || it.get_ref<const std::string &>().size() > NAME_LIMIT_BYTES) {
+            fail(ParseErrorKind::BadValue, field);
+            return {};
+        }
+        names.push_back(it.get<std::string>());
+    }
+    return names;
+}
+
 std::string Reader::address(const char *field)
 {
     std::string value = text(field);
--- a/src/bamboomoor/membership/internal/reader.hpp
+++ b/src/bamboomoor/membership/internal/reader.hpp
@@ -51,6 +51,9 @@
     /** @brief Reads true or false. */
     [[nodiscard]] bool flag(const char *field);
 
+    /** @brief Reads a list of strings that are neither empty nor overlong. */
+    [[nodiscard]] std::vector<std::string> names(const char *field);
+
     /** @brief Reads a value by its name in a table. */
     template<class Enum, std::size_t Size>
     [[nodiscard]] Enum value(const char *field, const base::NameTable<Enum, Size> &names)
--- a/src/bamboomoor/placement/residency.hpp
+++ b/src/bamboomoor/placement/residency.hpp
@@ -32,23 +32,29 @@
     // A worker's announcement made so soon after an order may not show it.
     base::Millis announcementLag{1'500};
     // Between the word to entries that a model drains and its unloading.
-    base::Millis drain{900};
+    base::Millis drain{600};
     // The pause before a worker is tried again that was busy or did not answer.
     base::Millis retry{300};
     // How long a new leader waits for announcements before it takes a model for lost; a few heartbeats.
     base::Millis settle{4'000};
     // Between two decisions about copies of models.
-    base::Millis review{500};
+    base::Millis review{250};
     // A copy that is younger is not evicted.
     base::Millis minStay{8'000};
     // Demand counts half after this time.
-    base::Millis halfLife{3'000};
+    base::Millis halfLife{2'000};
     // How much above the mean the most loaded worker must be before a model is copied.
     double imbalance = 1.25;
     // How far below the most loaded worker the new copy's worker must stay.
     double gain = 0.8;
     // Demand of a model, in requests a second, below which it is not copied.
     double leastDemand = 0.7;
+    // Demand of a model, in requests a second, below which nothing is drained before it is unloaded.
+    double idleDemand = 0.05;
+    // How much less loaded a worker must be that loads from the store than one with a copy of its own.
+    double storeFactor = 1.6;
+    // Copies decided in one review.
+    int copies = 4;
     // Loads that the store's rate allows at once.
     double burst = 2;
 };
@@ -87,6 +93,8 @@
     std::string service;
     bool leaving = false;
     Holdings holdings;
+    // Models that it loads from its own disk or memory: fast, and not from the store.
+    std::set<std::string> localCopies;
 };
 
 /** @brief What an order does. */
@@ -146,7 +154,7 @@
 struct ResidencyDemand {
     std::string model;
     std::string adapter;
-    // Requests a second.
+    // Requests a second, weighed by the length of their prompts.
     double rate = 0;
     // Requests that found it nowhere.
     std::uint64_t missed = 0;
@@ -253,6 +261,8 @@
     void survey(base::Millis now);
     void surveyWorker(const State &state);
     [[nodiscard]] bool isIdle(base::Millis now, const State &state) const;
+    [[nodiscard]] bool hasLocalCopy(const State &state, const std::string &model) const;
+    [[nodiscard]] base::Millis drainedAt(base::Millis now, const std::vector<std::string> &evicted) const;
     void refillLoads(base::Millis now);
     void pruneTasks();
     void continueTask(base::Millis now, State &state, ResidencyActions &out);
@@ -264,7 +274,7 @@
         const std::string &service, const std::string &model, const std::string &adapter) const;
     void reviewModels(base::Millis now, const std::string &service, const EngineSpec &engine);
     void placeLost(base::Millis now, const std::string &service, const EngineSpec &engine);
-    void copyHottest(base::Millis now, const std::string &service, const EngineSpec &engine);
+    [[nodiscard]] bool copyHottest(base::Millis now, const std::string &service, const EngineSpec &engine);
     [[nodiscard]] std::optional<std::vector<std::string>> evictionsFor(
         base::Millis now, const State &state, std::int64_t neededMib, double budget) const;
     void send(base::Millis now, State &state, ResidencyOrder order, ResidencyActions &out);
--- a/src/bamboomoor/placement/residencyplan.cpp
+++ b/src/bamboomoor/placement/residencyplan.cpp
@@ -54,6 +54,19 @@
     return out;
 }
 
+bool Residency::hasLocalCopy(const State &state, const std::string &model) const
+{
+    return state.report.localCopies.contains(model);
+}
+
+base::Millis Residency::drainedAt(base::Millis now, const std::vector<std::string> &evicted) const
+{
+    const bool used = std::any_of(evicted.begin(), evicted.end(), [this](const std::string &it) {
+        return modelDemand(it) > m_options.idleDemand;
+    });
+    return used ? now + m_options.drain : now;
+}
+
 void Residency::refillLoads(base::Millis now)
 {
     double rate = 0;
@@ -100,10 +113,12 @@
         state.task.reset();
         return;
     }
-    if (m_loads < 1) {
-        return;
+    if (!hasLocalCopy(state, task.model)) {
+        if (m_loads < 1) {
+            return;
+        }
+        m_loads -= 1;
     }
-    m_loads -= 1;
     ResidencyOrder order;
     order.kind = ResidencyOrderKind::Load;
     order.model = task.model;
@@ -195,7 +210,7 @@
 void Residency::reviewModels(base::Millis now, const std::string &service, const EngineSpec &engine)
 {
     placeLost(now, service, engine);
-    copyHottest(now, service, engine);
+    for (int n = 0; n < m_options.copies && copyHottest(now, service, engine); ++n) { }
 }
 
 std::optional<std::vector<std::string>> Residency::evictionsFor(
@@ -233,35 +248,42 @@
 void Residency::placeLost(base::Millis now, const std::string &service, const EngineSpec &engine)
 {
     constexpr double ANY_COST = 1e9;
+    std::vector<std::pair<double, std::string>> lost;
     for (const auto &[model, spec] : engine.models) {
-        if (replicas(service, model) > 0) {
-            continue;
+        if (replicas(service, model) == 0) {
+            lost.emplace_back(-modelDemand(model), model);
         }
+    }
+    std::sort(lost.begin(), lost.end());
+    for (const auto &[demand, model] : lost) {
         State *best = nullptr;
         std::vector<std::string> bestEvicted;
-        double bestLoad = 0;
+        // A copy of its own first, then few evictions, then little load.
+        std::tuple<bool, std::size_t, double> bestRank;
         for (auto &[id, state] : m_workers) {
             if (state.report.service != service || state.report.leaving || state.task || !state.loading.empty()) {
                 continue;
             }
-            auto evicted = evictionsFor(now, state, spec.memoryMib, ANY_COST);
-            const double load = loadOf(state);
-            const bool better = best == nullptr || (evicted && evicted->size() < bestEvicted.size())
-                || (evicted && evicted->size() == bestEvicted.size() && load < bestLoad);
-            if (evicted && better) {
+            auto evicted = evictionsFor(now, state, engine.models.at(model).memoryMib, ANY_COST);
+            if (!evicted) {
+                continue;
+            }
+            const std::tuple rank{!hasLocalCopy(state, model), evicted->size(), loadOf(state)};
+            if (best == nullptr || rank < bestRank) {
                 best = &state;
                 bestEvicted = std::move(*evicted);
-                bestLoad = load;
+                bestRank = rank;
             }
         }
         if (best != nullptr) {
-            best->task = Task{model, std::move(bestEvicted), LOST, now + m_options.drain};
+            const base::Millis drained = drainedAt(now, bestEvicted);
+            best->task = Task{model, std::move(bestEvicted), LOST, drained};
             survey(now);
         }
     }
 }
 
-void Residency::copyHottest(base::Millis now, const std::string &service, const EngineSpec &engine)
+bool Residency::copyHottest(base::Millis now, const std::string &service, const EngineSpec &engine)
 {
     double sum = 0;
     double most = 0;
@@ -280,7 +302,7 @@
         }
     }
     if (hottest == nullptr || most < m_options.imbalance * sum / static_cast<double>(workers)) {
-        return;
+        return false;
     }
     std::string model;
     double modelShare = 0;
@@ -294,7 +316,7 @@
     }
     const double demand = modelDemand(model);
     if (model.empty() || demand < m_options.leastDemand) {
-        return;
+        return false;
     }
     const double newShare = demand / static_cast<double>(replicas(service, model) + 1);
     const ModelSpec &spec = engine.models.at(model);
@@ -307,7 +329,8 @@
         if (!usable) {
             continue;
         }
-        const double load = loadOf(state) + newShare;
+        const double store = hasLocalCopy(state, model) ? 1 : m_options.storeFactor;
+        const double load = (loadOf(state) + newShare) * store;
         // What is evicted burdens the other copies.
         auto evicted = evictionsFor(now, state, spec.memoryMib, modelShare - newShare);
         if (evicted && load < bestLoad) {
@@ -316,11 +339,13 @@
             bestLoad = load;
         }
     }
-    if (best != nullptr) {
-        const base::Millis drained = bestEvicted.empty() ? now : now + m_options.drain;
-        best->task = Task{model, std::move(bestEvicted), HOT, drained};
-        survey(now);
+    if (best == nullptr) {
+        return false;
     }
+    const base::Millis drained = drainedAt(now, bestEvicted);
+    best->task = Task{model, std::move(bestEvicted), HOT, drained};
+    survey(now);
+    return true;
 }
 
 } // namespace bamboomoor::placement
--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdint>
 #include <utility>
 
 namespace bamboomoor::relay
@@ -17,6 +18,7 @@
 constexpr int OK_LAST = 299;
 constexpr int SERVER_ERROR = 500;
 constexpr std::int64_t LAST_PRIORITY = 9;
+constexpr std::int64_t PERCENT = 100;
 
 bool isSuccess(int status) noexcept
 {
@@ -32,9 +34,16 @@
 
 } // namespace
 
-void Core::dispatch(base::Millis now, Exchange &exchange)
+void Core::dispatch(base::Millis now, Exchange &exchange, bool fromQueue)
 {
-    const auto choice = m_fleet.choose(now, exchange.wanted);
+    const auto queue = m_queues.find({exchange.service, exchange.wanted.holding});
+    const bool othersWait = queue != m_queues.end() && !fromQueue && !exchange.begun;
+    const auto choice = othersWait ? std::nullopt : m_fleet.choose(now, exchange.wanted);
+    if (!choice && (othersWait || m_fleet.lackOf(exchange.wanted) == Lack::Busy)) {
+        enqueue(now, exchange);
+        return;
+    }
+    leaveQueue(exchange);
     if (!choice) {
         refuseForLack(now, exchange);
         return;
@@ -62,6 +71,70 @@
     }
 }
 
+void Core::enqueue(base::Millis now, Exchange &exchange)
+{
+    const auto key = std::make_pair(exchange.service, exchange.wanted.holding);
+    admission::FairQueue &queue = m_queues.try_emplace(key, admission::FairQueueOptions{}).first->second;
+    const base::Millis patience = exchange.begun
+        ? exchange.deadline - now
+        : exchange.arrivedAt + exchange.route->objective * m_options.queuePercent / PERCENT - now;
+    const base::Millis until = std::min(exchange.deadline, now + patience);
+    const base::Millis wait = m_fleet.waitFor(exchange.wanted, queue.backlog());
+    const auto queued = queue.push(now,
+        {exchange.id, exchange.organisation, std::max<std::int64_t>(1, exchange.wanted.promptTokens), until,
+            -static_cast<int>(std::min<std::int64_t>(exchange.priority, INT16_MAX))},
+        wait);
+    if (!queued) {
+        if (queue.size() == 0) {
+            m_queues.erase(key);
+        }
+        giveUp(now, exchange, exchange.mayHaveRun ? Reason::UpstreamFailed : Reason::Busy,
+            std::max(wait - patience, m_options.shortRetry));
+        return;
+    }
+    exchange.queuedUntil = until;
+    lookAt(exchange, until);
+    note(now, exchange, Step::Queued, {});
+}
+
+void Core::leaveQueue(Exchange &exchange)
+{
+    if (!exchange.queuedUntil) {
+        return;
+    }
+    exchange.queuedUntil.reset();
+    const auto queue = m_queues.find({exchange.service, exchange.wanted.holding});
+    if (queue == m_queues.end()) {
+        return;
+    }
+    queue->second.cancel(exchange.id);
+    if (queue->second.size() == 0) {
+        m_queues.erase(queue);
+    }
+}
+
+void Core::pump(base::Millis now)
+{
+    std::vector<std::pair<std::string, std::string>> keys;
+    for (const auto &[key, queue] : m_queues) {
+        keys.push_back(key);
+    }
+    for (const auto &key : keys) {
+        // Each waiting request gets one try, as one may find its last upstream too busy again.
+        for (std::size_t n = m_queues.at(key).size(); n > 0 && m_queues.contains(key); --n) {
+            const bool gone = m_fleet.lackOf({key.first, key.second, {}, 0, {}}) != Lack::Busy;
+            const bool goesOn = gone || m_fleet.hasRoom(key.first, key.second);
+            const auto item = goesOn ? m_queues.at(key).pop(now) : std::nullopt;
+            Exchange *exchange = item ? find(item->id) : nullptr;
+            if (exchange == nullptr) {
+                break;
+            }
+            leaveQueue(*exchange);
+            dispatch(now, *exchange, true);
+        }
+    }
+}
+
 void Core::send(base::Millis now, Exchange &exchange, Choice choice)
 {
     exchange.choice = std::move(choice);
--- a/src/bamboomoor/relay/core.cpp
+++ b/src/bamboomoor/relay/core.cpp
@@ -90,6 +90,7 @@
         demand.model = request.model;
         demand.adapter = request.adapter;
         ++demand.requests;
+        demand.tokens += exchange.wanted.promptTokens;
     }
     const bool needsKey = exchange.table->wantsKeys() && !route.open;
     const config::Organisation *organisation = exchange.table->organisationOf(request.key);
@@ -164,6 +165,17 @@
         lookAt(*exchange, base::NEVER);
         look(now, *exchange);
     }
+    pump(now);
+}
+
+void Core::setForeignLoad(base::Millis now, const std::map<std::string, std::int64_t> &waiting)
+{
+    m_fleet.setForeignLoad(now, waiting);
+}
+
+std::map<std::string, std::int64_t> Core::waiting() const
+{
+    return m_fleet.waiting();
 }
 
 base::Millis Core::nextDeadline(base::Millis now) const noexcept
@@ -202,6 +214,12 @@
         giveUp(now, exchange, Reason::TimedOut, m_options.shortRetry);
         return;
     }
+    if (exchange.queuedUntil && now >= *exchange.queuedUntil) {
+        const base::Millis wait = m_fleet.waitFor(exchange.wanted, 0);
+        giveUp(now, exchange, exchange.mayHaveRun ? Reason::UpstreamFailed : Reason::Busy,
+            std::max(wait, m_options.shortRetry));
+        return;
+    }
     if (exchange.attempt.id == 0) {
         lookAt(exchange, exchange.deadline);
         return;
@@ -269,6 +287,7 @@
         m_holder.cancel(exchange.reservation);
         m_byReservation.erase(exchange.reservation);
     }
+    leaveQueue(exchange);
     lookAt(exchange, base::NEVER);
     m_exchanges.erase(exchange.id);
 }
--- a/src/bamboomoor/relay/core.hpp
+++ b/src/bamboomoor/relay/core.hpp
@@ -8,7 +8,7 @@
  */
 #pragma once
 
-#include "bamboomoor/admission/refusal.hpp"
+#include "bamboomoor/admission/fairqueue.hpp"
 #include "bamboomoor/base/clock.hpp"
 #include "bamboomoor/base/nametable.hpp"
 #include "bamboomoor/budget/holder.hpp"
@@ -69,6 +69,7 @@
     RateUnknown,
     NoUpstream,
     NotHeld,
+    Busy,
     TooLate,
     UpstreamRefused,
     UpstreamFailed,
@@ -79,8 +80,8 @@
 
 /** @brief The names of the reasons in logs and counters. */
 inline constexpr auto REASON_NAMES = base::makeNames<Reason>("not_configured", "unknown_route", "unknown_key",
-    "rate_exceeded", "rate_unknown", "no_upstream", "not_held", "too_late", "upstream_refused", "upstream_failed",
-    "timed_out", "caller_gone", "stopping");
+    "rate_exceeded", "rate_unknown", "no_upstream", "not_held", "busy", "too_late", "upstream_refused",
+    "upstream_failed", "timed_out", "caller_gone", "stopping");
 
 /** @brief A final answer by the entry itself. */
 struct Refused {
@@ -92,11 +93,11 @@
 };
 
 /** @brief What was decided about a request, for logs and counters. */
-enum class Step { Sent, FirstEvent, AttemptFailed, Answered, Refused, Failed, Cut, Cancelled };
+enum class Step { Queued, Sent, FirstEvent, AttemptFailed, Answered, Refused, Failed, Cut, Cancelled };
 
 /** @brief The names of the steps. */
-inline constexpr auto STEP_NAMES =
-    base::makeNames<Step>("sent", "first_event", "attempt_failed", "answered", "refused", "failed", "cut", "cancelled");
+inline constexpr auto STEP_NAMES = base::makeNames<Step>(
+    "queued", "sent", "first_event", "attempt_failed", "answered", "refused", "failed", "cut", "cancelled");
 
 /** @brief One decision with what it rested on. */
 struct Decision {
@@ -156,6 +157,9 @@
     int unreached = 3;
     // Without an answer of the budget's authority for this time, a refusal says nothing about the rate.
     base::Millis budgetSilence{1'000};
+    // A request that waits for room is refused when it could not be in time any more; this is left for its answer, of
+    // the latency objective, in hundredths.
+    std::int64_t queuePercent = 80;
     // The least silence after which an attempt that may be repeated is tried elsewhere.
     base::Millis leastSilence{1'200};
 };
@@ -165,6 +169,8 @@
     std::string model;
     std::string adapter;
     std::uint64_t requests = 0;
+    // Their prompts together.
+    std::int64_t tokens = 0;
     // Those of them that found it nowhere.
     std::uint64_t missed = 0;
 };
@@ -212,6 +218,12 @@
     /** @brief Takes the ask to the budget's authority. @param now The present time. @return The ask, or nothing. */
     [[nodiscard]] std::optional<budget::Ask> takeAsk(base::Millis now);
 
+    /** @brief Takes what other entries have waiting. @param now The present time. @param waiting Tokens by upstream. */
+    void setForeignLoad(base::Millis now, const std::map<std::string, std::int64_t> &waiting);
+
+    /** @brief Lists what this entry has waiting at upstreams. @return Prompt tokens by upstream. */
+    [[nodiscard]] std::map<std::string, std::int64_t> waiting() const;
+
     /** @brief Lets time pass. @param now The present time. */
     void tick(base::Millis now);
 
@@ -265,15 +277,20 @@
         bool begun = false;
         // The last event that went to the caller, or that the caller had.
         std::string lastEventId;
+        // It waits for room until then; nothing while it does not wait.
+        std::optional<base::Millis> queuedUntil;
         // When tick() looks at it.
         base::Millis lookAt;
     };
 
     void admit(base::Millis now, Exchange &exchange);
     void decided(base::Millis now, const budget::Admission &admission);
-    void dispatch(base::Millis now, Exchange &exchange);
+    void dispatch(base::Millis now, Exchange &exchange, bool fromQueue = false);
     void send(base::Millis now, Exchange &exchange, Choice choice);
     void refuseForLack(base::Millis now, Exchange &exchange);
+    void enqueue(base::Millis now, Exchange &exchange);
+    void leaveQueue(Exchange &exchange);
+    void pump(base::Millis now);
     void relayEvents(base::Millis now, Exchange &exchange, std::string_view bytes);
     void endWhole(base::Millis now, Exchange &exchange);
     void endStream(base::Millis now, Exchange &exchange);
@@ -306,6 +323,8 @@
     // Exchanges by the time at which tick() looks at them.
     std::set<std::pair<base::Millis, std::uint64_t>> m_looks;
     std::uint64_t m_lastAttempt = 0;
+    // Requests that wait for room, by service and holding; queues without requests are removed.
+    std::map<std::pair<std::string, std::string>, admission::FairQueue> m_queues;
     std::map<std::pair<std::string, std::string>, HoldingDemand> m_demand;
 };
 
--- a/src/bamboomoor/relay/fleet.cpp
+++ b/src/bamboomoor/relay/fleet.cpp
@@ -88,7 +88,7 @@
         return std::nullopt;
     }
     for (const Known *it : service->second) {
-        if (!canServe(*it, wanted) || wanted.except.contains(it->worker.id)) {
+        if (!canServe(*it, wanted) || wanted.except.contains(it->worker.id) || isBusy(*it, wanted.holding)) {
             continue;
         }
         const std::int64_t newTokens = wanted.promptTokens - keptTokens(*it, wanted);
@@ -115,10 +115,67 @@
     if (service == m_services.end()) {
         return Lack::NoUpstream;
     }
-    const bool held = std::any_of(service->second.begin(), service->second.end(), [&](const Known *it) {
-        return canServe(*it, wanted);
+    Lack lack = Lack::NotHeld;
+    for (const Known *it : service->second) {
+        if (canServe(*it, wanted)) {
+            if (!wanted.except.contains(it->worker.id)) {
+                return Lack::Busy;
+            }
+            lack = Lack::AllTried;
+        }
+    }
+    return lack;
+}
+
+bool Fleet::isBusy(const Known &known, const std::string &holding) const
+{
+    return !holding.empty() && known.state.waitingTokens >= m_options.waitingTokens;
+}
+
+bool Fleet::hasRoom(const std::string &service, const std::string &holding) const
+{
+    const auto found = m_services.find(service);
+    Wanted wanted;
+    wanted.holding = holding;
+    return found != m_services.end() && std::any_of(found->second.begin(), found->second.end(), [&](const Known *it) {
+        return canServe(*it, wanted) && !isBusy(*it, holding);
     });
-    return held ? Lack::AllTried : Lack::NotHeld;
+}
+
+base::Millis Fleet::waitFor(const Wanted &wanted, std::int64_t ahead) const
+{
+    const auto found = m_services.find(wanted.service);
+    std::int64_t waiting = ahead;
+    std::int64_t engines = 0;
+    if (found != m_services.end()) {
+        for (const Known *it : found->second) {
+            if (canServe(*it, wanted)) {
+                ++engines;
+                waiting += it->state.waitingTokens + it->state.foreignTokens;
+            }
+        }
+    }
+    return {engines == 0 ? 0 : waiting / (engines * m_options.tokensPerMilli)};
+}
+
+void Fleet::setForeignLoad(base::Millis now, const std::map<std::string, std::int64_t> &waiting)
+{
+    for (auto &[id, known] : m_workers) {
+        const auto it = waiting.find(id);
+        known.state.foreignTokens = it == waiting.end() ? 0 : it->second;
+        known.state.foreignAt = now;
+    }
+}
+
+std::map<std::string, std::int64_t> Fleet::waiting() const
+{
+    std::map<std::string, std::int64_t> tokens;
+    for (const auto &[id, known] : m_workers) {
+        if (known.state.waitingTokens > 0) {
+            tokens.emplace(id, known.state.waitingTokens);
+        }
+    }
+    return tokens;
 }
 
 double Fleet::fading(base::Millis now, const State &state) const
@@ -131,7 +188,11 @@
 {
     const State &state = known.state;
     const double fade = fading(now, state);
-    double cost = static_cast<double>(newTokens + state.waitingTokens + state.running * m_options.tokensPerRun);
+    // What other entries had waiting is read meanwhile.
+    const std::int64_t readOn = (now - state.foreignAt).count * m_options.tokensPerMilli;
+    const std::int64_t foreign = std::max<std::int64_t>(0, state.foreignTokens - readOn);
+    double cost =
+        static_cast<double>(newTokens + state.waitingTokens + foreign + state.running * m_options.tokensPerRun);
     cost += state.excessWait * fade * static_cast<double>(m_options.tokensPerMilli);
     cost += state.failures * fade * static_cast<double>(m_options.tokensPerFailure);
     cost += known.worker.dataCentre == m_options.dataCentre ? 0 : static_cast<double>(m_options.tokensPerDistance);
--- a/src/bamboomoor/relay/fleet.hpp
+++ b/src/bamboomoor/relay/fleet.hpp
@@ -1,9 +1,11 @@
 /**
  * The upstreams of all services as one entry sees them, and the choice among them.
  *
- * The load that it answers: prompts of very different length on engines that read one prompt after the other. Each
- * engine is weighed by the prompt tokens that this entry has waiting there, less what the engine still keeps of the
- * new prompt, by the wait that first events showed lately, and by recent failures.
+ * The load that it answers: prompts of very different length on engines that read one prompt after the other, and
+ * stretch the pauses of running streams while they read. Each engine is weighed by the prompt tokens that wait there,
+ * this entry's own and those that other entries reported, less what the engine still keeps of the new prompt, by the
+ * wait that first events showed lately, and by recent failures. An engine that has as much to read as one of its steps
+ * takes gets no further prompt.
  */
 #pragma once
 
@@ -65,6 +67,8 @@
     // An upstream that refused a connection is avoided for this time at first, and at most for the second one.
     base::Millis firstAvoidance{300};
     base::Millis longestAvoidance{4'000};
+    // Prompt tokens of this entry that may wait at one engine; an engine reads about as many in one step.
+    std::int64_t waitingTokens = 4'096;
     // Prompts remembered for each upstream.
     std::size_t rememberedPrompts = 256;
 };
@@ -90,11 +94,11 @@
     std::int64_t newTokens = 0;
 };
 
-/** @brief Why no upstream was chosen. */
-enum class Lack { NoUpstream, NotHeld, AllTried };
+/** @brief Why no upstream was chosen; Busy ones get room as they read on. */
+enum class Lack { NoUpstream, NotHeld, AllTried, Busy };
 
 /** @brief The names of Lack. */
-inline constexpr auto LACK_NAMES = base::makeNames<Lack>("no_upstream", "not_held", "all_tried");
+inline constexpr auto LACK_NAMES = base::makeNames<Lack>("no_upstream", "not_held", "all_tried", "busy");
 
 /** @brief How an attempt at an upstream ended. */
 enum class Result { Answered, Failed, Refused, NotReached, Cancelled };
@@ -120,6 +124,35 @@
      */
     [[nodiscard]] std::optional<Choice> choose(base::Millis now, const Wanted &wanted);
 
+    /**
+     * @brief Tells whether an upstream has room for a prompt.
+     * @param service The service.
+     * @param holding What it must hold.
+     * @return True when one that holds it has.
+     */
+    [[nodiscard]] bool hasRoom(const std::string &service, const std::string &holding) const;
+
+    /**
+     * @brief Estimates how long a request waits for room when others wait already.
+     * @param wanted What is looked for.
+     * @param ahead Prompt tokens that wait before it.
+     * @return Milliseconds.
+     */
+    [[nodiscard]] base::Millis waitFor(const Wanted &wanted, std::int64_t ahead) const;
+
+    /**
+     * @brief Takes what other entries have waiting at the upstreams.
+     * @param now The present time.
+     * @param waiting Prompt tokens by upstream.
+     */
+    void setForeignLoad(base::Millis now, const std::map<std::string, std::int64_t> &waiting);
+
+    /**
+     * @brief Lists what this entry has waiting at the upstreams.
+     * @return Prompt tokens by upstream, without those that have none.
+     */
+    [[nodiscard]] std::map<std::string, std::int64_t> waiting() const;
+
     /**
      * @brief Tells why choose() found nothing.
      * @param wanted What was looked for.
@@ -164,6 +197,9 @@
         std::int64_t running = 0;
         // Prompt tokens of requests without a first event.
         std::int64_t waitingTokens = 0;
+        // Those of other entries, as of foreignAt.
+        std::int64_t foreignTokens = 0;
+        base::Millis foreignAt;
         // Share of failures lately, from 0 to 1, as of measuredAt.
         double failures = 0;
         // The wait for first events beyond what this entry's own requests explain, in milliseconds.
@@ -183,6 +219,7 @@
         std::set<std::string> missing;
     };
 
+    [[nodiscard]] bool isBusy(const Known &known, const std::string &holding) const;
     [[nodiscard]] bool canServe(const Known &known, const Wanted &wanted) const;
     [[nodiscard]] double costOf(
         base::Millis now, const Known &known, const Wanted &wanted, std::int64_t newTokens) const;
