--- a/src/bamboomoor/gateway/runner.cpp
+++ b/src/bamboomoor/gateway/runner.cpp
@@ -369,7 +369,7 @@
     m_context.metrics.count(decision);
     base::LogLine line(relay::STEP_NAMES.name(decision.step));
     line.add("id", decision.request).add("route", decision.route).add("org", decision.organisation);
-    line.add("reason", decision.reason).add("upstream", decision.upstream);
+    line.add("reason", decision.reason).add("model", decision.holding).add("upstream", decision.upstream);
     if (decision.attempt != 0) {
         line.add("attempt", static_cast<std::int64_t>(decision.attempt));
         line.add("expected_wait_ms", decision.expectedWait);
--- a/src/bamboomoor/relay/core.cpp
+++ b/src/bamboomoor/relay/core.cpp
@@ -310,6 +310,7 @@
     decision.route = exchange.route == nullptr ? std::string_view() : std::string_view(exchange.route->name);
     decision.organisation = exchange.organisation;
     decision.upstream = exchange.attempt.upstream;
+    decision.holding = exchange.wanted.holding;
     decision.reason = reason;
     decision.status = status;
     decision.attempt = exchange.attempt.id;
--- a/src/bamboomoor/relay/core.hpp
+++ b/src/bamboomoor/relay/core.hpp
@@ -107,6 +107,8 @@
     std::string_view route;
     std::string_view organisation;
     std::string_view upstream;
+    // The model or adapter asked for; empty for a plain service.
+    std::string_view holding;
     std::string_view reason;
     int status = 0;
     std::uint64_t attempt = 0;
--- a/test/bamboomoor/http/server.cpp
+++ b/test/bamboomoor/http/server.cpp
@@ -305,6 +305,20 @@
     BOOST_TEST(http::headerValue(answer->headers(), "Connection") == "close");
 }
 
+BOOST_AUTO_TEST_CASE(quiescing_closes_connections_without_a_request)
+{
+    Fixture fixture(echo);
+    const RawConnection idle(fixture.address);
+    idle.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    BOOST_TEST(!idle.readUntil("\r\n\r\n").empty());
+    fixture.server.quiesce();
+    // The end of the connection ends this read; one that is kept would end it only after the receive limit.
+    const auto before = std::chrono::steady_clock::now();
+    static_cast<void>(idle.readAll());
+    BOOST_TEST((std::chrono::steady_clock::now() - before < 3s));
+    BOOST_TEST(fixture.server.counters().openConnections == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(stopping_at_the_limit_cuts_what_is_left)
 {
     std::shared_ptr<http::Responder> kept;
