Refuse streams that a stopping entry would cut

Such streams are refused as not run now, with a time to come back to another entry; short requests are still served. Test first: test_relay.

--- a/src/bamboomoor/gateway/entrydaemon.cpp
+++ b/src/bamboomoor/gateway/entrydaemon.cpp
@@ -170,6 +170,7 @@
     const base::Millis limit = m_clock.now() + m_settings.entry.drainLimit;
     m_draining = true;
     std::this_thread::sleep_for(std::chrono::milliseconds(m_settings.entry.drainNotice.count));
+    m_runner.drain();
     m_server.quiesce();
     while (m_runner.inProgress() > 0 && m_clock.now() < limit) {
         std::this_thread::sleep_for(std::chrono::milliseconds(DRAIN_POLL.count));
--- a/src/bamboomoor/gateway/runner.cpp
+++ b/src/bamboomoor/gateway/runner.cpp
@@ -110,6 +110,11 @@
     }
 }
 
+void Runner::drain()
+{
+    static_cast<void>(push(Draining{}));
+}
+
 void Runner::configurationChanged()
 {
     static_cast<void>(push(TableChanged{}));
@@ -207,6 +212,11 @@
     m_core.setForeignLoad(now, event.waiting);
 }
 
+void Runner::on(base::Millis /*now*/, Draining & /*event*/)
+{
+    m_core.drain();
+}
+
 void Runner::refreshUpstreams()
 {
     const base::Millis bookTime = m_context.sync.bookTime();
--- a/src/bamboomoor/gateway/runner.hpp
+++ b/src/bamboomoor/gateway/runner.hpp
@@ -78,6 +78,9 @@
 
     void handle(http::Request request, std::shared_ptr<http::Responder> responder) override;
 
+    /** @brief Takes no stream any more, as the entry is about to stop. */
+    void drain();
+
     /** @brief Tells that another configuration is in force. */
     void configurationChanged();
 
@@ -117,10 +120,13 @@
     };
     struct TableChanged {
     };
+    struct Draining {
+    };
     struct ForeignLoad {
         std::map<std::string, std::int64_t> waiting;
     };
-    using Event = std::variant<Arrived, CallerGone, Head, Data, Ended, BudgetReplied, TableChanged, ForeignLoad>;
+    using Event =
+        std::variant<Arrived, CallerGone, Head, Data, Ended, BudgetReplied, TableChanged, ForeignLoad, Draining>;
     class AttemptListener;
 
     void run();
@@ -132,6 +138,7 @@
     void on(base::Millis now, BudgetReplied &event);
     void on(base::Millis now, TableChanged &event);
     void on(base::Millis now, ForeignLoad &event);
+    void on(base::Millis now, Draining &event);
     void refreshUpstreams();
     void collectDemand();
     void sendAsk(base::Millis now);
--- a/src/bamboomoor/relay/core.cpp
+++ b/src/bamboomoor/relay/core.cpp
@@ -70,6 +70,10 @@
         giveUp(now, exchange, Reason::UnknownRoute, {});
         return;
     }
+    if (m_draining && isStream(exchange)) {
+        giveUp(now, exchange, Reason::Stopping, m_options.shortRetry);
+        return;
+    }
     admit(now, exchange);
 }
 
--- a/src/bamboomoor/relay/core.hpp
+++ b/src/bamboomoor/relay/core.hpp
@@ -229,6 +229,12 @@
     /** @brief Lets time pass. @param now The present time. */
     void tick(base::Millis now);
 
+    /** @brief Takes no stream any more that the stopping entry would have to cut; other requests are still served. */
+    void drain() noexcept
+    {
+        m_draining = true;
+    }
+
     /** @brief Ends all requests. @param now The present time. */
     void stop(base::Millis now);
 
@@ -325,6 +331,7 @@
     // Exchanges by the time at which tick() looks at them.
     std::set<std::pair<base::Millis, std::uint64_t>> m_looks;
     std::uint64_t m_lastAttempt = 0;
+    bool m_draining = false;
     // Requests that wait for room, by service and holding; queues without requests are removed.
     std::map<std::pair<std::string, std::string>, admission::FairQueue> m_queues;
     std::map<std::pair<std::string, std::string>, HoldingDemand> m_demand;
--- a/test/bamboomoor/http/server.cpp
+++ b/test/bamboomoor/http/server.cpp
@@ -316,6 +316,10 @@
     const auto before = std::chrono::steady_clock::now();
     static_cast<void>(idle.readAll());
     BOOST_TEST((std::chrono::steady_clock::now() - before < 3s));
+    // The library forgets the connection only after its caller has seen the end.
+    while (fixture.server.counters().openConnections > 0 && std::chrono::steady_clock::now() - before < 10s) {
+        std::this_thread::sleep_for(10ms);
+    }
     BOOST_TEST(fixture.server.counters().openConnections == 0U);
 }
 
--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -317,6 +317,18 @@
     BOOST_TEST(core.inProgress() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_stopping_entry_takes_no_stream_that_it_would_cut)
+{
+    arrive(1, "/stream/x");
+    core.drain();
+    arrive(2, "/stream/x");
+    arrive(3, "/once/x");
+    BOOST_TEST(world.callers[2].refusedNotRun);
+    BOOST_TEST((world.callers[2].reason == relay::Reason::Stopping));
+    BOOST_TEST(world.sent.size() == 2U);
+    BOOST_TEST(core.inProgress() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(the_timeout_is_answered_at_once_and_ends_the_attempt)
 {
     arrive(1, "/once/x");
