--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -99,6 +99,16 @@
     std::vector<std::uint64_t> cancelled;
 };
 
+std::string eventOf(int number)
+{
+    std::string event = "id: ";
+    event += std::to_string(number);
+    event += "\ndata: ";
+    event += std::to_string(number);
+    event += "\n\n";
+    return event;
+}
+
 config::Relay route(const char *prefix, config::Repeat repeat, bool resumable, int attempts)
 {
     config::Relay out;
@@ -393,8 +403,7 @@
                     }
                     // A resumed stream goes on behind the last event that it was told.
                     given = std::max(given, std::atoi(attempt.lastEventId.c_str())) + 1;
-                    const std::string number = std::to_string(given);
-                    it.core.data(it.now, id, "id: " + number + "\ndata: " + number + "\n\n");
+                    it.core.data(it.now, id, eventOf(given));
                 } else if (action == 6 && (!stream || headed[id])) {
                     if (!stream) {
                         it.answer(id, Fixture::head(OK), "whole");
@@ -420,7 +429,7 @@
             RC_ASSERT(!(seen.refused && seen.begun));
             std::string expected;
             for (int n = 1; n <= events[id] && seen.begun; ++n) {
-                expected += "id: " + std::to_string(n) + "\ndata: " + std::to_string(n) + "\n\n";
+                expected += eventOf(n);
             }
             RC_ASSERT(!seen.begun || expected.starts_with(seen.bytes));
         }
--- a/test/bamboomoor/relay/fleet.cpp
+++ b/test/bamboomoor/relay/fleet.cpp
@@ -121,6 +121,7 @@
         options.waitingTokens = 1'000'000;
         Fleet fleet(options);
         std::vector<Worker> workers;
+        workers.reserve(ENGINES);
         for (int n = 0; n < ENGINES; ++n) {
             workers.push_back(engine("e" + std::to_string(n), {"m"}));
         }
--- a/test/bamboomoor/relay/parts.cpp
+++ b/test/bamboomoor/relay/parts.cpp
@@ -24,7 +24,11 @@
         for (int n = 1; n <= events; ++n) {
             const bool returns = *rc::gen::arbitrary<bool>();
             const std::string end = returns ? "\r\n" : "\n";
-            stream += "id: " + std::to_string(n) + end + "data: x" + std::to_string(n) + end + end;
+            const std::string number = std::to_string(n);
+            for (const std::string &piece :
+                {std::string("id: "), number, end, std::string("data: x"), number, end, end}) {
+                stream += piece;
+            }
         }
         const std::string unfinished = *rc::gen::element<std::string>("", "id: 99\nda");
         relay::EventCutter cutter;
