Choose copies of models by what they take off the busiest workers

A third copy from the store had to look less loaded than the second by the store's factor of 1.6, which it never does, so copying ended at two. Now a copy is chosen by the fall of the sum of squared loads, weighed by how long it will serve; idle models are packed on few workers to make room; a leader that has heard announcements before does not wait four seconds again; loads of the store go to the most urgent task.

--- a/src/bamboomoor/gateway/controlapi.cpp
+++ b/src/bamboomoor/gateway/controlapi.cpp
@@ -38,12 +38,26 @@
     return now - m_ledAt <= m_options.leaderless.count;
 }
 
+std::string ControlApi::modelsOf(const membership::Announcement &announcement)
+{
+    std::string models;
+    for (const membership::Accelerator &accelerator : announcement.accelerators) {
+        for (const membership::Resident &it : accelerator.resident) {
+            if (it.adapter.empty()) {
+                models += (models.empty() ? "" : ",") + it.model;
+            }
+        }
+    }
+    return models;
+}
+
 void ControlApi::announce(membership::Announcement announcement)
 {
     const base::Millis now = m_context.clock.now();
     const std::string id = announcement.id;
     const auto incarnation = static_cast<std::int64_t>(announcement.incarnation);
     const auto sequence = static_cast<std::int64_t>(announcement.sequence);
+    const std::string holds = modelsOf(announcement);
     m_context.heard.announce(now, announcement);
     const membership::Verdict verdict = m_context.book.announce(now, std::move(announcement));
     if (verdict != membership::Verdict::Renewed) {
@@ -51,7 +65,8 @@
                                 .add("verdict", membership::VERDICT_NAMES.name(verdict))
                                 .add("upstream", id)
                                 .add("incarnation", incarnation)
-                                .add("sequence", sequence));
+                                .add("sequence", sequence)
+                                .add("holds", holds));
     }
 }
 
--- a/src/bamboomoor/gateway/controlapi.hpp
+++ b/src/bamboomoor/gateway/controlapi.hpp
@@ -63,6 +63,7 @@
     void on(const ReplaceCall &call, const Responder &responder);
     void on(const ReadCall &call, const Responder &responder);
     void on(BadCall &call, const Responder &responder);
+    [[nodiscard]] static std::string modelsOf(const membership::Announcement &announcement);
     void announce(membership::Announcement announcement);
     [[nodiscard]] bool isLed();
     [[nodiscard]] peer::Client *leader() const;
--- a/src/bamboomoor/gateway/residencydesk.cpp
+++ b/src/bamboomoor/gateway/residencydesk.cpp
@@ -146,6 +146,7 @@
 
 void ResidencyDesk::start()
 {
+    m_listeningSince = m_context.clock.now();
     m_thread = std::thread([this] {
         run();
     });
@@ -277,7 +278,7 @@
     m_term = event.term;
     m_fenced = false;
     m_plan.emplace(m_options.plan);
-    m_plan->begin(m_context.clock.now());
+    m_plan->begin(m_context.clock.now(), m_listeningSince);
     m_plan->setEngines(std::move(event.engines));
 }
 
--- a/src/bamboomoor/gateway/residencydesk.hpp
+++ b/src/bamboomoor/gateway/residencydesk.hpp
@@ -135,6 +135,8 @@
     std::optional<placement::Residency> m_plan;
     std::map<std::string, EntryLoad> m_loads;
     // 0 while this voter does not lead.
+    // When this VM began to hear announcements.
+    base::Millis m_listeningSince;
     std::uint64_t m_term = 0;
     // Another leader has ordered; nothing more is ordered in this term.
     bool m_fenced = false;
--- a/src/bamboomoor/placement/residency.cpp
+++ b/src/bamboomoor/placement/residency.cpp
@@ -55,14 +55,15 @@
         }
     }
     for (const auto &[key, rate] : latest) {
-        rates.try_emplace(key, Rate{0, now});
+        rates.try_emplace(key, Rate{0, 0, now});
     }
     for (auto &[key, rate] : rates) {
         const auto it = latest.find(key);
         const double newest = it == latest.end() ? 0 : it->second;
-        const double age = static_cast<double>((now - rate.at).count);
-        const double keep = std::exp2(-age / static_cast<double>(m_options.halfLife.count));
-        rate.rate = rate.rate * keep + newest * (1 - keep);
+        const double keepRecent = kept(now - rate.at, m_options.halfLife);
+        const double keepLong = kept(now - rate.at, m_options.trendHalfLife);
+        rate.recent = rate.recent * keepRecent + newest * (1 - keepRecent);
+        rate.lasting = rate.lasting * keepLong + newest * (1 - keepLong);
         rate.at = now;
     }
 }
@@ -77,12 +78,23 @@
     }
     for (const auto &[entry, rates] : m_demand) {
         for (const auto &[key, rate] : rates) {
-            const double age = static_cast<double>((now - rate.at).count);
-            const double present = rate.rate * std::exp2(-age / static_cast<double>(m_options.halfLife.count));
-            m_survey.demand[key] += present;
-            m_survey.modelDemand[key.first] += present;
+            const double recent = rate.recent * kept(now - rate.at, m_options.halfLife);
+            const double lasting = rate.lasting * kept(now - rate.at, m_options.trendHalfLife);
+            m_survey.demand[key] += recent;
+            m_survey.modelDemand[key.first] += recent;
+            m_survey.lastingDemand[key.first] += lasting;
         }
     }
+    // A copy serves seconds after it is ordered, and demand that grows goes on to grow meanwhile. A fall is not carried
+    // on in the same way, as it may be chance, and evicting a model in use costs more than a copy gains.
+    for (auto &[model, demand] : m_survey.modelDemand) {
+        demand += std::max(0.0, demand - m_survey.lastingDemand[model]) * m_options.trend;
+    }
+}
+
+double Residency::kept(base::Millis age, base::Millis halfLife) noexcept
+{
+    return std::exp2(-static_cast<double>(age.count) / static_cast<double>(halfLife.count));
 }
 
 void Residency::surveyWorker(const State &state)
@@ -93,6 +105,7 @@
             continue;
         }
         ++m_survey.replicas[{service, model}];
+        ++m_survey.ready[{service, model}];
         for (const std::string &adapter : adapters) {
             ++m_survey.adapters[{service, model, adapter}];
         }
--- a/src/bamboomoor/placement/residency.hpp
+++ b/src/bamboomoor/placement/residency.hpp
@@ -14,6 +14,7 @@
 #include "bamboomoor/base/clock.hpp"
 #include "bamboomoor/base/nametable.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -35,29 +36,41 @@
     base::Millis drain{600};
     // The pause before a worker is tried again that was busy or did not answer.
     base::Millis retry{300};
-    // How long a new leader waits for announcements before it takes a model for lost; a few heartbeats.
+    // How long a VM hears announcements before it takes a model for lost; a few heartbeats.
     base::Millis settle{4'000};
+    // How long a new leader waits at least, as it may have been cut off from the others before.
+    base::Millis takeover{800};
     // Between two decisions about copies of models.
     base::Millis review{250};
     // A copy that is younger is not evicted.
-    base::Millis minStay{8'000};
+    base::Millis minStay{5'000};
     // Demand counts half after this time.
-    base::Millis halfLife{2'000};
-    // How much above the mean the most loaded worker must be before a model is copied.
-    double imbalance = 1.25;
-    // How far below the most loaded worker the new copy's worker must stay. The copy after the n-th takes 1 / (n + 1)
-    // of each one's load, so that a lower bound would end the copying early.
-    double gain = 0.95;
+    base::Millis halfLife{1'500};
+    // The trend of demand is how its short mean differs from one of this half-life.
+    base::Millis trendHalfLife{4'000};
+    // How much of that difference is added to the short mean of growing demand.
+    double trend = 0.7;
     // Demand of a model, in requests a second, below which it is not copied.
     double leastDemand = 0.7;
     // Demand of a model, in requests a second, below which nothing is drained before it is unloaded.
     double idleDemand = 0.05;
-    // How much less loaded a worker must be that loads from the store than one with a copy of its own.
-    double storeFactor = 1.6;
+    // The least gain of a copy: by how much the sum of the squared loads of all workers falls, in requests a second
+    // squared, weighed by the part of the horizon in which the copy serves.
+    double leastGain = 2.0;
+    // How long a copy is expected to be of use.
+    base::Millis horizon{12'000};
+    // How long a model takes that the worker has on its disk; what engines announce is a second or two.
+    base::Millis localLoad{2'000};
+    // How much room for another copy, in copies of the largest model, a second copy of an idle model must make.
+    double leastRoom = 0.4;
+    // Idle models that are loaded at once elsewhere to make room.
+    std::size_t packing = 4;
+    // Models that are looked at for one copy.
+    std::size_t candidates = 8;
     // Copies decided in one review.
     int copies = 4;
     // Loads that the store's rate allows at once.
-    double burst = 2;
+    double burst = 3;
 };
 
 /** @brief A model that is to be reachable. */
@@ -177,10 +190,15 @@
     {
     }
 
-    /** @brief Begins to lead. @param now The present time. */
-    void begin(base::Millis now) noexcept
+    /**
+     * @brief Begins to lead.
+     * @param now The present time.
+     * @param listeningSince Since when this VM hears announcements.
+     */
+    void begin(base::Millis now, base::Millis listeningSince) noexcept
     {
-        m_settledAt = now + m_options.settle;
+        m_settledAt = std::max(now + m_options.takeover, listeningSince + m_options.settle);
+        m_loadsAt = now;
     }
 
     /** @brief Takes the engines. @param engines Engines by service. */
@@ -218,6 +236,8 @@
         std::string_view reason;
         // When the entries no longer use what goes.
         base::Millis drainedAt;
+        // Tasks of greater urgency take the loads that the store's rate allows.
+        double urgency = 0;
     };
     struct State {
         WorkerReport report;
@@ -234,19 +254,24 @@
         base::Millis notBefore;
         std::optional<Task> task;
     };
+    // Requests a second, as means of two half-lives.
     struct Rate {
-        double rate = 0;
+        double recent = 0;
+        double lasting = 0;
         base::Millis at;
     };
     // Sums over workers and entries as of one moment.
     struct Survey {
         // Workers that hold a model, or will, by service and model.
         std::map<std::pair<std::string, std::string>, std::size_t> replicas;
+        // Those of them that hold it now.
+        std::map<std::pair<std::string, std::string>, std::size_t> ready;
         // Workers that hold an adapter, by service, model and adapter.
         std::map<std::tuple<std::string, std::string, std::string>, std::size_t> adapters;
-        // Requests a second by model and adapter, and by model.
+        // Requests a second by model and adapter, and by model with their trend.
         std::map<std::pair<std::string, std::string>, double> demand;
         std::map<std::string, double> modelDemand;
+        std::map<std::string, double> lastingDemand;
     };
 
     [[nodiscard]] const EngineSpec *engineOf(const State &state) const;
@@ -259,6 +284,7 @@
     [[nodiscard]] double demandOf(const std::string &model, const std::string &adapter) const;
     [[nodiscard]] double modelDemand(const std::string &model) const;
     [[nodiscard]] double loadOf(const State &state) const;
+    [[nodiscard]] static double kept(base::Millis age, base::Millis halfLife) noexcept;
     void survey(base::Millis now);
     void surveyWorker(const State &state);
     [[nodiscard]] bool isIdle(base::Millis now, const State &state) const;
@@ -275,9 +301,18 @@
         const std::string &service, const std::string &model, const std::string &adapter) const;
     void reviewModels(base::Millis now, const std::string &service, const EngineSpec &engine);
     void placeLost(base::Millis now, const std::string &service, const EngineSpec &engine);
-    [[nodiscard]] bool copyHottest(base::Millis now, const std::string &service, const EngineSpec &engine);
+    [[nodiscard]] std::vector<State *> byUrgency();
+    [[nodiscard]] bool addCopy(base::Millis now, const std::string &service, const EngineSpec &engine);
+    [[nodiscard]] std::map<std::string, double> loads(const std::string &service) const;
+    [[nodiscard]] std::vector<std::string> busiestModels(const std::string &service, const EngineSpec &engine) const;
+    [[nodiscard]] bool pack(const std::string &service, const EngineSpec &engine);
+    [[nodiscard]] static double roomOf(const EngineSpec &engine, std::int64_t freeMib);
+    void spread(const std::string &service, const std::string &model, double change,
+        std::map<std::string, double> &changes) const;
+    [[nodiscard]] double gainOf(const State &state, const std::string &model, const std::vector<std::string> &evicted,
+        const std::map<std::string, double> &loads) const;
     [[nodiscard]] std::optional<std::vector<std::string>> evictionsFor(
-        base::Millis now, const State &state, std::int64_t neededMib, double budget) const;
+        base::Millis now, const State &state, std::int64_t neededMib) const;
     void send(base::Millis now, State &state, ResidencyOrder order, ResidencyActions &out);
     void carryOut(base::Millis now, State &state, const ResidencyOrder &order);
 
--- /dev/null
+++ b/src/bamboomoor/placement/residencycopies.cpp
@@ -0,0 +1,221 @@
+/**
+ * Copies of models that are asked for much.
+ *
+ * The load that it answers: demand moves from a few models to others within seconds, and a load from the store takes
+ * about as long as the demand stays. A copy is chosen by what it takes off the most loaded workers: the sum of the
+ * squared loads of all workers, with what the evicted models put on their other copies, for as long as the copy will
+ * serve. So a worker that has the model on its disk goes before one that must fetch it, and an idle copy gives way
+ * before one in use.
+ *
+ * Where workers have no room for copies because each holds one idle model beside a busy one, idle models are packed:
+ * one is loaded on a worker that fills up with it, so that its first copy can give way to a busy model.
+ */
+#include "bamboomoor/placement/residency.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace bamboomoor::placement
+{
+
+namespace
+{
+
+constexpr std::string_view HOT = "hot";
+constexpr std::string_view PACK = "pack";
+
+} // namespace
+
+std::map<std::string, double> Residency::loads(const std::string &service) const
+{
+    std::map<std::string, double> loads;
+    for (const auto &[id, state] : m_workers) {
+        if (state.report.service == service && !state.report.leaving) {
+            loads.emplace(id, loadOf(state));
+        }
+    }
+    return loads;
+}
+
+std::vector<std::string> Residency::busiestModels(const std::string &service, const EngineSpec &engine) const
+{
+    std::vector<std::pair<double, std::string>> shares;
+    for (const auto &[model, demand] : m_survey.modelDemand) {
+        const std::size_t copies = replicas(service, model);
+        if (engine.models.contains(model) && copies > 0 && demand >= m_options.leastDemand) {
+            shares.emplace_back(-demand / static_cast<double>(copies), model);
+        }
+    }
+    std::sort(shares.begin(), shares.end());
+    shares.resize(std::min(shares.size(), m_options.candidates));
+    std::vector<std::string> models;
+    for (auto &[share, model] : shares) {
+        models.push_back(std::move(model));
+    }
+    return models;
+}
+
+void Residency::spread(const std::string &service, const std::string &model, double change,
+    std::map<std::string, double> &changes) const
+{
+    for (const auto &[id, state] : m_workers) {
+        const bool counts = state.report.service == service && !state.report.leaving && !isEvicting(state, model);
+        if (counts && holdsOrLoads(state, model)) {
+            changes[id] += change;
+        }
+    }
+}
+
+double Residency::gainOf(const State &state, const std::string &model, const std::vector<std::string> &evicted,
+    const std::map<std::string, double> &loads) const
+{
+    const std::string &service = state.report.service;
+    std::map<std::string, double> changes;
+    const auto copies = static_cast<double>(replicas(service, model));
+    const double demand = modelDemand(model);
+    spread(service, model, demand / (copies + 1) - demand / copies, changes);
+    double own = demand / (copies + 1);
+    for (const std::string &it : evicted) {
+        const auto others = static_cast<double>(replicas(service, it)) - 1;
+        const double moved = modelDemand(it);
+        spread(service, it, moved / others - moved / (others + 1), changes);
+        own -= moved / others;
+    }
+    changes[state.report.id] += own;
+    double gain = 0;
+    for (const auto &[id, change] : changes) {
+        const auto load = loads.find(id);
+        const double before = load == loads.end() ? 0 : load->second;
+        gain += before * before - (before + change) * (before + change);
+    }
+    return gain;
+}
+
+std::optional<std::vector<std::string>> Residency::evictionsFor(
+    base::Millis now, const State &state, std::int64_t neededMib) const
+{
+    const EngineSpec &engine = *engineOf(state);
+    std::int64_t freeMib = engine.memoryMib - usedMib(state);
+    std::vector<std::pair<double, std::string>> candidates;
+    for (const auto &[model, adapters] : state.view.models) {
+        // Another worker must hold it already: a copy on its way may not arrive.
+        const auto ready = m_survey.ready.find({state.report.service, model});
+        const auto since = state.heldSince.find(model);
+        const bool young = since != state.heldSince.end() && now - since->second < m_options.minStay;
+        if (ready != m_survey.ready.end() && ready->second >= 2 && !young) {
+            candidates.emplace_back(modelDemand(model) / static_cast<double>(ready->second), model);
+        }
+    }
+    std::sort(candidates.begin(), candidates.end());
+    std::vector<std::string> evicted;
+    for (const auto &[value, model] : candidates) {
+        if (freeMib >= neededMib) {
+            break;
+        }
+        const ModelSpec *spec = modelOf(state, model);
+        const auto adapters = static_cast<std::int64_t>(state.view.models.at(model).size());
+        freeMib += spec == nullptr ? 0 : spec->memoryMib + adapters * spec->adapterMemoryMib;
+        evicted.push_back(model);
+    }
+    return freeMib >= neededMib ? std::optional(std::move(evicted)) : std::nullopt;
+}
+
+bool Residency::addCopy(base::Millis now, const std::string &service, const EngineSpec &engine)
+{
+    const std::map<std::string, double> before = loads(service);
+    const auto served = [this](base::Millis loadTime) {
+        const base::Millis left = std::max(m_options.horizon - loadTime, base::Millis{1'000});
+        return static_cast<double>(left.count) / static_cast<double>(m_options.horizon.count);
+    };
+    State *best = nullptr;
+    Task task;
+    double bestGain = m_options.leastGain;
+    for (const std::string &model : busiestModels(service, engine)) {
+        const ModelSpec &spec = engine.models.at(model);
+        for (auto &[id, state] : m_workers) {
+            const bool usable = state.report.service == service && !state.report.leaving && !state.task
+                && state.loading.empty() && !holdsOrLoads(state, model);
+            auto evicted = usable ? evictionsFor(now, state, spec.memoryMib) : std::nullopt;
+            if (!evicted) {
+                continue;
+            }
+            const double part = served(hasLocalCopy(state, model) ? m_options.localLoad : spec.loadTime);
+            const double gain = gainOf(state, model, *evicted, before) * part;
+            if (gain > bestGain) {
+                best = &state;
+                bestGain = gain;
+                task = Task{model, std::move(*evicted), HOT, {}, gain};
+            }
+        }
+    }
+    if (best == nullptr) {
+        return false;
+    }
+    task.drainedAt = drainedAt(now, task.evicted);
+    best->task = std::move(task);
+    survey(now);
+    return true;
+}
+
+double Residency::roomOf(const EngineSpec &engine, std::int64_t freeMib)
+{
+    // What is left beside the largest models may still take a smaller one, which is worth less.
+    constexpr double SMALLER = 0.5;
+    std::set<std::int64_t> sizes;
+    for (const auto &[model, spec] : engine.models) {
+        sizes.insert(spec.memoryMib);
+    }
+    if (sizes.empty() || *sizes.begin() <= 0 || freeMib < 0) {
+        return 0;
+    }
+    const std::int64_t largest = *sizes.rbegin();
+    const std::int64_t rest = freeMib % largest;
+    const auto smaller = sizes.upper_bound(rest);
+    const std::int64_t fits = smaller == sizes.begin() ? 0 : *std::prev(smaller);
+    return static_cast<double>(freeMib / largest) + SMALLER * static_cast<double>(fits) / static_cast<double>(largest);
+}
+
+bool Residency::pack(const std::string &service, const EngineSpec &engine)
+{
+    std::map<std::string, std::string> soleHolders;
+    std::size_t underWay = 0;
+    for (const auto &[id, state] : m_workers) {
+        underWay += state.task && state.task->reason == PACK ? 1 : 0;
+        for (const auto &[model, adapters] : state.view.models) {
+            if (state.report.service == service && replicas(service, model) == 1 && engine.models.contains(model)
+                && modelDemand(model) < m_options.leastDemand) {
+                soleHolders.emplace(model, id);
+            }
+        }
+    }
+    State *best = nullptr;
+    std::string bestModel;
+    double bestRoom = m_options.leastRoom;
+    for (const auto &[model, holder] : soleHolders) {
+        const std::int64_t size = engine.models.at(model).memoryMib;
+        const std::int64_t holderFree = engine.memoryMib - usedMib(m_workers.at(holder));
+        const double made = roomOf(engine, holderFree + size) - roomOf(engine, holderFree);
+        for (auto &[id, state] : m_workers) {
+            const std::int64_t free = engine.memoryMib - usedMib(state);
+            if (id == holder || state.report.service != service || state.report.leaving || state.task
+                || !state.loading.empty() || free < size) {
+                continue;
+            }
+            const double room = made - (roomOf(engine, free) - roomOf(engine, free - size));
+            if (room > bestRoom) {
+                best = &state;
+                bestModel = model;
+                bestRoom = room;
+            }
+        }
+    }
+    if (best == nullptr || underWay >= m_options.packing) {
+        return false;
+    }
+    best->task = Task{bestModel, {}, PACK, {}, 0};
+    ++m_survey.replicas[{service, bestModel}];
+    return true;
+}
+
+} // namespace bamboomoor::placement
--- a/src/bamboomoor/placement/residencyplan.cpp
+++ b/src/bamboomoor/placement/residencyplan.cpp
@@ -14,7 +14,8 @@
 
 constexpr double MILLIS_PER_SECOND = 1'000.0;
 constexpr std::string_view LOST = "lost";
-constexpr std::string_view HOT = "hot";
+// What a lost model without demand weighs against copies of others, in the unit of a copy's gain.
+constexpr double LOST_URGENCY = 5;
 constexpr std::string_view MISSED = "missed";
 constexpr std::string_view AHEAD = "ahead";
 constexpr std::string_view ROOM = "room";
@@ -38,13 +39,14 @@
             reviewModels(now, service, engine);
         }
     }
-    for (auto &[id, state] : m_workers) {
+    for (State *it : byUrgency()) {
+        State &state = *it;
         if (!isIdle(now, state) || state.report.leaving) {
             continue;
         }
         if (state.mustInspect) {
             state.inspecting = true;
-            out.inspections.push_back({id, state.report.address});
+            out.inspections.push_back({state.report.id, state.report.address});
         } else if (state.loading.empty() && state.task) {
             continueTask(now, state, out);
         } else if (state.loading.empty()) {
@@ -54,6 +56,21 @@
     return out;
 }
 
+std::vector<Residency::State *> Residency::byUrgency()
+{
+    std::vector<State *> states;
+    for (auto &[id, state] : m_workers) {
+        states.push_back(&state);
+    }
+    const auto urgency = [](const State *it) {
+        return it->task ? it->task->urgency : 0;
+    };
+    std::stable_sort(states.begin(), states.end(), [&urgency](const State *left, const State *right) {
+        return urgency(left) > urgency(right);
+    });
+    return states;
+}
+
 bool Residency::hasLocalCopy(const State &state, const std::string &model) const
 {
     return state.report.localCopies.contains(model);
@@ -98,7 +115,10 @@
         return state.view.models.contains(it);
     });
     if (left != task.evicted.end()) {
-        if (now >= task.drainedAt) {
+        if (!m_survey.ready.contains({state.report.service, *left})) {
+            // The workers that held it too are gone meanwhile.
+            state.task.reset();
+        } else if (now >= task.drainedAt) {
             ResidencyOrder order;
             order.kind = ResidencyOrderKind::Unload;
             order.model = *left;
@@ -210,44 +230,12 @@
 void Residency::reviewModels(base::Millis now, const std::string &service, const EngineSpec &engine)
 {
     placeLost(now, service, engine);
-    for (int n = 0; n < m_options.copies && copyHottest(now, service, engine); ++n) { }
-}
-
-std::optional<std::vector<std::string>> Residency::evictionsFor(
-    base::Millis now, const State &state, std::int64_t neededMib, double budget) const
-{
-    const EngineSpec &engine = *engineOf(state);
-    std::int64_t freeMib = engine.memoryMib - usedMib(state);
-    std::vector<std::pair<double, std::string>> candidates;
-    for (const auto &[model, adapters] : state.view.models) {
-        const std::size_t copies = replicas(state.report.service, model);
-        const auto since = state.heldSince.find(model);
-        const bool young = since != state.heldSince.end() && now - since->second < m_options.minStay;
-        if (copies >= 2 && !young) {
-            candidates.emplace_back(modelDemand(model) / static_cast<double>(copies), model);
-        }
-    }
-    std::sort(candidates.begin(), candidates.end());
-    std::vector<std::string> evicted;
-    for (const auto &[value, model] : candidates) {
-        if (freeMib >= neededMib) {
-            break;
-        }
-        budget -= value;
-        if (budget < 0) {
-            return std::nullopt;
-        }
-        const ModelSpec *spec = modelOf(state, model);
-        const auto adapters = static_cast<std::int64_t>(state.view.models.at(model).size());
-        freeMib += spec == nullptr ? 0 : spec->memoryMib + adapters * spec->adapterMemoryMib;
-        evicted.push_back(model);
-    }
-    return freeMib >= neededMib ? std::optional(std::move(evicted)) : std::nullopt;
+    for (int n = 0; n < m_options.copies && addCopy(now, service, engine); ++n) { }
+    while (m_loads >= m_options.burst - 1 && pack(service, engine)) { }
 }
 
 void Residency::placeLost(base::Millis now, const std::string &service, const EngineSpec &engine)
 {
-    constexpr double ANY_COST = 1e9;
     std::vector<std::pair<double, std::string>> lost;
     for (const auto &[model, spec] : engine.models) {
         if (replicas(service, model) == 0) {
@@ -264,7 +252,7 @@
             if (state.report.service != service || state.report.leaving || state.task || !state.loading.empty()) {
                 continue;
             }
-            auto evicted = evictionsFor(now, state, engine.models.at(model).memoryMib, ANY_COST);
+            auto evicted = evictionsFor(now, state, engine.models.at(model).memoryMib);
             if (!evicted) {
                 continue;
             }
@@ -277,75 +265,10 @@
         }
         if (best != nullptr) {
             const base::Millis drained = drainedAt(now, bestEvicted);
-            best->task = Task{model, std::move(bestEvicted), LOST, drained};
+            best->task = Task{model, std::move(bestEvicted), LOST, drained, LOST_URGENCY * (1 - demand)};
             survey(now);
         }
     }
 }
 
-bool Residency::copyHottest(base::Millis now, const std::string &service, const EngineSpec &engine)
-{
-    double sum = 0;
-    double most = 0;
-    const State *hottest = nullptr;
-    std::size_t workers = 0;
-    for (const auto &[id, state] : m_workers) {
-        if (state.report.service != service || state.report.leaving) {
-            continue;
-        }
-        const double load = loadOf(state);
-        sum += load;
-        ++workers;
-        if (load > most) {
-            most = load;
-            hottest = &state;
-        }
-    }
-    if (hottest == nullptr || most < m_options.imbalance * sum / static_cast<double>(workers)) {
-        return false;
-    }
-    std::string model;
-    double modelShare = 0;
-    for (const auto &[it, adapters] : hottest->view.models) {
-        const std::size_t copies = std::max<std::size_t>(1, replicas(service, it));
-        const double share = modelDemand(it) / static_cast<double>(copies);
-        if (share > modelShare && engine.models.contains(it)) {
-            modelShare = share;
-            model = it;
-        }
-    }
-    const double demand = modelDemand(model);
-    if (model.empty() || demand < m_options.leastDemand) {
-        return false;
-    }
-    const double newShare = demand / static_cast<double>(replicas(service, model) + 1);
-    const ModelSpec &spec = engine.models.at(model);
-    State *best = nullptr;
-    std::vector<std::string> bestEvicted;
-    double bestLoad = most * m_options.gain;
-    for (auto &[id, state] : m_workers) {
-        const bool usable = state.report.service == service && !state.report.leaving && !state.task
-            && state.loading.empty() && !holdsOrLoads(state, model);
-        if (!usable) {
-            continue;
-        }
-        const double store = hasLocalCopy(state, model) ? 1 : m_options.storeFactor;
-        const double load = (loadOf(state) + newShare) * store;
-        // What is evicted burdens the other copies.
-        auto evicted = evictionsFor(now, state, spec.memoryMib, modelShare - newShare);
-        if (evicted && load < bestLoad) {
-            best = &state;
-            bestEvicted = std::move(*evicted);
-            bestLoad = load;
-        }
-    }
-    if (best == nullptr) {
-        return false;
-    }
-    const base::Millis drained = drainedAt(now, bestEvicted);
-    best->task = Task{model, std::move(bestEvicted), HOT, drained};
-    survey(now);
-    return true;
-}
-
 } // namespace bamboomoor::placement
--- a/test/bamboomoor/placement/residency.cpp
+++ b/test/bamboomoor/placement/residency.cpp
@@ -61,7 +61,7 @@
             list.push_back(it);
         }
         plan.setEngines({{"llm", spec}});
-        plan.begin(now);
+        plan.begin(now, now);
     }
 
     void step()
