Pace prompts by the pauses of streams; tell the leader of unreachable workers

Now each entry paces its prompts by the pauses that it sees, reports upstreams that accept no connection, holds a request back while its adapter is loaded, and keeps a window of calls for each plain service. A request that falls silent counts against its upstream at once, and a line says why it stays.

--- a/src/bamboomoor/entry/demandreport.cpp
+++ b/src/bamboomoor/entry/demandreport.cpp
@@ -9,6 +9,16 @@
 namespace bamboomoor::entry
 {
 
+namespace
+{
+
+// The end of one call and a few wishes; more wishes than that say nothing new.
+constexpr std::size_t WAKES = 4;
+// Between two reports that are wished for.
+constexpr base::Millis URGED_INTERVAL{40};
+
+} // namespace
+
 DemandReport::DemandReport(DemandReportOptions options, DemandSource &source, UpstreamBook &book,
     const control::PeerBook &peers, LeaderHint &leader, const base::Clock &clock)
     : m_options(std::move(options))
@@ -17,7 +27,7 @@
     , m_peers(peers)
     , m_leader(leader)
     , m_clock(clock)
-    , m_answers(1)
+    , m_wakes(WAKES)
 {
 }
 
@@ -37,29 +47,53 @@
 void DemandReport::stop()
 {
     m_stopping = true;
-    m_answers.close();
+    m_wakes.close();
     if (m_thread.joinable()) {
         m_thread.join();
     }
 }
 
+void DemandReport::urge()
+{
+    static_cast<void>(m_wakes.push(Wake{true, std::nullopt}));
+}
+
 void DemandReport::run()
 {
     while (!m_stopping) {
         const base::Millis sentAt = m_clock.now();
         const std::string voter = m_leader.get();
+        m_urged = false;
         m_peers.find(voter)->call(
             makeReport(), m_options.timeout, [this](std::optional<peer::wire::DemandReply> reply) {
-                static_cast<void>(m_answers.push(std::move(reply)));
+                static_cast<void>(m_wakes.push(Wake{false, std::move(reply)}));
             });
         // The timeout of the call ends this wait.
-        const auto answer = m_answers.pop(m_options.timeout * 2);
-        if (answer && *answer && (*answer)->served()) {
-            take(**answer);
+        auto wake = m_wakes.pop(m_options.timeout * 2);
+        while (wake && wake->urged) {
+            m_urged = true;
+            wake = m_wakes.pop(m_options.timeout * 2);
+        }
+        if (wake && wake->reply && wake->reply->served()) {
+            take(*wake->reply);
         }
-        const base::Millis rest = sentAt + m_options.interval - m_clock.now();
-        // Nothing is pushed between two questions; only a closed ring ends this wait early.
-        static_cast<void>(m_answers.pop(std::max(rest, base::Millis{0})));
+        rest(sentAt);
+    }
+}
+
+void DemandReport::rest(base::Millis sentAt)
+{
+    for (;;) {
+        const base::Millis span = m_urged ? URGED_INTERVAL : m_options.interval;
+        const base::Millis left = sentAt + span - m_clock.now();
+        if (left <= base::Millis{0}) {
+            return;
+        }
+        const auto wake = m_wakes.pop(left);
+        if (!wake) {
+            return;
+        }
+        m_urged = m_urged || wake->urged;
     }
 }
 
@@ -86,6 +120,9 @@
         load->set_upstream(upstream);
         load->set_waiting_tokens(tokens);
     }
+    for (const std::string &it : m_source.unreachable()) {
+        report.add_unreachable(it);
+    }
     for (const DrainingReplica &it : m_draining) {
         if (!m_source.runsAt(it)) {
             auto *drained = report.add_drained();
@@ -100,11 +137,14 @@
 
 void DemandReport::take(const peer::wire::DemandReply &reply)
 {
-    std::map<std::string, std::int64_t> waiting;
+    PlacementNews news;
     for (const auto &it : reply.waiting()) {
-        waiting.emplace(it.upstream(), it.waiting_tokens());
+        news.waiting.emplace(it.upstream(), it.waiting_tokens());
+    }
+    for (const auto &it : reply.placements()) {
+        news.placements.push_back({it.upstream(), it.model(), it.adapter(), {it.ready_in_ms()}});
     }
-    m_source.setForeignLoad(std::move(waiting));
+    m_source.takeNews(std::move(news));
     std::set<DrainingReplica> draining;
     for (const auto &it : reply.draining()) {
         draining.insert({it.upstream(), it.model(), it.adapter(), it.version()});
--- a/src/bamboomoor/entry/demandreport.hpp
+++ b/src/bamboomoor/entry/demandreport.hpp
@@ -34,6 +34,23 @@
     std::int64_t tokens = 0;
 };
 
+/** @brief A model or adapter that comes to an upstream, or came to it lately. */
+struct Placement {
+    std::string upstream;
+    std::string model;
+    // Empty for the model itself.
+    std::string adapter;
+    // 0 when it is there.
+    base::Millis readyIn;
+};
+
+/** @brief What the leader tells an entry of the others and of its orders. */
+struct PlacementNews {
+    // Prompt tokens that other entries have waiting, by upstream.
+    std::map<std::string, std::int64_t> waiting;
+    std::vector<Placement> placements;
+};
+
 /** @brief Counts the demand of an entry; usable from any thread. */
 class DemandSource
 {
@@ -62,10 +79,16 @@
         return {};
     }
 
-    /** @brief Takes what other entries have waiting. @param waiting Prompt tokens by upstream. */
-    virtual void setForeignLoad(std::map<std::string, std::int64_t> waiting)
+    /** @brief Lists the upstreams that accept no connection of this entry. @return Their ids. */
+    [[nodiscard]] virtual std::vector<std::string> unreachable() const
+    {
+        return {};
+    }
+
+    /** @brief Takes what the leader tells. @param news The news. */
+    virtual void takeNews(PlacementNews news)
     {
-        static_cast<void>(waiting);
+        static_cast<void>(news);
     }
 };
 
@@ -101,8 +124,18 @@
     /** @brief Ends the thread. */
     void stop();
 
+    /** @brief Reports at once, as a request waits for what the leader decides; usable from any thread. */
+    void urge();
+
 private:
+    // The end of a call, or a wish for the next one.
+    struct Wake {
+        bool urged = false;
+        std::optional<peer::wire::DemandReply> reply;
+    };
+
     void run();
+    void rest(base::Millis sentAt);
     [[nodiscard]] peer::wire::DemandReport makeReport();
     void take(const peer::wire::DemandReply &reply);
 
@@ -112,7 +145,9 @@
     const control::PeerBook &m_peers;
     LeaderHint &m_leader;
     const base::Clock &m_clock;
-    base::Ring<std::optional<peer::wire::DemandReply>> m_answers;
+    base::Ring<Wake> m_wakes;
+    // A wish came while a call was under way.
+    bool m_urged = false;
     std::thread m_thread;
     std::atomic<bool> m_stopping{false};
     base::Millis m_countedSince;
--- a/src/bamboomoor/gateway/entrydaemon.cpp
+++ b/src/bamboomoor/gateway/entrydaemon.cpp
@@ -123,6 +123,9 @@
     , m_readinessServer(m_readiness, controlServerOptions())
 {
     m_leader.setSeeds(m_peers.names());
+    m_runner.setUrge([this] {
+        m_demand.urge();
+    });
 }
 
 EntryDaemon::~EntryDaemon()
--- a/src/bamboomoor/gateway/residencydesk.cpp
+++ b/src/bamboomoor/gateway/residencydesk.cpp
@@ -47,6 +47,7 @@
     report.incarnation = announcement.incarnation;
     report.address = announcement.address;
     report.service = announcement.service;
+    report.sequence = announcement.sequence;
     report.leaving = announcement.leaving;
     report.localCopies.insert(announcement.localCopies.begin(), announcement.localCopies.end());
     for (const membership::Accelerator &accelerator : announcement.accelerators) {
@@ -120,8 +121,10 @@
     void onEnd(http::Ending ending) override
     {
         const bool answered = ending.kind == http::EndKind::Complete;
-        m_desk.post(Looked{
-            m_term, m_worker, answered ? m_desk.m_context.dialect.readInspection(m_status, m_body) : std::nullopt});
+        const bool unreachable =
+            ending.kind == http::EndKind::ConnectFailed || ending.kind == http::EndKind::ConnectTimeout;
+        m_desk.post(Looked{m_term, m_worker,
+            answered ? m_desk.m_context.dialect.readInspection(m_status, m_body) : std::nullopt, unreachable});
     }
 
 private:
@@ -239,6 +242,14 @@
     reply.set_served(true);
     reply.set_term(m_term);
     exchangeLoads(event.request, reply);
+    suspect(event.request);
+    for (const placement::PlacedHolding &it : m_plan->placed(m_context.clock.now())) {
+        auto *placed = reply.add_placements();
+        placed->set_upstream(it.worker);
+        placed->set_model(it.model);
+        placed->set_adapter(it.adapter);
+        placed->set_ready_in_ms(it.readyIn.count);
+    }
     for (const auto &[worker, model] : m_plan->draining()) {
         auto *drain = reply.add_draining();
         drain->set_upstream(worker);
@@ -247,6 +258,25 @@
     event.answer(std::move(reply));
 }
 
+void ResidencyDesk::suspect(const peer::wire::DemandReport &request)
+{
+    const base::Millis now = m_context.clock.now();
+    std::erase_if(m_suspects, [&](const auto &it) {
+        return now - it.second > m_options.suspicion;
+    });
+    for (const std::string &worker : request.unreachable()) {
+        if (m_suspects.contains(worker)) {
+            continue;
+        }
+        for (const membership::Entry &it : m_context.upstreams.list(now)) {
+            if (it.announcement.id == worker) {
+                m_suspects.emplace(worker, now);
+                look({worker, it.announcement.address});
+            }
+        }
+    }
+}
+
 void ResidencyDesk::exchangeLoads(const peer::wire::DemandReport &request, peer::wire::DemandReply &reply)
 {
     const base::Millis now = m_context.clock.now();
@@ -311,6 +341,12 @@
 void ResidencyDesk::on(Looked &event)
 {
     if (m_plan && event.term == m_term) {
+        if (event.unreachable && m_suspects.contains(event.worker)) {
+            m_context.log.write(base::LogLine("upstream_unreachable")
+                                    .add("upstream", event.worker)
+                                    .add("term", static_cast<std::int64_t>(m_term)));
+            m_plan->unreachable(event.worker);
+        }
         m_plan->inspected(m_context.clock.now(), event.worker, event.found);
     }
 }
--- a/src/bamboomoor/gateway/residencydesk.hpp
+++ b/src/bamboomoor/gateway/residencydesk.hpp
@@ -35,6 +35,8 @@
     // The longest wait for a worker's answer.
     base::Millis timeout{1'000};
     base::Millis connectTimeout{400};
+    // Between two looks at a worker that entries cannot reach.
+    base::Millis suspicion{500};
     // An entry's word of what it has waiting is forgotten after this time.
     base::Millis loadAge{1'500};
     // How old the last confirmation of the leadership by a quorum may be when an order is sent; less than the
@@ -98,6 +100,8 @@
         std::uint64_t term = 0;
         std::string worker;
         std::optional<placement::Inspected> found;
+        // The worker accepted no connection.
+        bool unreachable = false;
     };
     using Event = std::variant<ReportEvent, Leading, NotLeading, Configured, Ordered, Looked>;
     class OrderListener;
@@ -112,6 +116,7 @@
     void on(Looked &event);
     void post(Event event);
     void decide();
+    void suspect(const peer::wire::DemandReport &request);
     void exchangeLoads(const peer::wire::DemandReport &request, peer::wire::DemandReply &reply);
     void takeWorkers(base::Millis now);
     [[nodiscard]] bool surelyLeads(base::Millis now) const;
@@ -134,9 +139,11 @@
     // Used by the thread only.
     std::optional<placement::Residency> m_plan;
     std::map<std::string, EntryLoad> m_loads;
-    // 0 while this voter does not lead.
+    // Workers that entries could not reach, and when they were last looked at for it.
+    std::map<std::string, base::Millis> m_suspects;
     // When this VM began to hear announcements.
     base::Millis m_listeningSince;
+    // 0 while this voter does not lead.
     std::uint64_t m_term = 0;
     // Another leader has ordered; nothing more is ordered in this term.
     bool m_fenced = false;
--- a/src/bamboomoor/gateway/runner.cpp
+++ b/src/bamboomoor/gateway/runner.cpp
@@ -137,6 +137,10 @@
         }
         const base::Millis after = m_context.clock.now();
         m_core.tick(after);
+        if (m_core.takeUrgent() && m_urge) {
+            collectDemand();
+            m_urge();
+        }
         sendAsk(after);
         if (after >= m_nextRefresh) {
             m_nextRefresh = after + m_options.refresh;
@@ -207,9 +211,14 @@
     }
 }
 
-void Runner::on(base::Millis now, ForeignLoad &event)
+void Runner::on(base::Millis now, News &event)
 {
-    m_core.setForeignLoad(now, event.waiting);
+    m_core.setForeignLoad(now, event.news.waiting);
+    std::vector<relay::Placed> placed;
+    for (entry::Placement &it : event.news.placements) {
+        placed.push_back({std::move(it.upstream), relay::holdingOf(it.model, it.adapter), it.readyIn});
+    }
+    m_core.setPlaced(now, placed);
 }
 
 void Runner::on(base::Millis /*now*/, Draining & /*event*/)
@@ -251,8 +260,10 @@
 {
     auto demand = m_core.takeDemand();
     auto waiting = m_core.waiting();
+    auto unreachable = m_core.unreachable(m_context.clock.now());
     const absl::MutexLock lock(&m_mutex);
     m_waiting = std::move(waiting);
+    m_unreachable = std::move(unreachable);
     for (relay::HoldingDemand &it : demand) {
         entry::TargetDemand report;
         report.target = {entry::TargetKind::Generation, std::move(it.model), std::move(it.adapter), {}, {}};
@@ -275,9 +286,15 @@
     return m_waiting;
 }
 
-void Runner::setForeignLoad(std::map<std::string, std::int64_t> waiting)
+std::vector<std::string> Runner::unreachable() const
+{
+    const absl::MutexLock lock(&m_mutex);
+    return m_unreachable;
+}
+
+void Runner::takeNews(entry::PlacementNews news)
 {
-    static_cast<void>(push(ForeignLoad{std::move(waiting)}));
+    static_cast<void>(push(News{std::move(news)}));
 }
 
 bool Runner::runsAt(const entry::DrainingReplica & /*replica*/) const
--- a/src/bamboomoor/gateway/runner.hpp
+++ b/src/bamboomoor/gateway/runner.hpp
@@ -21,6 +21,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -93,7 +94,14 @@
     [[nodiscard]] std::vector<entry::TargetDemand> takeDemand() override;
     [[nodiscard]] bool runsAt(const entry::DrainingReplica &replica) const override;
     [[nodiscard]] std::map<std::string, std::int64_t> waiting() const override;
-    void setForeignLoad(std::map<std::string, std::int64_t> waiting) override;
+    [[nodiscard]] std::vector<std::string> unreachable() const override;
+    void takeNews(entry::PlacementNews news) override;
+
+    /** @brief Sets what is called when the leader should hear of demand at once. @param urge The call; before start(). */
+    void setUrge(std::function<void()> urge)
+    {
+        m_urge = std::move(urge);
+    }
 
 private:
     struct Arrived {
@@ -122,11 +130,11 @@
     };
     struct Draining {
     };
-    struct ForeignLoad {
-        std::map<std::string, std::int64_t> waiting;
+    struct News {
+        entry::PlacementNews news;
     };
     using Event =
-        std::variant<Arrived, CallerGone, Head, Data, Ended, BudgetReplied, TableChanged, ForeignLoad, Draining>;
+        std::variant<Arrived, CallerGone, Head, Data, Ended, BudgetReplied, TableChanged, News, Draining>;
     class AttemptListener;
 
     void run();
@@ -137,7 +145,7 @@
     void on(base::Millis now, Ended &event);
     void on(base::Millis now, BudgetReplied &event);
     void on(base::Millis now, TableChanged &event);
-    void on(base::Millis now, ForeignLoad &event);
+    void on(base::Millis now, News &event);
     void on(base::Millis now, Draining &event);
     void refreshUpstreams();
     void collectDemand();
@@ -167,6 +175,8 @@
     std::atomic<bool> m_stopping{false};
     std::atomic<std::size_t> m_inProgress{0};
 
+    std::function<void()> m_urge;
+
     // Used by the thread only.
     relay::Core m_core;
     std::uint64_t m_lastExchange = 0;
@@ -178,6 +188,7 @@
     mutable absl::Mutex m_mutex;
     std::vector<entry::TargetDemand> m_demand ABSL_GUARDED_BY(m_mutex);
     std::map<std::string, std::int64_t> m_waiting ABSL_GUARDED_BY(m_mutex);
+    std::vector<std::string> m_unreachable ABSL_GUARDED_BY(m_mutex);
 };
 
 } // namespace bamboomoor::gateway
--- a/src/bamboomoor/placement/residency.cpp
+++ b/src/bamboomoor/placement/residency.cpp
@@ -28,16 +28,25 @@
         if (restarted) {
             state = {};
         }
+        if (state.unreachable && it.sequence > state.report.sequence) {
+            state.unreachable = false;
+            state.mustInspect = true;
+        }
         state.report = it;
-        const bool settled = !state.underWay && now - state.orderedAt > m_options.announcementLag;
         if (it.holdings.models.contains(state.loading)) {
             state.view.models.try_emplace(state.loading);
             state.heldSince[state.loading] = now;
             state.loading.clear();
         }
-        if (restarted || (settled && state.loading.empty())) {
+        // An announcement may be older than an order that was accepted; from the first order on, the worker's answers
+        // and reports, which count its orders, say what it holds.
+        if (restarted || !state.wasOrdered) {
             state.view = it.holdings;
         }
+        const ModelSpec *coming = state.loading.empty() ? nullptr : modelOf(state, state.loading);
+        if (coming != nullptr && now - state.orderedAt > coming->loadTime + m_options.loadGrace) {
+            state.mustInspect = true;
+        }
     }
     std::erase_if(m_workers, [&present](const auto &it) {
         return !present.contains(it.first);
@@ -72,7 +81,7 @@
 {
     m_survey = {};
     for (const auto &[id, state] : m_workers) {
-        if (!state.report.leaving) {
+        if (!isGone(state)) {
             surveyWorker(state);
         }
     }
@@ -227,6 +236,7 @@
     order.expected = state.orders.value_or(0);
     state.underWay = order;
     state.orderedAt = now;
+    state.wasOrdered = true;
     out.orders.push_back(std::move(order));
 }
 
@@ -239,9 +249,12 @@
     State &state = it->second;
     const ResidencyOrder order = *std::exchange(state.underWay, std::nullopt);
     state.orderedAt = now;
-    switch (verdict) {
+    // An adapter goes at once, which is answered like an order that held already.
+    const bool done = verdict == OrderVerdict::Holds && order.kind == ResidencyOrderKind::Unload && !order.adapter.empty();
+    switch (done ? OrderVerdict::Accepted : verdict) {
     case OrderVerdict::Accepted:
         state.orders = order.expected + 1;
+        state.leastOrders = order.expected + 1;
         carryOut(now, state, order);
         return;
     case OrderVerdict::Holds:
@@ -272,6 +285,7 @@
         state.task.reset();
     } else if (order.kind == ResidencyOrderKind::Load) {
         state.view.models[order.model].insert(order.adapter);
+        state.placedAt[{order.model, order.adapter}] = now;
         m_missed.erase({order.model, order.adapter});
     } else if (order.adapter.empty()) {
         state.view.models.erase(order.model);
@@ -281,7 +295,36 @@
         state.notBefore = now + m_options.retry;
     } else {
         state.view.models[order.model].erase(order.adapter);
+        state.placedAt.erase({order.model, order.adapter});
+    }
+}
+
+void Residency::unreachable(const std::string &worker)
+{
+    const auto it = m_workers.find(worker);
+    if (it != m_workers.end()) {
+        it->second.unreachable = true;
+        it->second.task.reset();
+    }
+}
+
+std::vector<PlacedHolding> Residency::placed(base::Millis now) const
+{
+    std::vector<PlacedHolding> out;
+    for (const auto &[id, state] : m_workers) {
+        for (const auto &[holding, at] : state.placedAt) {
+            if (now - at < m_options.placedTime) {
+                out.push_back({id, holding.first, holding.second, {}});
+            }
+        }
+        const ModelSpec *spec = state.loading.empty() || isGone(state) ? nullptr : modelOf(state, state.loading);
+        if (spec != nullptr) {
+            const base::Millis time = hasLocalCopy(state, state.loading) ? m_options.localLoad : spec->loadTime;
+            const base::Millis left = state.orderedAt + time - now;
+            out.push_back({id, state.loading, {}, std::max(left, base::Millis{1})});
+        }
     }
+    return out;
 }
 
 void Residency::inspected(base::Millis now, const std::string &worker, const std::optional<Inspected> &found)
@@ -296,7 +339,15 @@
         state.notBefore = now + m_options.retry * 2;
         return;
     }
+    state.unreachable = false;
+    if (found->orders < state.leastOrders && now - state.orderedAt < m_options.reportLag) {
+        // The report is from before the last order.
+        state.mustInspect = true;
+        state.notBefore = now + m_options.retry;
+        return;
+    }
     state.orders = found->orders;
+    state.leastOrders = found->orders;
     if (found->busy) {
         state.mustInspect = true;
         state.notBefore = now + m_options.retry;
--- a/src/bamboomoor/placement/residency.hpp
+++ b/src/bamboomoor/placement/residency.hpp
@@ -30,8 +30,12 @@
 
 /** @brief Settings of a residency. */
 struct ResidencyOptions {
-    // A worker's announcement made so soon after an order may not show it.
-    base::Millis announcementLag{1'500};
+    // A report so soon after an order may be from before it; engines report with a lag of some hundred milliseconds.
+    base::Millis reportLag{1'000};
+    // How long an adapter is told to entries; announcements show it by then.
+    base::Millis placedTime{3'000};
+    // A load that takes so much longer than it should is looked at.
+    base::Millis loadGrace{4'000};
     // Between the word to entries that a model drains and its unloading.
     base::Millis drain{600};
     // The pause before a worker is tried again that was busy or did not answer.
@@ -105,6 +109,8 @@
     std::uint64_t incarnation = 0;
     std::string address;
     std::string service;
+    // Grows with each announcement of an incarnation.
+    std::uint64_t sequence = 0;
     bool leaving = false;
     Holdings holdings;
     // Models that it loads from its own disk or memory: fast, and not from the store.
@@ -174,6 +180,16 @@
     std::uint64_t missed = 0;
 };
 
+/** @brief A model or adapter that comes to a worker, or came to it so lately that announcements may not show it. */
+struct PlacedHolding {
+    std::string worker;
+    std::string model;
+    // Empty for the model itself.
+    std::string adapter;
+    // 0 when it is there.
+    base::Millis readyIn;
+};
+
 /** @brief What is to be done now. */
 struct ResidencyActions {
     std::vector<ResidencyOrder> orders;
@@ -225,6 +241,15 @@
     /** @brief Decides. @param now The present time. @return Orders and looks, at most one for each worker. */
     [[nodiscard]] ResidencyActions plan(base::Millis now);
 
+    /**
+     * @brief Notes that a worker accepts no connection; it counts as gone until it announces itself again.
+     * @param worker Which.
+     */
+    void unreachable(const std::string &worker);
+
+    /** @brief Lists what comes to workers or came lately. @param now The present time. @return All of it. */
+    [[nodiscard]] std::vector<PlacedHolding> placed(base::Millis now) const;
+
     /** @brief Lists what entries must not use any more. @return Worker and model. */
     [[nodiscard]] std::set<std::pair<std::string, std::string>> draining() const;
 
@@ -245,9 +270,17 @@
         std::map<std::string, base::Millis> heldSince;
         // Nothing until it was seen or guessed.
         std::optional<std::uint64_t> orders;
+        // The worker has accepted so many at least.
+        std::uint64_t leastOrders = 0;
+        // This leader has sent it an order.
+        bool wasOrdered = false;
         std::optional<ResidencyOrder> underWay;
         bool inspecting = false;
         bool mustInspect = false;
+        // Adapters that were loaded lately.
+        std::map<std::pair<std::string, std::string>, base::Millis> placedAt;
+        // It accepts no connection; no announcement came since.
+        bool unreachable = false;
         // A model whose load was accepted and that is not there yet.
         std::string loading;
         base::Millis orderedAt;
@@ -274,6 +307,10 @@
         std::map<std::string, double> lastingDemand;
     };
 
+    [[nodiscard]] static bool isGone(const State &state) noexcept
+    {
+        return state.report.leaving || state.unreachable;
+    }
     [[nodiscard]] const EngineSpec *engineOf(const State &state) const;
     [[nodiscard]] const ModelSpec *modelOf(const State &state, const std::string &model) const;
     [[nodiscard]] std::int64_t usedMib(const State &state) const;
--- a/src/bamboomoor/placement/residencycopies.cpp
+++ b/src/bamboomoor/placement/residencycopies.cpp
@@ -31,7 +31,7 @@
 {
     std::map<std::string, double> loads;
     for (const auto &[id, state] : m_workers) {
-        if (state.report.service == service && !state.report.leaving) {
+        if (state.report.service == service && !isGone(state)) {
             loads.emplace(id, loadOf(state));
         }
     }
@@ -60,7 +60,7 @@
     std::map<std::string, double> &changes) const
 {
     for (const auto &[id, state] : m_workers) {
-        const bool counts = state.report.service == service && !state.report.leaving && !isEvicting(state, model);
+        const bool counts = state.report.service == service && !isGone(state) && !isEvicting(state, model);
         if (counts && holdsOrLoads(state, model)) {
             changes[id] += change;
         }
@@ -134,7 +134,7 @@
     for (const std::string &model : busiestModels(service, engine)) {
         const ModelSpec &spec = engine.models.at(model);
         for (auto &[id, state] : m_workers) {
-            const bool usable = state.report.service == service && !state.report.leaving && !state.task
+            const bool usable = state.report.service == service && !isGone(state) && !state.task
                 && state.loading.empty() && !holdsOrLoads(state, model);
             auto evicted = usable ? evictionsFor(now, state, spec.memoryMib) : std::nullopt;
             if (!evicted) {
@@ -181,6 +181,9 @@
     std::map<std::string, std::string> soleHolders;
     std::size_t underWay = 0;
     for (const auto &[id, state] : m_workers) {
+        if (isGone(state)) {
+            continue;
+        }
         underWay += state.task && state.task->reason == PACK ? 1 : 0;
         for (const auto &[model, adapters] : state.view.models) {
             if (state.report.service == service && replicas(service, model) == 1 && engine.models.contains(model)
@@ -198,7 +201,7 @@
         const double made = roomOf(engine, holderFree + size) - roomOf(engine, holderFree);
         for (auto &[id, state] : m_workers) {
             const std::int64_t free = engine.memoryMib - usedMib(state);
-            if (id == holder || state.report.service != service || state.report.leaving || state.task
+            if (id == holder || state.report.service != service || isGone(state) || state.task
                 || !state.loading.empty() || free < size) {
                 continue;
             }
--- a/src/bamboomoor/placement/residencyplan.cpp
+++ b/src/bamboomoor/placement/residencyplan.cpp
@@ -41,7 +41,7 @@
     }
     for (State *it : byUrgency()) {
         State &state = *it;
-        if (!isIdle(now, state) || state.report.leaving) {
+        if (!isIdle(now, state) || isGone(state)) {
             continue;
         }
         if (state.mustInspect) {
@@ -102,7 +102,7 @@
             continue;
         }
         const bool unknown = modelOf(state, state.task->model) == nullptr;
-        if (state.report.leaving || unknown || state.view.models.contains(state.task->model)) {
+        if (isGone(state) || unknown || state.view.models.contains(state.task->model)) {
             state.task.reset();
         }
     }
@@ -205,7 +205,8 @@
     ResidencyOrder order;
     const bool hasPlace = usedPlaces(state) < static_cast<std::size_t>(engine.adapterPlaces);
     const bool hasMemory = usedMib(state) + spec.adapterMemoryMib <= engine.memoryMib;
-    const bool missed = m_missed.contains(*wanted);
+    // One that came to another worker meanwhile is missed no more.
+    const bool missed = m_missed.contains(*wanted) && adapterReplicas(state.report.service, model, adapter) == 0;
     if (hasPlace && hasMemory) {
         order.kind = ResidencyOrderKind::Load;
         order.model = model;
@@ -249,7 +250,7 @@
         // A copy of its own first, then few evictions, then little load.
         std::tuple<bool, std::size_t, double> bestRank;
         for (auto &[id, state] : m_workers) {
-            if (state.report.service != service || state.report.leaving || state.task || !state.loading.empty()) {
+            if (state.report.service != service || isGone(state) || state.task || !state.loading.empty()) {
                 continue;
             }
             auto evicted = evictionsFor(now, state, engine.models.at(model).memoryMib);
--- a/src/bamboomoor/relay/core.cpp
+++ b/src/bamboomoor/relay/core.cpp
@@ -15,6 +15,8 @@
 
 // Between two looks at budgets while requests wait for one.
 constexpr base::Millis BUDGET_TICK{20};
+// Between two looks at upstreams while requests wait for room.
+constexpr base::Millis QUEUE_TICK{15};
 
 } // namespace
 
@@ -177,6 +179,16 @@
     m_fleet.setForeignLoad(now, waiting);
 }
 
+void Core::setPlaced(base::Millis now, const std::vector<Placed> &placed)
+{
+    m_fleet.setPlaced(now, placed);
+}
+
+std::vector<std::string> Core::unreachable(base::Millis now) const
+{
+    return m_fleet.unreachable(now);
+}
+
 std::map<std::string, std::int64_t> Core::waiting() const
 {
     return m_fleet.waiting();
@@ -185,7 +197,8 @@
 base::Millis Core::nextDeadline(base::Millis now) const noexcept
 {
     const base::Millis look = m_looks.empty() ? base::NEVER : m_looks.begin()->first;
-    return m_byReservation.empty() ? look : std::min(look, now + BUDGET_TICK);
+    const base::Millis queue = m_queues.empty() ? base::NEVER : now + QUEUE_TICK;
+    return std::min({look, queue, m_byReservation.empty() ? base::NEVER : now + BUDGET_TICK});
 }
 
 void Core::lookAt(Exchange &exchange, base::Millis at)
@@ -219,9 +232,7 @@
         return;
     }
     if (exchange.queuedUntil && now >= *exchange.queuedUntil) {
-        const base::Millis wait = m_fleet.waitFor(exchange.wanted, 0);
-        giveUp(now, exchange, exchange.mayHaveRun ? Reason::UpstreamFailed : Reason::Busy,
-            std::max(wait, m_options.shortRetry));
+        refuseForLack(now, exchange);
         return;
     }
     if (exchange.attempt.id == 0) {
@@ -229,18 +240,18 @@
         return;
     }
     const base::Millis silentAt = exchange.heardAt + silenceLimit(exchange);
-    const bool elsewhere = mayRunAgain(exchange) && exchange.sent < exchange.route->attempts;
-    if (!elsewhere) {
-        lookAt(exchange, exchange.deadline);
-        return;
-    }
     if (now < silentAt) {
         lookAt(exchange, std::min(silentAt, exchange.deadline));
         return;
     }
+    if (!exchange.silent) {
+        exchange.silent = true;
+        m_fleet.silent(now, exchange.choice);
+    }
     // A silent upstream is left only when the request can go on at another one.
-    const bool hasOther = m_fleet.choose(now, exchange.wanted).has_value();
-    if (!hasOther || !m_retries.takeRetry(now, exchange.service)) {
+    const bool mayMove = mayRunAgain(exchange) && exchange.sent < exchange.route->attempts;
+    if (!mayMove || !hasOther(now, exchange) || !m_retries.takeRetry(now, exchange.service)) {
+        note(now, exchange, Step::Silent, !mayMove ? "not_repeatable" : "no_other");
         lookAt(exchange, exchange.deadline);
         return;
     }
--- a/src/bamboomoor/relay/core.hpp
+++ b/src/bamboomoor/relay/core.hpp
@@ -26,6 +26,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace bamboomoor::relay
@@ -93,11 +94,11 @@
 };
 
 /** @brief What was decided about a request, for logs and counters. */
-enum class Step { Queued, Sent, FirstEvent, AttemptFailed, Answered, Refused, Failed, Cut, Cancelled };
+enum class Step { Queued, Sent, FirstEvent, Silent, AttemptFailed, Answered, Refused, Failed, Cut, Cancelled };
 
 /** @brief The names of the steps. */
 inline constexpr auto STEP_NAMES = base::makeNames<Step>(
-    "queued", "sent", "first_event", "attempt_failed", "answered", "refused", "failed", "cut", "cancelled");
+    "queued", "sent", "first_event", "silent", "attempt_failed", "answered", "refused", "failed", "cut", "cancelled");
 
 /** @brief One decision with what it rested on. */
 struct Decision {
@@ -155,6 +156,8 @@
     base::Millis loadRetry{1'000};
     // When a caller comes back after a refusal that says nothing of a time.
     base::Millis shortRetry{250};
+    // When a caller comes back at the earliest to engines that have too much to read.
+    base::Millis busyRetry{1'000};
     // Connections refused before anything was sent, after which a request is given up.
     int unreached = 3;
     // Without an answer of the budget's authority for this time, a refusal says nothing about the rate.
@@ -223,6 +226,18 @@
     /** @brief Takes what other entries have waiting. @param now The present time. @param waiting Tokens by upstream. */
     void setForeignLoad(base::Millis now, const std::map<std::string, std::int64_t> &waiting);
 
+    /** @brief Takes what comes to upstreams or came lately. @param now The present time. @param placed All of it. */
+    void setPlaced(base::Millis now, const std::vector<Placed> &placed);
+
+    /** @brief Lists upstreams that accept no connection. @param now The present time. @return Their ids. */
+    [[nodiscard]] std::vector<std::string> unreachable(base::Millis now) const;
+
+    /** @brief Tells whether a request has come to wait for something that no upstream holds. @return True once. */
+    [[nodiscard]] bool takeUrgent() noexcept
+    {
+        return std::exchange(m_urgent, false);
+    }
+
     /** @brief Lists what this entry has waiting at upstreams. @return Prompt tokens by upstream. */
     [[nodiscard]] std::map<std::string, std::int64_t> waiting() const;
 
@@ -273,6 +288,10 @@
         base::Millis sentAt;
         base::Millis heardAt;
         bool started = false;
+        // The upstream was noted as silent during this attempt.
+        bool silent = false;
+        // The last event of this attempt.
+        base::Millis eventAt;
         std::optional<AnswerHead> head;
         std::string body;
         EventCutter cutter;
@@ -304,6 +323,8 @@
     void endStream(base::Millis now, Exchange &exchange);
     void deliver(base::Millis now, Exchange &exchange);
     void fail(base::Millis now, Exchange &exchange, Result result, bool notRun, bool reached, std::string_view how);
+    [[nodiscard]] bool hasOther(base::Millis now, const Exchange &exchange) const;
+    [[nodiscard]] base::Millis queuePatience(base::Millis now, const Exchange &exchange) const;
     [[nodiscard]] bool mayRunAgain(const Exchange &exchange) const;
     void giveUp(base::Millis now, Exchange &exchange, Reason reason, base::Millis retryAfter);
     void closeAttempt(base::Millis now, Exchange &exchange, Result result);
@@ -332,6 +353,7 @@
     std::set<std::pair<base::Millis, std::uint64_t>> m_looks;
     std::uint64_t m_lastAttempt = 0;
     bool m_draining = false;
+    bool m_urgent = false;
     // Requests that wait for room, by service and holding; queues without requests are removed.
     std::map<std::pair<std::string, std::string>, admission::FairQueue> m_queues;
     std::map<std::pair<std::string, std::string>, HoldingDemand> m_demand;
--- a/src/bamboomoor/relay/fleet.cpp
+++ b/src/bamboomoor/relay/fleet.cpp
@@ -43,11 +43,17 @@
     std::map<std::string, Known> next;
     for (Worker &it : workers) {
         Known known;
-        if (Known *before = find(it.id); before != nullptr && before->worker.address == it.address) {
+        Known *before = find(it.id);
+        const bool same = before != nullptr && before->worker.address == it.address
+            && before->worker.incarnation == it.incarnation;
+        if (same) {
             known = std::move(*before);
             if (known.worker != it) {
                 known.missing.clear();
             }
+        } else {
+            known.state.pacer = Pacer(m_options.pacer);
+            known.state.window = m_options.firstWindow;
         }
         known.worker = std::move(it);
         std::string id = known.worker.id;
@@ -66,12 +72,66 @@
     return it == m_workers.end() ? nullptr : &it->second;
 }
 
-bool Fleet::canServe(const Known &known, const Wanted &wanted) const
+bool Fleet::holds(base::Millis now, const Known &known, const std::string &holding) const
 {
-    if (known.missing.contains(wanted.holding) || known.missing.contains(std::string())) {
+    if (known.missing.contains(holding)) {
         return false;
     }
-    return wanted.holding.empty() || known.worker.holds.contains(wanted.holding);
+    const auto placed = known.placed.find(holding);
+    return known.worker.holds.contains(holding) || (placed != known.placed.end() && now >= placed->second);
+}
+
+bool Fleet::canServe(base::Millis now, const Known &known, const Wanted &wanted) const
+{
+    if (known.missing.contains(std::string()) || now < known.state.avoidedUntil) {
+        return false;
+    }
+    return wanted.holding.empty() || holds(now, known, wanted.holding);
+}
+
+void Fleet::setPlaced(base::Millis now, const std::vector<Placed> &placed)
+{
+    for (auto &[id, known] : m_workers) {
+        known.placed.clear();
+    }
+    for (const Placed &it : placed) {
+        if (Known *known = find(it.upstream)) {
+            known->placed[it.holding] = now + it.readyIn;
+        }
+    }
+}
+
+base::Millis Fleet::comingIn(base::Millis now, const Wanted &wanted) const
+{
+    base::Millis soonest = base::NEVER;
+    const auto service = m_services.find(wanted.service);
+    if (service == m_services.end() || wanted.holding.empty()) {
+        return soonest;
+    }
+    const std::size_t slash = wanted.holding.find('/');
+    for (const Known *it : service->second) {
+        if (wanted.except.contains(it->worker.id) || now < it->state.avoidedUntil) {
+            continue;
+        }
+        const auto placed = it->placed.find(wanted.holding);
+        if (placed != it->placed.end()) {
+            soonest = std::min(soonest, std::max(placed->second - now, base::Millis{0}));
+        } else if (slash != std::string::npos && holds(now, *it, wanted.holding.substr(0, slash))) {
+            soonest = std::min(soonest, m_options.adapterTime);
+        }
+    }
+    return soonest;
+}
+
+std::vector<std::string> Fleet::unreachable(base::Millis now) const
+{
+    std::vector<std::string> ids;
+    for (const auto &[id, known] : m_workers) {
+        if (now < known.state.avoidedUntil) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
 }
 
 std::optional<Choice> Fleet::choose(base::Millis now, const Wanted &wanted)
@@ -88,7 +148,7 @@
         return std::nullopt;
     }
     for (const Known *it : service->second) {
-        if (!canServe(*it, wanted) || wanted.except.contains(it->worker.id) || isBusy(*it, wanted.holding)) {
+        if (!canServe(now, *it, wanted) || wanted.except.contains(it->worker.id) || isBusy(now, *it, wanted.holding)) {
             continue;
         }
         const std::int64_t newTokens = wanted.promptTokens - keptTokens(*it, wanted);
@@ -109,7 +169,7 @@
         chosen.newTokens};
 }
 
-Lack Fleet::lackOf(const Wanted &wanted) const
+Lack Fleet::lackOf(base::Millis now, const Wanted &wanted) const
 {
     const auto service = m_services.find(wanted.service);
     if (service == m_services.end()) {
@@ -117,45 +177,51 @@
     }
     Lack lack = Lack::NotHeld;
     for (const Known *it : service->second) {
-        if (canServe(*it, wanted)) {
+        if (canServe(now, *it, wanted)) {
             if (!wanted.except.contains(it->worker.id)) {
                 return Lack::Busy;
             }
             lack = Lack::AllTried;
         }
     }
+    if (lack == Lack::NotHeld && comingIn(now, wanted) != base::NEVER) {
+        return Lack::Coming;
+    }
     return lack;
 }
 
-bool Fleet::isBusy(const Known &known, const std::string &holding) const
+bool Fleet::isBusy(base::Millis now, const Known &known, const std::string &holding) const
 {
-    return !holding.empty() && known.state.waitingTokens >= m_options.waitingTokens;
+    if (holding.empty()) {
+        return static_cast<double>(known.state.running) >= known.state.window;
+    }
+    return known.state.waitingTokens >= m_options.waitingTokens || !known.state.pacer.open(now);
 }
 
-bool Fleet::hasRoom(const std::string &service, const std::string &holding) const
+bool Fleet::hasRoom(base::Millis now, const std::string &service, const std::string &holding) const
 {
     const auto found = m_services.find(service);
     Wanted wanted;
     wanted.holding = holding;
     return found != m_services.end() && std::any_of(found->second.begin(), found->second.end(), [&](const Known *it) {
-        return canServe(*it, wanted) && !isBusy(*it, holding);
+        return canServe(now, *it, wanted) && !isBusy(now, *it, holding);
     });
 }
 
-base::Millis Fleet::waitFor(const Wanted &wanted, std::int64_t ahead) const
+base::Millis Fleet::waitFor(base::Millis now, const Wanted &wanted, std::int64_t ahead) const
 {
     const auto found = m_services.find(wanted.service);
-    std::int64_t waiting = ahead;
-    std::int64_t engines = 0;
+    double waiting = static_cast<double>(ahead);
+    double rate = 0;
     if (found != m_services.end()) {
         for (const Known *it : found->second) {
-            if (canServe(*it, wanted)) {
-                ++engines;
-                waiting += it->state.waitingTokens + it->state.foreignTokens;
+            if (canServe(now, *it, wanted)) {
+                rate += it->state.pacer.rate();
+                waiting += it->state.pacer.missing(now);
             }
         }
     }
-    return {engines == 0 ? 0 : waiting / (engines * m_options.tokensPerMilli)};
+    return {rate <= 0 ? 0 : static_cast<std::int64_t>(waiting / rate)};
 }
 
 void Fleet::setForeignLoad(base::Millis now, const std::map<std::string, std::int64_t> &waiting)
@@ -178,27 +244,27 @@
     return tokens;
 }
 
-double Fleet::fading(base::Millis now, const State &state) const
+double Fleet::fading(base::Millis now, base::Millis since) const
 {
-    const auto age = static_cast<double>((now - state.measuredAt).count);
+    const auto age = static_cast<double>((now - since).count);
     return std::exp2(-age / static_cast<double>(m_options.halfLife.count));
 }
 
 double Fleet::costOf(base::Millis now, const Known &known, const Wanted &wanted, std::int64_t newTokens) const
 {
     const State &state = known.state;
-    const double fade = fading(now, state);
+    const double fade = fading(now, state.measuredAt);
     // What other entries had waiting is read meanwhile.
     const std::int64_t readOn = (now - state.foreignAt).count * m_options.tokensPerMilli;
     const std::int64_t foreign = std::max<std::int64_t>(0, state.foreignTokens - readOn);
     double cost =
         static_cast<double>(newTokens + state.waitingTokens + foreign + state.running * m_options.tokensPerRun);
     cost += state.excessWait * fade * static_cast<double>(m_options.tokensPerMilli);
+    // Steps that take longer than a few milliseconds read prompts.
+    cost += state.pause * fading(now, state.pausedAt) / static_cast<double>(m_options.stepsPerEvent)
+        * static_cast<double>(m_options.tokensPerMilli);
     cost += state.failures * fade * static_cast<double>(m_options.tokensPerFailure);
     cost += known.worker.dataCentre == m_options.dataCentre ? 0 : static_cast<double>(m_options.tokensPerDistance);
-    if (now < state.avoidedUntil) {
-        cost += static_cast<double>(m_options.tokensPerFailure);
-    }
     return cost + (wanted.holding.empty() ? 0 : 1);
 }
 
@@ -234,11 +300,12 @@
     }
 }
 
-void Fleet::began(base::Millis /*now*/, const Choice &choice, const Wanted &wanted)
+void Fleet::began(base::Millis now, const Choice &choice, const Wanted &wanted)
 {
     if (Known *known = find(choice.id)) {
         ++known->state.running;
         known->state.waitingTokens += choice.newTokens;
+        known->state.pacer.sent(now, choice.newTokens);
         remember(known->state, wanted);
     }
 }
@@ -253,12 +320,35 @@
     state.waitingTokens = std::max<std::int64_t>(0, state.waitingTokens - choice.newTokens);
     const double explained = static_cast<double>(choice.newTokens) / static_cast<double>(m_options.tokensPerMilli);
     const double excess = std::max(0.0, static_cast<double>((now - sentAt).count) - explained);
-    const double fade = fading(now, state);
+    const double fade = fading(now, state.measuredAt);
     state.excessWait = state.excessWait * fade * (1 - NEWEST) + excess * NEWEST;
     state.failures *= fade;
     state.measuredAt = now;
 }
 
+void Fleet::paused(base::Millis now, const Choice &choice, base::Millis pause, base::Millis objective)
+{
+    Known *known = find(choice.id);
+    if (known == nullptr) {
+        return;
+    }
+    State &state = known->state;
+    state.pause = state.pause * fading(now, state.pausedAt) * (1 - NEWEST) + static_cast<double>(pause.count) * NEWEST;
+    state.pausedAt = now;
+    state.pacer.paused(now, pause, objective);
+}
+
+void Fleet::silent(base::Millis now, const Choice &choice)
+{
+    if (Known *known = find(choice.id)) {
+        State &state = known->state;
+        const double fade = fading(now, state.measuredAt);
+        state.failures = state.failures * fade * (1 - NEWEST) + NEWEST;
+        state.excessWait *= fade;
+        state.measuredAt = now;
+    }
+}
+
 void Fleet::ended(base::Millis now, const Choice &choice, bool started, Result result)
 {
     Known *known = find(choice.id);
@@ -270,14 +360,22 @@
     if (!started) {
         state.waitingTokens = std::max<std::int64_t>(0, state.waitingTokens - choice.newTokens);
     }
+    if (result == Result::Refused || result == Result::NotReached) {
+        state.pacer.unsent(choice.newTokens);
+    }
     if (result == Result::Cancelled) {
         return;
     }
-    const double fade = fading(now, state);
+    const double fade = fading(now, state.measuredAt);
     const double failed = result == Result::Answered ? 0 : 1;
     state.failures = state.failures * fade * (1 - NEWEST) + failed * NEWEST;
     state.excessWait *= fade;
     state.measuredAt = now;
+    if (result == Result::Answered) {
+        state.window = std::min(m_options.mostWindow, state.window + 1 / state.window);
+    } else if (result != Result::ErrorAnswer) {
+        state.window = std::max(1.0, state.window / 2);
+    }
     if (result == Result::NotReached) {
         state.avoidance = std::clamp(state.avoidance * 2, m_options.firstAvoidance, m_options.longestAvoidance);
         state.avoidedUntil = now + state.avoidance;
--- a/src/bamboomoor/relay/fleet.hpp
+++ b/src/bamboomoor/relay/fleet.hpp
@@ -4,13 +4,15 @@
  * The load that it answers: prompts of very different length on engines that read one prompt after the other, and
  * stretch the pauses of running streams while they read. Each engine is weighed by the prompt tokens that wait there,
  * this entry's own and those that other entries reported, less what the engine still keeps of the new prompt, by the
- * wait that first events showed lately, and by recent failures. An engine that has as much to read as one of its steps
- * takes gets no further prompt.
+ * wait that first events showed lately, by the pauses of the streams there, and by recent failures. An engine gets
+ * prompts no faster than its pacer says, and none while it has as much of this entry's to read as one of its steps
+ * takes.
  */
 #pragma once
 
 #include "bamboomoor/base/clock.hpp"
 #include "bamboomoor/base/nametable.hpp"
+#include "bamboomoor/relay/pacer.hpp"
 #include "bamboomoor/relay/request.hpp"
 
 #include <cstdint>
@@ -67,10 +69,18 @@
     // An upstream that refused a connection is avoided for this time at first, and at most for the second one.
     base::Millis firstAvoidance{300};
     base::Millis longestAvoidance{4'000};
+    // Requests of this entry in progress at one plain service: at first, and at most. A reset halves the number.
+    double firstWindow = 4;
+    double mostWindow = 64;
+    // An adapter comes to an upstream that holds its model within this time.
+    base::Millis adapterTime{150};
     // Prompt tokens of this entry that may wait at one engine; an engine reads about as many in one step.
     std::int64_t waitingTokens = 4'096;
     // Prompts remembered for each upstream.
     std::size_t rememberedPrompts = 256;
+    // Tokens that an engine yields between two events of a stream.
+    std::int64_t stepsPerEvent = 2;
+    PacerOptions pacer;
 };
 
 /** @brief What is looked for. */
@@ -94,14 +104,23 @@
     std::int64_t newTokens = 0;
 };
 
-/** @brief Why no upstream was chosen; Busy ones get room as they read on. */
-enum class Lack { NoUpstream, NotHeld, AllTried, Busy };
+/** @brief What comes to an upstream, or came to it so lately that its announcements may not show it. */
+struct Placed {
+    std::string upstream;
+    // MODEL or MODEL/ADAPTER.
+    std::string holding;
+    // 0 when it is there.
+    base::Millis readyIn;
+};
+
+/** @brief Why no upstream was chosen; Busy ones get room as they read on, and what is Coming is being loaded. */
+enum class Lack { NoUpstream, NotHeld, AllTried, Busy, Coming };
 
 /** @brief The names of Lack. */
-inline constexpr auto LACK_NAMES = base::makeNames<Lack>("no_upstream", "not_held", "all_tried", "busy");
+inline constexpr auto LACK_NAMES = base::makeNames<Lack>("no_upstream", "not_held", "all_tried", "busy", "coming");
 
 /** @brief How an attempt at an upstream ended. */
-enum class Result { Answered, Failed, Refused, NotReached, Cancelled };
+enum class Result { Answered, Failed, ErrorAnswer, Refused, NotReached, Cancelled };
 
 /** @brief The upstreams and what is known of their state. */
 class Fleet
@@ -126,19 +145,21 @@
 
     /**
      * @brief Tells whether an upstream has room for a prompt.
+     * @param now The present time.
      * @param service The service.
      * @param holding What it must hold.
      * @return True when one that holds it has.
      */
-    [[nodiscard]] bool hasRoom(const std::string &service, const std::string &holding) const;
+    [[nodiscard]] bool hasRoom(base::Millis now, const std::string &service, const std::string &holding) const;
 
     /**
      * @brief Estimates how long a request waits for room when others wait already.
+     * @param now The present time.
      * @param wanted What is looked for.
      * @param ahead Prompt tokens that wait before it.
      * @return Milliseconds.
      */
-    [[nodiscard]] base::Millis waitFor(const Wanted &wanted, std::int64_t ahead) const;
+    [[nodiscard]] base::Millis waitFor(base::Millis now, const Wanted &wanted, std::int64_t ahead) const;
 
     /**
      * @brief Takes what other entries have waiting at the upstreams.
@@ -147,6 +168,20 @@
      */
     void setForeignLoad(base::Millis now, const std::map<std::string, std::int64_t> &waiting);
 
+    /** @brief Takes what comes to upstreams or came lately. @param now The present time. @param placed All of it. */
+    void setPlaced(base::Millis now, const std::vector<Placed> &placed);
+
+    /**
+     * @brief Tells when something comes to an upstream that this request was not at.
+     * @param now The present time.
+     * @param wanted What is looked for.
+     * @return The time until then, or base::NEVER.
+     */
+    [[nodiscard]] base::Millis comingIn(base::Millis now, const Wanted &wanted) const;
+
+    /** @brief Lists the upstreams that accept no connection. @param now The present time. @return Their ids. */
+    [[nodiscard]] std::vector<std::string> unreachable(base::Millis now) const;
+
     /**
      * @brief Lists what this entry has waiting at the upstreams.
      * @return Prompt tokens by upstream, without those that have none.
@@ -155,10 +190,11 @@
 
     /**
      * @brief Tells why choose() found nothing.
+     * @param now The present time.
      * @param wanted What was looked for.
      * @return The reason.
      */
-    [[nodiscard]] Lack lackOf(const Wanted &wanted) const;
+    [[nodiscard]] Lack lackOf(base::Millis now, const Wanted &wanted) const;
 
     /**
      * @brief Notes that a request was sent.
@@ -176,6 +212,18 @@
      */
     void started(base::Millis now, const Choice &choice, base::Millis sentAt);
 
+    /**
+     * @brief Notes the pause between two events of a stream.
+     * @param now The present time.
+     * @param choice Where from.
+     * @param pause How long it was.
+     * @param objective How long it may be.
+     */
+    void paused(base::Millis now, const Choice &choice, base::Millis pause, base::Millis objective);
+
+    /** @brief Notes that a request is silent for longer than it should. @param now The present time. @param choice Where. */
+    void silent(base::Millis now, const Choice &choice);
+
     /**
      * @brief Notes the end of a request.
      * @param now The present time.
@@ -202,6 +250,12 @@
         base::Millis foreignAt;
         // Share of failures lately, from 0 to 1, as of measuredAt.
         double failures = 0;
+        // The pause between events of its streams lately, in milliseconds, as of pausedAt.
+        double pause = 0;
+        base::Millis pausedAt;
+        Pacer pacer;
+        // Requests in progress that a plain service gets from this entry.
+        double window = 0;
         // The wait for first events beyond what this entry's own requests explain, in milliseconds.
         double excessWait = 0;
         base::Millis measuredAt;
@@ -217,14 +271,17 @@
         State state;
         // Announced and yet not there.
         std::set<std::string> missing;
+        // Placed by the leader, and when that is in force; an announcement shows it soon after.
+        std::map<std::string, base::Millis> placed;
     };
 
-    [[nodiscard]] bool isBusy(const Known &known, const std::string &holding) const;
-    [[nodiscard]] bool canServe(const Known &known, const Wanted &wanted) const;
+    [[nodiscard]] bool isBusy(base::Millis now, const Known &known, const std::string &holding) const;
+    [[nodiscard]] bool canServe(base::Millis now, const Known &known, const Wanted &wanted) const;
+    [[nodiscard]] bool holds(base::Millis now, const Known &known, const std::string &holding) const;
     [[nodiscard]] double costOf(
         base::Millis now, const Known &known, const Wanted &wanted, std::int64_t newTokens) const;
     [[nodiscard]] std::int64_t keptTokens(const Known &known, const Wanted &wanted) const;
-    [[nodiscard]] double fading(base::Millis now, const State &state) const;
+    [[nodiscard]] double fading(base::Millis now, base::Millis since) const;
     void remember(State &state, const Wanted &wanted) const;
     Known *find(const std::string &id);
 
--- a/src/bamboomoor/relay/fwd.hpp
+++ b/src/bamboomoor/relay/fwd.hpp
@@ -9,6 +9,7 @@
 class Effects;
 class EventCutter;
 class Fleet;
+class Pacer;
 class RetryAllowance;
 class RouteTable;
 struct AnswerHead;
