Keep what a look found against an older announcement

A new leader looked at a worker it could not hear from, learnt that it held three models, and then took an announcement with two of them for newer. Test what_a_look_found_is_not_undone_by_an_older_announcement fails before. Workers that miss an announcement are looked at and count as no ready copy meanwhile; the first report of an entry counts in full for a new leader.

--- a/src/bamboomoor/gateway/residencydesk.cpp
+++ b/src/bamboomoor/gateway/residencydesk.cpp
@@ -242,7 +242,9 @@
     reply.set_served(true);
     reply.set_term(m_term);
     exchangeLoads(event.request, reply);
-    suspect(event.request);
+    for (const std::string &it : event.request.unreachable()) {
+        suspect(it);
+    }
     for (const placement::PlacedHolding &it : m_plan->placed(m_context.clock.now())) {
         auto *placed = reply.add_placements();
         placed->set_upstream(it.worker);
@@ -258,21 +260,19 @@
     event.answer(std::move(reply));
 }
 
-void ResidencyDesk::suspect(const peer::wire::DemandReport &request)
+void ResidencyDesk::suspect(const std::string &worker)
 {
     const base::Millis now = m_context.clock.now();
     std::erase_if(m_suspects, [&](const auto &it) {
         return now - it.second > m_options.suspicion;
     });
-    for (const std::string &worker : request.unreachable()) {
-        if (m_suspects.contains(worker)) {
-            continue;
-        }
-        for (const membership::Entry &it : m_context.upstreams.list(now)) {
-            if (it.announcement.id == worker) {
-                m_suspects.emplace(worker, now);
-                look({worker, it.announcement.address});
-            }
+    if (m_suspects.contains(worker)) {
+        return;
+    }
+    for (const membership::Entry &it : m_context.upstreams.list(now)) {
+        if (it.announcement.id == worker) {
+            m_suspects.emplace(worker, now);
+            look({worker, it.announcement.address});
         }
     }
 }
@@ -354,8 +354,13 @@
 void ResidencyDesk::takeWorkers(base::Millis now)
 {
     std::vector<placement::WorkerReport> reports;
-    for (const membership::Entry &it : m_context.upstreams.list(now)) {
+    const std::vector<membership::Entry> upstreams = m_context.upstreams.list(now);
+    for (const membership::Entry &it : upstreams) {
         reports.push_back(reportOf(it.announcement));
+        reports.back().overdue = it.expiresAt - now < m_options.overdue;
+        if (reports.back().overdue && !it.announcement.leaving) {
+            suspect(it.announcement.id);
+        }
     }
     m_plan->setWorkers(now, reports);
 }
--- a/src/bamboomoor/gateway/residencydesk.hpp
+++ b/src/bamboomoor/gateway/residencydesk.hpp
@@ -35,6 +35,8 @@
     // The longest wait for a worker's answer.
     base::Millis timeout{1'000};
     base::Millis connectTimeout{400};
+    // A worker whose announcement counts no longer than this has missed one, and is looked at.
+    base::Millis overdue{2'400};
     // Between two looks at a worker that entries cannot reach.
     base::Millis suspicion{500};
     // An entry's word of what it has waiting is forgotten after this time.
@@ -116,7 +118,7 @@
     void on(Looked &event);
     void post(Event event);
     void decide();
-    void suspect(const peer::wire::DemandReport &request);
+    void suspect(const std::string &worker);
     void exchangeLoads(const peer::wire::DemandReport &request, peer::wire::DemandReply &reply);
     void takeWorkers(base::Millis now);
     [[nodiscard]] bool surelyLeads(base::Millis now) const;
--- a/src/bamboomoor/placement/residency.cpp
+++ b/src/bamboomoor/placement/residency.cpp
@@ -38,9 +38,9 @@
             state.heldSince[state.loading] = now;
             state.loading.clear();
         }
-        // An announcement may be older than an order that was accepted; from the first order on, the worker's answers
-        // and reports, which count its orders, say what it holds.
-        if (restarted || !state.wasOrdered) {
+        // An announcement may be older than an order that was accepted; from the first order or report on, the worker's
+        // answers and reports, which count its orders, say what it holds.
+        if (restarted || !state.counted) {
             state.view = it.holdings;
         }
         const ModelSpec *coming = state.loading.empty() ? nullptr : modelOf(state, state.loading);
@@ -63,9 +63,13 @@
             m_missed.emplace(it.model, it.adapter);
         }
     }
+    // What a new entry, or a new leader's first report of one, tells is all that is known; later a model that was not
+    // asked for before counts from the report before.
+    const auto [reported, isFirst] = m_reportedAt.try_emplace(entry, now);
     for (const auto &[key, rate] : latest) {
-        rates.try_emplace(key, Rate{0, 0, now});
+        rates.try_emplace(key, isFirst ? Rate{rate, rate, now} : Rate{0, 0, reported->second});
     }
+    reported->second = now;
     for (auto &[key, rate] : rates) {
         const auto it = latest.find(key);
         const double newest = it == latest.end() ? 0 : it->second;
@@ -114,7 +118,9 @@
             continue;
         }
         ++m_survey.replicas[{service, model}];
-        ++m_survey.ready[{service, model}];
+        if (!state.report.overdue) {
+            ++m_survey.ready[{service, model}];
+        }
         for (const std::string &adapter : adapters) {
             ++m_survey.adapters[{service, model, adapter}];
         }
@@ -236,7 +242,7 @@
     order.expected = state.orders.value_or(0);
     state.underWay = order;
     state.orderedAt = now;
-    state.wasOrdered = true;
+    state.counted = true;
     out.orders.push_back(std::move(order));
 }
 
@@ -346,6 +352,7 @@
         state.notBefore = now + m_options.retry;
         return;
     }
+    state.counted = true;
     state.orders = found->orders;
     state.leastOrders = found->orders;
     if (found->busy) {
--- a/src/bamboomoor/placement/residency.hpp
+++ b/src/bamboomoor/placement/residency.hpp
@@ -112,6 +112,8 @@
     // Grows with each announcement of an incarnation.
     std::uint64_t sequence = 0;
     bool leaving = false;
+    // It has not announced itself for longer than it should.
+    bool overdue = false;
     Holdings holdings;
     // Models that it loads from its own disk or memory: fast, and not from the store.
     std::set<std::string> localCopies;
@@ -272,8 +274,8 @@
         std::optional<std::uint64_t> orders;
         // The worker has accepted so many at least.
         std::uint64_t leastOrders = 0;
-        // This leader has sent it an order.
-        bool wasOrdered = false;
+        // Its own counted answers and reports say what it holds, not its announcements.
+        bool counted = false;
         std::optional<ResidencyOrder> underWay;
         bool inspecting = false;
         bool mustInspect = false;
@@ -297,7 +299,7 @@
     struct Survey {
         // Workers that hold a model, or will, by service and model.
         std::map<std::pair<std::string, std::string>, std::size_t> replicas;
-        // Those of them that hold it now.
+        // Those of them that hold it now and announce themselves in time.
         std::map<std::pair<std::string, std::string>, std::size_t> ready;
         // Workers that hold an adapter, by service, model and adapter.
         std::map<std::tuple<std::string, std::string, std::string>, std::size_t> adapters;
@@ -358,6 +360,8 @@
     std::map<std::string, State> m_workers;
     // By entry and by model and adapter.
     std::map<std::string, std::map<std::pair<std::string, std::string>, Rate>> m_demand;
+    // When each entry reported last.
+    std::map<std::string, base::Millis> m_reportedAt;
     // Adapters that callers missed, until they are ordered.
     std::set<std::pair<std::string, std::string>> m_missed;
     // Loads that may start now.
--- a/test/bamboomoor/placement/residency.cpp
+++ b/test/bamboomoor/placement/residency.cpp
@@ -36,8 +36,11 @@
     base::Millis loadedAt;
     // What the last announcement said that has arrived.
     Holdings announced;
-    // Announcements on their way, by the time of their arrival.
-    std::multimap<base::Millis, Holdings> onTheirWay;
+    // Announcements on their way, with their sequence, by the time of their arrival.
+    std::multimap<base::Millis, std::pair<std::uint64_t, Holdings>> onTheirWay;
+    std::uint64_t sequence = 0;
+    // The newest that has arrived.
+    std::uint64_t arrived = 0;
     // What the worker was at each step of the last moments, as its reports lag.
     std::deque<Inspected> past;
     // An order that was accepted without an answer, carried out later.
@@ -75,18 +78,21 @@
         for (FakeWorker &it : list) {
             if (!it.loading.empty() && now >= it.loadedAt) {
                 it.holdings.models.try_emplace(std::exchange(it.loading, {}));
-                it.announced = it.holdings;
+                announce(it);
             }
             if (it.late && now >= it.lateAt) {
                 const ResidencyOrder order = *std::exchange(it.late, std::nullopt);
                 static_cast<void>(carryOut(it, order));
             }
             if (now.count % 1'200 == 0) {
-                const auto delay = static_cast<std::int64_t>(lateAnnouncements > 0 ? m_random() % lateAnnouncements : 0);
-                it.onTheirWay.emplace(now + base::Millis{delay}, it.holdings);
+                announce(it);
             }
             while (!it.onTheirWay.empty() && it.onTheirWay.begin()->first <= now) {
-                it.announced = it.onTheirWay.begin()->second;
+                const auto &[sequence, holdings] = it.onTheirWay.begin()->second;
+                if (sequence > it.arrived) {
+                    it.arrived = sequence;
+                    it.announced = holdings;
+                }
                 it.onTheirWay.erase(it.onTheirWay.begin());
             }
             it.past.push_back({it.holdings, it.orders, !it.loading.empty()});
@@ -97,7 +103,7 @@
         std::vector<WorkerReport> reports;
         for (const FakeWorker &it : list) {
             reports.push_back({it.id, it.incarnation, "10.0.0.1:80", "llm",
-                static_cast<std::uint64_t>(now.count) / 1'200, false, it.announced, it.localCopies});
+                it.arrived, false, false, it.announced, it.localCopies});
         }
         plan.setWorkers(now, reports);
         const ResidencyActions actions = plan.plan(now);
@@ -117,6 +123,14 @@
         }
     }
 
+    /** @brief Another leader takes over, with the announcements that it has heard. */
+    void changeLeader()
+    {
+        plan = Residency();
+        plan.setEngines({{"llm", spec}});
+        plan.begin(now, base::Millis{0});
+    }
+
     void demand(const std::string &model, double rate)
     {
         plan.setDemand(now, "entry", {{model, "", rate, 0}});
@@ -176,6 +190,12 @@
         return OrderVerdict::Accepted;
     }
 
+    void announce(FakeWorker &worker)
+    {
+        const auto delay = static_cast<std::int64_t>(lateAnnouncements > 0 ? m_random() % lateAnnouncements : 0);
+        worker.onTheirWay.emplace(now + base::Millis{delay}, std::pair{++worker.sequence, worker.holdings});
+    }
+
     void check(const FakeWorker &worker)
     {
         std::int64_t memory = worker.loading.empty() ? 0 : spec.models.at(worker.loading).memoryMib;
@@ -274,6 +294,10 @@
         for (int n = 0; n < 400; ++n) {
             if (n > 100 && n % 20 == 0) {
                 it.plan.setDemand(it.now, "entry", {{"m0", "a" + std::to_string(1 + n / 20 % 5), 1, 3}});
+                it.demand("m" + std::to_string(n / 40 % 8), 30);
+            }
+            if (n % 90 == 89) {
+                it.changeLeader();
             }
             it.step();
         }
@@ -281,6 +305,33 @@
     }
 }
 
+// A new leader looks at a worker whose newest announcement has not reached it yet.
+BOOST_AUTO_TEST_CASE(what_a_look_found_is_not_undone_by_an_older_announcement)
+{
+    Residency plan;
+    EngineSpec spec;
+    spec.memoryMib = MEMORY;
+    spec.loadsPerSecond = 2;
+    for (const char *it : {"m0", "m1", "m2"}) {
+        spec.models[it] = {90, 0, 1, {4'000}};
+    }
+    plan.setEngines({{"llm", spec}});
+    base::Millis now{100'000};
+    plan.begin(now, base::Millis{0});
+    Holdings announced;
+    announced.models["m0"];
+    const std::vector<WorkerReport> reports{{"w", 1, "10.0.0.1:80", "llm", 4, false, false, announced, {}}};
+    plan.setWorkers(now, reports);
+    Holdings found = announced;
+    found.models["m1"];
+    plan.inspected(now, "w", Inspected{found, 6, false});
+    for (int n = 0; n < 100; ++n) {
+        now += STEP;
+        plan.setWorkers(now, reports);
+        BOOST_TEST(plan.plan(now).orders.empty());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(no_order_ever_exceeds_a_worker_though_orders_are_carried_out_late)
 {
     rc::check([] {
@@ -293,6 +344,9 @@
             if (n % 6 == 0) {
                 it.demand("m" + std::to_string(*rc::gen::inRange(0, 8)), *rc::gen::inRange(0, 40));
             }
+            if (*rc::gen::inRange(0, 120) == 0) {
+                it.changeLeader();
+            }
             if (*rc::gen::inRange(0, 150) == 0) {
                 FakeWorker &worker = it.list[*rc::gen::inRange<std::size_t>(0, 6)];
                 worker.holdings = worker.announced = {};
