Test what callers get from waiting for adapters, windows and packing; serve metrics at control VMs

A refusal for lack of room names the time at which the next copy comes. Control VMs count announcements, changes, orders and their verdicts at /metrics of their listen address. Limits of organisations are logged when they change.

--- a/src/bamboomoor/gateway/controlapi.cpp
+++ b/src/bamboomoor/gateway/controlapi.cpp
@@ -4,6 +4,7 @@
 #include "bamboomoor/gateway/controlapi.hpp"
 
 #include "bamboomoor/config/parse.hpp"
+#include "bamboomoor/gateway/controlmetrics.hpp"
 #include "bamboomoor/peer/channel.hpp"
 #include "bamboomoor/state/command.hpp"
 #include "bamboomoor/state/outcome.hpp"
@@ -13,8 +14,19 @@
 namespace bamboomoor::gateway
 {
 
+namespace
+{
+
+constexpr int OK = 200;
+
+} // namespace
+
 void ControlApi::handle(http::Request request, std::shared_ptr<http::Responder> responder)
 {
+    if (request.method == "GET" && request.path == "/metrics") {
+        responder->respond({OK, {{"Content-Type", "text/plain; version=0.0.4"}}, m_context.metrics.text()});
+        return;
+    }
     ControlCall call = m_context.dialect.read(request);
     std::visit(
         [this, &responder](auto &it) {
@@ -60,6 +72,7 @@
     const std::string holds = modelsOf(announcement);
     m_context.heard.announce(now, announcement);
     const membership::Verdict verdict = m_context.book.announce(now, std::move(announcement));
+    m_context.metrics.announced(membership::VERDICT_NAMES.name(verdict));
     if (verdict != membership::Verdict::Renewed) {
         m_context.log.write(base::LogLine("upstream")
                                 .add("verdict", membership::VERDICT_NAMES.name(verdict))
@@ -100,6 +113,7 @@
 {
     if (const auto problem = config::check(call.document)) {
         const std::string reason = problem->place + ": " + problem->message;
+        m_context.metrics.changed("invalid");
         m_context.log.write(base::LogLine("configuration_refused")
                                 .add("version", static_cast<std::int64_t>(call.version))
                                 .add("reason", reason));
@@ -131,15 +145,18 @@
     base::LogLine line("configuration_call");
     line.add("version", static_cast<std::int64_t>(version));
     if (!reply || reply->verdict() != peer::wire::APPLIED) {
+        m_context.metrics.changed("unknown");
         m_context.log.write(line.add("outcome", "unknown").add("reason", reply ? reply->reason() : "no_answer"));
         return m_context.dialect.unavailable("the leader did not confirm the change");
     }
     const auto outcome = state::decodeOutcome(reply->outcome());
     const auto *change = outcome ? std::get_if<state::ChangeOutcome>(&outcome.value()) : nullptr;
     if (change == nullptr) {
+        m_context.metrics.changed("unreadable");
         m_context.log.write(line.add("outcome", "unreadable"));
         return m_context.dialect.unavailable("the leader's answer cannot be read");
     }
+    m_context.metrics.changed(state::CHANGE_CODE_NAMES.name(change->code));
     m_context.log.write(line.add("outcome", state::CHANGE_CODE_NAMES.name(change->code))
                             .add("in_force", static_cast<std::int64_t>(change->version)));
     return change->code == state::ChangeCode::Accepted ? m_context.dialect.done()
--- a/src/bamboomoor/gateway/controlapi.hpp
+++ b/src/bamboomoor/gateway/controlapi.hpp
@@ -10,6 +10,7 @@
 #include "bamboomoor/control/peerbook.hpp"
 #include "bamboomoor/entry/upstreambook.hpp"
 #include "bamboomoor/gateway/dialect.hpp"
+#include "bamboomoor/gateway/fwd.hpp"
 #include "bamboomoor/http/server.hpp"
 
 #include <atomic>
@@ -38,6 +39,7 @@
     // What upstreams announced here, and all upstreams known here.
     entry::UpstreamBook &heard;
     entry::UpstreamBook &book;
+    ControlMetrics &metrics;
     base::EventLog &log;
 };
 
--- a/src/bamboomoor/gateway/controldaemon.cpp
+++ b/src/bamboomoor/gateway/controldaemon.cpp
@@ -109,10 +109,11 @@
     , m_voter(voterOptions(m_settings, m_identity), m_peers, m_clock)
     , m_freshen(m_voter, m_clock)
     , m_budget(budgetOptions(m_settings), m_voter, m_clock)
-    , m_residency(residencyOptions(m_settings), {m_clock, m_voter, m_book, m_client, *dialects.orders, m_log})
+    , m_residency(
+          residencyOptions(m_settings), {m_clock, m_voter, m_book, m_client, *dialects.orders, m_metrics, m_log})
     , m_group(groupOptions(m_settings, m_identity), m_voter, m_peers, m_clock)
     , m_sync(syncOptions(m_settings, m_identity), m_heard, m_book, m_peers, m_clock)
-    , m_api({}, {m_clock, *dialects.control, m_peers, m_group, m_heard, m_book, m_log})
+    , m_api({}, {m_clock, *dialects.control, m_peers, m_group, m_heard, m_book, m_metrics, m_log})
     , m_peerService(daemon::VoterParts{m_voter, m_freshen, m_budget, m_residency}, m_book, m_clock,
           m_clock.now() + warmUp(m_settings))
     , m_server(m_api, controlServerOptions())
--- a/src/bamboomoor/gateway/controldaemon.hpp
+++ b/src/bamboomoor/gateway/controldaemon.hpp
@@ -14,6 +14,7 @@
 #include "bamboomoor/entry/upstreambook.hpp"
 #include "bamboomoor/entry/upstreamsync.hpp"
 #include "bamboomoor/gateway/controlapi.hpp"
+#include "bamboomoor/gateway/controlmetrics.hpp"
 #include "bamboomoor/gateway/dialect.hpp"
 #include "bamboomoor/gateway/process.hpp"
 #include "bamboomoor/gateway/residencydesk.hpp"
@@ -62,6 +63,7 @@
     control::VoterDesk m_voter;
     control::FreshenDesk m_freshen;
     control::BudgetDesk m_budget;
+    ControlMetrics m_metrics;
     ResidencyDesk m_residency;
     control::GroupDesk m_group;
     entry::UpstreamSync m_sync;
--- /dev/null
+++ b/src/bamboomoor/gateway/controlmetrics.cpp
@@ -0,0 +1,80 @@
+/**
+ * The counters and histograms of a control VM.
+ */
+#include "bamboomoor/gateway/controlmetrics.hpp"
+
+#include <prometheus/text_serializer.h>
+
+namespace bamboomoor::gateway
+{
+
+namespace
+{
+
+constexpr double MILLIS_PER_SECOND = 1'000.0;
+
+prometheus::Family<prometheus::Counter> &counters(prometheus::Registry &registry, const char *name, const char *help)
+{
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+} // namespace
+
+ControlMetrics::ControlMetrics()
+    : m_announcements(counters(m_registry, "bamboomoor_control_announcements_total", "Announcements, by verdict"))
+    , m_changes(counters(m_registry, "bamboomoor_control_changes_total", "Operators' changes, by outcome"))
+    , m_orders(counters(m_registry, "bamboomoor_control_orders_total", "Orders sent, by kind and reason"))
+    , m_verdicts(counters(m_registry, "bamboomoor_control_order_verdicts_total", "Orders ended, by verdict"))
+    , m_unreachable(
+          counters(m_registry, "bamboomoor_control_unreachable_total", "Upstreams found to accept no connection")
+              .Add({}))
+    , m_orderTime(prometheus::BuildHistogram()
+                      .Name("bamboomoor_control_order_seconds")
+                      .Help("From an order to its answer")
+                      .Register(m_registry)
+                      .Add({}, prometheus::Histogram::BucketBoundaries{0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 1.0}))
+    , m_leading(prometheus::BuildGauge()
+                    .Name("bamboomoor_control_leading")
+                    .Help("1 while this VM orders models and adapters")
+                    .Register(m_registry)
+                    .Add({}))
+{
+}
+
+void ControlMetrics::announced(std::string_view verdict)
+{
+    m_announcements.Add({{"verdict", std::string(verdict)}}).Increment();
+}
+
+void ControlMetrics::changed(std::string_view outcome)
+{
+    m_changes.Add({{"outcome", std::string(outcome)}}).Increment();
+}
+
+void ControlMetrics::ordered(std::string_view kind, std::string_view reason)
+{
+    m_orders.Add({{"kind", std::string(kind)}, {"reason", std::string(reason)}}).Increment();
+}
+
+void ControlMetrics::orderEnded(std::string_view verdict, base::Millis span)
+{
+    m_verdicts.Add({{"verdict", std::string(verdict)}}).Increment();
+    m_orderTime.Observe(static_cast<double>(span.count) / MILLIS_PER_SECOND);
+}
+
+void ControlMetrics::unreachable()
+{
+    m_unreachable.Increment();
+}
+
+void ControlMetrics::setLeading(bool leads)
+{
+    m_leading.Set(leads ? 1 : 0);
+}
+
+std::string ControlMetrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(m_registry.Collect());
+}
+
+} // namespace bamboomoor::gateway
--- /dev/null
+++ b/src/bamboomoor/gateway/controlmetrics.hpp
@@ -0,0 +1,57 @@
+/**
+ * The counters and histograms of a control VM.
+ */
+#pragma once
+
+#include "bamboomoor/base/clock.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <string>
+#include <string_view>
+
+namespace bamboomoor::gateway
+{
+
+/** @brief All metrics of a control VM; usable from any thread. */
+class ControlMetrics
+{
+public:
+    ControlMetrics();
+
+    /** @brief Counts an announcement of an upstream. @param verdict What became of it. */
+    void announced(std::string_view verdict);
+
+    /** @brief Counts an operator's change. @param outcome What became of it. */
+    void changed(std::string_view outcome);
+
+    /** @brief Counts an order that was sent. @param kind What it does. @param reason Why. */
+    void ordered(std::string_view kind, std::string_view reason);
+
+    /** @brief Notes the end of an order. @param verdict What became of it. @param span Since it was sent. */
+    void orderEnded(std::string_view verdict, base::Millis span);
+
+    /** @brief Counts an upstream that was found to accept no connection. */
+    void unreachable();
+
+    /** @brief Notes whether this VM orders. @param leads True while it leads. */
+    void setLeading(bool leads);
+
+    /** @brief Writes all metrics. @return The Prometheus text format. */
+    [[nodiscard]] std::string text() const;
+
+private:
+    prometheus::Registry m_registry;
+    prometheus::Family<prometheus::Counter> &m_announcements;
+    prometheus::Family<prometheus::Counter> &m_changes;
+    prometheus::Family<prometheus::Counter> &m_orders;
+    prometheus::Family<prometheus::Counter> &m_verdicts;
+    prometheus::Counter &m_unreachable;
+    prometheus::Histogram &m_orderTime;
+    prometheus::Gauge &m_leading;
+};
+
+} // namespace bamboomoor::gateway
--- a/src/bamboomoor/gateway/fwd.hpp
+++ b/src/bamboomoor/gateway/fwd.hpp
@@ -9,6 +9,7 @@
 class ControlApi;
 class ControlDaemon;
 class ControlDialect;
+class ControlMetrics;
 class EntryDaemon;
 class RelayMetrics;
 class Runner;
--- a/src/bamboomoor/gateway/residencydesk.cpp
+++ b/src/bamboomoor/gateway/residencydesk.cpp
@@ -3,6 +3,8 @@
  */
 #include "bamboomoor/gateway/residencydesk.hpp"
 
+#include "bamboomoor/gateway/controlmetrics.hpp"
+
 #include <glog/logging.h>
 
 #include <algorithm>
@@ -71,6 +73,7 @@
         : m_desk(desk)
         , m_term(term)
         , m_worker(std::move(worker))
+        , m_sentAt(desk.m_context.clock.now())
     {
     }
 
@@ -87,13 +90,14 @@
     {
         const bool answered = ending.kind == http::EndKind::Complete;
         m_desk.post(Ordered{m_term, m_worker,
-            answered ? m_desk.m_context.dialect.readOrder(m_status) : placement::OrderVerdict::Unknown});
+            answered ? m_desk.m_context.dialect.readOrder(m_status) : placement::OrderVerdict::Unknown, m_sentAt});
     }
 
 private:
     ResidencyDesk &m_desk;
     const std::uint64_t m_term;
     const std::string m_worker;
+    const base::Millis m_sentAt;
     int m_status = 0;
 };
 
@@ -308,6 +312,7 @@
     m_term = event.term;
     m_fenced = false;
     m_plan.emplace(m_options.plan);
+    m_context.metrics.setLeading(true);
     m_plan->begin(m_context.clock.now(), m_listeningSince);
     m_plan->setEngines(std::move(event.engines));
 }
@@ -315,6 +320,7 @@
 void ResidencyDesk::on(NotLeading & /*event*/)
 {
     m_term = 0;
+    m_context.metrics.setLeading(false);
     m_plan.reset();
 }
 
@@ -334,6 +340,8 @@
                             .add("upstream", event.worker)
                             .add("verdict", placement::ORDER_VERDICT_NAMES.name(event.verdict))
                             .add("term", static_cast<std::int64_t>(event.term)));
+    m_context.metrics.orderEnded(
+        placement::ORDER_VERDICT_NAMES.name(event.verdict), m_context.clock.now() - event.sentAt);
     m_fenced = m_fenced || event.verdict == placement::OrderVerdict::Fenced;
     m_plan->ordered(m_context.clock.now(), event.worker, event.verdict);
 }
@@ -345,6 +353,7 @@
             m_context.log.write(base::LogLine("upstream_unreachable")
                                     .add("upstream", event.worker)
                                     .add("term", static_cast<std::int64_t>(m_term)));
+            m_context.metrics.unreachable();
             m_plan->unreachable(event.worker);
         }
         m_plan->inspected(m_context.clock.now(), event.worker, event.found);
@@ -406,6 +415,7 @@
                             .add("reason", order.reason)
                             .add("expected", static_cast<std::int64_t>(order.expected))
                             .add("term", static_cast<std::int64_t>(m_term)));
+    m_context.metrics.ordered(placement::RESIDENCY_ORDER_NAMES.name(order.kind), order.reason);
     const OrderSender sender{m_options.vm, m_term};
     m_context.client.start(
         limited(m_context.dialect.order(order, sender)), std::make_shared<OrderListener>(*this, m_term, order.worker));
--- a/src/bamboomoor/gateway/residencydesk.hpp
+++ b/src/bamboomoor/gateway/residencydesk.hpp
@@ -11,6 +11,7 @@
 #include "bamboomoor/control/voterdesk.hpp"
 #include "bamboomoor/entry/upstreambook.hpp"
 #include "bamboomoor/gateway/dialect.hpp"
+#include "bamboomoor/gateway/fwd.hpp"
 #include "bamboomoor/http/client.hpp"
 #include "bamboomoor/placement/residency.hpp"
 
@@ -53,6 +54,7 @@
     const entry::UpstreamBook &upstreams;
     http::Client &client;
     const OrderDialect &dialect;
+    ControlMetrics &metrics;
     base::EventLog &log;
 };
 
@@ -97,6 +99,7 @@
         std::uint64_t term = 0;
         std::string worker;
         placement::OrderVerdict verdict = placement::OrderVerdict::Unknown;
+        base::Millis sentAt;
     };
     struct Looked {
         std::uint64_t term = 0;
--- a/src/bamboomoor/gateway/runner.cpp
+++ b/src/bamboomoor/gateway/runner.cpp
@@ -207,10 +207,29 @@
 {
     if (const auto held = m_context.inForce.current()) {
         const std::shared_ptr<const config::Document> document(held, &held->document);
+        logLimits(held->version, held->document);
         m_core.setTable(std::make_shared<const relay::RouteTable>(held->version, document));
     }
 }
 
+void Runner::logLimits(std::uint64_t version, const config::Document &document)
+{
+    std::map<std::string, std::pair<std::int64_t, std::int64_t>> limits;
+    for (const config::Organisation &it : document.organisations) {
+        const std::pair limit{it.unlimited ? 0 : it.rate, it.unlimited ? 0 : it.burst};
+        limits.emplace(it.name, limit);
+        const auto known = m_limits.find(it.name);
+        if (known == m_limits.end() || known->second != limit) {
+            m_context.log.write(base::LogLine("organisation_limit")
+                                    .add("org", it.name)
+                                    .add("rate", limit.first)
+                                    .add("burst", limit.second)
+                                    .add("config", static_cast<std::int64_t>(version)));
+        }
+    }
+    m_limits = std::move(limits);
+}
+
 void Runner::on(base::Millis now, News &event)
 {
     m_core.setForeignLoad(now, event.news.waiting);
@@ -401,6 +420,9 @@
         line.add("attempt", static_cast<std::int64_t>(decision.attempt));
         line.add("expected_wait_ms", decision.expectedWait);
     }
+    if (decision.tokens > 0 && (decision.step == relay::Step::Sent || decision.step == relay::Step::Refused)) {
+        line.add("tokens", decision.tokens);
+    }
     if (decision.status != 0) {
         line.add("status", decision.status);
     }
--- a/src/bamboomoor/gateway/runner.hpp
+++ b/src/bamboomoor/gateway/runner.hpp
@@ -97,7 +97,8 @@
     [[nodiscard]] std::vector<std::string> unreachable() const override;
     void takeNews(entry::PlacementNews news) override;
 
-    /** @brief Sets what is called when the leader should hear of demand at once. @param urge The call; before start(). */
+    /** @brief Sets what is called when the leader should hear of demand at once. @param urge The call; before start().
+     */
     void setUrge(std::function<void()> urge)
     {
         m_urge = std::move(urge);
@@ -133,8 +134,7 @@
     struct News {
         entry::PlacementNews news;
     };
-    using Event =
-        std::variant<Arrived, CallerGone, Head, Data, Ended, BudgetReplied, TableChanged, News, Draining>;
+    using Event = std::variant<Arrived, CallerGone, Head, Data, Ended, BudgetReplied, TableChanged, News, Draining>;
     class AttemptListener;
 
     void run();
@@ -147,6 +147,7 @@
     void on(base::Millis now, TableChanged &event);
     void on(base::Millis now, News &event);
     void on(base::Millis now, Draining &event);
+    void logLimits(std::uint64_t version, const config::Document &document);
     void refreshUpstreams();
     void collectDemand();
     void sendAsk(base::Millis now);
@@ -182,6 +183,8 @@
     std::uint64_t m_lastExchange = 0;
     std::unordered_map<std::uint64_t, Caller> m_callers;
     std::unordered_map<std::uint64_t, http::CallId> m_calls;
+    // Rate and burst of each organisation as last logged; 0 without a limit.
+    std::map<std::string, std::pair<std::int64_t, std::int64_t>> m_limits;
     base::Millis m_nextRefresh;
     membership::Position m_seen;
 
--- a/src/bamboomoor/placement/residency.cpp
+++ b/src/bamboomoor/placement/residency.cpp
@@ -256,7 +256,8 @@
     const ResidencyOrder order = *std::exchange(state.underWay, std::nullopt);
     state.orderedAt = now;
     // An adapter goes at once, which is answered like an order that held already.
-    const bool done = verdict == OrderVerdict::Holds && order.kind == ResidencyOrderKind::Unload && !order.adapter.empty();
+    const bool done =
+        verdict == OrderVerdict::Holds && order.kind == ResidencyOrderKind::Unload && !order.adapter.empty();
     switch (done ? OrderVerdict::Accepted : verdict) {
     case OrderVerdict::Accepted:
         state.orders = order.expected + 1;
--- a/src/bamboomoor/placement/residencycopies.cpp
+++ b/src/bamboomoor/placement/residencycopies.cpp
@@ -56,8 +56,8 @@
     return models;
 }
 
-void Residency::spread(const std::string &service, const std::string &model, double change,
-    std::map<std::string, double> &changes) const
+void Residency::spread(
+    const std::string &service, const std::string &model, double change, std::map<std::string, double> &changes) const
 {
     for (const auto &[id, state] : m_workers) {
         const bool counts = state.report.service == service && !isGone(state) && !isEvicting(state, model);
@@ -201,8 +201,8 @@
         const double made = roomOf(engine, holderFree + size) - roomOf(engine, holderFree);
         for (auto &[id, state] : m_workers) {
             const std::int64_t free = engine.memoryMib - usedMib(state);
-            if (id == holder || state.report.service != service || isGone(state) || state.task
-                || !state.loading.empty() || free < size) {
+            if (id == holder || state.report.service != service || isGone(state) || state.task || !state.loading.empty()
+                || free < size) {
                 continue;
             }
             const double room = made - (roomOf(engine, free) - roomOf(engine, free - size));
--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -47,7 +47,8 @@
             ++m_demand[{exchange.request.model, exchange.request.adapter}].missed;
             m_urgent = true;
         }
-        const bool comes = lack == Lack::Coming && m_fleet.comingIn(now, exchange.wanted) < queuePatience(now, exchange);
+        const bool comes =
+            lack == Lack::Coming && m_fleet.comingIn(now, exchange.wanted) < queuePatience(now, exchange);
         if (othersWait || lack == Lack::Busy || comes) {
             enqueue(now, exchange);
             return;
@@ -81,11 +82,10 @@
         giveUp(now, exchange, Reason::UpstreamRefused, m_options.shortRetry);
         return;
     case Lack::Busy:
-        giveUp(now, exchange, Reason::Busy, std::max(m_fleet.waitFor(now, exchange.wanted, 0), m_options.busyRetry));
+        giveUp(now, exchange, Reason::Busy, busyRetry(now, exchange, m_fleet.waitFor(now, exchange.wanted, 0)));
         return;
     case Lack::Coming:
-        giveUp(now, exchange, Reason::NotHeld,
-            std::max(m_fleet.comingIn(now, exchange.wanted), m_options.shortRetry));
+        giveUp(now, exchange, Reason::NotHeld, std::max(m_fleet.comingIn(now, exchange.wanted), m_options.shortRetry));
         return;
     case Lack::NotHeld:
         giveUp(now, exchange, Reason::NotHeld, m_options.loadRetry);
@@ -96,6 +96,12 @@
     }
 }
 
+base::Millis Core::busyRetry(base::Millis now, const Exchange &exchange, base::Millis wait) const
+{
+    // While more is asked for than the engines read, only another copy makes room.
+    return std::max({wait, m_fleet.nextCopyIn(now, exchange.wanted), m_options.busyRetry});
+}
+
 base::Millis Core::queuePatience(base::Millis now, const Exchange &exchange) const
 {
     const base::Millis until = exchange.begun
@@ -120,7 +126,7 @@
             m_queues.erase(key);
         }
         giveUp(now, exchange, exchange.mayHaveRun ? Reason::UpstreamFailed : Reason::Busy,
-            std::max(wait - patience, m_options.busyRetry));
+            busyRetry(now, exchange, wait - patience));
         return;
     }
     exchange.queuedUntil = until;
--- a/src/bamboomoor/relay/core.cpp
+++ b/src/bamboomoor/relay/core.cpp
@@ -332,6 +332,7 @@
     decision.age = now - exchange.arrivedAt;
     decision.version = exchange.table ? exchange.table->version() : 0;
     decision.expectedWait = exchange.choice.expectedWait;
+    decision.tokens = exchange.cost;
     m_effects.note(decision);
 }
 
--- a/src/bamboomoor/relay/core.hpp
+++ b/src/bamboomoor/relay/core.hpp
@@ -119,6 +119,8 @@
     std::uint64_t version = 0;
     // The wait that was expected at the upstream.
     base::Millis expectedWait;
+    // What the request takes of its organisation's rate; 0 where there is none.
+    std::int64_t tokens = 0;
 };
 
 /** @brief What the core wants done; every method returns at once and does not call back. */
@@ -324,6 +326,7 @@
     void deliver(base::Millis now, Exchange &exchange);
     void fail(base::Millis now, Exchange &exchange, Result result, bool notRun, bool reached, std::string_view how);
     [[nodiscard]] bool hasOther(base::Millis now, const Exchange &exchange) const;
+    [[nodiscard]] base::Millis busyRetry(base::Millis now, const Exchange &exchange, base::Millis wait) const;
     [[nodiscard]] base::Millis queuePatience(base::Millis now, const Exchange &exchange) const;
     [[nodiscard]] bool mayRunAgain(const Exchange &exchange) const;
     void giveUp(base::Millis now, Exchange &exchange, Reason reason, base::Millis retryAfter);
--- a/src/bamboomoor/relay/fleet.cpp
+++ b/src/bamboomoor/relay/fleet.cpp
@@ -44,8 +44,8 @@
     for (Worker &it : workers) {
         Known known;
         Known *before = find(it.id);
-        const bool same = before != nullptr && before->worker.address == it.address
-            && before->worker.incarnation == it.incarnation;
+        const bool same =
+            before != nullptr && before->worker.address == it.address && before->worker.incarnation == it.incarnation;
         if (same) {
             known = std::move(*before);
             if (known.worker != it) {
@@ -123,6 +123,19 @@
     return soonest;
 }
 
+base::Millis Fleet::nextCopyIn(base::Millis now, const Wanted &wanted) const
+{
+    base::Millis soonest = base::NEVER;
+    const std::string model = wanted.holding.substr(0, wanted.holding.find('/'));
+    for (const auto &[id, known] : m_workers) {
+        const auto placed = known.placed.find(model);
+        if (known.worker.service == wanted.service && placed != known.placed.end() && placed->second > now) {
+            soonest = std::min(soonest, placed->second - now);
+        }
+    }
+    return soonest == base::NEVER ? base::Millis{} : soonest;
+}
+
 std::vector<std::string> Fleet::unreachable(base::Millis now) const
 {
     std::vector<std::string> ids;
--- a/src/bamboomoor/relay/fleet.hpp
+++ b/src/bamboomoor/relay/fleet.hpp
@@ -179,6 +179,14 @@
      */
     [[nodiscard]] base::Millis comingIn(base::Millis now, const Wanted &wanted) const;
 
+    /**
+     * @brief Tells when another copy of what is held already comes.
+     * @param now The present time.
+     * @param wanted What is looked for.
+     * @return The time until then, or 0 when none is known of.
+     */
+    [[nodiscard]] base::Millis nextCopyIn(base::Millis now, const Wanted &wanted) const;
+
     /** @brief Lists the upstreams that accept no connection. @param now The present time. @return Their ids. */
     [[nodiscard]] std::vector<std::string> unreachable(base::Millis now) const;
 
@@ -221,7 +229,8 @@
      */
     void paused(base::Millis now, const Choice &choice, base::Millis pause, base::Millis objective);
 
-    /** @brief Notes that a request is silent for longer than it should. @param now The present time. @param choice Where. */
+    /** @brief Notes that a request is silent for longer than it should. @param now The present time. @param choice
+     * Where. */
     void silent(base::Millis now, const Choice &choice);
 
     /**
--- a/src/bamboomoor/relay/pacer.cpp
+++ b/src/bamboomoor/relay/pacer.cpp
@@ -41,7 +41,8 @@
 void Pacer::paused(base::Millis now, base::Millis pause, base::Millis objective) noexcept
 {
     recover(now);
-    const double part = static_cast<double>(pause.count) / static_cast<double>(std::max<std::int64_t>(1, objective.count));
+    const double part =
+        static_cast<double>(pause.count) / static_cast<double>(std::max<std::int64_t>(1, objective.count));
     if (part >= m_options.slowPart) {
         if (now - m_slowedAt >= m_options.slowInterval) {
             m_tokens = tokensAt(now);
--- a/test/bamboomoor/placement/residency.cpp
+++ b/test/bamboomoor/placement/residency.cpp
@@ -102,8 +102,8 @@
         }
         std::vector<WorkerReport> reports;
         for (const FakeWorker &it : list) {
-            reports.push_back({it.id, it.incarnation, "10.0.0.1:80", "llm",
-                it.arrived, false, false, it.announced, it.localCopies});
+            reports.push_back(
+                {it.id, it.incarnation, "10.0.0.1:80", "llm", it.arrived, false, false, it.announced, it.localCopies});
         }
         plan.setWorkers(now, reports);
         const ResidencyActions actions = plan.plan(now);
@@ -111,6 +111,7 @@
             const FakeWorker &worker = find(it.worker);
             plan.inspected(now, it.worker, worker.past.front());
         }
+        ordersGiven += actions.orders.size();
         for (const ResidencyOrder &it : actions.orders) {
             FakeWorker &worker = find(it.worker);
             if (lateOrders > 0 && m_random() % 100 < static_cast<std::uint64_t>(lateOrders)) {
@@ -161,6 +162,7 @@
     std::size_t reportLag = 0;
     bool exceeded = false;
     std::vector<base::Millis> storeLoads;
+    std::size_t ordersGiven = 0;
 
 private:
     OrderVerdict carryOut(FakeWorker &worker, const ResidencyOrder &order)
@@ -284,6 +286,92 @@
     BOOST_TEST(!it.exceeded);
 }
 
+BOOST_AUTO_TEST_CASE(a_model_on_an_unreachable_worker_is_loaded_elsewhere_until_the_worker_announces_itself)
+{
+    Engines it(8, 1);
+    for (int n = 0; n < 200; ++n) {
+        it.step();
+    }
+    it.plan.unreachable("w3");
+    for (int n = 0; n < 200; ++n) {
+        // Its announcements stay as they were.
+        it.find("w3").onTheirWay.clear();
+        it.step();
+    }
+    BOOST_TEST(it.copies("m3") == 2);
+    BOOST_TEST(!it.exceeded);
+}
+
+// One model gets more than two copies though each must come from the store.
+BOOST_AUTO_TEST_CASE(under_a_played_load_of_one_model_copies_from_the_store_follow)
+{
+    Engines it(12, 1);
+    for (FakeWorker &worker : it.list) {
+        worker.localCopies.clear();
+    }
+    for (int n = 0; n < 400; ++n) {
+        if (n >= 100 && n % 5 == 0) {
+            it.demand("m0", 40);
+        }
+        it.step();
+    }
+    BOOST_TEST(it.copies("m0") >= 5);
+    BOOST_TEST(!it.exceeded);
+}
+
+// Small idle models beside busy ones are brought together, so that a whole place becomes free.
+BOOST_AUTO_TEST_CASE(idle_models_are_packed_where_they_fill_a_worker)
+{
+    Residency plan;
+    EngineSpec spec;
+    spec.memoryMib = MEMORY;
+    spec.loadsPerSecond = 2;
+    spec.models["large"] = {72, 0, 1, {4'000}};
+    spec.models["small1"] = spec.models["small2"] = spec.models["small3"] = {65, 0, 1, {4'000}};
+    plan.setEngines({{"llm", spec}});
+    base::Millis now{100'000};
+    plan.begin(now, base::Millis{0});
+    Holdings mixed;
+    mixed.models["large"];
+    mixed.models["small1"];
+    Holdings smalls;
+    smalls.models["small2"];
+    smalls.models["small3"];
+    const std::vector<WorkerReport> reports{{"mixed", 1, "10.0.0.1:80", "llm", 1, false, false, mixed, {}},
+        {"smalls", 1, "10.0.0.2:80", "llm", 1, false, false, smalls, {}}};
+    std::vector<ResidencyOrder> orders;
+    for (int n = 0; n < 60; ++n) {
+        now += STEP;
+        plan.setWorkers(now, reports);
+        for (const ResidencyOrder &it : plan.plan(now).orders) {
+            orders.push_back(it);
+            plan.ordered(now, it.worker, OrderVerdict::Accepted);
+        }
+    }
+    BOOST_REQUIRE(orders.size() == 1U);
+    BOOST_TEST(orders[0].worker == "smalls");
+    BOOST_TEST(orders[0].model == "small1");
+    BOOST_TEST(orders[0].reason == "pack");
+    BOOST_TEST(plan.placed(now).size() == 1U);
+}
+
+// An adapter that came to another worker meanwhile must not push out one adapter after the other.
+BOOST_AUTO_TEST_CASE(adapters_are_not_exchanged_without_end)
+{
+    Engines it(8, 1);
+    for (int n = 0; n < 200; ++n) {
+        it.step();
+    }
+    const auto before = it.ordersGiven;
+    for (int n = 0; n < 400; ++n) {
+        if (n % 10 == 0) {
+            it.plan.setDemand(it.now, "entry", {{"m0", "a1", 1, 2}, {"m0", "a5", 1, 2}, {"m1", "a1", 1, 1}});
+        }
+        it.step();
+    }
+    BOOST_TEST(it.ordersGiven - before < 100U);
+}
+
 // An announcement from before an order must not bring back a place that the order took.
 BOOST_AUTO_TEST_CASE(an_announcement_that_comes_late_frees_no_place_that_an_order_took)
 {
--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -212,6 +212,51 @@
 
 BOOST_FIXTURE_TEST_SUITE(relay_core, Fixture)
 
+BOOST_AUTO_TEST_CASE(a_request_waits_for_an_adapter_that_loads_fast_and_for_no_model_that_is_lost)
+{
+    World world;
+    relay::Core core(Fixture::options(), world);
+    auto document = std::make_shared<config::Document>();
+    document->services.push_back({"svc", 10, config::Engine{}});
+    document->relays.push_back(route("/s/", config::Repeat::Stream, false, 1));
+    document->relays.back().open = true;
+    core.setTable(std::make_shared<const relay::RouteTable>(1, document));
+    relay::Worker engine = worker("w1");
+    engine.holds = {"m"};
+    core.setWorkers({engine});
+    base::Millis now{1'000};
+    const auto arrive = [&](std::uint64_t id, const std::string &model, const std::string &adapter) {
+        relay::Request request;
+        request.id = "r" + std::to_string(id);
+        request.host = "h";
+        request.path = "/s/";
+        request.model = model;
+        request.adapter = adapter;
+        core.arrive(now, id, request);
+    };
+    arrive(1, "m", "a1");
+    BOOST_TEST(world.sent.empty());
+    BOOST_TEST(world.callers[1].ends == 0);
+    BOOST_TEST(core.takeUrgent());
+    BOOST_TEST(!core.takeUrgent());
+    arrive(2, "lost", "");
+    BOOST_TEST(world.callers[2].refusedNotRun);
+    now += base::Millis{60};
+    core.setPlaced(now, {{"w1", "m/a1", {0}}});
+    core.tick(now);
+    BOOST_TEST(world.sent.size() == 1U);
+    // The time to come back is when the model comes.
+    core.setPlaced(now, {{"w1", "lost", {3'000}}});
+    arrive(3, "lost", "");
+    BOOST_TEST(world.callers[3].refusedNotRun);
+    BOOST_TEST((world.callers[3].retryAfter == base::Millis{3'000}));
+    // Nothing brings the adapter: the request is refused while it could not be in time any more.
+    arrive(4, "m", "a2");
+    now += base::Millis{900};
+    core.tick(now);
+    BOOST_TEST(world.callers[4].refusedNotRun);
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_reaches_its_caller_unchanged)
 {
     arrive(1, "/once/x");
--- a/test/bamboomoor/relay/fleet.cpp
+++ b/test/bamboomoor/relay/fleet.cpp
@@ -91,6 +91,85 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_model_whose_only_engine_refuses_connections_is_not_held)
+{
+    Fleet fleet({});
+    fleet.update({engine("a", {"m"})});
+    const auto choice = fleet.choose(START, prompt(10));
+    fleet.began(START, *choice, prompt(10));
+    fleet.ended(START, *choice, false, relay::Result::NotReached);
+    const base::Millis soon = START + base::Millis{10};
+    BOOST_TEST(!fleet.choose(soon, prompt(10)).has_value());
+    BOOST_TEST((fleet.lackOf(soon, prompt(10)) == Lack::NotHeld));
+    BOOST_TEST(fleet.unreachable(soon) == std::vector<std::string>{"a"});
+    const base::Millis later = START + base::Millis{400};
+    BOOST_TEST(fleet.choose(later, prompt(10)).has_value());
+    BOOST_TEST(fleet.unreachable(later).empty());
+    // Another process at the same address has refused nothing.
+    Worker reborn = engine("a", {"m"});
+    reborn.incarnation = 2;
+    fleet.update({reborn});
+    BOOST_TEST(fleet.choose(soon, prompt(10)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(an_adapter_comes_to_an_engine_that_holds_its_model)
+{
+    Fleet fleet({});
+    fleet.update({engine("a", {"m"}), engine("b", {"x"})});
+    const Wanted wanted{"llm", "m/a1", {}, 10, {}};
+    BOOST_TEST((fleet.lackOf(START, wanted) == Lack::Coming));
+    BOOST_TEST((fleet.lackOf(START, {"llm", "y/a1", {}, 10, {}}) == Lack::NotHeld));
+    fleet.setPlaced(START, {{"a", "m/a1", {0}}, {"b", "m", {5'000}}});
+    BOOST_TEST(fleet.choose(START, wanted)->id == "a");
+    BOOST_TEST((fleet.nextCopyIn(START, wanted) == base::Millis{5'000}));
+    // The engine knows better than what was told.
+    fleet.lacks("a", "m/a1");
+    BOOST_TEST(!fleet.choose(START, wanted).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_plain_service_that_resets_connections_gets_fewer_calls_at_once)
+{
+    relay::FleetOptions options;
+    options.firstWindow = 4;
+    Fleet fleet(options);
+    fleet.update({engine("a", {})});
+    const Wanted wanted{"llm", "", {}, 0, {}};
+    const auto fill = [&] {
+        std::vector<relay::Choice> sent;
+        while (const auto choice = fleet.choose(START, wanted)) {
+            fleet.began(START, *choice, wanted);
+            sent.push_back(*choice);
+        }
+        return sent;
+    };
+    const auto first = fill();
+    BOOST_TEST(first.size() == 4U);
+    BOOST_TEST((fleet.lackOf(START, wanted) == Lack::Busy));
+    for (const relay::Choice &it : first) {
+        fleet.ended(START, it, false, relay::Result::Failed);
+    }
+    BOOST_TEST(fill().size() == 1U);
+    for (int n = 0; n < 20; ++n) {
+        relay::Choice answered;
+        answered.id = "a";
+        fleet.ended(START, answered, true, relay::Result::Answered);
+    }
+    BOOST_TEST(fill().size() > 4U);
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_engine_is_avoided_before_its_requests_end)
+{
+    Fleet fleet({});
+    fleet.update({engine("a", {"m"}), engine("b", {"m"})});
+    relay::Choice mute;
+    mute.id = "a";
+    fleet.began(START, mute, prompt(100));
+    fleet.silent(START + base::Millis{1'200}, mute);
+    for (int n = 0; n < 10; ++n) {
+        BOOST_TEST(fleet.choose(START + base::Millis{1'210}, prompt(100))->id == "b");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_prompt_goes_to_the_engine_that_keeps_its_beginning)
 {
     Fleet fleet({});
