--- a/src/bamboomoor/placement/residencycopies.cpp
+++ b/src/bamboomoor/placement/residencycopies.cpp
@@ -50,6 +50,7 @@
     std::sort(shares.begin(), shares.end());
     shares.resize(std::min(shares.size(), m_options.candidates));
     std::vector<std::string> models;
+    models.reserve(shares.size());
     for (auto &[share, model] : shares) {
         models.push_back(std::move(model));
     }
@@ -173,7 +174,8 @@
     const std::int64_t rest = freeMib % largest;
     const auto smaller = sizes.upper_bound(rest);
     const std::int64_t fits = smaller == sizes.begin() ? 0 : *std::prev(smaller);
-    return static_cast<double>(freeMib / largest) + SMALLER * static_cast<double>(fits) / static_cast<double>(largest);
+    const std::int64_t whole = freeMib / largest;
+    return static_cast<double>(whole) + SMALLER * static_cast<double>(fits) / static_cast<double>(largest);
 }
 
 bool Residency::pack(const std::string &service, const EngineSpec &engine)
--- a/test/bamboomoor/relay/pacer.cpp
+++ b/test/bamboomoor/relay/pacer.cpp
@@ -57,8 +57,9 @@
         std::exponential_distribution<double> pause(READ_PER_MILLI * m_load / PROMPT);
         double next = static_cast<double>(START.count);
         while (m_now < START.count + LENGTH) {
-            for (; next <= static_cast<double>(m_now); next += pause(m_random)) {
+            while (next <= static_cast<double>(m_now)) {
                 arrive(static_cast<std::int64_t>(next));
+                next += pause(m_random);
             }
             for (int n = 0; n < ENTRIES; ++n) {
                 pump(n);
@@ -107,14 +108,12 @@
             m_waiting[n] += it.unread;
             m_streams.push_back(it);
             m_streams.back().eventAt = m_now;
-            m_prompts.push_back(it.unread);
         }
     }
 
     void step()
     {
         std::int64_t room = CHUNK;
-        std::vector<Stream *> read;
         for (Stream &it : m_streams) {
             if (it.unread > 0 && room > 0) {
                 const std::int64_t part = std::min(room, it.unread);
@@ -151,7 +150,6 @@
     std::vector<Pacer> m_pacers;
     std::vector<std::deque<Stream>> m_queues;
     std::vector<std::int64_t> m_waiting;
-    std::deque<std::int64_t> m_prompts;
     std::deque<Stream> m_streams;
 };
 
@@ -173,7 +171,7 @@
 {
     Pacer it;
     const double before = it.rate();
-    for (int n = 0; n < 20; ++n) {
+    for (std::int64_t n = 0; n < 20; ++n) {
         it.paused(START + base::Millis{n * 500}, OBJECTIVE, OBJECTIVE);
     }
     BOOST_TEST(it.rate() < before / 2);
@@ -185,7 +183,7 @@
 {
     Pacer idle;
     Pacer used;
-    for (int n = 0; n < 50; ++n) {
+    for (std::int64_t n = 0; n < 50; ++n) {
         const base::Millis at = START + base::Millis{n * 250};
         used.sent(at, 4'000);
         idle.paused(at, {30}, OBJECTIVE);
