Compute sizes and free memory once per packing decision

They were computed for each pair of idle model and worker: at 150 models and 90 workers some millions of insertions a second in the leader. The decisions are the same, in the same order.

--- a/src/bamboomoor/placement/residency.hpp
+++ b/src/bamboomoor/placement/residency.hpp
@@ -345,7 +345,7 @@
     [[nodiscard]] std::map<std::string, double> loads(const std::string &service) const;
     [[nodiscard]] std::vector<std::string> busiestModels(const std::string &service, const EngineSpec &engine) const;
     [[nodiscard]] bool pack(const std::string &service, const EngineSpec &engine);
-    [[nodiscard]] static double roomOf(const EngineSpec &engine, std::int64_t freeMib);
+    [[nodiscard]] static double roomOf(const std::set<std::int64_t> &sizes, std::int64_t freeMib);
     void spread(const std::string &service, const std::string &model, double change,
         std::map<std::string, double> &changes) const;
     [[nodiscard]] double gainOf(const State &state, const std::string &model, const std::vector<std::string> &evicted,
--- a/src/bamboomoor/placement/residencycopies.cpp
+++ b/src/bamboomoor/placement/residencycopies.cpp
@@ -159,14 +159,10 @@
     return true;
 }
 
-double Residency::roomOf(const EngineSpec &engine, std::int64_t freeMib)
+double Residency::roomOf(const std::set<std::int64_t> &sizes, std::int64_t freeMib)
 {
     // What is left beside the largest models may still take a smaller one, which is worth less.
     constexpr double SMALLER = 0.5;
-    std::set<std::int64_t> sizes;
-    for (const auto &[model, spec] : engine.models) {
-        sizes.insert(spec.memoryMib);
-    }
     if (sizes.empty() || *sizes.begin() <= 0 || freeMib < 0) {
         return 0;
     }
@@ -180,13 +176,22 @@
 
 bool Residency::pack(const std::string &service, const EngineSpec &engine)
 {
+    std::set<std::int64_t> sizes;
+    for (const auto &[model, spec] : engine.models) {
+        sizes.insert(spec.memoryMib);
+    }
     std::map<std::string, std::string> soleHolders;
+    // Of the workers that a model may come to.
+    std::map<std::string, std::int64_t> freeMib;
     std::size_t underWay = 0;
     for (const auto &[id, state] : m_workers) {
         if (isGone(state)) {
             continue;
         }
         underWay += state.task && state.task->reason == PACK ? 1 : 0;
+        if (state.report.service == service && !state.task && state.loading.empty()) {
+            freeMib.emplace(id, engine.memoryMib - usedMib(state));
+        }
         for (const auto &[model, adapters] : state.view.models) {
             if (state.report.service == service && replicas(service, model) == 1 && engine.models.contains(model)
                 && modelDemand(model) < m_options.leastDemand) {
@@ -194,31 +199,29 @@
             }
         }
     }
-    State *best = nullptr;
+    std::string best;
     std::string bestModel;
     double bestRoom = m_options.leastRoom;
     for (const auto &[model, holder] : soleHolders) {
         const std::int64_t size = engine.models.at(model).memoryMib;
         const std::int64_t holderFree = engine.memoryMib - usedMib(m_workers.at(holder));
-        const double made = roomOf(engine, holderFree + size) - roomOf(engine, holderFree);
-        for (auto &[id, state] : m_workers) {
-            const std::int64_t free = engine.memoryMib - usedMib(state);
-            if (id == holder || state.report.service != service || isGone(state) || state.task || !state.loading.empty()
-                || free < size) {
+        const double made = roomOf(sizes, holderFree + size) - roomOf(sizes, holderFree);
+        for (const auto &[id, free] : freeMib) {
+            if (id == holder || free < size) {
                 continue;
             }
-            const double room = made - (roomOf(engine, free) - roomOf(engine, free - size));
+            const double room = made - (roomOf(sizes, free) - roomOf(sizes, free - size));
             if (room > bestRoom) {
-                best = &state;
+                best = id;
                 bestModel = model;
                 bestRoom = room;
             }
         }
     }
-    if (best == nullptr || underWay >= m_options.packing) {
+    if (best.empty() || underWay >= m_options.packing) {
         return false;
     }
-    best->task = Task{bestModel, {}, PACK, {}, 0};
+    m_workers.at(best).task = Task{bestModel, {}, PACK, {}, 0};
     ++m_survey.replicas[{service, bestModel}];
     return true;
 }
