--- a/src/bamboomoor/gateway/process.cpp
+++ b/src/bamboomoor/gateway/process.cpp
@@ -178,6 +178,29 @@
     return names;
 }
 
+std::uint64_t incarnation()
+{
+    static const auto number = static_cast<std::uint64_t>(base::wallClock().count);
+    return number;
+}
+
+std::vector<control::VoterAddress> seedAddresses(const settings::Settings &settings)
+{
+    std::vector<control::VoterAddress> addresses;
+    for (const std::string &it : seedNames(settings)) {
+        addresses.push_back({it, control::addressIn(it)});
+    }
+    return addresses;
+}
+
+membership::RegistryOptions registryOptions(const settings::Settings &settings)
+{
+    membership::RegistryOptions options;
+    options.lease = settings.upstreams.lease;
+    options.epoch = incarnation();
+    return options;
+}
+
 http::ServerOptions controlServerOptions()
 {
     http::ServerOptions options;
--- a/src/bamboomoor/gateway/process.hpp
+++ b/src/bamboomoor/gateway/process.hpp
@@ -4,10 +4,13 @@
 #pragma once
 
 #include "bamboomoor/base/outcome.hpp"
+#include "bamboomoor/control/peerbook.hpp"
 #include "bamboomoor/gateway/dialect.hpp"
 #include "bamboomoor/http/server.hpp"
+#include "bamboomoor/membership/registry.hpp"
 #include "bamboomoor/settings/settings.hpp"
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -43,6 +46,23 @@
  */
 [[nodiscard]] std::vector<std::string> seedNames(const settings::Settings &settings);
 
+/** @brief Tells apart the starts of this process. @return A number that later starts exceed. */
+[[nodiscard]] std::uint64_t incarnation();
+
+/**
+ * @brief Finds the peer addresses of the seeds.
+ * @param settings The settings.
+ * @return The names of seedNames() with their addresses.
+ */
+[[nodiscard]] std::vector<control::VoterAddress> seedAddresses(const settings::Settings &settings);
+
+/**
+ * @brief Makes the options of a registry of upstreams.
+ * @param settings The settings.
+ * @return The options.
+ */
+[[nodiscard]] membership::RegistryOptions registryOptions(const settings::Settings &settings);
+
 /**
  * @brief Makes the bounds of a server for operators, upstreams or the balancer.
  * @return The bounds.
