Tell the source of each load and loads that no order explains

The logs could not tell whether a load was charged to the weight store, how old the announcement was that named a local copy, nor when a load began that no answered order explains. order_sent and order_answered now carry the source; order_sent the age of the announcement and the allowance left; model_arrived says when a model is there and whether an accepted order explains it.

--- a/src/bamboomoor/gateway/controlmetrics.cpp
+++ b/src/bamboomoor/gateway/controlmetrics.cpp
@@ -25,6 +25,8 @@
     , m_changes(counters(m_registry, "bamboomoor_control_changes_total", "Operators' changes, by outcome"))
     , m_orders(counters(m_registry, "bamboomoor_control_orders_total", "Orders sent, by kind and reason"))
     , m_verdicts(counters(m_registry, "bamboomoor_control_order_verdicts_total", "Orders ended, by verdict"))
+    , m_arrivals(counters(
+          m_registry, "bamboomoor_control_model_arrivals_total", "Models that came to workers, by source of weights"))
     , m_unreachable(
           counters(m_registry, "bamboomoor_control_unreachable_total", "Upstreams found to accept no connection")
               .Add({}))
@@ -62,6 +64,11 @@
     m_orderTime.Observe(static_cast<double>(span.count) / MILLIS_PER_SECOND);
 }
 
+void ControlMetrics::modelArrived(std::string_view source)
+{
+    m_arrivals.Add({{"source", std::string(source)}}).Increment();
+}
+
 void ControlMetrics::unreachable()
 {
     m_unreachable.Increment();
--- a/src/bamboomoor/gateway/controlmetrics.hpp
+++ b/src/bamboomoor/gateway/controlmetrics.hpp
@@ -34,6 +34,9 @@
     /** @brief Notes the end of an order. @param verdict What became of it. @param span Since it was sent. */
     void orderEnded(std::string_view verdict, base::Millis span);
 
+    /** @brief Counts a model that came to a worker. @param source Where its weights came from. */
+    void modelArrived(std::string_view source);
+
     /** @brief Counts an upstream that was found to accept no connection. */
     void unreachable();
 
@@ -49,6 +52,7 @@
     prometheus::Family<prometheus::Counter> &m_changes;
     prometheus::Family<prometheus::Counter> &m_orders;
     prometheus::Family<prometheus::Counter> &m_verdicts;
+    prometheus::Family<prometheus::Counter> &m_arrivals;
     prometheus::Counter &m_unreachable;
     prometheus::Histogram &m_orderTime;
     prometheus::Gauge &m_leading;
--- a/src/bamboomoor/gateway/residencydesk.cpp
+++ b/src/bamboomoor/gateway/residencydesk.cpp
@@ -20,6 +20,8 @@
 constexpr double MILLIS_PER_SECOND = 1'000.0;
 // Demand is weighed in prompts of this length, as long ones load an engine more than short ones.
 constexpr double TOKENS_PER_REQUEST = 2'000.0;
+// A model at a worker that no accepted order explains.
+constexpr std::string_view UNEXPLAINED = "unexplained";
 
 std::map<std::string, placement::EngineSpec> enginesOf(const state::Machine &machine)
 {
@@ -42,6 +44,16 @@
     return engines;
 }
 
+void addOrder(base::LogLine &line, const placement::ResidencyOrder &order)
+{
+    line.add("upstream", order.worker)
+        .add("kind", placement::RESIDENCY_ORDER_NAMES.name(order.kind))
+        .add("model", order.model)
+        .add("adapter", order.adapter)
+        .add("source", order.source ? placement::LOAD_SOURCE_NAMES.name(*order.source) : std::string_view())
+        .add("expected", static_cast<std::int64_t>(order.expected));
+}
+
 placement::WorkerReport reportOf(const membership::Announcement &announcement)
 {
     placement::WorkerReport report;
@@ -69,10 +81,10 @@
 class ResidencyDesk::OrderListener final : public http::Listener
 {
 public:
-    OrderListener(ResidencyDesk &desk, std::uint64_t term, std::string worker)
+    OrderListener(ResidencyDesk &desk, std::uint64_t term, placement::ResidencyOrder order)
         : m_desk(desk)
         , m_term(term)
-        , m_worker(std::move(worker))
+        , m_order(std::move(order))
         , m_sentAt(desk.m_context.clock.now())
     {
     }
@@ -89,14 +101,14 @@
     void onEnd(http::Ending ending) override
     {
         const bool answered = ending.kind == http::EndKind::Complete;
-        m_desk.post(Ordered{m_term, m_worker,
+        m_desk.post(Ordered{m_term, std::move(m_order),
             answered ? m_desk.m_context.dialect.readOrder(m_status) : placement::OrderVerdict::Unknown, m_sentAt});
     }
 
 private:
     ResidencyDesk &m_desk;
     const std::uint64_t m_term;
-    const std::string m_worker;
+    placement::ResidencyOrder m_order;
     const base::Millis m_sentAt;
     int m_status = 0;
 };
@@ -336,14 +348,15 @@
     if (!m_plan || event.term != m_term) {
         return;
     }
-    m_context.log.write(base::LogLine("order_answered")
-                            .add("upstream", event.worker)
-                            .add("verdict", placement::ORDER_VERDICT_NAMES.name(event.verdict))
+    base::LogLine line("order_answered");
+    addOrder(line, event.order);
+    m_context.log.write(line.add("verdict", placement::ORDER_VERDICT_NAMES.name(event.verdict))
+                            .add("age_ms", m_context.clock.now() - event.sentAt)
                             .add("term", static_cast<std::int64_t>(event.term)));
     m_context.metrics.orderEnded(
         placement::ORDER_VERDICT_NAMES.name(event.verdict), m_context.clock.now() - event.sentAt);
     m_fenced = m_fenced || event.verdict == placement::OrderVerdict::Fenced;
-    m_plan->ordered(m_context.clock.now(), event.worker, event.verdict);
+    m_plan->ordered(m_context.clock.now(), event.order.worker, event.verdict);
 }
 
 void ResidencyDesk::on(Looked &event)
@@ -388,6 +401,16 @@
         return;
     }
     const placement::ResidencyActions actions = m_plan->plan(now);
+    for (const placement::ModelArrival &it : actions.arrivals) {
+        const std::string_view source = it.source ? placement::LOAD_SOURCE_NAMES.name(*it.source) : UNEXPLAINED;
+        m_context.log.write(base::LogLine("model_arrived")
+                                .add("upstream", it.worker)
+                                .add("model", it.model)
+                                .add("source", source)
+                                .add("since_order_ms", it.sinceOrder)
+                                .add("term", static_cast<std::int64_t>(m_term)));
+        m_context.metrics.modelArrived(source);
+    }
     for (const placement::ResidencyOrder &it : actions.orders) {
         send(it);
     }
@@ -407,18 +430,18 @@
 
 void ResidencyDesk::send(const placement::ResidencyOrder &order)
 {
-    m_context.log.write(base::LogLine("order_sent")
-                            .add("upstream", order.worker)
-                            .add("kind", placement::RESIDENCY_ORDER_NAMES.name(order.kind))
-                            .add("model", order.model)
-                            .add("adapter", order.adapter)
-                            .add("reason", order.reason)
-                            .add("expected", static_cast<std::int64_t>(order.expected))
-                            .add("term", static_cast<std::int64_t>(m_term)));
+    base::LogLine line("order_sent");
+    addOrder(line, order);
+    line.add("reason", order.reason);
+    if (order.source) {
+        line.add("announcement_age_ms", order.announcementAge)
+            .add("store_allowance", static_cast<std::int64_t>(m_plan->storeAllowance()));
+    }
+    m_context.log.write(line.add("term", static_cast<std::int64_t>(m_term)));
     m_context.metrics.ordered(placement::RESIDENCY_ORDER_NAMES.name(order.kind), order.reason);
     const OrderSender sender{m_options.vm, m_term};
     m_context.client.start(
-        limited(m_context.dialect.order(order, sender)), std::make_shared<OrderListener>(*this, m_term, order.worker));
+        limited(m_context.dialect.order(order, sender)), std::make_shared<OrderListener>(*this, m_term, order));
 }
 
 void ResidencyDesk::look(const placement::Inspection &inspection)
--- a/src/bamboomoor/gateway/residencydesk.hpp
+++ b/src/bamboomoor/gateway/residencydesk.hpp
@@ -97,7 +97,7 @@
     };
     struct Ordered {
         std::uint64_t term = 0;
-        std::string worker;
+        placement::ResidencyOrder order;
         placement::OrderVerdict verdict = placement::OrderVerdict::Unknown;
         base::Millis sentAt;
     };
--- a/src/bamboomoor/placement/residency.cpp
+++ b/src/bamboomoor/placement/residency.cpp
@@ -32,8 +32,12 @@
             state.unreachable = false;
             state.mustInspect = true;
         }
+        if (restarted || it.sequence > state.report.sequence) {
+            state.announcedAt = now;
+        }
         state.report = it;
         if (it.holdings.models.contains(state.loading)) {
+            noteArrival(now, state, state.loading);
             state.view.models.try_emplace(state.loading);
             state.heldSince[state.loading] = now;
             state.loading.clear();
@@ -285,10 +289,17 @@
     }
 }
 
+void Residency::noteArrival(base::Millis now, const State &state, const std::string &model)
+{
+    const auto source = model == state.loading ? std::optional(state.source) : std::nullopt;
+    m_arrivals.push_back({state.report.id, model, source, now - state.orderedAt});
+}
+
 void Residency::carryOut(base::Millis now, State &state, const ResidencyOrder &order)
 {
     if (order.kind == ResidencyOrderKind::Load && order.adapter.empty()) {
         state.loading = order.model;
+        state.source = order.source.value_or(LoadSource::Store);
         state.task.reset();
     } else if (order.kind == ResidencyOrderKind::Load) {
         state.view.models[order.model].insert(order.adapter);
@@ -362,6 +373,11 @@
         return;
     }
     state.mustInspect = false;
+    for (const auto &[model, adapters] : found->holdings.models) {
+        if (!state.view.models.contains(model)) {
+            noteArrival(now, state, model);
+        }
+    }
     state.view = found->holdings;
     state.loading.clear();
 }
--- a/src/bamboomoor/placement/residency.hpp
+++ b/src/bamboomoor/placement/residency.hpp
@@ -125,6 +125,17 @@
 /** @brief The names of the kinds. */
 inline constexpr auto RESIDENCY_ORDER_NAMES = base::makeNames<ResidencyOrderKind>("load", "unload");
 
+/** @brief Where a worker takes the weights of a load from. */
+enum class LoadSource {
+    // The weight store, whose loads are limited.
+    Store,
+    // A copy in the worker's own memory or on its disk.
+    Local
+};
+
+/** @brief The names of the sources. */
+inline constexpr auto LOAD_SOURCE_NAMES = base::makeNames<LoadSource>("store", "local");
+
 /** @brief An order to a worker. */
 struct ResidencyOrder {
     std::string worker;
@@ -137,6 +148,10 @@
     std::uint64_t expected = 0;
     // Why it is given, for the log.
     std::string_view reason;
+    // Where the weights are expected to come from, for the load of a model.
+    std::optional<LoadSource> source = {};
+    // Since the arrival of the announcement that names the worker's copies, for the load of a model.
+    base::Millis announcementAge = {};
 };
 
 /** @brief A look at what a worker holds. */
@@ -192,10 +207,22 @@
     base::Millis readyIn;
 };
 
+/** @brief A model that came to a worker, for the log. */
+struct ModelArrival {
+    std::string worker;
+    std::string model;
+    // Nothing when no accepted order explains it.
+    std::optional<LoadSource> source;
+    // Since the last order to the worker, or its answer.
+    base::Millis sinceOrder;
+};
+
 /** @brief What is to be done now. */
 struct ResidencyActions {
     std::vector<ResidencyOrder> orders;
     std::vector<Inspection> inspections;
+    // Since the last decision.
+    std::vector<ModelArrival> arrivals;
 };
 
 /** @brief The plan of one leader. */
@@ -252,6 +279,12 @@
     /** @brief Lists what comes to workers or came lately. @param now The present time. @return All of it. */
     [[nodiscard]] std::vector<PlacedHolding> placed(base::Millis now) const;
 
+    /** @brief Counts the loads from the store that may start now. @return The present allowance. */
+    [[nodiscard]] double storeAllowance() const noexcept
+    {
+        return m_loads;
+    }
+
     /** @brief Lists what entries must not use any more. @return Worker and model. */
     [[nodiscard]] std::set<std::pair<std::string, std::string>> draining() const;
 
@@ -285,6 +318,10 @@
         bool unreachable = false;
         // A model whose load was accepted and that is not there yet.
         std::string loading;
+        // Where its weights are expected to come from.
+        LoadSource source = LoadSource::Store;
+        // The arrival of the newest announcement.
+        base::Millis announcedAt;
         base::Millis orderedAt;
         base::Millis notBefore;
         std::optional<Task> task;
@@ -354,6 +391,7 @@
         base::Millis now, const State &state, std::int64_t neededMib) const;
     void send(base::Millis now, State &state, ResidencyOrder order, ResidencyActions &out);
     void carryOut(base::Millis now, State &state, const ResidencyOrder &order);
+    void noteArrival(base::Millis now, const State &state, const std::string &model);
 
     ResidencyOptions m_options;
     std::map<std::string, EngineSpec> m_engines;
@@ -364,6 +402,8 @@
     std::map<std::string, base::Millis> m_reportedAt;
     // Adapters that callers missed, until they are ordered.
     std::set<std::pair<std::string, std::string>> m_missed;
+    // Models that came to workers since the last decision.
+    std::vector<ModelArrival> m_arrivals;
     // Loads that may start now.
     double m_loads = 0;
     base::Millis m_loadsAt;
--- a/src/bamboomoor/placement/residencyplan.cpp
+++ b/src/bamboomoor/placement/residencyplan.cpp
@@ -30,6 +30,7 @@
 ResidencyActions Residency::plan(base::Millis now)
 {
     ResidencyActions out;
+    out.arrivals = std::exchange(m_arrivals, {});
     refillLoads(now);
     pruneTasks();
     survey(now);
@@ -143,6 +144,8 @@
     order.kind = ResidencyOrderKind::Load;
     order.model = task.model;
     order.reason = task.reason;
+    order.source = hasLocalCopy(state, task.model) ? LoadSource::Local : LoadSource::Store;
+    order.announcementAge = now - state.announcedAt;
     send(now, state, std::move(order), out);
 }
 
