Tell slow rounds of the thread that orders models

order_answered tells the time to the answer apart from the time until the desk took it (handled_after_ms), and slow_round, with a histogram, says how long a round of events and its decision took. No decision changes.

--- a/src/bamboomoor/gateway/controlmetrics.cpp
+++ b/src/bamboomoor/gateway/controlmetrics.cpp
@@ -35,6 +35,11 @@
                       .Help("From an order to its answer")
                       .Register(m_registry)
                       .Add({}, prometheus::Histogram::BucketBoundaries{0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 1.0}))
+    , m_roundTime(prometheus::BuildHistogram()
+                      .Name("bamboomoor_control_residency_round_seconds")
+                      .Help("Rounds of events and a decision of the thread that orders models")
+                      .Register(m_registry)
+                      .Add({}, prometheus::Histogram::BucketBoundaries{0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0}))
     , m_leading(prometheus::BuildGauge()
                     .Name("bamboomoor_control_leading")
                     .Help("1 while this VM orders models and adapters")
@@ -69,6 +74,11 @@
     m_arrivals.Add({{"source", std::string(source)}}).Increment();
 }
 
+void ControlMetrics::roundEnded(base::Millis span)
+{
+    m_roundTime.Observe(static_cast<double>(span.count) / MILLIS_PER_SECOND);
+}
+
 void ControlMetrics::unreachable()
 {
     m_unreachable.Increment();
--- a/src/bamboomoor/gateway/controlmetrics.hpp
+++ b/src/bamboomoor/gateway/controlmetrics.hpp
@@ -37,6 +37,9 @@
     /** @brief Counts a model that came to a worker. @param source Where its weights came from. */
     void modelArrived(std::string_view source);
 
+    /** @brief Notes a round of the thread that orders models. @param span Its events and its decision. */
+    void roundEnded(base::Millis span);
+
     /** @brief Counts an upstream that was found to accept no connection. */
     void unreachable();
 
@@ -55,6 +58,7 @@
     prometheus::Family<prometheus::Counter> &m_arrivals;
     prometheus::Counter &m_unreachable;
     prometheus::Histogram &m_orderTime;
+    prometheus::Histogram &m_roundTime;
     prometheus::Gauge &m_leading;
 };
 
--- a/src/bamboomoor/gateway/residencydesk.cpp
+++ b/src/bamboomoor/gateway/residencydesk.cpp
@@ -102,7 +102,8 @@
     {
         const bool answered = ending.kind == http::EndKind::Complete;
         m_desk.post(Ordered{m_term, std::move(m_order),
-            answered ? m_desk.m_context.dialect.readOrder(m_status) : placement::OrderVerdict::Unknown, m_sentAt});
+            answered ? m_desk.m_context.dialect.readOrder(m_status) : placement::OrderVerdict::Unknown, m_sentAt,
+            m_desk.m_context.clock.now()});
     }
 
 private:
@@ -220,18 +221,23 @@
         const base::Millis idle = m_plan ? next : m_context.clock.now() + base::Millis{1'000};
         auto event = m_ring.pop(std::max(idle - m_context.clock.now(), base::Millis{0}));
         const bool woken = event.has_value();
+        m_busySince = m_context.clock.now();
+        std::size_t events = 0;
         while (event) {
             std::visit(
                 [this](auto &it) {
                     on(it);
                 },
                 *event);
+            ++events;
             event = m_ring.pop({0});
         }
+        const base::Millis eventsEnded = m_context.clock.now();
         if (m_plan && (woken || m_context.clock.now() >= next)) {
             decide();
             next = m_context.clock.now() + m_options.interval;
         }
+        noteRound(events, eventsEnded);
     }
     while (auto event = m_ring.pop({0})) {
         if (auto *report = std::get_if<ReportEvent>(&*event)) {
@@ -240,6 +246,21 @@
     }
 }
 
+void ResidencyDesk::noteRound(std::size_t events, base::Millis eventsEnded)
+{
+    const base::Millis now = m_context.clock.now();
+    m_context.metrics.roundEnded(now - m_busySince);
+    if (now - m_busySince < m_options.slowRound || now - m_slowTold < m_options.slowRound) {
+        return;
+    }
+    m_slowTold = now;
+    m_context.log.write(base::LogLine("slow_round")
+                            .add("thread", "residency")
+                            .add("events", static_cast<std::int64_t>(events))
+                            .add("events_ms", eventsEnded - m_busySince)
+                            .add("decision_ms", now - eventsEnded));
+}
+
 void ResidencyDesk::on(ReportEvent &event)
 {
     peer::wire::DemandReply reply;
@@ -351,7 +372,8 @@
     base::LogLine line("order_answered");
     addOrder(line, event.order);
     m_context.log.write(line.add("verdict", placement::ORDER_VERDICT_NAMES.name(event.verdict))
-                            .add("age_ms", m_context.clock.now() - event.sentAt)
+                            .add("age_ms", event.endedAt - event.sentAt)
+                            .add("handled_after_ms", m_context.clock.now() - event.endedAt)
                             .add("term", static_cast<std::int64_t>(event.term)));
     m_context.metrics.orderEnded(
         placement::ORDER_VERDICT_NAMES.name(event.verdict), m_context.clock.now() - event.sentAt);
--- a/src/bamboomoor/gateway/residencydesk.hpp
+++ b/src/bamboomoor/gateway/residencydesk.hpp
@@ -42,6 +42,8 @@
     base::Millis suspicion{500};
     // An entry's word of what it has waiting is forgotten after this time.
     base::Millis loadAge{1'500};
+    // A round of events and a decision that takes longer is told, once in each such time.
+    base::Millis slowRound{500};
     // How old the last confirmation of the leadership by a quorum may be when an order is sent; less than the
     // election timeout, after which another one may lead.
     base::Millis leadership{600};
@@ -100,6 +102,7 @@
         placement::ResidencyOrder order;
         placement::OrderVerdict verdict = placement::OrderVerdict::Unknown;
         base::Millis sentAt;
+        base::Millis endedAt;
     };
     struct Looked {
         std::uint64_t term = 0;
@@ -121,6 +124,7 @@
     void on(Looked &event);
     void post(Event event);
     void decide();
+    void noteRound(std::size_t events, base::Millis eventsEnded);
     void suspect(const std::string &worker);
     void exchangeLoads(const peer::wire::DemandReport &request, peer::wire::DemandReply &reply);
     void takeWorkers(base::Millis now);
@@ -150,6 +154,10 @@
     base::Millis m_listeningSince;
     // 0 while this voter does not lead.
     std::uint64_t m_term = 0;
+    // When the present round began.
+    base::Millis m_busySince;
+    // When a slow round was told last.
+    base::Millis m_slowTold;
     // Another leader has ordered; nothing more is ordered in this term.
     bool m_fenced = false;
 };
