Count loads from the store until they surely began, not when they are decided

Cause: the allowance was charged when an order was decided, while the store counts when its load begins. Between the two the order waits: in the HTTP client of a leader short of processor time (up to 10 s in the logs, 48 answers within half a second), on its way, or at a worker that carries it out late. Charges were even, loads were not, and the margin of 6 in 74 covers half a second of delay.

Now a load counts from the sending of its order until a window after the last moment at which it can have begun: its answer, a report that counts it, the end of its incarnation, or 15 s for an order in doubt. So no window holds more than rate x window loads whatever the delays are. Orders under one number share a place, as one takes effect at most, and an order whose connection was never made counts no more (not_sent). A new leader assumes that its predecessor used the whole window, evenly.

--- a/src/bamboomoor/gateway/residencydesk.cpp
+++ b/src/bamboomoor/gateway/residencydesk.cpp
@@ -100,10 +100,13 @@
 
     void onEnd(http::Ending ending) override
     {
-        const bool answered = ending.kind == http::EndKind::Complete;
-        m_desk.post(Ordered{m_term, std::move(m_order),
-            answered ? m_desk.m_context.dialect.readOrder(m_status) : placement::OrderVerdict::Unknown, m_sentAt,
-            m_desk.m_context.clock.now()});
+        auto verdict = placement::OrderVerdict::Unknown;
+        if (ending.kind == http::EndKind::Complete) {
+            verdict = m_desk.m_context.dialect.readOrder(m_status);
+        } else if (!ending.bytesSent) {
+            verdict = placement::OrderVerdict::NotSent;
+        }
+        m_desk.post(Ordered{m_term, std::move(m_order), verdict, m_sentAt, m_desk.m_context.clock.now()});
     }
 
 private:
@@ -346,8 +349,8 @@
     m_fenced = false;
     m_plan.emplace(m_options.plan);
     m_context.metrics.setLeading(true);
-    m_plan->begin(m_context.clock.now(), m_listeningSince);
     m_plan->setEngines(std::move(event.engines));
+    m_plan->begin(m_context.clock.now(), m_listeningSince);
 }
 
 void ResidencyDesk::on(NotLeading & /*event*/)
@@ -457,13 +460,13 @@
     line.add("reason", order.reason);
     if (order.source) {
         line.add("announcement_age_ms", order.announcementAge)
-            .add("store_allowance", static_cast<std::int64_t>(m_plan->storeAllowance()));
+            .add("store_loads", static_cast<std::int64_t>(m_plan->storeLoads()));
     }
     m_context.log.write(line.add("term", static_cast<std::int64_t>(m_term)));
     m_context.metrics.ordered(placement::RESIDENCY_ORDER_NAMES.name(order.kind), order.reason);
     const OrderSender sender{m_options.vm, m_term};
-    m_context.client.start(
-        limited(m_context.dialect.order(order, sender)), std::make_shared<OrderListener>(*this, m_term, order));
+    http::Call call = limited(m_context.dialect.order(order, sender));
+    m_context.client.start(std::move(call), std::make_shared<OrderListener>(*this, m_term, order));
 }
 
 void ResidencyDesk::look(const placement::Inspection &inspection)
--- a/src/bamboomoor/placement/residency.cpp
+++ b/src/bamboomoor/placement/residency.cpp
@@ -13,6 +13,7 @@
 void Residency::setEngines(std::map<std::string, EngineSpec> engines)
 {
     m_engines = std::move(engines);
+    m_store.setRate(storeRate());
 }
 
 void Residency::setWorkers(base::Millis now, const std::vector<WorkerReport> &workers)
@@ -27,6 +28,7 @@
         const bool restarted = state.report.incarnation != it.incarnation || state.report.address != it.address;
         if (restarted) {
             state = {};
+            m_store.restarted(now, it.id, it.incarnation);
         }
         if (state.unreachable && it.sequence > state.report.sequence) {
             state.unreachable = false;
@@ -57,6 +59,15 @@
     });
 }
 
+double Residency::storeRate() const noexcept
+{
+    double rate = 0;
+    for (const auto &[service, engine] : m_engines) {
+        rate += engine.loadsPerSecond;
+    }
+    return rate;
+}
+
 void Residency::setDemand(base::Millis now, const std::string &entry, const std::vector<ResidencyDemand> &demand)
 {
     auto &rates = m_demand[entry];
@@ -259,6 +270,7 @@
     State &state = it->second;
     const ResidencyOrder order = *std::exchange(state.underWay, std::nullopt);
     state.orderedAt = now;
+    noteStoreLoad(now, state, order, verdict);
     // An adapter goes at once, which is answered like an order that held already.
     const bool done =
         verdict == OrderVerdict::Holds && order.kind == ResidencyOrderKind::Unload && !order.adapter.empty();
@@ -273,6 +285,10 @@
         carryOut(now, state, order);
         state.mustInspect = true;
         return;
+    case OrderVerdict::NotSent:
+        state.mustInspect = true;
+        state.notBefore = now + m_options.retry;
+        return;
     case OrderVerdict::Conflict:
     case OrderVerdict::Unknown:
         state.orders.reset();
@@ -289,6 +305,33 @@
     }
 }
 
+void Residency::noteStoreLoad(base::Millis now, const State &state, const ResidencyOrder &order, OrderVerdict verdict)
+{
+    const LoadKey key{state.report.id, state.report.incarnation, order.expected};
+    switch (verdict) {
+    case OrderVerdict::Accepted:
+        if (isStoreLoad(order)) {
+            m_store.begun(now, key);
+        } else {
+            m_store.replaced(key);
+        }
+        return;
+    case OrderVerdict::Holds:
+    case OrderVerdict::Rejected:
+        // A load that was in doubt under the same number has begun before, or never will.
+        m_store.begun(now, key);
+        return;
+    case OrderVerdict::Conflict:
+    case OrderVerdict::Fenced:
+    case OrderVerdict::NotSent:
+        m_store.refused(key);
+        return;
+    case OrderVerdict::Unknown:
+        m_store.doubted(key);
+        return;
+    }
+}
+
 void Residency::noteArrival(base::Millis now, const State &state, const std::string &model)
 {
     const auto source = model == state.loading ? std::optional(state.source) : std::nullopt;
@@ -364,6 +407,7 @@
         state.notBefore = now + m_options.retry;
         return;
     }
+    m_store.accepted(now, worker, state.report.incarnation, found->orders);
     state.counted = true;
     state.orders = found->orders;
     state.leastOrders = found->orders;
--- a/src/bamboomoor/placement/residency.hpp
+++ b/src/bamboomoor/placement/residency.hpp
@@ -13,6 +13,7 @@
 
 #include "bamboomoor/base/clock.hpp"
 #include "bamboomoor/base/nametable.hpp"
+#include "bamboomoor/placement/storewindow.hpp"
 
 #include <algorithm>
 #include <cstdint>
@@ -75,6 +76,7 @@
     int copies = 4;
     // Loads that the store's rate allows at once.
     double burst = 3;
+    StoreWindowOptions store = {};
 };
 
 /** @brief A model that is to be reachable. */
@@ -172,13 +174,15 @@
     Fenced,
     // The worker is another one, or knows no such order.
     Rejected,
+    // It never left, so that it takes no effect.
+    NotSent,
     // It may or may not take effect.
     Unknown
 };
 
 /** @brief The names of the verdicts. */
 inline constexpr auto ORDER_VERDICT_NAMES =
-    base::makeNames<OrderVerdict>("accepted", "holds", "conflict", "fenced", "rejected", "unknown");
+    base::makeNames<OrderVerdict>("accepted", "holds", "conflict", "fenced", "rejected", "not_sent", "unknown");
 
 /** @brief What an inspection found. */
 struct Inspected {
@@ -232,23 +236,25 @@
     /** @brief Makes a plan that knows nothing. @param options The settings. */
     explicit Residency(ResidencyOptions options = {}) noexcept
         : m_options(options)
+        , m_store(options.store)
     {
     }
 
+    /** @brief Takes the engines. @param engines Engines by service. */
+    void setEngines(std::map<std::string, EngineSpec> engines);
+
     /**
-     * @brief Begins to lead.
+     * @brief Begins to lead; the engines are known.
      * @param now The present time.
      * @param listeningSince Since when this VM hears announcements.
      */
-    void begin(base::Millis now, base::Millis listeningSince) noexcept
+    void begin(base::Millis now, base::Millis listeningSince)
     {
         m_settledAt = std::max(now + m_options.takeover, listeningSince + m_options.settle);
         m_loadsAt = now;
+        m_store.assumeFull(now);
     }
 
-    /** @brief Takes the engines. @param engines Engines by service. */
-    void setEngines(std::map<std::string, EngineSpec> engines);
-
     /** @brief Takes all live workers. @param now The present time. @param workers Their announcements. */
     void setWorkers(base::Millis now, const std::vector<WorkerReport> &workers);
 
@@ -279,10 +285,11 @@
     /** @brief Lists what comes to workers or came lately. @param now The present time. @return All of it. */
     [[nodiscard]] std::vector<PlacedHolding> placed(base::Millis now) const;
 
-    /** @brief Counts the loads from the store that may start now. @return The present allowance. */
-    [[nodiscard]] double storeAllowance() const noexcept
+    /** @brief Counts the loads from the store that began in the last window or may still begin. @return Their number.
+     */
+    [[nodiscard]] std::size_t storeLoads() const noexcept
     {
-        return m_loads;
+        return m_store.size();
     }
 
     /** @brief Lists what entries must not use any more. @return Worker and model. */
@@ -366,6 +373,8 @@
     [[nodiscard]] bool isIdle(base::Millis now, const State &state) const;
     [[nodiscard]] bool hasLocalCopy(const State &state, const std::string &model) const;
     [[nodiscard]] base::Millis drainedAt(base::Millis now, const std::vector<std::string> &evicted) const;
+    // Loads from the weight store a second, over all workers.
+    [[nodiscard]] double storeRate() const noexcept;
     void refillLoads(base::Millis now);
     void pruneTasks();
     void continueTask(base::Millis now, State &state, ResidencyActions &out);
@@ -391,6 +400,11 @@
         base::Millis now, const State &state, std::int64_t neededMib) const;
     void send(base::Millis now, State &state, ResidencyOrder order, ResidencyActions &out);
     void carryOut(base::Millis now, State &state, const ResidencyOrder &order);
+    [[nodiscard]] static bool isStoreLoad(const ResidencyOrder &order) noexcept
+    {
+        return order.source == LoadSource::Store;
+    }
+    void noteStoreLoad(base::Millis now, const State &state, const ResidencyOrder &order, OrderVerdict verdict);
     void noteArrival(base::Millis now, const State &state, const std::string &model);
 
     ResidencyOptions m_options;
@@ -404,8 +418,10 @@
     std::set<std::pair<std::string, std::string>> m_missed;
     // Models that came to workers since the last decision.
     std::vector<ModelArrival> m_arrivals;
-    // Loads that may start now.
+    // Loads from the store that may start now at an even pace.
     double m_loads = 0;
+    // Bounds the loads of each window, whatever becomes of orders on their way.
+    StoreWindow m_store;
     base::Millis m_loadsAt;
     base::Millis m_reviewAt;
     // Until then workers that live may not have announced themselves.
--- a/src/bamboomoor/placement/residencyplan.cpp
+++ b/src/bamboomoor/placement/residencyplan.cpp
@@ -87,13 +87,10 @@
 
 void Residency::refillLoads(base::Millis now)
 {
-    double rate = 0;
-    for (const auto &[service, engine] : m_engines) {
-        rate += engine.loadsPerSecond;
-    }
     const double passed = static_cast<double>((now - m_loadsAt).count) / MILLIS_PER_SECOND;
-    m_loads = std::min(m_options.burst, m_loads + passed * rate);
+    m_loads = std::min(m_options.burst, m_loads + passed * storeRate());
     m_loadsAt = now;
+    m_store.expire(now);
 }
 
 void Residency::pruneTasks()
@@ -134,17 +131,20 @@
         state.task.reset();
         return;
     }
-    if (!hasLocalCopy(state, task.model)) {
-        if (m_loads < 1) {
+    const bool local = hasLocalCopy(state, task.model);
+    if (!local) {
+        const LoadKey key{state.report.id, state.report.incarnation, state.orders.value_or(0)};
+        if (m_loads < 1 || !m_store.mayStart(key)) {
             return;
         }
         m_loads -= 1;
+        m_store.sent(now, key);
     }
     ResidencyOrder order;
     order.kind = ResidencyOrderKind::Load;
     order.model = task.model;
     order.reason = task.reason;
-    order.source = hasLocalCopy(state, task.model) ? LoadSource::Local : LoadSource::Store;
+    order.source = local ? LoadSource::Local : LoadSource::Store;
     order.announcementAge = now - state.announcedAt;
     send(now, state, std::move(order), out);
 }
