Give up orders that wait too long for the HTTP client's thread

An order rests on what the leader knew when it decided: that it leads, and what the worker holds. The time limits of a call began when the client's thread took it up, so that orders decided before a stall of that thread left seconds later, also after the leadership had ended. A call may now name how long it may wait to be started; beyond that it ends as stale, unsent. Orders wait 400 ms at most.

The test holds the client's thread in a listener; the call was sent before.

--- a/src/bamboomoor/entry/attempt.cpp
+++ b/src/bamboomoor/entry/attempt.cpp
@@ -31,6 +31,8 @@
         return ending.bytesSent ? FailureKind::ResetBeforeAnswer : FailureKind::ConnectRefused;
     case http::EndKind::ConnectTimeout:
         return FailureKind::ConnectTimeout;
+    case http::EndKind::Stale:
+        return FailureKind::SentNothing;
     case http::EndKind::ResetBeforeAnswer:
         return ending.bytesSent ? FailureKind::ResetBeforeAnswer : FailureKind::SentNothing;
     case http::EndKind::ResetDuring:
--- a/src/bamboomoor/gateway/residencydesk.cpp
+++ b/src/bamboomoor/gateway/residencydesk.cpp
@@ -466,6 +466,7 @@
     m_context.metrics.ordered(placement::RESIDENCY_ORDER_NAMES.name(order.kind), order.reason);
     const OrderSender sender{m_options.vm, m_term};
     http::Call call = limited(m_context.dialect.order(order, sender));
+    call.startTimeout = m_options.startTimeout;
     m_context.client.start(std::move(call), std::make_shared<OrderListener>(*this, m_term, order));
 }
 
--- a/src/bamboomoor/gateway/residencydesk.hpp
+++ b/src/bamboomoor/gateway/residencydesk.hpp
@@ -36,6 +36,8 @@
     // The longest wait for a worker's answer.
     base::Millis timeout{1'000};
     base::Millis connectTimeout{400};
+    // An order that has not left by then is given up: what it rests on, such as the leadership, may have changed.
+    base::Millis startTimeout{400};
     // A worker whose announcement counts no longer than this has missed one, and is looked at.
     base::Millis overdue{2'400};
     // Between two looks at a worker that entries cannot reach.
--- a/src/bamboomoor/http/client.cpp
+++ b/src/bamboomoor/http/client.cpp
@@ -34,6 +34,7 @@
     std::uint64_t id = 0;
     Call call;
     std::shared_ptr<Listener> listener;
+    base::Millis queuedAt;
 };
 
 void initialiseLibrary()
@@ -122,7 +123,7 @@
         id.value = ++m_lastId;
         stopped = m_stopping;
         if (!stopped) {
-            m_pending.push_back({id.value, std::move(call), listener});
+            m_pending.push_back({id.value, std::move(call), listener, m_clock.now()});
         }
     }
     if (stopped) {
@@ -181,6 +182,8 @@
         const bool unwanted = stopping || std::find(cancelled.begin(), cancelled.end(), it.id) != cancelled.end();
         if (unwanted) {
             it.listener->onEnd({EndKind::Cancelled, false, false, 0, {}});
+        } else if (m_clock.now() - it.queuedAt > it.call.startTimeout) {
+            it.listener->onEnd({EndKind::Stale, false, false, 0, "not started in time"});
         } else {
             startTransfer(std::move(it));
         }
--- a/src/bamboomoor/http/client.hpp
+++ b/src/bamboomoor/http/client.hpp
@@ -31,12 +31,13 @@
     Cancelled,
     Malformed,
     TooLarge,
+    Stale,
 };
 
 /** @brief The names of the ways in which a call ends. */
 inline constexpr auto END_KIND_NAMES =
     base::makeNames<EndKind>("complete", "unusable", "connect_failed", "connect_timeout", "reset_before_answer",
-        "reset_during", "truncated", "silent", "timed_out", "cancelled", "malformed", "too_large");
+        "reset_during", "truncated", "silent", "timed_out", "cancelled", "malformed", "too_large", "stale");
 
 /** @brief How a call ended. */
 struct Ending {
@@ -84,6 +85,8 @@
     std::string url = {};
     Headers headers = {};
     std::string body = {};
+    // From start() to the moment when the client's thread takes the call; later it ends as Stale, unsent.
+    base::Millis startTimeout = base::NEVER;
     base::Millis connectTimeout{1'000};
     // From the start to the first byte of the answer.
     base::Millis firstByteTimeout{10'000};
--- a/test/bamboomoor/http/client.cpp
+++ b/test/bamboomoor/http/client.cpp
@@ -6,8 +6,12 @@
 
 #include "bamboomoor/http/fetch.hpp"
 
+#include <absl/synchronization/notification.h>
 #include <boost/test/unit_test.hpp>
 
+#include <chrono>
+#include <thread>
+
 using namespace bamboomoor;
 using namespace bamboomoor::http::test;
 using http::EndKind;
@@ -76,6 +80,43 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_call_that_waits_for_the_thread_beyond_its_start_timeout_is_not_sent)
+{
+    /** @brief Holds the client's thread for a while. */
+    class Holder final : public http::Listener
+    {
+    public:
+        void onHead(int /*status*/, http::Headers /*headers*/) override
+        {
+            began.Notify();
+            std::this_thread::sleep_for(std::chrono::milliseconds(400));
+        }
+        void onData(std::string_view /*bytes*/) override
+        {
+        }
+        void onEnd(http::Ending /*ending*/) override
+        {
+            ended.Notify();
+        }
+        absl::Notification began;
+        absl::Notification ended;
+    };
+    http::Client client;
+    RawServer first(WHOLE, Then::Close);
+    RawServer second(WHOLE, Then::Close);
+    const auto holder = std::make_shared<Holder>();
+    client.start(callTo(first.url()), holder);
+    holder->began.WaitForNotification();
+    http::Call call = callTo(second.url());
+    call.startTimeout = {100};
+    const auto answer = send(client, call);
+    BOOST_TEST((answer->await().kind == EndKind::Stale));
+    BOOST_TEST(!answer->await().bytesSent);
+    holder->ended.WaitForNotification();
+    BOOST_TEST((send(client, call)->await().kind == EndKind::Complete));
+    BOOST_TEST(second.requests() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(nothing_is_sent_where_nobody_listens)
 {
     http::Client client;
