Decide on models at a pace, not once for each report

Callers on a grown fleet: the leader spent 70 to 85 % of the time in the thread that orders models, on a machine with 0.6 of a core, so that its HTTP client stood still for 0.4 to 3.3 s (a transfer step of one call took so long) and orders left together.

Cause: each report of an entry (64 entries, five a second, more when callers wait for a model) brought a full decision on. A decision summed the rates of all entries again, looked at all workers for each pair of model and worker, and listed every adapter for each worker. A report of an unreachable worker that was no longer announced copied all announcements, each time.

Now decisions are 50 ms apart at least, and reports that keep coming do not put one off. The sum over entries is kept as it decays, workers are looked up by model, needs of adapters are found once a decision, and sums of what waits are kept as reports come. The decisions are the same.

--- a/src/bamboomoor/gateway/residencydesk.cpp
+++ b/src/bamboomoor/gateway/residencydesk.cpp
@@ -17,6 +17,8 @@
 {
 
 constexpr std::size_t RING_SIZE = 4'096;
+// The longest wait for events of a VM that does not lead.
+constexpr base::Millis IDLE_WAIT{1'000};
 constexpr double MILLIS_PER_SECOND = 1'000.0;
 // Demand is weighed in prompts of this length, as long ones load an engine more than short ones.
 constexpr double TOKENS_PER_REQUEST = 2'000.0;
@@ -159,6 +161,8 @@
     : m_options(std::move(options))
     , m_context(context)
     , m_ring(RING_SIZE)
+    , m_waiting(m_options.loadAge)
+    , m_pace(m_options.spacing, m_options.interval)
 {
 }
 
@@ -219,28 +223,8 @@
 
 void ResidencyDesk::run()
 {
-    base::Millis next = m_context.clock.now();
     while (!m_stopping) {
-        const base::Millis idle = m_plan ? next : m_context.clock.now() + base::Millis{1'000};
-        auto event = m_ring.pop(std::max(idle - m_context.clock.now(), base::Millis{0}));
-        const bool woken = event.has_value();
-        m_busySince = m_context.clock.now();
-        std::size_t events = 0;
-        while (event) {
-            std::visit(
-                [this](auto &it) {
-                    on(it);
-                },
-                *event);
-            ++events;
-            event = m_ring.pop({0});
-        }
-        const base::Millis eventsEnded = m_context.clock.now();
-        if (m_plan && (woken || m_context.clock.now() >= next)) {
-            decide();
-            next = m_context.clock.now() + m_options.interval;
-        }
-        noteRound(events, eventsEnded);
+        takeEvents();
     }
     while (auto event = m_ring.pop({0})) {
         if (auto *report = std::get_if<ReportEvent>(&*event)) {
@@ -249,18 +233,44 @@
     }
 }
 
-void ResidencyDesk::noteRound(std::size_t events, base::Millis eventsEnded)
+void ResidencyDesk::takeEvents()
+{
+    const base::Millis waitEnd = m_plan ? m_pace.dueAt() : m_context.clock.now() + IDLE_WAIT;
+    auto event = m_ring.pop(std::max(waitEnd - m_context.clock.now(), base::Millis{0}));
+    const base::Millis began = m_context.clock.now();
+    std::size_t events = 0;
+    // Events that keep coming must not put a decision off.
+    while (event) {
+        std::visit(
+            [this](auto &it) {
+                on(it);
+            },
+            *event);
+        ++events;
+        m_pace.noteNews();
+        const bool isDue = m_plan && m_context.clock.now() >= m_pace.dueAt();
+        event = isDue ? std::nullopt : m_ring.pop({0});
+    }
+    const base::Millis eventsEnded = m_context.clock.now();
+    if (m_plan && eventsEnded >= m_pace.dueAt()) {
+        decide();
+        m_pace.decided(m_context.clock.now());
+    }
+    noteRound(events, began, eventsEnded);
+}
+
+void ResidencyDesk::noteRound(std::size_t events, base::Millis began, base::Millis eventsEnded)
 {
     const base::Millis now = m_context.clock.now();
-    m_context.metrics.roundEnded(now - m_busySince);
-    if (now - m_busySince < m_options.slowRound || now - m_slowTold < m_options.slowRound) {
+    m_context.metrics.roundEnded(now - began);
+    if (now - began < m_options.slowRound || now - m_slowTold < m_options.slowRound) {
         return;
     }
     m_slowTold = now;
     m_context.log.write(base::LogLine("slow_round")
                             .add("thread", "residency")
                             .add("events", static_cast<std::int64_t>(events))
-                            .add("events_ms", eventsEnded - m_busySince)
+                            .add("events_ms", eventsEnded - began)
                             .add("decision_ms", now - eventsEnded));
 }
 
@@ -306,40 +316,27 @@
     std::erase_if(m_suspects, [&](const auto &it) {
         return now - it.second > m_options.suspicion;
     });
-    if (m_suspects.contains(worker)) {
+    if (!m_suspects.emplace(worker, now).second) {
         return;
     }
-    for (const membership::Entry &it : m_context.upstreams.list(now)) {
-        if (it.announcement.id == worker) {
-            m_suspects.emplace(worker, now);
-            look({worker, it.announcement.address});
-        }
+    if (const auto address = m_context.upstreams.addressOf(now, worker)) {
+        look({worker, *address});
     }
 }
 
 void ResidencyDesk::exchangeLoads(const peer::wire::DemandReport &request, peer::wire::DemandReply &reply)
 {
     const base::Millis now = m_context.clock.now();
-    EntryLoad &own = m_loads[request.vm()];
-    own = {now, {}};
+    WaitingTotals::Tokens own;
     for (const auto &it : request.waiting()) {
-        own.waiting[it.upstream()] += it.waiting_tokens();
-    }
-    std::erase_if(m_loads, [&](const auto &it) {
-        return now - it.second.at > m_options.loadAge;
-    });
-    std::map<std::string, std::int64_t> others;
-    for (const auto &[vm, load] : m_loads) {
-        for (const auto &[upstream, tokens] : load.waiting) {
-            others[upstream] += vm == request.vm() ? 0 : tokens;
-        }
-    }
-    for (const auto &[upstream, tokens] : others) {
-        if (tokens > 0) {
-            auto *load = reply.add_waiting();
-            load->set_upstream(upstream);
-            load->set_waiting_tokens(tokens);
-        }
+        own[it.upstream()] += it.waiting_tokens();
+    }
+    m_waiting.set(now, request.vm(), std::move(own));
+    m_waiting.expire(now);
+    for (const auto &[upstream, tokens] : m_waiting.others(request.vm())) {
+        auto *load = reply.add_waiting();
+        load->set_upstream(upstream);
+        load->set_waiting_tokens(tokens);
     }
 }
 
--- a/src/bamboomoor/gateway/residencydesk.hpp
+++ b/src/bamboomoor/gateway/residencydesk.hpp
@@ -10,8 +10,10 @@
 #include "bamboomoor/control/demandtaker.hpp"
 #include "bamboomoor/control/voterdesk.hpp"
 #include "bamboomoor/entry/upstreambook.hpp"
+#include "bamboomoor/gateway/decisionpace.hpp"
 #include "bamboomoor/gateway/dialect.hpp"
 #include "bamboomoor/gateway/fwd.hpp"
+#include "bamboomoor/gateway/waitingtotals.hpp"
 #include "bamboomoor/http/client.hpp"
 #include "bamboomoor/placement/residency.hpp"
 
@@ -33,6 +35,8 @@
     placement::ResidencyOptions plan;
     // Between two decisions without news.
     base::Millis interval{200};
+    // Between two decisions at least; some hundred entries report several times a second.
+    base::Millis spacing{50};
     // The longest wait for a worker's answer.
     base::Millis timeout{1'000};
     base::Millis connectTimeout{400};
@@ -125,8 +129,9 @@
     void on(Ordered &event);
     void on(Looked &event);
     void post(Event event);
+    void takeEvents();
     void decide();
-    void noteRound(std::size_t events, base::Millis eventsEnded);
+    void noteRound(std::size_t events, base::Millis began, base::Millis eventsEnded);
     void suspect(const std::string &worker);
     void exchangeLoads(const peer::wire::DemandReport &request, peer::wire::DemandReply &reply);
     void takeWorkers(base::Millis now);
@@ -141,23 +146,16 @@
     std::thread m_thread;
     std::atomic<bool> m_stopping{false};
 
-    struct EntryLoad {
-        base::Millis at;
-        // Prompt tokens that wait, by upstream.
-        std::map<std::string, std::int64_t> waiting;
-    };
-
     // Used by the thread only.
     std::optional<placement::Residency> m_plan;
-    std::map<std::string, EntryLoad> m_loads;
+    WaitingTotals m_waiting;
+    DecisionPace m_pace;
     // Workers that entries could not reach, and when they were last looked at for it.
     std::map<std::string, base::Millis> m_suspects;
     // When this VM began to hear announcements.
     base::Millis m_listeningSince;
     // 0 while this voter does not lead.
     std::uint64_t m_term = 0;
-    // When the present round began.
-    base::Millis m_busySince;
     // When a slow round was told last.
     base::Millis m_slowTold;
     // Another leader has ordered; nothing more is ordered in this term.
--- a/src/bamboomoor/placement/residency.cpp
+++ b/src/bamboomoor/placement/residency.cpp
@@ -70,33 +70,40 @@
 
 void Residency::setDemand(base::Millis now, const std::string &entry, const std::vector<ResidencyDemand> &demand)
 {
-    auto &rates = m_demand[entry];
-    std::map<std::pair<std::string, std::string>, double> latest;
+    // What a new entry, or a new leader's first report of one, tells is all that is known.
+    const auto [reported, isFirst] = m_reportedAt.try_emplace(entry, now);
+    const base::Millis span = now - std::exchange(reported->second, now);
+    const double recentPart = isFirst ? 1 : 1 - kept(span, m_options.halfLife);
+    const double lastingPart = isFirst ? 1 : 1 - kept(span, m_options.trendHalfLife);
     for (const ResidencyDemand &it : demand) {
-        latest[{it.model, it.adapter}] += it.rate;
+        Rate &total = m_demand[{it.model, it.adapter}];
+        total.recent = total.recent * kept(now - total.at, m_options.halfLife) + it.rate * recentPart;
+        total.lasting = total.lasting * kept(now - total.at, m_options.trendHalfLife) + it.rate * lastingPart;
+        total.at = now;
         if (it.missed > 0) {
             m_missed.emplace(it.model, it.adapter);
         }
     }
-    // What a new entry, or a new leader's first report of one, tells is all that is known; later a model that was not
-    // asked for before counts from the report before.
-    const auto [reported, isFirst] = m_reportedAt.try_emplace(entry, now);
-    for (const auto &[key, rate] : latest) {
-        rates.try_emplace(key, isFirst ? Rate{rate, rate, now} : Rate{0, 0, reported->second});
+}
+
+void Residency::sumDemand(base::Millis now)
+{
+    m_summed = {};
+    std::map<std::string, double> lastingDemand;
+    for (const auto &[key, rate] : m_demand) {
+        const double recent = rate.recent * kept(now - rate.at, m_options.halfLife);
+        m_summed.exact[key] = recent;
+        m_summed.models[key.first] += recent;
+        lastingDemand[key.first] += rate.lasting * kept(now - rate.at, m_options.trendHalfLife);
     }
-    reported->second = now;
-    for (auto &[key, rate] : rates) {
-        const auto it = latest.find(key);
-        const double newest = it == latest.end() ? 0 : it->second;
-        const double keepRecent = kept(now - rate.at, m_options.halfLife);
-        const double keepLong = kept(now - rate.at, m_options.trendHalfLife);
-        rate.recent = rate.recent * keepRecent + newest * (1 - keepRecent);
-        rate.lasting = rate.lasting * keepLong + newest * (1 - keepLong);
-        rate.at = now;
+    // A copy serves seconds after it is ordered, and demand that grows goes on to grow meanwhile. A fall is not carried
+    // on in the same way, as it may be chance, and evicting a model in use costs more than a copy gains.
+    for (auto &[model, demand] : m_summed.models) {
+        demand += std::max(0.0, demand - lastingDemand[model]) * m_options.trend;
     }
 }
 
-void Residency::survey(base::Millis now)
+void Residency::surveyWorkers()
 {
     m_survey = {};
     for (const auto &[id, state] : m_workers) {
@@ -104,20 +111,6 @@
             surveyWorker(state);
         }
     }
-    for (const auto &[entry, rates] : m_demand) {
-        for (const auto &[key, rate] : rates) {
-            const double recent = rate.recent * kept(now - rate.at, m_options.halfLife);
-            const double lasting = rate.lasting * kept(now - rate.at, m_options.trendHalfLife);
-            m_survey.demand[key] += recent;
-            m_survey.modelDemand[key.first] += recent;
-            m_survey.lastingDemand[key.first] += lasting;
-        }
-    }
-    // A copy serves seconds after it is ordered, and demand that grows goes on to grow meanwhile. A fall is not carried
-    // on in the same way, as it may be chance, and evicting a model in use costs more than a copy gains.
-    for (auto &[model, demand] : m_survey.modelDemand) {
-        demand += std::max(0.0, demand - m_survey.lastingDemand[model]) * m_options.trend;
-    }
 }
 
 double Residency::kept(base::Millis age, base::Millis halfLife) noexcept
@@ -132,7 +125,7 @@
         if (isEvicting(state, model)) {
             continue;
         }
-        ++m_survey.replicas[{service, model}];
+        m_survey.holders[{service, model}].push_back(state.report.id);
         if (!state.report.overdue) {
             ++m_survey.ready[{service, model}];
         }
@@ -142,20 +135,20 @@
     }
     const std::string coming = !state.loading.empty() ? state.loading : state.task ? state.task->model : std::string();
     if (!coming.empty() && !state.view.models.contains(coming)) {
-        ++m_survey.replicas[{service, coming}];
+        m_survey.holders[{service, coming}].push_back(state.report.id);
     }
 }
 
 double Residency::demandOf(const std::string &model, const std::string &adapter) const
 {
-    const auto it = m_survey.demand.find({model, adapter});
-    return it == m_survey.demand.end() ? 0 : it->second;
+    const auto it = m_summed.exact.find({model, adapter});
+    return it == m_summed.exact.end() ? 0 : it->second;
 }
 
 double Residency::modelDemand(const std::string &model) const
 {
-    const auto it = m_survey.modelDemand.find(model);
-    return it == m_survey.modelDemand.end() ? 0 : it->second;
+    const auto it = m_summed.models.find(model);
+    return it == m_summed.models.end() ? 0 : it->second;
 }
 
 const EngineSpec *Residency::engineOf(const State &state) const
@@ -215,8 +208,8 @@
 
 std::size_t Residency::replicas(const std::string &service, const std::string &model) const
 {
-    const auto it = m_survey.replicas.find({service, model});
-    return it == m_survey.replicas.end() ? 0 : it->second;
+    const auto it = m_survey.holders.find({service, model});
+    return it == m_survey.holders.end() ? 0 : it->second.size();
 }
 
 std::size_t Residency::adapterReplicas(
--- a/src/bamboomoor/placement/residency.hpp
+++ b/src/bamboomoor/placement/residency.hpp
@@ -339,18 +339,27 @@
         double lasting = 0;
         base::Millis at;
     };
-    // Sums over workers and entries as of one moment.
+    struct AdapterNeed {
+        double need = 0;
+        std::string adapter;
+    };
+    // Sums over workers as of one moment.
     struct Survey {
-        // Workers that hold a model, or will, by service and model.
-        std::map<std::pair<std::string, std::string>, std::size_t> replicas;
+        // Ids of the workers that hold a model, or will, by service and model.
+        std::map<std::pair<std::string, std::string>, std::vector<std::string>> holders;
         // Those of them that hold it now and announce themselves in time.
         std::map<std::pair<std::string, std::string>, std::size_t> ready;
         // Workers that hold an adapter, by service, model and adapter.
         std::map<std::tuple<std::string, std::string, std::string>, std::size_t> adapters;
-        // Requests a second by model and adapter, and by model with their trend.
-        std::map<std::pair<std::string, std::string>, double> demand;
-        std::map<std::string, double> modelDemand;
-        std::map<std::string, double> lastingDemand;
+        // Adapters that are worth a place at a worker, by service and model, the most needed first.
+        std::map<std::pair<std::string, std::string>, std::vector<AdapterNeed>> adapterNeeds;
+    };
+    // Requests a second as of one moment.
+    struct Demand {
+        // By model and adapter.
+        std::map<std::pair<std::string, std::string>, double> exact;
+        // By model, with the trend.
+        std::map<std::string, double> models;
     };
 
     [[nodiscard]] static bool isGone(const State &state) noexcept
@@ -368,8 +377,11 @@
     [[nodiscard]] double modelDemand(const std::string &model) const;
     [[nodiscard]] double loadOf(const State &state) const;
     [[nodiscard]] static double kept(base::Millis age, base::Millis halfLife) noexcept;
-    void survey(base::Millis now);
+    void sumDemand(base::Millis now);
+    void surveyWorkers();
     void surveyWorker(const State &state);
+    [[nodiscard]] const std::vector<AdapterNeed> &adapterNeeds(
+        const std::string &service, const std::string &model, const ModelSpec &spec);
     [[nodiscard]] bool isIdle(base::Millis now, const State &state) const;
     [[nodiscard]] bool hasLocalCopy(const State &state, const std::string &model) const;
     [[nodiscard]] base::Millis drainedAt(base::Millis now, const std::vector<std::string> &evicted) const;
@@ -379,7 +391,7 @@
     void pruneTasks();
     void continueTask(base::Millis now, State &state, ResidencyActions &out);
     void orderAdapter(base::Millis now, State &state, ResidencyActions &out);
-    [[nodiscard]] std::optional<std::pair<std::string, std::string>> wantedAdapter(const State &state) const;
+    [[nodiscard]] std::optional<std::pair<std::string, std::string>> wantedAdapter(const State &state);
     [[nodiscard]] std::optional<std::pair<std::string, std::string>> spareAdapter(
         const State &state, double above) const;
     [[nodiscard]] std::size_t adapterReplicas(
@@ -410,8 +422,8 @@
     ResidencyOptions m_options;
     std::map<std::string, EngineSpec> m_engines;
     std::map<std::string, State> m_workers;
-    // By entry and by model and adapter.
-    std::map<std::string, std::map<std::pair<std::string, std::string>, Rate>> m_demand;
+    // By model and adapter; the means of all entries have the same half-lives, so that their sum decays like each.
+    std::map<std::pair<std::string, std::string>, Rate> m_demand;
     // When each entry reported last.
     std::map<std::string, base::Millis> m_reportedAt;
     // Adapters that callers missed, until they are ordered.
@@ -427,6 +439,7 @@
     // Until then workers that live may not have announced themselves.
     base::Millis m_settledAt;
     Survey m_survey;
+    Demand m_summed;
 };
 
 } // namespace bamboomoor::placement
--- a/src/bamboomoor/placement/residencycopies.cpp
+++ b/src/bamboomoor/placement/residencycopies.cpp
@@ -41,7 +41,7 @@
 std::vector<std::string> Residency::busiestModels(const std::string &service, const EngineSpec &engine) const
 {
     std::vector<std::pair<double, std::string>> shares;
-    for (const auto &[model, demand] : m_survey.modelDemand) {
+    for (const auto &[model, demand] : m_summed.models) {
         const std::size_t copies = replicas(service, model);
         if (engine.models.contains(model) && copies > 0 && demand >= m_options.leastDemand) {
             shares.emplace_back(-demand / static_cast<double>(copies), model);
@@ -60,11 +60,12 @@
 void Residency::spread(
     const std::string &service, const std::string &model, double change, std::map<std::string, double> &changes) const
 {
-    for (const auto &[id, state] : m_workers) {
-        const bool counts = state.report.service == service && !isGone(state) && !isEvicting(state, model);
-        if (counts && holdsOrLoads(state, model)) {
-            changes[id] += change;
-        }
+    const auto holders = m_survey.holders.find({service, model});
+    if (holders == m_survey.holders.end()) {
+        return;
+    }
+    for (const std::string &it : holders->second) {
+        changes[it] += change;
     }
 }
 
@@ -155,7 +156,7 @@
     }
     task.drainedAt = drainedAt(now, task.evicted);
     best->task = std::move(task);
-    survey(now);
+    surveyWorkers();
     return true;
 }
 
@@ -222,7 +223,7 @@
         return false;
     }
     m_workers.at(best).task = Task{bestModel, {}, PACK, {}, 0};
-    ++m_survey.replicas[{service, bestModel}];
+    m_survey.holders[{service, bestModel}].push_back(best);
     return true;
 }
 
--- a/src/bamboomoor/placement/residencyplan.cpp
+++ b/src/bamboomoor/placement/residencyplan.cpp
@@ -33,7 +33,8 @@
     out.arrivals = std::exchange(m_arrivals, {});
     refillLoads(now);
     pruneTasks();
-    survey(now);
+    sumDemand(now);
+    surveyWorkers();
     if (now >= m_reviewAt && now >= m_settledAt) {
         m_reviewAt = now + m_options.review;
         for (const auto &[service, engine] : m_engines) {
@@ -149,7 +150,34 @@
     send(now, state, std::move(order), out);
 }
 
-std::optional<std::pair<std::string, std::string>> Residency::wantedAdapter(const State &state) const
+const std::vector<Residency::AdapterNeed> &Residency::adapterNeeds(
+    const std::string &service, const std::string &model, const ModelSpec &spec)
+{
+    const auto [it, added] = m_survey.adapterNeeds.try_emplace({service, model});
+    std::vector<AdapterNeed> &needs = it->second;
+    if (!added) {
+        return needs;
+    }
+    for (std::int64_t n = 1; n <= spec.adapters; ++n) {
+        std::string adapter = adapterName(n);
+        const std::size_t copies = adapterReplicas(service, model, adapter);
+        const double demand = demandOf(model, adapter);
+        // Without a copy, any adapter goes before all that have one.
+        constexpr double NO_COPY = 1'000;
+        constexpr double WAS_MISSED = 10'000;
+        double need = copies == 0 ? NO_COPY + demand : demand / static_cast<double>(copies);
+        need += copies == 0 && m_missed.contains({model, adapter}) ? WAS_MISSED : 0;
+        if (copies == 0 || need > m_options.leastDemand) {
+            needs.push_back({need, std::move(adapter)});
+        }
+    }
+    std::stable_sort(needs.begin(), needs.end(), [](const AdapterNeed &left, const AdapterNeed &right) {
+        return left.need > right.need;
+    });
+    return needs;
+}
+
+std::optional<std::pair<std::string, std::string>> Residency::wantedAdapter(const State &state)
 {
     std::optional<std::pair<std::string, std::string>> best;
     double bestNeed = 0;
@@ -158,22 +186,13 @@
         if (spec == nullptr || isEvicting(state, model)) {
             continue;
         }
-        for (std::int64_t n = 1; n <= spec->adapters; ++n) {
-            std::string adapter = adapterName(n);
-            if (held.contains(adapter)) {
-                continue;
-            }
-            const std::size_t copies = adapterReplicas(state.report.service, model, adapter);
-            const double demand = demandOf(model, adapter);
-            // Without a copy, any adapter goes before all that have one.
-            constexpr double NO_COPY = 1'000;
-            constexpr double WAS_MISSED = 10'000;
-            double need = copies == 0 ? NO_COPY + demand : demand / static_cast<double>(copies);
-            need += copies == 0 && m_missed.contains({model, adapter}) ? WAS_MISSED : 0;
-            if (need > bestNeed && (copies == 0 || need > m_options.leastDemand)) {
-                bestNeed = need;
-                best = {model, std::move(adapter)};
-            }
+        const std::vector<AdapterNeed> &needs = adapterNeeds(state.report.service, model, *spec);
+        const auto first = std::find_if(needs.begin(), needs.end(), [&held = held](const AdapterNeed &it) {
+            return !held.contains(it.adapter);
+        });
+        if (first != needs.end() && first->need > bestNeed) {
+            bestNeed = first->need;
+            best = {model, first->adapter};
         }
     }
     return best;
@@ -270,7 +289,7 @@
         if (best != nullptr) {
             const base::Millis drained = drainedAt(now, bestEvicted);
             best->task = Task{model, std::move(bestEvicted), LOST, drained, LOST_URGENCY * (1 - demand)};
-            survey(now);
+            surveyWorkers();
         }
     }
 }
