Take the window of the store's rate from the settings

The window of 5 s was a constant of the plan, while the infrastructure names it in its settings. store_window_s is a span in seconds that may have a fraction, as the infrastructure's value may; TableReader::seconds reads it.

--- a/src/bamboomoor/gateway/controldaemon.cpp
+++ b/src/bamboomoor/gateway/controldaemon.cpp
@@ -46,6 +46,7 @@
 {
     ResidencyDeskOptions options;
     options.vm = settings.vm;
+    options.plan.store.window = settings.placement.storeWindow;
     return options;
 }
 
--- a/src/bamboomoor/reader/tablereader.cpp
+++ b/src/bamboomoor/reader/tablereader.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <utility>
 
 namespace bamboomoor::reader
@@ -166,6 +167,23 @@
     return *value;
 }
 
+std::int64_t TableReader::seconds(std::string_view key, std::int64_t otherwise, Range range)
+{
+    constexpr double MILLIS_PER_SECOND = 1'000.0;
+    const toml::node *node = find(key);
+    if (node == nullptr) {
+        return otherwise;
+    }
+    // Also takes an integer, as it converts without loss.
+    const std::optional<double> value = node->value<double>();
+    const double millis = value.value_or(-1) * MILLIS_PER_SECOND;
+    if (!(millis >= static_cast<double>(range.least) && millis <= static_cast<double>(range.most))) {
+        fail(key, "must be seconds, from " + std::to_string(range.least) + " to " + std::to_string(range.most) + " ms");
+        return otherwise;
+    }
+    return std::llround(millis);
+}
+
 bool TableReader::flag(std::string_view key, bool otherwise)
 {
     const toml::node *node = find(key);
--- a/src/bamboomoor/reader/tablereader.hpp
+++ b/src/bamboomoor/reader/tablereader.hpp
@@ -110,6 +110,15 @@
      */
     [[nodiscard]] std::int64_t number(std::string_view key, std::int64_t otherwise, Range range);
 
+    /**
+     * @brief Reads a span in seconds, with or without a fraction, that may be missing.
+     * @param key The key.
+     * @param otherwise The span of a missing key, in milliseconds.
+     * @param range The allowed values, in milliseconds.
+     * @return The span in milliseconds.
+     */
+    [[nodiscard]] std::int64_t seconds(std::string_view key, std::int64_t otherwise, Range range);
+
     /**
      * @brief Reads a truth value that may be missing.
      * @param key The key.
--- a/src/bamboomoor/settings/settings.cpp
+++ b/src/bamboomoor/settings/settings.cpp
@@ -85,6 +85,7 @@
     readCount(in, "loads_at_once", out.loadsAtOnce);
     readCount(in, "adapters_in_flight", out.adaptersInFlight);
     readSpan(in, "decision_ms", out.decision);
+    out.storeWindow = base::Millis{in.seconds("store_window_s", out.storeWindow.count, {1, MAX_SPAN_MS})};
 }
 
 void readVoters(TableReader &in, std::vector<Voter> &out)
--- a/src/bamboomoor/settings/settings.hpp
+++ b/src/bamboomoor/settings/settings.hpp
@@ -106,6 +106,8 @@
     std::int64_t adaptersInFlight = 130;
     // The time between two decisions.
     base::Millis decision{500};
+    // The span over which the store's rate of loads is kept.
+    base::Millis storeWindow{5'000};
 
     friend bool operator==(const PlacementSettings &, const PlacementSettings &) = default;
 };
--- a/test/bamboomoor/settings/settings.cpp
+++ b/test/bamboomoor/settings/settings.cpp
@@ -51,6 +51,21 @@
     BOOST_TEST(read.bootstrap);
 }
 
+BOOST_AUTO_TEST_CASE(a_span_in_seconds_may_have_a_fraction)
+{
+    const auto windowOf = [](const std::string &value) {
+        return settings::parseSettings(GOOD + "[placement]\nstore_window_s = " + value + "\n", "a.toml")
+            .value()
+            .placement.storeWindow.count;
+    };
+    BOOST_TEST(windowOf("4") == 4'000);
+    BOOST_TEST(windowOf("2.5") == 2'500);
+    for (const char *it : {"0", "-1", "nan", "\"5\"", "1e99"}) {
+        BOOST_TEST(mistake(GOOD + "[placement]\nstore_window_s = " + it + "\n")
+            == "a.toml: placement.store_window_s: must be seconds, from 1 to 86400000 ms");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(each_mistake_is_one_line_with_file_key_and_rule)
 {
     BOOST_TEST(mistake(GOOD + "heart = 1\n").starts_with("a.toml: control.heart: is not a known key; allowed here: "));
