Fuzz the log with the plan's changes of membership: lost disks, replaced VMs

After the faults the group must make progress with five voters, or one too many, none of them gone.

Three expectations of the simulation were wrong and are corrected, each by a trace: a removed VM that never heard of it does not ask for a place (it does in the product, as it hears no leader); a learner lost beside two voters is a third loss, which five do not bear; a voter that is heard again after its successor counts stays as a sixth.

--- a/test/bamboomoor/consensus/fuzz.cpp
+++ b/test/bamboomoor/consensus/fuzz.cpp
@@ -6,6 +6,8 @@
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 
+#include <array>
+
 namespace rc
 {
 template<>
@@ -26,7 +28,8 @@
 namespace
 {
 constexpr std::size_t SEEDS_PER_MIX = 6;
-}
+constexpr std::size_t SEEDS_PER_LOSS = 3;
+} // namespace
 
 namespace sim
 {
@@ -37,6 +40,42 @@
 }
 } // namespace sim
 
+// Disks are lost, two at once at the most, and VMs are replaced; the leader plans who votes.
+BOOST_AUTO_TEST_CASE(no_loss_of_disks_that_is_borne_breaks_a_group_that_plans_its_membership)
+{
+    std::size_t lost = 0;
+    std::uint64_t committed = 0;
+    BOOST_TEST(rc::check("borne losses of disks never break the group", [&] {
+        constexpr std::array KINDS{sim::FaultKind::Crash, sim::FaultKind::CutOneWay, sim::FaultKind::CutPair,
+            sim::FaultKind::Isolate, sim::FaultKind::Loss, sim::FaultKind::SlowDisk, sim::FaultKind::Compact,
+            sim::FaultKind::Transfer, sim::FaultKind::LoseDisk, sim::FaultKind::LoseDisk, sim::FaultKind::Replace,
+            sim::FaultKind::Return};
+        sim::Scenario scenario;
+        scenario.voters = 5;
+        scenario.planned = true;
+        scenario.seed = *rc::gen::arbitrary<std::uint64_t>();
+        const auto count = *rc::gen::resize(100, rc::gen::inRange<std::size_t>(1, 40));
+        const auto fault = rc::gen::resize(100, rc::gen::arbitrary<sim::Fault>());
+        scenario.faults = *rc::gen::container<std::vector<sim::Fault>>(count, fault);
+        for (sim::Fault &it : scenario.faults) {
+            it.kind = KINDS[(it.a + it.b) % KINDS.size()];
+        }
+        std::string failure;
+        for (std::size_t n = 0; n < SEEDS_PER_LOSS && failure.empty(); ++n) {
+            scenario.seed += n;
+            sim::Group group(scenario);
+            failure = group.run();
+            lost += group.lost;
+            committed += group.committed();
+        }
+        RC_LOG() << failure;
+        return failure.empty();
+    }));
+    BOOST_TEST_MESSAGE("lost disks " << lost << " entries " << committed);
+    BOOST_TEST(lost > 100U);
+    BOOST_TEST(committed > 0U);
+}
+
 BOOST_AUTO_TEST_CASE(no_mix_of_faults_breaks_the_group)
 {
     std::size_t reads = 0;
--- a/test/bamboomoor/consensus/sim.cpp
+++ b/test/bamboomoor/consensus/sim.cpp
@@ -17,6 +17,17 @@
 constexpr std::int64_t HEALED_MS = 15'000;
 constexpr std::int64_t ELECTION_MS = 600;
 constexpr std::int64_t QUIET_MS = 1'800;
+// Between two looks of a leader at its group, and between two requests for a place.
+constexpr std::int64_t PLAN_MS = 150;
+constexpr std::int64_t ASK_MS = 300;
+// The loss that a group of five bears.
+constexpr std::size_t BORNE_LOSSES = 2;
+constexpr std::size_t MOST_MEMBERS = 12;
+
+bool contains(const std::vector<VoterId> &ids, const VoterId &id)
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
 
 std::uint64_t chain(std::uint64_t hash, const Entry &entry)
 {
@@ -50,20 +61,30 @@
     : m_scenario(scenario)
     , m_random(scenario.seed)
 {
-    for (std::size_t n = 0; n <= scenario.voters; ++n) {
-        auto member = std::make_unique<Member>();
-        member->id = std::string(1, static_cast<char>('a' + n));
-        // The last one is a spare that joins by a change of the membership.
-        member->bootstrap = n < scenario.voters;
-        member->clockOffset = draw(0, 1'000'000);
-        member->clockPerMille = draw(960, 1040);
-        m_members.push_back(std::move(member));
+    for (std::size_t n = 0; n < scenario.voters; ++n) {
+        std::string id(1, static_cast<char>('a' + n));
+        m_founders.push_back(scenario.planned ? id + "@" + std::to_string(n) : id);
+        add(m_founders.back()).bootstrap = true;
+    }
+    if (!scenario.planned) {
+        // A spare that joins by a change of the membership.
+        add(std::string(1, static_cast<char>('a' + scenario.voters)));
     }
     for (const auto &it : m_members) {
         start(*it);
     }
 }
 
+Member &Group::add(const std::string &id)
+{
+    auto member = std::make_unique<Member>();
+    member->id = id;
+    member->clockOffset = draw(0, 1'000'000);
+    member->clockPerMille = draw(960, 1040);
+    m_members.push_back(std::move(member));
+    return *m_members.back();
+}
+
 std::int64_t Group::draw(std::int64_t low, std::int64_t high)
 {
     return std::uniform_int_distribution<std::int64_t>(low, high)(m_random);
@@ -91,11 +112,8 @@
     options.maxInflightEntries = 16;
     options.keptEntries = 3;
     options.bootstrap = member.bootstrap;
-    for (const auto &it : m_members) {
-        if (it->id.front() < static_cast<char>('a' + m_scenario.voters)) {
-            options.initialVoters.push_back(it->id);
-        }
-    }
+    options.initialVoters = m_founders;
+    member.plan = GroupPlan({});
     member.machine = {member.disk.snapshot.index, 0};
     if (member.disk.snapshot.index > 0) {
         member.machine.hash = std::stoull(member.disk.snapshot.data);
@@ -297,6 +315,93 @@
             feed(*leader, ProposeVoters{++m_nextRequest, change, removal ? a.id : m_members.back()->id});
         }
         break;
+    case FaultKind::LoseDisk:
+    case FaultKind::Replace:
+        lose(a, fault);
+        break;
+    case FaultKind::Return:
+        giveBack(until);
+        break;
+    }
+}
+
+bool Group::isPlaced(const Member &member) const
+{
+    return std::any_of(m_members.begin(), m_members.end(), [&member](const auto &it) {
+        return it->node
+            && (contains(it->node->membership().voters, member.id)
+                || contains(it->node->membership().learners, member.id));
+    });
+}
+
+std::size_t Group::missingMembers() const
+{
+    return static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(), [this](const auto &it) {
+        return it->gone && isPlaced(*it);
+    }));
+}
+
+void Group::lose(Member &member, const Fault &fault)
+{
+    if (member.gone || missingMembers() >= BORNE_LOSSES || m_members.size() >= MOST_MEMBERS) {
+        return;
+    }
+    ++lost;
+    member.gone = true;
+    member.node.reset();
+    member.syncing.clear();
+    const std::string address =
+        fault.kind == FaultKind::Replace ? std::to_string(m_members.size()) : addressIn(member.id);
+    add(std::string(1, static_cast<char>('a' + m_members.size())) + "@" + address).downUntil = m_now + fault.lasts;
+}
+
+void Group::giveBack(std::int64_t at)
+{
+    for (const auto &it : m_members) {
+        const bool addressTaken = std::any_of(m_members.begin(), m_members.end(), [&it](const auto &other) {
+            return other != it && addressIn(other->id) == addressIn(it->id);
+        });
+        if (it->gone && !addressTaken && !isPlaced(*it)) {
+            it->gone = false;
+            it->downUntil = at;
+            return;
+        }
+    }
+}
+
+bool Group::isCut(const Member &from, const Member &to) const
+{
+    const auto cut = m_cuts.find({from.id, to.id});
+    return cut != m_cuts.end() && m_now < cut->second;
+}
+
+void Group::askForPlace(const Member &member)
+{
+    const Membership &known = member.node->membership();
+    const bool placed = contains(known.voters, member.id) || contains(known.learners, member.id);
+    // A removed member may not have heard of it, and hears no leader any more.
+    if (placed && !member.node->leader().empty()) {
+        return;
+    }
+    for (const auto &it : m_members) {
+        if (it->node && it->node->role() == Role::Leader && !isCut(member, *it)) {
+            it->plan.ask(localTime(*it), member.id);
+        }
+    }
+}
+
+void Group::planMembership()
+{
+    for (const auto &it : m_members) {
+        if (it->node && m_now % ASK_MS == 0) {
+            askForPlace(*it);
+        }
+        if (it->node && it->node->role() == Role::Leader && m_now % PLAN_MS == 0) {
+            const GroupView view{it->id, it->node->membership(), it->node->heardAt()};
+            if (const auto change = it->plan.next(localTime(*it), view)) {
+                feed(*it, ProposeVoters{++m_nextRequest, change->change, change->id});
+            }
+        }
     }
 }
 
@@ -337,7 +442,7 @@
         }
     }
     for (const auto &it : m_members) {
-        if (!it->node && m_now >= it->downUntil) {
+        if (!it->node && !it->gone && m_now >= it->downUntil) {
             start(*it);
         }
         while (it->node && !it->syncing.empty() && it->syncing.begin()->first <= m_now) {
@@ -350,6 +455,9 @@
             feed(*it, Tick{});
         }
     }
+    if (m_scenario.planned) {
+        planMembership();
+    }
     workload();
 }
 
@@ -360,6 +468,15 @@
         return false;
     }
     const Membership &membership = leader->node->membership();
+    const bool keepsLostVoter = std::any_of(m_members.begin(), m_members.end(), [&membership](const auto &it) {
+        return it->gone && contains(membership.voters, it->id);
+    });
+    // A voter that is heard again after its successor counts stays, as one voter too many.
+    const std::size_t voters = membership.voters.size();
+    const bool hasSize = voters == m_scenario.voters || voters == m_scenario.voters + 1;
+    if (m_scenario.planned && (!hasSize || keepsLostVoter)) {
+        return false;
+    }
     return std::all_of(m_members.begin(), m_members.end(), [&](const auto &it) {
         const auto isIn = [&it](const std::vector<VoterId> &ids) {
             return std::find(ids.begin(), ids.end(), it->id) != ids.end();
@@ -396,6 +513,10 @@
     if (m_now >= end) {
         std::string states;
         for (const auto &it : m_members) {
+            if (!it->node) {
+                states += "\n" + it->id + " gone";
+                continue;
+            }
             states += "\n" + it->id + (it->wiped ? " wiped " : " ") + std::string(ROLE_NAMES.name(it->node->role()))
                 + " term " + std::to_string(it->node->term()) + " last " + std::to_string(it->node->lastIndex())
                 + " commit " + std::to_string(it->node->commitIndex()) + "\n"
--- a/test/bamboomoor/consensus/sim.hpp
+++ b/test/bamboomoor/consensus/sim.hpp
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "bamboomoor/consensus/groupplan.hpp"
 #include "bamboomoor/consensus/node.hpp"
 
 #include <map>
@@ -32,7 +33,13 @@
     Promote,
     Remove,
     Transfer,
+    // Only in a group that plans its membership: a member comes back with an empty disk, a VM is replaced by another,
+    // and a VM that was replaced comes back.
+    LoseDisk,
+    Replace,
+    Return,
 };
+// Of a group whose membership is changed by hand.
 inline constexpr int FAULT_KINDS = 12;
 
 struct Fault {
@@ -45,6 +52,8 @@
 
 struct Scenario {
     std::size_t voters = 3;
+    // The leader changes the membership by its plan, and disks without a place ask for one.
+    bool planned = false;
     std::uint64_t seed = 0;
     std::vector<Fault> faults;
 };
@@ -69,7 +78,10 @@
     consensus::VoterId id;
     bool bootstrap = false;
     bool wiped = false;
+    // Its disk does not come back, or only once the group has replaced it.
+    bool gone = false;
     std::unique_ptr<consensus::Node> node;
+    consensus::GroupPlan plan{{}};
     Disk disk;
     // By the time at which the sync ends.
     std::multimap<std::int64_t, consensus::Persist> syncing;
@@ -98,6 +110,8 @@
     std::size_t confirmedReads = 0;
     std::size_t installed = 0;
     std::size_t terms = 0;
+    // Disks that were lost.
+    std::size_t lost = 0;
 
 private:
     struct Read {
@@ -107,6 +121,15 @@
     void advance();
     void start(Member &member);
     void begin(const Fault &fault);
+    void lose(Member &member, const Fault &fault);
+    void giveBack(std::int64_t at);
+    void planMembership();
+    void askForPlace(const Member &member);
+    // A voter or learner as far as any member knows.
+    [[nodiscard]] bool isPlaced(const Member &member) const;
+    [[nodiscard]] std::size_t missingMembers() const;
+    [[nodiscard]] bool isCut(const Member &from, const Member &to) const;
+    Member &add(const std::string &id);
     void workload();
     void feed(Member &member, consensus::Input input);
     void absorb(Member &member, consensus::Outputs &&outputs);
@@ -126,6 +149,7 @@
     std::int64_t m_now = 0;
     std::int64_t m_lossUntil = -1;
     std::vector<std::unique_ptr<Member>> m_members;
+    std::vector<consensus::VoterId> m_founders;
     std::multimap<std::int64_t, consensus::Message> m_wire;
     std::map<std::pair<std::string, std::string>, std::int64_t> m_cuts;
     std::uint64_t m_nextRequest = 0;
