--- a/test/bamboomoor/budget/fleet.cpp
+++ b/test/bamboomoor/budget/fleet.cpp
@@ -92,23 +92,28 @@
     options.idle = m_faults.idle;
     vm.holder = std::make_unique<Holder>(options);
     vm.pending.clear();
-    auto beat = std::make_shared<std::function<void()>>();
     const std::uint64_t incarnation = vm.incarnation;
-    *beat = [=, this] {
-        if (m_vms[n].incarnation != incarnation) {
-            return;
-        }
-        after(TICK, *beat);
-        if (m_now < m_vms[n].frozenUntil) {
-            return;
+    after(TICK, [=, this] {
+        beat(n, incarnation);
+    });
+}
+
+void Fleet::beat(int n, std::uint64_t incarnation)
+{
+    if (m_vms[n].incarnation != incarnation) {
+        return;
+    }
+    after(TICK, [=, this] {
+        beat(n, incarnation);
+    });
+    if (m_now < m_vms[n].frozenUntil) {
+        return;
+    }
+    atHolder(n, incarnation, [=, this](Vm &it) {
+        for (const Admission &admission : it.holder->tick(it.clock.at(m_now))) {
+            decide(n, admission);
         }
-        atHolder(n, incarnation, [=, this](Vm &it) {
-            for (const Admission &admission : it.holder->tick(it.clock.at(m_now))) {
-                decide(n, admission);
-            }
-        });
-    };
-    after(TICK, *beat);
+    });
 }
 
 void Fleet::kill(int holder)
--- a/test/bamboomoor/budget/fleet.hpp
+++ b/test/bamboomoor/budget/fleet.hpp
@@ -103,6 +103,7 @@
     void after(Micros delay, std::function<void()> action);
     void atHolder(int n, std::uint64_t incarnation, const std::function<void(Vm &)> &action);
     void transmit(const std::function<void()> &action);
+    void beat(int holder, std::uint64_t incarnation);
     void start(int n);
     void poll(int n);
     void decide(int n, const Admission &admission);
