Send a request once at most, also on a pooled connection that dies

The relay charges one attempt to the retry allowance; the upstream sees up to five.

Test: a_call_on_a_pooled_connection_that_died_reaches_the_upstream_once: 5 arrivals before, 1 now.

--- a/src/bamboomoor/control/placementdesk.cpp
+++ b/src/bamboomoor/control/placementdesk.cpp
@@ -461,7 +461,7 @@
     call.connectTimeout = ORDER_CONNECT_TIMEOUT;
     call.firstByteTimeout = ORDER_TIMEOUT;
     call.totalTimeout = ORDER_TIMEOUT;
-    call.once = true;
+    call.freshConnection = true;
     m_client.start(std::move(call), std::make_shared<OrderListener>(*this, m_term, order.id));
 }
 
--- a/src/bamboomoor/http/client.hpp
+++ b/src/bamboomoor/http/client.hpp
@@ -93,9 +93,9 @@
     // Between any two reads of the answer.
     base::Millis progressTimeout{10'000};
     base::Millis totalTimeout{600'000};
-    // True: a fresh connection, and the library never sends the request a second time. False: a connection from
-    // the pool, and the library may send again when that turns out to be dead; for idempotent requests only.
-    bool once = true;
+    // True: a new connection. False: one from the pool if there is one, which may turn out to be dead; the call then
+    // ends as ResetBeforeAnswer. Either way the request is sent once at most.
+    bool freshConnection = true;
     std::size_t maxAnswerBytes = 67'108'864;
 };
 
--- a/src/bamboomoor/http/internal/transfer.cpp
+++ b/src/bamboomoor/http/internal/transfer.cpp
@@ -3,6 +3,8 @@
  */
 #include "bamboomoor/http/internal/transfer.hpp"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
 #include <cassert>
@@ -82,8 +84,12 @@
     curl_easy_setopt(m_handle, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(m_handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(m_call.connectTimeout.count));
     curl_easy_setopt(m_handle, CURLOPT_TIMEOUT_MS, static_cast<long>(m_call.totalTimeout.count));
-    // On a fresh connection the library never sends a request again by itself.
-    curl_easy_setopt(m_handle, CURLOPT_FRESH_CONNECT, m_call.once ? 1L : 0L);
+    // The library repeats a request by itself when a pooled connection dies; the two callbacks below stop that.
+    curl_easy_setopt(m_handle, CURLOPT_PREREQFUNCTION, &Transfer::onRequest);
+    curl_easy_setopt(m_handle, CURLOPT_PREREQDATA, this);
+    curl_easy_setopt(m_handle, CURLOPT_OPENSOCKETFUNCTION, &Transfer::onOpenSocket);
+    curl_easy_setopt(m_handle, CURLOPT_OPENSOCKETDATA, this);
+    curl_easy_setopt(m_handle, CURLOPT_FRESH_CONNECT, m_call.freshConnection ? 1L : 0L);
     curl_easy_setopt(m_handle, CURLOPT_HEADERFUNCTION, &Transfer::onHeaderLine);
     curl_easy_setopt(m_handle, CURLOPT_HEADERDATA, this);
     curl_easy_setopt(m_handle, CURLOPT_WRITEFUNCTION, &Transfer::onBody);
@@ -104,6 +110,25 @@
     return m_answered ? deadline() : std::min(deadline(), now + m_call.progressTimeout);
 }
 
+int Transfer::onRequest(
+    void *self, char * /*remoteIp*/, char * /*localIp*/, int /*remotePort*/, int /*localPort*/) noexcept
+{
+    auto &transfer = *static_cast<Transfer *>(self);
+    if (transfer.m_requested) {
+        return CURL_PREREQFUNC_ABORT;
+    }
+    transfer.m_requested = true;
+    return CURL_PREREQFUNC_OK;
+}
+
+curl_socket_t Transfer::onOpenSocket(void *self, curlsocktype /*purpose*/, curl_sockaddr *address) noexcept
+{
+    if (static_cast<const Transfer *>(self)->m_requested) {
+        return CURL_SOCKET_BAD;
+    }
+    return socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+}
+
 std::size_t Transfer::onHeaderLine(char *bytes, std::size_t size, std::size_t count, void *self)
 {
     auto &transfer = *static_cast<Transfer *>(self);
@@ -207,6 +232,7 @@
     case CURLE_PARTIAL_FILE:
         return EndKind::Truncated;
     case CURLE_GOT_NOTHING:
+    case CURLE_ABORTED_BY_CALLBACK:
         return EndKind::ResetBeforeAnswer;
     case CURLE_SEND_ERROR:
     case CURLE_RECV_ERROR:
--- a/src/bamboomoor/http/internal/transfer.hpp
+++ b/src/bamboomoor/http/internal/transfer.hpp
@@ -88,6 +88,8 @@
     }
 
 private:
+    static int onRequest(void *self, char *remoteIp, char *localIp, int remotePort, int localPort) noexcept;
+    static curl_socket_t onOpenSocket(void *self, curlsocktype purpose, curl_sockaddr *address) noexcept;
     static std::size_t onHeaderLine(char *bytes, std::size_t size, std::size_t count, void *self);
     static std::size_t onBody(char *bytes, std::size_t size, std::size_t count, void *self);
 
@@ -111,6 +113,8 @@
     Headers m_headers;
     bool m_headDone = false;
     bool m_delimited = false;
+    // The library was allowed to send the request; it is not allowed a second time.
+    bool m_requested = false;
     bool m_answered = false;
     bool m_tooLarge = false;
     bool m_malformed = false;
--- a/src/bamboomoor/load/load.cpp
+++ b/src/bamboomoor/load/load.cpp
@@ -219,7 +219,7 @@
     call.firstByteTimeout = options.timeout;
     call.progressTimeout = options.timeout;
     call.totalTimeout = options.timeout;
-    call.once = !options.keepAlive;
+    call.freshConnection = !options.keepAlive;
     return call;
 }
 
--- a/test/bamboomoor/http/client.cpp
+++ b/test/bamboomoor/http/client.cpp
@@ -27,7 +27,7 @@
     call.body = "body";
     call.firstByteTimeout = {1'000};
     call.progressTimeout = {1'000};
-    call.once = once;
+    call.freshConnection = once;
     return call;
 }
 
@@ -154,6 +154,24 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_call_on_a_pooled_connection_that_died_reaches_the_upstream_once)
+{
+    http::Client client;
+    RawServer server(WHOLE, Then::Hold);
+    // Several open connections, as the library would go from one dead connection to the next.
+    for (int n = 0; n < 4; ++n) {
+        BOOST_TEST(send(client, callTo(server.url(), true))->status() == 200);
+    }
+    server.change("", Then::Close);
+    for (int n = 0; n < 4; ++n) {
+        const int before = server.requests();
+        const auto answer = send(client, callTo(server.url(), false));
+        BOOST_TEST((answer->await().kind == EndKind::ResetBeforeAnswer));
+        BOOST_TEST(answer->await().bytesSent);
+        BOOST_TEST(server.requests() == before + 1);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_cancelled_call_ends_and_closes_its_connection)
 {
     http::Client client;
--- a/test/bamboomoor/http/server.cpp
+++ b/test/bamboomoor/http/server.cpp
@@ -72,7 +72,7 @@
     Fixture fixture(echo);
     for (const bool once : {true, false, false}) {
         const std::string body(300'000, 'b');
-        const auto answer = fixture.send({.method = "POST", .url = "/a%20b?x=1&y", .body = body, .once = once});
+        const auto answer = fixture.send({.method = "POST", .url = "/a%20b?x=1&y", .body = body, .freshConnection = once});
         BOOST_TEST(answer->status() == 200);
         BOOST_TEST((answer->body() == "POST /a%20b x=1&y " + body));
         BOOST_TEST(http::headerValue(answer->headers(), "x-kind") == "echo");
@@ -106,7 +106,7 @@
     std::vector<std::shared_ptr<Collector>> answers;
     answers.reserve(40);
     for (int n = 0; n < 40; ++n) {
-        answers.push_back(fixture.send({.url = "/", .once = n % 2 == 0}));
+        answers.push_back(fixture.send({.url = "/", .freshConnection = n % 2 == 0}));
     }
     for (const auto &it : answers) {
         BOOST_TEST(it->body() == expected);
--- a/test/bamboomoor/platform/messages.cpp
+++ b/test/bamboomoor/platform/messages.cpp
@@ -234,7 +234,7 @@
     order.adapter = "a1";
     order.expected = 3;
     const http::Call call = orders.order(order, {"vm-1", 41});
-    BOOST_TEST(call.once);
+    BOOST_TEST(call.freshConnection);
     BOOST_TEST(call.body
         == R"({"adapter":"a1","expect":3,"fencing_token":41,"holder":"vm-1","model":"m","operation":"load"})");
     BOOST_TEST((orders.readOrder(202) == placement::OrderVerdict::Accepted));
--- a/test/fakes/upstream.cpp
+++ b/test/fakes/upstream.cpp
@@ -112,7 +112,7 @@
     call.headers = {{"Content-Type", "application/json"}};
     call.body = document.dump();
     call.totalTimeout = ANNOUNCE_TIMEOUT;
-    call.once = false;
+    call.freshConnection = false;
     http::fetchThen(m_surroundings.client, std::move(call), [](const http::Fetched &) {});
 }
 
