Charge retries until they surely arrived; a lost pooled connection says nothing of its upstream

RetryAllowance now charges it from the decision until a window after the first sign that it arrived, and gives it back when it certainly never left.

An upstream that loses a new connection is avoided by all requests of the entry.

Each line of an attempt says what it was charged as (charge=first, retry, none_arrived), over which connection it went, and what followed a failure (next=again, no_allowance, no_other, ...).

Ruled out: charging attempts after ones that never left; they bring no arrival, and an attempt after them is the first one that arrives.

Tests first seen failing: the new property of the allowance with retries that wait on their way (falsified after 54 cases with charges that begin and end at the decision); each attempt beyond the first that arrived is charged (relay fuzz); a lost pooled connection goes on over a new one.

--- a/src/bamboomoor/entry/attempt.cpp
+++ b/src/bamboomoor/entry/attempt.cpp
@@ -202,7 +202,8 @@
     call.firstByteTimeout = m_options.progressTimeout;
     call.progressTimeout = m_options.progressTimeout;
     // A retry goes over a new connection, and so does a request that may not run twice.
-    call.freshConnection = !exchange.resolved.idempotent || !exchange.claimKey.empty() || exchange.delivery.attempts() > 1;
+    call.freshConnection =
+        !exchange.resolved.idempotent || !exchange.claimKey.empty() || exchange.delivery.attempts() > 1;
     return call;
 }
 
--- a/src/bamboomoor/gateway/runner.cpp
+++ b/src/bamboomoor/gateway/runner.cpp
@@ -194,6 +194,7 @@
     relay::AttemptEnd end;
     end.complete = event.ending.kind == http::EndKind::Complete;
     end.bytesSent = event.ending.bytesSent;
+    end.lostConnection = event.ending.kind == http::EndKind::ResetBeforeAnswer;
     end.how = http::END_KIND_NAMES.name(event.ending.kind);
     m_core.ended(now, event.attempt, end);
 }
@@ -423,6 +424,13 @@
     if (decision.tokens > 0 && (decision.step == relay::Step::Sent || decision.step == relay::Step::Refused)) {
         line.add("tokens", decision.tokens);
     }
+    if (decision.charge) {
+        line.add("charge", relay::CHARGE_NAMES.name(*decision.charge));
+        line.add("connection", decision.freshConnection ? "new" : "pooled");
+    }
+    if (decision.next) {
+        line.add("next", relay::NEXT_NAMES.name(*decision.next));
+    }
     if (decision.status != 0) {
         line.add("status", decision.status);
     }
--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -193,7 +193,9 @@
     attempt.priority = std::clamp<std::int64_t>(exchange.priority, 0, LAST_PRIORITY);
     attempt.remaining = exchange.deadline - now;
     attempt.lastEventId = exchange.lastEventId;
-    attempt.repeatable = exchange.route->repeat == config::Repeat::Idempotent || exchange.route->resumable;
+    attempt.freshConnection = !mayRunAgain(exchange) || exchange.choice.freshConnection;
+    attempt.charge = exchange.holdsRetry ? Charge::Retry : exchange.unreached > 0 ? Charge::NoneArrived : Charge::First;
+    exchange.choice.freshConnection = attempt.freshConnection;
     ++exchange.sent;
     m_byAttempt.emplace(attempt.id, exchange.id);
     m_fleet.began(now, exchange.choice, exchange.wanted);
@@ -209,6 +211,7 @@
         return;
     }
     exchange->heardAt = now;
+    settleRetry(now, *exchange, true);
     if (head.owner == AnswerOwner::Other) {
         m_effects.cancel(attempt);
         fail(now, *exchange, Result::Failed, false, true, "foreign_answer");
@@ -279,7 +282,12 @@
     }
     if (!end.complete || !exchange->head) {
         const bool reached = end.bytesSent || exchange->head.has_value();
-        const Result result = reached ? Result::Failed : Result::NotReached;
+        const bool lost = end.lostConnection && !exchange->head;
+        if (lost && !exchange->attempt.freshConnection) {
+            // Its connection was dead, which says nothing of the upstream; a new one will tell.
+            exchange->wanted.except.erase(exchange->choice.id);
+        }
+        const Result result = lost ? Result::Lost : reached ? Result::Failed : Result::NotReached;
         fail(now, *exchange, result, !reached, reached, end.how);
         return;
     }
@@ -360,24 +368,22 @@
 void Core::fail(base::Millis now, Exchange &exchange, Result result, bool notRun, bool reached, std::string_view how)
 {
     exchange.mayHaveRun = exchange.mayHaveRun || !notRun;
-    if (!reached) {
+    if (reached) {
+        settleRetry(now, exchange, true);
+    } else {
         --exchange.sent;
         ++exchange.unreached;
     }
-    const bool repeatable = mayRunAgain(exchange) || !exchange.mayHaveRun;
-    const bool inTime = now < exchange.deadline;
-    const bool hasTries = exchange.sent < exchange.route->attempts && exchange.unreached < m_options.unreached;
+    const Next next = whatNext(now, exchange);
     const bool keepsAnswer = exchange.head && exchange.head->status >= SERVER_ERROR && !notRun && !exchange.begun
         && !promisesNotRun(exchange.head->status);
-    const bool retries = repeatable && inTime && hasTries && hasOther(now, exchange)
-        && (!reached || m_retries.takeRetry(now, exchange.service));
-    if (!retries && keepsAnswer && how == "error_answer") {
+    if (next != Next::Again && keepsAnswer && how == "error_answer") {
         deliver(now, exchange);
         return;
     }
-    note(now, exchange, Step::AttemptFailed, how, exchange.head ? exchange.head->status : 0);
+    note(now, exchange, Step::AttemptFailed, how, exchange.head ? exchange.head->status : 0, next);
     closeAttempt(now, exchange, result);
-    if (retries) {
+    if (next == Next::Again) {
         dispatch(now, exchange);
         return;
     }
@@ -385,6 +391,41 @@
         exchange.mayHaveRun ? base::Millis{} : m_options.shortRetry);
 }
 
+Next Core::whatNext(base::Millis now, Exchange &exchange)
+{
+    if (!mayRunAgain(exchange) && exchange.mayHaveRun) {
+        return Next::MayHaveRun;
+    }
+    if (now >= exchange.deadline) {
+        return Next::NoTime;
+    }
+    if (exchange.sent >= exchange.route->attempts || exchange.unreached >= m_options.unreached) {
+        return Next::NoAttempts;
+    }
+    if (!hasOther(now, exchange)) {
+        return Next::NoOther;
+    }
+    return takeRetry(now, exchange) ? Next::Again : Next::NoAllowance;
+}
+
+bool Core::takeRetry(base::Millis now, Exchange &exchange)
+{
+    // An attempt is beyond the first only when one before it may have arrived.
+    if (exchange.sent > 0 && !exchange.holdsRetry) {
+        exchange.holdsRetry = m_retries.takeRetry(now, exchange.service);
+        return exchange.holdsRetry;
+    }
+    return true;
+}
+
+void Core::settleRetry(base::Millis now, Exchange &exchange, bool arrived)
+{
+    if (exchange.holdsRetry) {
+        m_retries.settle(now, exchange.service, arrived);
+        exchange.holdsRetry = false;
+    }
+}
+
 void Core::closeAttempt(base::Millis now, Exchange &exchange, Result result)
 {
     if (exchange.attempt.id == 0) {
@@ -400,6 +441,7 @@
     if (exchange.attempt.id != 0) {
         exchange.mayHaveRun = true;
         m_effects.cancel(exchange.attempt.id);
+        settleRetry(now, exchange, true);
         closeAttempt(now, exchange, Result::Cancelled);
     }
 }
--- a/src/bamboomoor/relay/core.cpp
+++ b/src/bamboomoor/relay/core.cpp
@@ -248,14 +248,15 @@
         exchange.silent = true;
         m_fleet.silent(now, exchange.choice);
     }
+    settleRetry(now, exchange, true);
     // A silent upstream is left only when the request can go on at another one.
-    const bool mayMove = mayRunAgain(exchange) && exchange.sent < exchange.route->attempts;
-    if (!mayMove || !hasOther(now, exchange) || !m_retries.takeRetry(now, exchange.service)) {
-        note(now, exchange, Step::Silent, !mayMove ? "not_repeatable" : "no_other");
+    const Next next = mayRunAgain(exchange) ? whatNext(now, exchange) : Next::MayHaveRun;
+    if (next != Next::Again) {
+        note(now, exchange, Step::Silent, {}, 0, next);
         lookAt(exchange, exchange.deadline);
         return;
     }
-    note(now, exchange, Step::AttemptFailed, "silent");
+    note(now, exchange, Step::AttemptFailed, "silent", 0, next);
     m_effects.cancel(exchange.attempt.id);
     exchange.mayHaveRun = true;
     closeAttempt(now, exchange, Result::Failed);
@@ -302,6 +303,7 @@
         m_holder.cancel(exchange.reservation);
         m_byReservation.erase(exchange.reservation);
     }
+    settleRetry(now, exchange, false);
     leaveQueue(exchange);
     lookAt(exchange, base::NEVER);
     m_exchanges.erase(exchange.id);
@@ -317,7 +319,8 @@
     return demand;
 }
 
-void Core::note(base::Millis now, const Exchange &exchange, Step step, std::string_view reason, int status) const
+void Core::note(base::Millis now, const Exchange &exchange, Step step, std::string_view reason, int status,
+    std::optional<Next> next) const
 {
     Decision decision;
     decision.step = step;
@@ -329,6 +332,11 @@
     decision.reason = reason;
     decision.status = status;
     decision.attempt = exchange.attempt.id;
+    if (step == Step::Sent) {
+        decision.charge = exchange.attempt.charge;
+        decision.freshConnection = exchange.attempt.freshConnection;
+    }
+    decision.next = next;
     decision.age = now - exchange.arrivedAt;
     decision.version = exchange.table ? exchange.table->version() : 0;
     decision.expectedWait = exchange.choice.expectedWait;
--- a/src/bamboomoor/relay/core.hpp
+++ b/src/bamboomoor/relay/core.hpp
@@ -32,6 +32,19 @@
 namespace bamboomoor::relay
 {
 
+/** @brief Whether an attempt counts against the retry allowance, and why not. */
+enum class Charge { First, Retry, NoneArrived };
+
+/** @brief The names of the charges in logs. */
+inline constexpr auto CHARGE_NAMES = base::makeNames<Charge>("first", "retry", "none_arrived");
+
+/** @brief What follows a failed attempt. */
+enum class Next { Again, MayHaveRun, NoTime, NoAttempts, NoOther, NoAllowance };
+
+/** @brief The names of what follows. */
+inline constexpr auto NEXT_NAMES =
+    base::makeNames<Next>("again", "may_have_run", "no_time", "no_attempts", "no_other", "no_allowance");
+
 /** @brief One sending of a request to an upstream. */
 struct Attempt {
     std::uint64_t id = 0;
@@ -47,8 +60,9 @@
     base::Millis remaining;
     // Where a stream goes on; empty at its start.
     std::string lastEventId;
-    // True when the library may send it a second time over another connection.
-    bool repeatable = false;
+    // True when it may not use a pooled connection, which may be dead.
+    bool freshConnection = true;
+    Charge charge = Charge::First;
 };
 
 /** @brief How an attempt ended, as the transport saw it. */
@@ -57,6 +71,8 @@
     bool complete = false;
     // False only when it is certain that no byte of the request left.
     bool bytesSent = true;
+    // The connection ended after bytes of the request and before any of an answer.
+    bool lostConnection = false;
     // One word of the transport.
     std::string_view how;
 };
@@ -113,6 +129,11 @@
     std::string_view reason;
     int status = 0;
     std::uint64_t attempt = 0;
+    // Set for Step::Sent.
+    std::optional<Charge> charge;
+    bool freshConnection = false;
+    // Set for Step::AttemptFailed and Step::Silent.
+    std::optional<Next> next;
     // Since the request arrived.
     base::Millis age;
     // The version of the configuration that decided.
@@ -300,6 +321,8 @@
         // Attempts that may have reached an upstream.
         std::int64_t sent = 0;
         int unreached = 0;
+        // A retry of the allowance is taken and not settled.
+        bool holdsRetry = false;
         // True when an attempt may have run.
         bool mayHaveRun = false;
         // The head of the stream has gone to the caller.
@@ -325,6 +348,9 @@
     void endStream(base::Millis now, Exchange &exchange);
     void deliver(base::Millis now, Exchange &exchange);
     void fail(base::Millis now, Exchange &exchange, Result result, bool notRun, bool reached, std::string_view how);
+    [[nodiscard]] Next whatNext(base::Millis now, Exchange &exchange);
+    [[nodiscard]] bool takeRetry(base::Millis now, Exchange &exchange);
+    void settleRetry(base::Millis now, Exchange &exchange, bool arrived);
     [[nodiscard]] bool hasOther(base::Millis now, const Exchange &exchange) const;
     [[nodiscard]] base::Millis busyRetry(base::Millis now, const Exchange &exchange, base::Millis wait) const;
     [[nodiscard]] base::Millis queuePatience(base::Millis now, const Exchange &exchange) const;
@@ -337,7 +363,8 @@
     void lookAt(Exchange &exchange, base::Millis at);
     [[nodiscard]] base::Millis silenceLimit(const Exchange &exchange) const;
     [[nodiscard]] bool isStream(const Exchange &exchange) const;
-    void note(base::Millis now, const Exchange &exchange, Step step, std::string_view reason, int status = 0) const;
+    void note(base::Millis now, const Exchange &exchange, Step step, std::string_view reason, int status = 0,
+        std::optional<Next> next = {}) const;
     [[nodiscard]] Exchange *find(std::uint64_t exchange);
     [[nodiscard]] Exchange *findByAttempt(std::uint64_t attempt);
 
--- a/src/bamboomoor/relay/fleet.cpp
+++ b/src/bamboomoor/relay/fleet.cpp
@@ -179,7 +179,7 @@
     const double wait = chosen.cost - static_cast<double>(chosen.newTokens);
     return Choice{chosen.known->worker.id, chosen.known->worker.address,
         {static_cast<std::int64_t>(std::max(0.0, wait) / static_cast<double>(m_options.tokensPerMilli))},
-        chosen.newTokens};
+        chosen.newTokens, chosen.known->state.lostConnection};
 }
 
 Lack Fleet::lackOf(base::Millis now, const Wanted &wanted) const
@@ -373,12 +373,14 @@
     if (!started) {
         state.waitingTokens = std::max<std::int64_t>(0, state.waitingTokens - choice.newTokens);
     }
-    if (result == Result::Refused || result == Result::NotReached) {
+    if (result == Result::Refused || result == Result::NotReached || result == Result::Lost) {
         state.pacer.unsent(choice.newTokens);
     }
     if (result == Result::Cancelled) {
         return;
     }
+    // The connection may have been dead for long, which says little of the upstream.
+    const bool diedInPool = result == Result::Lost && !choice.freshConnection;
     const double fade = fading(now, state.measuredAt);
     const double failed = result == Result::Answered ? 0 : 1;
     state.failures = state.failures * fade * (1 - NEWEST) + failed * NEWEST;
@@ -386,10 +388,16 @@
     state.measuredAt = now;
     if (result == Result::Answered) {
         state.window = std::min(m_options.mostWindow, state.window + 1 / state.window);
-    } else if (result != Result::ErrorAnswer) {
+    } else if (result != Result::ErrorAnswer && !diedInPool) {
         state.window = std::max(1.0, state.window / 2);
     }
-    if (result == Result::NotReached) {
+    if (result == Result::Answered || result == Result::ErrorAnswer || result == Result::Refused) {
+        state.lostConnection = false;
+    } else if (result == Result::Lost) {
+        state.lostConnection = true;
+    }
+    // A new connection that is lost tells of an upstream that is gone.
+    if (result == Result::NotReached || (result == Result::Lost && !diedInPool)) {
         state.avoidance = std::clamp(state.avoidance * 2, m_options.firstAvoidance, m_options.longestAvoidance);
         state.avoidedUntil = now + state.avoidance;
     } else if (result == Result::Answered) {
--- a/src/bamboomoor/relay/fleet.hpp
+++ b/src/bamboomoor/relay/fleet.hpp
@@ -102,6 +102,8 @@
     base::Millis expectedWait;
     // Prompt tokens that it does not keep.
     std::int64_t newTokens = 0;
+    // Its pooled connections may be dead.
+    bool freshConnection = false;
 };
 
 /** @brief What comes to an upstream, or came to it so lately that its announcements may not show it. */
@@ -119,8 +121,8 @@
 /** @brief The names of Lack. */
 inline constexpr auto LACK_NAMES = base::makeNames<Lack>("no_upstream", "not_held", "all_tried", "busy", "coming");
 
-/** @brief How an attempt at an upstream ended. */
-enum class Result { Answered, Failed, ErrorAnswer, Refused, NotReached, Cancelled };
+/** @brief How an attempt at an upstream ended; Lost is a connection that ended before any byte of an answer. */
+enum class Result { Answered, Failed, ErrorAnswer, Refused, NotReached, Lost, Cancelled };
 
 /** @brief The upstreams and what is known of their state. */
 class Fleet
@@ -270,6 +272,8 @@
         base::Millis measuredAt;
         base::Millis avoidedUntil;
         base::Millis avoidance;
+        // A connection was lost; until an answer comes its pooled connections are not used.
+        bool lostConnection = false;
         // Prefixes of prompts sent there, by the time of their use.
         std::unordered_map<std::uint64_t, std::uint64_t> prompts;
         std::map<std::uint64_t, std::uint64_t> promptsByUse;
--- a/src/bamboomoor/relay/retryallowance.cpp
+++ b/src/bamboomoor/relay/retryallowance.cpp
@@ -3,6 +3,8 @@
  */
 #include "bamboomoor/relay/retryallowance.hpp"
 
+#include <cassert>
+
 namespace bamboomoor::relay
 {
 
@@ -24,16 +26,26 @@
 {
     Counts &counts = m_services[service];
     forget(now, counts.requests);
-    forget(now, counts.retries);
+    forget(now, counts.arrived);
     const auto requests = static_cast<std::int64_t>(counts.requests.size());
-    const auto retries = static_cast<std::int64_t>(counts.retries.size());
+    const std::int64_t retries = counts.open + static_cast<std::int64_t>(counts.arrived.size());
     if ((retries + 1) * PERMILLE > requests * m_options.permille) {
         return false;
     }
-    counts.retries.push_back(now);
+    ++counts.open;
     return true;
 }
 
+void RetryAllowance::settle(base::Millis now, const std::string &service, bool arrived)
+{
+    Counts &counts = m_services[service];
+    assert(counts.open > 0);
+    --counts.open;
+    if (arrived) {
+        counts.arrived.push_back(now);
+    }
+}
+
 void RetryAllowance::forget(base::Millis now, std::deque<base::Millis> &times) const
 {
     while (!times.empty() && now - times.front() >= m_options.window) {
--- a/test/bamboomoor/http/server.cpp
+++ b/test/bamboomoor/http/server.cpp
@@ -72,7 +72,8 @@
     Fixture fixture(echo);
     for (const bool once : {true, false, false}) {
         const std::string body(300'000, 'b');
-        const auto answer = fixture.send({.method = "POST", .url = "/a%20b?x=1&y", .body = body, .freshConnection = once});
+        const auto answer =
+            fixture.send({.method = "POST", .url = "/a%20b?x=1&y", .body = body, .freshConnection = once});
         BOOST_TEST(answer->status() == 200);
         BOOST_TEST((answer->body() == "POST /a%20b x=1&y " + body));
         BOOST_TEST(http::headerValue(answer->headers(), "x-kind") == "echo");
--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -196,7 +196,13 @@
     void fail(std::uint64_t attempt, bool bytesSent)
     {
         world.open.erase(attempt);
-        core.ended(now, attempt, {false, bytesSent, "test"});
+        core.ended(now, attempt, {false, bytesSent, false, "test"});
+    }
+
+    void loseConnection(std::uint64_t attempt)
+    {
+        world.open.erase(attempt);
+        core.ended(now, attempt, {false, true, true, "test"});
     }
 
     void answer(std::uint64_t attempt, AnswerHead answer, const std::string &body)
@@ -204,7 +210,7 @@
         core.head(now, attempt, std::move(answer));
         core.data(now, attempt, body);
         world.open.erase(attempt);
-        core.ended(now, attempt, {true, true, "complete"});
+        core.ended(now, attempt, {true, true, false, "complete"});
     }
 };
 
@@ -323,6 +329,44 @@
     BOOST_TEST(!world.callers[1].refusedNotRun);
 }
 
+BOOST_AUTO_TEST_CASE(a_lost_pooled_connection_is_tried_again_over_a_new_one_which_tells_whether_the_upstream_is_gone)
+{
+    core.setWorkers({worker("w1")});
+    arrive(1, "/again/x");
+    BOOST_TEST(!world.sent[0].freshConnection);
+    loseConnection(last());
+    BOOST_TEST(world.sent.size() == 2U);
+    BOOST_TEST(world.sent.back().freshConnection);
+    BOOST_TEST((world.sent.back().charge == relay::Charge::Retry));
+    // Nobody listens: neither this request nor another one is sent there again.
+    fail(last(), false);
+    arrive(3, "/again/x");
+    BOOST_TEST(world.sent.size() == 2U);
+    BOOST_TEST(world.callers[1].ends == 1);
+    BOOST_TEST(world.callers[3].refusedNotRun);
+    now += base::Millis{5'000};
+    arrive(4, "/again/x");
+    BOOST_TEST(world.sent.size() == 3U);
+    BOOST_TEST(world.sent.back().freshConnection);
+    answer(last(), head(OK), "back");
+    arrive(5, "/again/x");
+    BOOST_TEST(!world.sent.back().freshConnection);
+}
+
+BOOST_AUTO_TEST_CASE(an_upstream_that_loses_new_connections_gets_no_request_for_a_while)
+{
+    core.setWorkers({worker("w1"), worker("w2")});
+    arrive(1, "/once/x");
+    const std::string lost = world.sent.front().upstream;
+    loseConnection(last());
+    BOOST_TEST(world.callers[1].refused);
+    BOOST_TEST(!world.callers[1].refusedNotRun);
+    for (std::uint64_t n = 2; n < 6; ++n) {
+        arrive(n, "/once/x");
+        BOOST_TEST(world.sent.back().upstream != lost);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_idempotent_request_is_tried_again_after_a_server_error_and_then_told_it)
 {
     arrive(1, "/again/x");
@@ -410,6 +454,8 @@
         Fixture it;
         // Attempts of each request that may have run, and the events that each has given.
         std::map<std::uint64_t, int> mayHaveRun;
+        // Those of them that surely did not arrive.
+        std::map<std::uint64_t, int> neverArrived;
         std::map<std::uint64_t, int> events;
         std::map<std::uint64_t, std::string> paths;
         std::map<std::uint64_t, bool> headed;
@@ -434,7 +480,11 @@
                     paths[attempt.exchange].starts_with("/s") || paths[attempt.exchange].starts_with("/r");
                 int &given = events[attempt.exchange];
                 if (action == 2) {
-                    it.fail(id, *rc::gen::arbitrary<bool>());
+                    const bool bytesSent = *rc::gen::arbitrary<bool>();
+                    neverArrived[attempt.exchange] += bytesSent || headed[id] ? 0 : 1;
+                    it.fail(id, bytesSent);
+                } else if (action == 8 && !headed[id]) {
+                    it.loseConnection(id);
                 } else if (action == 3) {
                     auto refusal = Fixture::head(UNAVAILABLE, AnswerOwner::Unknown, false);
                     refusal.notRun = !headed[id];
@@ -454,7 +504,7 @@
                         it.answer(id, Fixture::head(OK), "whole");
                     } else {
                         it.world.open.erase(id);
-                        it.core.ended(it.now, id, {true, true, "complete"});
+                        it.core.ended(it.now, id, {true, true, false, "complete"});
                     }
                 } else if (action == 7) {
                     it.core.head(it.now, id, Fixture::head(OK, AnswerOwner::Other));
@@ -463,7 +513,11 @@
                 }
             }
             for (; counted < it.world.sent.size(); ++counted) {
-                ++mayHaveRun[it.world.sent[counted].exchange];
+                const relay::Attempt &attempt = it.world.sent[counted];
+                const int before = mayHaveRun[attempt.exchange]++ - neverArrived[attempt.exchange];
+                RC_ASSERT((attempt.charge == relay::Charge::Retry) == (before > 0));
+                RC_ASSERT(attempt.freshConnection || paths[attempt.exchange].starts_with("/again/")
+                    || paths[attempt.exchange].starts_with("/resume/"));
             }
         }
         it.core.stop(it.now);
--- a/test/bamboomoor/relay/parts.cpp
+++ b/test/bamboomoor/relay/parts.cpp
@@ -64,6 +64,7 @@
                 allowance.countRequest({now}, "s");
                 requests.push_back(now);
             } else if (allowance.takeRetry({now}, "s")) {
+                allowance.settle({now}, "s", true);
                 retries.push_back(now);
             }
         }
@@ -78,6 +79,64 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(retries_that_wait_on_their_way_do_not_arrive_more_densely_than_they_were_charged)
+{
+    rc::check([] {
+        constexpr std::int64_t WINDOW = 1'000;
+        relay::RetryAllowance allowance({200, base::Millis{WINDOW}});
+        std::vector<std::int64_t> requests;
+        // Retries under way: when each arrives, and when the entry knows it; nothing when it never arrives.
+        struct UnderWay {
+            std::int64_t decidedAt = 0;
+            std::int64_t arrivesAt = 0;
+            std::int64_t knownAt = 0;
+            bool arrives = true;
+        };
+        std::vector<UnderWay> underWay;
+        std::vector<UnderWay> arrived;
+        std::int64_t now = 0;
+        const int steps = *rc::gen::inRange(1, 300);
+        for (int n = 0; n < steps; ++n) {
+            now += *rc::gen::inRange(0, 60);
+            std::erase_if(underWay, [&](const UnderWay &it) {
+                if (it.knownAt > now) {
+                    return false;
+                }
+                allowance.settle({now}, "s", it.arrives);
+                return true;
+            });
+            if (*rc::gen::inRange(0, 3) > 0) {
+                allowance.countRequest({now}, "s");
+                requests.push_back(now);
+            } else if (allowance.takeRetry({now}, "s")) {
+                UnderWay it;
+                it.decidedAt = now;
+                it.arrivesAt = now + *rc::gen::inRange(0, 900);
+                it.knownAt = it.arrivesAt + *rc::gen::inRange(0, 200);
+                it.arrives = *rc::gen::inRange(0, 4) > 0;
+                underWay.push_back(it);
+                if (it.arrives) {
+                    arrived.push_back(it);
+                }
+            }
+        }
+        for (const UnderWay &from : arrived) {
+            std::int64_t count = 0;
+            std::int64_t lastDecided = 0;
+            for (const UnderWay &it : arrived) {
+                if (it.arrivesAt >= from.arrivesAt && it.arrivesAt < from.arrivesAt + WINDOW) {
+                    ++count;
+                    lastDecided = std::max(lastDecided, it.decidedAt);
+                }
+            }
+            const auto asked = std::count_if(requests.begin(), requests.end(), [lastDecided](std::int64_t it) {
+                return it > lastDecided - WINDOW && it <= lastDecided;
+            });
+            RC_ASSERT(count * 5 <= asked);
+        }
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(route_table)
