Let falsified properties fail their tests; round no whole rank up

rc::check returns its verdict, and in nine tests of seven programs (groupplan, messages, relay core and parts, storewindow, residency, replaceconfig) nothing looked at it: a falsified property was printed and the program passed.

--- a/src/bamboomoor/load/report.cpp
+++ b/src/bamboomoor/load/report.cpp
@@ -77,7 +77,7 @@
         return 0;
     }
     std::sort(values.begin(), values.end());
-    const double rank = std::ceil(percent / 100.0 * static_cast<double>(values.size()));
+    const double rank = std::ceil(percent * static_cast<double>(values.size()) / 100.0);
     return values[static_cast<std::size_t>(std::max(rank, 1.0)) - 1];
 }
 
--- a/test/bamboomoor/consensus/groupplan.cpp
+++ b/test/bamboomoor/consensus/groupplan.cpp
@@ -128,7 +128,7 @@
 
 BOOST_AUTO_TEST_CASE(a_change_always_leaves_a_majority_that_is_heard)
 {
-    rc::check([] {
+    BOOST_TEST(rc::check([] {
         const auto size = *rc::gen::inRange<std::size_t>(1, 7);
         std::vector<std::string> voters;
         for (std::size_t n = 0; n < size; ++n) {
@@ -162,7 +162,7 @@
         });
         RC_ASSERT(static_cast<std::size_t>(heard) >= voters.size() / 2 + 1 || change->id == "l@20:1");
         RC_ASSERT(voters.size() <= 7U);
-    });
+    }));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/bamboomoor/load/load.cpp
+++ b/test/bamboomoor/load/load.cpp
@@ -44,6 +44,15 @@
     }));
 }
 
+BOOST_AUTO_TEST_CASE(a_percentile_whose_rank_is_whole_is_not_rounded_up)
+{
+    std::vector<std::int64_t> values;
+    for (std::int64_t n = 1; n <= 25; ++n) {
+        values.push_back(n);
+    }
+    BOOST_TEST(load::percentile(values, 28) == 7);
+}
+
 BOOST_AUTO_TEST_CASE(a_percentile_is_the_least_value_that_covers_its_share)
 {
     BOOST_TEST(rc::check("nearest rank", [] {
--- a/test/bamboomoor/placement/residency.cpp
+++ b/test/bamboomoor/placement/residency.cpp
@@ -445,7 +445,7 @@
 
 BOOST_AUTO_TEST_CASE(no_order_ever_exceeds_a_worker_though_orders_are_carried_out_late)
 {
-    rc::check([] {
+    BOOST_TEST(rc::check([] {
         Engines it(6, *rc::gen::arbitrary<std::uint64_t>());
         it.lateOrders = *rc::gen::inRange(0, 60);
         it.lateAnnouncements = *rc::gen::inRange<std::uint64_t>(0, 4'000);
@@ -473,7 +473,7 @@
         }
         RC_ASSERT(!it.exceeded);
         RC_ASSERT(it.mostStoreLoads({5'000}) <= 5 * 2 + 3);
-    });
+    }));
 }
 
 namespace
--- a/test/bamboomoor/placement/storewindow.cpp
+++ b/test/bamboomoor/placement/storewindow.cpp
@@ -97,7 +97,7 @@
 // Orders begin at once, late, twice at the most under one number, or never, and workers restart meanwhile.
 BOOST_AUTO_TEST_CASE(no_window_holds_more_loads_than_the_limit_however_late_orders_begin)
 {
-    rc::check([] {
+    BOOST_TEST(rc::check([] {
         constexpr std::int64_t LIMIT = 10;
         struct Worker {
             std::uint64_t incarnation = 1;
@@ -163,7 +163,7 @@
             });
             RC_ASSERT(loads <= LIMIT);
         }
-    });
+    }));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/bamboomoor/platform/messages.cpp
+++ b/test/bamboomoor/platform/messages.cpp
@@ -101,7 +101,7 @@
 
 BOOST_AUTO_TEST_CASE(no_bytes_stop_the_reader)
 {
-    rc::check([] {
+    BOOST_TEST(rc::check([] {
         std::string body = MANIFEST;
         const int changes = *rc::gen::inRange(1, 6);
         for (int n = 0; n < changes; ++n) {
@@ -113,7 +113,7 @@
             static_cast<void>(config::parse(config::print(manifest.value().document)));
         }
         static_cast<void>(readHeartbeat("i", body));
-    });
+    }));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -450,7 +450,7 @@
 
 BOOST_AUTO_TEST_CASE(callers_and_upstreams_see_what_is_promised)
 {
-    rc::check([] {
+    BOOST_TEST(rc::check([] {
         Fixture it;
         // Attempts of each request that may have run, and the events that each has given.
         std::map<std::uint64_t, int> mayHaveRun;
@@ -533,7 +533,7 @@
             RC_ASSERT(!seen.begun || expected.starts_with(seen.bytes));
         }
         RC_ASSERT(it.core.inProgress() == 0U);
-    });
+    }));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/bamboomoor/relay/parts.cpp
+++ b/test/bamboomoor/relay/parts.cpp
@@ -18,7 +18,7 @@
 
 BOOST_AUTO_TEST_CASE(any_split_of_the_bytes_gives_the_same_whole_events)
 {
-    rc::check([] {
+    BOOST_TEST(rc::check([] {
         std::string stream;
         const int events = *rc::gen::inRange(0, 8);
         for (int n = 1; n <= events; ++n) {
@@ -43,7 +43,7 @@
         RC_ASSERT(cutter.atBoundary() == unfinished.empty());
         RC_ASSERT(cutter.events() == static_cast<std::size_t>(events));
         RC_ASSERT(cutter.lastId() == (events == 0 ? std::string() : std::to_string(events)));
-    });
+    }));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -52,7 +52,7 @@
 
 BOOST_AUTO_TEST_CASE(no_window_holds_more_retries_than_its_share_of_the_requests)
 {
-    rc::check([] {
+    BOOST_TEST(rc::check([] {
         relay::RetryAllowance allowance({200, base::Millis{1'000}});
         std::vector<std::int64_t> requests;
         std::vector<std::int64_t> retries;
@@ -76,12 +76,12 @@
             const auto again = std::count_if(retries.begin(), retries.end(), within);
             RC_ASSERT(again * 5 <= asked);
         }
-    });
+    }));
 }
 
 BOOST_AUTO_TEST_CASE(retries_that_wait_on_their_way_do_not_arrive_more_densely_than_they_were_charged)
 {
-    rc::check([] {
+    BOOST_TEST(rc::check([] {
         constexpr std::int64_t WINDOW = 1'000;
         relay::RetryAllowance allowance({200, base::Millis{WINDOW}});
         std::vector<std::int64_t> requests;
@@ -134,7 +134,7 @@
             });
             RC_ASSERT(count * 5 <= asked);
         }
-    });
+    }));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/bamboomoor/state/replaceconfig.cpp
+++ b/test/bamboomoor/state/replaceconfig.cpp
@@ -63,7 +63,7 @@
 
 BOOST_AUTO_TEST_CASE(the_highest_version_is_in_force_and_survives_a_snapshot_byte_for_byte)
 {
-    rc::check([] {
+    BOOST_TEST(rc::check([] {
         state::Machine machine;
         std::uint64_t highest = 0;
         std::map<std::uint64_t, std::string> first;
@@ -89,7 +89,7 @@
             RC_ASSERT(info != nullptr && *info->source == source);
         }
         RC_ASSERT(machine.configuration().find(highest + 1) == nullptr);
-    });
+    }));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
