Pace prompts only at strained engines, by a rate that is learned

The pacer held 3 tokens a ms for each pair of entry and engine: after one prompt of 9,190 tokens the entry held the next one back for 2.5 s, on an engine that reads such a prompt in 0.24 s. Waits were predicted with 19 tokens a ms, the engine reads 38.4.

An engine whose streams did not pause lately (3 s) is not paced; the bound of what may wait there stays. EngineProfile learns the rate of a service's engines from first events; costs, waits and pacers count in tokens of an engine of known rate.

--- a/src/bamboomoor/relay/fleet.cpp
+++ b/src/bamboomoor/relay/fleet.cpp
@@ -176,7 +176,7 @@
         return std::nullopt;
     }
     const Found &chosen = found[m_random() % found.size()];
-    const double wait = chosen.cost - static_cast<double>(chosen.newTokens);
+    const double wait = chosen.cost - standardTokens(wanted.service, chosen.newTokens);
     return Choice{chosen.known->worker.id, chosen.known->worker.address,
         {static_cast<std::int64_t>(std::max(0.0, wait) / static_cast<double>(m_options.tokensPerMilli))},
         chosen.newTokens, chosen.known->state.lostConnection};
@@ -208,7 +208,9 @@
     if (holding.empty()) {
         return static_cast<double>(known.state.running) >= known.state.window;
     }
-    return known.state.waitingTokens >= m_options.waitingTokens || !known.state.pacer.open(now);
+    const State &state = known.state;
+    const double waiting = standardTokens(known.worker.service, state.waitingTokens);
+    return waiting >= static_cast<double>(m_options.waitingTokens) || (state.pacer.strained(now) && !state.pacer.open(now));
 }
 
 bool Fleet::hasRoom(base::Millis now, const std::string &service, const std::string &holding) const
@@ -224,13 +226,15 @@
 base::Millis Fleet::waitFor(base::Millis now, const Wanted &wanted, std::int64_t ahead) const
 {
     const auto found = m_services.find(wanted.service);
-    double waiting = static_cast<double>(ahead);
+    double waiting = standardTokens(wanted.service, ahead);
     double rate = 0;
     if (found != m_services.end()) {
         for (const Known *it : found->second) {
             if (canServe(now, *it, wanted)) {
-                rate += it->state.pacer.rate();
-                waiting += it->state.pacer.missing(now);
+                const State &state = it->state;
+                const bool strained = state.pacer.strained(now);
+                rate += strained ? state.pacer.rate() : static_cast<double>(m_options.tokensPerMilli);
+                waiting += strained ? state.pacer.missing(now) : standardTokens(wanted.service, state.waitingTokens);
             }
         }
     }
@@ -268,10 +272,10 @@
     const State &state = known.state;
     const double fade = fading(now, state.measuredAt);
     // What other entries had waiting is read meanwhile.
-    const std::int64_t readOn = (now - state.foreignAt).count * m_options.tokensPerMilli;
-    const std::int64_t foreign = std::max<std::int64_t>(0, state.foreignTokens - readOn);
-    double cost =
-        static_cast<double>(newTokens + state.waitingTokens + foreign + state.running * m_options.tokensPerRun);
+    const auto readOn = static_cast<double>((now - state.foreignAt).count * m_options.tokensPerMilli);
+    double cost = std::max(0.0, standardTokens(wanted.service, state.foreignTokens) - readOn);
+    cost += standardTokens(wanted.service, newTokens + state.waitingTokens);
+    cost += static_cast<double>(state.running * m_options.tokensPerRun);
     cost += state.excessWait * fade * static_cast<double>(m_options.tokensPerMilli);
     // Steps that take longer than a few milliseconds read prompts.
     cost += state.pause * fading(now, state.pausedAt) / static_cast<double>(m_options.stepsPerEvent)
@@ -295,6 +299,15 @@
     return std::min(kept, wanted.promptTokens);
 }
 
+double Fleet::standardTokens(const std::string &service, std::int64_t tokens) const
+{
+    const auto profile = m_profiles.find(service);
+    const auto count = static_cast<double>(tokens);
+    return profile == m_profiles.end()
+        ? count
+        : count * static_cast<double>(m_options.tokensPerMilli) / profile->second.tokensPerMilli();
+}
+
 void Fleet::remember(State &state, const Wanted &wanted) const
 {
     std::uint64_t prefix = std::hash<std::string>()(wanted.holding);
@@ -318,7 +331,7 @@
     if (Known *known = find(choice.id)) {
         ++known->state.running;
         known->state.waitingTokens += choice.newTokens;
-        known->state.pacer.sent(now, choice.newTokens);
+        known->state.pacer.sent(now, std::llround(standardTokens(known->worker.service, choice.newTokens)));
         remember(known->state, wanted);
     }
 }
@@ -330,8 +343,12 @@
         return;
     }
     State &state = known->state;
+    EngineProfile &profile = m_profiles.try_emplace(known->worker.service, m_options.profile).first->second;
+    if (state.waitingTokens <= choice.newTokens) {
+        profile.answered(choice.newTokens, now - sentAt);
+    }
     state.waitingTokens = std::max<std::int64_t>(0, state.waitingTokens - choice.newTokens);
-    const double explained = static_cast<double>(choice.newTokens) / static_cast<double>(m_options.tokensPerMilli);
+    const double explained = static_cast<double>(choice.newTokens) / profile.tokensPerMilli();
     const double excess = std::max(0.0, static_cast<double>((now - sentAt).count) - explained);
     const double fade = fading(now, state.measuredAt);
     state.excessWait = state.excessWait * fade * (1 - NEWEST) + excess * NEWEST;
@@ -374,7 +391,7 @@
         state.waitingTokens = std::max<std::int64_t>(0, state.waitingTokens - choice.newTokens);
     }
     if (result == Result::Refused || result == Result::NotReached || result == Result::Lost) {
-        state.pacer.unsent(choice.newTokens);
+        state.pacer.unsent(std::llround(standardTokens(known->worker.service, choice.newTokens)));
     }
     if (result == Result::Cancelled) {
         return;
--- a/src/bamboomoor/relay/fleet.hpp
+++ b/src/bamboomoor/relay/fleet.hpp
@@ -12,6 +12,7 @@
 
 #include "bamboomoor/base/clock.hpp"
 #include "bamboomoor/base/nametable.hpp"
+#include "bamboomoor/relay/engineprofile.hpp"
 #include "bamboomoor/relay/pacer.hpp"
 #include "bamboomoor/relay/request.hpp"
 
@@ -56,13 +57,14 @@
     // The data centre of this entry, preferred where waits are alike.
     std::string dataCentre;
     std::uint64_t seed = 1;
-    // Prompt tokens that an engine reads in a millisecond.
+    ProfileOptions profile;
+    // Costs, and what pacers count, are in prompt tokens of an engine that reads so many in a millisecond.
     std::int64_t tokensPerMilli = 19;
-    // What a request in progress costs its engine, in prompt tokens.
+    // What a request in progress costs its engine.
     std::int64_t tokensPerRun = 60;
-    // What another data centre costs, in prompt tokens.
+    // What another data centre costs.
     std::int64_t tokensPerDistance = 30;
-    // What an upstream of failures alone costs, in prompt tokens.
+    // What an upstream of failures alone costs.
     std::int64_t tokensPerFailure = 40'000;
     // Failures and waits count half after this time.
     base::Millis halfLife{1'500};
@@ -74,7 +76,7 @@
     double mostWindow = 64;
     // An adapter comes to an upstream that holds its model within this time.
     base::Millis adapterTime{150};
-    // Prompt tokens of this entry that may wait at one engine; an engine reads about as many in one step.
+    // What may wait of this entry at one engine; an engine reads about as much in one step.
     std::int64_t waitingTokens = 4'096;
     // Prompts remembered for each upstream.
     std::size_t rememberedPrompts = 256;
@@ -296,6 +298,7 @@
     [[nodiscard]] std::int64_t keptTokens(const Known &known, const Wanted &wanted) const;
     [[nodiscard]] double fading(base::Millis now, base::Millis since) const;
     void remember(State &state, const Wanted &wanted) const;
+    [[nodiscard]] double standardTokens(const std::string &service, std::int64_t tokens) const;
     Known *find(const std::string &id);
 
     FleetOptions m_options;
@@ -303,6 +306,8 @@
     std::map<std::string, Known> m_workers;
     // Upstreams by service; the pointers lead into m_workers.
     std::map<std::string, std::vector<Known *>> m_services;
+    // By service.
+    std::map<std::string, EngineProfile> m_profiles;
 };
 
 } // namespace bamboomoor::relay
--- a/src/bamboomoor/relay/pacer.cpp
+++ b/src/bamboomoor/relay/pacer.cpp
@@ -28,7 +28,7 @@
 
 void Pacer::recover(base::Millis now) noexcept
 {
-    const base::Millis passed = now - std::max(m_recoveredAt, m_slowedAt);
+    const base::Millis passed = now - std::max(m_recoveredAt, m_slowedAt.value_or(base::Millis{}));
     m_recoveredAt = now;
     m_tokens = tokensAt(now);
     m_at = now;
@@ -44,7 +44,7 @@
     const double part =
         static_cast<double>(pause.count) / static_cast<double>(std::max<std::int64_t>(1, objective.count));
     if (part >= m_options.slowPart) {
-        if (now - m_slowedAt >= m_options.slowInterval) {
+        if (!m_slowedAt || now - *m_slowedAt >= m_options.slowInterval) {
             m_tokens = tokensAt(now);
             m_at = now;
             m_rate = std::max(m_options.leastRate, m_rate * m_options.slowFactor);
@@ -54,7 +54,7 @@
     }
     // A rate that is not used up says nothing of a greater one.
     const bool used = tokensAt(now) < m_options.burst / 2;
-    if (part <= m_options.quickPart && used && now - m_slowedAt >= m_options.slowInterval
+    if (part <= m_options.quickPart && used && (!m_slowedAt || now - *m_slowedAt >= m_options.slowInterval)
         && now - m_quickenedAt >= m_options.quickInterval) {
         m_tokens = tokensAt(now);
         m_at = now;
--- a/src/bamboomoor/relay/pacer.hpp
+++ b/src/bamboomoor/relay/pacer.hpp
@@ -15,6 +15,7 @@
 #include "bamboomoor/base/clock.hpp"
 
 #include <cstdint>
+#include <optional>
 
 namespace bamboomoor::relay
 {
@@ -40,6 +41,8 @@
     // Between two steps down, and between two steps up; prompts that are sent show their effect by then.
     base::Millis slowInterval{400};
     base::Millis quickInterval{200};
+    // An engine counts as strained for this time after a step down; about the time of a stream.
+    base::Millis strainMemory{3'000};
 };
 
 /** @brief The rate of one entry to one engine. */
@@ -78,6 +81,16 @@
      */
     void paused(base::Millis now, base::Millis pause, base::Millis objective) noexcept;
 
+    /**
+     * @brief Tells whether the engine has shown lately that it has more to read than it can.
+     * @param now The present time.
+     * @return False for one whose streams do not pause; its prompts need no pace.
+     */
+    [[nodiscard]] bool strained(base::Millis now) const noexcept
+    {
+        return m_slowedAt && now - *m_slowedAt < m_options.strainMemory;
+    }
+
     /** @brief Gives the present rate. @return Prompt tokens a millisecond. */
     [[nodiscard]] double rate() const noexcept
     {
@@ -96,7 +109,8 @@
     // As of m_at; below zero by one prompt at most.
     double m_tokens;
     base::Millis m_at;
-    base::Millis m_slowedAt;
+    // Nothing before the first step down.
+    std::optional<base::Millis> m_slowedAt;
     base::Millis m_quickenedAt;
     base::Millis m_recoveredAt;
 };
--- /dev/null
+++ b/test/bamboomoor/relay/engineprofile.cpp
@@ -0,0 +1,53 @@
+/**
+ * Tests of what is learned of a service's engines.
+ */
+#include "bamboomoor/relay/engineprofile.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace bamboomoor;
+using relay::EngineProfile;
+
+BOOST_AUTO_TEST_SUITE(engine_profile)
+
+BOOST_AUTO_TEST_CASE(before_its_answers_an_engine_is_taken_for_one_of_today)
+{
+    EngineProfile it;
+    const double first = it.tokensPerMilli();
+    it.answered(9'000, {100});
+    BOOST_TEST(it.tokensPerMilli() == first);
+    // Short prompts tell nothing.
+    for (int n = 0; n < 100; ++n) {
+        it.answered(50, {20});
+    }
+    BOOST_TEST(it.tokensPerMilli() == first);
+}
+
+BOOST_AUTO_TEST_CASE(the_rate_is_learned_although_half_of_the_answers_waited)
+{
+    for (const double rate : {9.6, 19.2, 38.4, 76.8}) {
+        EngineProfile it;
+        for (std::int64_t n = 0; n < 40; ++n) {
+            const std::int64_t tokens = 1'000 + n * 200;
+            const std::int64_t wait = n % 2 == 0 ? 0 : 700;
+            it.answered(tokens, {static_cast<std::int64_t>(static_cast<double>(tokens) / rate) + wait});
+        }
+        BOOST_TEST(it.tokensPerMilli() > rate * 0.9);
+        BOOST_TEST(it.tokensPerMilli() < rate * 1.1);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(answers_out_of_all_proportion_are_bounded)
+{
+    EngineProfile quick;
+    EngineProfile slow;
+    const double first = quick.tokensPerMilli();
+    for (int n = 0; n < 100; ++n) {
+        quick.answered(1'000'000, {0});
+        slow.answered(500, {60'000});
+    }
+    BOOST_TEST(quick.tokensPerMilli() <= first * 8);
+    BOOST_TEST(slow.tokensPerMilli() >= first / 4);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
