Bound answers without end, and count only whole events as signs of life of a stream

A plain answer was kept whole up to 64 MiB each, so that a few upstreams that send without end take an entry's memory; bytes between the client's thread and the runner's were bounded by number of pieces only. Now settings bound one answer (4 MiB) and all that are held (32 MiB), and half a MiB of an answer may wait in the ring; beyond, the attempt is broken off and never delivered.

A stalled stream that sent a byte now and then never counted as silent, so that one that may be resumed stayed there until its deadline. Only whole events count now; a slow stream with an event each second stays.

Heads without end were bounded before (64 KiB over all heads of an answer, by the client). The share and the window of retries come from the deployment's settings (retry_ratio, retry_window_s); the entry's file never set them, so that 0.2 and 10 s held everywhere.

Tests, red with the bounds and the place of heardAt undone: an_answer_without_end_is_broken_off..., a_hundred_answers_without_end..., a_stream_that_sends_bytes_without_events...

--- a/src/bamboomoor/gateway/runner.cpp
+++ b/src/bamboomoor/gateway/runner.cpp
@@ -39,7 +39,16 @@
 
     void onData(std::string_view bytes) override
     {
-        m_broken = m_broken || !m_runner.push(Data{m_attempt, std::string(bytes)});
+        if (m_broken) {
+            return;
+        }
+        if (*m_unread + bytes.size() > m_runner.m_options.maxUnreadBytes) {
+            m_broken = true;
+            static_cast<void>(m_runner.push(Ended{m_attempt, {http::EndKind::TooLarge, true, false, 0, {}}}));
+            return;
+        }
+        *m_unread += bytes.size();
+        m_broken = !m_runner.push(Data{m_attempt, std::string(bytes), m_unread});
     }
 
     void onEnd(http::Ending ending) override
@@ -54,6 +63,7 @@
     Runner &m_runner;
     const std::uint64_t m_attempt;
     const std::string m_requestId;
+    const std::shared_ptr<Unread> m_unread = std::make_shared<Unread>(0);
     // A part of the answer did not fit the ring.
     bool m_broken = false;
 };
@@ -183,14 +193,19 @@
 
 void Runner::on(base::Millis now, Data &event)
 {
+    *event.unread -= event.bytes.size();
     m_core.data(now, event.attempt, event.bytes);
 }
 
 void Runner::on(base::Millis now, Ended &event)
 {
-    if (m_calls.erase(event.attempt) == 0) {
+    const auto call = m_calls.find(event.attempt);
+    if (call == m_calls.end()) {
         return;
     }
+    // A call that has not ended, as its answer is without end, is broken off.
+    m_context.client.cancel(call->second);
+    m_calls.erase(call);
     relay::AttemptEnd end;
     end.complete = event.ending.kind == http::EndKind::Complete;
     end.bytesSent = event.ending.bytesSent;
--- a/src/bamboomoor/gateway/runner.hpp
+++ b/src/bamboomoor/gateway/runner.hpp
@@ -42,6 +42,8 @@
     base::Millis connectTimeout{400};
     // What an upstream gets beyond the time that is left, so that an answer of its own comes first.
     base::Millis answerGrace{200};
+    // What may wait in the ring of one answer; more comes only from an upstream that sends without end.
+    std::size_t maxUnreadBytes = 524'288;
     // The longest wait for the budget's authority.
     base::Millis budgetTimeout{400};
 };
@@ -116,9 +118,12 @@
         std::uint64_t attempt = 0;
         relay::AnswerHead head;
     };
+    // Bytes of one answer in the ring, written by the client's thread and the runner's.
+    using Unread = std::atomic<std::size_t>;
     struct Data {
         std::uint64_t attempt = 0;
         std::string bytes;
+        std::shared_ptr<Unread> unread;
     };
     struct Ended {
         std::uint64_t attempt = 0;
--- a/src/bamboomoor/reader/tablereader.cpp
+++ b/src/bamboomoor/reader/tablereader.cpp
@@ -169,19 +169,31 @@
 
 std::int64_t TableReader::seconds(std::string_view key, std::int64_t otherwise, Range range)
 {
-    constexpr double MILLIS_PER_SECOND = 1'000.0;
+    return thousandths(key, otherwise, range,
+        "must be seconds, from " + std::to_string(range.least) + " to " + std::to_string(range.most) + " ms");
+}
+
+std::int64_t TableReader::share(std::string_view key, std::int64_t otherwise)
+{
+    return thousandths(key, otherwise, {0, 1'000}, "must be a share from 0 to 1");
+}
+
+std::int64_t TableReader::thousandths(
+    std::string_view key, std::int64_t otherwise, Range range, const std::string &rule)
+{
+    constexpr double THOUSAND = 1'000.0;
     const toml::node *node = find(key);
     if (node == nullptr) {
         return otherwise;
     }
     // Also takes an integer, as it converts without loss.
     const std::optional<double> value = node->value<double>();
-    const double millis = value.value_or(-1) * MILLIS_PER_SECOND;
-    if (!(millis >= static_cast<double>(range.least) && millis <= static_cast<double>(range.most))) {
-        fail(key, "must be seconds, from " + std::to_string(range.least) + " to " + std::to_string(range.most) + " ms");
+    const double count = value.value_or(-1) * THOUSAND;
+    if (!(count >= static_cast<double>(range.least) && count <= static_cast<double>(range.most))) {
+        fail(key, rule);
         return otherwise;
     }
-    return std::llround(millis);
+    return std::llround(count);
 }
 
 bool TableReader::flag(std::string_view key, bool otherwise)
--- a/src/bamboomoor/reader/tablereader.hpp
+++ b/src/bamboomoor/reader/tablereader.hpp
@@ -119,6 +119,14 @@
      */
     [[nodiscard]] std::int64_t seconds(std::string_view key, std::int64_t otherwise, Range range);
 
+    /**
+     * @brief Reads a share from 0 to 1 that may be missing.
+     * @param key The key.
+     * @param otherwise The share of a missing key, in thousandths.
+     * @return The share in thousandths.
+     */
+    [[nodiscard]] std::int64_t share(std::string_view key, std::int64_t otherwise);
+
     /**
      * @brief Reads a truth value that may be missing.
      * @param key The key.
@@ -161,6 +169,8 @@
     }
 
 private:
+    [[nodiscard]] std::int64_t thousandths(
+        std::string_view key, std::int64_t otherwise, Range range, const std::string &rule);
     [[nodiscard]] const toml::node *find(std::string_view key);
 
     const toml::table &m_table;
--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -182,7 +182,7 @@
     exchange.started = false;
     exchange.silent = false;
     exchange.head.reset();
-    exchange.body.clear();
+    static_cast<void>(takeBody(exchange));
     exchange.cutter = {};
     Attempt &attempt = exchange.attempt;
     attempt.id = ++m_lastAttempt;
@@ -232,12 +232,32 @@
     if (exchange == nullptr || !exchange->head) {
         return;
     }
-    exchange->heardAt = now;
     if (isStream(*exchange) && isSuccess(exchange->head->status)) {
         relayEvents(now, *exchange, bytes);
-    } else {
-        exchange->body += bytes;
+        return;
+    }
+    exchange->heardAt = now;
+    if (!hold(*exchange, bytes)) {
+        m_effects.cancel(attempt);
+        fail(now, *exchange, Result::Failed, false, true, "answer_too_long");
+    }
+}
+
+bool Core::hold(Exchange &exchange, std::string_view bytes)
+{
+    const bool fits = exchange.body.size() + bytes.size() <= m_options.maxAnswerBytes
+        && m_heldBytes + bytes.size() <= m_options.maxHeldBytes;
+    if (fits) {
+        exchange.body += bytes;
+        m_heldBytes += bytes.size();
     }
+    return fits;
+}
+
+std::string Core::takeBody(Exchange &exchange)
+{
+    m_heldBytes -= exchange.body.size();
+    return std::exchange(exchange.body, {});
 }
 
 void Core::relayEvents(base::Millis now, Exchange &exchange, std::string_view bytes)
@@ -251,6 +271,8 @@
     if (events.empty()) {
         return;
     }
+    // Bytes that complete no event are no sign of life.
+    exchange.heardAt = now;
     if (!exchange.started) {
         exchange.started = true;
         m_fleet.started(now, exchange.choice, exchange.sentAt);
@@ -343,7 +365,7 @@
     }
     note(now, exchange, Step::Answered, {}, head.status);
     closeAttempt(now, exchange, head.status >= SERVER_ERROR ? Result::ErrorAnswer : Result::Answered);
-    m_effects.respond(exchange.id, {head.status, std::move(head.headers), std::move(exchange.body)});
+    m_effects.respond(exchange.id, {head.status, std::move(head.headers), takeBody(exchange)});
     finish(now, exchange);
 }
 
--- a/src/bamboomoor/relay/core.cpp
+++ b/src/bamboomoor/relay/core.cpp
@@ -304,6 +304,7 @@
         m_byReservation.erase(exchange.reservation);
     }
     settleRetry(now, exchange, false);
+    static_cast<void>(takeBody(exchange));
     leaveQueue(exchange);
     lookAt(exchange, base::NEVER);
     m_exchanges.erase(exchange.id);
--- a/src/bamboomoor/relay/core.hpp
+++ b/src/bamboomoor/relay/core.hpp
@@ -190,6 +190,10 @@
     std::int64_t queuePercent = 80;
     // The least silence after which an attempt that may be repeated is tried elsewhere.
     base::Millis leastSilence{1'200};
+    // The longest plain answer, and all plain answers that are kept until they are whole; an upstream in trouble may
+    // send bytes without end.
+    std::size_t maxAnswerBytes = 4'194'304;
+    std::size_t maxHeldBytes = 33'554'432;
 };
 
 /** @brief The requests for one model or adapter since the last count. */
@@ -351,6 +355,8 @@
     [[nodiscard]] Next whatNext(base::Millis now, Exchange &exchange);
     [[nodiscard]] bool takeRetry(base::Millis now, Exchange &exchange);
     void settleRetry(base::Millis now, Exchange &exchange, bool arrived);
+    [[nodiscard]] bool hold(Exchange &exchange, std::string_view bytes);
+    [[nodiscard]] std::string takeBody(Exchange &exchange);
     [[nodiscard]] bool hasOther(base::Millis now, const Exchange &exchange) const;
     [[nodiscard]] base::Millis busyRetry(base::Millis now, const Exchange &exchange, base::Millis wait) const;
     [[nodiscard]] base::Millis queuePatience(base::Millis now, const Exchange &exchange) const;
@@ -373,6 +379,8 @@
     // Null before the first configuration.
     std::shared_ptr<const RouteTable> m_table;
     Fleet m_fleet;
+    // Of all bodies together; at most maxHeldBytes.
+    std::size_t m_heldBytes = 0;
     RetryAllowance m_retries;
     budget::Holder m_holder;
     base::Millis m_budgetHeardAt;
--- a/src/bamboomoor/relay/engineprofile.cpp
+++ b/src/bamboomoor/relay/engineprofile.cpp
@@ -41,8 +41,7 @@
     std::vector<double> rates = m_rates;
     const auto place = rates.begin() + static_cast<std::ptrdiff_t>(rates.size() * QUANTILE_PERCENT / PERCENT);
     std::nth_element(rates.begin(), place, rates.end());
-    m_rate =
-        std::clamp(*place, m_options.firstRate / m_options.mostSlower, m_options.firstRate * m_options.mostFaster);
+    m_rate = std::clamp(*place, m_options.firstRate / m_options.mostSlower, m_options.firstRate * m_options.mostFaster);
 }
 
 } // namespace bamboomoor::relay
--- a/src/bamboomoor/relay/fleet.cpp
+++ b/src/bamboomoor/relay/fleet.cpp
@@ -210,7 +210,8 @@
     }
     const State &state = known.state;
     const double waiting = standardTokens(known.worker.service, state.waitingTokens);
-    return waiting >= static_cast<double>(m_options.waitingTokens) || (state.pacer.strained(now) && !state.pacer.open(now));
+    return waiting >= static_cast<double>(m_options.waitingTokens)
+        || (state.pacer.strained(now) && !state.pacer.open(now));
 }
 
 bool Fleet::hasRoom(base::Millis now, const std::string &service, const std::string &holding) const
--- a/src/bamboomoor/settings/settings.cpp
+++ b/src/bamboomoor/settings/settings.cpp
@@ -116,8 +116,10 @@
 
 void readRelay(TableReader &in, RelaySettings &out)
 {
-    readCount(in, "retry_permille", out.retryPermille, {0, MAX_PERMILLE});
-    readSpan(in, "retry_window_ms", out.retryWindow);
+    out.retryPermille = in.share("retry_ratio", out.retryPermille);
+    out.retryWindow = base::Millis{in.seconds("retry_window_s", out.retryWindow.count, {1, MAX_SPAN_MS})};
+    readCount(in, "max_answer_bytes", out.maxAnswerBytes, {1, MAX_BODY_BYTES});
+    readCount(in, "max_held_bytes", out.maxHeldBytes, {1, MAX_BODY_BYTES});
     out.servesWhenCutOff = in.flag("serves_when_cut_off", out.servesWhenCutOff);
 }
 
--- a/src/bamboomoor/settings/settings.hpp
+++ b/src/bamboomoor/settings/settings.hpp
@@ -43,6 +43,9 @@
     std::int64_t retryPermille = 200;
     // The time over which retries are counted.
     base::Millis retryWindow{10'000};
+    // The longest plain answer of an upstream, and all that are kept until they are whole.
+    std::int64_t maxAnswerBytes = 4'194'304;
+    std::int64_t maxHeldBytes = 33'554'432;
     // True when an entry that is cut off from the control group goes on with what it knows.
     bool servesWhenCutOff = true;
 
--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -367,6 +367,87 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_without_end_is_broken_off_and_never_delivered)
+{
+    const std::string part(65'536, 'x');
+    arrive(1, "/once/x");
+    const std::uint64_t attempt = last();
+    core.head(now, attempt, head(OK));
+    std::size_t given = 0;
+    while (world.open.contains(attempt) && given < 1'000) {
+        core.data(now, attempt, part);
+        ++given;
+    }
+    BOOST_TEST(given * part.size() <= Fixture::options().maxAnswerBytes + part.size());
+    BOOST_TEST(world.callers[1].refused);
+    BOOST_TEST(!world.callers[1].refusedNotRun);
+    BOOST_TEST(!world.callers[1].whole);
+    // What comes afterwards belongs to nobody.
+    core.data(now, attempt, part);
+    core.ended(now, attempt, {true, true, false, "complete"});
+    BOOST_TEST(world.callers[1].ends == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_hundred_answers_without_end_hold_no_more_than_their_bound_together)
+{
+    std::vector<relay::Worker> workers;
+    for (int n = 1; n <= 100; ++n) {
+        workers.push_back(worker("w" + std::to_string(n)));
+    }
+    core.setWorkers(workers);
+    const std::string part(65'536, 'x');
+    for (std::uint64_t n = 1; n <= 100; ++n) {
+        arrive(n, "/once/x");
+        core.head(now, last(), head(OK));
+    }
+    std::size_t held = 0;
+    std::size_t most = 0;
+    for (int round = 0; round < 100 && !world.open.empty(); ++round) {
+        const auto open = world.open;
+        for (const auto &[attempt, where] : open) {
+            const std::size_t before = world.open.size();
+            core.data(now, attempt, part);
+            held += part.size();
+            if (world.open.size() < before) {
+                // It gave back all that it held, this part never was.
+                held -= part.size() * static_cast<std::size_t>(round + 1);
+            }
+            most = std::max(most, held);
+        }
+    }
+    BOOST_TEST(most <= Fixture::options().maxHeldBytes + part.size());
+    BOOST_TEST(core.inProgress() == 0U);
+    arrive(101, "/again/x");
+    answer(last(), head(OK), "served");
+    BOOST_TEST(world.callers[101].bytes == "served");
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_sends_bytes_without_events_is_left_and_a_slow_one_is_not)
+{
+    arrive(1, "/resume/x");
+    arrive(2, "/resume/x");
+    const std::uint64_t stalled = world.sent[0].id;
+    const std::uint64_t slow = world.sent[1].id;
+    for (const std::uint64_t it : {stalled, slow}) {
+        core.head(now, it, head(OK));
+        core.data(now, it, eventOf(1));
+    }
+    for (int n = 2; n < 8; ++n) {
+        for (int tick = 0; tick < 10; ++tick) {
+            now += base::Millis{100};
+            core.data(now, stalled, "x");
+            core.tick(now);
+        }
+        // A second between two events, which the route calls late, but it lives.
+        core.data(now, slow, eventOf(n));
+    }
+    BOOST_TEST(!world.open.contains(stalled));
+    BOOST_TEST(world.open.contains(slow));
+    BOOST_TEST(world.sent.at(2).exchange == 1U);
+    BOOST_TEST(world.sent.at(2).lastEventId == "1");
+    BOOST_TEST(world.sent.at(2).upstream != world.sent.front().upstream);
+}
+
 BOOST_AUTO_TEST_CASE(an_idempotent_request_is_tried_again_after_a_server_error_and_then_told_it)
 {
     arrive(1, "/again/x");
--- a/test/bamboomoor/settings/settings.cpp
+++ b/test/bamboomoor/settings/settings.cpp
@@ -66,6 +66,22 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(the_share_of_retries_is_between_nothing_and_all)
+{
+    const auto shareOf = [](const std::string &value) {
+        return settings::parseSettings(GOOD + "[relay]\nretry_ratio = " + value + "\n", "a.toml")
+            .value()
+            .relay.retryPermille;
+    };
+    BOOST_TEST(shareOf("0") == 0);
+    BOOST_TEST(shareOf("0.125") == 125);
+    BOOST_TEST(shareOf("1") == 1'000);
+    for (const char *it : {"-0.1", "1.1", "nan", "\"0.2\""}) {
+        BOOST_TEST(mistake(GOOD + "[relay]\nretry_ratio = " + it + "\n")
+            == "a.toml: relay.retry_ratio: must be a share from 0 to 1");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(each_mistake_is_one_line_with_file_key_and_rule)
 {
     BOOST_TEST(mistake(GOOD + "heart = 1\n").starts_with("a.toml: control.heart: is not a known key; allowed here: "));
