--- a/test/bamboomoor/relay/engines.cpp
+++ b/test/bamboomoor/relay/engines.cpp
@@ -287,4 +287,19 @@
     }
 }
 
+// Half as much again as the engine can read: two thirds of the callers could be served in time at best.
+BOOST_AUTO_TEST_CASE(under_overload_half_of_what_an_engine_of_any_speed_can_read_is_served_in_time)
+{
+    for (Load load : LOADS) {
+        load.share = 1.5;
+        const Outcome own = Play(load, {}).run();
+        BOOST_TEST_MESSAGE(load.name << ": " << own.inTime << " in time, " << own.late << " late, " << own.refused
+                                     << " refused of " << own.asked);
+        BOOST_TEST_CONTEXT(load.name)
+        {
+            BOOST_TEST(own.inTime * 3 >= own.asked);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
