--- a/test/bamboomoor/relay/engines.cpp
+++ b/test/bamboomoor/relay/engines.cpp
@@ -96,8 +96,9 @@
             const std::int64_t end =
                 m_now + STEP + static_cast<std::int64_t>(static_cast<double>(CHUNK - room) / m_load.readPerMilli);
             for (; m_now < end; m_now += TICK) {
-                for (; next <= static_cast<double>(m_now); next += pause(arrivals)) {
+                while (next <= static_cast<double>(m_now)) {
                     arrive(arrivals);
+                    next += pause(arrivals);
                 }
                 for (const auto &core : m_cores) {
                     core->tick({m_now});
