Take a pooled connection that dies before a byte was written for lost, not for refused

Found while reading the change: where nothing could be written to a dead pooled connection, the library asks for a second one, which it no longer gets, and the call ended as connect_failed; the upstream was then avoided though nobody had tried to connect. It ends as reset_before_answer now, with bytesSent false as before, so that the repetition over a new connection is not charged.

--- a/src/bamboomoor/http/internal/transfer.cpp
+++ b/src/bamboomoor/http/internal/transfer.cpp
@@ -226,7 +226,8 @@
         return anyByteSent() ? EndKind::Malformed : EndKind::Unusable;
     case CURLE_COULDNT_RESOLVE_HOST:
     case CURLE_COULDNT_CONNECT:
-        return anyByteSent() ? EndKind::ResetBeforeAnswer : EndKind::ConnectFailed;
+        // After the request was to be sent, the library wanted a second connection, which it does not get.
+        return m_requested ? EndKind::ResetBeforeAnswer : EndKind::ConnectFailed;
     case CURLE_OPERATION_TIMEDOUT:
         return connectTime == 0 && !anyByteSent() ? EndKind::ConnectTimeout : EndKind::TimedOut;
     case CURLE_PARTIAL_FILE:
