--- a/test/bamboomoor/relay/engines.cpp
+++ b/test/bamboomoor/relay/engines.cpp
@@ -2,6 +2,8 @@
  * Engines of different speed and prompts of different length, played against the same cores of several entries that do
  * not see one another: what callers get with the settings as they are, against settings made by hand for the engine.
  */
+#include "outcome.hpp"
+
 #include "bamboomoor/relay/core.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -15,6 +17,7 @@
 #include <vector>
 
 using namespace bamboomoor;
+using relay::test::Outcome;
 
 namespace
 {
@@ -37,14 +40,6 @@
     double share = 0.6;
 };
 
-/** @brief What callers got. */
-struct Outcome {
-    int asked = 0;
-    int inTime = 0;
-    int late = 0;
-    int refused = 0;
-};
-
 /** @brief Several entries and one engine in virtual time. */
 class Play
 {
--- a/test/bamboomoor/relay/pacer.cpp
+++ b/test/bamboomoor/relay/pacer.cpp
@@ -1,6 +1,8 @@
 /**
  * Tests of the pacing of prompts, and a played overload that shows what callers get from it.
  */
+#include "outcome.hpp"
+
 #include "bamboomoor/relay/pacer.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -12,6 +14,7 @@
 
 using namespace bamboomoor;
 using relay::Pacer;
+using relay::test::Outcome;
 
 namespace
 {
@@ -30,14 +33,6 @@
     bool late = false;
 };
 
-/** @brief What callers got. */
-struct Outcome {
-    int asked = 0;
-    int inTime = 0;
-    int late = 0;
-    int refused = 0;
-};
-
 /** @brief One engine that reads prompts between the tokens of its streams, and entries that do not see one another. */
 class Play
 {
