Log what upstreams say of themselves in their answers

Entries now decode the limit once, in platform/, and write a line when an answer names another one or names none any more. Nothing acts on it yet.

--- a/src/bamboomoor/gateway/relaymetrics.cpp
+++ b/src/bamboomoor/gateway/relaymetrics.cpp
@@ -32,6 +32,10 @@
                   .Name("bamboomoor_relay_decisions_total")
                   .Help("Decisions about relayed requests, by step and reason")
                   .Register(m_registry))
+    , m_words(prometheus::BuildCounter()
+                  .Name("bamboomoor_relay_upstream_words_total")
+                  .Help("What upstreams said of themselves in answers, by change")
+                  .Register(m_registry))
     , m_dropped(prometheus::BuildCounter()
                     .Name("bamboomoor_relay_events_dropped_total")
                     .Help("Events that did not fit the ring of the relay's thread")
@@ -59,6 +63,11 @@
     }
 }
 
+void RelayMetrics::count(const relay::WordNote &note)
+{
+    m_words.Add({{"change", std::string(standing::CHANGE_NAMES.name(note.change))}}).Increment();
+}
+
 void RelayMetrics::fill(std::size_t ring, std::size_t open)
 {
     m_ring.Set(static_cast<double>(ring));
--- a/src/bamboomoor/gateway/relaymetrics.hpp
+++ b/src/bamboomoor/gateway/relaymetrics.hpp
@@ -25,6 +25,9 @@
     /** @brief Counts a decision and notes its latency. @param decision The decision. */
     void count(const relay::Decision &decision);
 
+    /** @brief Counts what upstreams say of themselves. @param note The word. */
+    void count(const relay::WordNote &note);
+
     /** @brief Notes how full the entry is. @param ring Events that wait. @param open Requests in progress. */
     void fill(std::size_t ring, std::size_t open);
 
@@ -37,6 +40,7 @@
 private:
     prometheus::Registry m_registry;
     prometheus::Family<prometheus::Counter> &m_steps;
+    prometheus::Family<prometheus::Counter> &m_words;
     prometheus::Counter &m_dropped;
     prometheus::Histogram &m_firstEvent;
     prometheus::Histogram &m_answer;
--- a/src/bamboomoor/gateway/runner.cpp
+++ b/src/bamboomoor/gateway/runner.cpp
@@ -453,4 +453,16 @@
     m_context.log.write(line);
 }
 
+void Runner::noteWord(const relay::WordNote &note)
+{
+    m_context.metrics.count(note);
+    base::LogLine line("upstream_word");
+    line.add("id", note.request).add("upstream", note.upstream);
+    line.add("change", standing::CHANGE_NAMES.name(note.change));
+    if (note.word.limit) {
+        line.add("limit_milli", *note.word.limit);
+    }
+    m_context.log.write(line);
+}
+
 } // namespace bamboomoor::gateway
--- a/src/bamboomoor/gateway/runner.hpp
+++ b/src/bamboomoor/gateway/runner.hpp
@@ -167,6 +167,7 @@
     void send(const relay::Attempt &attempt, const relay::Request &request) override;
     void cancel(std::uint64_t attempt) override;
     void note(const relay::Decision &decision) override;
+    void noteWord(const relay::WordNote &note) override;
 
     struct Caller {
         std::shared_ptr<http::Responder> responder;
--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -217,6 +217,7 @@
         fail(now, *exchange, Result::Failed, false, true, "foreign_answer");
         return;
     }
+    takeWord(now, *exchange, head);
     const bool success = isSuccess(head.status);
     if (success && (!head.isSigned || head.owner == AnswerOwner::Unknown)) {
         m_effects.cancel(attempt);
@@ -226,6 +227,14 @@
     exchange->head = std::move(head);
 }
 
+void Core::takeWord(base::Millis now, const Exchange &exchange, const AnswerHead &head)
+{
+    const bool ran = !head.notRun && !head.misdirected;
+    if (const auto change = m_fleet.heard(now, exchange.choice, head.word, exchange.sentAt, ran)) {
+        m_effects.noteWord({*change, exchange.request.id, exchange.attempt.upstream, head.word});
+    }
+}
+
 void Core::data(base::Millis now, std::uint64_t attempt, std::string_view bytes)
 {
     Exchange *exchange = findByAttempt(attempt);
--- a/src/bamboomoor/relay/core.hpp
+++ b/src/bamboomoor/relay/core.hpp
@@ -144,6 +144,15 @@
     std::int64_t tokens = 0;
 };
 
+/** @brief What an answer changed in what is known of its upstream. */
+struct WordNote {
+    standing::Change change = standing::Change::LimitNamed;
+    // The caller's id of the request that was answered.
+    std::string_view request;
+    std::string_view upstream;
+    standing::Word word;
+};
+
 /** @brief What the core wants done; every method returns at once and does not call back. */
 class Effects
 {
@@ -168,6 +177,8 @@
     virtual void cancel(std::uint64_t attempt) = 0;
     /** @brief Tells what was decided. @param decision The decision; its texts are valid during the call. */
     virtual void note(const Decision &decision) = 0;
+    /** @brief Tells what an upstream said of itself. @param note The word; its texts are valid during the call. */
+    virtual void noteWord(const WordNote &note) = 0;
 };
 
 /** @brief The settings of a core. */
@@ -349,6 +360,7 @@
     void pump(base::Millis now);
     void relayEvents(base::Millis now, Exchange &exchange, std::string_view bytes);
     void endWhole(base::Millis now, Exchange &exchange);
+    void takeWord(base::Millis now, const Exchange &exchange, const AnswerHead &head);
     void endStream(base::Millis now, Exchange &exchange);
     void deliver(base::Millis now, Exchange &exchange);
     void fail(base::Millis now, Exchange &exchange, Result result, bool notRun, bool reached, std::string_view how);
--- a/src/bamboomoor/relay/fleet.cpp
+++ b/src/bamboomoor/relay/fleet.cpp
@@ -35,13 +35,16 @@
 Fleet::Fleet(FleetOptions options)
     : m_options(std::move(options))
     , m_random(m_options.seed)
+    , m_standing(m_options.standing)
 {
 }
 
 void Fleet::update(std::vector<Worker> workers)
 {
     std::map<std::string, Known> next;
+    std::vector<standing::Run> listed;
     for (Worker &it : workers) {
+        listed.push_back({it.id, it.incarnation});
         Known known;
         Known *before = find(it.id);
         const bool same =
@@ -60,6 +63,7 @@
         next.insert_or_assign(std::move(id), std::move(known));
     }
     m_workers = std::move(next);
+    m_standing.setListed(listed);
     m_services.clear();
     for (auto &[id, known] : m_workers) {
         m_services[known.worker.service].push_back(&known);
@@ -177,7 +181,7 @@
     }
     const Found &chosen = found[m_random() % found.size()];
     const double wait = chosen.cost - standardTokens(wanted.service, chosen.newTokens);
-    return Choice{chosen.known->worker.id, chosen.known->worker.address,
+    return Choice{chosen.known->worker.id, chosen.known->worker.incarnation, chosen.known->worker.address,
         {static_cast<std::int64_t>(std::max(0.0, wait) / static_cast<double>(m_options.tokensPerMilli))},
         chosen.newTokens, chosen.known->state.lostConnection};
 }
@@ -357,6 +361,12 @@
     state.measuredAt = now;
 }
 
+std::optional<standing::Change> Fleet::heard(
+    base::Millis now, const Choice &choice, const standing::Word &word, base::Millis sentAt, bool ran)
+{
+    return m_standing.heard(now, {choice.id, choice.incarnation}, word, sentAt, ran);
+}
+
 void Fleet::paused(base::Millis now, const Choice &choice, base::Millis pause, base::Millis objective)
 {
     Known *known = find(choice.id);
--- a/src/bamboomoor/relay/fleet.hpp
+++ b/src/bamboomoor/relay/fleet.hpp
@@ -15,6 +15,7 @@
 #include "bamboomoor/relay/engineprofile.hpp"
 #include "bamboomoor/relay/pacer.hpp"
 #include "bamboomoor/relay/request.hpp"
+#include "bamboomoor/standing/standing.hpp"
 
 #include <cstdint>
 #include <map>
@@ -83,6 +84,7 @@
     // Tokens that an engine yields between two events of a stream.
     std::int64_t stepsPerEvent = 2;
     PacerOptions pacer;
+    standing::StandingOptions standing;
 };
 
 /** @brief What is looked for. */
@@ -99,6 +101,7 @@
 /** @brief The upstream that was chosen. */
 struct Choice {
     std::string id;
+    std::uint64_t incarnation = 0;
     std::string address;
     // The wait to expect there before the prompt is read, in milliseconds.
     base::Millis expectedWait;
@@ -224,6 +227,18 @@
      */
     void started(base::Millis now, const Choice &choice, base::Millis sentAt);
 
+    /**
+     * @brief Takes what an answer says of the upstream.
+     * @param now The present time.
+     * @param choice Where from.
+     * @param word What it says.
+     * @param sentAt When the request was sent.
+     * @param ran False for a refusal.
+     * @return What changed, if anything.
+     */
+    std::optional<standing::Change> heard(
+        base::Millis now, const Choice &choice, const standing::Word &word, base::Millis sentAt, bool ran);
+
     /**
      * @brief Notes the pause between two events of a stream.
      * @param now The present time.
@@ -303,6 +318,8 @@
 
     FleetOptions m_options;
     std::mt19937_64 m_random;
+    // Outlives the listing of an upstream.
+    standing::Standing m_standing;
     std::map<std::string, Known> m_workers;
     // Upstreams by service; the pointers lead into m_workers.
     std::map<std::string, std::vector<Known *>> m_services;
--- a/src/bamboomoor/relay/request.hpp
+++ b/src/bamboomoor/relay/request.hpp
@@ -5,6 +5,7 @@
 
 #include "bamboomoor/base/clock.hpp"
 #include "bamboomoor/http/message.hpp"
+#include "bamboomoor/standing/word.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -68,6 +69,8 @@
     bool isSigned = false;
     // The body is a stream of events.
     bool isEventStream = false;
+    // What the upstream says of itself.
+    standing::Word word;
 };
 
 } // namespace bamboomoor::relay
--- /dev/null
+++ b/src/bamboomoor/standing/standing.cpp
@@ -0,0 +1,183 @@
+/**
+ * Upstreams by their own word.
+ */
+#include "bamboomoor/standing/standing.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace bamboomoor::standing
+{
+
+namespace
+{
+
+// Lists in a row, one each 200 ms, after which an upstream that is not in them is forgotten.
+constexpr int FORGOTTEN_AFTER = 300;
+
+} // namespace
+
+const Standing::Record *Standing::find(const Run &run) const
+{
+    const auto it = m_records.find(run.id);
+    return it == m_records.end() || it->second.incarnation != run.incarnation ? nullptr : &it->second;
+}
+
+Standing::Record *Standing::recordOf(const Run &run)
+{
+    Record &record = m_records[run.id];
+    if (record.incarnation > run.incarnation) {
+        return nullptr;
+    }
+    if (record.incarnation < run.incarnation) {
+        record = {};
+        record.incarnation = run.incarnation;
+    }
+    return &record;
+}
+
+bool Standing::isLimited(base::Millis now, const Record &record) const noexcept
+{
+    return record.limit && now - record.limitHeardAt <= m_options.limitLife;
+}
+
+std::int64_t Standing::permitsOf(base::Millis now, const Record &record) noexcept
+{
+    return std::count_if(record.permits.begin(), record.permits.end(), [now](base::Millis it) {
+        return it > now;
+    });
+}
+
+std::optional<Change> Standing::heard(base::Millis now, const Run &run, const Word &word, base::Millis sentAt, bool ran)
+{
+    if (!word.limit && find(run) == nullptr) {
+        return word.unreadable ? std::optional(Change::Unreadable) : std::nullopt;
+    }
+    Record *record = recordOf(run);
+    if (record == nullptr) {
+        return std::nullopt;
+    }
+    if (word.limit) {
+        const bool isNew = record->limit != word.limit;
+        record->limit = word.limit;
+        record->limitHeardAt = now;
+        return isNew ? std::optional(Change::LimitNamed) : std::nullopt;
+    }
+    if (word.unreadable) {
+        return Change::Unreadable;
+    }
+    if (record->limit && ran && sentAt >= record->limitHeardAt) {
+        record->limit.reset();
+        record->limitHeardAt = now;
+        return Change::LimitEnded;
+    }
+    return std::nullopt;
+}
+
+void Standing::told(base::Millis now, const Told &told)
+{
+    Record *record = recordOf(told.run);
+    if (record == nullptr) {
+        return;
+    }
+    if (told.limitHeardAt > record->limitHeardAt) {
+        record->limit = told.limit;
+        record->limitHeardAt = told.limitHeardAt;
+    }
+    const base::Millis end = told.askedAt + m_options.permitLife;
+    for (std::int64_t n = 0; n < told.permits; ++n) {
+        record->permits.insert(std::upper_bound(record->permits.begin(), record->permits.end(), end), end);
+    }
+    if (told.permits > 0 || told.nextIn > base::Millis{}) {
+        record->nextAt = now + told.nextIn;
+        record->askAt = now + std::clamp(told.nextIn, m_options.askSpacing, m_options.askTimeout);
+    }
+}
+
+void Standing::setListed(const std::vector<Run> &runs)
+{
+    std::set<std::string_view> listed;
+    for (const Run &it : runs) {
+        listed.insert(it.id);
+    }
+    for (auto &[id, record] : m_records) {
+        record.unlisted = listed.contains(id) ? 0 : record.unlisted + 1;
+    }
+    std::erase_if(m_records, [](const auto &it) {
+        return it.second.unlisted > FORGOTTEN_AFTER;
+    });
+}
+
+Access Standing::access(base::Millis now, const Run &run) const
+{
+    const Record *record = find(run);
+    const bool open = record == nullptr || !isLimited(now, *record) || permitsOf(now, *record) > 0;
+    return open ? Access::Open : Access::NoPermit;
+}
+
+base::Millis Standing::opensIn(base::Millis now, const Run &run) const
+{
+    if (access(now, run) == Access::Open) {
+        return {};
+    }
+    const Record &record = *find(run);
+    return std::max(record.nextAt - now, m_options.askSpacing);
+}
+
+void Standing::sent(base::Millis now, const Run &run)
+{
+    if (find(run) == nullptr) {
+        return;
+    }
+    Record &record = m_records.at(run.id);
+    while (!record.permits.empty() && record.permits.front() <= now) {
+        record.permits.pop_front();
+    }
+    if (isLimited(now, record) && !record.permits.empty()) {
+        record.permits.pop_front();
+    }
+}
+
+void Standing::wish(base::Millis now, const Run &run, std::int64_t count)
+{
+    if (find(run) == nullptr) {
+        return;
+    }
+    Record &record = m_records.at(run.id);
+    const std::int64_t before = now - record.wishedAt < m_options.wishLife ? record.wished : 0;
+    record.wished = std::min(std::max(before, count), m_options.mostWished);
+    record.wishedAt = now;
+}
+
+bool Standing::wantsToAsk(base::Millis now, const Record &record) const noexcept
+{
+    return isLimited(now, record) && now >= record.askAt && now - record.wishedAt < m_options.wishLife
+        && record.wished > permitsOf(now, record);
+}
+
+bool Standing::wantsToAsk(base::Millis now) const
+{
+    return std::any_of(m_records.begin(), m_records.end(), [&](const auto &it) {
+        return wantsToAsk(now, it.second);
+    });
+}
+
+std::vector<Report> Standing::takeReports(base::Millis now)
+{
+    std::vector<Report> reports;
+    for (auto &[id, record] : m_records) {
+        if (now - record.limitHeardAt > m_options.limitLife) {
+            continue;
+        }
+        Report report{{id, record.incarnation}, record.limit, record.limitHeardAt, 0};
+        if (wantsToAsk(now, record)) {
+            report.wished = record.wished - permitsOf(now, record);
+            record.wished = 0;
+            record.askAt = now + m_options.askTimeout;
+        }
+        reports.push_back(std::move(report));
+    }
+    return reports;
+}
+
+} // namespace bamboomoor::standing
--- a/test/bamboomoor/platform/messages.cpp
+++ b/test/bamboomoor/platform/messages.cpp
@@ -220,6 +220,27 @@
     BOOST_TEST(!coded.isSigned);
 }
 
+BOOST_AUTO_TEST_CASE(the_strictest_readable_limit_of_an_answer_counts)
+{
+    const Upstreams upstreams;
+    const auto limitOf = [&](const http::Headers &headers) {
+        return upstreams.readHead(200, headers, "r").word.limit;
+    };
+    BOOST_TEST(!limitOf({}));
+    BOOST_TEST((limitOf({{"server-limit", " 1.6 "}}) == 1'600));
+    BOOST_TEST((limitOf({{"Server-Limit", "0"}}) == 0));
+    BOOST_TEST((limitOf({{"Server-Limit", "2"}, {"Server-Limit", "1.1"}, {"Server-Limit", "x"}}) == 1'100));
+    BOOST_TEST((limitOf({{"Server-Limit", std::string(400, '9')}}) == 1'000'000'000));
+    for (const char *it : {"", "x", "-1", "-0.5", "nan", "inf", "1e3", "1.1 a second", "1,5"}) {
+        BOOST_TEST_CONTEXT(it)
+        {
+            const auto head = upstreams.readHead(200, {{"Server-Limit", it}}, "r");
+            BOOST_TEST(!head.word.limit);
+            BOOST_TEST(head.word.unreadable);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(orders)
--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -92,11 +92,16 @@
     void note(const relay::Decision & /*decision*/) override
     {
     }
+    void noteWord(const relay::WordNote &note) override
+    {
+        words.push_back(note.change);
+    }
 
     std::map<std::uint64_t, Seen> callers;
     std::vector<relay::Attempt> sent;
     std::map<std::uint64_t, relay::Attempt> open;
     std::vector<std::uint64_t> cancelled;
+    std::vector<standing::Change> words;
 };
 
 std::string eventOf(int number)
--- a/test/bamboomoor/relay/engines.cpp
+++ b/test/bamboomoor/relay/engines.cpp
@@ -177,6 +177,9 @@
         void note(const relay::Decision & /*decision*/) override
         {
         }
+        void noteWord(const relay::WordNote & /*note*/) override
+        {
+        }
 
     private:
         Play &m_play;
