--- /dev/null
+++ b/test/bamboomoor/relay/words.cpp
@@ -0,0 +1,247 @@
+/**
+ * Upstreams that tell of themselves in their answers, played against the cores of several entries that do not see one
+ * another: what the upstream gets, and what becomes of the callers.
+ */
+#include "bamboomoor/relay/core.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace bamboomoor;
+
+namespace
+{
+
+constexpr std::size_t ENTRIES = 9;
+constexpr std::int64_t START = 10'000;
+constexpr std::int64_t LENGTH = 30'000;
+constexpr std::int64_t TICK = 5;
+// An answer begins and ends so long after its request was sent.
+constexpr std::int64_t ANSWER_TIME = 150;
+
+/** @brief What is asked of the upstreams, and what the first of them says. */
+struct Load {
+    std::size_t upstreams = 2;
+    double requestsPerSecond = 20;
+    // Thousandths of requests a second.
+    std::int64_t limit = 1'100;
+    std::int64_t namedFrom = START + 2'000;
+    std::int64_t namedUntil = START + LENGTH;
+};
+
+/** @brief Several entries and the upstreams of one model in virtual time. */
+class Play
+{
+public:
+    explicit Play(const Load &load)
+        : m_load(load)
+    {
+        auto document = std::make_shared<config::Document>();
+        document->services.push_back({"svc", 10, config::Engine{}});
+        config::Relay route;
+        route.name = "s";
+        route.host = "h";
+        route.prefix = "/s/";
+        route.repeat = config::Repeat::Idempotent;
+        route.attempts = 2;
+        route.timeout = {5'000};
+        route.objective = {1'200};
+        route.shares = {{"svc", 1}};
+        route.open = true;
+        document->relays.push_back(route);
+        const auto table = std::make_shared<const relay::RouteTable>(1, document);
+        std::vector<relay::Worker> workers;
+        for (std::size_t n = 1; n <= load.upstreams; ++n) {
+            relay::Worker engine;
+            engine.id = "w" + std::to_string(n);
+            engine.address = "10.0.0.1:" + std::to_string(n);
+            engine.service = "svc";
+            engine.holds = {"m"};
+            engine.incarnation = 1;
+            workers.push_back(engine);
+        }
+        for (std::size_t n = 0; n < ENTRIES; ++n) {
+            m_entries.push_back(std::make_unique<Entry>(*this, n));
+            m_cores.push_back(std::make_unique<relay::Core>(relay::CoreOptions{}, *m_entries.back()));
+            m_cores.back()->setTable(table);
+            m_cores.back()->setWorkers(workers);
+        }
+    }
+
+    void run()
+    {
+        std::mt19937_64 random{42};
+        std::exponential_distribution<double> pause(m_load.requestsPerSecond / 1'000);
+        auto next = static_cast<double>(START);
+        for (; m_now < START + LENGTH; m_now += TICK) {
+            while (next <= static_cast<double>(m_now)) {
+                arrive(random);
+                next += pause(random);
+            }
+            answer();
+            for (const auto &core : m_cores) {
+                core->tick({m_now});
+            }
+        }
+    }
+
+    /** @brief Finds the most that the first upstream got. @param span Milliseconds. @return The requests in the span
+     * with the most of them, of entries that had passed on its word half a second before; from 3 s after the first
+     * naming on. */
+    [[nodiscard]] std::int64_t mostArrivals(std::int64_t span) const
+    {
+        std::int64_t most = 0;
+        for (const std::int64_t begin : m_arrivals) {
+            const std::int64_t count = std::count_if(m_arrivals.begin(), m_arrivals.end(), [&](std::int64_t it) {
+                return it >= begin && it < begin + span;
+            });
+            most = std::max(most, begin >= m_load.namedFrom + 3'000 ? count : 0);
+        }
+        return most;
+    }
+
+    std::int64_t asked = 0;
+    std::int64_t answered = 0;
+    std::int64_t refused = 0;
+
+private:
+    struct Run {
+        std::int64_t sentAt = 0;
+        std::size_t entry = 0;
+        relay::Attempt attempt;
+    };
+
+    /** @brief Carries out what the core of one entry wants. */
+    class Entry final : public relay::Effects
+    {
+    public:
+        Entry(Play &play, std::size_t index)
+            : m_play(play)
+            , m_index(index)
+        {
+        }
+        void respond(std::uint64_t /*exchange*/, http::Response /*response*/) override
+        {
+            ++m_play.answered;
+        }
+        void refuse(std::uint64_t /*exchange*/, const relay::Refused &refused) override
+        {
+            BOOST_TEST(refused.notRun);
+            ++m_play.refused;
+        }
+        void begin(std::uint64_t /*exchange*/, int /*status*/, http::Headers /*headers*/) override
+        {
+        }
+        bool write(std::uint64_t /*exchange*/, std::string_view /*bytes*/) override
+        {
+            return true;
+        }
+        void end(std::uint64_t /*exchange*/) override
+        {
+        }
+        void abort(std::uint64_t /*exchange*/) override
+        {
+        }
+        void send(const relay::Attempt &attempt, const relay::Request & /*request*/) override
+        {
+            m_play.m_runs.push_back({m_play.m_now, m_index, attempt});
+            const auto told = m_play.m_toldAt.find(m_index);
+            if (attempt.upstream == "w1" && told != m_play.m_toldAt.end() && m_play.m_now >= told->second + 500) {
+                m_play.m_arrivals.push_back(m_play.m_now);
+            }
+        }
+        void cancel(std::uint64_t /*attempt*/) override
+        {
+        }
+        void note(const relay::Decision & /*decision*/) override
+        {
+        }
+        void noteWord(const relay::WordNote & /*note*/) override
+        {
+        }
+
+    private:
+        Play &m_play;
+        const std::size_t m_index;
+    };
+
+    void arrive(std::mt19937_64 &random)
+    {
+        ++asked;
+        relay::Request request;
+        request.id = std::to_string(asked);
+        request.host = "h";
+        request.path = "/s/";
+        request.model = "m";
+        request.promptTokens = 500;
+        request.maxTokens = 50;
+        m_cores[random() % ENTRIES]->arrive({m_now}, static_cast<std::uint64_t>(asked), std::move(request));
+    }
+
+    void answer()
+    {
+        while (!m_runs.empty() && m_runs.front().sentAt + ANSWER_TIME <= m_now) {
+            const Run run = m_runs.front();
+            m_runs.pop_front();
+            relay::AnswerHead head;
+            head.status = 200;
+            head.owner = relay::AnswerOwner::Same;
+            head.isSigned = true;
+            if (run.attempt.upstream == "w1" && m_now >= m_load.namedFrom && m_now < m_load.namedUntil) {
+                head.word.limit = m_load.limit;
+                m_toldAt.emplace(run.entry, m_now);
+            }
+            relay::Core &core = *m_cores[run.entry];
+            core.head({m_now}, run.attempt.id, head);
+            core.ended({m_now}, run.attempt.id, {true, true, false, "complete"});
+        }
+    }
+
+    const Load m_load;
+    std::int64_t m_now = START;
+    std::deque<Run> m_runs;
+    // When each entry passed on the first answer that names the limit.
+    std::map<std::size_t, std::int64_t> m_toldAt;
+    std::vector<std::int64_t> m_arrivals;
+    std::vector<std::unique_ptr<Entry>> m_entries;
+    std::vector<std::unique_ptr<relay::Core>> m_cores;
+};
+
+/** @brief Half as much again as a limit allows in 4 s, and 5. */
+std::int64_t allowedIn4s(std::int64_t limit)
+{
+    return limit * 6 / 1'000 + 5;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(words)
+
+BOOST_AUTO_TEST_CASE(entries_together_send_no_more_than_an_upstream_says_that_it_takes)
+{
+    for (const std::size_t upstreams : {1, 3}) {
+        for (const std::int64_t limit : {0, 300, 1'100, 1'600, 4'000}) {
+            Load load;
+            load.upstreams = upstreams;
+            load.limit = limit;
+            Play play(load);
+            play.run();
+            BOOST_TEST_CONTEXT(upstreams << " upstreams, limit " << limit)
+            {
+                BOOST_TEST(play.mostArrivals(4'000) <= allowedIn4s(limit));
+                BOOST_TEST((upstreams == 1 || play.answered >= play.asked * 98 / 100));
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
