Keep upstreams that name a limit to it by permits of the leader

What callers saw: nothing broke for them; a worker in need got 14 to 18 requests in 4 s from all entries where it had named 1 to 1.6 a second.

Cause: no code read the limit. Class: a limit of all entries together, which no entry can count; an even share each would leave one in 95 entries a request every 90 s, and entries that keep the limit singly exceed it together.

Why this works: the leader grants one permit for each request to a limited upstream from a bucket that fills at the limit; a permit that is not used within a second of the ask is lost. An entry that knows of the limit sends nothing without one, with or without a leader. What an upstream says is joined over entries by the time at which it was heard.

--- a/src/bamboomoor/entry/demandreport.cpp
+++ b/src/bamboomoor/entry/demandreport.cpp
@@ -75,7 +75,7 @@
             wake = m_wakes.pop(m_options.timeout * 2);
         }
         if (wake && wake->reply && wake->reply->served()) {
-            take(*wake->reply);
+            take(*wake->reply, sentAt);
         }
         rest(sentAt);
     }
@@ -123,6 +123,15 @@
     for (const std::string &it : m_source.unreachable()) {
         report.add_unreachable(it);
     }
+    for (const standing::Report &it : m_source.takeWords()) {
+        auto *word = report.add_words();
+        word->set_upstream(it.run.id);
+        word->set_incarnation(it.run.incarnation);
+        word->set_limited(it.limit.has_value());
+        word->set_limit(it.limit.value_or(0));
+        word->set_limit_age_ms((now - it.limitHeardAt).count);
+        word->set_wished(it.wished);
+    }
     for (const DrainingReplica &it : m_draining) {
         if (!m_source.runsAt(it)) {
             auto *drained = report.add_drained();
@@ -135,15 +144,26 @@
     return report;
 }
 
-void DemandReport::take(const peer::wire::DemandReply &reply)
+void DemandReport::take(const peer::wire::DemandReply &reply, base::Millis sentAt)
 {
-    PlacementNews news;
+    LeaderNews news;
     for (const auto &it : reply.waiting()) {
         news.waiting.emplace(it.upstream(), it.waiting_tokens());
     }
     for (const auto &it : reply.placements()) {
         news.placements.push_back({it.upstream(), it.model(), it.adapter(), {it.ready_in_ms()}});
     }
+    const base::Millis now = m_clock.now();
+    for (const auto &it : reply.words()) {
+        standing::Told told;
+        told.run = {it.upstream(), it.incarnation()};
+        told.limit = it.limited() ? std::optional(it.limit()) : std::nullopt;
+        told.limitHeardAt = now - base::Millis{it.limit_age_ms()};
+        told.permits = it.permits();
+        told.askedAt = sentAt;
+        told.nextIn = {it.next_in_ms()};
+        news.words.push_back(std::move(told));
+    }
     m_source.takeNews(std::move(news));
     std::set<DrainingReplica> draining;
     for (const auto &it : reply.draining()) {
--- a/src/bamboomoor/entry/demandreport.hpp
+++ b/src/bamboomoor/entry/demandreport.hpp
@@ -9,6 +9,7 @@
 #include "bamboomoor/entry/leaderhint.hpp"
 #include "bamboomoor/entry/target.hpp"
 #include "bamboomoor/entry/upstreambook.hpp"
+#include "bamboomoor/standing/standing.hpp"
 
 #include "peer.pb.h"
 
@@ -45,10 +46,11 @@
 };
 
 /** @brief What the leader tells an entry of the others and of its orders. */
-struct PlacementNews {
+struct LeaderNews {
     // Prompt tokens that other entries have waiting, by upstream.
     std::map<std::string, std::int64_t> waiting;
     std::vector<Placement> placements;
+    std::vector<standing::Told> words;
 };
 
 /** @brief Counts the demand of an entry; usable from any thread. */
@@ -85,8 +87,17 @@
         return {};
     }
 
+    /**
+     * @brief Reads what upstreams said of themselves to this entry, and takes the permits that it asks for.
+     * @return One word of each upstream; none where they are not followed.
+     */
+    [[nodiscard]] virtual std::vector<standing::Report> takeWords()
+    {
+        return {};
+    }
+
     /** @brief Takes what the leader tells. @param news The news. */
-    virtual void takeNews(PlacementNews news)
+    virtual void takeNews(LeaderNews news)
     {
         static_cast<void>(news);
     }
@@ -137,7 +148,7 @@
     void run();
     void rest(base::Millis sentAt);
     [[nodiscard]] peer::wire::DemandReport makeReport();
-    void take(const peer::wire::DemandReply &reply);
+    void take(const peer::wire::DemandReply &reply, base::Millis sentAt);
 
     DemandReportOptions m_options;
     DemandSource &m_source;
--- a/src/bamboomoor/gateway/controlmetrics.cpp
+++ b/src/bamboomoor/gateway/controlmetrics.cpp
@@ -30,6 +30,8 @@
     , m_unreachable(
           counters(m_registry, "bamboomoor_control_unreachable_total", "Upstreams found to accept no connection")
               .Add({}))
+    , m_permits(
+          counters(m_registry, "bamboomoor_control_permits_total", "Permits granted for limited upstreams").Add({}))
     , m_orderTime(prometheus::BuildHistogram()
                       .Name("bamboomoor_control_order_seconds")
                       .Help("From an order to its answer")
@@ -84,6 +86,11 @@
     m_unreachable.Increment();
 }
 
+void ControlMetrics::permitsGranted(std::int64_t permits)
+{
+    m_permits.Increment(static_cast<double>(permits));
+}
+
 void ControlMetrics::setLeading(bool leads)
 {
     m_leading.Set(leads ? 1 : 0);
--- a/src/bamboomoor/gateway/controlmetrics.hpp
+++ b/src/bamboomoor/gateway/controlmetrics.hpp
@@ -10,6 +10,7 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -43,6 +44,9 @@
     /** @brief Counts an upstream that was found to accept no connection. */
     void unreachable();
 
+    /** @brief Counts permits for limited upstreams. @param permits How many an entry got. */
+    void permitsGranted(std::int64_t permits);
+
     /** @brief Notes whether this VM orders. @param leads True while it leads. */
     void setLeading(bool leads);
 
@@ -57,6 +61,7 @@
     prometheus::Family<prometheus::Counter> &m_verdicts;
     prometheus::Family<prometheus::Counter> &m_arrivals;
     prometheus::Counter &m_unreachable;
+    prometheus::Counter &m_permits;
     prometheus::Histogram &m_orderTime;
     prometheus::Histogram &m_roundTime;
     prometheus::Gauge &m_leading;
--- a/src/bamboomoor/gateway/residencydesk.cpp
+++ b/src/bamboomoor/gateway/residencydesk.cpp
@@ -162,6 +162,7 @@
     , m_context(context)
     , m_ring(RING_SIZE)
     , m_waiting(m_options.loadAge)
+    , m_permits(m_options.permits)
     , m_pace(m_options.spacing, m_options.interval)
 {
 }
@@ -292,6 +293,7 @@
     reply.set_served(true);
     reply.set_term(m_term);
     exchangeLoads(event.request, reply);
+    exchangeWords(event.request, reply);
     for (const std::string &it : event.request.unreachable()) {
         suspect(it);
     }
@@ -340,8 +342,48 @@
     }
 }
 
+void ResidencyDesk::exchangeWords(const peer::wire::DemandReport &request, peer::wire::DemandReply &reply)
+{
+    const base::Millis now = m_context.clock.now();
+    std::map<std::string, standing::Grant> grants;
+    for (const auto &it : request.words()) {
+        standing::Report report;
+        report.run = {it.upstream(), it.incarnation()};
+        report.limit = it.limited() ? std::optional(it.limit()) : std::nullopt;
+        report.limitHeardAt = now - base::Millis{std::max<std::int64_t>(0, it.limit_age_ms())};
+        m_permits.heard(now, report);
+        if (it.wished() <= 0 || !surelyLeads(now)) {
+            continue;
+        }
+        const standing::Grant grant = m_permits.grant(now, request.vm(), it.upstream(), it.wished());
+        m_context.log.write(base::LogLine("permits_granted")
+                                .add("upstream", it.upstream())
+                                .add("vm", request.vm())
+                                .add("wished", it.wished())
+                                .add("permits", grant.permits)
+                                .add("next_in_ms", grant.nextIn)
+                                .add("term", static_cast<std::int64_t>(m_term)));
+        m_context.metrics.permitsGranted(grant.permits);
+        grants[it.upstream()] = grant;
+    }
+    for (const standing::Report &it : m_permits.list(now)) {
+        auto *word = reply.add_words();
+        word->set_upstream(it.run.id);
+        word->set_incarnation(it.run.incarnation);
+        word->set_limited(it.limit.has_value());
+        word->set_limit(it.limit.value_or(0));
+        word->set_limit_age_ms((now - it.limitHeardAt).count);
+        const auto grant = grants.find(it.run.id);
+        if (grant != grants.end()) {
+            word->set_permits(grant->second.permits);
+            word->set_next_in_ms(grant->second.nextIn.count);
+        }
+    }
+}
+
 void ResidencyDesk::on(Leading &event)
 {
+    m_permits = standing::PermitBook(m_options.permits);
     m_term = event.term;
     m_fenced = false;
     m_plan.emplace(m_options.plan);
--- a/src/bamboomoor/gateway/residencydesk.hpp
+++ b/src/bamboomoor/gateway/residencydesk.hpp
@@ -16,6 +16,7 @@
 #include "bamboomoor/gateway/waitingtotals.hpp"
 #include "bamboomoor/http/client.hpp"
 #include "bamboomoor/placement/residency.hpp"
+#include "bamboomoor/standing/permitbook.hpp"
 
 #include <atomic>
 #include <cstdint>
@@ -33,6 +34,7 @@
     // This control VM, as it names itself in orders.
     std::string vm;
     placement::ResidencyOptions plan;
+    standing::PermitOptions permits;
     // Between two decisions without news.
     base::Millis interval{200};
     // Between two decisions at least; some hundred entries report several times a second.
@@ -134,6 +136,7 @@
     void noteRound(std::size_t events, base::Millis began, base::Millis eventsEnded);
     void suspect(const std::string &worker);
     void exchangeLoads(const peer::wire::DemandReport &request, peer::wire::DemandReply &reply);
+    void exchangeWords(const peer::wire::DemandReport &request, peer::wire::DemandReply &reply);
     void takeWorkers(base::Millis now);
     [[nodiscard]] bool surelyLeads(base::Millis now) const;
     void send(const placement::ResidencyOrder &order);
@@ -149,6 +152,8 @@
     // Used by the thread only.
     std::optional<placement::Residency> m_plan;
     WaitingTotals m_waiting;
+    // Of this leadership.
+    standing::PermitBook m_permits;
     DecisionPace m_pace;
     // Workers that entries could not reach, and when they were last looked at for it.
     std::map<std::string, base::Millis> m_suspects;
--- a/src/bamboomoor/gateway/runner.cpp
+++ b/src/bamboomoor/gateway/runner.cpp
@@ -254,6 +254,7 @@
         placed.push_back({std::move(it.upstream), relay::holdingOf(it.model, it.adapter), it.readyIn});
     }
     m_core.setPlaced(now, placed);
+    m_core.told(now, event.news.words);
 }
 
 void Runner::on(base::Millis /*now*/, Draining & /*event*/)
@@ -296,7 +297,17 @@
     auto demand = m_core.takeDemand();
     auto waiting = m_core.waiting();
     auto unreachable = m_core.unreachable(m_context.clock.now());
+    auto words = m_core.takeReports(m_context.clock.now());
     const absl::MutexLock lock(&m_mutex);
+    for (const standing::Report &old : m_words) {
+        const auto it = std::find_if(words.begin(), words.end(), [&old](const standing::Report &word) {
+            return word.run == old.run;
+        });
+        if (it != words.end()) {
+            it->wished += old.wished;
+        }
+    }
+    m_words = std::move(words);
     m_waiting = std::move(waiting);
     m_unreachable = std::move(unreachable);
     for (relay::HoldingDemand &it : demand) {
@@ -327,7 +338,17 @@
     return m_unreachable;
 }
 
-void Runner::takeNews(entry::PlacementNews news)
+std::vector<standing::Report> Runner::takeWords()
+{
+    const absl::MutexLock lock(&m_mutex);
+    std::vector<standing::Report> words = m_words;
+    for (standing::Report &it : m_words) {
+        it.wished = 0;
+    }
+    return words;
+}
+
+void Runner::takeNews(entry::LeaderNews news)
 {
     static_cast<void>(push(News{std::move(news)}));
 }
@@ -442,6 +463,7 @@
     if (decision.charge) {
         line.add("charge", relay::CHARGE_NAMES.name(*decision.charge));
         line.add("connection", decision.freshConnection ? "new" : "pooled");
+        line.add("permit", decision.permit ? "used" : "");
     }
     if (decision.next) {
         line.add("next", relay::NEXT_NAMES.name(*decision.next));
--- a/src/bamboomoor/gateway/runner.hpp
+++ b/src/bamboomoor/gateway/runner.hpp
@@ -97,7 +97,8 @@
     [[nodiscard]] bool runsAt(const entry::DrainingReplica &replica) const override;
     [[nodiscard]] std::map<std::string, std::int64_t> waiting() const override;
     [[nodiscard]] std::vector<std::string> unreachable() const override;
-    void takeNews(entry::PlacementNews news) override;
+    [[nodiscard]] std::vector<standing::Report> takeWords() override;
+    void takeNews(entry::LeaderNews news) override;
 
     /** @brief Sets what is called when the leader should hear of demand at once. @param urge The call; before start().
      */
@@ -137,7 +138,7 @@
     struct Draining {
     };
     struct News {
-        entry::PlacementNews news;
+        entry::LeaderNews news;
     };
     using Event = std::variant<Arrived, CallerGone, Head, Data, Ended, BudgetReplied, TableChanged, News, Draining>;
     class AttemptListener;
@@ -198,6 +199,8 @@
     std::vector<entry::TargetDemand> m_demand ABSL_GUARDED_BY(m_mutex);
     std::map<std::string, std::int64_t> m_waiting ABSL_GUARDED_BY(m_mutex);
     std::vector<std::string> m_unreachable ABSL_GUARDED_BY(m_mutex);
+    // Wishes for permits stay until they are taken.
+    std::vector<standing::Report> m_words ABSL_GUARDED_BY(m_mutex);
 };
 
 } // namespace bamboomoor::gateway
--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -82,7 +82,7 @@
         giveUp(now, exchange, Reason::UpstreamRefused, m_options.shortRetry);
         return;
     case Lack::Busy:
-        giveUp(now, exchange, Reason::Busy, busyRetry(now, exchange, m_fleet.waitFor(now, exchange.wanted, 0)));
+        giveUp(now, exchange, Reason::Busy, busyRetry(now, exchange, m_fleet.waitFor(now, exchange.wanted, 0, 0)));
         return;
     case Lack::Coming:
         giveUp(now, exchange, Reason::NotHeld, std::max(m_fleet.comingIn(now, exchange.wanted), m_options.shortRetry));
@@ -116,7 +116,8 @@
     admission::FairQueue &queue = m_queues.try_emplace(key, admission::FairQueueOptions{}).first->second;
     const base::Millis patience = queuePatience(now, exchange);
     const base::Millis until = now + patience;
-    const base::Millis wait = m_fleet.waitFor(now, exchange.wanted, queue.backlog());
+    const base::Millis wait =
+        m_fleet.waitFor(now, exchange.wanted, queue.backlog(), static_cast<std::int64_t>(queue.size()));
     const auto queued = queue.push(now,
         {exchange.id, exchange.organisation, std::max<std::int64_t>(1, exchange.wanted.promptTokens), until,
             -static_cast<int>(std::min<std::int64_t>(exchange.priority, INT16_MAX))},
@@ -162,6 +163,9 @@
             const Lack lack = m_fleet.lackOf(now, {key.first, key.second, {}, 0, {}});
             const bool gone = lack != Lack::Busy && lack != Lack::Coming;
             const bool goesOn = gone || m_fleet.hasRoom(now, key.first, key.second);
+            if (!goesOn) {
+                m_fleet.wish(now, key.first, key.second, static_cast<std::int64_t>(n));
+            }
             const auto item = goesOn ? m_queues.at(key).pop(now) : std::nullopt;
             Exchange *exchange = item ? find(item->id) : nullptr;
             if (exchange == nullptr) {
@@ -198,7 +202,7 @@
     exchange.choice.freshConnection = attempt.freshConnection;
     ++exchange.sent;
     m_byAttempt.emplace(attempt.id, exchange.id);
-    m_fleet.began(now, exchange.choice, exchange.wanted);
+    attempt.permit = m_fleet.began(now, exchange.choice, exchange.wanted);
     note(now, exchange, Step::Sent, {});
     lookAt(exchange, std::min(exchange.deadline, now + silenceLimit(exchange)));
     m_effects.send(attempt, exchange.request);
--- a/src/bamboomoor/relay/core.cpp
+++ b/src/bamboomoor/relay/core.cpp
@@ -172,6 +172,19 @@
         look(now, *exchange);
     }
     pump(now);
+    m_urgent = m_urgent || m_fleet.wantsToAsk(now);
+}
+
+void Core::told(base::Millis now, const std::vector<standing::Told> &told)
+{
+    for (const standing::Told &it : told) {
+        m_fleet.told(now, it);
+    }
+}
+
+std::vector<standing::Report> Core::takeReports(base::Millis now)
+{
+    return m_fleet.takeReports(now);
 }
 
 void Core::setForeignLoad(base::Millis now, const std::map<std::string, std::int64_t> &waiting)
@@ -336,6 +349,7 @@
     if (step == Step::Sent) {
         decision.charge = exchange.attempt.charge;
         decision.freshConnection = exchange.attempt.freshConnection;
+        decision.permit = exchange.attempt.permit;
     }
     decision.next = next;
     decision.age = now - exchange.arrivedAt;
--- a/src/bamboomoor/relay/core.hpp
+++ b/src/bamboomoor/relay/core.hpp
@@ -63,6 +63,8 @@
     // True when it may not use a pooled connection, which may be dead.
     bool freshConnection = true;
     Charge charge = Charge::First;
+    // It used a permit of the leader for a limited upstream.
+    bool permit = false;
 };
 
 /** @brief How an attempt ended, as the transport saw it. */
@@ -132,6 +134,7 @@
     // Set for Step::Sent.
     std::optional<Charge> charge;
     bool freshConnection = false;
+    bool permit = false;
     // Set for Step::AttemptFailed and Step::Silent.
     std::optional<Next> next;
     // Since the request arrived.
@@ -267,10 +270,16 @@
     /** @brief Takes what comes to upstreams or came lately. @param now The present time. @param placed All of it. */
     void setPlaced(base::Millis now, const std::vector<Placed> &placed);
 
+    /** @brief Takes what the leader tells of upstreams' words. @param now The present time. @param told All of it. */
+    void told(base::Millis now, const std::vector<standing::Told> &told);
+
+    /** @brief Takes what the leader should hear of upstreams' words. @param now The present time. @return All words. */
+    [[nodiscard]] std::vector<standing::Report> takeReports(base::Millis now);
+
     /** @brief Lists upstreams that accept no connection. @param now The present time. @return Their ids. */
     [[nodiscard]] std::vector<std::string> unreachable(base::Millis now) const;
 
-    /** @brief Tells whether a request has come to wait for something that no upstream holds. @return True once. */
+    /** @brief Tells whether requests wait for what the leader decides: a load or a permit. @return True once. */
     [[nodiscard]] bool takeUrgent() noexcept
     {
         return std::exchange(m_urgent, false);
--- a/src/bamboomoor/relay/fleet.cpp
+++ b/src/bamboomoor/relay/fleet.cpp
@@ -160,6 +160,9 @@
     };
     std::vector<Found> found;
     double least = INFINITY;
+    // The best of those that need a permit first.
+    const Known *limited = nullptr;
+    double leastLimited = INFINITY;
     const auto service = m_services.find(wanted.service);
     if (service == m_services.end()) {
         return std::nullopt;
@@ -170,12 +173,21 @@
         }
         const std::int64_t newTokens = wanted.promptTokens - keptTokens(*it, wanted);
         const double cost = costOf(now, *it, wanted, newTokens);
+        if (isLimited(now, *it)) {
+            limited = cost < leastLimited ? it : limited;
+            leastLimited = std::min(leastLimited, cost);
+            continue;
+        }
         found.push_back({it, cost, newTokens});
         least = std::min(least, cost);
     }
     std::erase_if(found, [least](const Found &it) {
         return it.cost > least + ALIKE;
     });
+    // An upstream that would have been the best is asked for again, so that it is used as far as it says.
+    if (limited != nullptr && leastLimited < least) {
+        m_standing.wish(now, runOf(*limited), 1);
+    }
     if (found.empty()) {
         return std::nullopt;
     }
@@ -218,24 +230,37 @@
         || (state.pacer.strained(now) && !state.pacer.open(now));
 }
 
+standing::Run Fleet::runOf(const Known &known)
+{
+    return {known.worker.id, known.worker.incarnation};
+}
+
+bool Fleet::isLimited(base::Millis now, const Known &known) const
+{
+    return m_standing.access(now, runOf(known)) != standing::Access::Open;
+}
+
 bool Fleet::hasRoom(base::Millis now, const std::string &service, const std::string &holding) const
 {
     const auto found = m_services.find(service);
     Wanted wanted;
     wanted.holding = holding;
     return found != m_services.end() && std::any_of(found->second.begin(), found->second.end(), [&](const Known *it) {
-        return canServe(now, *it, wanted) && !isBusy(now, *it, holding);
+        return canServe(now, *it, wanted) && !isBusy(now, *it, holding) && !isLimited(now, *it);
     });
 }
 
-base::Millis Fleet::waitFor(base::Millis now, const Wanted &wanted, std::int64_t ahead) const
+base::Millis Fleet::waitFor(
+    base::Millis now, const Wanted &wanted, std::int64_t ahead, std::int64_t requestsAhead) const
 {
     const auto found = m_services.find(wanted.service);
     double waiting = standardTokens(wanted.service, ahead);
     double rate = 0;
+    base::Millis opens = base::NEVER;
     if (found != m_services.end()) {
         for (const Known *it : found->second) {
             if (canServe(now, *it, wanted)) {
+                opens = std::min(opens, m_standing.opensIn(now, runOf(*it), requestsAhead));
                 const State &state = it->state;
                 const bool strained = state.pacer.strained(now);
                 rate += strained ? state.pacer.rate() : static_cast<double>(m_options.tokensPerMilli);
@@ -243,7 +268,8 @@
             }
         }
     }
-    return {rate <= 0 ? 0 : static_cast<std::int64_t>(waiting / rate)};
+    const base::Millis read{rate <= 0 ? 0 : static_cast<std::int64_t>(waiting / rate)};
+    return opens == base::NEVER ? read : std::max(read, opens);
 }
 
 void Fleet::setForeignLoad(base::Millis now, const std::map<std::string, std::int64_t> &waiting)
@@ -331,14 +357,17 @@
     }
 }
 
-void Fleet::began(base::Millis now, const Choice &choice, const Wanted &wanted)
+bool Fleet::began(base::Millis now, const Choice &choice, const Wanted &wanted)
 {
-    if (Known *known = find(choice.id)) {
-        ++known->state.running;
-        known->state.waitingTokens += choice.newTokens;
-        known->state.pacer.sent(now, std::llround(standardTokens(known->worker.service, choice.newTokens)));
-        remember(known->state, wanted);
+    Known *known = find(choice.id);
+    if (known == nullptr) {
+        return false;
     }
+    ++known->state.running;
+    known->state.waitingTokens += choice.newTokens;
+    known->state.pacer.sent(now, std::llround(standardTokens(known->worker.service, choice.newTokens)));
+    remember(known->state, wanted);
+    return m_standing.sent(now, runOf(*known));
 }
 
 void Fleet::started(base::Millis now, const Choice &choice, base::Millis sentAt)
@@ -367,6 +396,35 @@
     return m_standing.heard(now, {choice.id, choice.incarnation}, word, sentAt, ran);
 }
 
+void Fleet::told(base::Millis now, const standing::Told &told)
+{
+    m_standing.told(now, told);
+}
+
+void Fleet::wish(base::Millis now, const std::string &service, const std::string &holding, std::int64_t count)
+{
+    const auto found = m_services.find(service);
+    Wanted wanted;
+    wanted.holding = holding;
+    if (found != m_services.end()) {
+        for (const Known *it : found->second) {
+            if (canServe(now, *it, wanted) && isLimited(now, *it)) {
+                m_standing.wish(now, runOf(*it), count);
+            }
+        }
+    }
+}
+
+bool Fleet::wantsToAsk(base::Millis now) const
+{
+    return m_standing.wantsToAsk(now);
+}
+
+std::vector<standing::Report> Fleet::takeReports(base::Millis now)
+{
+    return m_standing.takeReports(now);
+}
+
 void Fleet::paused(base::Millis now, const Choice &choice, base::Millis pause, base::Millis objective)
 {
     Known *known = find(choice.id);
--- a/src/bamboomoor/relay/fleet.hpp
+++ b/src/bamboomoor/relay/fleet.hpp
@@ -164,9 +164,11 @@
      * @param now The present time.
      * @param wanted What is looked for.
      * @param ahead Prompt tokens that wait before it.
+     * @param requestsAhead The requests that they belong to.
      * @return Milliseconds.
      */
-    [[nodiscard]] base::Millis waitFor(base::Millis now, const Wanted &wanted, std::int64_t ahead) const;
+    [[nodiscard]] base::Millis waitFor(
+        base::Millis now, const Wanted &wanted, std::int64_t ahead, std::int64_t requestsAhead) const;
 
     /**
      * @brief Takes what other entries have waiting at the upstreams.
@@ -216,8 +218,9 @@
      * @param now The present time.
      * @param choice Where to.
      * @param wanted What was looked for.
+     * @return True when it used a permit.
      */
-    void began(base::Millis now, const Choice &choice, const Wanted &wanted);
+    bool began(base::Millis now, const Choice &choice, const Wanted &wanted);
 
     /**
      * @brief Notes the first event or byte of an answer.
@@ -239,6 +242,24 @@
     std::optional<standing::Change> heard(
         base::Millis now, const Choice &choice, const standing::Word &word, base::Millis sentAt, bool ran);
 
+    /** @brief Takes what the leader tells of an upstream's word. @param now The present time. @param told The word. */
+    void told(base::Millis now, const standing::Told &told);
+
+    /**
+     * @brief Wishes for permits of the limited upstreams that a queue waits for.
+     * @param now The present time.
+     * @param service The service.
+     * @param holding What they must hold.
+     * @param count Requests that wait.
+     */
+    void wish(base::Millis now, const std::string &service, const std::string &holding, std::int64_t count);
+
+    /** @brief Tells whether the leader should hear of wishes now. @param now The present time. @return True then. */
+    [[nodiscard]] bool wantsToAsk(base::Millis now) const;
+
+    /** @brief Takes what the leader should hear of upstreams' words. @param now The present time. @return All words. */
+    [[nodiscard]] std::vector<standing::Report> takeReports(base::Millis now);
+
     /**
      * @brief Notes the pause between two events of a stream.
      * @param now The present time.
@@ -306,6 +327,8 @@
     };
 
     [[nodiscard]] bool isBusy(base::Millis now, const Known &known, const std::string &holding) const;
+    [[nodiscard]] static standing::Run runOf(const Known &known);
+    [[nodiscard]] bool isLimited(base::Millis now, const Known &known) const;
     [[nodiscard]] bool canServe(base::Millis now, const Known &known, const Wanted &wanted) const;
     [[nodiscard]] bool holds(base::Millis now, const Known &known, const std::string &holding) const;
     [[nodiscard]] double costOf(
--- /dev/null
+++ b/src/bamboomoor/standing/permitbook.cpp
@@ -0,0 +1,92 @@
+/**
+ * Permits for limited upstreams.
+ */
+#include "bamboomoor/standing/permitbook.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace bamboomoor::standing
+{
+
+namespace
+{
+
+// A rate in thousandths a second fills a bucket by as many millionths in a millisecond.
+constexpr std::int64_t PERMIT = 1'000'000;
+
+} // namespace
+
+std::int64_t PermitBook::rateOf(const Bucket &bucket) const
+{
+    return std::max(bucket.limit.value_or(0), m_options.leastRate);
+}
+
+void PermitBook::fill(base::Millis now, Bucket &bucket) const
+{
+    const std::int64_t most = PERMIT + rateOf(bucket) * m_options.depth.count;
+    const std::int64_t span = std::clamp<std::int64_t>((now - bucket.filledAt).count, 0, m_options.wordLife.count);
+    bucket.level = std::min(most, bucket.level + rateOf(bucket) * span);
+    bucket.filledAt = now;
+}
+
+void PermitBook::heard(base::Millis now, const Report &report)
+{
+    if (now - report.limitHeardAt > m_options.wordLife) {
+        return;
+    }
+    const auto [place, isNew] = m_buckets.try_emplace(report.run.id);
+    Bucket &bucket = place->second;
+    const bool isLater = isNew || report.run.incarnation > bucket.incarnation;
+    if (isLater) {
+        bucket = {};
+        bucket.incarnation = report.run.incarnation;
+        bucket.filledAt = now;
+    }
+    if (report.run.incarnation < bucket.incarnation || (!isLater && report.limitHeardAt <= bucket.limitHeardAt)) {
+        return;
+    }
+    fill(now, bucket);
+    if (!bucket.limit) {
+        bucket.level = 0;
+    }
+    bucket.limit = report.limit;
+    bucket.limitHeardAt = report.limitHeardAt;
+}
+
+Grant PermitBook::grant(base::Millis now, const std::string &entry, const std::string &upstream, std::int64_t wished)
+{
+    const auto place = m_buckets.find(upstream);
+    if (place == m_buckets.end() || !place->second.limit || wished <= 0) {
+        return {};
+    }
+    Bucket &bucket = place->second;
+    fill(now, bucket);
+    bucket.askers[entry] = now;
+    std::erase_if(bucket.askers, [&](const auto &it) {
+        return now - it.second > m_options.askLife;
+    });
+    const auto sharers = static_cast<std::int64_t>(bucket.askers.size());
+    const std::int64_t there = bucket.level / PERMIT;
+    const std::int64_t share = (there + sharers - 1) / sharers;
+    Grant grant;
+    grant.permits = std::min(wished, share);
+    bucket.level -= grant.permits * PERMIT;
+    const std::int64_t missing = std::max<std::int64_t>(0, PERMIT * sharers - bucket.level);
+    grant.nextIn = {std::clamp<std::int64_t>(missing / rateOf(bucket), 1, m_options.longestWait.count)};
+    return grant;
+}
+
+std::vector<Report> PermitBook::list(base::Millis now)
+{
+    std::erase_if(m_buckets, [&](const auto &it) {
+        return now - it.second.limitHeardAt > m_options.wordLife;
+    });
+    std::vector<Report> reports;
+    for (const auto &[id, bucket] : m_buckets) {
+        reports.push_back({{id, bucket.incarnation}, bucket.limit, bucket.limitHeardAt, 0});
+    }
+    return reports;
+}
+
+} // namespace bamboomoor::standing
--- a/src/bamboomoor/standing/standing.cpp
+++ b/src/bamboomoor/standing/standing.cpp
@@ -90,6 +90,7 @@
     }
     if (told.permits > 0 || told.nextIn > base::Millis{}) {
         record->nextAt = now + told.nextIn;
+        record->interval = told.nextIn;
         record->askAt = now + std::clamp(told.nextIn, m_options.askSpacing, m_options.askTimeout);
     }
 }
@@ -115,27 +116,33 @@
     return open ? Access::Open : Access::NoPermit;
 }
 
-base::Millis Standing::opensIn(base::Millis now, const Run &run) const
+base::Millis Standing::opensIn(base::Millis now, const Run &run, std::int64_t ahead) const
 {
-    if (access(now, run) == Access::Open) {
+    const Record *record = find(run);
+    if (record == nullptr || !isLimited(now, *record)) {
+        return {};
+    }
+    const std::int64_t missing = ahead - permitsOf(now, *record);
+    if (missing < 0) {
         return {};
     }
-    const Record &record = *find(run);
-    return std::max(record.nextAt - now, m_options.askSpacing);
+    return std::max(record->nextAt - now, m_options.askSpacing) + record->interval * missing;
 }
 
-void Standing::sent(base::Millis now, const Run &run)
+bool Standing::sent(base::Millis now, const Run &run)
 {
     if (find(run) == nullptr) {
-        return;
+        return false;
     }
     Record &record = m_records.at(run.id);
     while (!record.permits.empty() && record.permits.front() <= now) {
         record.permits.pop_front();
     }
-    if (isLimited(now, record) && !record.permits.empty()) {
+    const bool uses = isLimited(now, record) && !record.permits.empty();
+    if (uses) {
         record.permits.pop_front();
     }
+    return uses;
 }
 
 void Standing::wish(base::Millis now, const Run &run, std::int64_t count)
--- a/src/bamboomoor/standing/standing.hpp
+++ b/src/bamboomoor/standing/standing.hpp
@@ -105,12 +105,22 @@
      * verdict. */
     [[nodiscard]] Access access(base::Millis now, const Run &run) const;
 
-    /** @brief Estimates when a request may be sent there. @param now The present time. @param run Which. @return The
-     * wait, 0 when it is open. */
-    [[nodiscard]] base::Millis opensIn(base::Millis now, const Run &run) const;
+    /**
+     * @brief Estimates when a request may be sent there.
+     * @param now The present time.
+     * @param run Which.
+     * @param ahead Requests that wait for a permit before it.
+     * @return The wait, 0 when it needs no permit or has one.
+     */
+    [[nodiscard]] base::Millis opensIn(base::Millis now, const Run &run, std::int64_t ahead) const;
 
-    /** @brief Uses a permit, where one is needed. @param now The present time. @param run Where a request is sent. */
-    void sent(base::Millis now, const Run &run);
+    /**
+     * @brief Uses a permit, where one is needed.
+     * @param now The present time.
+     * @param run Where a request is sent.
+     * @return True when a permit was used.
+     */
+    bool sent(base::Millis now, const Run &run);
 
     /**
      * @brief Wishes for permits.
@@ -139,8 +149,9 @@
         base::Millis wishedAt;
         // No ask before.
         base::Millis askAt;
-        // When the leader expects to have the next permit.
+        // When the leader expects to have the next permit for this entry, and one more after each such time.
         base::Millis nextAt;
+        base::Millis interval;
         // Lists in a row that left the upstream out.
         int unlisted = 0;
     };
--- a/test/bamboomoor/relay/words.cpp
+++ b/test/bamboomoor/relay/words.cpp
@@ -3,6 +3,7 @@
  * another: what the upstream gets, and what becomes of the callers.
  */
 #include "bamboomoor/relay/core.hpp"
+#include "bamboomoor/standing/permitbook.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -36,6 +37,9 @@
     std::int64_t limit = 1'100;
     std::int64_t namedFrom = START + 2'000;
     std::int64_t namedUntil = START + LENGTH;
+    // Entries exchange words with a leader, which is another one from then on.
+    bool hasLeader = false;
+    std::int64_t otherLeaderAt = START + LENGTH;
 };
 
 /** @brief Several entries and the upstreams of one model in virtual time. */
@@ -88,8 +92,11 @@
                 next += pause(random);
             }
             answer();
-            for (const auto &core : m_cores) {
-                core->tick({m_now});
+            for (std::size_t n = 0; n < ENTRIES; ++n) {
+                m_cores[n]->tick({m_now});
+                if (m_load.hasLeader) {
+                    exchangeWords(n);
+                }
             }
         }
     }
@@ -113,7 +120,16 @@
     std::int64_t answered = 0;
     std::int64_t refused = 0;
 
+    // Requests at the first upstream while it names its limit.
+    std::int64_t served = 0;
+    // Requests there after it has stopped to.
+    std::int64_t servedLater = 0;
+
 private:
+    struct Reply {
+        std::int64_t at = 0;
+        std::vector<standing::Told> words;
+    };
     struct Run {
         std::int64_t sentAt = 0;
         std::size_t entry = 0;
@@ -187,6 +203,35 @@
         m_cores[random() % ENTRIES]->arrive({m_now}, static_cast<std::uint64_t>(asked), std::move(request));
     }
 
+    // Each entry reports once a second, and when it has a wish; the leader's answer takes 20 ms.
+    void exchangeWords(std::size_t entry)
+    {
+        if (m_now >= m_load.otherLeaderAt && !m_otherLeads) {
+            m_otherLeads = true;
+            m_leader = standing::PermitBook();
+        }
+        relay::Core &core = *m_cores[entry];
+        Reply &reply = m_replies[entry];
+        if (reply.at > 0 && m_now >= reply.at) {
+            core.told({m_now}, reply.words);
+            reply = {};
+        }
+        if (reply.at > 0 || (!core.takeUrgent() && m_now < m_reportAt[entry])) {
+            return;
+        }
+        m_reportAt[entry] = m_now + 1'000;
+        std::map<std::string, standing::Grant> grants;
+        for (const standing::Report &it : core.takeReports({m_now})) {
+            m_leader.heard({m_now}, it);
+            grants[it.run.id] = m_leader.grant({m_now}, std::to_string(entry), it.run.id, it.wished);
+        }
+        reply.at = m_now + 20;
+        for (const standing::Report &it : m_leader.list({m_now})) {
+            const standing::Grant grant = grants[it.run.id];
+            reply.words.push_back({it.run, it.limit, it.limitHeardAt, grant.permits, {m_now}, grant.nextIn});
+        }
+    }
+
     void answer()
     {
         while (!m_runs.empty() && m_runs.front().sentAt + ANSWER_TIME <= m_now) {
@@ -200,6 +245,9 @@
                 head.word.limit = m_load.limit;
                 m_toldAt.emplace(run.entry, m_now);
             }
+            const bool isFirst = run.attempt.upstream == "w1";
+            served += isFirst && m_now >= m_load.namedFrom && m_now < m_load.namedUntil ? 1 : 0;
+            servedLater += isFirst && m_now >= m_load.namedUntil ? 1 : 0;
             relay::Core &core = *m_cores[run.entry];
             core.head({m_now}, run.attempt.id, head);
             core.ended({m_now}, run.attempt.id, {true, true, false, "complete"});
@@ -212,6 +260,10 @@
     // When each entry passed on the first answer that names the limit.
     std::map<std::size_t, std::int64_t> m_toldAt;
     std::vector<std::int64_t> m_arrivals;
+    standing::PermitBook m_leader;
+    bool m_otherLeads = false;
+    std::map<std::size_t, Reply> m_replies;
+    std::map<std::size_t, std::int64_t> m_reportAt;
     std::vector<std::unique_ptr<Entry>> m_entries;
     std::vector<std::unique_ptr<relay::Core>> m_cores;
 };
@@ -244,4 +296,49 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_limited_upstream_is_used_as_far_as_it_says_whoever_leads)
+{
+    for (const std::size_t upstreams : {1, 3}) {
+        for (const std::int64_t limit : {300, 1'100, 1'600, 4'000, 12'000}) {
+            for (const std::int64_t otherLeaderAt : {START + LENGTH, START + 12'000}) {
+                Load load;
+                load.upstreams = upstreams;
+                load.limit = limit;
+                load.hasLeader = true;
+                load.otherLeaderAt = otherLeaderAt;
+                Play play(load);
+                play.run();
+                const std::int64_t named = load.namedUntil - load.namedFrom;
+                BOOST_TEST_MESSAGE(upstreams << " upstreams, limit " << limit << ": " << play.mostArrivals(4'000)
+                                             << " in 4 s, " << play.served << " served there, " << play.answered
+                                             << " answered and " << play.refused << " refused of " << play.asked);
+                BOOST_TEST_CONTEXT(upstreams << " upstreams, limit " << limit << ", leader until " << otherLeaderAt)
+                {
+                    BOOST_TEST(play.mostArrivals(4'000) <= allowedIn4s(limit));
+                    if (upstreams == 1) {
+                        // As the only holder it is asked for more than it takes.
+                        BOOST_TEST(play.served * 1'000'000 >= limit * named * 3 / 4 - 2'000'000);
+                    } else {
+                        BOOST_TEST(play.answered >= play.asked * 98 / 100);
+                        BOOST_TEST(play.served > 0);
+                    }
+                }
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_upstream_that_names_no_limit_any_more_is_used_by_all_entries_again)
+{
+    Load load;
+    load.upstreams = 2;
+    load.hasLeader = true;
+    load.namedUntil = START + 10'000;
+    Play play(load);
+    play.run();
+    const std::int64_t later = START + LENGTH - load.namedUntil;
+    // Half of what is asked for, as before the limit, from a few seconds on.
+    BOOST_TEST(play.servedLater >= static_cast<std::int64_t>(load.requestsPerSecond) * later / 1'000 / 3);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/bamboomoor/standing/permitbook.cpp
@@ -0,0 +1,102 @@
+/**
+ * Tests of the leader's permits.
+ */
+#include "bamboomoor/standing/permitbook.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace bamboomoor;
+using standing::PermitBook;
+using standing::Report;
+
+namespace
+{
+
+Report limited(std::int64_t limit, std::int64_t heardAt, std::uint64_t incarnation = 1)
+{
+    return {{"w1", incarnation}, limit, {heardAt}, 0};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(permit_book)
+
+BOOST_AUTO_TEST_CASE(no_span_of_arrivals_holds_half_as_much_again_as_the_limit_and_five_whoever_leads)
+{
+    BOOST_TEST(rc::check([] {
+        // A permit ends a second after it was asked for; what used it arrives at most 400 ms later.
+        constexpr std::int64_t LONGEST = 1'400;
+        constexpr std::int64_t SPAN = 4'000;
+        const std::int64_t limit = *rc::gen::inRange<std::int64_t>(0, 20'000);
+        const std::int64_t quickest = *rc::gen::element<std::int64_t>(5, 50, 500);
+        PermitBook book;
+        std::vector<std::int64_t> arrivals;
+        std::int64_t now = 10'000;
+        const int steps = *rc::gen::inRange(1, 400);
+        for (int n = 0; n < steps; ++n) {
+            now += *rc::gen::inRange<std::int64_t>(0, quickest);
+            if (*rc::gen::inRange(0, 50) == 0) {
+                book = PermitBook();
+            }
+            book.heard({now}, limited(limit, now));
+            const std::string entry = std::to_string(*rc::gen::inRange(0, 12));
+            const auto grant = book.grant({now}, entry, "w1", *rc::gen::inRange<std::int64_t>(1, 9));
+            for (std::int64_t used = 0; used < grant.permits; ++used) {
+                arrivals.push_back(now + *rc::gen::inRange<std::int64_t>(0, LONGEST));
+            }
+        }
+        for (const std::int64_t begin : arrivals) {
+            const auto count = std::count_if(arrivals.begin(), arrivals.end(), [&](std::int64_t it) {
+                return it >= begin && it < begin + SPAN;
+            });
+            RC_ASSERT(count * 1'000 <= limit * 6 + 5'000);
+        }
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(the_newest_word_counts_in_whatever_order_words_come)
+{
+    PermitBook book;
+    book.heard({2'000}, limited(1'000, 1'900));
+    book.heard({2'100}, limited(5'000, 1'800));
+    BOOST_TEST((book.list({2'100}).front().limit == 1'000));
+    book.heard({2'200}, {{"w1", 1}, std::nullopt, {1'950}, 0});
+    BOOST_TEST(!book.list({2'200}).front().limit);
+    BOOST_TEST(book.grant({2'300}, "e", "w1", 1).permits == 0);
+    book.heard({2'400}, limited(700, 2'350, 2));
+    book.heard({2'500}, limited(900, 2'450, 1));
+    BOOST_TEST((book.list({2'500}).front().limit == 700));
+}
+
+BOOST_AUTO_TEST_CASE(entries_that_ask_at_the_same_time_share)
+{
+    PermitBook book;
+    book.heard({1'000}, limited(8'000, 1'000));
+    BOOST_TEST(book.grant({1'000}, "a", "w1", 8).permits == 0);
+    BOOST_TEST(book.grant({1'000}, "b", "w1", 8).permits == 0);
+    BOOST_TEST(book.grant({1'500}, "a", "w1", 8).permits == 2);
+    BOOST_TEST(book.grant({1'500}, "b", "w1", 8).permits == 1);
+}
+
+BOOST_AUTO_TEST_CASE(an_upstream_that_takes_nothing_gets_a_request_now_and_then_that_tells_when_it_does)
+{
+    PermitBook book;
+    book.heard({1'000}, limited(0, 1'000));
+    BOOST_TEST(book.grant({2'000}, "a", "w1", 8).permits == 0);
+    BOOST_TEST(book.grant({6'000}, "a", "w1", 8).permits == 1);
+}
+
+BOOST_AUTO_TEST_CASE(words_that_nobody_repeats_are_forgotten)
+{
+    PermitBook book;
+    book.heard({1'000}, limited(1'000, 1'000));
+    BOOST_TEST(book.list({30'000}).size() == 1);
+    BOOST_TEST(book.list({40'000}).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/bamboomoor/standing/standing.cpp
+++ b/test/bamboomoor/standing/standing.cpp
@@ -59,4 +59,63 @@
     BOOST_TEST((it.heard({1'200}, {"w1", 3}, limited(1'100), {1'100}, true) == Change::LimitNamed));
 }
 
+BOOST_AUTO_TEST_CASE(a_limited_upstream_is_open_only_with_a_permit_which_ends_by_itself)
+{
+    Standing it;
+    BOOST_TEST((it.access({1'000}, FIRST) == standing::Access::Open));
+    it.heard({1'000}, FIRST, limited(1'100), {900}, true);
+    BOOST_TEST((it.access({1'000}, FIRST) == standing::Access::NoPermit));
+    it.told({1'100}, {FIRST, 1'100, {1'000}, 1, {1'050}, {400}});
+    BOOST_TEST((it.access({1'100}, FIRST) == standing::Access::Open));
+    BOOST_TEST((it.access({2'050}, FIRST) == standing::Access::NoPermit));
+    it.told({3'100}, {FIRST, 1'100, {1'000}, 1, {3'050}, {400}});
+    BOOST_TEST(it.sent({3'100}, FIRST));
+    BOOST_TEST(!it.sent({3'100}, FIRST));
+    BOOST_TEST((it.access({3'100}, FIRST) == standing::Access::NoPermit));
+    BOOST_TEST((it.access({3'100}, SECOND) == standing::Access::Open));
+}
+
+BOOST_AUTO_TEST_CASE(a_wish_is_told_once_and_again_when_the_leader_said_so)
+{
+    Standing it;
+    it.heard({1'000}, FIRST, limited(1'100), {900}, true);
+    BOOST_TEST(!it.wantsToAsk({1'000}));
+    it.wish({1'000}, FIRST, 3);
+    BOOST_TEST(it.wantsToAsk({1'000}));
+    BOOST_TEST(it.takeReports({1'000}).front().wished == 3);
+    it.wish({1'010}, FIRST, 3);
+    BOOST_TEST(!it.wantsToAsk({1'010}));
+    it.told({1'020}, {FIRST, 1'100, {1'000}, 0, {1'000}, {400}});
+    it.wish({1'300}, FIRST, 2);
+    BOOST_TEST(!it.wantsToAsk({1'300}));
+    BOOST_TEST((it.opensIn({1'300}, FIRST, 1) == base::Millis{520}));
+    it.wish({1'420}, FIRST, 2);
+    BOOST_TEST(it.wantsToAsk({1'420}));
+    BOOST_TEST(!it.wantsToAsk({1'800}));
+}
+
+BOOST_AUTO_TEST_CASE(words_of_other_entries_count_by_the_time_at_which_they_were_heard)
+{
+    Standing it;
+    it.told({1'000}, {FIRST, 1'100, {900}, 0, {}, {}});
+    BOOST_TEST((it.access({1'000}, FIRST) == standing::Access::NoPermit));
+    it.told({1'100}, {FIRST, std::nullopt, {800}, 0, {}, {}});
+    BOOST_TEST((it.access({1'100}, FIRST) == standing::Access::NoPermit));
+    it.told({1'200}, {FIRST, std::nullopt, {1'150}, 0, {}, {}});
+    BOOST_TEST((it.access({1'200}, FIRST) == standing::Access::Open));
+}
+
+BOOST_AUTO_TEST_CASE(an_upstream_that_is_left_out_of_lists_for_long_is_forgotten)
+{
+    Standing it;
+    it.heard({1'000}, FIRST, limited(1'100), {900}, true);
+    it.setListed({});
+    it.setListed({FIRST});
+    BOOST_TEST(it.takeReports({1'000}).size() == 1);
+    for (int n = 0; n < 400; ++n) {
+        it.setListed({});
+    }
+    BOOST_TEST(it.takeReports({1'000}).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
