Send nothing to upstreams that say they leave, or that they are closed to this entry

Two words that workers say in answers and nothing read: that they are about to end, and on a 503 how long they want nothing from this entry. Entries went on choosing them by cost; callers of a closed worker were told to come back in 250 ms and were turned away again.

Both join the limit in standing::Standing, which is asked at the moment of sending. Leaving spreads over the leader, which moves the models; closing counts for the entry that was told. Where only closed upstreams remain, a caller waits if one opens in time, else is refused at once with that time, spread.

Not done: the product's own path (entry), whose upstreams have no such words yet.

--- a/src/bamboomoor/entry/demandreport.cpp
+++ b/src/bamboomoor/entry/demandreport.cpp
@@ -131,6 +131,7 @@
         word->set_limit(it.limit.value_or(0));
         word->set_limit_age_ms((now - it.limitHeardAt).count);
         word->set_wished(it.wished);
+        word->set_leaving(it.leaving);
     }
     for (const DrainingReplica &it : m_draining) {
         if (!m_source.runsAt(it)) {
@@ -162,6 +163,7 @@
         told.permits = it.permits();
         told.askedAt = sentAt;
         told.nextIn = {it.next_in_ms()};
+        told.leaving = it.leaving();
         news.words.push_back(std::move(told));
     }
     m_source.takeNews(std::move(news));
--- a/src/bamboomoor/gateway/residencydesk.cpp
+++ b/src/bamboomoor/gateway/residencydesk.cpp
@@ -8,6 +8,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace bamboomoor::gateway
@@ -351,6 +352,7 @@
         report.run = {it.upstream(), it.incarnation()};
         report.limit = it.limited() ? std::optional(it.limit()) : std::nullopt;
         report.limitHeardAt = now - base::Millis{std::max<std::int64_t>(0, it.limit_age_ms())};
+        report.leaving = it.leaving();
         m_permits.heard(now, report);
         if (it.wished() <= 0 || !surelyLeads(now)) {
             continue;
@@ -373,6 +375,7 @@
         word->set_limited(it.limit.has_value());
         word->set_limit(it.limit.value_or(0));
         word->set_limit_age_ms((now - it.limitHeardAt).count);
+        word->set_leaving(it.leaving);
         const auto grant = grants.find(it.run.id);
         if (grant != grants.end()) {
             word->set_permits(grant->second.permits);
@@ -440,11 +443,20 @@
 void ResidencyDesk::takeWorkers(base::Millis now)
 {
     std::vector<placement::WorkerReport> reports;
+    std::set<std::pair<std::string, std::uint64_t>> leaving;
+    for (const standing::Report &it : m_permits.list(now)) {
+        if (it.leaving) {
+            leaving.emplace(it.run.id, it.run.incarnation);
+        }
+    }
     const std::vector<membership::Entry> upstreams = m_context.upstreams.list(now);
     for (const membership::Entry &it : upstreams) {
         reports.push_back(reportOf(it.announcement));
+        // Its answers may tell before its announcement does.
+        reports.back().leaving =
+            it.announcement.leaving || leaving.contains({it.announcement.id, it.announcement.incarnation});
         reports.back().overdue = it.expiresAt - now < m_options.overdue;
-        if (reports.back().overdue && !it.announcement.leaving) {
+        if (reports.back().overdue && !reports.back().leaving) {
             suspect(it.announcement.id);
         }
     }
--- a/src/bamboomoor/gateway/runner.cpp
+++ b/src/bamboomoor/gateway/runner.cpp
@@ -484,6 +484,9 @@
     if (note.word.limit) {
         line.add("limit_milli", *note.word.limit);
     }
+    if (note.word.closedFor) {
+        line.add("closed_ms", *note.word.closedFor);
+    }
     m_context.log.write(line);
 }
 
--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -21,6 +21,8 @@
 constexpr std::int64_t PERCENT = 100;
 // A first event that takes longer than so many pauses of a stream shows an engine that has too much to read.
 constexpr std::int64_t FIRST_EVENT_PAUSES = 3;
+// Moments over which callers of a closed upstream come back.
+constexpr std::int64_t COMEBACK_STEPS = 16;
 
 bool isSuccess(int status) noexcept
 {
@@ -49,7 +51,8 @@
         }
         const bool comes =
             lack == Lack::Coming && m_fleet.comingIn(now, exchange.wanted) < queuePatience(now, exchange);
-        if (othersWait || lack == Lack::Busy || comes) {
+        const bool opens = lack == Lack::Closed && m_fleet.opensIn(now, exchange.wanted) < queuePatience(now, exchange);
+        if (othersWait || lack == Lack::Busy || comes || opens) {
             enqueue(now, exchange);
             return;
         }
@@ -79,7 +82,10 @@
     }
     switch (lack) {
     case Lack::AllTried:
-        giveUp(now, exchange, Reason::UpstreamRefused, m_options.shortRetry);
+        giveUp(now, exchange, Reason::UpstreamRefused, closedRetry(now, exchange));
+        return;
+    case Lack::Closed:
+        giveUp(now, exchange, Reason::Closed, closedRetry(now, exchange));
         return;
     case Lack::Busy:
         giveUp(now, exchange, Reason::Busy, busyRetry(now, exchange, m_fleet.waitFor(now, exchange.wanted, 0, 0)));
@@ -96,6 +102,20 @@
     }
 }
 
+base::Millis Core::closedRetry(base::Millis now, const Exchange &exchange) const
+{
+    // The caller comes back with a request that was nowhere yet.
+    Wanted again = exchange.wanted;
+    again.except.clear();
+    const base::Millis opens = m_fleet.opensIn(now, again);
+    if (opens == base::Millis{}) {
+        return m_options.shortRetry;
+    }
+    // Callers that were refused together do not come back together.
+    const auto place = static_cast<std::int64_t>(exchange.id % COMEBACK_STEPS);
+    return std::max(opens, m_options.shortRetry) + m_options.comebackSpread * place / COMEBACK_STEPS;
+}
+
 base::Millis Core::busyRetry(base::Millis now, const Exchange &exchange, base::Millis wait) const
 {
     // While more is asked for than the engines read, only another copy makes room.
@@ -161,7 +181,7 @@
         // Each waiting request gets one try, as one may find its last upstream too busy again.
         for (std::size_t n = m_queues.at(key).size(); n > 0 && m_queues.contains(key); --n) {
             const Lack lack = m_fleet.lackOf(now, {key.first, key.second, {}, 0, {}});
-            const bool gone = lack != Lack::Busy && lack != Lack::Coming;
+            const bool gone = lack != Lack::Busy && lack != Lack::Coming && lack != Lack::Closed;
             const bool goesOn = gone || m_fleet.hasRoom(now, key.first, key.second);
             if (!goesOn) {
                 m_fleet.wish(now, key.first, key.second, static_cast<std::int64_t>(n));
@@ -234,8 +254,8 @@
 void Core::takeWord(base::Millis now, const Exchange &exchange, const AnswerHead &head)
 {
     const bool ran = !head.notRun && !head.misdirected;
-    if (const auto change = m_fleet.heard(now, exchange.choice, head.word, exchange.sentAt, ran)) {
-        m_effects.noteWord({*change, exchange.request.id, exchange.attempt.upstream, head.word});
+    for (const standing::Change it : m_fleet.heard(now, exchange.choice, head.word, exchange.sentAt, ran)) {
+        m_effects.noteWord({it, exchange.request.id, exchange.attempt.upstream, head.word});
     }
 }
 
@@ -423,7 +443,7 @@
         return;
     }
     giveUp(now, exchange, exchange.mayHaveRun ? Reason::UpstreamFailed : Reason::UpstreamRefused,
-        exchange.mayHaveRun ? base::Millis{} : m_options.shortRetry);
+        exchange.mayHaveRun ? base::Millis{} : closedRetry(now, exchange));
 }
 
 Next Core::whatNext(base::Millis now, Exchange &exchange)
--- a/src/bamboomoor/relay/core.hpp
+++ b/src/bamboomoor/relay/core.hpp
@@ -89,6 +89,7 @@
     NoUpstream,
     NotHeld,
     Busy,
+    Closed,
     TooLate,
     UpstreamRefused,
     UpstreamFailed,
@@ -99,7 +100,7 @@
 
 /** @brief The names of the reasons in logs and counters. */
 inline constexpr auto REASON_NAMES = base::makeNames<Reason>("not_configured", "unknown_route", "unknown_key",
-    "rate_exceeded", "rate_unknown", "no_upstream", "not_held", "busy", "too_late", "upstream_refused",
+    "rate_exceeded", "rate_unknown", "no_upstream", "not_held", "busy", "closed", "too_late", "upstream_refused",
     "upstream_failed", "timed_out", "caller_gone", "stopping");
 
 /** @brief A final answer by the entry itself. */
@@ -195,6 +196,8 @@
     base::Millis shortRetry{250};
     // When a caller comes back at the earliest to engines that have too much to read.
     base::Millis busyRetry{1'000};
+    // Callers of an upstream that has closed itself come back over this time after it opens.
+    base::Millis comebackSpread{400};
     // Connections refused before anything was sent, after which a request is given up.
     int unreached = 3;
     // Without an answer of the budget's authority for this time, a refusal says nothing about the rate.
@@ -379,6 +382,7 @@
     [[nodiscard]] bool hold(Exchange &exchange, std::string_view bytes);
     [[nodiscard]] std::string takeBody(Exchange &exchange);
     [[nodiscard]] bool hasOther(base::Millis now, const Exchange &exchange) const;
+    [[nodiscard]] base::Millis closedRetry(base::Millis now, const Exchange &exchange) const;
     [[nodiscard]] base::Millis busyRetry(base::Millis now, const Exchange &exchange, base::Millis wait) const;
     [[nodiscard]] base::Millis queuePatience(base::Millis now, const Exchange &exchange) const;
     [[nodiscard]] bool mayRunAgain(const Exchange &exchange) const;
--- a/src/bamboomoor/relay/fleet.cpp
+++ b/src/bamboomoor/relay/fleet.cpp
@@ -85,12 +85,16 @@
     return known.worker.holds.contains(holding) || (placed != known.placed.end() && now >= placed->second);
 }
 
+bool Fleet::offers(base::Millis now, const Known &known, const Wanted &wanted) const
+{
+    const bool gone = known.missing.contains(std::string()) || now < known.state.avoidedUntil
+        || m_standing.access(now, runOf(known)) == standing::Access::Leaving;
+    return !gone && (wanted.holding.empty() || holds(now, known, wanted.holding));
+}
+
 bool Fleet::canServe(base::Millis now, const Known &known, const Wanted &wanted) const
 {
-    if (known.missing.contains(std::string()) || now < known.state.avoidedUntil) {
-        return false;
-    }
-    return wanted.holding.empty() || holds(now, known, wanted.holding);
+    return offers(now, known, wanted) && !isClosed(now, known);
 }
 
 void Fleet::setPlaced(base::Millis now, const std::vector<Placed> &placed)
@@ -114,7 +118,8 @@
     }
     const std::size_t slash = wanted.holding.find('/');
     for (const Known *it : service->second) {
-        if (wanted.except.contains(it->worker.id) || now < it->state.avoidedUntil) {
+        const bool leaves = m_standing.access(now, runOf(*it)) == standing::Access::Leaving;
+        if (wanted.except.contains(it->worker.id) || now < it->state.avoidedUntil || leaves) {
             continue;
         }
         const auto placed = it->placed.find(wanted.holding);
@@ -206,11 +211,15 @@
     }
     Lack lack = Lack::NotHeld;
     for (const Known *it : service->second) {
-        if (canServe(now, *it, wanted)) {
-            if (!wanted.except.contains(it->worker.id)) {
-                return Lack::Busy;
-            }
-            lack = Lack::AllTried;
+        if (!offers(now, *it, wanted)) {
+            continue;
+        }
+        if (wanted.except.contains(it->worker.id)) {
+            lack = lack == Lack::NotHeld ? Lack::AllTried : lack;
+        } else if (isClosed(now, *it)) {
+            lack = Lack::Closed;
+        } else {
+            return Lack::Busy;
         }
     }
     if (lack == Lack::NotHeld && comingIn(now, wanted) != base::NEVER) {
@@ -237,7 +246,27 @@
 
 bool Fleet::isLimited(base::Millis now, const Known &known) const
 {
-    return m_standing.access(now, runOf(known)) != standing::Access::Open;
+    return m_standing.access(now, runOf(known)) == standing::Access::NoPermit;
+}
+
+bool Fleet::isClosed(base::Millis now, const Known &known) const
+{
+    return m_standing.access(now, runOf(known)) == standing::Access::Closed;
+}
+
+base::Millis Fleet::opensIn(base::Millis now, const Wanted &wanted) const
+{
+    base::Millis soonest = base::NEVER;
+    const auto service = m_services.find(wanted.service);
+    if (service != m_services.end()) {
+        for (const Known *it : service->second) {
+            if (offers(now, *it, wanted) && !wanted.except.contains(it->worker.id)) {
+                const bool closed = isClosed(now, *it);
+                soonest = std::min(soonest, closed ? m_standing.opensIn(now, runOf(*it), 0) : base::Millis{});
+            }
+        }
+    }
+    return soonest == base::NEVER ? base::Millis{} : soonest;
 }
 
 bool Fleet::hasRoom(base::Millis now, const std::string &service, const std::string &holding) const
@@ -390,7 +419,7 @@
     state.measuredAt = now;
 }
 
-std::optional<standing::Change> Fleet::heard(
+std::vector<standing::Change> Fleet::heard(
     base::Millis now, const Choice &choice, const standing::Word &word, base::Millis sentAt, bool ran)
 {
     return m_standing.heard(now, {choice.id, choice.incarnation}, word, sentAt, ran);
--- a/src/bamboomoor/relay/fleet.hpp
+++ b/src/bamboomoor/relay/fleet.hpp
@@ -120,11 +120,13 @@
     base::Millis readyIn;
 };
 
-/** @brief Why no upstream was chosen; Busy ones get room as they read on, and what is Coming is being loaded. */
-enum class Lack { NoUpstream, NotHeld, AllTried, Busy, Coming };
+/** @brief Why no upstream was chosen; Busy ones get room as they read on, Closed ones have said that they take nothing
+ * for a time, and what is Coming is being loaded. */
+enum class Lack { NoUpstream, NotHeld, AllTried, Closed, Busy, Coming };
 
 /** @brief The names of Lack. */
-inline constexpr auto LACK_NAMES = base::makeNames<Lack>("no_upstream", "not_held", "all_tried", "busy", "coming");
+inline constexpr auto LACK_NAMES =
+    base::makeNames<Lack>("no_upstream", "not_held", "all_tried", "closed", "busy", "coming");
 
 /** @brief How an attempt at an upstream ended; Lost is a connection that ended before any byte of an answer. */
 enum class Result { Answered, Failed, ErrorAnswer, Refused, NotReached, Lost, Cancelled };
@@ -196,6 +198,14 @@
      */
     [[nodiscard]] base::Millis nextCopyIn(base::Millis now, const Wanted &wanted) const;
 
+    /**
+     * @brief Tells when the first upstream that holds what is wanted takes requests again.
+     * @param now The present time.
+     * @param wanted What is looked for; upstreams that this request was at are left out.
+     * @return The time until then, 0 when one of them has not closed itself or none holds it.
+     */
+    [[nodiscard]] base::Millis opensIn(base::Millis now, const Wanted &wanted) const;
+
     /** @brief Lists the upstreams that accept no connection. @param now The present time. @return Their ids. */
     [[nodiscard]] std::vector<std::string> unreachable(base::Millis now) const;
 
@@ -237,9 +247,9 @@
      * @param word What it says.
      * @param sentAt When the request was sent.
      * @param ran False for a refusal.
-     * @return What changed, if anything.
+     * @return What changed.
      */
-    std::optional<standing::Change> heard(
+    std::vector<standing::Change> heard(
         base::Millis now, const Choice &choice, const standing::Word &word, base::Millis sentAt, bool ran);
 
     /** @brief Takes what the leader tells of an upstream's word. @param now The present time. @param told The word. */
@@ -329,6 +339,8 @@
     [[nodiscard]] bool isBusy(base::Millis now, const Known &known, const std::string &holding) const;
     [[nodiscard]] static standing::Run runOf(const Known &known);
     [[nodiscard]] bool isLimited(base::Millis now, const Known &known) const;
+    [[nodiscard]] bool isClosed(base::Millis now, const Known &known) const;
+    [[nodiscard]] bool offers(base::Millis now, const Known &known, const Wanted &wanted) const;
     [[nodiscard]] bool canServe(base::Millis now, const Known &known, const Wanted &wanted) const;
     [[nodiscard]] bool holds(base::Millis now, const Known &known, const std::string &holding) const;
     [[nodiscard]] double costOf(
--- a/src/bamboomoor/standing/permitbook.cpp
+++ b/src/bamboomoor/standing/permitbook.cpp
@@ -32,18 +32,25 @@
 
 void PermitBook::heard(base::Millis now, const Report &report)
 {
-    if (now - report.limitHeardAt > m_options.wordLife) {
-        return;
-    }
     const auto [place, isNew] = m_buckets.try_emplace(report.run.id);
     Bucket &bucket = place->second;
-    const bool isLater = isNew || report.run.incarnation > bucket.incarnation;
-    if (isLater) {
+    if (report.run.incarnation < bucket.incarnation) {
+        return;
+    }
+    if (isNew || report.run.incarnation > bucket.incarnation) {
         bucket = {};
         bucket.incarnation = report.run.incarnation;
         bucket.filledAt = now;
     }
-    if (report.run.incarnation < bucket.incarnation || (!isLater && report.limitHeardAt <= bucket.limitHeardAt)) {
+    bucket.reportedAt = now;
+    bucket.leaving = bucket.leaving || report.leaving;
+    heardLimit(now, bucket, report);
+}
+
+void PermitBook::heardLimit(base::Millis now, Bucket &bucket, const Report &report)
+{
+    const bool isOld = now - report.limitHeardAt > m_options.wordLife;
+    if (isOld || report.limitHeardAt <= bucket.limitHeardAt) {
         return;
     }
     fill(now, bucket);
@@ -80,11 +87,14 @@
 std::vector<Report> PermitBook::list(base::Millis now)
 {
     std::erase_if(m_buckets, [&](const auto &it) {
-        return now - it.second.limitHeardAt > m_options.wordLife;
+        return now - it.second.reportedAt > m_options.wordLife;
     });
     std::vector<Report> reports;
-    for (const auto &[id, bucket] : m_buckets) {
-        reports.push_back({{id, bucket.incarnation}, bucket.limit, bucket.limitHeardAt, 0});
+    for (auto &[id, bucket] : m_buckets) {
+        if (now - bucket.limitHeardAt > m_options.wordLife) {
+            bucket.limit.reset();
+        }
+        reports.push_back({{id, bucket.incarnation}, bucket.limit, bucket.limitHeardAt, 0, bucket.leaving});
     }
     return reports;
 }
--- a/src/bamboomoor/standing/permitbook.hpp
+++ b/src/bamboomoor/standing/permitbook.hpp
@@ -1,5 +1,6 @@
 /**
- * The leader's permits for upstreams that name a limit of all entries together.
+ * The leader's book of what upstreams said of themselves to any entry, and its permits for those that name a limit of
+ * all entries together.
  *
  * Each upstream has a bucket that fills at the limit and holds little more than one permit; it is empty when the limit
  * becomes known. A permit is used, or lost, within a fixed time after it was asked for, so that any span of arrivals at
@@ -23,7 +24,7 @@
 
 /** @brief The settings of a book. */
 struct PermitOptions {
-    // A word that nobody has repeated for this time is forgotten.
+    // A limit that no answer has named for this time is forgotten, and an upstream that no entry has reported.
     base::Millis wordLife{30'000};
     // What a bucket holds beyond one permit, as a time of its rate.
     base::Millis depth{500};
@@ -79,8 +80,12 @@
         base::Millis filledAt;
         // When each entry asked last.
         std::map<std::string, base::Millis> askers;
+        bool leaving = false;
+        // When an entry spoke of it last.
+        base::Millis reportedAt;
     };
 
+    void heardLimit(base::Millis now, Bucket &bucket, const Report &report);
     void fill(base::Millis now, Bucket &bucket) const;
     [[nodiscard]] std::int64_t rateOf(const Bucket &bucket) const;
 
--- a/src/bamboomoor/standing/standing.cpp
+++ b/src/bamboomoor/standing/standing.cpp
@@ -48,30 +48,50 @@
     });
 }
 
-std::optional<Change> Standing::heard(base::Millis now, const Run &run, const Word &word, base::Millis sentAt, bool ran)
+std::vector<Change> Standing::heard(base::Millis now, const Run &run, const Word &word, base::Millis sentAt, bool ran)
 {
-    if (!word.limit && find(run) == nullptr) {
-        return word.unreadable ? std::optional(Change::Unreadable) : std::nullopt;
+    std::vector<Change> changes;
+    if (word.unreadable) {
+        changes.push_back(Change::Unreadable);
     }
-    Record *record = recordOf(run);
+    const bool tells = word.limit || word.leaving || word.closedFor;
+    Record *record = tells || find(run) != nullptr ? recordOf(run) : nullptr;
     if (record == nullptr) {
-        return std::nullopt;
+        return changes;
+    }
+    if (const auto change = heardLimit(now, *record, word, sentAt, ran)) {
+        changes.push_back(*change);
+    }
+    if (word.leaving && !record->leaving) {
+        record->leaving = true;
+        changes.push_back(Change::Leaving);
+    }
+    if (word.closedFor) {
+        const base::Millis until = now + std::min(*word.closedFor, m_options.longestClosure);
+        if (until > record->closedUntil) {
+            record->closedUntil = until;
+            changes.push_back(Change::Closed);
+        }
     }
+    return changes;
+}
+
+std::optional<Change> Standing::heardLimit(
+    base::Millis now, Record &record, const Word &word, base::Millis sentAt, bool ran)
+{
     if (word.limit) {
-        const bool isNew = record->limit != word.limit;
-        record->limit = word.limit;
-        record->limitHeardAt = now;
+        const bool isNew = record.limit != word.limit;
+        record.limit = word.limit;
+        record.limitHeardAt = now;
         return isNew ? std::optional(Change::LimitNamed) : std::nullopt;
     }
-    if (word.unreadable) {
-        return Change::Unreadable;
-    }
-    if (record->limit && ran && sentAt >= record->limitHeardAt) {
-        record->limit.reset();
-        record->limitHeardAt = now;
-        return Change::LimitEnded;
+    const bool ends = record.limit && !word.unreadable && ran && sentAt >= record.limitHeardAt;
+    if (!ends) {
+        return std::nullopt;
     }
-    return std::nullopt;
+    record.limit.reset();
+    record.limitHeardAt = now;
+    return Change::LimitEnded;
 }
 
 void Standing::told(base::Millis now, const Told &told)
@@ -84,6 +104,7 @@
         record->limit = told.limit;
         record->limitHeardAt = told.limitHeardAt;
     }
+    record->leaving = record->leaving || told.leaving;
     const base::Millis end = told.askedAt + m_options.permitLife;
     for (std::int64_t n = 0; n < told.permits; ++n) {
         record->permits.insert(std::upper_bound(record->permits.begin(), record->permits.end(), end), end);
@@ -112,21 +133,33 @@
 Access Standing::access(base::Millis now, const Run &run) const
 {
     const Record *record = find(run);
-    const bool open = record == nullptr || !isLimited(now, *record) || permitsOf(now, *record) > 0;
-    return open ? Access::Open : Access::NoPermit;
+    if (record == nullptr) {
+        return Access::Open;
+    }
+    if (record->leaving) {
+        return Access::Leaving;
+    }
+    if (now < record->closedUntil) {
+        return Access::Closed;
+    }
+    return !isLimited(now, *record) || permitsOf(now, *record) > 0 ? Access::Open : Access::NoPermit;
 }
 
 base::Millis Standing::opensIn(base::Millis now, const Run &run, std::int64_t ahead) const
 {
     const Record *record = find(run);
-    if (record == nullptr || !isLimited(now, *record)) {
+    if (record == nullptr) {
         return {};
     }
+    if (record->leaving) {
+        return base::NEVER;
+    }
+    const base::Millis closed = std::max(record->closedUntil - now, base::Millis{});
     const std::int64_t missing = ahead - permitsOf(now, *record);
-    if (missing < 0) {
-        return {};
+    if (!isLimited(now, *record) || missing < 0) {
+        return closed;
     }
-    return std::max(record->nextAt - now, m_options.askSpacing) + record->interval * missing;
+    return std::max({closed, record->nextAt - now, m_options.askSpacing}) + record->interval * missing;
 }
 
 bool Standing::sent(base::Millis now, const Run &run)
@@ -173,10 +206,10 @@
 {
     std::vector<Report> reports;
     for (auto &[id, record] : m_records) {
-        if (now - record.limitHeardAt > m_options.limitLife) {
+        if (now - record.limitHeardAt > m_options.limitLife && !record.leaving) {
             continue;
         }
-        Report report{{id, record.incarnation}, record.limit, record.limitHeardAt, 0};
+        Report report{{id, record.incarnation}, record.limit, record.limitHeardAt, 0, record.leaving};
         if (wantsToAsk(now, record)) {
             report.wished = record.wished - permitsOf(now, record);
             record.wished = 0;
--- a/src/bamboomoor/standing/standing.hpp
+++ b/src/bamboomoor/standing/standing.hpp
@@ -3,7 +3,8 @@
  *
  * The load that it answers: an upstream in need that takes fewer requests a second than entries would send. No entry
  * sees what the others send, so a limit of all entries together is kept by permits of the leader, one for each request
- * that is sent. An entry without a permit does not send there, whether or not it reaches the leader.
+ * that is sent. An entry without a permit does not send there, whether or not it reaches the leader. An upstream that
+ * closes itself to this entry gets nothing from it until then, and one that leaves gets nothing any more.
  *
  * Words are joined by the time at which they were heard, here or by another entry, so that order and repetition do not
  * matter. A word belongs to one run of the upstream's process; a later run starts clean.
@@ -38,16 +39,19 @@
     base::Millis askTimeout{1'000};
     // Permits of one upstream that are asked for at once at most.
     std::int64_t mostWished = 8;
+    // An upstream that closes itself for longer is asked again after this time.
+    base::Millis longestClosure{600'000};
 };
 
 /** @brief Whether an upstream may get a request now. */
-enum class Access { Open, NoPermit };
+enum class Access { Open, NoPermit, Closed, Leaving };
 
 /** @brief What an answer has changed. */
-enum class Change { LimitNamed, LimitEnded, Unreadable };
+enum class Change { LimitNamed, LimitEnded, Leaving, Closed, Unreadable };
 
 /** @brief The names of the changes in logs. */
-inline constexpr auto CHANGE_NAMES = base::makeNames<Change>("limit_named", "limit_ended", "unreadable");
+inline constexpr auto CHANGE_NAMES =
+    base::makeNames<Change>("limit_named", "limit_ended", "leaving", "closed", "unreadable");
 
 /** @brief What an entry tells the leader of an upstream. */
 struct Report {
@@ -57,6 +61,7 @@
     base::Millis limitHeardAt;
     // Permits that are asked for.
     std::int64_t wished = 0;
+    bool leaving = false;
 };
 
 /** @brief What the leader tells an entry of an upstream. */
@@ -69,6 +74,7 @@
     base::Millis askedAt;
     // When the next permit for this entry is expected; 0 when it has not asked.
     base::Millis nextIn;
+    bool leaving = false;
 };
 
 /** @brief The upstreams by their own word. */
@@ -88,9 +94,9 @@
      * @param word What it said.
      * @param sentAt When the request was sent; an answer that names no limit ends one only if it is surely later.
      * @param ran False for a refusal, which ends nothing.
-     * @return What changed, if anything.
+     * @return What changed.
      */
-    std::optional<Change> heard(base::Millis now, const Run &run, const Word &word, base::Millis sentAt, bool ran);
+    std::vector<Change> heard(base::Millis now, const Run &run, const Word &word, base::Millis sentAt, bool ran);
 
     /** @brief Takes what the leader tells. @param now The present time. @param told What it told. */
     void told(base::Millis now, const Told &told);
@@ -110,7 +116,7 @@
      * @param now The present time.
      * @param run Which.
      * @param ahead Requests that wait for a permit before it.
-     * @return The wait, 0 when it needs no permit or has one.
+     * @return The wait, 0 when it needs no permit or has one; base::NEVER when the upstream leaves.
      */
     [[nodiscard]] base::Millis opensIn(base::Millis now, const Run &run, std::int64_t ahead) const;
 
@@ -143,6 +149,8 @@
         std::optional<std::int64_t> limit;
         // When the newest word on the limit was heard, here or elsewhere.
         base::Millis limitHeardAt;
+        bool leaving = false;
+        base::Millis closedUntil;
         // When each permit ends, ascending.
         std::deque<base::Millis> permits;
         std::int64_t wished = 0;
@@ -156,6 +164,8 @@
         int unlisted = 0;
     };
 
+    [[nodiscard]] std::optional<Change> heardLimit(
+        base::Millis now, Record &record, const Word &word, base::Millis sentAt, bool ran);
     [[nodiscard]] const Record *find(const Run &run) const;
     [[nodiscard]] Record *recordOf(const Run &run);
     [[nodiscard]] bool isLimited(base::Millis now, const Record &record) const noexcept;
--- a/src/bamboomoor/standing/word.hpp
+++ b/src/bamboomoor/standing/word.hpp
@@ -25,6 +25,10 @@
 struct Word {
     // Thousandths of requests a second that the upstream takes from all entries together; nothing without a limit.
     std::optional<std::int64_t> limit;
+    // It is about to end, and takes no new requests.
+    bool leaving = false;
+    // It takes nothing from this entry for so long; nothing when it does not say.
+    std::optional<base::Millis> closedFor;
     // The answer has a line of this kind that cannot be read; it counts as absent.
     bool unreadable = false;
 
--- a/test/bamboomoor/platform/messages.cpp
+++ b/test/bamboomoor/platform/messages.cpp
@@ -220,6 +220,40 @@
     BOOST_TEST(!coded.isSigned);
 }
 
+BOOST_AUTO_TEST_CASE(an_upstream_that_leaves_says_so_in_answers_of_any_status)
+{
+    const Upstreams upstreams;
+    for (const int status : {200, 421, 500, 503}) {
+        BOOST_TEST(upstreams.readHead(status, {{"server-leaving", "1"}}, "r").word.leaving);
+        BOOST_TEST(!upstreams.readHead(status, {}, "r").word.leaving);
+    }
+    BOOST_TEST(!upstreams.readHead(200, {{"Server-Leaving", "0"}}, "r").word.leaving);
+}
+
+BOOST_AUTO_TEST_CASE(the_longest_readable_closure_of_a_refusal_counts)
+{
+    const Upstreams upstreams;
+    const std::string date = "Fri, 04 Dec 2026 12:00:00 GMT";
+    const auto closedFor = [&](const http::Headers &headers) {
+        return upstreams.readHead(503, headers, "r").word.closedFor.value_or(base::Millis{-1}).count;
+    };
+    BOOST_TEST(closedFor({}) == -1);
+    BOOST_TEST(closedFor({{"Retry-After", "0"}}) == 0);
+    BOOST_TEST(closedFor({{"retry-after", "1.25"}}) == 1'250);
+    BOOST_TEST(closedFor({{"Retry-After", "2"}, {"Retry-After", "3"}}) == 3'000);
+    BOOST_TEST(closedFor({{"Retry-After", std::string(400, '9')}}) == 1'000'000'000);
+    BOOST_TEST(closedFor({{"Date", date}, {"Retry-After", "Fri, 04 Dec 2026 12:00:03 GMT"}}) == 3'000);
+    BOOST_TEST(closedFor({{"Date", date}, {"Retry-After", "Fri, 04 Dec 2026 11:00:00 GMT"}}) == 0);
+    for (const char *it : {"", "-1", "soon", "nan", "Fri, 04 Dec 2026 12:00:03 GMT"}) {
+        BOOST_TEST_CONTEXT(it)
+        {
+            BOOST_TEST(upstreams.readHead(503, {{"Retry-After", it}}, "r").word.unreadable);
+            BOOST_TEST(closedFor({{"Retry-After", it}}) == -1);
+        }
+    }
+    BOOST_TEST(!upstreams.readHead(429, {{"Retry-After", "3"}}, "r").word.closedFor);
+}
+
 BOOST_AUTO_TEST_CASE(the_strictest_readable_limit_of_an_answer_counts)
 {
     const Upstreams upstreams;
--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -622,4 +622,74 @@
     }));
 }
 
+BOOST_AUTO_TEST_CASE(what_upstreams_say_of_themselves_holds_for_every_request_that_is_sent_later)
+{
+    BOOST_TEST(rc::check([] {
+        struct Said {
+            standing::Word word;
+            base::Millis closedUntil;
+            // When each permit ends.
+            std::vector<base::Millis> permits;
+        };
+        Fixture it;
+        std::map<std::string, Said> said;
+        std::uint64_t exchanges = 0;
+        std::size_t counted = 0;
+        const std::vector<std::string> prefixes{"/once/", "/again/", "/stream/", "/resume/"};
+        const int steps = *rc::gen::inRange(1, 120);
+        for (int n = 0; n < steps; ++n) {
+            it.now += base::Millis{*rc::gen::inRange(0, 300)};
+            std::vector<std::uint64_t> open;
+            for (const auto &[id, attempt] : it.world.open) {
+                open.push_back(id);
+            }
+            const int action = *rc::gen::inRange(0, 7);
+            if (action < 2 || open.empty()) {
+                it.arrive(++exchanges, *rc::gen::elementOf(prefixes) + "x");
+            } else if (action == 2) {
+                const std::string upstream = it.world.open.at(*rc::gen::elementOf(open)).upstream;
+                Said &one = said[upstream];
+                const std::int64_t permits = *rc::gen::inRange(0, 3);
+                one.permits.insert(one.permits.end(), static_cast<std::size_t>(permits), it.now + base::Millis{1'000});
+                it.core.told(it.now, {{{upstream, 0}, one.word.limit, it.now, permits, it.now, {}, false}});
+            } else if (action == 3) {
+                it.fail(*rc::gen::elementOf(open), *rc::gen::arbitrary<bool>());
+            } else {
+                const std::uint64_t id = *rc::gen::elementOf(open);
+                Said &one = said[it.world.open.at(id).upstream];
+                if (*rc::gen::inRange(0, 4) == 0) {
+                    one.word.limit = *rc::gen::inRange<std::int64_t>(0, 3'000);
+                }
+                one.word.leaving = one.word.leaving || *rc::gen::inRange(0, 8) == 0;
+                auto head = Fixture::head(action == 4 ? UNAVAILABLE : OK);
+                head.notRun = action == 4;
+                head.word = one.word;
+                if (action == 4 && *rc::gen::arbitrary<bool>()) {
+                    head.word.closedFor = base::Millis{*rc::gen::inRange(0, 3'000)};
+                    one.closedUntil = std::max(one.closedUntil, it.now + *head.word.closedFor);
+                }
+                it.answer(id, head, action == 4 ? "" : eventOf(1));
+            }
+            it.core.tick(it.now);
+            for (; counted < it.world.sent.size(); ++counted) {
+                Said &one = said[it.world.sent[counted].upstream];
+                RC_ASSERT(!one.word.leaving);
+                RC_ASSERT(it.now >= one.closedUntil);
+                std::erase_if(one.permits, [&](base::Millis end) {
+                    return end <= it.now;
+                });
+                RC_ASSERT(!one.word.limit || !one.permits.empty());
+                if (one.word.limit) {
+                    one.permits.erase(std::min_element(one.permits.begin(), one.permits.end()));
+                }
+            }
+        }
+        it.core.stop(it.now);
+        RC_ASSERT(it.world.open.empty());
+        for (std::uint64_t id = 1; id <= exchanges; ++id) {
+            RC_ASSERT(it.world.callers[id].ends == 1);
+        }
+    }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/bamboomoor/relay/words.cpp
+++ b/test/bamboomoor/relay/words.cpp
@@ -40,6 +40,10 @@
     // Entries exchange words with a leader, which is another one from then on.
     bool hasLeader = false;
     std::int64_t otherLeaderAt = START + LENGTH;
+    // Besides, or instead: the first one leaves, or turns requests away for so long.
+    bool limits = true;
+    bool leaves = false;
+    std::int64_t closesFor = 0;
 };
 
 /** @brief Several entries and the upstreams of one model in virtual time. */
@@ -120,6 +124,11 @@
     std::int64_t answered = 0;
     std::int64_t refused = 0;
 
+    // Requests to the first upstream by entries that have passed on its word, and by those that it is closed to.
+    std::int64_t askedAgain = 0;
+    std::int64_t askedWhileClosed = 0;
+    // Callers that were told to come back before the only upstream opens.
+    std::int64_t backTooEarly = 0;
     // Requests at the first upstream while it names its limit.
     std::int64_t served = 0;
     // Requests there after it has stopped to.
@@ -153,6 +162,9 @@
         {
             BOOST_TEST(refused.notRun);
             ++m_play.refused;
+            const std::int64_t opensAt = m_play.m_toldUntil[m_index];
+            const bool back = m_play.m_now + refused.retryAfter.count >= opensAt;
+            m_play.backTooEarly += m_play.m_load.upstreams == 1 && m_play.m_now < opensAt && !back ? 1 : 0;
         }
         void begin(std::uint64_t /*exchange*/, int /*status*/, http::Headers /*headers*/) override
         {
@@ -170,6 +182,8 @@
         void send(const relay::Attempt &attempt, const relay::Request & /*request*/) override
         {
             m_play.m_runs.push_back({m_play.m_now, m_index, attempt});
+            m_play.askedAgain += attempt.upstream == "w1" && m_play.m_toldAt.contains(m_index) ? 1 : 0;
+            m_play.askedWhileClosed += attempt.upstream == "w1" && m_play.m_now < m_play.m_toldUntil[m_index] ? 1 : 0;
             const auto told = m_play.m_toldAt.find(m_index);
             if (attempt.upstream == "w1" && told != m_play.m_toldAt.end() && m_play.m_now >= told->second + 500) {
                 m_play.m_arrivals.push_back(m_play.m_now);
@@ -232,6 +246,19 @@
         }
     }
 
+    void say(relay::AnswerHead &head) const
+    {
+        if (m_load.limits) {
+            head.word.limit = m_load.limit;
+        }
+        head.word.leaving = m_load.leaves;
+        if (m_load.closesFor > 0) {
+            head.status = 503;
+            head.notRun = true;
+            head.word.closedFor = base::Millis{m_load.closesFor};
+        }
+    }
+
     void answer()
     {
         while (!m_runs.empty() && m_runs.front().sentAt + ANSWER_TIME <= m_now) {
@@ -242,8 +269,9 @@
             head.owner = relay::AnswerOwner::Same;
             head.isSigned = true;
             if (run.attempt.upstream == "w1" && m_now >= m_load.namedFrom && m_now < m_load.namedUntil) {
-                head.word.limit = m_load.limit;
+                say(head);
                 m_toldAt.emplace(run.entry, m_now);
+                m_toldUntil[run.entry] = std::max(m_toldUntil[run.entry], m_now + m_load.closesFor);
             }
             const bool isFirst = run.attempt.upstream == "w1";
             served += isFirst && m_now >= m_load.namedFrom && m_now < m_load.namedUntil ? 1 : 0;
@@ -259,6 +287,8 @@
     std::deque<Run> m_runs;
     // When each entry passed on the first answer that names the limit.
     std::map<std::size_t, std::int64_t> m_toldAt;
+    // Until when the first upstream is closed to each entry.
+    std::map<std::size_t, std::int64_t> m_toldUntil;
     std::vector<std::int64_t> m_arrivals;
     standing::PermitBook m_leader;
     bool m_otherLeads = false;
@@ -328,6 +358,43 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(an_upstream_that_says_that_it_leaves_gets_nothing_any_more_from_those_who_heard_it)
+{
+    for (const bool hasLeader : {false, true}) {
+        Load load;
+        load.upstreams = 2;
+        load.limits = false;
+        load.leaves = true;
+        load.hasLeader = hasLeader;
+        Play play(load);
+        play.run();
+        BOOST_TEST(play.askedAgain == 0);
+        BOOST_TEST(play.answered >= play.asked * 98 / 100);
+        // With a leader, the first entry that hears it tells the others.
+        BOOST_TEST(play.served < (hasLeader ? 24 : 60));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_upstream_that_closes_itself_gets_nothing_until_then_and_its_callers_know_when_to_come_back)
+{
+    for (const std::size_t upstreams : {1, 2}) {
+        Load load;
+        load.upstreams = upstreams;
+        load.limits = false;
+        load.closesFor = 3'000;
+        load.namedUntil = START + 20'000;
+        Play play(load);
+        play.run();
+        BOOST_TEST_CONTEXT(upstreams << " upstreams")
+        {
+            BOOST_TEST(play.askedWhileClosed == 0);
+            BOOST_TEST(play.backTooEarly == 0);
+            BOOST_TEST((upstreams == 1 || play.answered >= play.asked * 95 / 100));
+            BOOST_TEST(play.servedLater > 0);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_upstream_that_names_no_limit_any_more_is_used_by_all_entries_again)
 {
     Load load;
--- a/test/bamboomoor/standing/standing.cpp
+++ b/test/bamboomoor/standing/standing.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace bamboomoor;
+using Changes = std::vector<standing::Change>;
 using standing::Change;
 using standing::Run;
 using standing::Standing;
@@ -31,14 +32,14 @@
 BOOST_AUTO_TEST_CASE(a_limit_is_told_when_it_changes_and_ends_with_a_surely_later_answer)
 {
     Standing it;
-    BOOST_TEST((it.heard({1'000}, FIRST, limited(1'100), {900}, true) == Change::LimitNamed));
-    BOOST_TEST(!it.heard({1'100}, FIRST, limited(1'100), {1'000}, true));
-    BOOST_TEST((it.heard({1'200}, FIRST, limited(900), {1'100}, true) == Change::LimitNamed));
+    BOOST_TEST((it.heard({1'000}, FIRST, limited(1'100), {900}, true) == Changes{Change::LimitNamed}));
+    BOOST_TEST(it.heard({1'100}, FIRST, limited(1'100), {1'000}, true).empty());
+    BOOST_TEST((it.heard({1'200}, FIRST, limited(900), {1'100}, true) == Changes{Change::LimitNamed}));
     // Sent before the last word was heard: it may have been answered before that word.
-    BOOST_TEST(!it.heard({1'300}, FIRST, {}, {1'150}, true));
-    BOOST_TEST(!it.heard({1'300}, FIRST, {}, {1'250}, false));
-    BOOST_TEST((it.heard({1'400}, FIRST, {}, {1'250}, true) == Change::LimitEnded));
-    BOOST_TEST(!it.heard({1'500}, FIRST, {}, {1'450}, true));
+    BOOST_TEST(it.heard({1'300}, FIRST, {}, {1'150}, true).empty());
+    BOOST_TEST(it.heard({1'300}, FIRST, {}, {1'250}, false).empty());
+    BOOST_TEST((it.heard({1'400}, FIRST, {}, {1'250}, true) == Changes{Change::LimitEnded}));
+    BOOST_TEST(it.heard({1'500}, FIRST, {}, {1'450}, true).empty());
 }
 
 BOOST_AUTO_TEST_CASE(a_line_that_cannot_be_read_ends_no_limit)
@@ -46,17 +47,17 @@
     Standing it;
     Word broken;
     broken.unreadable = true;
-    BOOST_TEST((it.heard({1'000}, FIRST, limited(1'100), {900}, true) == Change::LimitNamed));
-    BOOST_TEST((it.heard({1'200}, FIRST, broken, {1'100}, true) == Change::Unreadable));
-    BOOST_TEST(!it.heard({1'300}, FIRST, limited(1'100), {1'200}, true));
+    BOOST_TEST((it.heard({1'000}, FIRST, limited(1'100), {900}, true) == Changes{Change::LimitNamed}));
+    BOOST_TEST((it.heard({1'200}, FIRST, broken, {1'100}, true) == Changes{Change::Unreadable}));
+    BOOST_TEST(it.heard({1'300}, FIRST, limited(1'100), {1'200}, true).empty());
 }
 
 BOOST_AUTO_TEST_CASE(a_later_run_starts_clean_and_an_earlier_one_changes_nothing)
 {
     Standing it;
-    BOOST_TEST((it.heard({1'000}, SECOND, limited(1'100), {900}, true) == Change::LimitNamed));
-    BOOST_TEST(!it.heard({1'100}, FIRST, limited(500), {1'000}, true));
-    BOOST_TEST((it.heard({1'200}, {"w1", 3}, limited(1'100), {1'100}, true) == Change::LimitNamed));
+    BOOST_TEST((it.heard({1'000}, SECOND, limited(1'100), {900}, true) == Changes{Change::LimitNamed}));
+    BOOST_TEST(it.heard({1'100}, FIRST, limited(500), {1'000}, true).empty());
+    BOOST_TEST((it.heard({1'200}, {"w1", 3}, limited(1'100), {1'100}, true) == Changes{Change::LimitNamed}));
 }
 
 BOOST_AUTO_TEST_CASE(a_limited_upstream_is_open_only_with_a_permit_which_ends_by_itself)
@@ -118,4 +119,35 @@
     BOOST_TEST(it.takeReports({1'000}).empty());
 }
 
+BOOST_AUTO_TEST_CASE(an_upstream_that_leaves_gets_nothing_any_more_whoever_heard_it)
+{
+    Standing it;
+    Word leaving;
+    leaving.leaving = true;
+    BOOST_TEST((it.heard({1'000}, FIRST, leaving, {900}, false) == Changes{Change::Leaving}));
+    BOOST_TEST(it.heard({1'100}, FIRST, {}, {1'050}, true).empty());
+    BOOST_TEST((it.access({1'000'000}, FIRST) == standing::Access::Leaving));
+    BOOST_TEST((it.access({1'100}, SECOND) == standing::Access::Open));
+    BOOST_TEST(it.takeReports({1'000'000}).front().leaving);
+    Standing other;
+    other.told({2'000}, {FIRST, std::nullopt, {}, 0, {}, {}, true});
+    BOOST_TEST((other.access({2'000}, FIRST) == standing::Access::Leaving));
+}
+
+BOOST_AUTO_TEST_CASE(an_upstream_that_closes_itself_opens_at_the_end_of_its_longest_word)
+{
+    Standing it;
+    Word closed;
+    closed.closedFor = base::Millis{3'000};
+    BOOST_TEST((it.heard({1'000}, FIRST, closed, {900}, false) == Changes{Change::Closed}));
+    closed.closedFor = base::Millis{500};
+    BOOST_TEST(it.heard({1'100}, FIRST, closed, {900}, false).empty());
+    BOOST_TEST((it.access({3'999}, FIRST) == standing::Access::Closed));
+    BOOST_TEST((it.opensIn({2'000}, FIRST, 5) == base::Millis{2'000}));
+    BOOST_TEST((it.access({4'000}, FIRST) == standing::Access::Open));
+    closed.closedFor = base::Millis{1'000'000'000};
+    BOOST_TEST((it.heard({5'000}, FIRST, closed, {4'900}, false) == Changes{Change::Closed}));
+    BOOST_TEST((it.access({605'000}, FIRST) == standing::Access::Open));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
