Send a retry over a new connection

A retry now takes a new connection, which holds nothing of earlier answers. The test failed before (second attempt pooled).

--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -217,7 +217,8 @@
     attempt.priority = std::clamp<std::int64_t>(exchange.priority, 0, LAST_PRIORITY);
     attempt.remaining = exchange.deadline - now;
     attempt.lastEventId = exchange.lastEventId;
-    attempt.freshConnection = !mayRunAgain(exchange) || exchange.choice.freshConnection;
+    const bool isRetry = exchange.sent + exchange.unreached > 0;
+    attempt.freshConnection = !mayRunAgain(exchange) || exchange.choice.freshConnection || isRetry;
     attempt.charge = exchange.holdsRetry ? Charge::Retry : exchange.unreached > 0 ? Charge::NoneArrived : Charge::First;
     exchange.choice.freshConnection = attempt.freshConnection;
     ++exchange.sent;
--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -622,6 +622,16 @@
     }));
 }
 
+BOOST_AUTO_TEST_CASE(a_retry_takes_a_new_connection_as_pooled_ones_may_hold_late_copies_of_other_answers)
+{
+    Fixture it;
+    it.arrive(1, "/again/x");
+    BOOST_TEST(!it.world.sent.back().freshConnection);
+    it.core.head(it.now, it.last(), Fixture::head(OK, AnswerOwner::Other));
+    BOOST_TEST(it.world.sent.size() == 2U);
+    BOOST_TEST(it.world.sent.back().freshConnection);
+}
+
 BOOST_AUTO_TEST_CASE(what_upstreams_say_of_themselves_holds_for_every_request_that_is_sent_later)
 {
     BOOST_TEST(rc::check([] {
