Let a model that callers ask for replace an idle sole copy where not all models fit

Only copies that another worker held too were evicted, so that idle models kept what they held for good.

Where all models together exceed 0.9 of the workers' memory, a lost model with demand now replaces a sole copy that is asked for less than a quarter of it. Where all fit, nothing changes: the sizes rule it out.

--- a/src/bamboomoor/placement/residency.hpp
+++ b/src/bamboomoor/placement/residency.hpp
@@ -74,6 +74,11 @@
     std::size_t candidates = 8;
     // Copies decided in one review.
     int copies = 4;
+    // Where not all models fit, one that no worker holds takes the place of a sole copy that is asked for less than
+    // this part of it.
+    double replaceBelow = 0.25;
+    // The part of the workers' memory that models of different sizes fill at best.
+    double fillable = 0.9;
     // Loads that the store's rate allows at once.
     double burst = 3;
     StoreWindowOptions store = {};
@@ -305,6 +310,8 @@
         base::Millis drainedAt;
         // Tasks of greater urgency take the loads that the store's rate allows.
         double urgency = 0;
+        // What is evicted may be the only copy.
+        bool replaces = false;
     };
     struct State {
         WorkerReport report;
@@ -408,8 +415,10 @@
         std::map<std::string, double> &changes) const;
     [[nodiscard]] double gainOf(const State &state, const std::string &model, const std::vector<std::string> &evicted,
         const std::map<std::string, double> &loads) const;
+    // A sole copy is evicted only if its model is asked for less than soleBelow.
     [[nodiscard]] std::optional<std::vector<std::string>> evictionsFor(
-        base::Millis now, const State &state, std::int64_t neededMib) const;
+        base::Millis now, const State &state, std::int64_t neededMib, double soleBelow = 0) const;
+    [[nodiscard]] bool fitsAll(const std::string &service, const EngineSpec &engine) const;
     void send(base::Millis now, State &state, ResidencyOrder order, ResidencyActions &out);
     void carryOut(base::Millis now, State &state, const ResidencyOrder &order);
     [[nodiscard]] static bool isStoreLoad(const ResidencyOrder &order) noexcept
--- a/src/bamboomoor/placement/residencycopies.cpp
+++ b/src/bamboomoor/placement/residencycopies.cpp
@@ -95,17 +95,18 @@
 }
 
 std::optional<std::vector<std::string>> Residency::evictionsFor(
-    base::Millis now, const State &state, std::int64_t neededMib) const
+    base::Millis now, const State &state, std::int64_t neededMib, double soleBelow) const
 {
     const EngineSpec &engine = *engineOf(state);
     std::int64_t freeMib = engine.memoryMib - usedMib(state);
     std::vector<std::pair<double, std::string>> candidates;
     for (const auto &[model, adapters] : state.view.models) {
-        // Another worker must hold it already: a copy on its way may not arrive.
+        // Another worker should hold it already: a copy on its way may not arrive.
         const auto ready = m_survey.ready.find({state.report.service, model});
         const auto since = state.heldSince.find(model);
         const bool young = since != state.heldSince.end() && now - since->second < m_options.minStay;
-        if (ready != m_survey.ready.end() && ready->second >= 2 && !young) {
+        const bool isSole = ready == m_survey.ready.end() || ready->second < 2;
+        if (ready != m_survey.ready.end() && !young && (!isSole || modelDemand(model) < soleBelow)) {
             candidates.emplace_back(modelDemand(model) / static_cast<double>(ready->second), model);
         }
     }
--- a/src/bamboomoor/placement/residencyplan.cpp
+++ b/src/bamboomoor/placement/residencyplan.cpp
@@ -114,7 +114,7 @@
         return state.view.models.contains(it);
     });
     if (left != task.evicted.end()) {
-        if (!m_survey.ready.contains({state.report.service, *left})) {
+        if (!task.replaces && !m_survey.ready.contains({state.report.service, *left})) {
             // The workers that held it too are gone meanwhile.
             state.task.reset();
         } else if (now >= task.drainedAt) {
@@ -257,6 +257,19 @@
     while (m_loads >= m_options.burst - 1 && pack(service, engine)) { }
 }
 
+bool Residency::fitsAll(const std::string &service, const EngineSpec &engine) const
+{
+    std::int64_t needed = 0;
+    for (const auto &[model, spec] : engine.models) {
+        needed += spec.memoryMib;
+    }
+    std::int64_t there = 0;
+    for (const auto &[id, state] : m_workers) {
+        there += state.report.service == service && !isGone(state) ? engine.memoryMib : 0;
+    }
+    return static_cast<double>(needed) <= static_cast<double>(there) * m_options.fillable;
+}
+
 void Residency::placeLost(base::Millis now, const std::string &service, const EngineSpec &engine)
 {
     std::vector<std::pair<double, std::string>> lost;
@@ -266,20 +279,26 @@
         }
     }
     std::sort(lost.begin(), lost.end());
+    const bool fits = lost.empty() || fitsAll(service, engine);
     for (const auto &[demand, model] : lost) {
         State *best = nullptr;
         std::vector<std::string> bestEvicted;
-        // A copy of its own first, then few evictions, then little load.
-        std::tuple<bool, std::size_t, double> bestRank;
+        // No sole copy evicted first, then a copy of its own, then few evictions, then little load.
+        std::tuple<bool, bool, std::size_t, double> bestRank;
         for (auto &[id, state] : m_workers) {
             if (state.report.service != service || isGone(state) || state.task || !state.loading.empty()) {
                 continue;
             }
-            auto evicted = evictionsFor(now, state, engine.models.at(model).memoryMib);
+            const std::int64_t needed = engine.models.at(model).memoryMib;
+            auto evicted = evictionsFor(now, state, needed);
+            const bool replaces = !evicted && !fits;
+            if (replaces) {
+                evicted = evictionsFor(now, state, needed, -demand * m_options.replaceBelow);
+            }
             if (!evicted) {
                 continue;
             }
-            const std::tuple rank{!hasLocalCopy(state, model), evicted->size(), loadOf(state)};
+            const std::tuple rank{replaces, !hasLocalCopy(state, model), evicted->size(), loadOf(state)};
             if (best == nullptr || rank < bestRank) {
                 best = &state;
                 bestEvicted = std::move(*evicted);
@@ -288,7 +307,8 @@
         }
         if (best != nullptr) {
             const base::Millis drained = drainedAt(now, bestEvicted);
-            best->task = Task{model, std::move(bestEvicted), LOST, drained, LOST_URGENCY * (1 - demand)};
+            best->task =
+                Task{model, std::move(bestEvicted), LOST, drained, LOST_URGENCY * (1 - demand), std::get<0>(bestRank)};
             surveyWorkers();
         }
     }
--- a/test/bamboomoor/placement/residency.cpp
+++ b/test/bamboomoor/placement/residency.cpp
@@ -325,6 +325,38 @@
     BOOST_TEST(!it.exceeded);
 }
 
+// Two workers have room for four of eight models: the ones that callers ask for come, and those in use stay.
+BOOST_AUTO_TEST_CASE(where_not_all_models_fit_one_that_is_asked_for_takes_the_place_of_an_idle_one)
+{
+    Engines it(2, 1);
+    for (FakeWorker &worker : it.list) {
+        worker.localCopies.clear();
+        worker.keepsCopies = false;
+    }
+    for (int n = 0; n < 400; ++n) {
+        it.step();
+    }
+    std::string missing;
+    std::string idle;
+    for (const auto &[model, spec] : it.spec.models) {
+        (it.copies(model) == 0 ? missing : idle) = model;
+    }
+    const std::size_t loadsBefore = it.storeLoads.size();
+    int served = 0;
+    for (int n = 0; n < 600; ++n) {
+        if (n % 5 == 0) {
+            it.plan.setDemand(it.now, "entry", {{missing, "", 2, it.copies(missing) == 0 ? 1U : 0U}, {idle, "", 2, 0}});
+        }
+        it.step();
+        served += it.copies(missing) > 0 && it.copies(idle) > 0 ? 1 : 0;
+    }
+    // A load takes 4 s, and the plan some seconds before it takes a model for lost: 20 of 30 s at least.
+    BOOST_TEST(served >= 400);
+    // Nothing is exchanged without end.
+    BOOST_TEST(it.storeLoads.size() - loadsBefore <= 4U);
+    BOOST_TEST(!it.exceeded);
+}
+
 // One model gets more than two copies though each must come from the store.
 BOOST_AUTO_TEST_CASE(under_a_played_load_of_one_model_copies_from_the_store_follow)
 {
