Count what an eviction costs while the new copy is on its way

The gain of a copy was weighed by the part of the horizon in which it serves, and so was the loss of what gave way to it; but that is missing at once.

Gain is now what falls with the copy there, for its part, and what the eviction alone costs, for the rest.

--- a/src/bamboomoor/placement/residency.hpp
+++ b/src/bamboomoor/placement/residency.hpp
@@ -413,8 +413,11 @@
     [[nodiscard]] static double roomOf(const std::set<std::int64_t> &sizes, std::int64_t freeMib);
     void spread(const std::string &service, const std::string &model, double change,
         std::map<std::string, double> &changes) const;
+    // By how much the sum of the squared loads falls; with Arrival::Pending the evicted copies are gone and the new one
+    // has not come.
+    enum class Arrival { Pending, There };
     [[nodiscard]] double gainOf(const State &state, const std::string &model, const std::vector<std::string> &evicted,
-        const std::map<std::string, double> &loads) const;
+        const std::map<std::string, double> &loads, Arrival arrival) const;
     // A sole copy is evicted only if its model is asked for less than soleBelow.
     [[nodiscard]] std::optional<std::vector<std::string>> evictionsFor(
         base::Millis now, const State &state, std::int64_t neededMib, double soleBelow = 0) const;
--- a/src/bamboomoor/placement/residencycopies.cpp
+++ b/src/bamboomoor/placement/residencycopies.cpp
@@ -3,9 +3,9 @@
  *
  * The load that it answers: demand moves from a few models to others within seconds, and a load from the store takes
  * about as long as the demand stays. A copy is chosen by what it takes off the most loaded workers: the sum of the
- * squared loads of all workers, with what the evicted models put on their other copies, for as long as the copy will
- * serve. So a worker that has the model on its disk goes before one that must fetch it, and an idle copy gives way
- * before one in use.
+ * squared loads of all workers, with what the evicted models put on their other copies from the eviction on, and what
+ * the copy serves once it has come. So a worker that has the model on its disk goes before one that must fetch it, and
+ * an idle copy gives way before one in use.
  *
  * Where workers have no room for copies because each holds one idle model beside a busy one, idle models are packed:
  * one is loaded on a worker that fills up with it, so that its first copy can give way to a busy model.
@@ -70,14 +70,17 @@
 }
 
 double Residency::gainOf(const State &state, const std::string &model, const std::vector<std::string> &evicted,
-    const std::map<std::string, double> &loads) const
+    const std::map<std::string, double> &loads, Arrival arrival) const
 {
     const std::string &service = state.report.service;
     std::map<std::string, double> changes;
-    const auto copies = static_cast<double>(replicas(service, model));
-    const double demand = modelDemand(model);
-    spread(service, model, demand / (copies + 1) - demand / copies, changes);
-    double own = demand / (copies + 1);
+    double own = 0;
+    if (arrival == Arrival::There) {
+        const auto copies = static_cast<double>(replicas(service, model));
+        const double demand = modelDemand(model);
+        spread(service, model, demand / (copies + 1) - demand / copies, changes);
+        own = demand / (copies + 1);
+    }
     for (const std::string &it : evicted) {
         const auto others = static_cast<double>(replicas(service, it)) - 1;
         const double moved = modelDemand(it);
@@ -144,7 +147,9 @@
                 continue;
             }
             const double part = served(hasLocalCopy(state, model) ? m_options.localLoad : spec.loadTime);
-            const double gain = gainOf(state, model, *evicted, before) * part;
+            // Until the copy comes, what gave way to it is missing already.
+            const double gain = gainOf(state, model, *evicted, before, Arrival::There) * part
+                + gainOf(state, model, *evicted, before, Arrival::Pending) * (1 - part);
             if (gain > bestGain) {
                 best = &state;
                 bestGain = gain;
--- a/test/bamboomoor/placement/residency.cpp
+++ b/test/bamboomoor/placement/residency.cpp
@@ -357,6 +357,43 @@
     BOOST_TEST(!it.exceeded);
 }
 
+// Until a copy from the store comes, a model in use would serve with one copy less.
+BOOST_AUTO_TEST_CASE(a_copy_in_use_gives_way_to_one_that_comes_soon_but_not_to_one_that_comes_late)
+{
+    for (const bool local : {false, true}) {
+        Engines it(4, 1);
+        it.spec.models.erase("m6");
+        it.spec.models.erase("m7");
+        for (auto &[model, spec] : it.spec.models) {
+            spec.loadTime = {9'000};
+        }
+        const std::vector<std::vector<std::string>> held{{"m0", "m2"}, {"m0", "m3"}, {"m1", "m4"}, {"m1", "m5"}};
+        for (std::size_t n = 0; n < held.size(); ++n) {
+            FakeWorker &worker = it.list[n];
+            worker.holdings.models.clear();
+            for (const std::string &model : held[n]) {
+                worker.holdings.models[model];
+            }
+            worker.announced = worker.holdings;
+            worker.localCopies.clear();
+            if (local) {
+                worker.localCopies.insert("m0");
+            }
+        }
+        it.plan.setEngines({{"llm", it.spec}});
+        int fewest = 2;
+        for (int n = 0; n < 260; ++n) {
+            if (n >= 200 && n % 5 == 0) {
+                it.plan.setDemand(it.now, "entry", {{"m0", "", 60, 0}, {"m1", "", 20, 0}});
+            }
+            it.step();
+            fewest = std::min(fewest, it.copies("m1"));
+        }
+        BOOST_TEST(fewest == (local ? 1 : 2));
+        BOOST_TEST(!it.exceeded);
+    }
+}
+
 // One model gets more than two copies though each must come from the store.
 BOOST_AUTO_TEST_CASE(under_a_played_load_of_one_model_copies_from_the_store_follow)
 {
