Tell callers of a lost model to come back when it can be there again

Callers of a model that nobody held were told to come back in 1 s, and in 250 ms after an engine that had lost it; a loss is noticed within half a second and a load from a disk takes two, so that most came back in vain, and most come back once. They are now told 2.5 s, or a third of what they have left, which is what they follow; 1 s at least. The test failed before (1,000 and 250 ms).

--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -94,7 +94,7 @@
         giveUp(now, exchange, Reason::NotHeld, std::max(m_fleet.comingIn(now, exchange.wanted), m_options.shortRetry));
         return;
     case Lack::NotHeld:
-        giveUp(now, exchange, Reason::NotHeld, m_options.loadRetry);
+        giveUp(now, exchange, Reason::NotHeld, lostRetry(now, exchange));
         return;
     case Lack::NoUpstream:
         giveUp(now, exchange, Reason::NoUpstream, m_options.loadRetry);
@@ -102,6 +102,13 @@
     }
 }
 
+base::Millis Core::lostRetry(base::Millis now, const Exchange &exchange) const
+{
+    // Most callers come back once, and in vain if that is too soon.
+    const base::Millis followed = (exchange.deadline - now) / m_options.followedPart;
+    return std::max(std::min(followed, m_options.lostRetry), m_options.loadRetry);
+}
+
 base::Millis Core::closedRetry(base::Millis now, const Exchange &exchange) const
 {
     // The caller comes back with a request that was nowhere yet.
@@ -109,7 +116,8 @@
     again.except.clear();
     const base::Millis opens = m_fleet.opensIn(now, again);
     if (opens == base::Millis{}) {
-        return m_options.shortRetry;
+        const bool lost = !again.holding.empty() && m_fleet.lackOf(now, again) == Lack::NotHeld;
+        return lost ? lostRetry(now, exchange) : m_options.shortRetry;
     }
     // Callers that were refused together do not come back together.
     const auto place = static_cast<std::int64_t>(exchange.id % COMEBACK_STEPS);
--- a/src/bamboomoor/relay/core.hpp
+++ b/src/bamboomoor/relay/core.hpp
@@ -190,8 +190,13 @@
     FleetOptions fleet;
     RetryOptions retries;
     budget::HolderOptions budget;
-    // When a caller comes back for a model that is being loaded, or a service without upstreams.
+    // When a caller comes back at the earliest for a model that nobody holds, or a service without upstreams.
     base::Millis loadRetry{1'000};
+    // When a caller comes back for a model that nobody holds, at the latest: a loss is noticed within half a second,
+    // and a load from a disk takes two.
+    base::Millis lostRetry{2'500};
+    // Callers wait no longer than this part of the time that they have left before they come back.
+    std::int64_t followedPart = 3;
     // When a caller comes back after a refusal that says nothing of a time.
     base::Millis shortRetry{250};
     // When a caller comes back at the earliest to engines that have too much to read.
@@ -382,6 +387,7 @@
     [[nodiscard]] bool hold(Exchange &exchange, std::string_view bytes);
     [[nodiscard]] std::string takeBody(Exchange &exchange);
     [[nodiscard]] bool hasOther(base::Millis now, const Exchange &exchange) const;
+    [[nodiscard]] base::Millis lostRetry(base::Millis now, const Exchange &exchange) const;
     [[nodiscard]] base::Millis closedRetry(base::Millis now, const Exchange &exchange) const;
     [[nodiscard]] base::Millis busyRetry(base::Millis now, const Exchange &exchange, base::Millis wait) const;
     [[nodiscard]] base::Millis queuePatience(base::Millis now, const Exchange &exchange) const;
--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -632,6 +632,43 @@
     BOOST_TEST(it.world.sent.back().freshConnection);
 }
 
+BOOST_AUTO_TEST_CASE(callers_of_a_model_that_is_lost_come_back_when_it_can_be_there_again)
+{
+    for (const bool held : {false, true}) {
+        Fixture it;
+        auto document = std::make_shared<config::Document>();
+        document->services.push_back({"svc", 10, config::Engine{}});
+        document->relays.push_back(route("/m/", config::Repeat::Stream, true, 2));
+        document->relays.back().open = true;
+        it.core.setTable(std::make_shared<const relay::RouteTable>(8, document));
+        relay::Worker engine = worker("w1");
+        engine.holds = {held ? "m" : "other"};
+        it.core.setWorkers({engine});
+        for (const std::int64_t patience : {3'000, 15'000}) {
+            relay::Request request;
+            request.id = "r" + std::to_string(patience);
+            request.host = "h";
+            request.path = "/m/x";
+            request.model = "m";
+            request.patience = base::Millis{patience};
+            const auto exchange = static_cast<std::uint64_t>(patience);
+            it.core.setWorkers({engine});
+            it.core.arrive(it.now, exchange, request);
+            if (held) {
+                // Its process has started anew and holds nothing.
+                auto lost = Fixture::head(421);
+                lost.misdirected = true;
+                it.answer(it.last(), lost, "");
+                engine.sequence++;
+            }
+            const Seen &seen = it.world.callers[exchange];
+            BOOST_TEST(seen.refusedNotRun);
+            // A caller follows no more than a third of the time that it has.
+            BOOST_TEST((seen.retryAfter == base::Millis{std::min<std::int64_t>(2'500, patience / 3)}));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(what_upstreams_say_of_themselves_holds_for_every_request_that_is_sent_later)
 {
     BOOST_TEST(rc::check([] {
