--- a/test/bamboomoor/platform/system/relay.sh
+++ b/test/bamboomoor/platform/system/relay.sh
@@ -151,14 +151,15 @@
 
 # load SECONDS: calls of three entries, one after the other at each; prints the statuses.
 load() {
-    local n end=$((SECONDS + $1))
+    local n pids=() end=$((SECONDS + $1))
     for n in $ENTRIES; do
         while [ "$SECONDS" -lt "$end" ]; do
             status_of "$n" /again/whole
             printf '\n'
         done >"$FLEET_DIR/load$n" &
+        pids+=($!)
     done
-    wait $(jobs -rp | tail -n 3) || true
+    wait "${pids[@]}"
     cat "$FLEET_DIR"/load[123]
 }
 
@@ -180,7 +181,7 @@
 load 2 >/dev/null
 [ $(($(arrived_at 1) - before)) -ge 10 ] || fail "an upstream that names no limit any more is not used again"
 
-# Closed for a time to those that it told, then open.
+# An upstream that leaves gets nothing more.
 say_at 1 'Server-Leaving: 1'
 load 3 >/dev/null
 before=$(arrived_at 1)
