--- a/test/bamboomoor/platform/system/unruly_upstream.cpp
+++ b/test/bamboomoor/platform/system/unruly_upstream.cpp
@@ -253,7 +253,7 @@
         }},
     {"garbage",
         [](Peer &peer, const Request & /*request*/, const std::string & /*said*/) {
-            peer.write(std::string(3'000, '\x7f') + "\r\n\r\n\0\0\xff\xfe");
+            peer.write(std::string(3'000, '\x7f') + "\r\n\r\n" + std::string(2, '\0') + "\xff\xfe");
             return false;
         }},
     {"reset",
