--- a/test/bamboomoor/relay/engines.cpp
+++ b/test/bamboomoor/relay/engines.cpp
@@ -2,6 +2,7 @@
  * Engines of different speed and prompts of different length, played against the same cores of several entries that do
  * not see one another: what callers get with the settings as they are, against settings made by hand for the engine.
  */
+#include "ignoredeffects.hpp"
 #include "outcome.hpp"
 
 #include "bamboomoor/relay/core.hpp"
@@ -124,7 +125,7 @@
     };
 
     /** @brief Carries out what the core of one entry wants. */
-    class Entry final : public relay::Effects
+    class Entry final : public relay::test::IgnoredEffects
     {
     public:
         Entry(Play &play, int index)
@@ -132,17 +133,11 @@
             , m_index(static_cast<std::size_t>(index))
         {
         }
-        void respond(std::uint64_t /*exchange*/, http::Response /*response*/) override
-        {
-        }
         void refuse(std::uint64_t exchange, const relay::Refused & /*refused*/) override
         {
             ++m_play.m_outcome.refused;
             m_play.m_callers.erase(exchange);
         }
-        void begin(std::uint64_t /*exchange*/, int /*status*/, http::Headers /*headers*/) override
-        {
-        }
         bool write(std::uint64_t exchange, std::string_view /*bytes*/) override
         {
             Caller &it = m_play.m_callers.at(exchange);
@@ -174,12 +169,6 @@
                 return it.entry == m_index && it.attempt == attempt;
             });
         }
-        void note(const relay::Decision & /*decision*/) override
-        {
-        }
-        void noteWord(const relay::WordNote & /*note*/) override
-        {
-        }
 
     private:
         Play &m_play;
--- a/test/bamboomoor/relay/words.cpp
+++ b/test/bamboomoor/relay/words.cpp
@@ -2,6 +2,8 @@
  * Upstreams that tell of themselves in their answers, played against the cores of several entries that do not see one
  * another: what the upstream gets, and what becomes of the callers.
  */
+#include "ignoredeffects.hpp"
+
 #include "bamboomoor/relay/core.hpp"
 #include "bamboomoor/standing/permitbook.hpp"
 
@@ -146,7 +148,7 @@
     };
 
     /** @brief Carries out what the core of one entry wants. */
-    class Entry final : public relay::Effects
+    class Entry final : public relay::test::IgnoredEffects
     {
     public:
         Entry(Play &play, std::size_t index)
@@ -166,19 +168,6 @@
             const bool back = m_play.m_now + refused.retryAfter.count >= opensAt;
             m_play.backTooEarly += m_play.m_load.upstreams == 1 && m_play.m_now < opensAt && !back ? 1 : 0;
         }
-        void begin(std::uint64_t /*exchange*/, int /*status*/, http::Headers /*headers*/) override
-        {
-        }
-        bool write(std::uint64_t /*exchange*/, std::string_view /*bytes*/) override
-        {
-            return true;
-        }
-        void end(std::uint64_t /*exchange*/) override
-        {
-        }
-        void abort(std::uint64_t /*exchange*/) override
-        {
-        }
         void send(const relay::Attempt &attempt, const relay::Request & /*request*/) override
         {
             m_play.m_runs.push_back({m_play.m_now, m_index, attempt});
@@ -189,15 +178,6 @@
                 m_play.m_arrivals.push_back(m_play.m_now);
             }
         }
-        void cancel(std::uint64_t /*attempt*/) override
-        {
-        }
-        void note(const relay::Decision & /*decision*/) override
-        {
-        }
-        void noteWord(const relay::WordNote & /*note*/) override
-        {
-        }
 
     private:
         Play &m_play;
