Add failing tests for streams that are aborted because their upstream paused

Seen by callers: a stream that had begun is closed without its end although its upstream is sound. The entry cancels an attempt after three pause objectives of silence, then looks for another upstream; when that one turns the stream away, or none has room, the attempts of the route are used up and the stream is aborted.

--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -456,6 +456,58 @@
     BOOST_TEST(world.sent.at(2).upstream != world.sent.front().upstream);
 }
 
+// Cancelled too early, the stream is aborted, as the other upstreams may turn it away.
+BOOST_AUTO_TEST_CASE(a_stream_whose_upstream_pauses_for_a_second_and_a_half_is_not_aborted)
+{
+    arrive(1, "/resume/x");
+    const std::uint64_t paused = last();
+    core.onResponseHead(now, paused, head(OK));
+    std::string events;
+    for (int n = 1; n <= 10; ++n) {
+        events += eventOf(n);
+        core.onResponseData(now, paused, eventOf(n));
+        now += base::Millis{300};
+        core.tick(now);
+    }
+    for (int tick = 0; tick < 12; ++tick) {
+        now += base::Millis{100};
+        core.tick(now);
+        for (std::size_t n = 1; n < world.sent.size(); ++n) {
+            ResponseHead refusal = head(UNAVAILABLE);
+            refusal.notRun = true;
+            answer(world.sent[n].id, std::move(refusal), "");
+        }
+    }
+    core.onResponseData(now, paused, eventOf(11));
+    core.onAttemptEnded(now, paused, {true, true, false, "complete"});
+    BOOST_TEST(!world.callers[1].aborted);
+    BOOST_TEST(world.callers[1].whole);
+    BOOST_TEST(world.callers[1].bytes == events + eventOf(11));
+}
+
+// Cancelled before another upstream has room, the stream would wait in a queue and might be aborted there.
+BOOST_AUTO_TEST_CASE(a_stream_whose_upstream_pauses_for_long_goes_on_there_while_no_other_has_room)
+{
+    core.setWorkers({worker("w1")});
+    arrive(1, "/resume/x");
+    const std::uint64_t paused = last();
+    core.onResponseHead(now, paused, head(OK));
+    core.onResponseData(now, paused, eventOf(1));
+    core.setWorkers({worker("w1"), worker("w2")});
+    // As many as the windows of both upstreams take, so that the others wait.
+    for (std::uint64_t n = 2; n < 14; ++n) {
+        arrive(n, "/once/x");
+    }
+    for (int tick = 0; tick < 40; ++tick) {
+        now += base::Millis{100};
+        core.tick(now);
+    }
+    BOOST_TEST(world.open.contains(paused));
+    core.onResponseData(now, paused, eventOf(2));
+    core.onAttemptEnded(now, paused, {true, true, false, "complete"});
+    BOOST_TEST(world.callers[1].whole);
+}
+
 BOOST_AUTO_TEST_CASE(an_idempotent_request_is_retried_after_a_server_error_which_is_forwarded_at_last)
 {
     arrive(1, "/again/x");
