Keep a stream at an upstream that pauses for a second or two

Cause: an attempt was cancelled after three pause objectives of silence, before it was known whether another upstream takes the stream. If that one turned it away, or had no room and the queue none either, the attempts of the route were used up and the stream was aborted.

Now a stream that has begun is left alone for 1.9 s, and a stalled attempt is given up only for an upstream that can take the request at that moment; until then another one is looked for every 200 ms. A caller's patience is two seconds or more, so that a stream at an upstream that is gone still moves in time.

Ruled out: a change of the configuration as the cause, as requests keep the table that they arrived with.

--- a/src/bamboomoor/relay/core.cpp
+++ b/src/bamboomoor/relay/core.cpp
@@ -308,7 +308,7 @@
 {
     const config::Relay &route = *exchange.route;
     if (exchange.started && isStream(exchange)) {
-        return std::max(m_options.minStallTimeout, route.pauseObjective * 3);
+        return std::max(m_options.minStreamStallTimeout, route.pauseObjective * 3);
     }
     return std::max(m_options.minStallTimeout, route.objective * 2);
 }
@@ -333,23 +333,31 @@
         scheduleCheck(exchange, std::min(silentAt, exchange.deadline));
         return;
     }
-    if (!exchange.stalled) {
-        exchange.stalled = true;
+    const bool isNews = !std::exchange(exchange.stalled, true);
+    if (isNews) {
         m_fleet.onStall(now, exchange.choice);
     }
     settleRetry(now, exchange, true);
-    // A stalled attempt is abandoned only if the request can continue on another upstream.
-    const RetryDecision next = isRepeatable(exchange) ? decideRetry(now, exchange) : RetryDecision::MayHaveRun;
-    if (next != RetryDecision::Retry) {
-        note(now, exchange, Step::Stalled, {}, 0, next);
+    if (!isRepeatable(exchange)) {
+        note(now, exchange, Step::Stalled, {}, 0, RetryDecision::MayHaveRun);
         scheduleCheck(exchange, exchange.deadline);
         return;
     }
+    // A stalled attempt may still complete; it is abandoned only for an upstream that takes the request now.
+    auto choice = quarantinedFor(now, exchange) ? std::nullopt : m_fleet.choose(now, exchange.requirements);
+    const RetryDecision next = choice ? decideRetry(now, exchange) : RetryDecision::NoOtherUpstream;
+    if (next != RetryDecision::Retry) {
+        if (isNews) {
+            note(now, exchange, Step::Stalled, {}, 0, next);
+        }
+        scheduleCheck(exchange, std::min(exchange.deadline, now + m_options.stallCheckInterval));
+        return;
+    }
     note(now, exchange, Step::AttemptFailed, "silent", 0, next);
     m_effects.cancel(exchange.attempt.id);
     exchange.mayHaveRun = true;
     closeAttempt(now, exchange, AttemptResult::Failed);
-    dispatch(now, exchange);
+    send(now, exchange, std::move(*choice));
 }
 
 void Core::onCallerDisconnected(base::Millis now, std::uint64_t id)
--- a/src/bamboomoor/relay/core.hpp
+++ b/src/bamboomoor/relay/core.hpp
@@ -231,6 +231,11 @@
     std::int64_t queuePercent = 80;
     // The least time without progress after which a repeatable attempt is retried on another upstream.
     base::Millis minStallTimeout{1'200};
+    // The same for a stream that has begun, which would be aborted if the other upstreams turned it away. Sound
+    // upstreams pause for more than a second; callers wait at least two.
+    base::Millis minStreamStallTimeout{1'900};
+    // The interval at which another upstream is looked for while an attempt makes no progress.
+    base::Millis stallCheckInterval{200};
     // The limits for one buffered response and for all buffered responses together; a faulty upstream may send an
     // endless body.
     std::size_t maxResponseBytes = 4'194'304;
