Log a digest that is the same for all tries of a request

attempt_failed lines now carry request=, a digest of method, host, path, query, caller and body. It tells whether lost attempts at several upstreams belong to one request, which ids cannot, as each try has its own.

--- a/src/bamboomoor/gateway/relaythread.cpp
+++ b/src/bamboomoor/gateway/relaythread.cpp
@@ -486,6 +486,9 @@
     if (!decision.sharedParts.empty()) {
         line.add("parts", decision.sharedParts);
     }
+    if (!decision.fingerprint.empty()) {
+        line.add("request", decision.fingerprint);
+    }
     if (decision.status != 0) {
         line.add("status", decision.status);
     }
--- a/src/bamboomoor/relay/core.cpp
+++ b/src/bamboomoor/relay/core.cpp
@@ -216,6 +216,18 @@
     }
 }
 
+const std::string &Core::fingerprintOf(const Exchange &exchange)
+{
+    if (exchange.fingerprint.empty()) {
+        // Independent of which of its keys an organisation uses.
+        const config::Organisation *organisation =
+            exchange.table ? exchange.table->organisationOf(exchange.request.key) : nullptr;
+        exchange.fingerprint =
+            fingerprint(exchange.request, organisation == nullptr ? exchange.request.key : organisation->name);
+    }
+    return exchange.fingerprint;
+}
+
 std::optional<base::Millis> Core::quarantinedFor(base::Millis now, const Exchange &exchange) const
 {
     if (m_guard.isEmpty()) {
@@ -453,6 +465,7 @@
     }
     if (step == Step::AttemptFailed || reason == REASON_NAMES.name(Reason::Quarantined)) {
         decision.sharedParts = joinSharedParts(exchange.request.parts);
+        decision.fingerprint = fingerprintOf(exchange);
     }
     decision.retryDecision = next;
     decision.age = now - exchange.arrivedAt;
--- a/src/bamboomoor/relay/core.hpp
+++ b/src/bamboomoor/relay/core.hpp
@@ -149,6 +149,8 @@
     std::optional<std::size_t> events;
     // The prompt parts that other requests may share; set for Step::AttemptFailed and Reason::Quarantined.
     std::string sharedParts;
+    // Identifies the request across its tries; set like sharedParts.
+    std::string fingerprint;
     // Since the request arrived.
     base::Millis age;
     // The version of the configuration that applied.
@@ -407,6 +409,8 @@
         std::optional<base::Millis> queuedUntil;
         // When tick() checks it next.
         base::Millis checkAt;
+        // Computed when it is needed first.
+        mutable std::string fingerprint;
     };
 
     void admit(base::Millis now, Exchange &exchange);
@@ -438,6 +442,7 @@
     void enforceQuarantine(base::Millis now, const std::vector<quarantine::Finding> &findings, bool byLeader);
     void noteLoss(base::Millis now, const Exchange &exchange);
     void noteSurvival(base::Millis now, const Exchange &exchange);
+    [[nodiscard]] static const std::string &fingerprintOf(const Exchange &exchange);
     [[nodiscard]] bool isRepeatable(const Exchange &exchange) const;
     void giveUp(base::Millis now, Exchange &exchange, Reason reason, base::Millis retryAfter);
     void closeAttempt(base::Millis now, Exchange &exchange, AttemptResult result);
--- a/src/bamboomoor/relay/request.hpp
+++ b/src/bamboomoor/relay/request.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace bamboomoor::relay
@@ -53,6 +54,14 @@
     std::vector<PromptPart> parts;
 };
 
+/**
+ * @brief Identifies a request across its tries: the same caller sent the same body to the same path.
+ * @param request The request.
+ * @param caller The organisation, or what else stands for the caller.
+ * @return A digest of 32 hexadecimal digits.
+ */
+[[nodiscard]] std::string fingerprint(const Request &request, std::string_view caller);
+
 /** @brief Whether a response belongs to the request that it arrived for, by the request id that it echoes. */
 enum class ResponseOwner { Same, Other, Unknown };
 
