Add failing tests for a request that crashes upstreams and comes again

Played with 1 to 30 entries, with and without a leader, with a body or only a path, several at once, beside other crashes, a lost leader, a cut-off entry and a restarted one.

--- a/test/bamboomoor/relay/deadlyparts.cpp
+++ b/test/bamboomoor/relay/deadlyparts.cpp
@@ -1,6 +1,7 @@
 /**
- * Simulations of prompt parts that crash every upstream that begins to answer them, with several entries that do not
- * see each other's requests. They check what the upstreams receive and what the callers get.
+ * Simulations of prompt parts, and of whole requests, that crash every upstream that begins to answer them, with
+ * several entries that do not see each other's requests. They check what the upstreams receive and what the callers
+ * get.
  */
 #include "ignoredeffects.hpp"
 
@@ -45,6 +46,10 @@
 constexpr std::int64_t NEVER = START + 10 * LENGTH;
 constexpr std::array<std::uint64_t, 5> SEEDS{1, 2, 3, 4, 5};
 
+/** @brief What makes a request crash upstreams: a part of its prompt, or the whole request, which always comes with the
+ * same path and body. A Body one shares its prompt parts with sound requests; a Path one has neither parts nor body. */
+enum class Cause { Part, Body, Path };
+
 /** @brief The load and the faults of a simulation. */
 struct Load {
     std::size_t entries = 1;
@@ -53,6 +58,7 @@
     // The prompt parts that crash upstreams, and the share of requests that carry one of them.
     std::vector<std::string> deadly{"d1"};
     double deadlyShare = 0.08;
+    Cause cause = Cause::Part;
     // The deadly part is the first of the prompt and followed by one that many sound requests share.
     bool deadlyFirst = false;
     std::int64_t deadlyUntil = START + LENGTH;
@@ -126,15 +132,16 @@
     }
 
     /** @brief Returns the requests with a part that entries in touch with the leader sent to upstreams later than
-     * CONTACT_TIME after its fifth crash. */
+     * CONTACT_TIME after its fifth crash, or the third for a whole request. */
     [[nodiscard]] std::int64_t sentLater(const std::string &part) const
     {
+        const std::size_t known = m_load.cause == Cause::Part ? 5 : 3;
         const auto crashes = m_crashes.find(part);
         const auto sent = m_sent.find(part);
-        if (crashes == m_crashes.end() || crashes->second.size() < 5 || sent == m_sent.end()) {
+        if (crashes == m_crashes.end() || crashes->second.size() < known || sent == m_sent.end()) {
             return 0;
         }
-        const std::int64_t from = crashes->second[4] + CONTACT_TIME;
+        const std::int64_t from = crashes->second[known - 1] + CONTACT_TIME;
         return std::count_if(sent->second.begin(), sent->second.end(), [&](const Sent &it) {
             const bool isCut = it.entry == 0 && it.at >= m_load.cutAt;
             const bool hasRestarted = it.entry + 1 == m_entries.size() && it.at >= m_load.restartAt
@@ -237,8 +244,7 @@
         }
         void logQuarantine(const quarantine::Finding &finding, bool /*byLeader*/) override
         {
-            const auto &deadly = m_play.m_load.deadly;
-            if (std::find(deadly.begin(), deadly.end(), finding.part) == deadly.end()) {
+            if (!m_play.isDeadlySubject(finding.part)) {
                 m_play.wronglyQuarantined.insert(finding.part);
             }
         }
@@ -306,6 +312,15 @@
                 {isDeadly ? asked.deadlyPart : "t" + subject, 100}};
         }
         request.parts.push_back({"own" + request.id, 100});
+        request.body = "body of " + request.id;
+        if (m_load.cause == Cause::Path) {
+            request.path = "/s/" + (isDeadly ? asked.deadlyPart : request.id);
+            request.body.clear();
+            request.parts.clear();
+        } else if (m_load.cause == Cause::Body && isDeadly) {
+            request.body = asked.deadlyPart;
+            request.parts = {{"first", 100}, {"s1", 100}, {"ts1", 100}, {"own" + asked.deadlyPart, 100}};
+        }
         asked.counts = !isDeadly && m_now >= START + LENGTH / 2 && m_now < START + LENGTH - 3'000;
         soundAsked += asked.counts ? 1 : 0;
         Entry &entry = *m_entries[m_random() % m_entries.size()];
@@ -313,13 +328,38 @@
         entry.core->onRequest({m_now}, m_lastRequest, request);
     }
 
+    [[nodiscard]] bool isDeadlySubject(const std::string &subject) const
+    {
+        return std::any_of(m_load.deadly.begin(), m_load.deadly.end(), [&](const std::string &it) {
+            relay::Request request;
+            request.host = "h";
+            request.method = "POST";
+            request.path = m_load.cause == Cause::Path ? "/s/" + it : "/s/x";
+            request.body = m_load.cause == Cause::Body ? it : std::string();
+            return m_load.cause == Cause::Part ? subject == it : subject.ends_with(relay::fingerprint(request, {}));
+        });
+    }
+
+    [[nodiscard]] std::string causeOf(const relay::Request &request) const
+    {
+        switch (m_load.cause) {
+        case Cause::Part:
+            return request.parts[m_load.deadlyFirst ? 0 : 2].id;
+        case Cause::Body:
+            return request.body;
+        case Cause::Path:
+            return request.path.substr(3);
+        }
+        return {};
+    }
+
     void send(std::size_t entry, const relay::Attempt &attempt, const relay::Request &request)
     {
         Run run;
         run.entry = entry;
         run.attempt = attempt;
         run.upstream = std::stoul(attempt.upstream.substr(1));
-        const std::string &part = request.parts[m_load.deadlyFirst ? 0 : 2].id;
+        const std::string part = causeOf(request);
         const bool isDeadly = std::find(m_load.deadly.begin(), m_load.deadly.end(), part) != m_load.deadly.end();
         run.deadlyPart = isDeadly ? part : std::string();
         if (m_now >= m_upstreams[run.upstream].downUntil) {
@@ -612,4 +652,81 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_request_that_crashes_upstreams_and_comes_again_is_sent_by_no_entry_once_the_leader_knows_of_it)
+{
+    for (const Cause cause : {Cause::Body, Cause::Path}) {
+        for (const std::uint64_t seed : SEEDS) {
+            Play play({.entries = 30,
+                .upstreams = 20,
+                .requestsPerSecond = 100,
+                .deadlyShare = 0.03,
+                .cause = cause,
+                .hasLeader = true,
+                .seed = seed});
+            play.run();
+            BOOST_TEST(play.sentLater("d1") <= MOST_LATER);
+            BOOST_TEST(play.crashesOf("d1") >= 3U);
+            BOOST_TEST(play.crashesOf("d1") <= 8U);
+            BOOST_TEST(play.wronglyQuarantined.empty());
+            BOOST_TEST(play.soundShare() >= 0.95);
+            BOOST_TEST(play.deadlyWithDelay == play.deadlyRefused);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_without_a_leader_stops_sending_a_request_that_crashes_upstreams)
+{
+    for (const Cause cause : {Cause::Body, Cause::Path}) {
+        Play play({.deadlyShare = 0.04, .cause = cause});
+        play.run();
+        BOOST_TEST(play.sentLater("d1") <= MOST_LATER);
+        BOOST_TEST(play.soundShare() >= 0.9);
+        BOOST_TEST(play.deadlyRefused > 0);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(several_requests_that_crash_upstreams_are_found_among_crashes_of_other_causes)
+{
+    for (const Cause cause : {Cause::Body, Cause::Path}) {
+        for (const std::uint64_t seed : SEEDS) {
+            Play play({.entries = 30,
+                .upstreams = 40,
+                .requestsPerSecond = 200,
+                .deadly = {"d1", "d2", "d3"},
+                .deadlyShare = 0.04,
+                .cause = cause,
+                .otherCrashes = 1,
+                .massCrashAt = START + 2'000,
+                .hasLeader = true,
+                .seed = seed});
+            play.run();
+            for (const std::string it : {"d1", "d2", "d3"}) {
+                BOOST_TEST(play.sentLater(it) <= MOST_LATER);
+            }
+            BOOST_TEST(play.wronglyQuarantined.empty());
+            BOOST_TEST(play.soundShare() >= 0.9);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(the_quarantine_of_a_request_outlives_its_leader_and_reaches_a_restarted_entry)
+{
+    for (const Cause cause : {Cause::Body, Cause::Path}) {
+        for (const std::int64_t after : {1'000, 4'000, 9'000}) {
+            Play play({.entries = 10,
+                .upstreams = 20,
+                .requestsPerSecond = 100,
+                .deadlyShare = 0.04,
+                .cause = cause,
+                .hasLeader = true,
+                .otherLeaderAt = START + after,
+                .cutAt = START + 5'000,
+                .restartAt = START + 15'000});
+            play.run();
+            BOOST_TEST(play.sentLater("d1") <= MOST_LATER);
+            BOOST_TEST(play.wronglyQuarantined.empty());
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
