Quarantine requests that crash upstreams and come again

Cause: evidence was kept by prompt part alone, and a part wants attempts of two requests. Tries of one request never suffice, however many upstreams it ends, a request without shared parts was no evidence at all, and a loss on a pooled connection was taken for a stale connection.

Now the request itself, known by a digest of caller, method, host, path, query and body, is a subject beside its prompt parts: counted, cleared by survivals, quarantined, reported, handed to a new leader and to restarted entries as parts are. It needs three crashes, and wins over a part with the same crashes, as it concerns fewer callers. Losses on pooled connections are evidence too; whether there was a crash is found out in any case. Evidence of true crashes is no longer displaced by that of reset connections.

Ruled out: bystanders that clear the part (no part_released, no suspect cleared in the log).

--- a/src/bamboomoor/control/quarantinewire.cpp
+++ b/src/bamboomoor/control/quarantinewire.cpp
@@ -65,6 +65,7 @@
         lost->set_incarnation(it.run.incarnation);
         lost->set_age_ms((now - it.at).count);
         lost->set_request(it.request);
+        lost->set_identity(it.identity);
         for (const std::string &part : it.parts) {
             lost->add_parts(part);
         }
@@ -96,6 +97,7 @@
         lost.run = {it.upstream(), it.incarnation()};
         lost.at = timeOf(now, it.age_ms());
         lost.request = it.request();
+        lost.identity = isValid(it.identity()) ? it.identity() : std::string();
         for (int part = 0; part < std::min(it.parts_size(), static_cast<int>(quarantine::MAX_PARTS)); ++part) {
             // Keeps the positions of the others.
             lost.parts.push_back(isValid(it.parts(part)) ? it.parts(part) : std::string());
--- a/src/bamboomoor/gateway/residencythread.cpp
+++ b/src/bamboomoor/gateway/residencythread.cpp
@@ -399,6 +399,7 @@
         for (const std::string &part : it.parts) {
             line.add("part", part);
         }
+        line.add("request", it.identity);
         m_context.log.write(line.add("age_ms", now - it.at).add("term", static_cast<std::int64_t>(m_term)));
         // Only an upstream that accepts no connection has crashed.
         suspect(it.run.id);
--- a/src/bamboomoor/quarantine/crashanalysis.cpp
+++ b/src/bamboomoor/quarantine/crashanalysis.cpp
@@ -1,10 +1,13 @@
 /**
- * Counting of crashes for each prompt part, and the decision on quarantines.
+ * Counting of crashes for each prompt part and request, and the decision on quarantines.
  */
 #include "bamboomoor/quarantine/crashanalysis.hpp"
 
+#include "bamboomoor/quarantine/partlimits.hpp"
+
 #include <algorithm>
 #include <set>
+#include <string_view>
 #include <utility>
 
 namespace bamboomoor::quarantine
@@ -13,16 +16,26 @@
 namespace
 {
 
-bool hasPart(const LostAttempt &attempt, const std::string &part)
+/** @brief Lists what may have caused the loss of an attempt and has not been cleared: shared parts, then the request.
+ */
+std::vector<std::string_view> subjectsOf(const LostAttempt &attempt)
 {
-    return std::find(attempt.parts.begin(), attempt.parts.end(), part) != attempt.parts.end();
+    std::vector<std::string_view> subjects;
+    for (const std::string &it : attempt.parts) {
+        if (!it.empty()) {
+            subjects.emplace_back(it);
+        }
+    }
+    if (!attempt.identity.empty()) {
+        subjects.emplace_back(attempt.identity);
+    }
+    return subjects;
 }
 
-bool isCleared(const LostAttempt &attempt)
+bool hasSubject(const LostAttempt &attempt, const std::string &subject)
 {
-    return std::all_of(attempt.parts.begin(), attempt.parts.end(), [](const std::string &it) {
-        return it.empty();
-    });
+    return attempt.identity == subject
+        || std::find(attempt.parts.begin(), attempt.parts.end(), subject) != attempt.parts.end();
 }
 
 } // namespace
@@ -30,11 +43,12 @@
 bool CrashAnalysis::add(base::Millis now, LostAttempt attempt)
 {
     const bool explained = std::find(m_explained.begin(), m_explained.end(), attempt.run) != m_explained.end();
-    if (explained || isCleared(attempt) || now - attempt.at > m_options.evidenceLife) {
+    const std::vector<std::string_view> subjects = subjectsOf(attempt);
+    if (explained || subjects.empty() || now - attempt.at > m_options.evidenceLife) {
         return false;
     }
-    const bool onQuarantined = std::any_of(attempt.parts.begin(), attempt.parts.end(), [&](const std::string &it) {
-        return quarantinedFor(now, it).has_value();
+    const bool onQuarantined = std::any_of(subjects.begin(), subjects.end(), [&](std::string_view it) {
+        return quarantinedFor(now, std::string(it)).has_value();
     });
     if (onQuarantined) {
         explain(attempt.run);
@@ -46,7 +60,7 @@
         if (it.attempt.run != attempt.run) {
             continue;
         }
-        if (it.attempt.request == attempt.request) {
+        if (it.attempt.request == attempt.request && it.attempt.identity == attempt.identity) {
             return false;
         }
         confirmed = confirmed || it.confirmed;
@@ -57,7 +71,10 @@
         });
     m_records.insert(place, {std::move(attempt), confirmed});
     if (m_records.size() > m_options.maxAttempts) {
-        m_records.pop_front();
+        const auto unconfirmed = std::find_if(m_records.begin(), m_records.end(), [](const Record &it) {
+            return !it.confirmed;
+        });
+        m_records.erase(unconfirmed == m_records.end() ? m_records.begin() : unconfirmed);
     }
     m_evaluateUntil = now + m_options.firstPartSettleTime * 2;
     return true;
@@ -96,6 +113,9 @@
     for (Record &it : m_records) {
         if (it.attempt.at <= survival.at) {
             std::replace(it.attempt.parts.begin(), it.attempt.parts.end(), survival.part, std::string());
+            if (it.attempt.identity == survival.part) {
+                it.attempt.identity.clear();
+            }
         }
     }
     const auto held = m_held.find(survival.part);
@@ -154,7 +174,7 @@
         findings.push_back({candidate->part, now + duration, candidate->crashes});
         std::vector<standing::Run> runs;
         for (const Record &it : m_records) {
-            if (hasPart(it.attempt, candidate->part)) {
+            if (hasSubject(it.attempt, candidate->part)) {
                 runs.push_back(it.attempt.run);
             }
         }
@@ -190,6 +210,12 @@
                 it.attempts.push_back(&attempt);
             }
         }
+        if (confirmed && !attempt.identity.empty()) {
+            Appearances &it = appearances[attempt.identity];
+            it.position = MAX_PARTS;
+            it.isRequest = true;
+            it.attempts.push_back(&attempt);
+        }
     }
     // A part in clearly more crashes, which may still be cleared, is the better explanation.
     std::size_t most = 0;
@@ -198,13 +224,14 @@
     }
     std::optional<Candidate> best;
     for (const auto &[part, it] : appearances) {
-        const std::size_t needed = isOnProbation(now, part) ? 1 : m_options.minCrashes;
+        const std::size_t minCrashes = it.isRequest ? m_options.minRequestCrashes : m_options.minCrashes;
+        const std::size_t needed = isOnProbation(now, part) ? 1 : minCrashes;
         const base::Millis settle = it.position == 0 ? m_options.firstPartSettleTime : m_options.settleTime;
         Candidate candidate = countCrashes(now - settle, part, it);
         if (candidate.crashes < needed || countCrashes(now, part, it).crashes + 1 < most) {
             continue;
         }
-        // Of parts that go together, the later one affects the fewest sound requests.
+        // Of subjects that go together, the later one affects the fewest sound requests.
         if (!best || std::pair(candidate.position, candidate.crashes) > std::pair(best->position, best->crashes)) {
             best = std::move(candidate);
         }
@@ -229,7 +256,7 @@
             candidate.lastCrash = it->at;
         }
     }
-    const bool enough = requests.size() >= m_options.minRequests || held != m_held.end();
+    const bool enough = appearances.isRequest || requests.size() >= m_options.minRequests || held != m_held.end();
     candidate.crashes = enough ? runs.size() : 0;
     return candidate;
 }
@@ -254,7 +281,7 @@
 {
     std::erase_if(m_records, [&](const Record &it) {
         const base::Millis life = it.confirmed ? m_options.evidenceLife : m_options.confirmTimeout;
-        return isCleared(it.attempt) || now - it.attempt.at > life;
+        return subjectsOf(it.attempt).empty() || now - it.attempt.at > life;
     });
     std::erase_if(m_lifted, [&](const auto &it) {
         return now - it.second > m_options.liftedLife;
@@ -296,11 +323,8 @@
 {
     std::map<std::string, std::vector<const standing::Run *>> runs;
     for (const Record &it : m_records) {
-        for (const std::string &part : it.attempt.parts) {
-            if (part.empty()) {
-                continue;
-            }
-            auto &known = runs[part];
+        for (const std::string_view subject : subjectsOf(it.attempt)) {
+            auto &known = runs[std::string(subject)];
             const bool isNew = std::none_of(known.begin(), known.end(), [&it](const standing::Run *run) {
                 return *run == it.attempt.run;
             });
--- a/src/bamboomoor/quarantine/crashanalysis.hpp
+++ b/src/bamboomoor/quarantine/crashanalysis.hpp
@@ -1,10 +1,12 @@
 /**
- * Finds prompt parts that crash the upstreams which begin to answer them, from the attempts that were lost in crashes.
+ * Finds what crashes the upstreams which begin to answer it, from the attempts that were lost in crashes: a prompt
+ * part, or a whole request that comes again and again.
  *
- * A crash loses every attempt at the upstream, so a lost attempt alone proves nothing. A part is quarantined once it
- * was in lost attempts of several requests, at several upstreams and at several moments, and no request with it has
- * survived since. A survival removes the part from all earlier evidence, so parts that sound requests use as well are
- * cleared by those. The crashes that a quarantined part explains no longer count against other parts.
+ * A crash loses every attempt at the upstream, so a lost attempt alone proves nothing. A subject, which is a part or a
+ * request, is quarantined once it was in lost attempts at several upstreams and at several moments, and nothing with it
+ * has survived since. A part also needs attempts of several requests; if one request accounts for all of them, it is
+ * the better explanation. A survival removes the subject from all earlier evidence, so parts that sound requests use as
+ * well are cleared by those. The crashes that a quarantined subject explains no longer count against other ones.
  *
  * Entries run an analysis of what they see themselves, the leader one of the reports of all entries.
  */
@@ -28,27 +30,31 @@
 struct LostAttempt {
     standing::Run run;
     base::Millis at;
-    // The last part of the prompt, which distinguishes requests and is the same in retries of one.
+    // The last part of the prompt, which distinguishes requests and is the same in retries of one; without a prompt,
+    // the request's identity.
     std::string request;
     // The parts before it, in prompt order; empty where a part has been cleared by a survival.
     std::vector<std::string> parts;
+    // The subject that stands for the whole request; empty once it has been cleared.
+    std::string identity{};
 
     friend bool operator==(const LostAttempt &, const LostAttempt &) = default;
 };
 
-/** @brief A request with a part was answered beyond its first event, or completely. */
+/** @brief A request with a subject was answered beyond its first event, or completely. */
 struct Survival {
+    // A prompt part, or the identity of the request.
     std::string part;
     base::Millis at;
 };
 
-/** @brief A part that is not sent to upstreams until a given time. */
+/** @brief A prompt part or request that is not sent to upstreams until a given time. */
 struct Quarantine {
     std::string part;
     base::Millis until;
 };
 
-/** @brief A part that has been quarantined, with the evidence. */
+/** @brief A prompt part or request that has been quarantined, with the evidence. */
 struct Finding {
     std::string part;
     base::Millis until;
@@ -59,6 +65,8 @@
 struct CrashAnalysisOptions {
     // Crashes that a part must have been in.
     std::size_t minCrashes = 3;
+    // The same for a whole request, of which every process that analyses has seen the attempts.
+    std::size_t minRequestCrashes = 3;
     // Requests that a part must have crashed upstreams with; retries of one may account for several crashes.
     std::size_t minRequests = 2;
     // Crashes within this time may have one common cause and count once.
@@ -98,10 +106,11 @@
     }
 
     /**
-     * @brief Adds a lost attempt; the oldest one is dropped if there are too many.
+     * @brief Adds a lost attempt; if there are too many, the oldest one is dropped whose upstream is not known to have
+     * crashed.
      * @param now The current time.
      * @param attempt The attempt.
-     * @return False if it is known already, its crash is attributed to a quarantined part, or it has no shared part.
+     * @return False if it is known already, its crash is attributed to a quarantined subject, or it has no subject.
      */
     bool add(base::Millis now, LostAttempt attempt);
 
@@ -161,10 +170,11 @@
         // The last crash that counted against the part; of a quarantine that another process decided on, its arrival.
         base::Millis lastCrash;
     };
-    // The confirmed losses with one part.
+    // The confirmed losses with one subject.
     struct Appearances {
-        // The last position of the part in their prompts.
+        // The last position of the part in their prompts; a whole request counts as behind all parts.
         std::size_t position = 0;
+        bool isRequest = false;
         std::vector<const LostAttempt *> attempts;
     };
     struct Candidate {
--- a/src/bamboomoor/quarantine/partlimits.hpp
+++ b/src/bamboomoor/quarantine/partlimits.hpp
@@ -1,9 +1,10 @@
 /**
- * Bounds of a prompt in reports, which sender and receiver must agree on.
+ * Bounds of a prompt in reports and the form of a request's identity, which sender and receiver must agree on.
  */
 #pragma once
 
 #include <cstddef>
+#include <string_view>
 
 namespace bamboomoor::quarantine
 {
@@ -12,5 +13,7 @@
 inline constexpr std::size_t MAX_PART_LENGTH = 64;
 // Further parts of a prompt are ignored.
 inline constexpr std::size_t MAX_PARTS = 16;
+// Begins the subject that stands for a whole request; no prompt part does.
+inline constexpr std::string_view REQUEST_PREFIX = "request:";
 
 } // namespace bamboomoor::quarantine
--- a/src/bamboomoor/quarantine/promptguard.cpp
+++ b/src/bamboomoor/quarantine/promptguard.cpp
@@ -17,13 +17,30 @@
 
 std::string keyOf(const std::string &id)
 {
-    return id.size() > MAX_PART_LENGTH ? base::sha256(id) : id;
+    return id.size() > MAX_PART_LENGTH || id.starts_with(REQUEST_PREFIX) ? base::sha256(id) : id;
 }
 
-/** @brief Returns the number of parts that other requests may share, which are all but the last. */
-std::size_t sharedParts(const std::vector<std::string> &parts)
+std::string identityOf(const RequestTraits &request)
 {
-    return parts.empty() ? 0 : std::min(parts.size() - 1, MAX_PARTS);
+    return std::string(REQUEST_PREFIX) + request.fingerprint;
+}
+
+/** @brief Lists the parts that other requests may share, which are all but the last. */
+std::vector<std::string> sharedParts(const std::vector<std::string> &parts)
+{
+    std::vector<std::string> shared;
+    for (std::size_t n = 0; n + 1 < parts.size() && n < MAX_PARTS; ++n) {
+        shared.push_back(keyOf(parts[n]));
+    }
+    return shared;
+}
+
+/** @brief Lists what may be quarantined about a request. */
+std::vector<std::string> subjectsOf(const RequestTraits &request)
+{
+    std::vector<std::string> subjects = sharedParts(request.parts);
+    subjects.push_back(identityOf(request));
+    return subjects;
 }
 
 } // namespace
@@ -42,16 +59,12 @@
     }
 }
 
-void PromptGuard::onLost(base::Millis now, const standing::Run &run, const std::vector<std::string> &parts)
+void PromptGuard::onLost(base::Millis now, const standing::Run &run, const RequestTraits &request)
 {
-    LostAttempt attempt{run, now, parts.empty() ? std::string() : keyOf(parts.back()), {}};
-    for (std::size_t n = 0; n < sharedParts(parts); ++n) {
-        attempt.parts.push_back(keyOf(parts[n]));
-    }
-    if (attempt.parts.empty()) {
-        return;
-    }
-    for (const std::string &it : attempt.parts) {
+    const std::string identity = identityOf(request);
+    LostAttempt attempt{
+        run, now, request.parts.empty() ? identity : keyOf(request.parts.back()), sharedParts(request.parts), identity};
+    for (const std::string &it : subjectsOf(request)) {
         watch(now, it);
     }
     m_analysis.add(now, attempt);
@@ -76,10 +89,10 @@
     }
 }
 
-void PromptGuard::onSurvival(base::Millis now, const std::vector<std::string> &parts)
+void PromptGuard::onSurvival(base::Millis now, const RequestTraits &request)
 {
-    for (std::size_t n = 0; n < sharedParts(parts); ++n) {
-        const auto it = m_watched.find(keyOf(parts[n]));
+    for (const std::string &subject : subjectsOf(request)) {
+        const auto it = m_watched.find(subject);
         if (it == m_watched.end()) {
             continue;
         }
@@ -93,12 +106,11 @@
 }
 
 std::optional<std::pair<std::string, base::Millis>> PromptGuard::quarantined(
-    base::Millis now, const std::vector<std::string> &parts) const
+    base::Millis now, const RequestTraits &request) const
 {
-    for (std::size_t n = 0; n < sharedParts(parts); ++n) {
-        const std::string key = keyOf(parts[n]);
-        if (const auto left = m_analysis.quarantinedFor(now, key)) {
-            return std::pair(key, *left);
+    for (std::string &subject : subjectsOf(request)) {
+        if (const auto left = m_analysis.quarantinedFor(now, subject)) {
+            return std::pair(std::move(subject), *left);
         }
     }
     return std::nullopt;
--- a/src/bamboomoor/quarantine/promptguard.hpp
+++ b/src/bamboomoor/quarantine/promptguard.hpp
@@ -1,6 +1,6 @@
 /**
- * The entry's side of the quarantine of prompt parts: it reports lost attempts and survivals to the leader, applies the
- * leader's quarantines, and decides by its own evidence too, as it may be cut off from the leader.
+ * The entry's side of the quarantine of prompt parts and requests: it reports lost attempts and survivals to the
+ * leader, applies the leader's quarantines, and decides by its own evidence too, as it may be cut off from the leader.
  *
  * Reports are repeated until the leader of the current term has acknowledged them, so a new leader learns what is still
  * known here: recent lost attempts and all quarantines.
@@ -24,6 +24,14 @@
 namespace bamboomoor::quarantine
 {
 
+/** @brief What may be quarantined about a request. */
+struct RequestTraits {
+    // The ids of all parts of its prompt.
+    std::vector<std::string> parts;
+    // A digest that is the same for all tries of the request.
+    std::string fingerprint;
+};
+
 /** @brief A report of an entry to the leader. */
 struct Report {
     // Increases with each report; the leader's reply to it acknowledges everything in it.
@@ -69,10 +77,9 @@
      * @brief Records that an attempt was lost before its upstream had answered more than one event.
      * @param now The current time.
      * @param run The upstream.
-     * @param parts The ids of all parts of the prompt; without a part that other requests may share, nothing is
-     * recorded.
+     * @param request The request.
      */
-    void onLost(base::Millis now, const standing::Run &run, const std::vector<std::string> &parts);
+    void onLost(base::Millis now, const standing::Run &run, const RequestTraits &request);
 
     /** @brief Records that an upstream accepts no connection. @param now The current time. @param upstream Its id. */
     void onUnreachable(base::Millis now, const std::string &upstream);
@@ -81,24 +88,24 @@
      */
     void onRuns(base::Millis now, const std::vector<standing::Run> &runs);
 
-    /** @brief Tells whether survivals matter now, so that callers need not collect the parts of every request. */
+    /** @brief Tells whether survivals matter now, so that callers need not collect the traits of every request. */
     [[nodiscard]] bool isWatching() const noexcept
     {
         return !m_watched.empty();
     }
 
     /** @brief Records that a request was answered beyond its first event, or completely. @param now The current time.
-     * @param parts The ids of all parts of its prompt. */
-    void onSurvival(base::Millis now, const std::vector<std::string> &parts);
+     * @param request The request. */
+    void onSurvival(base::Millis now, const RequestTraits &request);
 
     /**
      * @brief Tells whether a request must not be sent.
      * @param now The current time.
-     * @param parts The ids of all parts of its prompt.
-     * @return The quarantined part and the time left, or nothing if it may be sent.
+     * @param request The request.
+     * @return The quarantined part or request and the time left, or nothing if it may be sent.
      */
     [[nodiscard]] std::optional<std::pair<std::string, base::Millis>> quarantined(
-        base::Millis now, const std::vector<std::string> &parts) const;
+        base::Millis now, const RequestTraits &request) const;
 
     /** @brief Tells whether no part is quarantined or on probation, so that quarantined() finds nothing. */
     [[nodiscard]] bool isEmpty() const noexcept
--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -369,7 +369,8 @@
             // The pooled connection was stale, which does not indicate a failed upstream; a new connection will show.
             exchange->requirements.excluded.erase(exchange->choice.id);
         }
-        if ((end.truncated || lost) && !stalePooled && exchange->splitter.events() < SURVIVED_EVENTS) {
+        // A crash closes pooled connections too; whether there was one is left to the analysis.
+        if ((end.truncated || lost) && exchange->splitter.events() < SURVIVED_EVENTS) {
             noteLoss(now, *exchange);
         } else if (!reached) {
             m_guard.onUnreachable(now, exchange->choice.id);
--- a/src/bamboomoor/relay/core.cpp
+++ b/src/bamboomoor/relay/core.cpp
@@ -21,16 +21,6 @@
 constexpr std::size_t MAX_LOGGED_PARTS = 8;
 constexpr std::size_t MAX_LOGGED_PART_LENGTH = 32;
 
-std::vector<std::string> partIds(const std::vector<PromptPart> &parts)
-{
-    std::vector<std::string> ids;
-    ids.reserve(parts.size());
-    for (const PromptPart &it : parts) {
-        ids.push_back(it.id);
-    }
-    return ids;
-}
-
 /** @brief Joins the ids of all parts but the last, which no other request shares. */
 std::string joinSharedParts(const std::vector<PromptPart> &parts)
 {
@@ -228,12 +218,23 @@
     return exchange.fingerprint;
 }
 
+quarantine::RequestTraits Core::traitsOf(const Exchange &exchange)
+{
+    quarantine::RequestTraits traits;
+    traits.parts.reserve(exchange.request.parts.size());
+    for (const PromptPart &it : exchange.request.parts) {
+        traits.parts.push_back(it.id);
+    }
+    traits.fingerprint = fingerprintOf(exchange);
+    return traits;
+}
+
 std::optional<base::Millis> Core::quarantinedFor(base::Millis now, const Exchange &exchange) const
 {
     if (m_guard.isEmpty()) {
         return std::nullopt;
     }
-    const auto found = m_guard.quarantined(now, partIds(exchange.request.parts));
+    const auto found = m_guard.quarantined(now, traitsOf(exchange));
     return found ? std::optional(found->second) : std::nullopt;
 }
 
@@ -408,13 +409,13 @@
 void Core::noteLoss(base::Millis now, const Exchange &exchange)
 {
     const standing::Run run{exchange.choice.id, exchange.choice.incarnation};
-    m_guard.onLost(now, run, partIds(exchange.request.parts));
+    m_guard.onLost(now, run, traitsOf(exchange));
 }
 
 void Core::noteSurvival(base::Millis now, const Exchange &exchange)
 {
     if (m_guard.isWatching()) {
-        m_guard.onSurvival(now, partIds(exchange.request.parts));
+        m_guard.onSurvival(now, traitsOf(exchange));
     }
 }
 
--- a/src/bamboomoor/relay/core.hpp
+++ b/src/bamboomoor/relay/core.hpp
@@ -443,6 +443,7 @@
     void noteLoss(base::Millis now, const Exchange &exchange);
     void noteSurvival(base::Millis now, const Exchange &exchange);
     [[nodiscard]] static const std::string &fingerprintOf(const Exchange &exchange);
+    [[nodiscard]] static quarantine::RequestTraits traitsOf(const Exchange &exchange);
     [[nodiscard]] bool isRepeatable(const Exchange &exchange) const;
     void giveUp(base::Millis now, Exchange &exchange, Reason reason, base::Millis retryAfter);
     void closeAttempt(base::Millis now, Exchange &exchange, AttemptResult result);
--- a/test/bamboomoor/control/wire.cpp
+++ b/test/bamboomoor/control/wire.cpp
@@ -85,7 +85,7 @@
     const base::Millis received{900'000};
     quarantine::Report report;
     report.sequence = 7;
-    report.lostAttempts.push_back({{"w1", 3}, sent - base::Millis{40}, "own", {"a", "", "b"}});
+    report.lostAttempts.push_back({{"w1", 3}, sent - base::Millis{40}, "own", {"a", "", "b"}, "request:r"});
     report.lostAttempts.push_back({{"w1", 3}, sent, std::string(65, 'x'), {"a"}});
     report.survivals.push_back({"a", sent - base::Millis{10}});
     report.quarantines.push_back({"b", sent + base::Millis{500}});
@@ -96,7 +96,7 @@
     const quarantine::Report read = control::quarantineReport(received, parsed);
     BOOST_TEST(read.sequence == 7U);
     BOOST_REQUIRE(read.lostAttempts.size() == 1U);
-    const quarantine::LostAttempt expected{{"w1", 3}, received - base::Millis{40}, "own", {"a", "", "b"}};
+    const quarantine::LostAttempt expected{{"w1", 3}, received - base::Millis{40}, "own", {"a", "", "b"}, "request:r"};
     BOOST_TEST((read.lostAttempts[0] == expected));
     BOOST_TEST((read.survivals.at(0).at == received - base::Millis{10}));
     BOOST_TEST((read.quarantines.at(0).until == received + base::Millis{500}));
--- a/test/bamboomoor/quarantine/crashanalysis.cpp
+++ b/test/bamboomoor/quarantine/crashanalysis.cpp
@@ -221,4 +221,47 @@
     }));
 }
 
+BOOST_AUTO_TEST_CASE(a_request_at_three_crashes_is_quarantined_and_its_parts_are_not)
+{
+    for (const std::string upstream : {"w1", "w2", "w3"}) {
+        BOOST_TEST(settle(500).empty());
+        analysis.add(now, {{upstream, 1}, now, "own", {"first", "x"}, "request:r"});
+        // Another request of the same prompt waits at each of them.
+        analysis.add(now, {{upstream, 1}, now, "own" + upstream, {"first", "x"}, "request:" + upstream});
+        analysis.onUnreachable(now, upstream);
+    }
+    BOOST_TEST(settle() == std::vector<std::string>{"request:r"});
+    BOOST_TEST(!isQuarantined("x"));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_survives_is_cleared)
+{
+    for (const std::string upstream : {"w1", "w2", "w3"}) {
+        analysis.add(now, {{upstream, 1}, now, "request:r", {}, "request:r"});
+        analysis.onUnreachable(now, upstream);
+        now = now + base::Millis{200};
+        if (upstream == "w2") {
+            analysis.onSurvival({"request:r", now});
+        }
+    }
+    BOOST_TEST(settle().empty());
+}
+
+BOOST_AUTO_TEST_CASE(evidence_of_crashes_is_kept_when_many_connections_are_reset)
+{
+    const CrashAnalysisOptions options;
+    for (const std::string upstream : {"w1", "w2"}) {
+        analysis.add(now, {{upstream, 1}, now, "request:r", {}, "request:r"});
+        analysis.onUnreachable(now, upstream);
+        now = now + base::Millis{200};
+    }
+    for (std::size_t n = 0; n < options.maxAttempts * 2; ++n) {
+        const std::string number = std::to_string(n);
+        analysis.add(now, {{"sound" + number, 1}, now, "request:" + number, {}, "request:" + number});
+    }
+    analysis.add(now, {{"w3", 1}, now, "request:r", {}, "request:r"});
+    analysis.onUnreachable(now, "w3");
+    BOOST_TEST(settle() == std::vector<std::string>{"request:r"});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/bamboomoor/quarantine/promptguard.cpp
+++ b/test/bamboomoor/quarantine/promptguard.cpp
@@ -21,6 +21,12 @@
     return {term, report.sequence, {}, {}};
 }
 
+RequestTraits prompt(std::vector<std::string> parts)
+{
+    const std::string fingerprint = parts.empty() ? "none" : "of " + parts.back();
+    return {std::move(parts), fingerprint};
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(promptguard)
@@ -28,13 +34,13 @@
 BOOST_AUTO_TEST_CASE(a_lost_attempt_is_reported_until_a_reply_acknowledges_it)
 {
     PromptGuard guard;
-    guard.onLost(NOW, {"w1", 1}, {"first", "x", "own"});
+    guard.onLost(NOW, {"w1", 1}, prompt({"first", "x", "own"}));
     BOOST_TEST(guard.takeUrgent());
     const Report first = guard.takeReport(NOW);
     BOOST_REQUIRE(first.lostAttempts.size() == 1U);
     BOOST_TEST(first.lostAttempts[0].request == "own");
     BOOST_TEST((first.lostAttempts[0].parts == std::vector<std::string>{"first", "x"}));
-    guard.onLost(NOW, {"w2", 1}, {"first", "x", "other"});
+    guard.onLost(NOW, {"w2", 1}, prompt({"first", "x", "other"}));
     BOOST_TEST(guard.takeReport(NOW).lostAttempts.size() == 2U);
     guard.onLeaderReply(NOW, replyTo(first));
     BOOST_TEST(guard.takeReport(NOW).lostAttempts.size() == 1U);
@@ -45,8 +51,8 @@
 BOOST_AUTO_TEST_CASE(a_new_leader_gets_everything_again_and_an_old_one_is_ignored)
 {
     PromptGuard guard;
-    guard.onLost(NOW, {"w1", 1}, {"x", "own"});
-    guard.onSurvival(NOW, {"x", "another"});
+    guard.onLost(NOW, {"w1", 1}, prompt({"x", "own"}));
+    guard.onSurvival(NOW, prompt({"x", "another"}));
     guard.onLeaderReply(NOW, replyTo(guard.takeReport(NOW), 1));
     const Report acknowledged = guard.takeReport(NOW);
     BOOST_TEST(acknowledged.lostAttempts.empty());
@@ -56,7 +62,7 @@
     BOOST_TEST(again.lostAttempts.size() == 1U);
     BOOST_TEST(again.survivals.size() == 1U);
     guard.onLeaderReply(NOW, {1, again.sequence, {}, {{"y", NOW + base::Millis{1'000}}}});
-    BOOST_TEST(!guard.quarantined(NOW, {"y", "own"}).has_value());
+    BOOST_TEST(!guard.quarantined(NOW, prompt({"y", "own"})).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(the_leaders_quarantine_applies_to_shared_parts_but_not_to_the_last_one)
@@ -64,26 +70,47 @@
     PromptGuard guard;
     const auto found = guard.onLeaderReply(NOW, {1, 0, {}, {{"x", NOW + base::Millis{1'000}}}});
     BOOST_TEST(found.size() == 1U);
-    BOOST_TEST(guard.quarantined(NOW, {"first", "x", "own"}).has_value());
-    BOOST_TEST(!guard.quarantined(NOW, {"first", "x"}).has_value());
-    BOOST_TEST(!guard.quarantined(NOW, {}).has_value());
-    BOOST_TEST(!guard.quarantined(NOW + base::Millis{1'000}, {"first", "x", "own"}).has_value());
+    BOOST_TEST(guard.quarantined(NOW, prompt({"first", "x", "own"})).has_value());
+    BOOST_TEST(!guard.quarantined(NOW, prompt({"first", "x"})).has_value());
+    BOOST_TEST(!guard.quarantined(NOW, prompt({})).has_value());
+    BOOST_TEST(!guard.quarantined(NOW + base::Millis{1'000}, prompt({"first", "x", "own"})).has_value());
     // A leader that knows nothing yet does not end it.
     guard.onLeaderReply(NOW, {2, 0, {}, {}});
-    BOOST_TEST(guard.quarantined(NOW, {"first", "x", "own"}).has_value());
+    BOOST_TEST(guard.quarantined(NOW, prompt({"first", "x", "own"})).has_value());
     BOOST_TEST(guard.takeReport(NOW).quarantines.size() == 1U);
     guard.onLeaderReply(NOW, {2, 0, {}, {{"x", NOW}}});
-    BOOST_TEST(!guard.quarantined(NOW, {"first", "x", "own"}).has_value());
+    BOOST_TEST(!guard.quarantined(NOW, prompt({"first", "x", "own"})).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_quarantined_request_is_rejected_whatever_its_prompt)
+{
+    PromptGuard guard;
+    guard.onLeaderReply(NOW, {1, 0, {}, {{"request:of own", NOW + base::Millis{1'000}}}});
+    BOOST_TEST(guard.quarantined(NOW, {{}, "of own"}).has_value());
+    BOOST_TEST(guard.quarantined(NOW, {{"first", "own"}, "of own"}).has_value());
+    BOOST_TEST(!guard.quarantined(NOW, {{"first", "own"}, "of other"}).has_value());
+    // A part with the name of a request's identity is another subject.
+    BOOST_TEST(!guard.quarantined(NOW, {{"request:of own", "own"}, "of other"}).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_request_without_prompt_parts_is_evidence_too)
+{
+    PromptGuard guard;
+    guard.onLost(NOW, {"w1", 1}, {{}, "digest"});
+    const Report report = guard.takeReport(NOW);
+    BOOST_REQUIRE(report.lostAttempts.size() == 1U);
+    BOOST_TEST(report.lostAttempts[0].identity == "request:digest");
+    BOOST_TEST(report.lostAttempts[0].parts.empty());
 }
 
 BOOST_AUTO_TEST_CASE(survivals_are_reported_for_suspects_of_the_leader)
 {
     PromptGuard guard;
-    guard.onSurvival(NOW, {"x", "own"});
+    guard.onSurvival(NOW, prompt({"x", "own"}));
     BOOST_TEST(guard.takeReport(NOW).survivals.empty());
     guard.onLeaderReply(NOW, {1, 0, {"x"}, {}});
     BOOST_TEST(guard.isWatching());
-    guard.onSurvival(NOW + base::Millis{10}, {"x", "own"});
+    guard.onSurvival(NOW + base::Millis{10}, prompt({"x", "own"}));
     BOOST_TEST(guard.takeUrgent());
     const Report report = guard.takeReport(NOW + base::Millis{20});
     BOOST_REQUIRE(report.survivals.size() == 1U);
@@ -98,7 +125,7 @@
     const PromptGuardOptions options;
     for (int n = 0; n < 20'000; ++n) {
         const std::string number = std::to_string(n);
-        guard.onLost(NOW, {"w" + number, 1}, {std::string(10'000, 'a') + number, "b" + number, "own" + number});
+        guard.onLost(NOW, {"w" + number, 1}, prompt({std::string(10'000, 'a') + number, "b" + number, "own" + number}));
     }
     const Report report = guard.takeReport(NOW);
     BOOST_TEST(report.lostAttempts.size() <= options.maxReported);
--- a/test/bamboomoor/relay/deadlyparts.cpp
+++ b/test/bamboomoor/relay/deadlyparts.cpp
@@ -65,6 +65,10 @@
     // Upstreams that crash by themselves every second, and half of the upstreams that crash at once.
     std::size_t otherCrashes = 0;
     std::int64_t massCrashAt = NEVER;
+    // Requests that crash upstreams by their body have a part of their prompts in common that few others have.
+    bool sharesRarePart = false;
+    // Entries report lost attempts at once, as the product does.
+    bool reportsAtOnce = false;
     // Entries exchange reports with a leader; a new one takes over at this time, after a pause.
     bool hasLeader = false;
     std::int64_t otherLeaderAt = NEVER;
@@ -319,7 +323,8 @@
             request.parts.clear();
         } else if (m_load.cause == Cause::Body && isDeadly) {
             request.body = asked.deadlyPart;
-            request.parts = {{"first", 100}, {"s1", 100}, {"ts1", 100}, {"own" + asked.deadlyPart, 100}};
+            const std::string rare = m_load.sharesRarePart ? "s1" : "s" + asked.deadlyPart.substr(1);
+            request.parts = {{"first", 100}, {rare, 100}, {"t" + rare, 100}, {"own" + asked.deadlyPart, 100}};
         }
         asked.counts = !isDeadly && m_now >= START + LENGTH / 2 && m_now < START + LENGTH - 3'000;
         soundAsked += asked.counts ? 1 : 0;
@@ -478,7 +483,8 @@
                 m_leader.onUnreachable({m_now}, m_upstreams[upstream].id);
             }
         }
-        if (m_now < entry.nextReportAt) {
+        const bool isUrgent = m_load.reportsAtOnce && entry.core->takeUrgent();
+        if (m_now < entry.nextReportAt && !isUrgent) {
             return;
         }
         entry.nextReportAt = m_now + REPORT_INTERVAL;
@@ -661,6 +667,7 @@
                 .requestsPerSecond = 100,
                 .deadlyShare = 0.03,
                 .cause = cause,
+                .reportsAtOnce = true,
                 .hasLeader = true,
                 .seed = seed});
             play.run();
@@ -709,6 +716,26 @@
     }
 }
 
+// Three requests that crash one upstream each look like one part that crashes three.
+BOOST_AUTO_TEST_CASE(a_rare_part_of_several_requests_that_crash_upstreams_is_not_quarantined)
+{
+    for (const std::uint64_t seed : SEEDS) {
+        Play play({.entries = 30,
+            .upstreams = 40,
+            .requestsPerSecond = 200,
+            .deadly = {"d1", "d2", "d3"},
+            .deadlyShare = 0.04,
+            .cause = Cause::Body,
+            .otherCrashes = 1,
+            .massCrashAt = START + 2'000,
+            .sharesRarePart = true,
+            .hasLeader = true,
+            .seed = seed});
+        play.run();
+        BOOST_TEST(play.wronglyQuarantined.empty());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(the_quarantine_of_a_request_outlives_its_leader_and_reaches_a_restarted_entry)
 {
     for (const Cause cause : {Cause::Body, Cause::Path}) {
