Find a deadly part although each request with it is quarantined

Seen in a unit test: five crashes of two requests with a part in common leave the part unquarantined, if the first request was quarantined after its third crash. Where an entry tries a request at up to four upstreams, as on the product's own path, each request explains its own crashes and the part is never found.

Now an analysis with keepRequestEvidence counts the crashes of a quarantined request once against its parts. It is off by default, so the users' path, which sends a request again less often, decides as before.

The first of the two tests failed before the change; the second guards the count.

--- a/src/bamboomoor/quarantine/crashanalysis.cpp
+++ b/src/bamboomoor/quarantine/crashanalysis.cpp
@@ -65,11 +65,7 @@
         }
         confirmed = confirmed || it.confirmed;
     }
-    const auto place =
-        std::upper_bound(m_records.begin(), m_records.end(), attempt.at, [](base::Millis at, const Record &it) {
-            return at < it.attempt.at;
-        });
-    m_records.insert(place, {std::move(attempt), confirmed});
+    insert({std::move(attempt), confirmed});
     if (m_records.size() > m_options.maxAttempts) {
         const auto unconfirmed = std::find_if(m_records.begin(), m_records.end(), [](const Record &it) {
             return !it.confirmed;
@@ -80,6 +76,15 @@
     return true;
 }
 
+void CrashAnalysis::insert(Record record)
+{
+    const auto place =
+        std::upper_bound(m_records.begin(), m_records.end(), record.attempt.at, [](base::Millis at, const Record &it) {
+            return at < it.attempt.at;
+        });
+    m_records.insert(place, std::move(record));
+}
+
 void CrashAnalysis::onUnreachable(base::Millis now, const std::string &upstream)
 {
     for (Record &it : m_records) {
@@ -173,24 +178,31 @@
         m_lifted.erase(candidate->part);
         findings.push_back({candidate->part, now + duration, candidate->crashes});
         std::vector<standing::Run> runs;
+        std::optional<Record> ofRequest;
         for (const Record &it : m_records) {
             if (hasSubject(it.attempt, candidate->part)) {
                 runs.push_back(it.attempt.run);
             }
+            if (m_options.keepRequestEvidence && it.confirmed && it.attempt.identity == candidate->part) {
+                ofRequest = it;
+            }
         }
         std::for_each(runs.begin(), runs.end(), [this](const standing::Run &it) {
             explain(it);
         });
+        if (ofRequest) {
+            // The cause may be a part that other requests have too.
+            insert(*std::move(ofRequest));
+        }
     }
     return findings;
 }
 
 void CrashAnalysis::explain(const standing::Run &run)
 {
-    if (std::find(m_explained.begin(), m_explained.end(), run) != m_explained.end()) {
-        return;
+    if (std::find(m_explained.begin(), m_explained.end(), run) == m_explained.end()) {
+        m_explained.push_back(run);
     }
-    m_explained.push_back(run);
     if (m_explained.size() > m_options.maxExplained) {
         m_explained.pop_front();
     }
--- a/src/bamboomoor/quarantine/crashanalysis.hpp
+++ b/src/bamboomoor/quarantine/crashanalysis.hpp
@@ -69,6 +69,9 @@
     std::size_t minRequestCrashes = 3;
     // Requests that a part must have crashed upstreams with; retries of one may account for several crashes.
     std::size_t minRequests = 2;
+    // Whether the crashes of a quarantined request count once against its parts. Entries that try each request at
+    // several upstreams quarantine every request with a part that crashes them, which would hide the part.
+    bool keepRequestEvidence = false;
     // Crashes within this time may have one common cause and count once.
     base::Millis mergeInterval{100};
     // The time after the last crash that is needed in which a survival clears the part; the first part of a prompt is
@@ -184,6 +187,7 @@
         base::Millis lastCrash;
     };
 
+    void insert(Record record);
     void expire(base::Millis now);
     void explain(const standing::Run &run);
     [[nodiscard]] std::optional<Candidate> nextCandidate(base::Millis now) const;
--- a/test/bamboomoor/quarantine/crashanalysis.cpp
+++ b/test/bamboomoor/quarantine/crashanalysis.cpp
@@ -234,6 +234,37 @@
     BOOST_TEST(!isQuarantined("x"));
 }
 
+BOOST_AUTO_TEST_CASE(a_part_is_found_although_each_request_with_it_is_tried_until_it_is_quarantined)
+{
+    // Entries that try a request at one upstream after the other.
+    analysis = CrashAnalysis({.keepRequestEvidence = true});
+    for (int crashes = 0; crashes < 5; ++crashes) {
+        const std::string upstream = "w" + std::to_string(crashes);
+        const std::string request = std::to_string(crashes / 3);
+        BOOST_TEST(!isQuarantined("x"));
+        analysis.add(now, {{upstream, 1}, now, request, {"first", "x"}, "request:" + request});
+        analysis.onUnreachable(now, upstream);
+        settle(500);
+    }
+    BOOST_TEST(isQuarantined("request:0"));
+    BOOST_TEST(isQuarantined("x"));
+    BOOST_TEST(!isQuarantined("first"));
+}
+
+BOOST_AUTO_TEST_CASE(the_crashes_of_a_quarantined_request_count_once_against_its_parts)
+{
+    analysis = CrashAnalysis({.keepRequestEvidence = true});
+    for (const std::string upstream : {"w1", "w2", "w3"}) {
+        analysis.add(now, {{upstream, 1}, now, "own", {"first", "x"}, "request:r"});
+        analysis.onUnreachable(now, upstream);
+        settle(500);
+    }
+    BOOST_TEST(isQuarantined("request:r"));
+    analysis.add(now, {{"w4", 1}, now, "other", {"first", "x"}, "request:s"});
+    analysis.onUnreachable(now, "w4");
+    BOOST_TEST(settle().empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_request_that_survives_is_cleared)
 {
     for (const std::string upstream : {"w1", "w2", "w3"}) {
