Share the leader's side of quarantines between control groups

The thread that orders models on an infrastructure held the exchange of reports on lost attempts; the product's own leader needs the same. It moves to control::CrashReports, with its log lines.

--- a/src/bamboomoor/gateway/residencythread.cpp
+++ b/src/bamboomoor/gateway/residencythread.cpp
@@ -3,7 +3,6 @@
  */
 #include "bamboomoor/gateway/residencythread.hpp"
 
-#include "bamboomoor/control/quarantinewire.hpp"
 #include "bamboomoor/gateway/controlmetrics.hpp"
 
 #include <glog/logging.h>
@@ -296,7 +295,7 @@
     reply.set_term(m_term);
     exchangeLoads(event.request, reply);
     exchangeSignals(event.request, reply);
-    exchangeQuarantines(event.request, reply);
+    m_crashes.exchange(m_context.clock.now(), m_term, event.request, reply, *this);
     for (const std::string &it : event.request.unreachable()) {
         suspect(it);
     }
@@ -386,60 +385,24 @@
     }
 }
 
-void ResidencyThread::exchangeQuarantines(const peer::wire::DemandReport &request, peer::wire::DemandReply &reply)
+void ResidencyThread::log(const base::LogLine &line)
 {
-    const base::Millis now = m_context.clock.now();
-    const quarantine::Report report = control::quarantineReport(now, request);
-    for (const quarantine::LostAttempt &it : report.lostAttempts) {
-        if (!m_crashes.add(now, it)) {
-            continue;
-        }
-        base::LogLine line("attempt_lost");
-        line.add("upstream", it.run.id).add("vm", request.vm());
-        for (const std::string &part : it.parts) {
-            line.add("part", part);
-        }
-        line.add("request", it.identity);
-        m_context.log.write(line.add("age_ms", now - it.at).add("term", static_cast<std::int64_t>(m_term)));
-        // Only an upstream that accepts no connection has crashed.
-        suspect(it.run.id);
-    }
-    for (const quarantine::Survival &it : report.survivals) {
-        if (m_crashes.onSurvival(it)) {
-            m_context.log.write(base::LogLine("part_released")
-                                    .add("part", it.part)
-                                    .add("vm", request.vm())
-                                    .add("age_ms", now - it.at)
-                                    .add("term", static_cast<std::int64_t>(m_term)));
-        }
-    }
-    for (const quarantine::Quarantine &it : report.quarantines) {
-        if (m_crashes.merge(now, it)) {
-            logQuarantine(it, 0, request.vm());
-        }
-    }
-    for (const quarantine::Finding &it : m_crashes.evaluate(now)) {
-        m_context.metrics.partQuarantined();
-        logQuarantine({it.part, it.until}, it.crashes, {});
-    }
-    control::toWire(
-        now, quarantine::LeaderReply{m_term, report.sequence, m_crashes.suspects(), m_crashes.announced(now)}, reply);
+    m_context.log.write(line);
+}
+
+void ResidencyThread::inspect(const std::string &upstream)
+{
+    suspect(upstream);
 }
 
-void ResidencyThread::logQuarantine(
-    const quarantine::Quarantine &quarantine, std::size_t crashes, std::string_view reportedBy)
+void ResidencyThread::countQuarantine()
 {
-    m_context.log.write(base::LogLine("part_quarantined")
-                            .add("part", quarantine.part)
-                            .add("crashes", static_cast<std::int64_t>(crashes))
-                            .add("reported_by", reportedBy)
-                            .add("left_ms", quarantine.until - m_context.clock.now())
-                            .add("term", static_cast<std::int64_t>(m_term)));
+    m_context.metrics.partQuarantined();
 }
 
 void ResidencyThread::on(Leading &event)
 {
-    m_crashes = quarantine::CrashAnalysis();
+    m_crashes = control::CrashReports();
     m_permits = standing::PermitAuthority(m_options.permits);
     m_term = event.term;
     m_fenced = false;
--- a/src/bamboomoor/gateway/residencythread.hpp
+++ b/src/bamboomoor/gateway/residencythread.hpp
@@ -7,6 +7,7 @@
 #include "bamboomoor/base/clock.hpp"
 #include "bamboomoor/base/eventlog.hpp"
 #include "bamboomoor/base/ring.hpp"
+#include "bamboomoor/control/crashreports.hpp"
 #include "bamboomoor/control/demandreceiver.hpp"
 #include "bamboomoor/control/voterthread.hpp"
 #include "bamboomoor/entry/upstreambook.hpp"
@@ -16,7 +17,6 @@
 #include "bamboomoor/gateway/waitingtotals.hpp"
 #include "bamboomoor/http/client.hpp"
 #include "bamboomoor/placement/residency.hpp"
-#include "bamboomoor/quarantine/crashanalysis.hpp"
 #include "bamboomoor/standing/permitauthority.hpp"
 
 #include <atomic>
@@ -70,7 +70,9 @@
 };
 
 /** @brief Adapts the loaded models and adapters to the demand. */
-class ResidencyThread final : public control::VoterObserver, public control::DemandReceiver
+class ResidencyThread final : public control::VoterObserver,
+                              public control::DemandReceiver,
+                              private control::CrashReportEffects
 {
 public:
     /** @brief Creates the object without starting its thread. @param options The settings. @param context Dependencies.
@@ -139,8 +141,9 @@
     void suspect(const std::string &worker);
     void exchangeLoads(const peer::wire::DemandReport &request, peer::wire::DemandReply &reply);
     void exchangeSignals(const peer::wire::DemandReport &request, peer::wire::DemandReply &reply);
-    void exchangeQuarantines(const peer::wire::DemandReport &request, peer::wire::DemandReply &reply);
-    void logQuarantine(const quarantine::Quarantine &quarantine, std::size_t crashes, std::string_view reportedBy);
+    void log(const base::LogLine &line) override;
+    void inspect(const std::string &upstream) override;
+    void countQuarantine() override;
     void updateWorkers(base::Millis now);
     [[nodiscard]] bool hasConfirmedLeadership(base::Millis now) const;
     void send(const placement::ResidencyOrder &order);
@@ -159,7 +162,7 @@
     // Reset with each leadership.
     standing::PermitAuthority m_permits;
     // Reset with each leadership; the entries report again what they know.
-    quarantine::CrashAnalysis m_crashes;
+    control::CrashReports m_crashes;
     DecisionSchedule m_schedule;
     // Workers reported as unreachable, and when each was last inspected for that reason.
     std::map<std::string, base::Millis> m_suspects;
