Load lost models from local copies while workers wait for the store

Cause: a worker that was to load some lost model from the store kept that task until the rate of the store allowed it, and took nothing else meanwhile, not even a load of the busiest model from its own disk, which takes under 2 s.

Now tasks that only wait for the store are taken back at each review and decided anew with the demand of that moment, and no more tasks are given out than loads may begin soon, and one. The test fails without the change.

Ruled out: the allowance of the store alone, as 19 loads of about 36 began.

--- a/src/bamboomoor/placement/residency.hpp
+++ b/src/bamboomoor/placement/residency.hpp
@@ -408,6 +408,10 @@
     [[nodiscard]] std::size_t adapterReplicas(
         const std::string &service, const std::string &model, const std::string &adapter) const;
     void reviewModels(base::Millis now, const std::string &service, const EngineSpec &engine);
+    // Takes back tasks that only wait for the store, so that their workers can load what is more urgent or local.
+    void releaseWaiting(base::Millis now, const std::string &service);
+    // Tells whether another load from the store can start soon; more tasks would only block their workers.
+    [[nodiscard]] bool mayWaitForStore(const std::string &service) const;
     void placeLost(base::Millis now, const std::string &service, const EngineSpec &engine);
     [[nodiscard]] std::vector<State *> byUrgency();
     [[nodiscard]] bool addCopy(base::Millis now, const std::string &service, const EngineSpec &engine);
--- a/src/bamboomoor/placement/residencycopies.cpp
+++ b/src/bamboomoor/placement/residencycopies.cpp
@@ -134,6 +134,7 @@
         const base::Millis left = std::max(m_options.horizon - loadTime, base::Millis{1'000});
         return static_cast<double>(left.count) / static_cast<double>(m_options.horizon.count);
     };
+    const bool mayWait = mayWaitForStore(service);
     State *best = nullptr;
     Task task;
     double bestGain = m_options.leastGain;
@@ -141,7 +142,7 @@
         const ModelSpec &spec = engine.models.at(model);
         for (auto &[id, state] : m_workers) {
             const bool usable = state.report.service == service && !isGone(state) && !state.task
-                && state.loading.empty() && !holdsOrLoads(state, model);
+                && state.loading.empty() && !holdsOrLoads(state, model) && (mayWait || hasLocalCopy(state, model));
             auto evicted = usable ? evictionsFor(now, state, spec.memoryMib) : std::nullopt;
             if (!evicted) {
                 continue;
--- a/src/bamboomoor/placement/residencyplan.cpp
+++ b/src/bamboomoor/placement/residencyplan.cpp
@@ -4,6 +4,7 @@
 #include "bamboomoor/placement/residency.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace bamboomoor::placement
@@ -250,8 +251,42 @@
     }
 }
 
+void Residency::releaseWaiting(base::Millis now, const std::string &service)
+{
+    bool released = false;
+    for (auto &[id, state] : m_workers) {
+        if (state.report.service != service || !state.task || !isIdle(now, state) || !state.loading.empty()
+            || now < state.task->drainedAt || hasLocalCopy(state, state.task->model)) {
+            continue;
+        }
+        const std::vector<std::string> &evicted = state.task->evicted;
+        const bool evicts = std::any_of(evicted.begin(), evicted.end(), [&held = state.view.models](const auto &it) {
+            return held.contains(it);
+        });
+        if (!evicts) {
+            state.task.reset();
+            released = true;
+        }
+    }
+    if (released) {
+        surveyWorkers();
+    }
+}
+
+bool Residency::mayWaitForStore(const std::string &service) const
+{
+    const auto waiting = std::count_if(m_workers.begin(), m_workers.end(), [&](const auto &it) {
+        const State &state = it.second;
+        return state.report.service == service && state.task && !hasLocalCopy(state, state.task->model);
+    });
+    // One more, so that its worker has room by then.
+    const double starting = std::min(std::floor(std::max(m_loads, 0.0)), static_cast<double>(m_store.room()));
+    return static_cast<double>(waiting) < starting + 1;
+}
+
 void Residency::reviewModels(base::Millis now, const std::string &service, const EngineSpec &engine)
 {
+    releaseWaiting(now, service);
     placeLost(now, service, engine);
     for (int n = 0; n < m_options.copies && addCopy(now, service, engine); ++n) { }
     while (m_loads >= m_options.burst - 1 && pack(service, engine)) { }
@@ -281,6 +316,7 @@
     std::sort(lost.begin(), lost.end());
     const bool fits = lost.empty() || fitsAll(service, engine);
     for (const auto &[demand, model] : lost) {
+        const bool mayWait = mayWaitForStore(service);
         State *best = nullptr;
         std::vector<std::string> bestEvicted;
         // Preference: no last replica evicted, a local copy of the model, few evictions, low load.
@@ -289,6 +325,9 @@
             if (state.report.service != service || isGone(state) || state.task || !state.loading.empty()) {
                 continue;
             }
+            if (!hasLocalCopy(state, model) && !mayWait) {
+                continue;
+            }
             const std::int64_t needed = engine.models.at(model).memoryMib;
             auto evicted = evictionsFor(now, state, needed);
             const bool replaces = !evicted && !fits;
--- a/src/bamboomoor/placement/storewindow.hpp
+++ b/src/bamboomoor/placement/storewindow.hpp
@@ -12,6 +12,7 @@
 
 #include "bamboomoor/base/clock.hpp"
 
+#include <algorithm>
 #include <compare>
 #include <cstddef>
 #include <cstdint>
@@ -66,6 +67,12 @@
      */
     [[nodiscard]] bool mayStart(const LoadKey &key) const;
 
+    /** @brief Returns how many further loads may begin now. */
+    [[nodiscard]] std::size_t room() const noexcept
+    {
+        return m_limit - std::min(m_limit, m_loads.size());
+    }
+
     /** @brief Records that an order is sent. @param now The current time. @param key The order. */
     void sent(base::Millis now, const LoadKey &key);
 
--- a/test/bamboomoor/placement/residency.cpp
+++ b/test/bamboomoor/placement/residency.cpp
@@ -326,6 +326,41 @@
     BOOST_TEST(!it.exceeded);
 }
 
+// The other workers are to load models that only the store has, and wait for its rate.
+BOOST_AUTO_TEST_CASE(a_lost_busy_model_returns_from_a_local_copy_while_workers_wait_for_the_store)
+{
+    Engines it(4, 1);
+    it.spec.loadsPerSecond = 0.2;
+    it.plan.setEngines({{"llm", it.spec}});
+    for (int n = 0; n < 200; ++n) {
+        it.step();
+    }
+    for (const std::string id : {"w1", "w2", "w3"}) {
+        FakeWorker &worker = it.find(id);
+        ++worker.incarnation;
+        worker.orders = 0;
+        worker.loading.clear();
+        worker.holdings = {};
+        worker.announced = {};
+        worker.onTheirWay.clear();
+        worker.localCopies = {"m0"};
+    }
+    for (int n = 0; n < 40; ++n) {
+        it.demand("m0", 20);
+        it.step();
+    }
+    it.plan.unreachable("w0");
+    for (int n = 0; n < 60; ++n) {
+        it.demand("m0", 20);
+        it.find("w0").onTheirWay.clear();
+        it.step();
+    }
+    const int elsewhere = it.copies("m0") - static_cast<int>(it.find("w0").holdings.models.count("m0"));
+    BOOST_TEST(elsewhere >= 1);
+    BOOST_TEST(!it.exceeded);
+    BOOST_TEST(it.mostStoreLoads({5'000}) <= 4);
+}
+
 // Two workers have memory for four of eight models: models in demand are loaded, and models in use are kept.
 BOOST_AUTO_TEST_CASE(a_model_in_demand_replaces_an_idle_one_if_not_all_fit)
 {
