Keep evidence in doubt when a request is quarantined

Found in review, by runs of the analysis: a quarantined request erased the evidence of all crashes that it was in. A deadly prompt part whose requests come again then never gets crashes of two requests (18 upstreams ended by six requests in turn, 6 before whole requests were quarantined). And a sound request that moved from upstream to upstream with a deadly one was quarantined in its stead if its digest sorted first, for ten minutes, while the deadly one had three more crashes.

Now one crash of a quarantined request counts on against its parts, on both paths, and a request that was in all of its crashes keeps all but one of those it needs. If that one crashes another upstream, it is quarantined and the first one released. Unconfirmed losses are no longer explained by a quarantine.

Both tests fail without the change.

--- a/src/bamboomoor/quarantine/crashanalysis.cpp
+++ b/src/bamboomoor/quarantine/crashanalysis.cpp
@@ -66,12 +66,6 @@
         confirmed = confirmed || it.confirmed;
     }
     insert({std::move(attempt), confirmed});
-    if (m_records.size() > m_options.maxAttempts) {
-        const auto unconfirmed = std::find_if(m_records.begin(), m_records.end(), [](const Record &it) {
-            return !it.confirmed;
-        });
-        m_records.erase(unconfirmed == m_records.end() ? m_records.begin() : unconfirmed);
-    }
     m_evaluateUntil = now + m_options.firstPartSettleTime * 2;
     return true;
 }
@@ -83,6 +77,12 @@
             return at < it.attempt.at;
         });
     m_records.insert(place, std::move(record));
+    if (m_records.size() > m_options.maxAttempts) {
+        const auto unconfirmed = std::find_if(m_records.begin(), m_records.end(), [](const Record &it) {
+            return !it.confirmed;
+        });
+        m_records.erase(unconfirmed == m_records.end() ? m_records.begin() : unconfirmed);
+    }
 }
 
 void CrashAnalysis::onUnreachable(base::Millis now, const std::string &upstream)
@@ -153,7 +153,7 @@
     }
     const bool isNews = held == m_held.end() || until - std::max(now, held->second.until) > m_options.clockTolerance;
     if (isNews) {
-        hold(quarantine.part, {until, m_options.quarantineTime, now});
+        hold(quarantine.part, {until, m_options.quarantineTime, now, {}});
     }
     return isNews;
 }
@@ -174,30 +174,75 @@
         const base::Millis duration = held == m_held.end()
             ? m_options.quarantineTime
             : std::min(held->second.duration * 2, m_options.maxQuarantineTime);
-        hold(candidate->part, {now + duration, duration, candidate->lastCrash});
+        std::set<std::string> rivals = rivalsOf(candidate->part);
+        releaseRivalsOf(now, candidate->part);
+        std::vector<Record> kept = doubtOf(candidate->part, rivals);
+        hold(candidate->part, {now + duration, duration, candidate->lastCrash, std::move(rivals)});
         m_lifted.erase(candidate->part);
         findings.push_back({candidate->part, now + duration, candidate->crashes});
         std::vector<standing::Run> runs;
-        std::optional<Record> ofRequest;
         for (const Record &it : m_records) {
-            if (hasSubject(it.attempt, candidate->part)) {
+            if (it.confirmed && hasSubject(it.attempt, candidate->part)) {
                 runs.push_back(it.attempt.run);
             }
-            if (m_options.keepRequestEvidence && it.confirmed && it.attempt.identity == candidate->part) {
-                ofRequest = it;
-            }
         }
         std::for_each(runs.begin(), runs.end(), [this](const standing::Run &it) {
             explain(it);
         });
-        if (ofRequest) {
-            // The cause may be a part that other requests have too.
-            insert(*std::move(ofRequest));
+        for (Record &it : kept) {
+            insert(std::move(it));
         }
     }
     return findings;
 }
 
+std::set<std::string> CrashAnalysis::rivalsOf(const std::string &request) const
+{
+    std::set<standing::Run> runs;
+    std::map<std::string, std::set<standing::Run>> others;
+    for (const Record &it : m_records) {
+        if (it.confirmed && !it.attempt.identity.empty()) {
+            (it.attempt.identity == request ? runs : others[it.attempt.identity]).insert(it.attempt.run);
+        }
+    }
+    std::set<std::string> rivals;
+    for (const auto &[identity, theirs] : others) {
+        if (!runs.empty() && std::includes(theirs.begin(), theirs.end(), runs.begin(), runs.end())) {
+            rivals.insert(identity);
+        }
+    }
+    return rivals;
+}
+
+std::vector<CrashAnalysis::Record> CrashAnalysis::doubtOf(
+    const std::string &request, const std::set<std::string> &rivals) const
+{
+    std::map<std::string, std::vector<Record>> kept;
+    for (auto it = m_records.rbegin(); it != m_records.rend(); ++it) {
+        const std::string &identity = it->attempt.identity;
+        const std::size_t wanted = identity == request ? 1 : m_options.minRequestCrashes - 1;
+        if (it->confirmed && (identity == request || rivals.contains(identity)) && kept[identity].size() < wanted) {
+            kept[identity].push_back(*it);
+        }
+    }
+    std::vector<Record> records;
+    for (auto &[identity, it] : kept) {
+        records.insert(records.end(), it.begin(), it.end());
+    }
+    return records;
+}
+
+void CrashAnalysis::releaseRivalsOf(base::Millis now, const std::string &request)
+{
+    std::erase_if(m_held, [&](const auto &it) {
+        const bool isRival = it.second.rivals.contains(request);
+        if (isRival) {
+            m_lifted[it.first] = now;
+        }
+        return isRival;
+    });
+}
+
 void CrashAnalysis::explain(const standing::Run &run)
 {
     if (std::find(m_explained.begin(), m_explained.end(), run) == m_explained.end()) {
--- a/src/bamboomoor/quarantine/crashanalysis.hpp
+++ b/src/bamboomoor/quarantine/crashanalysis.hpp
@@ -20,6 +20,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -69,9 +70,6 @@
     std::size_t minRequestCrashes = 3;
     // Requests that a part must have crashed upstreams with; retries of one may account for several crashes.
     std::size_t minRequests = 2;
-    // Whether the crashes of a quarantined request count once against its parts. Entries that try each request at
-    // several upstreams quarantine every request with a part that crashes them, which would hide the part.
-    bool keepRequestEvidence = false;
     // Crashes within this time may have one common cause and count once.
     base::Millis mergeInterval{100};
     // The time after the last crash that is needed in which a survival clears the part; the first part of a prompt is
@@ -172,6 +170,9 @@
         base::Millis duration;
         // The last crash that counted against the part; of a quarantine that another process decided on, its arrival.
         base::Millis lastCrash;
+        // Requests that were in all crashes that led to the quarantine of this one. If one of them crashes another
+        // upstream, it explains those crashes, and this one is released.
+        std::set<std::string> rivals;
     };
     // The confirmed losses with one subject.
     struct Appearances {
@@ -190,6 +191,11 @@
     void insert(Record record);
     void expire(base::Millis now);
     void explain(const standing::Run &run);
+    [[nodiscard]] std::set<std::string> rivalsOf(const std::string &request) const;
+    // Lists the evidence that outlives the quarantine of a request: one crash against its parts, as the cause may be
+    // a part that other requests have too, and all but one of the crashes that rivals need.
+    [[nodiscard]] std::vector<Record> doubtOf(const std::string &request, const std::set<std::string> &rivals) const;
+    void releaseRivalsOf(base::Millis now, const std::string &request);
     [[nodiscard]] std::optional<Candidate> nextCandidate(base::Millis now) const;
     [[nodiscard]] Candidate countCrashes(
         base::Millis until, const std::string &part, const Appearances &appearances) const;
--- a/src/bamboomoor/standing/upstreamsignal.hpp
+++ b/src/bamboomoor/standing/upstreamsignal.hpp
@@ -5,6 +5,7 @@
 
 #include "bamboomoor/base/clock.hpp"
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -18,7 +19,7 @@
     // Increases whenever the process with this id restarts.
     std::uint64_t incarnation = 0;
 
-    friend bool operator==(const Run &, const Run &) = default;
+    friend auto operator<=>(const Run &, const Run &) = default;
 };
 
 /** @brief The signals of one response. */
--- a/test/bamboomoor/quarantine/crashanalysis.cpp
+++ b/test/bamboomoor/quarantine/crashanalysis.cpp
@@ -237,7 +237,6 @@
 BOOST_AUTO_TEST_CASE(a_part_is_found_although_each_request_with_it_is_tried_until_it_is_quarantined)
 {
     // Entries that try a request at one upstream after the other.
-    analysis = CrashAnalysis({.keepRequestEvidence = true});
     for (int crashes = 0; crashes < 5; ++crashes) {
         const std::string upstream = "w" + std::to_string(crashes);
         const std::string request = std::to_string(crashes / 3);
@@ -253,7 +252,6 @@
 
 BOOST_AUTO_TEST_CASE(the_crashes_of_a_quarantined_request_count_once_against_its_parts)
 {
-    analysis = CrashAnalysis({.keepRequestEvidence = true});
     for (const std::string upstream : {"w1", "w2", "w3"}) {
         analysis.add(now, {{upstream, 1}, now, "own", {"first", "x"}, "request:r"});
         analysis.onUnreachable(now, upstream);
@@ -295,4 +293,45 @@
     BOOST_TEST(settle() == std::vector<std::string>{"request:r"});
 }
 
+// Both move from one upstream to the next, as few have what they need.
+BOOST_AUTO_TEST_CASE(a_sound_request_that_was_in_all_crashes_of_a_deadly_one_is_released_at_its_next_crash)
+{
+    for (const std::string deadly : {"request:a", "request:z"}) {
+        analysis = CrashAnalysis();
+        for (const std::string upstream : {"w1", "w2", "w3"}) {
+            for (const std::string &request : {deadly, std::string("request:m")}) {
+                analysis.add(now, {{upstream, 1}, now, request, {}, request});
+            }
+            analysis.onUnreachable(now, upstream);
+            now = now + base::Millis{200};
+        }
+        static_cast<void>(settle());
+        if (!isQuarantined(deadly)) {
+            analysis.add(now, {{"w4", 1}, now, deadly, {}, deadly});
+            analysis.onUnreachable(now, "w4");
+            static_cast<void>(settle());
+        }
+        BOOST_TEST(isQuarantined(deadly));
+        BOOST_TEST(!isQuarantined("request:m"));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_part_is_found_although_every_request_with_it_comes_again_and_is_quarantined)
+{
+    int upstreams = 0;
+    for (int request = 0; request < 6 && !isQuarantined("x"); ++request) {
+        const std::string identity = "request:r" + std::to_string(request);
+        for (int attempt = 0; attempt < 5 && !isQuarantined(identity) && !isQuarantined("x"); ++attempt) {
+            const std::string upstream = "w" + std::to_string(++upstreams);
+            analysis.add(now, {{upstream, 1}, now, "own" + identity, {"first", "x"}, identity});
+            analysis.onUnreachable(now, upstream);
+            now = now + base::Millis{200};
+            analysis.onSurvival({"first", now});
+            static_cast<void>(settle(500));
+        }
+    }
+    BOOST_TEST(isQuarantined("x"));
+    BOOST_TEST(upstreams <= 6);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
