Do not count refusals against the attempts of a stream that has begun

Found in review: a stream that left a silent upstream was aborted when the next one turned it away, as its route allows two attempts. An upstream that refuses has not run the stream; the next one is tried now, within the share of retries.

The test failed before: no third upstream was asked.

--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -480,6 +480,10 @@
         --exchange.sent;
         ++exchange.unreached;
     }
+    if (reached && notRun && exchange.headSent) {
+        // Giving up would abort the stream, and the upstream has not run it.
+        --exchange.sent;
+    }
     const RetryDecision next = decideRetry(now, exchange);
     const bool keepsAnswer = exchange.head && exchange.head->status >= SERVER_ERROR && !notRun && !exchange.headSent
         && !promisesNotRun(exchange.head->status);
--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -141,6 +141,7 @@
     document->relays.push_back(route("/again/", config::Repeat::Idempotent, false, 2));
     document->relays.push_back(route("/stream/", config::Repeat::Stream, false, 1));
     document->relays.push_back(route("/resume/", config::Repeat::Stream, true, 3));
+    document->relays.push_back(route("/resume-once/", config::Repeat::Stream, true, 2));
     document->relays.push_back(route("/open/", config::Repeat::Idempotent, false, 1));
     document->relays.back().open = true;
     for (config::Relay &it : document->relays) {
@@ -485,6 +486,34 @@
     BOOST_TEST(world.callers[1].bytes == events + eventOf(11));
 }
 
+// The upstreams that turn the stream away have not run it, so they use up none of its attempts.
+BOOST_AUTO_TEST_CASE(a_stream_that_left_a_stalled_upstream_is_not_aborted_while_another_upstream_takes_it)
+{
+    // Requests that the share of retries is measured by.
+    for (std::uint64_t n = 2; n < 6; ++n) {
+        arrive(n, "/once/x");
+        answer(last(), head(OK), "");
+    }
+    world.sent.clear();
+    arrive(1, "/resume-once/x");
+    core.onResponseHead(now, last(), head(OK));
+    core.onResponseData(now, last(), eventOf(1));
+    for (int tick = 0; tick < 45 && world.sent.size() < 3; ++tick) {
+        now += base::Millis{100};
+        core.tick(now);
+        if (world.sent.size() == 2) {
+            ResponseHead refusal = head(UNAVAILABLE);
+            refusal.notRun = true;
+            answer(last(), std::move(refusal), "");
+        }
+    }
+    BOOST_REQUIRE(world.sent.size() == 3U);
+    answer(last(), head(OK), eventOf(2));
+    BOOST_TEST(!world.callers[1].aborted);
+    BOOST_TEST(world.callers[1].whole);
+    BOOST_TEST(world.callers[1].bytes == eventOf(1) + eventOf(2));
+}
+
 // Cancelled before another upstream has room, the stream would wait in a queue and might be aborted there.
 BOOST_AUTO_TEST_CASE(a_stream_whose_upstream_pauses_for_long_goes_on_there_while_no_other_has_room)
 {
