Report lost attempts although many others are lost before the report

Found in review: an entry remembered 128 lost attempts, first in, first out. After a burst of reset connections, or a crash with many streams, the attempt of the deadly request was gone before the report that goes out at once. It remembers 512 now, and drops those first that the leader has acknowledged. The test failed before.

--- a/src/bamboomoor/quarantine/promptguard.cpp
+++ b/src/bamboomoor/quarantine/promptguard.cpp
@@ -70,7 +70,10 @@
     m_analysis.add(now, attempt);
     m_lost.push_back({std::move(attempt), 0, false});
     if (m_lost.size() > m_options.maxReported) {
-        m_lost.pop_front();
+        const auto acknowledged = std::find_if(m_lost.begin(), m_lost.end(), [](const Unacknowledged &it) {
+            return it.acknowledged;
+        });
+        m_lost.erase(acknowledged == m_lost.end() ? m_lost.begin() : acknowledged);
     }
     m_urgent = true;
 }
--- a/src/bamboomoor/quarantine/promptguard.hpp
+++ b/src/bamboomoor/quarantine/promptguard.hpp
@@ -56,7 +56,8 @@
 struct PromptGuardOptions {
     // An entry needs more crashes than the leader, as it may not see the requests that caused them.
     CrashAnalysisOptions analysis{.minCrashes = 5};
-    std::size_t maxReported = 128;
+    // As many as an entry has streams at an upstream that crashes, and as a burst of reset connections loses.
+    std::size_t maxReported = 512;
     // Lost attempts that are kept for a new leader.
     base::Millis reportLife{60'000};
     std::size_t maxWatched = 1'024;
@@ -149,7 +150,8 @@
 
     PromptGuardOptions m_options;
     CrashAnalysis m_analysis;
-    // Lost attempts that are younger than reportLife, oldest first; at most maxReported.
+    // Lost attempts that are younger than reportLife, oldest first; at most maxReported. Acknowledged ones, which only
+    // a new leader needs, are dropped first.
     std::deque<Unacknowledged> m_lost;
     // Suspected parts, which are watched for survivals; at most maxWatched.
     std::unordered_map<std::string, Watched> m_watched;
--- a/test/bamboomoor/quarantine/promptguard.cpp
+++ b/test/bamboomoor/quarantine/promptguard.cpp
@@ -119,6 +119,18 @@
     BOOST_TEST(guard.takeReport(NOW + base::Millis{40}).survivals.empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_lost_attempt_is_reported_although_many_others_are_lost_before_the_report)
+{
+    PromptGuard guard;
+    guard.onLost(NOW, {"w1", 1}, {{}, "deadly"});
+    for (int n = 0; n < 200; ++n) {
+        guard.onLost(NOW, {"w2", 1}, {{}, "sound" + std::to_string(n)});
+    }
+    const Report report = guard.takeReport(NOW);
+    BOOST_REQUIRE(!report.lostAttempts.empty());
+    BOOST_TEST(report.lostAttempts.front().identity == "request:deadly");
+}
+
 BOOST_AUTO_TEST_CASE(memory_is_bounded_when_every_request_is_lost)
 {
     PromptGuard guard;
