Take the end of an unframed stream after one event for no survival

Found in review: a stream with neither length nor chunks ends with its connection, so a crash after the first event looked like its end, cleared its prompt parts and request from all evidence and lifted their quarantine. Two events are asked for now, as everywhere else. The test failed before; a second one holds that losses on pooled connections are evidence, which no test did.

--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -408,7 +408,8 @@
         m_effects.beginStream(exchange.id, exchange.head->status, exchange.head->headers);
     }
     exchange.mayHaveRun = true;
-    if (exchange.splitter.events() > 0) {
+    // Without a length or chunks, a crash after the first event looks like the end.
+    if (exchange.splitter.events() >= (delimited ? 1 : SURVIVED_EVENTS)) {
         noteSurvival(now, exchange);
     }
     note(now, exchange, Step::Answered, {}, exchange.head->status);
--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -590,6 +590,31 @@
     BOOST_TEST(world.callers[1].bytes == eventOf(1));
 }
 
+BOOST_AUTO_TEST_CASE(a_stream_without_length_or_chunks_that_ends_after_its_first_event_proves_no_survival)
+{
+    arrive(1, "/resume/x");
+    loseConnection(last());
+    const auto survivals = [this] {
+        return core.takeQuarantineReport(now).survivals.size();
+    };
+    core.onResponseHead(now, last(), head(OK));
+    core.onResponseData(now, last(), eventOf(1));
+    core.onAttemptEnded(now, last(), {true, true, false, "complete", false, false});
+    BOOST_TEST(survivals() == 0U);
+    arrive(2, "/resume/x");
+    core.onResponseHead(now, last(), head(OK));
+    core.onResponseData(now, last(), eventOf(1) + eventOf(2));
+    BOOST_TEST(survivals() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_pooled_connection_is_evidence_of_a_crash)
+{
+    arrive(1, "/again/x");
+    BOOST_REQUIRE(!world.sent.back().freshConnection);
+    loseConnection(last());
+    BOOST_TEST(core.takeQuarantineReport(now).lostAttempts.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_disconnected_caller_cancels_its_attempt_at_once)
 {
     arrive(1, "/resume/x");
