--- a/src/bamboomoor/base/digest.cpp
+++ b/src/bamboomoor/base/digest.cpp
@@ -24,4 +24,15 @@
     return text;
 }
 
+std::string sha256(std::initializer_list<std::string_view> fields)
+{
+    std::string bytes;
+    for (const std::string_view it : fields) {
+        bytes += std::to_string(it.size());
+        bytes += ':';
+        bytes += it;
+    }
+    return sha256(bytes);
+}
+
 } // namespace bamboomoor::base
--- a/src/bamboomoor/base/digest.hpp
+++ b/src/bamboomoor/base/digest.hpp
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include <initializer_list>
 #include <string>
 #include <string_view>
 
@@ -16,4 +17,11 @@
  */
 [[nodiscard]] std::string sha256(std::string_view bytes);
 
+/**
+ * @brief Digests a list of fields by SHA-256, so that no two lists share a digest whose texts are joined alike.
+ * @param fields Any bytes each.
+ * @return 64 lower-case hexadecimal digits.
+ */
+[[nodiscard]] std::string sha256(std::initializer_list<std::string_view> fields);
+
 } // namespace bamboomoor::base
--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -1,6 +1,7 @@
 /**
  * Attempts at upstreams: selection and queueing, response handling, and the retry decision after a failure.
  */
+#include "bamboomoor/quarantine/partlimits.hpp"
 #include "bamboomoor/relay/core.hpp"
 
 #include <algorithm>
@@ -23,8 +24,8 @@
 constexpr std::int64_t FIRST_EVENT_PAUSES = 3;
 // Number of distinct retry times over which callers of a closed upstream are spread.
 constexpr std::int64_t RETRY_SPREAD_STEPS = 16;
-// An upstream that crashes on a prompt may still have sent the first event.
-constexpr std::size_t SURVIVED_EVENTS = 2;
+
+using quarantine::SURVIVED_EVENTS;
 
 bool isSuccess(int status) noexcept
 {
