Stop sending engines what crashed others on the product's own path

Cause: an entry took each crash for a fault of the engine alone. It tried the request at up to four engines, and neither it nor the leader kept what lost requests had in common. Retries, resumed streams, queues and resends of claims under another key passed it on.

Now the desk asks a PromptGuard behind the claim, before every attempt, and for all that waits, and the leader's PlacementThread runs the analysis of all entries' reports. Parts are the messages; a request is known by method, path, query, organisation and body, also one to a plain service. The leader inspects an upstream at which an attempt was lost (HEAD /), so that a crash is confirmed at once. A request that was not sent is refused as quarantined (503, not run, Retry-After) and its claim released; one that was sent fails as before; a running generation without an event is cancelled. What may run once only is let finish, and stored answers are given.

Reports go four times a second, and at once after a loss. Demand stays measured over a second, as rates over 40 ms would steer placement by chance.

--- a/src/bamboomoor/admission/refusal.cpp
+++ b/src/bamboomoor/admission/refusal.cpp
@@ -42,6 +42,7 @@
     RefusalTraits{405, ErrorType::InvalidRequest, Execution::NotRun, false},
     RefusalTraits{503, ErrorType::Unavailable, Execution::NotRun, true},
     RefusalTraits{500, ErrorType::Unavailable, std::nullopt, false},
+    RefusalTraits{503, ErrorType::Unavailable, Execution::NotRun, true},
 };
 static_assert(TRAITS.size() == REFUSAL_NAMES.size());
 } // namespace
--- a/src/bamboomoor/admission/refusal.hpp
+++ b/src/bamboomoor/admission/refusal.hpp
@@ -36,14 +36,16 @@
     Cancelled,
     MethodNotAllowed,
     Overloaded,
-    Internal
+    Internal,
+    Quarantined
 };
 
 /** @brief The public error codes. */
-inline constexpr auto REFUSAL_NAMES = base::makeNames<Refusal>("invalid_key", "key_withdrawn", "unknown_model",
-    "unknown_route", "wrong_organisation", "rate_exceeded", "queue_full", "deadline_unmeetable", "not_fresh",
-    "no_upstream", "draining", "body_too_large", "malformed_request", "upstream_failed", "outcome_unknown",
-    "key_in_body", "idempotency_mismatch", "in_progress", "cancelled", "method_not_allowed", "overloaded", "internal");
+inline constexpr auto REFUSAL_NAMES =
+    base::makeNames<Refusal>("invalid_key", "key_withdrawn", "unknown_model", "unknown_route", "wrong_organisation",
+        "rate_exceeded", "queue_full", "deadline_unmeetable", "not_fresh", "no_upstream", "draining", "body_too_large",
+        "malformed_request", "upstream_failed", "outcome_unknown", "key_in_body", "idempotency_mismatch", "in_progress",
+        "cancelled", "method_not_allowed", "overloaded", "internal", "quarantined");
 
 /** @brief Whether a request has been executed. */
 enum class Execution { NotRun, Run, Unknown };
--- a/src/bamboomoor/control/placementthread.cpp
+++ b/src/bamboomoor/control/placementthread.cpp
@@ -176,6 +176,38 @@
     std::string m_body;
 };
 
+/** @brief Posts whether an upstream accepts connections; any response shows that it does. */
+class PlacementThread::InspectionListener final : public http::Listener
+{
+public:
+    InspectionListener(PlacementThread &desk, std::uint64_t term, std::string upstream)
+        : m_desk(desk)
+        , m_term(term)
+        , m_upstream(std::move(upstream))
+    {
+    }
+
+    void onHead(int /*status*/, http::Headers /*headers*/) override
+    {
+    }
+
+    void onData(std::string_view /*bytes*/) override
+    {
+    }
+
+    void onEnd(http::Ending ending) override
+    {
+        const bool unreachable =
+            ending.kind == http::EndKind::ConnectFailed || ending.kind == http::EndKind::ConnectTimeout;
+        m_desk.post(InspectionDone{m_term, m_upstream, unreachable});
+    }
+
+private:
+    PlacementThread &m_desk;
+    const std::uint64_t m_term;
+    const std::string m_upstream;
+};
+
 PlacementThread::PlacementThread(PlacementThreadOptions options, VoterThread &voter, ListUpstreams upstreams,
     http::Client &client, const base::Clock &clock)
     : m_options(options)
@@ -243,6 +275,8 @@
     // A rejected push does not move from the event.
     if (auto *report = std::get_if<ReportEvent>(&event)) { // NOLINT(bugprone-use-after-move)
         refuse(*report);
+    } else if (const auto *done = std::get_if<InspectionDone>(&event)) { // NOLINT(bugprone-use-after-move)
+        LOG(WARNING) << "event=inspection_dropped upstream=" << done->upstream;
     } else if (!m_ring.closed()) {
         LOG(FATAL) << "event=placement_ring_full";
     }
@@ -288,16 +322,21 @@
         refuse(event);
         return;
     }
-    EntryReport report{m_clock.now(), {}, {}};
-    const double seconds = std::max<double>(1.0, static_cast<double>(event.request.span_ms())) / MILLIS_PER_SECOND;
-    for (const auto &it : event.request.demands()) {
-        report.demand.push_back(
-            {{it.model(), it.adapter(), it.version()}, static_cast<double>(it.requests()) / seconds, it.queued()});
+    EntryReport &report = m_entries[event.request.vm()];
+    report.at = m_clock.now();
+    report.drained.clear();
+    // A report without a span leaves the demand out.
+    if (event.request.span_ms() > 0) {
+        const double seconds = static_cast<double>(event.request.span_ms()) / MILLIS_PER_SECOND;
+        report.demand.clear();
+        for (const auto &it : event.request.demands()) {
+            report.demand.push_back(
+                {{it.model(), it.adapter(), it.version()}, static_cast<double>(it.requests()) / seconds, it.queued()});
+        }
     }
     for (const auto &it : event.request.drained()) {
         report.drained.insert({it.upstream(), {it.model(), it.adapter(), it.version()}});
     }
-    m_entries[event.request.vm()] = std::move(report);
     peer::wire::DemandReply reply;
     reply.set_served(true);
     reply.set_term(m_term);
@@ -309,6 +348,7 @@
         drain->set_adapter(ref.adapter);
         drain->set_version(ref.version);
     }
+    m_crashes.exchange(m_clock.now(), m_term, event.request, reply, *this);
     event.answer(std::move(reply));
 }
 
@@ -318,6 +358,7 @@
     m_reported.clear();
     m_entries.clear();
     m_draining.clear();
+    m_crashes = CrashReports(m_options.crashes);
     step(event.catalogue);
     step(event.input);
 }
@@ -343,6 +384,50 @@
     }
 }
 
+void PlacementThread::on(InspectionDone &event)
+{
+    if (event.term != m_term || !event.unreachable) {
+        return;
+    }
+    log(base::LogLine("upstream_unreachable")
+            .add("upstream", event.upstream)
+            .add("term", static_cast<std::int64_t>(m_term)));
+    m_crashes.onUnreachable(m_clock.now(), event.upstream);
+}
+
+void PlacementThread::log(const base::LogLine &line)
+{
+    LOG(INFO) << line.text();
+}
+
+void PlacementThread::inspect(const std::string &upstream)
+{
+    const base::Millis now = m_clock.now();
+    std::erase_if(m_inspectedAt, [&](const auto &it) {
+        return now - it.second > m_options.inspectionInterval;
+    });
+    const auto upstreams = m_upstreams();
+    const auto found = std::find_if(upstreams.begin(), upstreams.end(), [&upstream](const membership::Entry &it) {
+        return it.announcement.id == upstream;
+    });
+    if (found == upstreams.end() || !m_inspectedAt.emplace(upstream, now).second) {
+        return;
+    }
+    http::Call call;
+    call.method = "HEAD";
+    call.url = "http://" + found->announcement.address + "/";
+    call.connectTimeout = m_options.inspectionTimeout;
+    call.firstByteTimeout = m_options.inspectionTimeout;
+    call.totalTimeout = m_options.inspectionTimeout * 2;
+    call.freshConnection = true;
+    m_client.start(std::move(call), std::make_shared<InspectionListener>(*this, m_term, upstream));
+}
+
+void PlacementThread::countQuarantine()
+{
+    // Entries count the quarantines that reach them.
+}
+
 void PlacementThread::decide()
 {
     feedReports();
@@ -354,8 +439,12 @@
 void PlacementThread::feedReports()
 {
     std::set<std::string> live;
+    const bool hasUnconfirmed = m_crashes.hasUnconfirmed();
     for (const membership::Entry &it : m_upstreams()) {
         const membership::Announcement &announcement = it.announcement;
+        if (hasUnconfirmed) {
+            m_crashes.onRun(m_clock.now(), {announcement.id, announcement.incarnation});
+        }
         if (announcement.kind != membership::UpstreamKind::ModelWorker) {
             continue;
         }
--- a/src/bamboomoor/control/placementthread.hpp
+++ b/src/bamboomoor/control/placementthread.hpp
@@ -7,6 +7,7 @@
 
 #include "bamboomoor/base/clock.hpp"
 #include "bamboomoor/base/ring.hpp"
+#include "bamboomoor/control/crashreports.hpp"
 #include "bamboomoor/control/demandreceiver.hpp"
 #include "bamboomoor/control/voterthread.hpp"
 #include "bamboomoor/http/client.hpp"
@@ -39,10 +40,15 @@
     // An entry that has not reported for this long no longer routes requests, because its configuration has become
     // stale; its demand and drains are ignored.
     base::Millis entryTimeout{5'000};
+    // Time between two inspections of an upstream that entries lost attempts at, and the time for its response.
+    base::Millis inspectionInterval{500};
+    base::Millis inspectionTimeout{1'000};
+    // Its entries try a request at several upstreams.
+    quarantine::CrashAnalysisOptions crashes{.keepRequestEvidence = true};
 };
 
 /** @brief Runs the placement planner on the leader. */
-class PlacementThread final : public VoterObserver, public DemandReceiver
+class PlacementThread final : public VoterObserver, public DemandReceiver, private CrashReportEffects
 {
 public:
     /**
@@ -91,7 +97,13 @@
         std::uint64_t term = 0;
         placement::Input input;
     };
-    using Event = std::variant<ReportEvent, Leading, NotLeading, CatalogueChanged, PlannerInput>;
+    struct InspectionDone {
+        std::uint64_t term = 0;
+        std::string upstream;
+        // It accepted no connection.
+        bool unreachable = false;
+    };
+    using Event = std::variant<ReportEvent, Leading, NotLeading, CatalogueChanged, PlannerInput, InspectionDone>;
     using Drain = std::pair<std::string, placement::ModelRef>;
     struct EntryReport {
         base::Millis at;
@@ -99,6 +111,7 @@
         std::set<Drain> drained;
     };
     class OrderListener;
+    class InspectionListener;
 
     void run();
     void on(ReportEvent &event);
@@ -106,6 +119,10 @@
     void on(NotLeading &event);
     void on(CatalogueChanged &event);
     void on(PlannerInput &event);
+    void on(InspectionDone &event);
+    void log(const base::LogLine &line) override;
+    void inspect(const std::string &upstream) override;
+    void countQuarantine() override;
     void refuse(ReportEvent &event) const;
     void post(Event event);
     void decide();
@@ -138,6 +155,10 @@
     std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> m_reported;
     std::map<std::string, EntryReport> m_entries;
     std::set<Drain> m_draining;
+    // Reset with each leadership; the entries report again what they know.
+    CrashReports m_crashes;
+    // When upstreams were last inspected; kept for inspectionInterval.
+    std::map<std::string, base::Millis> m_inspectedAt;
 };
 
 } // namespace bamboomoor::control
--- a/src/bamboomoor/daemon/daemon.cpp
+++ b/src/bamboomoor/daemon/daemon.cpp
@@ -20,6 +20,9 @@
 
 constexpr base::Millis DRAIN_POLL{20};
 constexpr int WARMING_LEASES = 2;
+// Entries learn of a quarantine within this time.
+constexpr base::Millis REPORT_INTERVAL{250};
+constexpr base::Millis DEMAND_SPAN{1'000};
 
 std::vector<control::VoterAddress> voterAddresses(const settings::Settings &settings)
 {
@@ -80,6 +83,15 @@
     return options;
 }
 
+entry::DemandReportOptions demandOptions(const settings::Settings &settings)
+{
+    entry::DemandReportOptions options;
+    options.vm = settings.vm;
+    options.interval = REPORT_INTERVAL;
+    options.minDemandSpan = DEMAND_SPAN;
+    return options;
+}
+
 http::ServerOptions serverOptions(const settings::Settings &settings)
 {
     http::ServerOptions options;
@@ -130,7 +142,7 @@
           [this] {
               m_desk.configurationChanged();
           })
-    , m_demand({.vm = m_settings.vm}, m_desk, m_book, m_peers, m_leader, m_clock)
+    , m_demand(demandOptions(m_settings), m_desk, m_book, m_peers, m_leader, m_clock)
     , m_operators(
           m_settings.operatorToken, m_peers, m_leader,
           [this] {
@@ -145,6 +157,9 @@
     , m_server(m_front, serverOptions(m_settings))
     , m_peerServer(m_peerService)
 {
+    m_desk.setUrgentReport([this] {
+        m_demand.urge();
+    });
 }
 
 std::unique_ptr<Voter> Daemon::makeVoter()
--- a/src/bamboomoor/entry/admit.cpp
+++ b/src/bamboomoor/entry/admit.cpp
@@ -202,6 +202,12 @@
 
 void Desk::admit(Exchange &exchange)
 {
+    // Asked behind the claim, as an answer that is stored is given all the same.
+    if (const auto left = quarantinedFor(exchange)) {
+        exchange.phase = Phase::BackingOff;
+        endQuarantined(exchange, *left);
+        return;
+    }
     if (exchange.organisation.empty()) {
         enqueue(exchange);
         return;
--- a/src/bamboomoor/entry/attempt.cpp
+++ b/src/bamboomoor/entry/attempt.cpp
@@ -3,6 +3,7 @@
  */
 #include "bamboomoor/entry/desk.hpp"
 #include "bamboomoor/http/forwarding.hpp"
+#include "bamboomoor/quarantine/partlimits.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -16,6 +17,7 @@
 {
 
 constexpr int HTTP_OK = 200;
+constexpr int HTTP_REDIRECT = 300;
 constexpr int HTTP_BAD_REQUEST = 400;
 constexpr int HTTP_NOT_FOUND = 404;
 constexpr int HTTP_SERVER_ERROR = 500;
@@ -134,6 +136,10 @@
             notRun ? admission::Execution::NotRun : admission::Execution::Unknown);
         return true;
     }
+    if (const auto left = quarantinedFor(exchange)) {
+        endQuarantined(exchange, *left);
+        return true;
+    }
     const Resolved &resolved = exchange.resolved;
     const auto candidates = m_context.upstreams.candidates(now, resolved.target);
     routing::Request request;
@@ -149,9 +155,9 @@
     if (choice.kind == routing::ChoiceKind::Wait && now < exchange.deadline) {
         return false;
     }
-    const auto address =
-        choice.kind == routing::ChoiceKind::Chosen ? m_context.upstreams.addressOf(now, choice.upstream) : std::nullopt;
-    if (!address) {
+    const auto place =
+        choice.kind == routing::ChoiceKind::Chosen ? m_context.upstreams.placeOf(now, choice.upstream) : std::nullopt;
+    if (!place) {
         m_router.cancelled(choice.attempt);
         m_context.metrics.gaveUp(routing::GIVE_UP_REASON_NAMES.name(routing::GiveUpReason::NoUpstream));
         giveUp(exchange, exchange.delivery.giveUp(), "no upstream serves this at present");
@@ -163,7 +169,8 @@
     exchange.attempt = Attempt{};
     exchange.attempt.id = choice.attempt;
     exchange.attempt.upstream = choice.upstream;
-    send(exchange, *address);
+    exchange.attempt.incarnation = place->incarnation;
+    send(exchange, place->address);
     return true;
 }
 
@@ -285,6 +292,9 @@
         failAttempt(exchange, FailureKind::Malformed);
         return;
     }
+    if (++exchange.attempt.events == quarantine::SURVIVED_EVENTS) {
+        noteSurvival(exchange);
+    }
     if (progress->promptTokens || progress->completionTokens) {
         exchange.usedTokens = progress->promptTokens.value_or(exchange.resolved.generation->promptTokens)
             + std::max(progress->completionTokens.value_or(0), exchange.generatedTokens + progress->tokens);
@@ -400,6 +410,7 @@
         failAttempt(exchange, FailureKind::Truncated);
         return;
     }
+    noteSurvival(exchange);
     exchange.delivery.finished(exchange.attempt.id);
     cancelAttempt(exchange);
     beginStream(exchange);
@@ -417,6 +428,9 @@
         failAttempt(exchange, *failure);
         return;
     }
+    if (exchange.attempt.status >= HTTP_OK && exchange.attempt.status < HTTP_REDIRECT) {
+        noteSurvival(exchange);
+    }
     exchange.delivery.finished(exchange.attempt.id);
     const bool generation = exchange.resolved.generation.has_value();
     http::Response answer{exchange.attempt.status, answerHeaders(exchange.attempt.headers, exchange.requestId),
@@ -467,6 +481,7 @@
     const std::uint64_t attempt = exchange.attempt.id;
     const std::string upstream = exchange.attempt.upstream;
     m_router.failed(now, attempt);
+    noteFailure(exchange, failure);
     const bool inTime = now < exchange.deadline;
     const auto verdict = inTime && !exchange.callerGone ? m_retries.takeRetry(now, exchange.organisation, upstream)
                                                         : routing::RetryBudgetResult::OrganisationExhausted;
--- a/src/bamboomoor/entry/demandreport.cpp
+++ b/src/bamboomoor/entry/demandreport.cpp
@@ -99,11 +99,8 @@
     }
 }
 
-peer::wire::DemandReport DemandReport::makeReport()
+void DemandReport::addDemand(base::Millis now, peer::wire::DemandReport &report)
 {
-    const base::Millis now = m_clock.now();
-    peer::wire::DemandReport report;
-    report.set_vm(m_options.vm);
     report.set_span_ms((now - m_countedSince).count);
     m_countedSince = now;
     for (const TargetDemand &it : m_source.takeDemand()) {
@@ -117,6 +114,16 @@
             demand->set_tokens(it.tokens);
         }
     }
+}
+
+peer::wire::DemandReport DemandReport::makeReport()
+{
+    const base::Millis now = m_clock.now();
+    peer::wire::DemandReport report;
+    report.set_vm(m_options.vm);
+    if (now - m_countedSince >= m_options.minDemandSpan) {
+        addDemand(now, report);
+    }
     for (const auto &[upstream, tokens] : m_source.waiting()) {
         auto *load = report.add_waiting();
         load->set_upstream(upstream);
--- a/src/bamboomoor/entry/demandreport.hpp
+++ b/src/bamboomoor/entry/demandreport.hpp
@@ -115,6 +115,8 @@
 struct DemandReportOptions {
     std::string vm;
     base::Millis interval{1'000};
+    // The demand of a shorter time is not reported yet, as rates over it vary too much.
+    base::Millis minDemandSpan;
     base::Millis timeout{700};
 };
 
@@ -156,6 +158,7 @@
     void run();
     void rest(base::Millis sentAt);
     [[nodiscard]] peer::wire::DemandReport makeReport();
+    void addDemand(base::Millis now, peer::wire::DemandReport &report);
     void take(const peer::wire::DemandReply &reply, base::Millis sentAt);
 
     DemandReportOptions m_options;
--- a/src/bamboomoor/entry/desk.cpp
+++ b/src/bamboomoor/entry/desk.cpp
@@ -61,6 +61,14 @@
     return holder;
 }
 
+quarantine::PromptGuardOptions guardOptions()
+{
+    quarantine::PromptGuardOptions guard;
+    // A request is tried at several upstreams.
+    guard.analysis.keepRequestEvidence = true;
+    return guard;
+}
+
 http::Response listModels(const Configuration &configuration)
 {
     auto data = nlohmann::json::array();
@@ -83,6 +91,7 @@
     , m_holder(holderOptions(m_options))
     , m_router(routing::makePolicy(routing::PolicyKind::TimeToFirstToken, m_options.seed), routerOptions(m_options))
     , m_backoff(m_options.seed)
+    , m_guard(guardOptions())
 {
 }
 
@@ -311,6 +320,7 @@
     decidedAll(m_holder.tick(now));
     retryClaims(now);
     reviewLate();
+    reviewQuarantine();
     m_retries.prune(now);
     m_context.metrics.fill(m_ring.size(), m_queued);
     const absl::MutexLock lock(&m_mutex);
@@ -368,8 +378,8 @@
     finish(exchange);
 }
 
-void Desk::endWithError(
-    Exchange &exchange, admission::Refusal refusal, const std::string &message, admission::Execution ran)
+void Desk::endWithError(Exchange &exchange, admission::Refusal refusal, const std::string &message,
+    admission::Execution ran, base::Millis retryAfter)
 {
     if (exchange.phase == Phase::Queued) {
         m_queues.at(exchange.resolved.target).cancel(exchange.id);
@@ -379,7 +389,7 @@
         m_holder.cancel(exchange.reservation);
     }
     if (!exchange.streaming && ran == admission::Execution::NotRun) {
-        refuse(exchange, refusal, message);
+        refuse(exchange, refusal, message, ran, retryAfter);
         return;
     }
     m_context.metrics.refused(admission::REFUSAL_NAMES.name(refusal));
--- a/src/bamboomoor/entry/desk.hpp
+++ b/src/bamboomoor/entry/desk.hpp
@@ -18,6 +18,7 @@
 #include "bamboomoor/entry/upstreambook.hpp"
 #include "bamboomoor/http/client.hpp"
 #include "bamboomoor/http/server.hpp"
+#include "bamboomoor/quarantine/promptguard.hpp"
 #include "bamboomoor/routing/retrybudget.hpp"
 #include "bamboomoor/routing/router.hpp"
 #include "bamboomoor/state/command.hpp"
@@ -25,6 +26,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -100,8 +102,17 @@
         return m_inProgress;
     }
 
+    /** @brief Sets the callback that requests an immediate demand report. @param urge The callback; set before start().
+     */
+    void setUrgentReport(std::function<void()> urge)
+    {
+        m_urgentReport = std::move(urge);
+    }
+
     [[nodiscard]] std::vector<TargetDemand> takeDemand() override;
     [[nodiscard]] bool runsAt(const DrainingReplica &replica) const override;
+    [[nodiscard]] quarantine::Report takeQuarantineReport() override;
+    void takeNews(LeaderNews news) override;
 
 private:
     struct Arrived {
@@ -149,8 +160,11 @@
     };
     struct ConfigurationChanged {
     };
+    struct News {
+        quarantine::LeaderReply quarantine;
+    };
     using Event = std::variant<Arrived, CallerGone, AnswerHead, AnswerData, AnswerEnd, BudgetReplied, ClaimReplied,
-        ConfigurationChanged>;
+        ConfigurationChanged, News>;
     class AttemptListener;
 
     // desk.cpp: the loop, arrival and refusal.
@@ -206,12 +220,22 @@
     void failAttempt(Exchange &exchange, routing::FailureKind failure);
     void giveUp(Exchange &exchange, routing::Decision decision, const std::string &message);
     void cancelAttempt(Exchange &exchange);
-    void endWithError(
-        Exchange &exchange, admission::Refusal refusal, const std::string &message, admission::Execution ran);
+    void endWithError(Exchange &exchange, admission::Refusal refusal, const std::string &message,
+        admission::Execution ran, base::Millis retryAfter = base::Millis{1'000});
     [[nodiscard]] std::optional<routing::FailureKind> judgeAnswer(Exchange &exchange) const;
 
+    // quarantine.cpp: what crashes upstreams and is not sent to them.
+    void on(News &event);
+    void reviewQuarantine();
+    void enforceQuarantine(const std::vector<quarantine::Finding> &findings, bool byLeader);
+    [[nodiscard]] std::optional<base::Millis> quarantinedFor(Exchange &exchange) const;
+    void endQuarantined(Exchange &exchange, base::Millis left);
+    void noteFailure(Exchange &exchange, routing::FailureKind failure);
+    void noteSurvival(Exchange &exchange);
+
     DeskOptions m_options;
     DeskContext m_context;
+    std::function<void()> m_urgentReport;
     base::Ring<Event> m_ring;
     std::thread m_thread;
     std::atomic<bool> m_stopping{false};
@@ -225,6 +249,10 @@
     routing::Router m_router;
     routing::RetryBudget m_retries;
     routing::Backoff m_backoff;
+    quarantine::PromptGuard m_guard;
+    base::Millis m_nextGuardReview;
+    // Until then the leader is asked often, as it may find out what crashed an upstream.
+    base::Millis m_askLeaderUntil;
     // Holds the queued exchanges by target; queues without items are removed.
     std::map<Target, admission::FairQueue> m_queues;
     std::size_t m_queued = 0;
@@ -236,6 +264,7 @@
     mutable absl::Mutex m_mutex;
     std::map<Target, TargetDemand> m_demand ABSL_GUARDED_BY(m_mutex);
     std::map<std::pair<std::string, Target>, std::size_t> m_running ABSL_GUARDED_BY(m_mutex);
+    quarantine::Report m_quarantineReport ABSL_GUARDED_BY(m_mutex);
 };
 
 } // namespace bamboomoor::entry
--- a/src/bamboomoor/entry/exchange.hpp
+++ b/src/bamboomoor/entry/exchange.hpp
@@ -9,9 +9,11 @@
 #include "bamboomoor/http/message.hpp"
 #include "bamboomoor/http/server.hpp"
 #include "bamboomoor/http/sse.hpp"
+#include "bamboomoor/quarantine/promptguard.hpp"
 #include "bamboomoor/routing/delivery.hpp"
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -32,6 +34,7 @@
     // 0 when none is open.
     std::uint64_t id = 0;
     std::string upstream;
+    std::uint64_t incarnation = 0;
     http::CallId call;
     // Set by the client's thread when an event of the attempt was lost.
     std::shared_ptr<std::atomic<bool>> broken;
@@ -40,6 +43,8 @@
     std::string body;
     http::SseParser parser = http::SseParser();
     bool sawDone = false;
+    // Events of a stream that arrived.
+    std::size_t events = 0;
 };
 
 /** @brief A request in progress. */
@@ -73,6 +78,8 @@
     std::optional<std::int64_t> usedTokens;
     base::Millis lastTokenAt;
     bool callerGone = false;
+    // Computed at first need.
+    std::optional<quarantine::RequestTraits> traits;
     // The answer of an upstream while it is being stored.
     std::optional<http::Response> answer;
 };
--- a/src/bamboomoor/entry/metrics.cpp
+++ b/src/bamboomoor/entry/metrics.cpp
@@ -47,6 +47,8 @@
     , m_giveUps(counters(m_registry, "bamboomoor_give_ups_total", "Failed requests not tried again, by reason"))
     , m_drops(counters(m_registry, "bamboomoor_dropped_total", "Events dropped, by reason"))
     , m_announcements(counters(m_registry, "bamboomoor_announcements_total", "Announcements, by verdict"))
+    , m_quarantines(counters(
+          m_registry, "bamboomoor_quarantines_total", "Prompt parts and requests quarantined, by who decided it"))
     , m_firstToken(histogram(m_registry, "bamboomoor_first_token_seconds", "From arrival to the first token"))
     , m_betweenTokens(histogram(m_registry, "bamboomoor_between_tokens_seconds", "Between two tokens of a stream"))
     , m_ring(gauge(m_registry, "bamboomoor_ring_events", "Events that wait for the entry's thread"))
@@ -79,6 +81,11 @@
     count(m_drops, "reason", reason);
 }
 
+void Metrics::quarantined(bool byLeader)
+{
+    count(m_quarantines, "decided_by", byLeader ? "leader" : "entry");
+}
+
 void Metrics::announced(std::string_view verdict)
 {
     count(m_announcements, "verdict", verdict);
--- a/src/bamboomoor/entry/metrics.hpp
+++ b/src/bamboomoor/entry/metrics.hpp
@@ -34,6 +34,8 @@
     void gaveUp(std::string_view reason);
     /** @brief Counts an event that was dropped. @param reason Why. */
     void dropped(std::string_view reason);
+    /** @brief Counts a quarantine. @param byLeader Whether the leader decided on it. */
+    void quarantined(bool byLeader);
     /** @brief Counts an announcement. @param verdict What became of it. */
     void announced(std::string_view verdict);
     /** @brief Notes the time to a first token. @param span Milliseconds since the request arrived. */
@@ -57,6 +59,7 @@
     prometheus::Family<prometheus::Counter> &m_giveUps;
     prometheus::Family<prometheus::Counter> &m_drops;
     prometheus::Family<prometheus::Counter> &m_announcements;
+    prometheus::Family<prometheus::Counter> &m_quarantines;
     prometheus::Histogram &m_firstToken;
     prometheus::Histogram &m_betweenTokens;
     prometheus::Gauge &m_ring;
--- a/src/bamboomoor/entry/upstreambook.cpp
+++ b/src/bamboomoor/entry/upstreambook.cpp
@@ -69,6 +69,15 @@
     return entry == nullptr ? std::nullopt : std::optional(entry->announcement.address);
 }
 
+std::optional<UpstreamPlace> UpstreamBook::placeOf(base::Millis now, const std::string &id) const
+{
+    const absl::MutexLock lock(&m_mutex);
+    const membership::Entry *entry = m_registry.find(now, id);
+    return entry == nullptr
+        ? std::nullopt
+        : std::optional(UpstreamPlace{entry->announcement.address, entry->announcement.incarnation});
+}
+
 std::vector<membership::Entry> UpstreamBook::list(base::Millis now) const
 {
     const absl::MutexLock lock(&m_mutex);
--- a/src/bamboomoor/entry/upstreambook.hpp
+++ b/src/bamboomoor/entry/upstreambook.hpp
@@ -11,6 +11,7 @@
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
 
+#include <cstdint>
 #include <optional>
 #include <set>
 #include <string>
@@ -29,6 +30,13 @@
     friend auto operator<=>(const DrainingReplica &, const DrainingReplica &) = default;
 };
 
+/** @brief Where an upstream runs. */
+struct UpstreamPlace {
+    // "IP:PORT".
+    std::string address;
+    std::uint64_t incarnation = 0;
+};
+
 /** @brief A registry of upstreams behind a lock. */
 class UpstreamBook
 {
@@ -75,6 +83,14 @@
      */
     [[nodiscard]] std::optional<std::string> addressOf(base::Millis now, const std::string &id) const;
 
+    /**
+     * @brief Finds where and as which incarnation an upstream runs.
+     * @param now The present time.
+     * @param id The upstream.
+     * @return Its place, or nothing when it is not known.
+     */
+    [[nodiscard]] std::optional<UpstreamPlace> placeOf(base::Millis now, const std::string &id) const;
+
     /**
      * @brief Copies all live upstreams.
      * @param now The present time.
