--- a/src/bamboomoor/control/placementthread.cpp
+++ b/src/bamboomoor/control/placementthread.cpp
@@ -406,11 +406,14 @@
     std::erase_if(m_inspectedAt, [&](const auto &it) {
         return now - it.second > m_options.inspectionInterval;
     });
+    if (!m_inspectedAt.emplace(upstream, now).second) {
+        return;
+    }
     const auto upstreams = m_upstreams();
     const auto found = std::find_if(upstreams.begin(), upstreams.end(), [&upstream](const membership::Entry &it) {
         return it.announcement.id == upstream;
     });
-    if (found == upstreams.end() || !m_inspectedAt.emplace(upstream, now).second) {
+    if (found == upstreams.end()) {
         return;
     }
     http::Call call;
