--- a/src/bamboomoor/control/placementthread.hpp
+++ b/src/bamboomoor/control/placementthread.hpp
@@ -43,8 +43,7 @@
     // Time between two inspections of an upstream that entries lost attempts at, and the time for its response.
     base::Millis inspectionInterval{500};
     base::Millis inspectionTimeout{1'000};
-    // Its entries try a request at several upstreams.
-    quarantine::CrashAnalysisOptions crashes{.keepRequestEvidence = true};
+    quarantine::CrashAnalysisOptions crashes;
 };
 
 /** @brief Runs the placement planner on the leader. */
--- a/src/bamboomoor/entry/desk.cpp
+++ b/src/bamboomoor/entry/desk.cpp
@@ -61,14 +61,6 @@
     return holder;
 }
 
-quarantine::PromptGuardOptions guardOptions()
-{
-    quarantine::PromptGuardOptions guard;
-    // A request is tried at several upstreams.
-    guard.analysis.keepRequestEvidence = true;
-    return guard;
-}
-
 http::Response listModels(const Configuration &configuration)
 {
     auto data = nlohmann::json::array();
@@ -91,7 +83,6 @@
     , m_holder(holderOptions(m_options))
     , m_router(routing::makePolicy(routing::PolicyKind::TimeToFirstToken, m_options.seed), routerOptions(m_options))
     , m_backoff(m_options.seed)
-    , m_guard(guardOptions())
 {
 }
 
