Retry a request at the same upstream after a stray response on a pooled connection

Callers saw 502 (upstream_failed, next=no_other) when the late second copy of an earlier response met their request on a pooled connection while the other upstream was in back-off: the attempt counted as a failure of its upstream, which was then excluded from the retry.

A response to another request, or bytes that are no response, on a pooled connection say as little about the upstream as a pooled connection that was closed: the upstream may be chosen again, over a new connection, and its window stays. On a new connection both still count as failures. Attempts, time and the retry budget apply as before. Surplus bytes of a response (malformed) are handled likewise.

Ruled out: repeating when the request may run once, as it never uses a pooled connection.

--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -260,7 +260,8 @@
     settleRetry(now, *exchange, true);
     if (head.owner == ResponseOwner::Other) {
         m_effects.cancel(attempt);
-        fail(now, *exchange, AttemptResult::Failed, false, true, "foreign_answer");
+        const bool pooled = readmitAfterPooled(*exchange);
+        fail(now, *exchange, pooled ? AttemptResult::Stray : AttemptResult::Failed, false, true, "foreign_answer");
         return;
     }
     applySignal(now, *exchange, head);
@@ -273,6 +274,15 @@
     exchange->head = std::move(head);
 }
 
+bool Core::readmitAfterPooled(Exchange &exchange)
+{
+    if (exchange.attempt.freshConnection) {
+        return false;
+    }
+    exchange.requirements.excluded.erase(exchange.choice.id);
+    return true;
+}
+
 void Core::applySignal(base::Millis now, const Exchange &exchange, const ResponseHead &head)
 {
     const bool ran = !head.notRun && !head.misdirected;
@@ -364,17 +374,15 @@
     if (!end.complete || !exchange->head) {
         const bool reached = end.bytesSent || exchange->head.has_value();
         const bool lost = end.lostConnection && !exchange->head;
-        const bool stalePooled = lost && !exchange->attempt.freshConnection;
-        if (stalePooled) {
-            // The pooled connection was stale, which does not indicate a failed upstream; a new connection will show.
-            exchange->requirements.excluded.erase(exchange->choice.id);
-        }
+        const bool stalePooled = lost && readmitAfterPooled(*exchange);
+        const bool stray = end.malformed && !exchange->head && readmitAfterPooled(*exchange);
         if ((end.truncated || lost) && !stalePooled && exchange->splitter.events() < SURVIVED_EVENTS) {
             noteLoss(now, *exchange);
         } else if (!reached) {
             m_guard.onUnreachable(now, exchange->choice.id);
         }
         const AttemptResult result = lost ? AttemptResult::Lost
+            : stray                       ? AttemptResult::Stray
             : reached                     ? AttemptResult::Failed
                                           : AttemptResult::NotReached;
         fail(now, *exchange, result, !reached, reached, end.reason);
--- a/src/bamboomoor/relay/core.hpp
+++ b/src/bamboomoor/relay/core.hpp
@@ -83,6 +83,8 @@
     bool truncated = false;
     // The response had a length or chunks; one without ends with its connection, however that comes to close.
     bool delimited = true;
+    // The received bytes are no HTTP response.
+    bool malformed = false;
 };
 
 /** @brief Why a request is rejected or fails. */
@@ -423,6 +425,9 @@
     void dispatchQueued(base::Millis now);
     void relayEvents(base::Millis now, Exchange &exchange, std::string_view bytes);
     void endResponse(base::Millis now, Exchange &exchange);
+    // Lets the upstream be chosen again if the attempt used a pooled connection, whose end or stray bytes do not
+    // indicate a failed upstream; a new connection will show. Returns whether it did.
+    static bool readmitAfterPooled(Exchange &exchange);
     void applySignal(base::Millis now, const Exchange &exchange, const ResponseHead &head);
     void endStream(base::Millis now, Exchange &exchange, bool delimited);
     void deliver(base::Millis now, Exchange &exchange);
--- a/src/bamboomoor/relay/fleet.cpp
+++ b/src/bamboomoor/relay/fleet.cpp
@@ -509,7 +509,7 @@
     state.measuredAt = now;
     if (result == AttemptResult::Answered) {
         state.window = std::min(m_options.maxWindow, state.window + 1 / state.window);
-    } else if (result != AttemptResult::ErrorResponse && !stalePooled) {
+    } else if (result != AttemptResult::ErrorResponse && result != AttemptResult::Stray && !stalePooled) {
         state.window = std::max(1.0, state.window / 2);
     }
     if (result == AttemptResult::Answered || result == AttemptResult::ErrorResponse
--- a/src/bamboomoor/relay/fleet.hpp
+++ b/src/bamboomoor/relay/fleet.hpp
@@ -130,8 +130,9 @@
 inline constexpr auto UNAVAILABLE_REASON_NAMES =
     base::makeNames<UnavailableReason>("no_upstream", "not_held", "all_tried", "closed", "busy", "coming");
 
-/** @brief How an attempt at an upstream ended; Lost means that the connection closed before any response byte. */
-enum class AttemptResult { Answered, Failed, ErrorResponse, Refused, NotReached, Lost, Cancelled };
+/** @brief How an attempt at an upstream ended; Lost means that the connection closed before any response byte, Stray
+ * that a pooled connection delivered the response to another request, or bytes of none. */
+enum class AttemptResult { Answered, Failed, ErrorResponse, Refused, NotReached, Lost, Stray, Cancelled };
 
 /** @brief The load balancer of an entry. Not thread-safe. */
 class Fleet
--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -329,6 +329,66 @@
     BOOST_TEST(world.callers[1].bytes == "mine");
 }
 
+BOOST_AUTO_TEST_CASE(a_stray_response_on_a_pooled_connection_is_retried_there_while_the_other_upstream_is_in_back_off)
+{
+    enum class Stray { OtherRequest, NoResponse };
+    for (const Stray stray : {Stray::OtherRequest, Stray::NoResponse}) {
+        Fixture it;
+        it.core.setWorkers({worker("w1"), worker("w2")});
+        it.arrive(1, "/once/x");
+        const std::string backsOff = it.world.sent.front().upstream;
+        it.loseConnection(it.last());
+        it.arrive(2, "/again/x");
+        BOOST_TEST(it.world.sent.back().upstream != backsOff);
+        BOOST_TEST(!it.world.sent.back().freshConnection);
+        if (stray == Stray::OtherRequest) {
+            it.core.onResponseHead(it.now, it.last(), Fixture::head(OK, ResponseOwner::Other));
+        } else {
+            relay::AttemptEnd end;
+            end.reason = "malformed";
+            end.malformed = true;
+            it.core.onAttemptEnded(it.now, it.last(), end);
+        }
+        BOOST_REQUIRE(it.world.sent.size() == 3U);
+        BOOST_TEST(it.world.sent.back().upstream != backsOff);
+        BOOST_TEST(it.world.sent.back().freshConnection);
+        BOOST_TEST((it.world.sent.back().charge == relay::Charge::Retry));
+        it.answer(it.last(), Fixture::head(OK), "mine");
+        BOOST_TEST(it.world.callers[2].bytes == "mine");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_stray_response_does_not_turn_one_reset_of_a_later_request_into_a_back_off_of_both_upstreams)
+{
+    core.setWorkers({worker("w1"), worker("w2")});
+    arrive(1, "/again/x");
+    relay::AttemptEnd garbage;
+    garbage.reason = "malformed";
+    garbage.malformed = true;
+    core.onAttemptEnded(now, last(), garbage);
+    core.onAttemptEnded(now, last(), garbage);
+    arrive(2, "/again/x");
+    loseConnection(last());
+    loseConnection(last());
+    BOOST_TEST(world.callers[2].refused);
+    arrive(3, "/again/x");
+    BOOST_TEST(world.callers[3].ends == 0);
+    answer(last(), head(OK), "mine");
+    BOOST_TEST(world.callers[3].bytes == "mine");
+}
+
+BOOST_AUTO_TEST_CASE(a_stray_response_on_a_new_connection_excludes_the_upstream)
+{
+    core.setWorkers({worker("w1")});
+    arrive(1, "/again/x");
+    core.onResponseHead(now, last(), head(OK, ResponseOwner::Other));
+    BOOST_REQUIRE(world.sent.size() == 2U);
+    core.onResponseHead(now, last(), head(OK, ResponseOwner::Other));
+    BOOST_TEST(world.sent.size() == 2U);
+    BOOST_TEST(world.callers[1].refused);
+    BOOST_TEST(!world.callers[1].refusedNotRun);
+}
+
 BOOST_AUTO_TEST_CASE(an_unsigned_success_response_counts_as_a_failure)
 {
     arrive(1, "/once/x");
