Inspect a worker again before its silence counts as a loss

A worker whose sockets paused for a second or so was taken for gone 0.8 s after the pause began: entries report it after their connect timeout of 400 ms, the leader's one inspection got no connection within 400 ms either, and the models that it holds were ordered elsewhere, with loads from the store and evictions; its lost attempts were confirmed as crashes, which is evidence for quarantines.

A refused connection counts at once, as before: 0.41 s after the end of a worker in the played test. A connection attempt without an answer is repeated until the worker has been silent for 2 s: 2.4 s after a worker vanished without closing its connections, which took 0.8 s before. The 2 s exceed a pause of 1.5 s by the connect timeout, as an attempt near the end of the pause fails only then. The log line upstream_unreachable names which of the two it was.

SuspectTracker is a pure core for what the residency thread did with a map.

Ruled out: longer connect timeouts, which delay what a refused connection or another upstream would settle.

--- a/src/bamboomoor/gateway/residencythread.cpp
+++ b/src/bamboomoor/gateway/residencythread.cpp
@@ -58,6 +58,18 @@
         .add("expected", static_cast<std::int64_t>(order.expected));
 }
 
+Connection connectionOf(http::EndKind kind)
+{
+    switch (kind) {
+    case http::EndKind::ConnectFailed:
+        return Connection::Refused;
+    case http::EndKind::ConnectTimeout:
+        return Connection::NotAnswered;
+    default:
+        return Connection::Accepted;
+    }
+}
+
 placement::WorkerReport reportOf(const membership::Announcement &announcement)
 {
     placement::WorkerReport report;
@@ -129,6 +141,7 @@
         : m_desk(desk)
         , m_term(term)
         , m_worker(std::move(worker))
+        , m_sentAt(desk.m_context.clock.now())
     {
     }
 
@@ -145,16 +158,16 @@
     void onEnd(http::Ending ending) override
     {
         const bool answered = ending.kind == http::EndKind::Complete;
-        const bool unreachable =
-            ending.kind == http::EndKind::ConnectFailed || ending.kind == http::EndKind::ConnectTimeout;
         m_desk.post(InspectionDone{m_term, m_worker,
-            answered ? m_desk.m_context.dialect.readInspection(m_status, m_body) : std::nullopt, unreachable});
+            answered ? m_desk.m_context.dialect.readInspection(m_status, m_body) : std::nullopt, m_sentAt,
+            connectionOf(ending.kind)});
     }
 
 private:
     ResidencyThread &m_desk;
     const std::uint64_t m_term;
     const std::string m_worker;
+    const base::Millis m_sentAt;
     int m_status = 0;
     std::string m_body;
 };
@@ -166,6 +179,7 @@
     , m_waiting(m_options.loadAge)
     , m_permits(m_options.permits)
     , m_schedule(m_options.spacing, m_options.interval)
+    , m_suspects(m_options.suspects)
 {
 }
 
@@ -318,12 +332,13 @@
 void ResidencyThread::suspect(const std::string &worker)
 {
     const base::Millis now = m_context.clock.now();
-    std::erase_if(m_suspects, [&](const auto &it) {
-        return now - it.second > m_options.suspectInterval;
-    });
-    if (!m_suspects.emplace(worker, now).second) {
-        return;
+    if (m_suspects.suspect(now, worker)) {
+        inspectSuspect(now, worker);
     }
+}
+
+void ResidencyThread::inspectSuspect(base::Millis now, const std::string &worker)
+{
     if (const auto address = m_context.upstreams.addressOf(now, worker)) {
         inspect({worker, *address});
     }
@@ -482,15 +497,20 @@
 void ResidencyThread::on(InspectionDone &event)
 {
     if (m_plan && event.term == m_term) {
-        if (event.unreachable && m_suspects.contains(event.worker)) {
+        const base::Millis now = m_context.clock.now();
+        const SuspectVerdict verdict = m_suspects.onInspected(now, event.worker, event.sentAt, event.connection);
+        if (verdict == SuspectVerdict::Unreachable) {
             m_context.log.write(base::LogLine("upstream_unreachable")
                                     .add("upstream", event.worker)
+                                    .add("connection", CONNECTION_NAMES.name(event.connection))
                                     .add("term", static_cast<std::int64_t>(m_term)));
             m_context.metrics.unreachable();
             m_plan->unreachable(event.worker);
-            m_crashes.onUnreachable(m_context.clock.now(), event.worker);
+            m_crashes.onUnreachable(now, event.worker);
+        } else if (verdict == SuspectVerdict::InspectAgain) {
+            inspectSuspect(now, event.worker);
         }
-        m_plan->inspected(m_context.clock.now(), event.worker, event.found);
+        m_plan->inspected(now, event.worker, event.found);
     }
 }
 
--- a/src/bamboomoor/gateway/residencythread.hpp
+++ b/src/bamboomoor/gateway/residencythread.hpp
@@ -13,6 +13,7 @@
 #include "bamboomoor/gateway/decisionschedule.hpp"
 #include "bamboomoor/gateway/dialect.hpp"
 #include "bamboomoor/gateway/fwd.hpp"
+#include "bamboomoor/gateway/suspecttracker.hpp"
 #include "bamboomoor/gateway/waitingtotals.hpp"
 #include "bamboomoor/http/client.hpp"
 #include "bamboomoor/placement/residency.hpp"
@@ -47,8 +48,8 @@
     base::Millis startTimeout{400};
     // A worker whose lease expires within this time has missed an announcement and is inspected.
     base::Millis minRemainingLease{2'400};
-    // Time between two inspections of a worker that entries report as unreachable.
-    base::Millis suspectInterval{500};
+    // When a worker that entries report as unreachable, or that missed an announcement, counts as such.
+    SuspectOptions suspects;
     // Lifetime of an entry's report of the requests that it has waiting.
     base::Millis loadAge{1'500};
     // A round of events and a decision that takes longer is logged, at most once per such period.
@@ -118,8 +119,8 @@
         std::uint64_t term = 0;
         std::string worker;
         std::optional<placement::InspectionResult> found;
-        // The worker accepted no connection.
-        bool unreachable = false;
+        base::Millis sentAt;
+        Connection connection = Connection::Accepted;
     };
     using Event = std::variant<ReportEvent, Leading, NotLeading, ConfigurationChanged, OrderDone, InspectionDone>;
     class OrderListener;
@@ -145,6 +146,7 @@
     [[nodiscard]] bool hasConfirmedLeadership(base::Millis now) const;
     void send(const placement::ResidencyOrder &order);
     void inspect(const placement::Inspection &inspection);
+    void inspectSuspect(base::Millis now, const std::string &worker);
     [[nodiscard]] http::Call limited(http::Call call) const;
 
     ResidencyThreadOptions m_options;
@@ -161,8 +163,7 @@
     // Reset with each leadership; the entries report again what they know.
     quarantine::CrashAnalysis m_crashes;
     DecisionSchedule m_schedule;
-    // Workers reported as unreachable, and when each was last inspected for that reason.
-    std::map<std::string, base::Millis> m_suspects;
+    SuspectTracker m_suspects;
     // When this VM started to receive announcements.
     base::Millis m_listeningSince;
     // 0 while this voter is not the leader.
