Do not take an unanswered connection attempt for a crash at an entry

An entry's own analysis of crashes confirmed a lost attempt as a crash of its upstream when a connection attempt there got no answer within 400 ms. A sound upstream that pauses while it resets or cuts a few answers was thereby evidence against the prompt parts that it was answering. Only a refused connection and a later incarnation confirm a crash there now; the leader, which inspects again, confirms those that stay silent.

upstreams_that_answer_a_connection_attempt_too_late_have_not_crashed_on_a_prompt fails on the code before for attempts without an answer, and shows that refused ones still count.

--- a/src/bamboomoor/gateway/relaythread.cpp
+++ b/src/bamboomoor/gateway/relaythread.cpp
@@ -213,6 +213,7 @@
     end.lostConnection = event.ending.kind == http::EndKind::ResetBeforeAnswer;
     end.truncated = event.ending.kind == http::EndKind::Truncated || event.ending.kind == http::EndKind::ResetDuring;
     end.delimited = event.ending.delimited;
+    end.connectTimedOut = event.ending.kind == http::EndKind::ConnectTimeout;
     end.malformed = event.ending.kind == http::EndKind::Malformed;
     end.reason = http::END_KIND_NAMES.name(event.ending.kind);
     m_core.onAttemptEnded(now, event.attempt, end);
--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -378,7 +378,7 @@
         const bool stray = end.malformed && !exchange->head && readmitAfterPooled(*exchange);
         if ((end.truncated || lost) && !stalePooled && exchange->splitter.events() < SURVIVED_EVENTS) {
             noteLoss(now, *exchange);
-        } else if (!reached) {
+        } else if (!reached && !end.connectTimedOut) {
             m_guard.onUnreachable(now, exchange->choice.id);
         }
         const AttemptResult result = lost ? AttemptResult::Lost
--- a/src/bamboomoor/relay/core.hpp
+++ b/src/bamboomoor/relay/core.hpp
@@ -83,6 +83,8 @@
     bool truncated = false;
     // The response had a length or chunks; one without ends with its connection, however that comes to close.
     bool delimited = true;
+    // No answer to the connection attempt in time; a sound upstream may pause for longer.
+    bool connectTimedOut = false;
     // The received bytes are no HTTP response.
     bool malformed = false;
 };
--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -389,6 +389,41 @@
     BOOST_TEST(!world.callers[1].refusedNotRun);
 }
 
+BOOST_AUTO_TEST_CASE(upstreams_that_answer_a_connection_attempt_too_late_have_not_crashed_on_a_prompt)
+{
+    for (const bool refused : {true, false}) {
+        Fixture it;
+        const auto arrive = [&it](std::uint64_t id) {
+            relay::Request request;
+            request.id = "r" + std::to_string(id);
+            request.host = "h";
+            request.path = "/once/x";
+            request.parts = {{"shared", 100}, {"own" + std::to_string(id), 10}};
+            it.core.onRequest(it.now, id, request);
+        };
+        std::uint64_t id = 0;
+        for (const char *upstream : {"w1", "w2", "w3", "w4", "w5", "w6"}) {
+            it.core.setWorkers({worker(upstream)});
+            arrive(++id);
+            relay::AttemptEnd cut;
+            cut.truncated = true;
+            it.core.onAttemptEnded(it.now, it.last(), cut);
+            arrive(++id);
+            relay::AttemptEnd unreached;
+            unreached.bytesSent = false;
+            unreached.connectTimedOut = !refused;
+            it.core.onAttemptEnded(it.now, it.last(), unreached);
+            it.now += base::Millis{2'000};
+            it.core.tick(it.now);
+        }
+        it.core.setWorkers({worker("w7")});
+        arrive(++id);
+        const bool quarantined =
+            it.world.callers[id].ends == 1 && it.world.callers[id].reason == relay::Reason::Quarantined;
+        BOOST_TEST(quarantined == refused);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_unsigned_success_response_counts_as_a_failure)
 {
     arrive(1, "/once/x");
