Notice HTTP connections that have gone silent by keep-alive probes

Sockets to upstreams and from callers had no keep-alive: a pooled connection that was lost without a reset stayed usable for as long as the pool kept it, and requests that may be repeated were sent over it; a caller's stayed open until the idle timeout, a stream that only waits for its upstream for longer.

Probes now close a connection to an upstream after 6 s of silence and one from a caller after 30 s. TCP_USER_TIMEOUT, which would decide this whatever the count of the probes, is set to 0 explicitly. It is not used to cut requests in flight: it would also close a connection whose upstream is slow to read a long body. A pause of one or two seconds cuts nothing.

--- a/src/bamboomoor/http/internal/transfer.cpp
+++ b/src/bamboomoor/http/internal/transfer.cpp
@@ -3,6 +3,9 @@
  */
 #include "bamboomoor/http/internal/transfer.hpp"
 
+#include "bamboomoor/http/internal/keepalive.hpp"
+
+#include <glog/logging.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -126,7 +129,11 @@
     if (static_cast<const Transfer *>(self)->m_requested) {
         return CURL_SOCKET_BAD;
     }
-    return socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+    const int opened = socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+    if (opened >= 0 && !setKeepAlive(opened, UPSTREAM_KEEP_ALIVE)) {
+        LOG_FIRST_N(WARNING, 1) << "event=keep_alive_refused end=upstream";
+    }
+    return opened;
 }
 
 std::size_t Transfer::onHeaderLine(char *bytes, std::size_t size, std::size_t count, void *self)
--- a/src/bamboomoor/http/server.cpp
+++ b/src/bamboomoor/http/server.cpp
@@ -4,9 +4,11 @@
 #include "bamboomoor/http/server.hpp"
 
 #include "bamboomoor/http/internal/exchange.hpp"
+#include "bamboomoor/http/internal/keepalive.hpp"
 #include "bamboomoor/http/internal/listen.hpp"
 #include "bamboomoor/http/internal/tally.hpp"
 
+#include <glog/logging.h>
 #include <microhttpd.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -256,6 +258,9 @@
         if (connection < 0) {
             return;
         }
+        if (!internal::setKeepAlive(connection, internal::CALLER_KEEP_ALIVE)) {
+            LOG_FIRST_N(WARNING, 1) << "event=keep_alive_refused end=caller";
+        }
         // The library closes the socket itself when it cannot take it.
         if (MHD_add_connection(m_daemons[m_nextDaemon++ % m_daemons.size()], connection, generic, size) != MHD_YES) {
             ++m_scope->tally->overConnections;
