Set how long a silent peer keeps its connection to a server

gRPC sets TCP_USER_TIMEOUT on the connections that a server accepts by itself (20 s, read back on the code before), but sends no keep-alive pings for two hours: a connection between daemons that went silent without a reset while nothing was sent stayed open on the server for that long. Clients take new connections after a call that timed out, so such connections add up.

The server now pings a peer that sent nothing for 20 s and closes the connection after 10 s without an answer; gRPC uses these 10 s as TCP_USER_TIMEOUT. The client stays as it was, without pings and with TCP_USER_TIMEOUT 0. A pause of a second or two closes nothing.

--- a/src/bamboomoor/peer/server.cpp
+++ b/src/bamboomoor/peer/server.cpp
@@ -89,6 +89,9 @@
     int port = 0;
     builder.AddListeningPort(address, grpc::InsecureServerCredentials(), &port);
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIME_MS, static_cast<int>(SILENT_PEER_PING.count));
+    builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, static_cast<int>(SILENT_PEER_TIMEOUT.count));
+    builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
     builder.SetMaxReceiveMessageSize(MAX_MESSAGE_BYTES);
     builder.RegisterService(m_service.get());
     m_server->server = builder.BuildAndStart();
