--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -261,7 +261,8 @@
     settleRetry(now, *exchange, true);
     if (head.owner == ResponseOwner::Other) {
         m_effects.cancel(attempt);
-        fail(now, *exchange, AttemptResult::Failed, false, true, "foreign_answer");
+        const bool pooled = readmitAfterPooled(*exchange);
+        fail(now, *exchange, pooled ? AttemptResult::Stray : AttemptResult::Failed, false, true, "foreign_answer");
         return;
     }
     applySignal(now, *exchange, head);
@@ -274,6 +275,15 @@
     exchange->head = std::move(head);
 }
 
+bool Core::readmitAfterPooled(Exchange &exchange)
+{
+    if (exchange.attempt.freshConnection) {
+        return false;
+    }
+    exchange.requirements.excluded.erase(exchange.choice.id);
+    return true;
+}
+
 void Core::applySignal(base::Millis now, const Exchange &exchange, const ResponseHead &head)
 {
     const bool ran = !head.notRun && !head.misdirected;
@@ -365,18 +375,18 @@
     if (!end.complete || !exchange->head) {
         const bool reached = end.bytesSent || exchange->head.has_value();
         const bool lost = end.lostConnection && !exchange->head;
-        const bool stalePooled = lost && !exchange->attempt.freshConnection;
-        if (stalePooled) {
-            // The pooled connection was stale, which does not indicate a failed upstream; a new connection will show.
-            exchange->requirements.excluded.erase(exchange->choice.id);
+        if (lost) {
+            static_cast<void>(readmitAfterPooled(*exchange));
         }
+        const bool stray = end.malformed && !exchange->head && readmitAfterPooled(*exchange);
         // A crash closes pooled connections too; whether there was one is left to the analysis.
         if ((end.truncated || lost) && exchange->splitter.events() < SURVIVED_EVENTS) {
             noteLoss(now, *exchange);
-        } else if (!reached) {
+        } else if (!reached && !end.connectTimedOut) {
             m_guard.onUnreachable(now, exchange->choice.id);
         }
         const AttemptResult result = lost ? AttemptResult::Lost
+            : stray                       ? AttemptResult::Stray
             : reached                     ? AttemptResult::Failed
                                           : AttemptResult::NotReached;
         fail(now, *exchange, result, !reached, reached, end.reason);
