Detect a partition from all upstreams and send attempts through other entries

The cause: each failed connection counted against its upstream, until all were backed off, and there was no other path.

Attempts then name a forwarding entry (Attempt::via); limits, keys, retries and ownership checks stay at the first entry. Trials over new direct connections end the state. Failures of the direct path are kept apart from those of upstreams meanwhile.

Nothing sets peers yet; the transport follows.

--- a/src/bamboomoor/gateway/relaymetrics.cpp
+++ b/src/bamboomoor/gateway/relaymetrics.cpp
@@ -40,6 +40,21 @@
                         .Name("bamboomoor_relay_quarantines_total")
                         .Help("Prompt parts that were quarantined, by who decided it")
                         .Register(m_registry))
+    , m_forwards(prometheus::BuildCounter()
+                     .Name("bamboomoor_relay_forwards_total")
+                     .Help("Requests that other entries sent through this one, by result")
+                     .Register(m_registry))
+    , m_forwarded(prometheus::BuildCounter()
+                      .Name("bamboomoor_relay_forwarded_attempts_total")
+                      .Help("Attempts that this entry sent through another one")
+                      .Register(m_registry)
+                      .Add({}))
+    , m_cuts(prometheus::BuildCounter()
+                 .Name("bamboomoor_relay_upstream_partitions_total")
+                 .Help("Partitions of this entry from all upstreams")
+                 .Register(m_registry)
+                 .Add({}))
+    , m_cutOff(gauge(m_registry, "bamboomoor_relay_upstreams_cut_off", "1 while this entry reaches no upstream"))
     , m_dropped(prometheus::BuildCounter()
                     .Name("bamboomoor_relay_events_dropped_total")
                     .Help("Events that did not fit the ring of the relay's thread")
@@ -77,6 +92,22 @@
     m_quarantines.Add({{"decided_by", byLeader ? "leader" : "entry"}}).Increment();
 }
 
+void RelayMetrics::reachChanged(bool cutOff)
+{
+    m_cutOff.Set(cutOff ? 1 : 0);
+    m_cuts.Increment(cutOff ? 1 : 0);
+}
+
+void RelayMetrics::forwardedTo()
+{
+    m_forwarded.Increment();
+}
+
+void RelayMetrics::forwardedFor(std::string_view result)
+{
+    m_forwards.Add({{"result", std::string(result)}}).Increment();
+}
+
 void RelayMetrics::fill(std::size_t ring, std::size_t open)
 {
     m_ring.Set(static_cast<double>(ring));
--- a/src/bamboomoor/gateway/relaymetrics.hpp
+++ b/src/bamboomoor/gateway/relaymetrics.hpp
@@ -12,6 +12,7 @@
 
 #include <cstddef>
 #include <string>
+#include <string_view>
 
 namespace bamboomoor::gateway
 {
@@ -30,6 +31,13 @@
     /** @brief Counts a quarantined prompt part. @param byLeader Whether the leader has decided it. */
     void quarantined(bool byLeader);
 
+    /** @brief Counts the begin or the end of a partition from all upstreams. @param cutOff Whether it began. */
+    void reachChanged(bool cutOff);
+    /** @brief Counts an attempt that was sent through another entry. */
+    void forwardedTo();
+    /** @brief Counts a request of another entry. @param result What became of it. */
+    void forwardedFor(std::string_view result);
+
     /** @brief Sets the load gauges. @param ring Number of queued events. @param open Requests in progress. */
     void fill(std::size_t ring, std::size_t open);
 
@@ -44,6 +52,10 @@
     prometheus::Family<prometheus::Counter> &m_steps;
     prometheus::Family<prometheus::Counter> &m_words;
     prometheus::Family<prometheus::Counter> &m_quarantines;
+    prometheus::Family<prometheus::Counter> &m_forwards;
+    prometheus::Counter &m_forwarded;
+    prometheus::Counter &m_cuts;
+    prometheus::Gauge &m_cutOff;
     prometheus::Counter &m_dropped;
     prometheus::Histogram &m_firstEvent;
     prometheus::Histogram &m_answer;
--- a/src/bamboomoor/gateway/relaythread.cpp
+++ b/src/bamboomoor/gateway/relaythread.cpp
@@ -465,6 +465,7 @@
     base::LogLine line(relay::STEP_NAMES.name(decision.step));
     line.add("id", decision.request).add("route", decision.route).add("org", decision.organisation);
     line.add("reason", decision.reason).add("model", decision.holding).add("upstream", decision.upstream);
+    line.add("via", decision.via);
     if (decision.attempt != 0) {
         line.add("attempt", static_cast<std::int64_t>(decision.attempt));
         line.add("expected_wait_ms", decision.expectedWait);
@@ -472,6 +473,9 @@
     if (decision.tokens > 0 && (decision.step == relay::Step::Sent || decision.step == relay::Step::Refused)) {
         line.add("tokens", decision.tokens);
     }
+    if (decision.step == relay::Step::Sent && !decision.via.empty()) {
+        m_context.metrics.forwardedTo();
+    }
     if (decision.charge) {
         line.add("charge", relay::CHARGE_NAMES.name(*decision.charge));
         line.add("connection", decision.freshConnection ? "new" : "pooled");
@@ -506,6 +510,17 @@
                             .add("left_ms", finding.until - m_context.clock.now()));
 }
 
+void RelayThread::logReach(const relay::ReachChange &change)
+{
+    m_context.metrics.reachChanged(change.cutOff);
+    base::LogLine line(change.cutOff ? "upstreams_cut_off" : "upstreams_reached");
+    if (change.cutOff) {
+        line.add("failed_upstreams", static_cast<std::int64_t>(change.failedUpstreams))
+            .add("peers", static_cast<std::int64_t>(change.peers));
+    }
+    m_context.log.write(line.add("lasted_ms", change.lasted));
+}
+
 void RelayThread::logSignal(const relay::SignalNote &note)
 {
     m_context.metrics.count(note);
--- a/src/bamboomoor/gateway/relaythread.hpp
+++ b/src/bamboomoor/gateway/relaythread.hpp
@@ -172,6 +172,7 @@
     void logDecision(const relay::Decision &decision) override;
     void logSignal(const relay::SignalNote &note) override;
     void logQuarantine(const quarantine::Finding &finding, bool byLeader) override;
+    void logReach(const relay::ReachChange &change) override;
 
     struct Caller {
         std::shared_ptr<http::Responder> responder;
--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -241,6 +241,7 @@
     attempt.charge = exchange.retryCharged ? Charge::Retry
         : exchange.unreached > 0           ? Charge::NoneArrived
                                            : Charge::First;
+    selectPath(now, exchange);
     exchange.choice.freshConnection = attempt.freshConnection;
     ++exchange.sent;
     m_byAttempt.emplace(attempt.id, exchange.id);
@@ -257,6 +258,12 @@
         return;
     }
     exchange->lastProgressAt = now;
+    if (exchange->attempt.via.empty()) {
+        m_reach.onAnswered(now, exchange->sentAt, exchange->attempt.freshConnection);
+        evaluateReach(now);
+    } else {
+        m_reach.onPeerAnswered(exchange->attempt.via);
+    }
     settleRetry(now, *exchange, true);
     if (head.owner == ResponseOwner::Other) {
         m_effects.cancel(attempt);
@@ -361,6 +368,10 @@
     if (exchange == nullptr) {
         return;
     }
+    if (end.peerFailed) {
+        onPeerFailed(now, *exchange, end);
+        return;
+    }
     if (!end.complete || !exchange->head) {
         const bool reached = end.bytesSent || exchange->head.has_value();
         const bool lost = end.lostConnection && !exchange->head;
@@ -369,7 +380,19 @@
             // The pooled connection was stale, which does not indicate a failed upstream; a new connection will show.
             exchange->requirements.excluded.erase(exchange->choice.id);
         }
-        if ((end.truncated || lost) && !stalePooled && exchange->splitter.events() < SURVIVED_EVENTS) {
+        if (!exchange->head && !stalePooled) {
+            noteUnanswered(now, *exchange, reached ? ReachFailure::NoAnswer : ReachFailure::NotConnected);
+        }
+        if (!reached && forwardInstead(now, *exchange, end.reason)) {
+            return;
+        }
+        // A forwarded answer is also truncated when the forwarding entry ends.
+        const bool truncated = end.truncated && exchange->attempt.via.empty();
+        if (lostInPartition(*exchange)) {
+            fail(now, *exchange, AttemptResult::Cancelled, !reached, reached, end.reason);
+            return;
+        }
+        if ((truncated || lost) && !stalePooled && exchange->splitter.events() < SURVIVED_EVENTS) {
             noteLoss(now, *exchange);
         } else if (!reached) {
             m_guard.onUnreachable(now, exchange->choice.id);
--- a/src/bamboomoor/relay/core.cpp
+++ b/src/bamboomoor/relay/core.cpp
@@ -50,6 +50,7 @@
     , m_retries(m_options.retries)
     , m_budgetHolder(m_options.budget)
     , m_guard(m_options.quarantine)
+    , m_reach(m_options.reach)
 {
 }
 
@@ -65,6 +66,7 @@
     for (const Worker &it : workers) {
         m_listed.push_back({it.id, it.incarnation});
     }
+    m_reach.setUpstreamCount(workers.size());
     m_fleet.update(std::move(workers));
 }
 
@@ -203,6 +205,7 @@
         scheduleCheck(*exchange, base::NEVER);
         checkTimers(now, *exchange);
     }
+    evaluateReach(now);
     m_guard.onRuns(now, std::exchange(m_listed, {}));
     enforceQuarantine(now, m_guard.evaluate(now), false);
     dispatchQueued(now);
@@ -347,6 +350,9 @@
     }
     const bool isNews = !std::exchange(exchange.stalled, true);
     if (isNews) {
+        noteUnanswered(now, exchange, ReachFailure::NoAnswer);
+    }
+    if (isNews && !lostInPartition(exchange)) {
         m_fleet.onStall(now, exchange.choice);
     }
     settleRetry(now, exchange, true);
@@ -368,7 +374,7 @@
     note(now, exchange, Step::AttemptFailed, "silent", 0, next);
     m_effects.cancel(exchange.attempt.id);
     exchange.mayHaveRun = true;
-    closeAttempt(now, exchange, AttemptResult::Failed);
+    closeAttempt(now, exchange, lostInPartition(exchange) ? AttemptResult::Cancelled : AttemptResult::Failed);
     send(now, exchange, std::move(*choice));
 }
 
@@ -455,6 +461,7 @@
     decision.reason = reason;
     decision.status = status;
     decision.attempt = exchange.attempt.id;
+    decision.via = exchange.attempt.via;
     if (step == Step::Sent) {
         decision.charge = exchange.attempt.charge;
         decision.freshConnection = exchange.attempt.freshConnection;
--- a/src/bamboomoor/relay/core.hpp
+++ b/src/bamboomoor/relay/core.hpp
@@ -19,6 +19,7 @@
 #include "bamboomoor/relay/request.hpp"
 #include "bamboomoor/relay/retrybudget.hpp"
 #include "bamboomoor/relay/routetable.hpp"
+#include "bamboomoor/relay/upstreamreach.hpp"
 
 #include <cstdint>
 #include <map>
@@ -54,6 +55,8 @@
     std::string upstream;
     // "IP:PORT".
     std::string address;
+    // "IP:PORT" of the entry that forwards the request to the upstream; empty if it is sent directly.
+    std::string via;
     // The organisation that owns the caller's API key; empty without a key.
     std::string organisation;
     // From 0, the most urgent, to 9.
@@ -83,6 +86,8 @@
     bool truncated = false;
     // The response had a length or chunks; one without ends with its connection, however that comes to close.
     bool delimited = true;
+    // The forwarding entry failed or did not forward; nothing is known of the upstream.
+    bool peerFailed = false;
 };
 
 /** @brief Why a request is rejected or fails. */
@@ -134,6 +139,8 @@
     std::string_view route;
     std::string_view organisation;
     std::string_view upstream;
+    // The forwarding entry; empty for a direct attempt.
+    std::string_view via;
     // The requested MODEL or MODEL/ADAPTER; empty for a plain service.
     std::string_view holding;
     std::string_view reason;
@@ -202,6 +209,8 @@
     /** @brief Reports that a prompt part has been quarantined. @param finding The part. @param byLeader Whether the
      * leader has decided it. */
     virtual void logQuarantine(const quarantine::Finding &finding, bool byLeader) = 0;
+    /** @brief Reports that a partition from all upstreams began or ended. @param change The change. */
+    virtual void logReach(const ReachChange &change) = 0;
 };
 
 /** @brief The settings of a core. */
@@ -210,6 +219,7 @@
     RetryOptions retries;
     budget::HolderOptions budget;
     quarantine::PromptGuardOptions quarantine;
+    UpstreamReachOptions reach;
     // The least retry delay for a model that no upstream has loaded, or a service without upstreams.
     base::Millis minLoadRetryDelay{1'000};
     // The greatest retry delay for a model that no upstream has loaded: losing its host is detected within 0.5 s, and
@@ -225,6 +235,10 @@
     base::Millis retrySpread{400};
     // The number of attempts that failed before any byte was sent after which a request fails.
     int maxUnreachedAttempts = 3;
+    // The number of forwarding entries that failed before they forwarded after which a request fails.
+    int maxPeerFailures = 4;
+    // The number of those after which it is tried directly.
+    int peerFailuresBeforeDirect = 2;
     // If the budget authority has not replied for this time, a rejection is attributed to the missing reply
     // (RateUnknown) instead of an exceeded rate.
     base::Millis budgetTimeout{1'000};
@@ -272,6 +286,18 @@
     /** @brief Replaces the list of available upstreams. @param workers The complete list. */
     void setWorkers(std::vector<Worker> workers);
 
+    /** @brief Replaces the list of entries that can forward requests. @param addresses "IP:PORT" of each. */
+    void setPeers(std::vector<std::string> addresses)
+    {
+        m_reach.setPeers(std::move(addresses));
+    }
+
+    /** @brief Returns the detection of a partition from all upstreams. */
+    [[nodiscard]] const UpstreamReach &reach() const noexcept
+    {
+        return m_reach;
+    }
+
     /**
      * @brief Accepts a caller's request.
      * @param now The current time.
@@ -397,6 +423,10 @@
         // Attempts that may have reached an upstream.
         std::int64_t sent = 0;
         int unreached = 0;
+        // Forwarding entries that failed before they forwarded.
+        int peerFailures = 0;
+        // A direct attempt failed during a partition; the next ones are forwarded.
+        bool avoidsDirect = false;
         // A retry has been charged to the retry budget and not yet settled.
         bool retryCharged = false;
         // An attempt may have been executed.
@@ -441,6 +471,12 @@
     [[nodiscard]] std::optional<base::Millis> quarantinedFor(base::Millis now, const Exchange &exchange) const;
     void enforceQuarantine(base::Millis now, const std::vector<quarantine::Finding> &findings, bool byLeader);
     void noteLoss(base::Millis now, const Exchange &exchange);
+    void selectPath(base::Millis now, Exchange &exchange);
+    void evaluateReach(base::Millis now);
+    void noteUnanswered(base::Millis now, const Exchange &exchange, ReachFailure failure);
+    [[nodiscard]] bool forwardInstead(base::Millis now, Exchange &exchange, std::string_view how);
+    void onPeerFailed(base::Millis now, Exchange &exchange, const AttemptEnd &end);
+    [[nodiscard]] bool lostInPartition(const Exchange &exchange) const;
     void noteSurvival(base::Millis now, const Exchange &exchange);
     [[nodiscard]] static const std::string &fingerprintOf(const Exchange &exchange);
     [[nodiscard]] bool isRepeatable(const Exchange &exchange) const;
@@ -467,6 +503,7 @@
     RetryBudget m_retries;
     budget::Holder m_budgetHolder;
     quarantine::PromptGuard m_guard;
+    UpstreamReach m_reach;
     // The upstreams of the latest list, until tick() has passed them to the guard.
     std::vector<standing::Run> m_listed;
     base::Millis m_lastBudgetReplyAt;
--- a/src/bamboomoor/relay/fleet.cpp
+++ b/src/bamboomoor/relay/fleet.cpp
@@ -528,6 +528,27 @@
     }
 }
 
+void Fleet::setFailuresAside()
+{
+    for (auto &[id, known] : m_workers) {
+        State &state = known.state;
+        state.directBackoff = std::exchange(state.backoff, {});
+        state.directBackoffUntil = std::exchange(state.backoffUntil, {});
+        state.failures = 0;
+        state.lostConnection = false;
+        state.window = std::max(state.window, m_options.initialWindow);
+    }
+}
+
+void Fleet::restoreFailures()
+{
+    for (auto &[id, known] : m_workers) {
+        State &state = known.state;
+        state.backoff = std::max(state.backoff, std::exchange(state.directBackoff, {}));
+        state.backoffUntil = std::max(state.backoffUntil, std::exchange(state.directBackoffUntil, {}));
+    }
+}
+
 void Fleet::onMissingHolding(const std::string &id, const std::string &holding)
 {
     if (TrackedWorker *known = find(id)) {
--- a/src/bamboomoor/relay/fleet.hpp
+++ b/src/bamboomoor/relay/fleet.hpp
@@ -296,6 +296,12 @@
      */
     void onEnded(base::Millis now, const Choice &choice, bool hadStarted, AttemptResult result);
 
+    /** @brief Sets aside the failures of all upstreams, as the direct path to them and not they failed. */
+    void setFailuresAside();
+
+    /** @brief Restores the back-off of upstreams whose failures were set aside, once the direct path is used again. */
+    void restoreFailures();
+
     /**
      * @brief Records that an upstream does not have a holding that it announced; it is excluded from requests for it
      * until its next announcement.
@@ -326,6 +332,9 @@
         base::Millis measuredAt;
         base::Millis backoffUntil;
         base::Millis backoff;
+        // The back-off of direct attempts while requests are forwarded.
+        base::Millis directBackoffUntil;
+        base::Millis directBackoff;
         // A connection was lost; pooled connections are not used until the next response.
         bool lostConnection = false;
         // Hashes of the prompt prefixes sent there with the time of their last use, and the reverse for LRU eviction.
--- a/src/bamboomoor/relay/fwd.hpp
+++ b/src/bamboomoor/relay/fwd.hpp
@@ -12,6 +12,7 @@
 class Pacer;
 class RetryBudget;
 class RouteTable;
+class UpstreamReach;
 struct ResponseHead;
 struct Attempt;
 struct Request;
--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -99,6 +99,9 @@
     void logQuarantine(const quarantine::Finding & /*finding*/, bool /*byLeader*/) override
     {
     }
+    void logReach(const relay::ReachChange & /*change*/) override
+    {
+    }
 
     std::map<std::uint64_t, Seen> callers;
     std::vector<relay::Attempt> sent;
--- a/test/bamboomoor/relay/ignoredeffects.hpp
+++ b/test/bamboomoor/relay/ignoredeffects.hpp
@@ -49,6 +49,9 @@
     void logQuarantine(const quarantine::Finding & /*finding*/, bool /*byLeader*/) override
     {
     }
+    void logReach(const ReachChange & /*change*/) override
+    {
+    }
 };
 
 } // namespace bamboomoor::relay::test
