Forward attempts between entries over an internal port

An entry that is cut off from all upstreams had a choice of path, but no transport and no peers.

Entries listen at forward_listen for attempts of others. An attempt is the ordinary call with four more header lines; the second entry checks the leader's token and that it knows the upstream at that address, calls it once, and passes the response on as it arrives. Each response states what became of the request; one without a statement may have run. Entries report where they forward while upstreams answered them in the last 5 s, and the leader names six of them to each entry, half of them in its own data centre.

In a partition without peers, failures count against upstreams as before, and crashes stay evidence for quarantines.

Ruled out: the list of all entries (most of each reply with 95 entries), and trust by address (the first entry's address may be any of its host's).

Not run with real processes yet.

--- a/src/bamboomoor/daemon/daemon.cpp
+++ b/src/bamboomoor/daemon/daemon.cpp
@@ -130,7 +130,7 @@
           [this] {
               m_desk.configurationChanged();
           })
-    , m_demand({.vm = m_settings.vm}, m_desk, m_book, m_peers, m_leader, m_clock)
+    , m_demand({.vm = m_settings.vm, .dataCentre = m_settings.dataCentre}, m_desk, m_book, m_peers, m_leader, m_clock)
     , m_operators(
           m_settings.operatorToken, m_peers, m_leader,
           [this] {
--- a/src/bamboomoor/entry/demandreport.cpp
+++ b/src/bamboomoor/entry/demandreport.cpp
@@ -104,6 +104,8 @@
     const base::Millis now = m_clock.now();
     peer::wire::DemandReport report;
     report.set_vm(m_options.vm);
+    report.set_forward_address(m_source.forwardAddress());
+    report.set_data_centre(m_options.dataCentre);
     report.set_span_ms((now - m_countedSince).count);
     m_countedSince = now;
     for (const TargetDemand &it : m_source.takeDemand()) {
@@ -170,6 +172,8 @@
         news.words.push_back(std::move(told));
     }
     news.quarantine = control::quarantineReply(now, reply);
+    news.peers.assign(reply.peers().begin(), reply.peers().end());
+    news.peerToken = reply.peer_token();
     m_source.takeNews(std::move(news));
     std::set<DrainingReplica> draining;
     for (const auto &it : reply.draining()) {
--- a/src/bamboomoor/entry/demandreport.hpp
+++ b/src/bamboomoor/entry/demandreport.hpp
@@ -53,6 +53,9 @@
     std::vector<Placement> placements;
     std::vector<standing::LeaderReport> words;
     quarantine::LeaderReply quarantine;
+    // "IP:PORT" of entries that forward requests, and the token that entries present to each other.
+    std::vector<std::string> peers;
+    std::string peerToken;
 };
 
 /** @brief Counts the demand of an entry; usable from any thread. */
@@ -104,6 +107,13 @@
         return {};
     }
 
+    /** @brief Returns where this entry forwards requests of others. @return "IP:PORT"; empty unless upstreams answered
+     * lately. */
+    [[nodiscard]] virtual std::string forwardAddress() const
+    {
+        return {};
+    }
+
     /** @brief Takes what the leader tells. @param news The news. */
     virtual void takeNews(LeaderNews news)
     {
@@ -114,6 +124,7 @@
 /** @brief The settings of the thread. */
 struct DemandReportOptions {
     std::string vm;
+    std::string dataCentre;
     base::Millis interval{1'000};
     base::Millis timeout{700};
 };
--- a/src/bamboomoor/gateway/entrydaemon.cpp
+++ b/src/bamboomoor/gateway/entrydaemon.cpp
@@ -16,6 +16,8 @@
 {
 
 constexpr base::Millis DRAIN_POLL{50};
+// What the lines between entries and to upstreams add to the head of a caller's request.
+constexpr std::size_t FORWARD_HEADER_BYTES = 4'096;
 // Interval of the demand reports, on which placement is based.
 constexpr base::Millis DEMAND_INTERVAL{250};
 // Budget holder: interval of its reports, and the longest time that a request waits for tokens.
@@ -35,6 +37,8 @@
     RelayThreadOptions options;
     options.core.fleet.dataCentre = settings.dataCentre;
     options.core.fleet.seed = std::hash<std::string>()(settings.vm) ^ incarnation();
+    options.core.reach.seed = options.core.fleet.seed;
+    options.forwardAddress = settings.forwardListen;
     options.core.retries.permille = settings.relay.retryPermille;
     options.core.retries.window = settings.relay.retryWindow;
     options.core.maxResponseBytes = static_cast<std::size_t>(settings.relay.maxAnswerBytes);
@@ -60,6 +64,7 @@
 {
     entry::DemandReportOptions options;
     options.vm = settings.vm;
+    options.dataCentre = settings.dataCentre;
     options.interval = DEMAND_INTERVAL;
     return options;
 }
@@ -73,6 +78,14 @@
     return options;
 }
 
+http::ServerOptions forwardServerOptions(const settings::Settings &settings)
+{
+    http::ServerOptions options = serverOptions(settings);
+    options.maxHeaderBytes += FORWARD_HEADER_BYTES;
+    options.threads = 1;
+    return options;
+}
+
 } // namespace
 
 EntryDaemon::EntryDaemon(settings::Settings settings, const Dialects &dialects, base::EventLog &log)
@@ -85,7 +98,7 @@
     , m_sync(syncOptions(m_settings), m_heard, m_book, m_peers, m_clock)
     , m_runner(runnerOptions(m_settings),
           {m_clock, m_inForce, m_book, m_sync, m_peers, m_leader, m_client, *dialects.callers, *dialects.upstreams,
-              m_metrics, m_log})
+              m_tokens, m_metrics, m_log})
     , m_freshness(freshnessOptions(m_settings), m_inForce, m_peers, m_leader, m_clock,
           [this] {
               m_runner.configurationChanged();
@@ -100,6 +113,15 @@
           })
     , m_server(m_runner, serverOptions(m_settings))
     , m_readinessServer(m_readiness, controlServerOptions())
+    , m_forwarder({m_client, m_tokens,
+          [this](const std::string &upstream, const std::string &address) {
+              return knows(upstream, address);
+          },
+          [this] {
+              return std::string_view(m_draining ? "draining" : m_runner.isCutOff() ? "cut_off" : "");
+          },
+          m_metrics, m_log})
+    , m_forwardServer(m_forwarder, forwardServerOptions(m_settings))
 {
     m_leader.setSeeds(m_peers.names());
     m_runner.setUrgentReport([this] {
@@ -122,6 +144,12 @@
     if (!readiness) {
         return base::failure("readiness_listen: " + readiness.error().message);
     }
+    if (!m_settings.forwardListen.empty()) {
+        const auto forward = m_forwardServer.start(m_settings.forwardListen);
+        if (!forward) {
+            return base::failure("forward_listen: " + forward.error().message);
+        }
+    }
     const auto address = m_server.start(m_settings.listen);
     if (!address) {
         return base::failure("listen: " + address.error().message);
@@ -141,6 +169,11 @@
     return m_sync.synced() ? "" : "upstreams_unknown";
 }
 
+bool EntryDaemon::knows(const std::string &upstream, const std::string &address) const
+{
+    return m_book.addressOf(m_sync.bookTime(), upstream) == address;
+}
+
 void EntryDaemon::reload(const settings::Settings &settings)
 {
     m_leader.setSeeds(seedNames(settings));
@@ -157,7 +190,10 @@
     while (m_runner.inProgress() > 0 && m_clock.now() < limit) {
         std::this_thread::sleep_for(std::chrono::milliseconds(DRAIN_POLL.count));
     }
-    const bool whole = m_server.stop(std::max(limit - m_clock.now(), base::Millis{0}));
+    const bool answered = m_server.stop(std::max(limit - m_clock.now(), base::Millis{0}));
+    const bool forwarded =
+        m_settings.forwardListen.empty() || m_forwardServer.stop(std::max(limit - m_clock.now(), base::Millis{0}));
+    const bool whole = answered && forwarded;
     m_log.write(base::LogLine("drained").add("whole", whole ? 1 : 0));
     return whole;
 }
@@ -172,6 +208,9 @@
     m_runner.stop();
     m_server.stop({0});
     m_readinessServer.stop({0});
+    if (!m_settings.forwardListen.empty()) {
+        m_forwardServer.stop({0});
+    }
     m_sync.stop();
     m_client.stop();
     m_peers.stop();
--- a/src/bamboomoor/gateway/entrydaemon.hpp
+++ b/src/bamboomoor/gateway/entrydaemon.hpp
@@ -10,6 +10,8 @@
 #include "bamboomoor/entry/upstreambook.hpp"
 #include "bamboomoor/entry/upstreamsync.hpp"
 #include "bamboomoor/gateway/dialect.hpp"
+#include "bamboomoor/gateway/forwarder.hpp"
+#include "bamboomoor/gateway/peertokens.hpp"
 #include "bamboomoor/gateway/process.hpp"
 #include "bamboomoor/gateway/readiness.hpp"
 #include "bamboomoor/gateway/relaymetrics.hpp"
@@ -47,6 +49,7 @@
 
 private:
     [[nodiscard]] std::string_view unready() const;
+    [[nodiscard]] bool knows(const std::string &upstream, const std::string &address) const;
 
     settings::Settings m_settings;
     base::EventLog &m_log;
@@ -61,6 +64,7 @@
     entry::UpstreamBook m_book;
     RelayMetrics m_metrics;
     http::Client m_client;
+    PeerTokens m_tokens;
     entry::UpstreamSync m_sync;
     RelayThread m_runner;
     entry::Freshness m_freshness;
@@ -68,6 +72,8 @@
     Readiness m_readiness;
     http::Server m_server;
     http::Server m_readinessServer;
+    Forwarder m_forwarder;
+    http::Server m_forwardServer;
 };
 
 } // namespace bamboomoor::gateway
--- a/src/bamboomoor/gateway/relaythread.cpp
+++ b/src/bamboomoor/gateway/relaythread.cpp
@@ -4,6 +4,7 @@
 #include "bamboomoor/gateway/relaythread.hpp"
 
 #include "bamboomoor/control/budgetwire.hpp"
+#include "bamboomoor/gateway/forwarding.hpp"
 
 #include <glog/logging.h>
 
@@ -24,22 +25,30 @@
 class RelayThread::AttemptListener final : public http::Listener
 {
 public:
-    AttemptListener(RelayThread &runner, std::uint64_t attempt, std::string requestId)
+    AttemptListener(RelayThread &runner, std::uint64_t attempt, std::string requestId, bool isForwarded)
         : m_runner(runner)
         , m_attempt(attempt)
         , m_requestId(std::move(requestId))
+        , m_isForwarded(isForwarded)
     {
     }
 
     void onHead(int status, http::Headers headers) override
     {
+        if (m_isForwarded) {
+            m_hasHead = true;
+            m_statement = takeStatement(headers);
+            if (!isPassed()) {
+                return;
+            }
+        }
         m_broken = !m_runner.push(
             Head{m_attempt, m_runner.m_context.dialect.readHead(status, std::move(headers), m_requestId)});
     }
 
     void onData(std::string_view bytes) override
     {
-        if (m_broken) {
+        if (m_broken || !isPassed()) {
             return;
         }
         if (*m_unread + bytes.size() > m_runner.m_options.maxUnreadBytes) {
@@ -56,13 +65,59 @@
         if (m_broken) {
             ending.kind = http::EndKind::Truncated;
         }
-        static_cast<void>(m_runner.push(Ended{m_attempt, std::move(ending)}));
+        Ended ended{m_attempt, std::move(ending)};
+        if (m_isForwarded) {
+            applyStatement(ended);
+        }
+        static_cast<void>(m_runner.push(std::move(ended)));
     }
 
 private:
+    [[nodiscard]] bool isPassed() const noexcept
+    {
+        return !m_isForwarded || (m_statement && m_statement->result == ForwardResult::Passed);
+    }
+
+    void applyStatement(Ended &ended) const
+    {
+        http::Ending &ending = ended.ending;
+        if (!m_statement) {
+            // A response without a statement comes from the server of the forwarding entry or from another process.
+            ended.peerFailed = true;
+            ended.reason = m_hasHead ? "peer_unknown" : "peer_" + std::string(http::END_KIND_NAMES.name(ending.kind));
+            return;
+        }
+        switch (m_statement->result) {
+        case ForwardResult::Passed:
+            ending.delimited = ending.delimited && m_statement->delimited;
+            return;
+        case ForwardResult::Refused:
+            ended.peerFailed = true;
+            ended.reason = "peer_refused_" + m_statement->reason;
+            ending.bytesSent = false;
+            return;
+        case ForwardResult::NotConnected:
+            ending.kind = http::EndKind::ConnectFailed;
+            ending.bytesSent = false;
+            return;
+        case ForwardResult::NoResponse:
+            ending.kind = http::EndKind::Silent;
+            ending.bytesSent = true;
+            return;
+        case ForwardResult::Lost:
+            ending.kind = http::EndKind::ResetBeforeAnswer;
+            ending.bytesSent = true;
+            return;
+        }
+    }
+
     RelayThread &m_runner;
     const std::uint64_t m_attempt;
     const std::string m_requestId;
+    const bool m_isForwarded;
+    bool m_hasHead = false;
+    // What the forwarding entry stated.
+    std::optional<ForwardStatement> m_statement;
     const std::shared_ptr<Unread> m_unread = std::make_shared<Unread>(0);
     // Set when a part of the response did not fit the ring.
     bool m_broken = false;
@@ -160,6 +215,9 @@
             m_context.metrics.fill(m_ring.size(), m_core.inProgress());
         }
         m_inProgress = m_core.inProgress();
+        const auto answeredAt = m_core.reach().lastAnswerAt();
+        m_cutOff = m_core.reach().isCutOff();
+        m_offersForwarding = !m_isDraining && !m_cutOff && answeredAt && after - *answeredAt <= m_options.reachAge;
     }
     while (auto event = m_ring.pop({0})) {
         if (auto *arrived = std::get_if<Arrived>(&*event)) {
@@ -213,7 +271,8 @@
     end.lostConnection = event.ending.kind == http::EndKind::ResetBeforeAnswer;
     end.truncated = event.ending.kind == http::EndKind::Truncated || event.ending.kind == http::EndKind::ResetDuring;
     end.delimited = event.ending.delimited;
-    end.reason = http::END_KIND_NAMES.name(event.ending.kind);
+    end.peerFailed = event.peerFailed;
+    end.reason = event.reason.empty() ? http::END_KIND_NAMES.name(event.ending.kind) : std::string_view(event.reason);
     m_core.onAttemptEnded(now, event.attempt, end);
 }
 
@@ -259,11 +318,14 @@
     m_core.setPlacements(now, placed);
     m_core.onLeaderReports(now, event.news.words);
     m_core.onQuarantineReply(now, event.news.quarantine);
+    m_core.setPeers(std::move(event.news.peers));
+    m_context.tokens.learn(event.news.peerToken);
 }
 
 void RelayThread::on(base::Millis /*now*/, Draining & /*event*/)
 {
     m_core.drain();
+    m_isDraining = true;
 }
 
 void RelayThread::refreshUpstreams()
@@ -360,6 +422,11 @@
     return m_quarantineReport;
 }
 
+std::string RelayThread::forwardAddress() const
+{
+    return m_offersForwarding ? m_options.forwardAddress : std::string();
+}
+
 void RelayThread::takeNews(entry::LeaderNews news)
 {
     static_cast<void>(push(News{std::move(news)}));
@@ -446,8 +513,13 @@
     call.totalTimeout = attempt.remaining + m_options.responseGrace;
     call.firstByteTimeout = call.totalTimeout;
     call.progressTimeout = call.totalTimeout;
-    m_calls[attempt.id] =
-        m_context.client.start(std::move(call), std::make_shared<AttemptListener>(*this, attempt.id, request.id));
+    const bool isForwarded = !attempt.via.empty();
+    if (isForwarded) {
+        call = forwardThrough(std::move(call), attempt.upstream, attempt.via, m_context.tokens.current());
+        call.connectTimeout = std::min(m_options.peerConnectTimeout, attempt.remaining);
+    }
+    m_calls[attempt.id] = m_context.client.start(
+        std::move(call), std::make_shared<AttemptListener>(*this, attempt.id, request.id, isForwarded));
 }
 
 void RelayThread::cancel(std::uint64_t attempt)
--- a/src/bamboomoor/gateway/relaythread.hpp
+++ b/src/bamboomoor/gateway/relaythread.hpp
@@ -14,6 +14,7 @@
 #include "bamboomoor/entry/upstreambook.hpp"
 #include "bamboomoor/entry/upstreamsync.hpp"
 #include "bamboomoor/gateway/dialect.hpp"
+#include "bamboomoor/gateway/peertokens.hpp"
 #include "bamboomoor/gateway/relaymetrics.hpp"
 #include "bamboomoor/http/client.hpp"
 #include "bamboomoor/http/server.hpp"
@@ -40,6 +41,12 @@
     base::Millis refresh{200};
     // Timeout for a new connection to an upstream.
     base::Millis connectTimeout{400};
+    // Timeout for a new connection to an entry that forwards requests.
+    base::Millis peerConnectTimeout{250};
+    // "IP:PORT" at which this entry forwards requests of others; empty if it does not.
+    std::string forwardAddress;
+    // It offers to do so as long after the last answer of an upstream.
+    base::Millis reachAge{5'000};
     // Added to the remaining time of a request, so that a timeout response of the upstream arrives first.
     base::Millis responseGrace{200};
     // Maximum bytes of one response in the ring; only an upstream that sends an endless response exceeds it.
@@ -59,6 +66,7 @@
     http::Client &client;
     const CallerDialect &callers;
     const UpstreamDialect &dialect;
+    PeerTokens &tokens;
     RelayMetrics &metrics;
     base::EventLog &log;
 };
@@ -100,8 +108,15 @@
     [[nodiscard]] std::vector<std::string> unreachable() const override;
     [[nodiscard]] std::vector<standing::Report> takeWords() override;
     [[nodiscard]] quarantine::Report takeQuarantineReport() override;
+    [[nodiscard]] std::string forwardAddress() const override;
     void takeNews(entry::LeaderNews news) override;
 
+    /** @brief Tells whether this entry is partitioned from all upstreams. */
+    [[nodiscard]] bool isCutOff() const noexcept
+    {
+        return m_cutOff;
+    }
+
     /** @brief Sets the callback that requests an immediate demand report. @param urge The callback; set before start().
      */
     void setUrgentReport(std::function<void()> urge)
@@ -131,6 +146,9 @@
     struct Ended {
         std::uint64_t attempt = 0;
         http::Ending ending;
+        // The forwarding entry failed or refused, for this reason.
+        bool peerFailed = false;
+        std::string reason = {};
     };
     struct BudgetReplied {
         budget::TokenReply reply;
@@ -186,11 +204,15 @@
     std::thread m_thread;
     std::atomic<bool> m_stopping{false};
     std::atomic<std::size_t> m_inProgress{0};
+    std::atomic<bool> m_cutOff{false};
+    // Upstreams answered lately, and no shutdown has begun.
+    std::atomic<bool> m_offersForwarding{false};
 
     std::function<void()> m_urgentReport;
 
     // Accessed by this object's thread only.
     relay::Core m_core;
+    bool m_isDraining = false;
     std::uint64_t m_lastExchange = 0;
     std::unordered_map<std::uint64_t, Caller> m_callers;
     std::unordered_map<std::uint64_t, http::CallId> m_calls;
--- a/src/bamboomoor/gateway/residencythread.cpp
+++ b/src/bamboomoor/gateway/residencythread.cpp
@@ -5,6 +5,7 @@
 
 #include "bamboomoor/control/quarantinewire.hpp"
 #include "bamboomoor/gateway/controlmetrics.hpp"
+#include "bamboomoor/gateway/peertokens.hpp"
 
 #include <glog/logging.h>
 
@@ -164,6 +165,7 @@
     , m_context(context)
     , m_ring(RING_SIZE)
     , m_waiting(m_options.loadAge)
+    , m_entries(m_options.entryAge)
     , m_permits(m_options.permits)
     , m_schedule(m_options.spacing, m_options.interval)
 {
@@ -297,6 +299,7 @@
     exchangeLoads(event.request, reply);
     exchangeSignals(event.request, reply);
     exchangeQuarantines(event.request, reply);
+    exchangePeers(event.request, reply);
     for (const std::string &it : event.request.unreachable()) {
         suspect(it);
     }
@@ -386,6 +389,16 @@
     }
 }
 
+void ResidencyThread::exchangePeers(const peer::wire::DemandReport &request, peer::wire::DemandReply &reply)
+{
+    const base::Millis now = m_context.clock.now();
+    m_entries.set(now, {request.vm(), request.data_centre(), request.forward_address()});
+    for (std::string &it : m_entries.peersOf(now, request.vm(), m_options.peers)) {
+        reply.add_peers(std::move(it));
+    }
+    reply.set_peer_token(m_peerToken);
+}
+
 void ResidencyThread::exchangeQuarantines(const peer::wire::DemandReport &request, peer::wire::DemandReply &reply)
 {
     const base::Millis now = m_context.clock.now();
@@ -441,6 +454,7 @@
     m_crashes = quarantine::CrashAnalysis();
     m_permits = standing::PermitAuthority(m_options.permits);
     m_term = event.term;
+    m_peerToken = randomToken();
     m_fenced = false;
     m_plan.emplace(m_options.plan);
     m_context.metrics.setLeading(true);
--- a/src/bamboomoor/gateway/residencythread.hpp
+++ b/src/bamboomoor/gateway/residencythread.hpp
@@ -12,6 +12,7 @@
 #include "bamboomoor/entry/upstreambook.hpp"
 #include "bamboomoor/gateway/decisionschedule.hpp"
 #include "bamboomoor/gateway/dialect.hpp"
+#include "bamboomoor/gateway/entrydirectory.hpp"
 #include "bamboomoor/gateway/fwd.hpp"
 #include "bamboomoor/gateway/waitingtotals.hpp"
 #include "bamboomoor/http/client.hpp"
@@ -53,6 +54,9 @@
     base::Millis loadAge{1'500};
     // A round of events and a decision that takes longer is logged, at most once per such period.
     base::Millis slowRound{500};
+    // Lifetime of an entry's report that it forwards requests, and how many of these others are told of.
+    base::Millis entryAge{1'500};
+    std::size_t peers = 6;
     // Maximum age of the last quorum confirmation of the leadership when an order is sent; below the election timeout,
     // after which another voter may have become leader.
     base::Millis leadershipMaxAge{600};
@@ -139,6 +143,7 @@
     void suspect(const std::string &worker);
     void exchangeLoads(const peer::wire::DemandReport &request, peer::wire::DemandReply &reply);
     void exchangeSignals(const peer::wire::DemandReport &request, peer::wire::DemandReply &reply);
+    void exchangePeers(const peer::wire::DemandReport &request, peer::wire::DemandReply &reply);
     void exchangeQuarantines(const peer::wire::DemandReport &request, peer::wire::DemandReply &reply);
     void logQuarantine(const quarantine::Quarantine &quarantine, std::size_t crashes, std::string_view reportedBy);
     void updateWorkers(base::Millis now);
@@ -156,6 +161,9 @@
     // Accessed by this object's thread only.
     std::optional<placement::Residency> m_plan;
     WaitingTotals m_waiting;
+    EntryDirectory m_entries;
+    // New with each leadership.
+    std::string m_peerToken;
     // Reset with each leadership.
     standing::PermitAuthority m_permits;
     // Reset with each leadership; the entries report again what they know.
--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -388,18 +388,16 @@
         }
         // A forwarded answer is also truncated when the forwarding entry ends.
         const bool truncated = end.truncated && exchange->attempt.via.empty();
-        if (lostInPartition(*exchange)) {
-            fail(now, *exchange, AttemptResult::Cancelled, !reached, reached, end.reason);
-            return;
-        }
+        const bool inPartition = lostInPartition(now, *exchange);
         if ((truncated || lost) && !stalePooled && exchange->splitter.events() < SURVIVED_EVENTS) {
             noteLoss(now, *exchange);
-        } else if (!reached) {
+        } else if (!reached && !inPartition) {
             m_guard.onUnreachable(now, exchange->choice.id);
         }
-        const AttemptResult result = lost ? AttemptResult::Lost
-            : reached                     ? AttemptResult::Failed
-                                          : AttemptResult::NotReached;
+        const AttemptResult result = inPartition ? AttemptResult::Cancelled
+            : lost                               ? AttemptResult::Lost
+            : reached                            ? AttemptResult::Failed
+                                                 : AttemptResult::NotReached;
         fail(now, *exchange, result, !reached, reached, end.reason);
         return;
     }
--- a/src/bamboomoor/relay/core.cpp
+++ b/src/bamboomoor/relay/core.cpp
@@ -352,7 +352,7 @@
     if (isNews) {
         noteUnanswered(now, exchange, ReachFailure::NoAnswer);
     }
-    if (isNews && !lostInPartition(exchange)) {
+    if (isNews && !lostInPartition(now, exchange)) {
         m_fleet.onStall(now, exchange.choice);
     }
     settleRetry(now, exchange, true);
@@ -374,7 +374,7 @@
     note(now, exchange, Step::AttemptFailed, "silent", 0, next);
     m_effects.cancel(exchange.attempt.id);
     exchange.mayHaveRun = true;
-    closeAttempt(now, exchange, lostInPartition(exchange) ? AttemptResult::Cancelled : AttemptResult::Failed);
+    closeAttempt(now, exchange, lostInPartition(now, exchange) ? AttemptResult::Cancelled : AttemptResult::Failed);
     send(now, exchange, std::move(*choice));
 }
 
--- a/src/bamboomoor/relay/core.hpp
+++ b/src/bamboomoor/relay/core.hpp
@@ -476,7 +476,7 @@
     void noteUnanswered(base::Millis now, const Exchange &exchange, ReachFailure failure);
     [[nodiscard]] bool forwardInstead(base::Millis now, Exchange &exchange, std::string_view how);
     void onPeerFailed(base::Millis now, Exchange &exchange, const AttemptEnd &end);
-    [[nodiscard]] bool lostInPartition(const Exchange &exchange) const;
+    [[nodiscard]] bool lostInPartition(base::Millis now, const Exchange &exchange) const;
     void noteSurvival(base::Millis now, const Exchange &exchange);
     [[nodiscard]] static const std::string &fingerprintOf(const Exchange &exchange);
     [[nodiscard]] bool isRepeatable(const Exchange &exchange) const;
--- a/src/bamboomoor/relay/paths.cpp
+++ b/src/bamboomoor/relay/paths.cpp
@@ -49,14 +49,14 @@
     }
 }
 
-bool Core::lostInPartition(const Exchange &exchange) const
+bool Core::lostInPartition(base::Millis now, const Exchange &exchange) const
 {
-    return m_reach.isCutOff() && exchange.attempt.via.empty();
+    return m_reach.isCutOff() && m_reach.hasPeer(now) && exchange.attempt.via.empty();
 }
 
 bool Core::forwardInstead(base::Millis now, Exchange &exchange, std::string_view how)
 {
-    if (!lostInPartition(exchange) || !m_reach.hasPeer(now) || now >= exchange.deadline) {
+    if (!lostInPartition(now, exchange) || now >= exchange.deadline) {
         return false;
     }
     --exchange.sent;
--- a/src/bamboomoor/settings/settings.cpp
+++ b/src/bamboomoor/settings/settings.cpp
@@ -157,6 +157,7 @@
     out.dataFolder = in.optionalText("data_folder", Form::Filled);
     out.bootstrap = in.flag("bootstrap", false);
     out.readinessListen = in.optionalText("readiness_listen", Form::Address).value_or("");
+    out.forwardListen = in.optionalText("forward_listen", Form::Address).value_or("");
     out.operatorToken = in.optionalText("operator_token", Form::Filled).value_or("");
     readVoters(in, out.voters);
     readGroup(in, out.group);
--- a/src/bamboomoor/settings/settings.hpp
+++ b/src/bamboomoor/settings/settings.hpp
@@ -131,6 +131,8 @@
     bool bootstrap = false;
     // Where the balancer asks for readiness and where metrics are served, "IP:PORT"; empty for listen.
     std::string readinessListen;
+    // Where an entry forwards requests of other entries, "IP:PORT"; empty if it does not.
+    std::string forwardListen;
     // The control group; empty exactly where there are seeds.
     std::vector<Voter> voters;
     // The secret that operators present, as given; empty only where there are seeds.
