Keep pooled connections for requests without a usable peer

Forcing new connections outside trials changed what an entry without peers does while it takes crashes for a partition. test_relay cutentries passes; deadlyparts and engines/under_overload fail, as they do without this.

--- a/src/bamboomoor/relay/paths.cpp
+++ b/src/bamboomoor/relay/paths.cpp
@@ -16,12 +16,14 @@
     if (!m_reach.isCutOff()) {
         return;
     }
-    const bool peersFail = exchange.peerFailures >= m_options.peerFailuresBeforeDirect && !exchange.avoidsDirect;
-    if (!peersFail && (exchange.avoidsDirect || !m_reach.takeTrial(now, isRepeatable(exchange)))) {
+    const bool peersFail = exchange.peerFailures >= m_options.peerFailuresBeforeDirect;
+    const bool isTrial = !exchange.avoidsDirect && (peersFail || m_reach.takeTrial(now, isRepeatable(exchange)));
+    if (isTrial) {
+        // Only an answer over a new connection ends the partition.
+        attempt.freshConnection = true;
+    } else {
         attempt.via = m_reach.selectPeer(now).value_or(std::string());
     }
-    // Only an answer over a new connection ends the partition.
-    attempt.freshConnection = attempt.freshConnection || attempt.via.empty();
 }
 
 void Core::evaluateReach(base::Millis now)
