--- a/src/bamboomoor/gateway/forwarding.cpp
+++ b/src/bamboomoor/gateway/forwarding.cpp
@@ -130,4 +130,36 @@
     return statement;
 }
 
+ForwardedEnd interpretEnd(http::Ending ending, bool hasHead, const std::optional<ForwardStatement> &statement)
+{
+    ForwardedEnd end{std::move(ending), false, {}};
+    if (!statement) {
+        // A head without a statement comes from the server of the forwarding entry or from another process.
+        end.peerFailed = true;
+        end.reason = hasHead ? "peer_unknown" : "peer_" + std::string(http::END_KIND_NAMES.name(end.ending.kind));
+        return end;
+    }
+    switch (statement->result) {
+    case ForwardResult::Passed:
+        end.ending.delimited = end.ending.delimited && statement->delimited;
+        break;
+    case ForwardResult::Refused:
+        end.peerFailed = true;
+        end.reason = "peer_refused_" + statement->reason;
+        end.ending.bytesSent = false;
+        break;
+    case ForwardResult::NotConnected:
+        end.ending.kind = http::EndKind::ConnectFailed;
+        end.ending.bytesSent = false;
+        break;
+    case ForwardResult::NoResponse:
+        end.ending.kind = http::EndKind::Silent;
+        break;
+    case ForwardResult::Lost:
+        end.ending.kind = http::EndKind::ResetBeforeAnswer;
+        break;
+    }
+    return end;
+}
+
 } // namespace bamboomoor::gateway
--- a/src/bamboomoor/gateway/forwarding.hpp
+++ b/src/bamboomoor/gateway/forwarding.hpp
@@ -80,4 +80,24 @@
  */
 [[nodiscard]] std::optional<ForwardStatement> takeStatement(http::Headers &headers);
 
+/** @brief The end of a forwarded attempt. */
+struct ForwardedEnd {
+    // As if the attempt had been sent directly.
+    http::Ending ending;
+    // The forwarding entry failed or did not forward; nothing is known of the upstream.
+    bool peerFailed = false;
+    // The reason for a log; empty for that of the ending.
+    std::string reason;
+};
+
+/**
+ * @brief Interprets the end of a call to a forwarding entry.
+ * @param ending The end of the call.
+ * @param hasHead Whether the head of a response arrived.
+ * @param statement The statement in that head, if any.
+ * @return What it means for the attempt; the request counts as not sent only if that is certain.
+ */
+[[nodiscard]] ForwardedEnd interpretEnd(
+    http::Ending ending, bool hasHead, const std::optional<ForwardStatement> &statement);
+
 } // namespace bamboomoor::gateway
--- a/src/bamboomoor/gateway/relaythread.cpp
+++ b/src/bamboomoor/gateway/relaythread.cpp
@@ -65,11 +65,13 @@
         if (m_broken) {
             ending.kind = http::EndKind::Truncated;
         }
-        Ended ended{m_attempt, std::move(ending)};
-        if (m_isForwarded) {
-            applyStatement(ended);
+        if (!m_isForwarded) {
+            static_cast<void>(m_runner.push(Ended{m_attempt, std::move(ending)}));
+            return;
         }
-        static_cast<void>(m_runner.push(std::move(ended)));
+        ForwardedEnd end = interpretEnd(std::move(ending), m_hasHead, m_statement);
+        static_cast<void>(
+            m_runner.push(Ended{m_attempt, std::move(end.ending), end.peerFailed, std::move(end.reason)}));
     }
 
 private:
@@ -78,39 +80,6 @@
         return !m_isForwarded || (m_statement && m_statement->result == ForwardResult::Passed);
     }
 
-    void applyStatement(Ended &ended) const
-    {
-        http::Ending &ending = ended.ending;
-        if (!m_statement) {
-            // A response without a statement comes from the server of the forwarding entry or from another process.
-            ended.peerFailed = true;
-            ended.reason = m_hasHead ? "peer_unknown" : "peer_" + std::string(http::END_KIND_NAMES.name(ending.kind));
-            return;
-        }
-        switch (m_statement->result) {
-        case ForwardResult::Passed:
-            ending.delimited = ending.delimited && m_statement->delimited;
-            return;
-        case ForwardResult::Refused:
-            ended.peerFailed = true;
-            ended.reason = "peer_refused_" + m_statement->reason;
-            ending.bytesSent = false;
-            return;
-        case ForwardResult::NotConnected:
-            ending.kind = http::EndKind::ConnectFailed;
-            ending.bytesSent = false;
-            return;
-        case ForwardResult::NoResponse:
-            ending.kind = http::EndKind::Silent;
-            ending.bytesSent = true;
-            return;
-        case ForwardResult::Lost:
-            ending.kind = http::EndKind::ResetBeforeAnswer;
-            ending.bytesSent = true;
-            return;
-        }
-    }
-
     RelayThread &m_runner;
     const std::uint64_t m_attempt;
     const std::string m_requestId;
