--- a/src/bamboomoor/gateway/entrydirectory.cpp
+++ b/src/bamboomoor/gateway/entrydirectory.cpp
@@ -23,6 +23,7 @@
 {
     const auto own = m_reports.find(vm);
     const std::string dataCentre = own == m_reports.end() ? std::string() : own->second.entry.dataCentre;
+    const std::string prefix = vm + '\n';
     // Rendezvous hashing: an entry's peers change little when others come and go.
     std::vector<std::pair<std::size_t, const ForwardingEntry *>> near;
     std::vector<std::pair<std::size_t, const ForwardingEntry *>> far;
@@ -31,7 +32,7 @@
             continue;
         }
         auto &group = report.entry.dataCentre == dataCentre ? near : far;
-        group.emplace_back(std::hash<std::string>()(vm + '\n' + name), &report.entry);
+        group.emplace_back(std::hash<std::string>()(prefix + name), &report.entry);
     }
     std::sort(near.begin(), near.end());
     std::sort(far.begin(), far.end());
