--- a/src/bamboomoor/daemon/daemon.cpp
+++ b/src/bamboomoor/daemon/daemon.cpp
@@ -87,6 +87,7 @@
 {
     entry::DemandReportOptions options;
     options.vm = settings.vm;
+    options.dataCentre = settings.dataCentre;
     options.interval = REPORT_INTERVAL;
     options.minDemandSpan = DEMAND_SPAN;
     return options;
--- a/src/bamboomoor/entry/demandreport.cpp
+++ b/src/bamboomoor/entry/demandreport.cpp
@@ -121,6 +121,8 @@
     const base::Millis now = m_clock.now();
     peer::wire::DemandReport report;
     report.set_vm(m_options.vm);
+    report.set_forward_address(m_source.forwardAddress());
+    report.set_data_centre(m_options.dataCentre);
     if (now - m_countedSince >= m_options.minDemandSpan) {
         addDemand(now, report);
     }
@@ -177,6 +179,8 @@
         news.words.push_back(std::move(told));
     }
     news.quarantine = control::quarantineReply(now, reply);
+    news.peers.assign(reply.peers().begin(), reply.peers().end());
+    news.peerToken = reply.peer_token();
     m_source.takeNews(std::move(news));
     std::set<DrainingReplica> draining;
     for (const auto &it : reply.draining()) {
--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -242,6 +242,7 @@
     attempt.charge = exchange.retryCharged ? Charge::Retry
         : exchange.unreached > 0           ? Charge::NoneArrived
                                            : Charge::First;
+    selectPath(now, exchange);
     exchange.choice.freshConnection = attempt.freshConnection;
     ++exchange.sent;
     m_byAttempt.emplace(attempt.id, exchange.id);
@@ -258,6 +259,12 @@
         return;
     }
     exchange->lastProgressAt = now;
+    if (exchange->attempt.via.empty()) {
+        m_reach.onAnswered(now, exchange->sentAt, exchange->attempt.freshConnection);
+        evaluateReach(now);
+    } else {
+        m_reach.onPeerAnswered(exchange->attempt.via);
+    }
     settleRetry(now, *exchange, true);
     if (head.owner == ResponseOwner::Other) {
         m_effects.cancel(attempt);
@@ -372,23 +379,38 @@
     if (exchange == nullptr) {
         return;
     }
+    if (end.peerFailed) {
+        onPeerFailed(now, *exchange, end);
+        return;
+    }
     if (!end.complete || !exchange->head) {
         const bool reached = end.bytesSent || exchange->head.has_value();
         const bool lost = end.lostConnection && !exchange->head;
         if (lost) {
             static_cast<void>(readmitAfterPooled(*exchange));
         }
+        const bool stalePooled = lost && !exchange->attempt.freshConnection;
         const bool stray = end.malformed && !exchange->head && readmitAfterPooled(*exchange);
+        if (!exchange->head && !stalePooled && !stray) {
+            noteUnanswered(now, *exchange, reached ? ReachFailure::NoAnswer : ReachFailure::NotConnected);
+        }
+        if (!reached && forwardInstead(now, *exchange, end.reason)) {
+            return;
+        }
+        // A forwarded answer is also truncated when the forwarding entry ends.
+        const bool truncated = end.truncated && exchange->attempt.via.empty();
+        const bool inPartition = lostInPartition(now, *exchange);
         // A crash closes pooled connections too; whether there was one is left to the analysis.
-        if ((end.truncated || lost) && exchange->splitter.events() < SURVIVED_EVENTS) {
+        if ((truncated || lost) && exchange->splitter.events() < SURVIVED_EVENTS) {
             noteLoss(now, *exchange);
-        } else if (!reached && !end.connectTimedOut) {
+        } else if (!reached && !end.connectTimedOut && !inPartition) {
             m_guard.onUnreachable(now, exchange->choice.id);
         }
-        const AttemptResult result = lost ? AttemptResult::Lost
-            : stray                       ? AttemptResult::Stray
-            : reached                     ? AttemptResult::Failed
-                                          : AttemptResult::NotReached;
+        const AttemptResult result = inPartition ? AttemptResult::Cancelled
+            : lost                               ? AttemptResult::Lost
+            : stray                              ? AttemptResult::Stray
+            : reached                            ? AttemptResult::Failed
+                                                 : AttemptResult::NotReached;
         fail(now, *exchange, result, !reached, reached, end.reason);
         return;
     }
