--- a/src/bamboomoor/membership/announcement.hpp
+++ b/src/bamboomoor/membership/announcement.hpp
@@ -82,6 +82,8 @@
     std::vector<Accelerator> accelerators;
     // Models with weights in the upstream's local storage, which load fast; empty if not reported.
     std::vector<std::string> localCopies = {};
+    // The most requests that it runs at once; 0 if not reported.
+    std::uint64_t slots = 0;
     // True if the upstream rejects orders with a stale fencing token.
     bool checksFencing = false;
     Load load;
--- a/src/bamboomoor/membership/codec.cpp
+++ b/src/bamboomoor/membership/codec.cpp
@@ -50,6 +50,9 @@
         {"kind", UPSTREAM_KIND_NAMES.name(announcement.kind)}, {"service", announcement.service},
         {"accelerators", std::move(accelerators)}, {"checks_fencing", announcement.checksFencing},
         {"load", toJson(announcement.load)}, {"leaving", announcement.leaving}, {"orders", std::move(orders)}};
+    if (announcement.slots > 0) {
+        out["slots"] = announcement.slots;
+    }
     if (!announcement.localCopies.empty()) {
         out["local_copies"] = announcement.localCopies;
     }
@@ -115,6 +118,9 @@
     if (reader.has("orders")) {
         announcement.lastOrders = reader.list<OrderOutcome>("orders", readOutcome);
     }
+    if (reader.has("slots")) {
+        announcement.slots = reader.number("slots");
+    }
     if (reader.has("local_copies")) {
         announcement.localCopies = reader.names("local_copies");
     }
--- a/src/bamboomoor/standing/upstreamsignal.hpp
+++ b/src/bamboomoor/standing/upstreamsignal.hpp
@@ -25,6 +25,9 @@
 struct UpstreamSignal {
     // The rate limit for all entries together, in thousandths of requests per second; unset without a limit.
     std::optional<std::int64_t> limit;
+    // The upstream crashes if it has to reject more requests than this in one second for lack of room; unset unless it
+    // signals that it is brittle.
+    std::optional<std::int64_t> brittle;
     // The upstream is shutting down and accepts no new requests.
     bool leaving = false;
     // For how long the upstream accepts no requests from this entry; unset if not signalled.
--- a/test/bamboomoor/platform/messages.cpp
+++ b/test/bamboomoor/platform/messages.cpp
@@ -254,6 +254,44 @@
     BOOST_TEST(!upstreams.readHead(429, {{"Retry-After", "3"}}, "r").signal.closedFor);
 }
 
+BOOST_AUTO_TEST_CASE(the_strictest_readable_bound_of_a_brittle_upstream_counts)
+{
+    const Upstreams upstreams;
+    const auto boundOf = [&](int status, const http::Headers &headers) {
+        return upstreams.readHead(status, headers, "r").signal.brittle;
+    };
+    for (const int status : {200, 421, 500, 503}) {
+        BOOST_TEST(!boundOf(status, {}));
+        BOOST_TEST((boundOf(status, {{"server-brittle", " 12 "}}) == 12));
+    }
+    BOOST_TEST((boundOf(200, {{"Server-Brittle", "0"}}) == 0));
+    BOOST_TEST((boundOf(200, {{"Server-Brittle", "2.9"}}) == 2));
+    BOOST_TEST((boundOf(200, {{"Server-Brittle", "9"}, {"Server-Brittle", "4"}, {"Server-Brittle", "x"}}) == 4));
+    BOOST_TEST((boundOf(200, {{"Server-Brittle", std::string(400, '9')}}) == 1'000'000));
+    for (const char *it : {"", "x", "-1", "nan", "inf", "1e3", "5 a second", "1,5"}) {
+        BOOST_TEST_CONTEXT(it)
+        {
+            const auto head = upstreams.readHead(200, {{"Server-Brittle", it}}, "r");
+            BOOST_TEST(!head.signal.brittle);
+            BOOST_TEST(head.signal.malformed);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(the_announced_slots_are_kept_if_they_are_readable)
+{
+    const auto slotsOf = [](const std::string &field) {
+        const auto read = readHeartbeat(
+            "i-1", R"({"service":"llm","address":"10.0.0.1:80","zone":"z","state":"ready","sequence":1)" + field + "}");
+        BOOST_REQUIRE(read.has_value());
+        return read.value().slots;
+    };
+    BOOST_TEST(slotsOf(R"(,"slots":64)") == 64U);
+    for (const char *it : {"", R"(,"slots":-1)", R"(,"slots":"6")", R"(,"slots":null)", R"(,"slots":1.5)"}) {
+        BOOST_TEST(slotsOf(it) == 0U, it);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(the_strictest_readable_limit_of_an_answer_counts)
 {
     const Upstreams upstreams;
