Share the room of brittle upstreams among the entries

What callers saw: upstreams that were brittle crashed again and again under load, as entries filled their queues and were turned away.

Cause: no entry sees the requests of the others, and nothing read the signal. Change: the leader splits the slots of a brittle upstream, and half of the rejections that it bears, into shares of the entries, which are leases; an entry sends there only below its share. A rejection closes the upstream to the entry for 1 s and longer, and takes its place out of the margin. A run that is new in a brittle service counts as brittle until it answers.

Ruled out: back-off by each entry alone (90 entries are 90 rejections in a second), permits for each request.

--- a/src/bamboomoor/entry/demandreport.cpp
+++ b/src/bamboomoor/entry/demandreport.cpp
@@ -4,6 +4,7 @@
 #include "bamboomoor/entry/demandreport.hpp"
 
 #include "bamboomoor/control/quarantinewire.hpp"
+#include "bamboomoor/control/roomwire.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -134,6 +135,9 @@
         word->set_limit_age_ms((now - it.limitReceivedAt).count);
         word->set_wished(it.requestedPermits);
         word->set_leaving(it.leaving);
+        if (it.room) {
+            *word->mutable_room() = control::toWire(now, *it.room);
+        }
     }
     control::toWire(now, m_source.takeQuarantineReport(), report);
     for (const DrainingReplica &it : m_draining) {
@@ -167,6 +171,9 @@
         told.requestedAt = sentAt;
         told.nextPermitIn = {it.next_in_ms()};
         told.leaving = it.leaving();
+        if (it.has_room()) {
+            told.room = control::roomGrant(now, it.room());
+        }
         news.words.push_back(std::move(told));
     }
     news.quarantine = control::quarantineReply(now, reply);
--- a/src/bamboomoor/gateway/controlmetrics.cpp
+++ b/src/bamboomoor/gateway/controlmetrics.cpp
@@ -27,6 +27,8 @@
     , m_verdicts(counters(m_registry, "bamboomoor_control_order_verdicts_total", "Orders ended, by verdict"))
     , m_arrivals(counters(
           m_registry, "bamboomoor_control_model_arrivals_total", "Models that came to workers, by source of weights"))
+    , m_brittle(counters(m_registry, "bamboomoor_control_brittle_upstreams_total",
+          "Upstreams that became or ceased to be brittle, by state"))
     , m_quarantines(counters(m_registry, "bamboomoor_control_quarantines_total",
           "Prompt parts that were quarantined as they crash upstreams")
                         .Add({}))
@@ -94,6 +96,11 @@
     m_unreachable.Increment();
 }
 
+void ControlMetrics::brittleChanged(bool begun)
+{
+    m_brittle.Add({{"state", begun ? "begun" : "ended"}}).Increment();
+}
+
 void ControlMetrics::permitsGranted(std::int64_t permits)
 {
     m_permits.Increment(static_cast<double>(permits));
--- a/src/bamboomoor/gateway/controlmetrics.hpp
+++ b/src/bamboomoor/gateway/controlmetrics.hpp
@@ -46,6 +46,8 @@
     /** @brief Counts a quarantined prompt part. */
     void partQuarantined();
 
+    /** @brief Counts upstreams that became or ceased to be brittle. @param begun Whether it became so. */
+    void brittleChanged(bool begun);
     /** @brief Counts permits for limited upstreams. @param permits Number granted to an entry. */
     void permitsGranted(std::int64_t permits);
 
@@ -62,6 +64,7 @@
     prometheus::Family<prometheus::Counter> &m_orders;
     prometheus::Family<prometheus::Counter> &m_verdicts;
     prometheus::Family<prometheus::Counter> &m_arrivals;
+    prometheus::Family<prometheus::Counter> &m_brittle;
     prometheus::Counter &m_quarantines;
     prometheus::Counter &m_unreachable;
     prometheus::Counter &m_permits;
--- a/src/bamboomoor/gateway/relaythread.cpp
+++ b/src/bamboomoor/gateway/relaythread.cpp
@@ -283,6 +283,8 @@
         worker.service = announcement.service;
         worker.incarnation = announcement.incarnation;
         worker.sequence = announcement.sequence;
+        constexpr std::uint64_t MAX_SLOTS = 1'000'000;
+        worker.slots = static_cast<std::int64_t>(std::min(announcement.slots, MAX_SLOTS));
         for (const membership::Accelerator &accelerator : announcement.accelerators) {
             for (const membership::Resident &held : accelerator.resident) {
                 if (draining.contains({announcement.id, held.model, {}, {}})) {
@@ -515,6 +517,9 @@
     if (note.signal.limit) {
         line.add("limit_milli", *note.signal.limit);
     }
+    if (note.signal.brittle) {
+        line.add("brittle", *note.signal.brittle);
+    }
     if (note.signal.closedFor) {
         line.add("closed_ms", *note.signal.closedFor);
     }
--- a/src/bamboomoor/gateway/residencythread.cpp
+++ b/src/bamboomoor/gateway/residencythread.cpp
@@ -4,6 +4,7 @@
 #include "bamboomoor/gateway/residencythread.hpp"
 
 #include "bamboomoor/control/quarantinewire.hpp"
+#include "bamboomoor/control/roomwire.hpp"
 #include "bamboomoor/gateway/controlmetrics.hpp"
 
 #include <glog/logging.h>
@@ -349,6 +350,7 @@
 {
     const base::Millis now = m_context.clock.now();
     std::map<std::string, standing::Grant> grants;
+    m_rooms.onEntry(now, request.vm());
     for (const auto &it : request.words()) {
         standing::Report report;
         report.run = {it.upstream(), it.incarnation()};
@@ -356,6 +358,9 @@
         report.limitReceivedAt = now - base::Millis{std::max<std::int64_t>(0, it.limit_age_ms())};
         report.leaving = it.leaving();
         m_permits.onReport(now, report);
+        if (it.has_room()) {
+            takeRoomReport(now, request.vm(), report.run, control::roomReport(now, it.room()));
+        }
         if (it.wished() <= 0 || !hasConfirmedLeadership(now)) {
             continue;
         }
@@ -378,6 +383,12 @@
         word->set_limit(it.limit.value_or(0));
         word->set_limit_age_ms((now - it.limitReceivedAt).count);
         word->set_leaving(it.leaving);
+        // Without a quorum another leader may give out the same room.
+        if (hasConfirmedLeadership(now)) {
+            if (const auto room = m_rooms.grant(now, request.vm(), it.run)) {
+                *word->mutable_room() = control::toWire(now, *room);
+            }
+        }
         const auto grant = grants.find(it.run.id);
         if (grant != grants.end()) {
             word->set_permits(grant->second.permits);
@@ -386,6 +397,22 @@
     }
 }
 
+void ResidencyThread::takeRoomReport(
+    base::Millis now, const std::string &vm, const standing::Run &run, const standing::RoomReport &report)
+{
+    if (!m_rooms.onReport(now, vm, run, report)) {
+        return;
+    }
+    m_context.metrics.brittleChanged(report.brittle.has_value());
+    m_context.log.write(base::LogLine("upstream_brittle")
+                            .add("upstream", run.id)
+                            .add("vm", vm)
+                            .add("state", report.brittle ? "begun" : "ended")
+                            .add("refusals", report.brittle.value_or(0))
+                            .add("slots", report.slots)
+                            .add("term", static_cast<std::int64_t>(m_term)));
+}
+
 void ResidencyThread::exchangeQuarantines(const peer::wire::DemandReport &request, peer::wire::DemandReply &reply)
 {
     const base::Millis now = m_context.clock.now();
@@ -440,6 +467,7 @@
 {
     m_crashes = quarantine::CrashAnalysis();
     m_permits = standing::PermitAuthority(m_options.permits);
+    m_rooms = standing::RoomAuthority(m_context.clock.now(), event.term);
     m_term = event.term;
     m_fenced = false;
     m_plan.emplace(m_options.plan);
--- a/src/bamboomoor/gateway/residencythread.hpp
+++ b/src/bamboomoor/gateway/residencythread.hpp
@@ -18,6 +18,7 @@
 #include "bamboomoor/placement/residency.hpp"
 #include "bamboomoor/quarantine/crashanalysis.hpp"
 #include "bamboomoor/standing/permitauthority.hpp"
+#include "bamboomoor/standing/roomauthority.hpp"
 
 #include <atomic>
 #include <cstdint>
@@ -139,6 +140,8 @@
     void suspect(const std::string &worker);
     void exchangeLoads(const peer::wire::DemandReport &request, peer::wire::DemandReply &reply);
     void exchangeSignals(const peer::wire::DemandReport &request, peer::wire::DemandReply &reply);
+    void takeRoomReport(
+        base::Millis now, const std::string &vm, const standing::Run &run, const standing::RoomReport &report);
     void exchangeQuarantines(const peer::wire::DemandReport &request, peer::wire::DemandReply &reply);
     void logQuarantine(const quarantine::Quarantine &quarantine, std::size_t crashes, std::string_view reportedBy);
     void updateWorkers(base::Millis now);
@@ -158,6 +161,7 @@
     WaitingTotals m_waiting;
     // Reset with each leadership.
     standing::PermitAuthority m_permits;
+    standing::RoomAuthority m_rooms;
     // Reset with each leadership; the entries report again what they know.
     quarantine::CrashAnalysis m_crashes;
     DecisionSchedule m_schedule;
--- a/src/bamboomoor/relay/fleet.cpp
+++ b/src/bamboomoor/relay/fleet.cpp
@@ -25,6 +25,13 @@
     return (seed ^ std::hash<std::string>()(text)) * MULTIPLIER;
 }
 
+standing::UpstreamTrackerOptions standingOf(const FleetOptions &options)
+{
+    standing::UpstreamTrackerOptions standing = options.standing;
+    standing.rooms.seed = options.seed;
+    return standing;
+}
+
 } // namespace
 
 std::string holdingOf(const std::string &model, const std::string &adapter)
@@ -35,16 +42,16 @@
 Fleet::Fleet(FleetOptions options)
     : m_options(std::move(options))
     , m_random(m_options.seed)
-    , m_standing(m_options.standing)
+    , m_standing(standingOf(m_options))
 {
 }
 
 void Fleet::update(std::vector<Worker> workers)
 {
     std::map<std::string, TrackedWorker> next;
-    std::vector<standing::Run> listed;
+    std::vector<standing::ListedRun> listed;
     for (Worker &it : workers) {
-        listed.push_back({it.id, it.incarnation});
+        listed.push_back({{it.id, it.incarnation}, it.service, it.slots});
         TrackedWorker known;
         TrackedWorker *before = find(it.id);
         const bool same =
@@ -247,7 +254,8 @@
 
 bool Fleet::isLimited(base::Millis now, const TrackedWorker &known) const
 {
-    return m_standing.access(now, runOf(known)) == standing::Access::NoPermit;
+    const standing::Access access = m_standing.access(now, runOf(known));
+    return access == standing::Access::NoPermit || access == standing::Access::NoRoom;
 }
 
 bool Fleet::isClosed(base::Millis now, const TrackedWorker &known) const
@@ -392,15 +400,16 @@
 
 bool Fleet::onSent(base::Millis now, const Choice &choice, const Requirements &requirements)
 {
+    const bool usesPermit = m_standing.sent(now, {choice.id, choice.incarnation});
     TrackedWorker *known = find(choice.id);
     if (known == nullptr) {
-        return false;
+        return usesPermit;
     }
     ++known->state.running;
     known->state.queuedTokens += choice.newTokens;
     known->state.pacer.sent(now, std::llround(referenceTokens(known->worker.service, choice.newTokens)));
     remember(known->state, requirements);
-    return m_standing.sent(now, runOf(*known));
+    return usesPermit;
 }
 
 void Fleet::onFirstEvent(base::Millis now, const Choice &choice, base::Millis sentAt)
@@ -440,12 +449,31 @@
     const auto found = m_services.find(service);
     Requirements requirements;
     requirements.holding = holding;
-    if (found != m_services.end()) {
-        for (const TrackedWorker *it : found->second) {
-            if (canServe(now, *it, requirements) && isLimited(now, *it)) {
-                m_standing.addPermitDemand(now, runOf(*it), count);
-            }
+    if (found == m_services.end()) {
+        return;
+    }
+    std::vector<const TrackedWorker *> full;
+    for (const TrackedWorker *it : found->second) {
+        if (!canServe(now, *it, requirements)) {
+            continue;
         }
+        switch (m_standing.access(now, runOf(*it))) {
+        case standing::Access::NoPermit:
+            m_standing.addPermitDemand(now, runOf(*it), count);
+            break;
+        case standing::Access::NoRoom:
+            full.push_back(it);
+            break;
+        default:
+            break;
+        }
+    }
+    // Each request needs room at one upstream only; entries begin at different ones, and at others when they got none.
+    const auto size = static_cast<std::int64_t>(full.size());
+    const auto first = m_options.seed + static_cast<std::uint64_t>(now.count / m_options.roomTurn.count);
+    for (std::int64_t n = 0; n < std::min(size, count); ++n) {
+        const std::size_t place = (first + static_cast<std::uint64_t>(n)) % full.size();
+        m_standing.addPermitDemand(now, runOf(*full[place]), (count - n + size - 1) / size);
     }
 }
 
@@ -485,6 +513,7 @@
 
 void Fleet::onEnded(base::Millis now, const Choice &choice, bool hadStarted, AttemptResult result)
 {
+    m_standing.ended({choice.id, choice.incarnation});
     TrackedWorker *known = find(choice.id);
     if (known == nullptr) {
         return;
--- a/src/bamboomoor/relay/fleet.hpp
+++ b/src/bamboomoor/relay/fleet.hpp
@@ -41,6 +41,8 @@
     // The incarnation of its process and the sequence number of the announcement.
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
+    // The most requests that it runs at once; 0 if unknown.
+    std::int64_t slots = 0;
 
     friend bool operator==(const Worker &, const Worker &) = default;
 };
@@ -82,6 +84,8 @@
     std::int64_t maxQueuedTokens = 4'096;
     // The number of prompt prefixes remembered for each upstream.
     std::size_t rememberedPrompts = 256;
+    // How long queued requests ask for room at the same brittle upstreams.
+    base::Millis roomTurn{500};
     // Engine steps between two events of a stream.
     std::int64_t stepsPerEvent = 2;
     PacerOptions pacer;
--- a/src/bamboomoor/standing/upstreamtracker.cpp
+++ b/src/bamboomoor/standing/upstreamtracker.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace bamboomoor::standing
 {
@@ -55,6 +56,13 @@
     if (signal.malformed) {
         changes.push_back(Change::Malformed);
     }
+    const RoomTracker::Changes rooms = m_rooms.onSignal(now, run, signal, sentAt, ran);
+    if (rooms.isBrittle || rooms.ended) {
+        changes.push_back(rooms.ended ? Change::BrittleEnded : Change::Brittle);
+    }
+    if (rooms.closedFor > base::Millis{}) {
+        changes.push_back(Change::Rejected);
+    }
     const bool tells = signal.limit || signal.leaving || signal.closedFor;
     Record *record = tells || find(run) != nullptr ? recordOf(run) : nullptr;
     if (record == nullptr) {
@@ -97,6 +105,9 @@
 
 void UpstreamTracker::onLeaderReport(base::Millis now, const LeaderReport &report)
 {
+    if (report.room) {
+        m_rooms.onGrant(now, report.run, *report.room, report.requestedAt);
+    }
     Record *record = recordOf(report.run);
     if (record == nullptr) {
         return;
@@ -118,11 +129,12 @@
     }
 }
 
-void UpstreamTracker::setListed(const std::vector<Run> &runs)
+void UpstreamTracker::setListed(const std::vector<ListedRun> &runs)
 {
+    m_rooms.setListed(runs);
     std::set<std::string_view> listed;
-    for (const Run &it : runs) {
-        listed.insert(it.id);
+    for (const ListedRun &it : runs) {
+        listed.insert(it.run.id);
     }
     for (auto &[id, record] : m_records) {
         record.unlisted = listed.contains(id) ? 0 : record.unlisted + 1;
@@ -135,28 +147,31 @@
 Access UpstreamTracker::access(base::Millis now, const Run &run) const
 {
     const Record *record = find(run);
-    if (record == nullptr) {
-        return Access::Open;
-    }
-    if (record->leaving) {
+    const Room room = m_rooms.room(now, run);
+    if (record != nullptr && record->leaving) {
         return Access::Leaving;
     }
-    if (now < record->closedUntil) {
+    if (room == Room::Closed || (record != nullptr && now < record->closedUntil)) {
         return Access::Closed;
     }
-    return !isLimited(now, *record) || validPermits(now, *record) > 0 ? Access::Open : Access::NoPermit;
+    if (room == Room::Full) {
+        return Access::NoRoom;
+    }
+    const bool needsPermit = record != nullptr && isLimited(now, *record) && validPermits(now, *record) == 0;
+    return needsPermit ? Access::NoPermit : Access::Open;
 }
 
 base::Millis UpstreamTracker::opensIn(base::Millis now, const Run &run, std::int64_t ahead) const
 {
     const Record *record = find(run);
+    const base::Millis rejected = m_rooms.closedFor(now, run);
     if (record == nullptr) {
-        return {};
+        return rejected;
     }
     if (record->leaving) {
         return base::NEVER;
     }
-    const base::Millis closed = std::max(record->closedUntil - now, base::Millis{});
+    const base::Millis closed = std::max(record->closedUntil - now, rejected);
     const std::int64_t missing = ahead - validPermits(now, *record);
     if (!isLimited(now, *record) || missing < 0) {
         return closed;
@@ -166,6 +181,7 @@
 
 bool UpstreamTracker::sent(base::Millis now, const Run &run)
 {
+    m_rooms.onSent(run);
     if (find(run) == nullptr) {
         return false;
     }
@@ -180,8 +196,14 @@
     return uses;
 }
 
+void UpstreamTracker::ended(const Run &run)
+{
+    m_rooms.onEnded(run);
+}
+
 void UpstreamTracker::addPermitDemand(base::Millis now, const Run &run, std::int64_t count)
 {
+    m_rooms.addDemand(now, run, count);
     if (find(run) == nullptr) {
         return;
     }
@@ -199,7 +221,7 @@
 
 bool UpstreamTracker::permitRequestDue(base::Millis now) const
 {
-    return std::any_of(m_records.begin(), m_records.end(), [&](const auto &it) {
+    return m_rooms.reportDue(now) || std::any_of(m_records.begin(), m_records.end(), [&](const auto &it) {
         return permitRequestDue(now, it.second);
     });
 }
@@ -217,8 +239,18 @@
             record.demandedPermits = 0;
             record.nextRequestAt = now + m_options.requestTimeout;
         }
+        report.room = m_rooms.takeReport(now, report.run);
         reports.push_back(std::move(report));
     }
+    std::set<std::pair<std::string, std::uint64_t>> reported;
+    for (const Report &it : reports) {
+        reported.emplace(it.run.id, it.run.incarnation);
+    }
+    for (const Run &it : m_rooms.reportable(now)) {
+        if (!reported.contains({it.id, it.incarnation})) {
+            reports.push_back({it, std::nullopt, {}, 0, false, m_rooms.takeReport(now, it)});
+        }
+    }
     return reports;
 }
 
--- a/src/bamboomoor/standing/upstreamtracker.hpp
+++ b/src/bamboomoor/standing/upstreamtracker.hpp
@@ -14,14 +14,15 @@
 
 #include "bamboomoor/base/clock.hpp"
 #include "bamboomoor/base/nametable.hpp"
+#include "bamboomoor/standing/roomtracker.hpp"
 #include "bamboomoor/standing/upstreamsignal.hpp"
 
 #include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace bamboomoor::standing
@@ -42,17 +43,18 @@
     std::int64_t maxRequestedPermits = 8;
     // The upper bound of a closure; longer ones are shortened to it.
     base::Millis maxClosure{600'000};
+    RoomTrackerOptions rooms;
 };
 
 /** @brief Whether a request may be sent to an upstream now, or why not. */
-enum class Access { Open, NoPermit, Closed, Leaving };
+enum class Access { Open, NoPermit, NoRoom, Closed, Leaving };
 
 /** @brief A change that the signals of a response caused. */
-enum class Change { LimitSignalled, LimitEnded, Leaving, Closed, Malformed };
+enum class Change { LimitSignalled, LimitEnded, Leaving, Closed, Malformed, Brittle, BrittleEnded, Rejected };
 
 /** @brief The names of Change in logs. */
-inline constexpr auto CHANGE_NAMES =
-    base::makeNames<Change>("limit_named", "limit_ended", "leaving", "closed", "unreadable");
+inline constexpr auto CHANGE_NAMES = base::makeNames<Change>(
+    "limit_named", "limit_ended", "leaving", "closed", "unreadable", "brittle", "brittle_ended", "closed_by_rejection");
 
 /** @brief A report of an entry to the leader on one upstream. */
 struct Report {
@@ -63,6 +65,7 @@
     // The number of requested permits.
     std::int64_t requestedPermits = 0;
     bool leaving = false;
+    std::optional<RoomReport> room = std::nullopt;
 };
 
 /** @brief A report of the leader to an entry on one upstream. */
@@ -76,6 +79,7 @@
     // The expected time until the next permit for this entry; 0 if it requested none.
     base::Millis nextPermitIn;
     bool leaving = false;
+    std::optional<RoomGrant> room = std::nullopt;
 };
 
 /** @brief Tracks the signalled state of all upstreams for one entry. Not thread-safe. */
@@ -85,6 +89,7 @@
     /** @brief Creates a tracker without signalled state. @param options The settings. */
     explicit UpstreamTracker(UpstreamTrackerOptions options = {}) noexcept
         : m_options(options)
+        , m_rooms(options.rooms)
     {
     }
 
@@ -108,7 +113,7 @@
      * @brief Updates which upstreams are listed; the state of one that is unlisted for long is discarded.
      * @param runs The complete list.
      */
-    void setListed(const std::vector<Run> &runs);
+    void setListed(const std::vector<ListedRun> &runs);
 
     /** @brief Tells whether a request may be sent to an upstream. @param now The current time. @param run The upstream.
      * @return Open if it may, else the reason. */
@@ -120,6 +125,7 @@
      * @param run The upstream.
      * @param ahead The number of requests that wait for a permit before it.
      * @return The time until then; 0 if it needs no permit or has one, base::NEVER if the upstream is shutting down.
+     * When a brittle upstream has room again is not known.
      */
     [[nodiscard]] base::Millis opensIn(base::Millis now, const Run &run, std::int64_t ahead) const;
 
@@ -131,15 +137,18 @@
      */
     bool sent(base::Millis now, const Run &run);
 
+    /** @brief Records the end of a request. @param run The upstream. */
+    void ended(const Run &run);
+
     /**
-     * @brief Registers demand for permits; ignored for an upstream without signalled state.
+     * @brief Registers demand for permits or room; ignored for an upstream without signalled state.
      * @param now The current time.
      * @param run The upstream.
      * @param count The number of waiting requests.
      */
     void addPermitDemand(base::Millis now, const Run &run, std::int64_t count);
 
-    /** @brief Tells whether permits should be requested from the leader now. @param now The current time. */
+    /** @brief Tells whether permits or room should be requested from the leader now. @param now The current time. */
     [[nodiscard]] bool permitRequestDue(base::Millis now) const;
 
     /** @brief Takes the reports that are due to the leader, and marks their permits as requested. @param now The
@@ -177,7 +186,8 @@
 
     UpstreamTrackerOptions m_options;
     // By upstream id; the latest incarnation with signalled state.
-    std::map<std::string, Record> m_records;
+    std::unordered_map<std::string, Record> m_records;
+    RoomTracker m_rooms;
 };
 
 } // namespace bamboomoor::standing
--- a/test/bamboomoor/control/wire.cpp
+++ b/test/bamboomoor/control/wire.cpp
@@ -4,6 +4,7 @@
 #include "bamboomoor/control/budgetwire.hpp"
 #include "bamboomoor/control/consensuswire.hpp"
 #include "bamboomoor/control/quarantinewire.hpp"
+#include "bamboomoor/control/roomwire.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -125,3 +126,30 @@
     BOOST_TEST(bounded.lostAttempts.at(0).parts.size() == 16U);
     BOOST_TEST((bounded.quarantines.at(0).until <= received + base::Millis{3'600'000}));
 }
+
+BOOST_AUTO_TEST_CASE(the_room_of_an_upstream_travels_between_clocks_and_is_bounded)
+{
+    const base::Millis sent{50'000};
+    const base::Millis received{900'000};
+    const standing::RoomReport report{5, sent - base::Millis{300}, 32, 7, 9, 8, 1ULL << 33U, 4};
+    standing::RoomReport read = control::roomReport(received, control::toWire(sent, report));
+    BOOST_TEST((read.receivedAt == received - base::Millis{300}));
+    read.receivedAt = report.receivedAt;
+    BOOST_TEST((read == report));
+    const standing::RoomGrant grant{std::nullopt, sent, 3, 12, 36, 9};
+    standing::RoomGrant told = control::roomGrant(received, control::toWire(sent, grant));
+    BOOST_TEST((told.receivedAt == received));
+    told.receivedAt = grant.receivedAt;
+    BOOST_TEST((told == grant));
+    peer::wire::UpstreamRoom broken;
+    broken.set_brittle(true);
+    broken.set_refusals(-1);
+    broken.set_share(INT64_MAX);
+    broken.set_running(INT64_MIN);
+    broken.set_age_ms(INT64_MIN);
+    const standing::RoomReport bounded = control::roomReport(received, broken);
+    BOOST_TEST((bounded.brittle == 0));
+    BOOST_TEST(bounded.share == 1'000'000);
+    BOOST_TEST(bounded.running == 0);
+    BOOST_TEST((bounded.receivedAt == received));
+}
--- a/test/bamboomoor/relay/brittle.cpp
+++ b/test/bamboomoor/relay/brittle.cpp
@@ -6,7 +6,7 @@
 #include "ignoredeffects.hpp"
 
 #include "bamboomoor/relay/core.hpp"
-#include "bamboomoor/standing/permitauthority.hpp"
+#include "bamboomoor/standing/roomauthority.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -195,6 +195,7 @@
                 worker.holdings = {"m"};
             }
             worker.incarnation = m_upstreams[n].incarnation;
+            worker.slots = m_scenario.slots;
             workers.push_back(worker);
         }
         for (const auto &it : m_cores) {
@@ -326,6 +327,10 @@
             core.onLeaderReports({m_now}, reply.words);
             reply = {};
         }
+        if (m_now >= m_scenario.noLeaderUntil && !m_otherLeads) {
+            m_otherLeads = true;
+            m_rooms = standing::RoomAuthority({m_now}, 1);
+        }
         const bool hasLeader = m_now < m_scenario.noLeaderFrom || m_now >= m_scenario.noLeaderUntil;
         const std::int64_t since = m_now - m_reportedAt[entry];
         const bool due = since >= REPORT_INTERVAL || (since >= URGENT_INTERVAL && core.takeUrgent());
@@ -334,11 +339,18 @@
         }
         m_reportedAt[entry] = m_now;
         reply.at = m_now + REPLY_DELAY;
+        const std::string name = std::to_string(entry);
+        m_rooms.onEntry({m_now}, name);
         for (const standing::Report &it : core.takeReports({m_now})) {
-            m_permits.onReport({m_now}, it);
+            if (it.room) {
+                m_rooms.onReport({m_now}, name, it.run, *it.room);
+            }
         }
-        for (const standing::Report &it : m_permits.reports({m_now})) {
-            reply.words.push_back({it.run, it.limit, it.limitReceivedAt, 0, {m_now}, {}});
+        for (std::size_t n = 0; n < m_upstreams.size(); ++n) {
+            const standing::Run run{"w" + std::to_string(n), m_upstreams[n].incarnation};
+            if (auto grant = m_rooms.grant({m_now}, name, run)) {
+                reply.words.push_back({run, {}, {}, 0, {m_now}, {}, false, grant});
+            }
         }
     }
 
@@ -348,7 +360,8 @@
     std::uint64_t m_lastRequest = 0;
     std::vector<Upstream> m_upstreams;
     std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
-    standing::PermitAuthority m_permits;
+    standing::RoomAuthority m_rooms;
+    bool m_otherLeads = false;
     std::vector<Reply> m_replies;
     std::vector<std::int64_t> m_reportedAt;
     std::vector<std::unique_ptr<Entry>> m_entries;
@@ -401,4 +414,48 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(upstreams_that_accept_less_than_their_shares_are_not_crashed_by_all_entries_in_turn)
+{
+    for (const std::size_t entries : {7, 60}) {
+        Scenario scenario;
+        scenario.entries = entries;
+        scenario.upstreams = 20;
+        scenario.queue = 2;
+        scenario.rejections = 8;
+        scenario.load = 3;
+        Simulation simulation(scenario);
+        simulation.run();
+        BOOST_TEST_MESSAGE(nameOf(scenario)
+            << ": " << simulation.crashes << " crashes, at most " << simulation.mostRejections
+            << " rejections in a second, " << simulation.served << " served of " << simulation.offered);
+        BOOST_TEST_CONTEXT(nameOf(scenario))
+        {
+            BOOST_TEST(simulation.crashes <= simulation.allowedCrashes());
+            BOOST_TEST(static_cast<double>(simulation.served) * 3 >= 0.7 * static_cast<double>(simulation.offered));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(brittle_upstreams_survive_the_loss_of_the_leader)
+{
+    for (const std::size_t entries : {7, 60}) {
+        Scenario scenario;
+        scenario.entries = entries;
+        scenario.upstreams = 20;
+        scenario.load = 3;
+        scenario.noLeaderFrom = COUNTED_FROM + 2'000;
+        scenario.noLeaderUntil = COUNTED_FROM + 8'000;
+        Simulation simulation(scenario);
+        simulation.run();
+        BOOST_TEST_MESSAGE(nameOf(scenario)
+            << ", leader lost: " << simulation.crashes << " crashes, at most " << simulation.mostRejections
+            << " rejections in a second, " << simulation.served << " served of " << simulation.offered);
+        BOOST_TEST_CONTEXT(nameOf(scenario))
+        {
+            BOOST_TEST(simulation.crashes <= simulation.allowedCrashes());
+            BOOST_TEST(static_cast<double>(simulation.served) * 3 >= 0.7 * static_cast<double>(simulation.offered));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/bamboomoor/standing/upstreamtracker.cpp
+++ b/test/bamboomoor/standing/upstreamtracker.cpp
@@ -111,7 +111,7 @@
     UpstreamTracker it;
     it.onSignal({1'000}, FIRST, limited(1'100), {900}, true);
     it.setListed({});
-    it.setListed({FIRST});
+    it.setListed({{FIRST, "s", 0}});
     BOOST_TEST(it.takeReports({1'000}).size() == 1);
     for (int n = 0; n < 400; ++n) {
         it.setListed({});
