--- a/src/bamboomoor/gateway/residencythread.hpp
+++ b/src/bamboomoor/gateway/residencythread.hpp
@@ -20,6 +20,7 @@
 #include "bamboomoor/http/client.hpp"
 #include "bamboomoor/placement/residency.hpp"
 #include "bamboomoor/standing/permitauthority.hpp"
+#include "bamboomoor/standing/roomauthority.hpp"
 
 #include <atomic>
 #include <cstdint>
@@ -150,6 +151,8 @@
     void log(const base::LogLine &line) override;
     void inspect(const std::string &upstream) override;
     void countQuarantine() override;
+    void takeRoomReport(
+        base::Millis now, const std::string &vm, const standing::Run &run, const standing::RoomReport &report);
     void updateWorkers(base::Millis now);
     [[nodiscard]] bool hasConfirmedLeadership(base::Millis now) const;
     void send(const placement::ResidencyOrder &order);
@@ -171,6 +174,7 @@
     std::string m_peerToken;
     // Reset with each leadership.
     standing::PermitAuthority m_permits;
+    standing::RoomAuthority m_rooms;
     // Reset with each leadership; the entries report again what they know.
     control::CrashReports m_crashes;
     DecisionSchedule m_schedule;
