--- a/test/bamboomoor/standing/room.cpp
+++ b/test/bamboomoor/standing/room.cpp
@@ -87,7 +87,7 @@
                 break;
             case 2:
                 // One exchange at a time; a report that was collected earlier may be sent.
-                if (!it.report && !it.reply) {
+                if (!it.report) {
                     it.report = it.tracker.takeReport({now}, FIRST);
                     it.reportedAt = now;
                 }
