--- a/test/bamboomoor/peer/silence.cpp
+++ b/test/bamboomoor/peer/silence.cpp
@@ -105,7 +105,7 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof(address);
-    bind(listener, reinterpret_cast<sockaddr *>(&address), size);
+    BOOST_REQUIRE(bind(listener, reinterpret_cast<sockaddr *>(&address), size) == 0);
     getsockname(listener, reinterpret_cast<sockaddr *>(&address), &size);
     close(listener);
     return ntohs(address.sin_port);
