Compile the suspects of the quarantine at most every 100 ms

Identities of bystanders that do not come again stay in the evidence, so it is fuller than it was with prompt parts alone. They are compiled at most every 100 ms now.

--- a/src/bamboomoor/control/crashreports.cpp
+++ b/src/bamboomoor/control/crashreports.cpp
@@ -60,8 +60,8 @@
         effects.countQuarantine();
         effects.log(quarantineLine(now, term, {it.part, it.until}, it.crashes, {}));
     }
-    toWire(
-        now, quarantine::LeaderReply{term, report.sequence, m_analysis.suspects(), m_analysis.announced(now)}, reply);
+    toWire(now, quarantine::LeaderReply{term, report.sequence, m_analysis.suspects(now), m_analysis.announced(now)},
+        reply);
 }
 
 } // namespace bamboomoor::control
--- a/src/bamboomoor/quarantine/crashanalysis.cpp
+++ b/src/bamboomoor/quarantine/crashanalysis.cpp
@@ -376,7 +376,16 @@
     return parts;
 }
 
-std::vector<std::string> CrashAnalysis::suspects() const
+const std::vector<std::string> &CrashAnalysis::suspects(base::Millis now)
+{
+    if (now >= m_nextSuspects) {
+        m_nextSuspects = now + m_options.suspectInterval;
+        m_suspects = findSuspects();
+    }
+    return m_suspects;
+}
+
+std::vector<std::string> CrashAnalysis::findSuspects() const
 {
     std::map<std::string, std::vector<const standing::Run *>> runs;
     for (const Record &it : m_records) {
--- a/src/bamboomoor/quarantine/crashanalysis.hpp
+++ b/src/bamboomoor/quarantine/crashanalysis.hpp
@@ -94,6 +94,8 @@
     std::size_t maxExplained = 256;
     // The least interval between two evaluations.
     base::Millis evaluationInterval{50};
+    // The least interval between two compilations of the suspects, which every report of an entry is answered with.
+    base::Millis suspectInterval{100};
 };
 
 /** @brief Collects lost attempts and decides on quarantines. Not thread-safe. */
@@ -155,9 +157,9 @@
     /** @brief Lists the quarantined parts. @param now The current time. @return The parts. */
     [[nodiscard]] std::vector<Quarantine> quarantines(base::Millis now) const;
 
-    /** @brief Lists parts in lost attempts of at least two upstreams. @return The parts in the most attempts, at most
-     * maxSuspects. */
-    [[nodiscard]] std::vector<std::string> suspects() const;
+    /** @brief Lists subjects in lost attempts of at least two upstreams, as of at most suspectInterval ago. @param now
+     * The current time. @return The subjects in the most attempts, at most maxSuspects. */
+    [[nodiscard]] const std::vector<std::string> &suspects(base::Millis now);
 
 private:
     struct Record {
@@ -190,6 +192,7 @@
 
     void insert(Record record);
     void expire(base::Millis now);
+    [[nodiscard]] std::vector<std::string> findSuspects() const;
     void explain(const standing::Run &run);
     [[nodiscard]] std::set<std::string> rivalsOf(const std::string &request) const;
     // Lists the evidence that outlives the quarantine of a request: one crash against its parts, as the cause may be
@@ -204,6 +207,8 @@
 
     CrashAnalysisOptions m_options;
     base::Millis m_nextEvaluation;
+    base::Millis m_nextSuspects;
+    std::vector<std::string> m_suspects;
     // Later than this, no time that a decision depends on can pass any more; set whenever evidence is added.
     base::Millis m_evaluateUntil;
     // By the time of the loss, oldest first; at most maxAttempts.
--- a/test/bamboomoor/quarantine/crashanalysis.cpp
+++ b/test/bamboomoor/quarantine/crashanalysis.cpp
@@ -215,7 +215,7 @@
                 RC_ASSERT(it.part != "shared");
                 RC_ASSERT(it.crashes >= options.minCrashes);
             }
-            RC_ASSERT(bounded.suspects().size() <= options.maxSuspects);
+            RC_ASSERT(bounded.suspects(at).size() <= options.maxSuspects);
             RC_ASSERT(bounded.quarantines(at).size() <= options.maxQuarantined);
         }
     }));
@@ -334,4 +334,19 @@
     BOOST_TEST(upstreams <= 6);
 }
 
+// Every report of an entry is answered with them, which are hundreds in a second in a large fleet.
+BOOST_AUTO_TEST_CASE(suspects_are_not_compiled_anew_for_every_report)
+{
+    const CrashAnalysisOptions options;
+    for (const std::string upstream : {"w1", "w2"}) {
+        analysis.add(now, {{upstream, 1}, now, "request:r", {}, "request:r"});
+    }
+    BOOST_TEST(analysis.suspects(now).size() == 1U);
+    for (const std::string upstream : {"w3", "w4"}) {
+        analysis.add(now, {{upstream, 1}, now, "request:s", {}, "request:s"});
+    }
+    BOOST_TEST(analysis.suspects(now).size() == 1U);
+    BOOST_TEST(analysis.suspects(now + options.suspectInterval).size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/bamboomoor/relay/deadlyparts.cpp
+++ b/test/bamboomoor/relay/deadlyparts.cpp
@@ -510,7 +510,7 @@
         }
         static_cast<void>(m_leader.evaluate({m_now}));
         entry.replies.push_back(
-            {m_now + 2 * LATENCY, {m_term, report.sequence, m_leader.suspects(), m_leader.announced({m_now})}});
+            {m_now + 2 * LATENCY, {m_term, report.sequence, m_leader.suspects({m_now}), m_leader.announced({m_now})}});
     }
 
     void crashOthers()
