Try a request elsewhere when its connection was refused, on the product's own path

Seen by callers: a request that may run once, or one under a claim, that met a process which was gone but still listed was answered outcome_unknown ("the attempt at the upstream failed: connect_refused"), and its claim stayed unknown for good, although nothing had been sent and another process was there.

Cause: Desk::send() records the whole request as sent before the call starts, and the end of the call, which says whether any byte left, did not correct that. So no failure was provably not run.

The ending's word is taken: nothingSent() withdraws the record. Ruled out: recording bytes when the call reports them, as the call runs on another thread and a late report could let a request run twice.

--- a/src/bamboomoor/entry/attempt.cpp
+++ b/src/bamboomoor/entry/attempt.cpp
@@ -386,8 +386,11 @@
         return;
     }
     if (event.ending.kind != http::EndKind::Complete) {
-        if (!event.ending.bytesSent && failureOf(event.ending) == FailureKind::SentNothing) {
-            m_context.metrics.dropped("unsent_attempt");
+        if (!event.ending.bytesSent) {
+            exchange->delivery.nothingSent(event.attempt);
+            if (failureOf(event.ending) == FailureKind::SentNothing) {
+                m_context.metrics.dropped("unsent_attempt");
+            }
         }
         failAttempt(*exchange, failureOf(event.ending));
         return;
--- a/src/bamboomoor/routing/delivery.cpp
+++ b/src/bamboomoor/routing/delivery.cpp
@@ -84,6 +84,15 @@
     return true;
 }
 
+bool Delivery::nothingSent(std::uint64_t attempt) noexcept
+{
+    if (attempt != m_open || m_open == 0) {
+        return false;
+    }
+    m_bytesSent = 0;
+    return true;
+}
+
 bool Delivery::delivered(std::uint64_t attempt, std::uint64_t tokens, std::uint64_t bytes) noexcept
 {
     if (attempt != m_open || m_open == 0) {
--- a/src/bamboomoor/routing/delivery.hpp
+++ b/src/bamboomoor/routing/delivery.hpp
@@ -139,6 +139,13 @@
      */
     bool sent(std::uint64_t attempt, std::uint64_t bytes) noexcept;
 
+    /**
+     * @brief Records that no byte of the request left after all, such as when its connection was refused.
+     * @param attempt The attempt.
+     * @return False if the attempt is not the open one.
+     */
+    bool nothingSent(std::uint64_t attempt) noexcept;
+
     /**
      * @brief Records a part of the response; call before forwarding it to the caller.
      * @param attempt The attempt.
--- a/test/bamboomoor/routing/delivery.cpp
+++ b/test/bamboomoor/routing/delivery.cpp
@@ -151,6 +151,22 @@
     }));
 }
 
+BOOST_AUTO_TEST_CASE(a_claimed_request_whose_connection_was_refused_is_tried_elsewhere_and_not_told_to_may_have_run)
+{
+    DeliveryOptions options;
+    options.claimed = true;
+    Delivery delivery(options);
+    delivery.start(1, "a");
+    BOOST_TEST(delivery.sent(1, 100));
+    BOOST_TEST(!delivery.nothingSent(2));
+    BOOST_TEST(delivery.nothingSent(1));
+    BOOST_TEST((delivery.failed(1, FailureKind::ConnectRefused, true) == Decision::Retry));
+    delivery.start(2, "b");
+    BOOST_TEST(delivery.sent(2, 100));
+    BOOST_TEST(delivery.nothingSent(2));
+    BOOST_TEST((delivery.failed(2, FailureKind::ConnectRefused, false) == Decision::FailNotRun));
+}
+
 BOOST_AUTO_TEST_CASE(retries_add_at_most_a_tenth_to_the_load)
 {
     RetryBudget budget;
