Inspect a suspect again when its connection was closed without an answer

Cause: the leader inspected an upstream once, 0 to 1 ms after a lost attempt. While a process exits, its connections may be closed before its listening socket; then the inspection is accepted and reset, which counted as alive, and no other followed. The log has attempt_lost with age_ms=1 and no upstream_unreachable for just these engines. The leader of the own path also took one unanswered connection attempt for a crash, which sound upstreams cause by a pause; that was mended for the other path only.

SuspectTracker moves from gateway to control and serves both leaders. A dropped connection is inspected again every 100 ms for 2 s; only a refusal, or silence for 2 s, makes an upstream unreachable, as one that is at its connection limit closes surplus connections too.

The two new cases of suspecttracker name connectionOf() and takeDue(), which the tracker did not have.

--- a/src/bamboomoor/control/placementthread.cpp
+++ b/src/bamboomoor/control/placementthread.cpp
@@ -176,7 +176,7 @@
     std::string m_body;
 };
 
-/** @brief Posts whether an upstream accepts connections; any response shows that it does. */
+/** @brief Posts how the connection of an inspection ended. */
 class PlacementThread::InspectionListener final : public http::Listener
 {
 public:
@@ -184,6 +184,7 @@
         : m_desk(desk)
         , m_term(term)
         , m_upstream(std::move(upstream))
+        , m_sentAt(desk.m_clock.now())
     {
     }
 
@@ -197,15 +198,14 @@
 
     void onEnd(http::Ending ending) override
     {
-        const bool unreachable =
-            ending.kind == http::EndKind::ConnectFailed || ending.kind == http::EndKind::ConnectTimeout;
-        m_desk.post(InspectionDone{m_term, m_upstream, unreachable});
+        m_desk.post(InspectionDone{m_term, m_upstream, m_sentAt, connectionOf(ending.kind)});
     }
 
 private:
     PlacementThread &m_desk;
     const std::uint64_t m_term;
     const std::string m_upstream;
+    const base::Millis m_sentAt;
 };
 
 PlacementThread::PlacementThread(PlacementThreadOptions options, VoterThread &voter, ListUpstreams upstreams,
@@ -217,6 +217,7 @@
     , m_clock(clock)
     , m_ring(RING_SIZE)
     , m_planner(placement::makeTargetPolicy(placement::PolicyKind::DemandAware), options.planner)
+    , m_suspects(options.suspects)
 {
 }
 
@@ -293,7 +294,8 @@
 {
     while (!m_stopping) {
         const base::Millis now = m_clock.now();
-        auto event = m_ring.pop(std::max(m_nextDecision - now, base::Millis{0}));
+        const base::Millis due = std::min(m_nextDecision, m_suspects.dueAt().value_or(m_nextDecision));
+        auto event = m_ring.pop(std::max(due - now, base::Millis{0}));
         while (event) {
             std::visit(
                 [this](auto &it) {
@@ -302,6 +304,9 @@
                 *event);
             event = m_ring.pop({0});
         }
+        for (const std::string &it : m_suspects.takeDue(m_clock.now())) {
+            startInspection(it);
+        }
         if (m_clock.now() >= m_nextDecision) {
             m_nextDecision = m_clock.now() + m_options.interval;
             if (m_term != 0) {
@@ -386,13 +391,24 @@
 
 void PlacementThread::on(InspectionDone &event)
 {
-    if (event.term != m_term || !event.unreachable) {
+    if (event.term != m_term) {
         return;
     }
-    log(base::LogLine("upstream_unreachable")
-            .add("upstream", event.upstream)
-            .add("term", static_cast<std::int64_t>(m_term)));
-    m_crashes.onUnreachable(m_clock.now(), event.upstream);
+    const base::Millis now = m_clock.now();
+    switch (m_suspects.onInspected(now, event.upstream, event.sentAt, event.connection)) {
+    case SuspectVerdict::Unreachable:
+        log(base::LogLine("upstream_unreachable")
+                .add("upstream", event.upstream)
+                .add("connection", CONNECTION_NAMES.name(event.connection))
+                .add("term", static_cast<std::int64_t>(m_term)));
+        m_crashes.onUnreachable(now, event.upstream);
+        break;
+    case SuspectVerdict::InspectAgain:
+        startInspection(event.upstream);
+        break;
+    case SuspectVerdict::None:
+        break;
+    }
 }
 
 void PlacementThread::log(const base::LogLine &line)
@@ -402,13 +418,13 @@
 
 void PlacementThread::inspect(const std::string &upstream)
 {
-    const base::Millis now = m_clock.now();
-    std::erase_if(m_inspectedAt, [&](const auto &it) {
-        return now - it.second > m_options.inspectionInterval;
-    });
-    if (!m_inspectedAt.emplace(upstream, now).second) {
-        return;
+    if (m_suspects.suspect(m_clock.now(), upstream)) {
+        startInspection(upstream);
     }
+}
+
+void PlacementThread::startInspection(const std::string &upstream)
+{
     const auto upstreams = m_upstreams();
     const auto found = std::find_if(upstreams.begin(), upstreams.end(), [&upstream](const membership::Entry &it) {
         return it.announcement.id == upstream;
--- a/src/bamboomoor/control/placementthread.hpp
+++ b/src/bamboomoor/control/placementthread.hpp
@@ -9,6 +9,7 @@
 #include "bamboomoor/base/ring.hpp"
 #include "bamboomoor/control/crashreports.hpp"
 #include "bamboomoor/control/demandreceiver.hpp"
+#include "bamboomoor/control/suspecttracker.hpp"
 #include "bamboomoor/control/voterthread.hpp"
 #include "bamboomoor/http/client.hpp"
 #include "bamboomoor/membership/registry.hpp"
@@ -40,9 +41,9 @@
     // An entry that has not reported for this long no longer routes requests, because its configuration has become
     // stale; its demand and drains are ignored.
     base::Millis entryTimeout{5'000};
-    // Time between two inspections of an upstream that entries lost attempts at, and the time for its response.
-    base::Millis inspectionInterval{500};
-    base::Millis inspectionTimeout{1'000};
+    // When upstreams that entries lost attempts at are inspected, and the time for their response.
+    SuspectOptions suspects;
+    base::Millis inspectionTimeout{400};
     quarantine::CrashAnalysisOptions crashes;
 };
 
@@ -99,8 +100,8 @@
     struct InspectionDone {
         std::uint64_t term = 0;
         std::string upstream;
-        // It accepted no connection.
-        bool unreachable = false;
+        base::Millis sentAt;
+        Connection connection = Connection::Accepted;
     };
     using Event = std::variant<ReportEvent, Leading, NotLeading, CatalogueChanged, PlannerInput, InspectionDone>;
     using Drain = std::pair<std::string, placement::ModelRef>;
@@ -121,6 +122,7 @@
     void on(InspectionDone &event);
     void log(const base::LogLine &line) override;
     void inspect(const std::string &upstream) override;
+    void startInspection(const std::string &upstream);
     void countQuarantine() override;
     void refuse(ReportEvent &event) const;
     void post(Event event);
@@ -156,8 +158,7 @@
     std::set<Drain> m_draining;
     // Reset with each leadership; the entries report again what they know.
     CrashReports m_crashes;
-    // When upstreams were last inspected; kept for inspectionInterval.
-    std::map<std::string, base::Millis> m_inspectedAt;
+    SuspectTracker m_suspects;
 };
 
 } // namespace bamboomoor::control
--- /dev/null
+++ b/src/bamboomoor/control/suspecttracker.cpp
@@ -0,0 +1,107 @@
+/**
+ * Tracking of suspected upstreams.
+ */
+#include "bamboomoor/control/suspecttracker.hpp"
+
+#include <algorithm>
+
+namespace bamboomoor::control
+{
+
+Connection connectionOf(http::EndKind kind) noexcept
+{
+    using http::EndKind;
+    switch (kind) {
+    case EndKind::ConnectFailed:
+        return Connection::Refused;
+    case EndKind::ConnectTimeout:
+        return Connection::NotAnswered;
+    case EndKind::ResetBeforeAnswer:
+    case EndKind::Unusable:
+    case EndKind::Stale:
+        return Connection::Dropped;
+    default:
+        return Connection::Accepted;
+    }
+}
+
+bool SuspectTracker::suspect(base::Millis now, const std::string &upstream)
+{
+    std::erase_if(m_suspects, [&](const auto &it) {
+        return !it.second.repeatAt && now - it.second.inspectedAt > m_options.interval;
+    });
+    return m_suspects.try_emplace(upstream, Suspect{now}).second;
+}
+
+SuspectVerdict SuspectTracker::onInspected(
+    base::Millis now, const std::string &upstream, base::Millis sentAt, Connection connection)
+{
+    const auto it = m_suspects.find(upstream);
+    if (it == m_suspects.end()) {
+        return SuspectVerdict::None;
+    }
+    Suspect &suspect = it->second;
+    switch (connection) {
+    case Connection::Accepted:
+    case Connection::Refused:
+        suspect = {suspect.inspectedAt};
+        return connection == Connection::Refused ? SuspectVerdict::Unreachable : SuspectVerdict::None;
+    case Connection::Dropped:
+        onDropped(now, sentAt, suspect);
+        return SuspectVerdict::None;
+    case Connection::NotAnswered:
+        break;
+    }
+    return onSilence(now, sentAt, suspect);
+}
+
+void SuspectTracker::onDropped(base::Millis now, base::Millis sentAt, Suspect &suspect) const
+{
+    suspect.silentSince.reset();
+    suspect.droppedSince = std::min(suspect.droppedSince.value_or(sentAt), sentAt);
+    if (now - *suspect.droppedSince < m_options.maxDropped) {
+        suspect.repeatAt = now + m_options.droppedInterval;
+    }
+}
+
+SuspectVerdict SuspectTracker::onSilence(base::Millis now, base::Millis sentAt, Suspect &suspect) const
+{
+    suspect.droppedSince.reset();
+    suspect.silentSince = std::min(suspect.silentSince.value_or(sentAt), sentAt);
+    if (now - *suspect.silentSince >= m_options.maxSilence) {
+        suspect.silentSince.reset();
+        return SuspectVerdict::Unreachable;
+    }
+    if (sentAt < suspect.inspectedAt) {
+        // A later inspection is in progress.
+        return SuspectVerdict::None;
+    }
+    suspect.inspectedAt = now;
+    return SuspectVerdict::InspectAgain;
+}
+
+std::optional<base::Millis> SuspectTracker::dueAt() const
+{
+    std::optional<base::Millis> due;
+    for (const auto &[upstream, it] : m_suspects) {
+        if (it.repeatAt) {
+            due = std::min(due.value_or(*it.repeatAt), *it.repeatAt);
+        }
+    }
+    return due;
+}
+
+std::vector<std::string> SuspectTracker::takeDue(base::Millis now)
+{
+    std::vector<std::string> due;
+    for (auto &[upstream, it] : m_suspects) {
+        if (it.repeatAt && now >= *it.repeatAt) {
+            it.repeatAt.reset();
+            it.inspectedAt = now;
+            due.push_back(upstream);
+        }
+    }
+    return due;
+}
+
+} // namespace bamboomoor::control
--- a/src/bamboomoor/gateway/residencythread.cpp
+++ b/src/bamboomoor/gateway/residencythread.cpp
@@ -59,18 +59,6 @@
         .add("expected", static_cast<std::int64_t>(order.expected));
 }
 
-Connection connectionOf(http::EndKind kind)
-{
-    switch (kind) {
-    case http::EndKind::ConnectFailed:
-        return Connection::Refused;
-    case http::EndKind::ConnectTimeout:
-        return Connection::NotAnswered;
-    default:
-        return Connection::Accepted;
-    }
-}
-
 placement::WorkerReport reportOf(const membership::Announcement &announcement)
 {
     placement::WorkerReport report;
@@ -161,7 +149,7 @@
         const bool answered = ending.kind == http::EndKind::Complete;
         m_desk.post(InspectionDone{m_term, m_worker,
             answered ? m_desk.m_context.dialect.readInspection(m_status, m_body) : std::nullopt, m_sentAt,
-            connectionOf(ending.kind)});
+            control::connectionOf(ending.kind)});
     }
 
 private:
@@ -271,6 +259,9 @@
         event = isDue ? std::nullopt : m_ring.pop({0});
     }
     const base::Millis eventsEnded = m_context.clock.now();
+    for (const std::string &it : m_suspects.takeDue(eventsEnded)) {
+        inspectSuspect(eventsEnded, it);
+    }
     if (m_plan && eventsEnded >= m_schedule.dueAt()) {
         decide();
         m_schedule.decided(m_context.clock.now());
@@ -504,16 +495,17 @@
 {
     if (m_plan && event.term == m_term) {
         const base::Millis now = m_context.clock.now();
-        const SuspectVerdict verdict = m_suspects.onInspected(now, event.worker, event.sentAt, event.connection);
-        if (verdict == SuspectVerdict::Unreachable) {
+        const control::SuspectVerdict verdict =
+            m_suspects.onInspected(now, event.worker, event.sentAt, event.connection);
+        if (verdict == control::SuspectVerdict::Unreachable) {
             m_context.log.write(base::LogLine("upstream_unreachable")
                                     .add("upstream", event.worker)
-                                    .add("connection", CONNECTION_NAMES.name(event.connection))
+                                    .add("connection", control::CONNECTION_NAMES.name(event.connection))
                                     .add("term", static_cast<std::int64_t>(m_term)));
             m_context.metrics.unreachable();
             m_plan->unreachable(event.worker);
             m_crashes.onUnreachable(now, event.worker);
-        } else if (verdict == SuspectVerdict::InspectAgain) {
+        } else if (verdict == control::SuspectVerdict::InspectAgain) {
             inspectSuspect(now, event.worker);
         }
         m_plan->inspected(now, event.worker, event.found);
--- a/src/bamboomoor/gateway/residencythread.hpp
+++ b/src/bamboomoor/gateway/residencythread.hpp
@@ -9,13 +9,13 @@
 #include "bamboomoor/base/ring.hpp"
 #include "bamboomoor/control/crashreports.hpp"
 #include "bamboomoor/control/demandreceiver.hpp"
+#include "bamboomoor/control/suspecttracker.hpp"
 #include "bamboomoor/control/voterthread.hpp"
 #include "bamboomoor/entry/upstreambook.hpp"
 #include "bamboomoor/gateway/decisionschedule.hpp"
 #include "bamboomoor/gateway/dialect.hpp"
 #include "bamboomoor/gateway/entrydirectory.hpp"
 #include "bamboomoor/gateway/fwd.hpp"
-#include "bamboomoor/gateway/suspecttracker.hpp"
 #include "bamboomoor/gateway/waitingtotals.hpp"
 #include "bamboomoor/http/client.hpp"
 #include "bamboomoor/placement/residency.hpp"
@@ -51,7 +51,7 @@
     // A worker whose lease expires within this time has missed an announcement and is inspected.
     base::Millis minRemainingLease{2'400};
     // When a worker that entries report as unreachable, or that missed an announcement, counts as such.
-    SuspectOptions suspects;
+    control::SuspectOptions suspects;
     // Lifetime of an entry's report of the requests that it has waiting.
     base::Millis loadAge{1'500};
     // A round of events and a decision that takes longer is logged, at most once per such period.
@@ -127,7 +127,7 @@
         std::string worker;
         std::optional<placement::InspectionResult> found;
         base::Millis sentAt;
-        Connection connection = Connection::Accepted;
+        control::Connection connection = control::Connection::Accepted;
     };
     using Event = std::variant<ReportEvent, Leading, NotLeading, ConfigurationChanged, OrderDone, InspectionDone>;
     class OrderListener;
@@ -178,7 +178,7 @@
     // Reset with each leadership; the entries report again what they know.
     control::CrashReports m_crashes;
     DecisionSchedule m_schedule;
-    SuspectTracker m_suspects;
+    control::SuspectTracker m_suspects;
     // When this VM started to receive announcements.
     base::Millis m_listeningSince;
     // 0 while this voter is not the leader.
--- a/test/bamboomoor/gateway/suspecttracker.cpp
+++ b/test/bamboomoor/control/suspecttracker.cpp
@@ -2,7 +2,7 @@
  * Tests of the decision that a worker is unreachable, with a played worker whose sockets pause or that is gone, its
  * model's placement, and the evidence of crashes.
  */
-#include "bamboomoor/gateway/suspecttracker.hpp"
+#include "bamboomoor/control/suspecttracker.hpp"
 
 #include "bamboomoor/placement/residency.hpp"
 #include "bamboomoor/quarantine/crashanalysis.hpp"
@@ -13,10 +13,11 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 using namespace bamboomoor;
-using gateway::Connection;
-using gateway::SuspectVerdict;
+using control::Connection;
+using control::SuspectVerdict;
 
 namespace
 {
@@ -55,7 +56,7 @@
         Connection connection;
     };
 
-    gateway::SuspectTracker suspects;
+    control::SuspectTracker suspects;
     placement::Residency plan;
     quarantine::CrashAnalysis crashes;
     std::deque<Inspection> inspections;
@@ -174,7 +175,7 @@
 
 BOOST_AUTO_TEST_CASE(a_worker_that_is_not_suspected_is_not_judged_and_one_is_not_inspected_more_often_than_its_interval)
 {
-    gateway::SuspectTracker it({.interval = {500}, .maxSilence = {2'000}});
+    control::SuspectTracker it({.interval = {500}, .maxSilence = {2'000}});
     BOOST_TEST((it.onInspected({0}, "w1", {0}, Connection::Refused) == SuspectVerdict::None));
     BOOST_TEST(it.suspect({1'000}, "w1"));
     BOOST_TEST(!it.suspect({1'500}, "w1"));
@@ -185,4 +186,40 @@
     BOOST_TEST((it.onInspected({3'300}, "w1", {2'900}, Connection::NotAnswered) == SuspectVerdict::InspectAgain));
 }
 
+BOOST_AUTO_TEST_CASE(a_crash_is_found_although_the_first_inspection_met_the_process_while_it_exited)
+{
+    control::SuspectTracker it;
+    BOOST_TEST(it.suspect({1'000}, "w1"));
+    BOOST_TEST((it.onInspected({1'001}, "w1", {1'000}, control::connectionOf(http::EndKind::ResetBeforeAnswer))
+        == SuspectVerdict::None));
+    BOOST_REQUIRE(it.dueAt().has_value());
+    BOOST_TEST(it.dueAt()->count <= 1'101);
+    BOOST_TEST(it.takeDue({1'000}).empty());
+    // Suspicions against others do not end the repetition.
+    BOOST_TEST(!it.suspect({1'050}, "w1"));
+    BOOST_TEST(it.suspect({1'600}, "w2"));
+    BOOST_TEST(it.takeDue({1'600}) == std::vector<std::string>{"w1"});
+    BOOST_TEST(!it.dueAt());
+    BOOST_TEST((it.onInspected({1'601}, "w1", {1'600}, control::connectionOf(http::EndKind::ConnectFailed))
+        == SuspectVerdict::Unreachable));
+}
+
+BOOST_AUTO_TEST_CASE(an_upstream_that_closes_surplus_connections_is_not_found_to_be_gone_and_inspected_for_a_while_only)
+{
+    control::SuspectTracker it;
+    BOOST_TEST(it.suspect({0}, "w1"));
+    std::size_t inspected = 1;
+    BOOST_TEST((it.onInspected({1}, "w1", {0}, Connection::Dropped) == SuspectVerdict::None));
+    for (base::Millis now{0}; now < base::Millis{10'000}; now = now + STEP) {
+        for (const std::string &upstream : it.takeDue(now)) {
+            ++inspected;
+            BOOST_TEST((it.onInspected(now, upstream, now, Connection::Dropped) == SuspectVerdict::None));
+        }
+    }
+    BOOST_TEST(inspected >= 10U);
+    BOOST_TEST(inspected <= 25U);
+    BOOST_TEST(!it.dueAt());
+    BOOST_TEST(it.suspect({10'000}, "w1"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
