Quarantine a request that ends all upstreams of its model within a moment

Cause: crashes less than 100 ms apart count once, as a rack may have failed. Tries of one request at several entries end the few upstreams that hold its model within 300 ms, which made two crashes of five. Nothing held the model until it was loaded again 5 s later; by then the bound of the rule had passed, and the next tries ended more upstreams before the third crash counted.

A request now needs three upstreams at two moments; a part still needs three moments, as bystanders of a failed rack share parts, but seldom a whole request. The test of a rack that fails at one moment is new.

Ruled out: fewer crashes for a request, as a sound one may be lost twice in a row.

--- a/src/bamboomoor/quarantine/crashanalysis.cpp
+++ b/src/bamboomoor/quarantine/crashanalysis.cpp
@@ -303,18 +303,31 @@
     Candidate candidate{part, appearances.position, 0, {}};
     std::set<std::string> requests;
     std::vector<standing::Run> runs;
+    std::size_t moments = 0;
+    base::Millis moment;
     for (const LostAttempt *it : appearances.attempts) {
-        const bool counts = it->at <= until && (held == m_held.end() || it->at > held->second.until)
-            && (runs.empty() || it->at - candidate.lastCrash >= m_options.mergeInterval)
-            && std::find(runs.begin(), runs.end(), it->run) == runs.end();
-        if (counts) {
+        const bool isKnown = std::find(runs.begin(), runs.end(), it->run) != runs.end();
+        if (isKnown || it->at > until || (held != m_held.end() && it->at <= held->second.until)) {
+            continue;
+        }
+        const bool isSeparate = moments == 0 || it->at - moment >= m_options.mergeInterval;
+        if (isSeparate) {
+            ++moments;
+            moment = it->at;
+        }
+        if (isSeparate || appearances.isRequest) {
             requests.insert(it->request);
             runs.push_back(it->run);
             candidate.lastCrash = it->at;
         }
     }
-    const bool enough = appearances.isRequest || requests.size() >= m_options.minRequests || held != m_held.end();
-    candidate.crashes = enough ? runs.size() : 0;
+    if (held != m_held.end()) {
+        candidate.crashes = runs.size();
+    } else if (appearances.isRequest) {
+        candidate.crashes = moments >= m_options.minRequestMoments ? runs.size() : moments;
+    } else if (requests.size() >= m_options.minRequests) {
+        candidate.crashes = runs.size();
+    }
     return candidate;
 }
 
--- a/src/bamboomoor/quarantine/crashanalysis.hpp
+++ b/src/bamboomoor/quarantine/crashanalysis.hpp
@@ -68,9 +68,12 @@
     std::size_t minCrashes = 3;
     // The same for a whole request, of which every process that analyses has seen the attempts.
     std::size_t minRequestCrashes = 3;
+    // Moments at which these must have been. A rack fails at one moment, and an innocent request that several of its
+    // upstreams ran at that moment is rare enough that two suffice.
+    std::size_t minRequestMoments = 2;
     // Requests that a part must have crashed upstreams with; retries of one may account for several crashes.
     std::size_t minRequests = 2;
-    // Crashes within this time may have one common cause and count once.
+    // Crashes within this time may have one common cause: they are one moment, and count once against a part.
     base::Millis mergeInterval{100};
     // The time after the last crash that is needed in which a survival clears the part; the first part of a prompt is
     // shared by the most sound requests and gets more.
--- a/test/bamboomoor/quarantine/crashanalysis.cpp
+++ b/test/bamboomoor/quarantine/crashanalysis.cpp
@@ -234,6 +234,30 @@
     BOOST_TEST(!isQuarantined("x"));
 }
 
+BOOST_AUTO_TEST_CASE(a_request_that_ends_several_upstreams_in_quick_succession_is_quarantined)
+{
+    for (const auto &[upstream, wait] : {std::pair{"w1", 0}, {"w2", 20}, {"w3", 125}, {"w4", 20}}) {
+        now = now + base::Millis{wait};
+        analysis.add(now, {{upstream, 1}, now, "own", {"first", "x"}, "request:r"});
+        analysis.onUnreachable(now, upstream);
+    }
+    BOOST_TEST(settle() == std::vector<std::string>{"request:r"});
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_several_upstreams_ran_when_their_rack_failed_is_not_quarantined)
+{
+    for (const std::string upstream : {"w1", "w2", "w3", "w4"}) {
+        analysis.add(now, {{upstream, 1}, now, "own", {"first", "x"}, "request:r"});
+        analysis.onUnreachable(now, upstream);
+        now = now + base::Millis{30};
+    }
+    BOOST_TEST(settle().empty());
+    // One more crash is a moment of its own.
+    analysis.add(now, {{"w5", 1}, now, "own", {"first", "x"}, "request:r"});
+    analysis.onUnreachable(now, "w5");
+    BOOST_TEST(settle() == std::vector<std::string>{"request:r"});
+}
+
 BOOST_AUTO_TEST_CASE(a_part_is_found_although_each_request_with_it_is_tried_until_it_is_quarantined)
 {
     // Entries that try a request at one upstream after the other.
--- a/test/bamboomoor/relay/deadlyparts.cpp
+++ b/test/bamboomoor/relay/deadlyparts.cpp
@@ -76,6 +76,9 @@
     // The first entry cannot reach the leader from this time on, and the last one restarts without memory.
     std::int64_t cutAt = NEVER;
     std::int64_t restartAt = NEVER;
+    // Attempts of a request at most, and how long a crashed upstream is gone.
+    std::int64_t attempts = 2;
+    std::int64_t downTime = DOWN_TIME;
     std::uint64_t seed = 42;
 };
 
@@ -95,7 +98,7 @@
         route.prefix = "/s/";
         route.repeat = config::Repeat::Stream;
         route.resumable = true;
-        route.attempts = 2;
+        route.attempts = load.attempts;
         route.timeout = {5'000};
         route.objective = {1'200};
         route.pauseObjective = {400};
@@ -440,7 +443,7 @@
 
     void crash(std::size_t upstream)
     {
-        m_upstreams[upstream].downUntil = m_now + DOWN_TIME;
+        m_upstreams[upstream].downUntil = m_now + m_load.downTime;
         ++m_upstreams[upstream].incarnation;
         std::vector<Run> lost;
         std::erase_if(m_runs, [&](const auto &it) {
@@ -681,6 +684,25 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_request_that_ends_all_upstreams_of_its_model_within_a_moment_is_not_sent_when_they_are_back)
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        Play play({.entries = 95,
+            .upstreams = 5,
+            .requestsPerSecond = 20,
+            .deadlyShare = 0.5,
+            .cause = Cause::Body,
+            .reportsAtOnce = true,
+            .hasLeader = true,
+            .attempts = 4,
+            .downTime = 5'000,
+            .seed = seed});
+        play.run();
+        BOOST_TEST(play.sentLater("d1") <= MOST_LATER);
+        BOOST_TEST(play.wronglyQuarantined.empty());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_entry_without_a_leader_stops_sending_a_request_that_crashes_upstreams)
 {
     for (const Cause cause : {Cause::Body, Cause::Path}) {
