--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -584,6 +584,43 @@
     BOOST_TEST(world.callers[1].bytes == events + eventOf(11));
 }
 
+// Its caller has the beginning of the answer: taken from this upstream and turned away by the others, it is aborted.
+BOOST_AUTO_TEST_CASE(a_resumed_stream_whose_upstream_pauses_before_its_first_event_is_not_aborted)
+{
+    auto document = std::make_shared<config::Document>();
+    document->services.push_back({"svc", 10, {}});
+    document->relays.push_back(route("/resume/", config::Repeat::Stream, true, 3));
+    document->relays.back().open = true;
+    document->relays.back().objective = {500};
+    core.setTable(std::make_shared<const relay::RouteTable>(8, document));
+    // Requests that the share of retries is measured by.
+    for (std::uint64_t n = 2; n < 6; ++n) {
+        arrive(n, "/resume/x");
+        answer(last(), head(OK), eventOf(1));
+    }
+    world.sent.clear();
+    arrive(1, "/resume/x");
+    core.onResponseHead(now, last(), head(OK));
+    core.onResponseData(now, last(), eventOf(1));
+    fail(last(), true);
+    BOOST_REQUIRE(world.sent.size() == 2U);
+    const std::uint64_t paused = last();
+    for (int tick = 0; tick < 15; ++tick) {
+        now += base::Millis{100};
+        core.tick(now);
+        for (std::size_t n = 2; n < world.sent.size(); ++n) {
+            ResponseHead refusal = head(UNAVAILABLE);
+            refusal.notRun = true;
+            answer(world.sent[n].id, std::move(refusal), "");
+        }
+    }
+    BOOST_TEST(world.open.contains(paused));
+    answer(paused, head(OK), eventOf(2));
+    BOOST_TEST(!world.callers[1].aborted);
+    BOOST_TEST(world.callers[1].whole);
+    BOOST_TEST(world.callers[1].bytes == eventOf(1) + eventOf(2));
+}
+
 // The upstreams that turn the stream away have not run it, so they use up none of its attempts.
 BOOST_AUTO_TEST_CASE(a_stream_that_left_a_stalled_upstream_is_not_aborted_while_another_upstream_takes_it)
 {
