Leave a resumed stream at an upstream that pauses before its first event

What callers saw: a stream that had begun was closed without its end when the upstream that it was resumed at fell silent for 1.2 s, though that one would have gone on.

Cause: the longer patience of streams that have begun (1.9 s) was asked of the attempt, not of the stream. A resumed attempt without an event yet got that of a request without any answer: 1.2 s, or twice the objective. The upstream was then given up, and if the others turned the stream away the attempts of its route were used up.

A stream without any event so far, and a plain request, still move after 1.2 s: they can be answered with a failure.

--- a/src/bamboomoor/relay/core.cpp
+++ b/src/bamboomoor/relay/core.cpp
@@ -323,10 +323,9 @@
 base::Millis Core::stallTimeout(const Exchange &exchange) const
 {
     const config::Relay &route = *exchange.route;
-    if (exchange.started && isStream(exchange)) {
-        return std::max(m_options.minStreamStallTimeout, route.pauseObjective * 3);
-    }
-    return std::max(m_options.minStallTimeout, route.objective * 2);
+    const bool hasBegun = isStream(exchange) && (exchange.started || exchange.headSent);
+    const base::Millis objective = exchange.started && hasBegun ? route.pauseObjective * 3 : route.objective * 2;
+    return std::max(hasBegun ? m_options.minStreamStallTimeout : m_options.minStallTimeout, objective);
 }
 
 void Core::checkTimers(base::Millis now, Exchange &exchange)
--- a/src/bamboomoor/relay/core.hpp
+++ b/src/bamboomoor/relay/core.hpp
@@ -251,8 +251,8 @@
     std::int64_t queuePercent = 80;
     // The least time without progress after which a repeatable attempt is retried on another upstream.
     base::Millis minStallTimeout{1'200};
-    // The same for a stream that has begun, which would be aborted if the other upstreams turned it away. Sound
-    // upstreams pause for more than a second; callers wait at least two.
+    // The same for a stream whose caller has its beginning, which would be aborted if the other upstreams turned it
+    // away. Sound upstreams pause for more than a second; callers wait at least two.
     base::Millis minStreamStallTimeout{1'900};
     // The interval at which another upstream is looked for while an attempt makes no progress.
     base::Millis stallCheckInterval{200};
