Test that a forwarding entry that ends costs no request its only upstream

A forwarded attempt that is lost with its forwarding entry says nothing of the upstream, but leaves it out of the request's further attempts.

--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -759,6 +759,45 @@
     BOOST_TEST(core.inProgress() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_forwarding_entry_that_ends_does_not_cost_a_request_its_only_upstream)
+{
+    core.setPeers({"10.0.2.1:1", "10.0.2.2:1"});
+    arrive(1, "/again/x");
+    fail(last(), false);
+    fail(last(), false);
+    now += base::Millis{300};
+    fail(last(), false);
+    BOOST_REQUIRE(core.reach().isCutOff());
+    answer(last(), head(OK), "");
+    core.setWorkers({worker("w1")});
+
+    arrive(2, "/again/x");
+    const std::string peer = world.sent.back().via;
+    BOOST_REQUIRE(!peer.empty());
+    relay::AttemptEnd peerFailed;
+    peerFailed.peerFailed = true;
+    world.open.erase(last());
+    core.onAttemptEnded(now, last(), peerFailed);
+    BOOST_TEST(world.sent.back().exchange == 2U);
+    BOOST_TEST(world.sent.back().via != peer);
+    BOOST_TEST((world.sent.back().charge == relay::Charge::Retry));
+    answer(last(), head(OK), "whole");
+    BOOST_TEST(world.callers[2].bytes == "whole");
+
+    arrive(3, "/resume/x");
+    BOOST_REQUIRE(!world.sent.back().via.empty());
+    core.onResponseHead(now, last(), head(OK));
+    core.onResponseData(now, last(), eventOf(1));
+    relay::AttemptEnd truncated;
+    truncated.truncated = true;
+    world.open.erase(last());
+    core.onAttemptEnded(now, last(), truncated);
+    BOOST_TEST(world.sent.back().lastEventId == "1");
+    answer(last(), head(OK), eventOf(2));
+    BOOST_TEST(!world.callers[3].aborted);
+    BOOST_TEST(world.callers[3].bytes == eventOf(1) + eventOf(2));
+}
+
 BOOST_AUTO_TEST_CASE(a_draining_entry_rejects_new_streams)
 {
     arrive(1, "/stream/x");
