Try a request again at its upstream when the forwarding entry ended

What callers saw, by the test: while their entry is partitioned from all upstreams, a request for a model that one upstream has fails, and a stream that has begun is aborted, when the entry that forwards it ends.

Cause: an attempt leaves its upstream out of the request's further attempts. One that was lost with its forwarding entry did so too once bytes had been sent, though it tells nothing of the upstream. A forwarded answer that is truncated does not tell which of the two ended; the upstream may now be chosen again, at the cost of a failed attempt.

Evidence: the case of relay_core failed before.

--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -399,6 +399,9 @@
         }
         // A forwarded answer is also truncated when the forwarding entry ends.
         const bool truncated = end.truncated && exchange->attempt.via.empty();
+        if (end.truncated && !truncated) {
+            exchange->requirements.excluded.erase(exchange->choice.id);
+        }
         const bool inPartition = lostInPartition(now, *exchange);
         // A crash closes pooled connections too; whether there was one is left to the analysis.
         if ((truncated || lost) && exchange->splitter.events() < SURVIVED_EVENTS) {
--- a/src/bamboomoor/relay/paths.cpp
+++ b/src/bamboomoor/relay/paths.cpp
@@ -73,12 +73,12 @@
 void Core::onPeerFailed(base::Millis now, Exchange &exchange, const AttemptEnd &end)
 {
     m_reach.onPeerFailed(now, exchange.attempt.via);
+    exchange.requirements.excluded.erase(exchange.choice.id);
     if (end.bytesSent) {
         fail(now, exchange, AttemptResult::Cancelled, false, true, end.reason);
         return;
     }
     --exchange.sent;
-    exchange.requirements.excluded.erase(exchange.choice.id);
     const bool goesOn = ++exchange.peerFailures < m_options.maxPeerFailures && now < exchange.deadline;
     note(now, exchange, Step::AttemptFailed, end.reason, 0, goesOn ? RetryDecision::Retry : RetryDecision::NoAttempts);
     closeAttempt(now, exchange, AttemptResult::Cancelled);
