Pass on no request of a connection that was just closed as idle

What callers may have seen: around a SIGTERM, a whole request on a kept connection ran at an upstream and its connection closed without an answer (LOST).

Cause: while stopping, the watch closes connections that have no request, which it tells by the phase and by unread bytes. Between the library's read of a request and its first callback both say idle: the bytes are out of the socket and the request has not begun. The connection was shut down, and the request passed on all the same.

The test of stopping under load uses a new connection for each request, which hid it.

Not shown: that this is what the users' report of a change of the configuration is about; it needs a stop, or an overdue sender, beside it.

--- a/src/bamboomoor/http/internal/watch.cpp
+++ b/src/bamboomoor/http/internal/watch.cpp
@@ -129,6 +129,13 @@
     });
 }
 
+bool Watch::isShutDown(ConnectionId id) const
+{
+    const absl::MutexLock lock(&m_mutex);
+    const auto it = m_connections.find(id.value);
+    return it == m_connections.end() || it->second.shutDown;
+}
+
 bool Watch::mayHoldRequest(const Watched &watched, base::Millis now) noexcept
 {
     if (watched.phase != Phase::Idle) {
--- a/src/bamboomoor/http/internal/watch.hpp
+++ b/src/bamboomoor/http/internal/watch.hpp
@@ -88,6 +88,13 @@
      */
     [[nodiscard]] bool isQuiet() const;
 
+    /**
+     * @brief Tells whether the watch has closed a connection, so that no answer can be sent on it.
+     * @param id The connection.
+     * @return True also if it is not known any more.
+     */
+    [[nodiscard]] bool isShutDown(ConnectionId id) const;
+
     /** @brief Cuts every request that is not answered. */
     void cutAll();
 
--- a/src/bamboomoor/http/server.cpp
+++ b/src/bamboomoor/http/server.cpp
@@ -204,7 +204,8 @@
         return exchange->settle();
     }
     m_watch->move(idOf(connection), Phase::Handling);
-    return exchange->dispatch(m_handler);
+    // The watch may have found the connection idle after the library had read the request's first bytes.
+    return m_watch->isShutDown(idOf(connection)) ? MHD_NO : exchange->dispatch(m_handler);
 }
 
 void Server::Impl::onCompleted(void *cls, MHD_Connection *connection, void **slot, MHD_RequestTerminationCode code)
--- a/test/bamboomoor/http/server.cpp
+++ b/test/bamboomoor/http/server.cpp
@@ -403,3 +403,43 @@
         BOOST_TEST(cut == 0);
     }
 }
+
+// A caller may send its next request just when the server closes connections without one.
+BOOST_AUTO_TEST_CASE(stopping_cuts_no_request_of_a_kept_connection_that_it_has_passed_on)
+{
+    constexpr int ROUNDS = 3;
+    constexpr std::size_t CONNECTIONS = 700;
+    constexpr const char *HEAD = "HTTP/1.1 200";
+    for (int round = 0; round < ROUNDS; ++round) {
+        std::atomic<std::size_t> passedOn = 0;
+        Fixture fixture([&passedOn](const http::Request &request, const std::shared_ptr<http::Responder> &responder) {
+            ++passedOn;
+            echo(request, responder);
+        });
+        std::vector<std::unique_ptr<RawConnection>> connections;
+        for (std::size_t n = 0; n < CONNECTIONS; ++n) {
+            connections.push_back(std::make_unique<RawConnection>(fixture.address));
+            connections.back()->send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+        }
+        fixture.await([&passedOn](const http::ServerCounters &it) {
+            return passedOn == CONNECTIONS && it.openRequests == 0;
+        });
+        // Each connection has been quiet for some time when its next request comes.
+        std::thread callers([&connections] {
+            for (const auto &it : connections) {
+                it->send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+                std::this_thread::sleep_for(1ms);
+            }
+        });
+        BOOST_TEST(fixture.server.stop({20'000}));
+        callers.join();
+        std::size_t answered = 0;
+        for (const auto &it : connections) {
+            const std::string answers = it->readAll();
+            for (std::size_t at = answers.find(HEAD); at != std::string::npos; at = answers.find(HEAD, at + 1)) {
+                ++answered;
+            }
+        }
+        BOOST_TEST(passedOn == answered);
+    }
+}
