--- a/test/bamboomoor/relay/fleet.cpp
+++ b/test/bamboomoor/relay/fleet.cpp
@@ -75,6 +75,25 @@
     BOOST_TEST(fleet.choose(START, prompt(10)).has_value());
 }
 
+// Connections to a VM that was switched off are reset only when it is back.
+BOOST_AUTO_TEST_CASE(a_connection_lost_with_an_earlier_process_is_no_failure_of_the_one_that_replaced_it)
+{
+    Fleet fleet({});
+    Worker restarted = engine("a", {"m"});
+    fleet.update({restarted});
+    auto earlier = fleet.choose(START, prompt(10));
+    earlier->freshConnection = true;
+    fleet.onSent(START, *earlier, prompt(10));
+    ++restarted.incarnation;
+    fleet.update({restarted});
+    const auto current = fleet.choose(START, prompt(10));
+    fleet.onSent(START, *current, prompt(10));
+    fleet.onEnded(START, *earlier, false, relay::AttemptResult::Lost);
+    BOOST_TEST(fleet.choose(START, prompt(10)).has_value());
+    BOOST_TEST(fleet.unreachable(START).empty());
+    BOOST_TEST(fleet.queuedTokens().at("a") == 10);
+}
+
 BOOST_AUTO_TEST_CASE(an_upstream_that_refused_a_connection_is_avoided_for_a_while)
 {
     Fleet fleet({});
