Load a busy model's copy from disk before an idle lost model from the store

Cause: a worker carries out one load at a time, and models without a copy came before all further copies. A worker that came back empty spent 8.6 s on a model that hardly anyone asks for, while the busiest model lay on its disk, 1.7 s away.

Where a worker has memory for both, it now loads the copy first if that gains more than the lost model's urgency, and the lost model after it.

Ruled out: the limit of the store, demand seen too late, evictions.

--- a/src/bamboomoor/placement/residency.hpp
+++ b/src/bamboomoor/placement/residency.hpp
@@ -413,6 +413,19 @@
     // Tells whether another load from the store can start soon; more tasks would only block their workers.
     [[nodiscard]] bool mayWaitForStore(const std::string &service) const;
     void placeLost(base::Millis now, const std::string &service, const EngineSpec &engine);
+    // A copy that a worker can load from its own disk or memory, without evictions.
+    struct QuickCopy {
+        std::int64_t memoryMib = 0;
+        double gain = 0;
+    };
+    // By worker.
+    using QuickCopies = std::map<std::string, std::vector<QuickCopy>>;
+    [[nodiscard]] QuickCopies quickCopies(const std::string &service, const EngineSpec &engine) const;
+    // Tells whether the worker loads a copy before a lost model that leaves it freeMib.
+    [[nodiscard]] static bool loadsCopyFirst(
+        const QuickCopies &copies, const std::string &worker, std::int64_t freeMib, double urgency);
+    // Fraction of the horizon during which a replica serves.
+    [[nodiscard]] double servedPart(base::Millis loadTime) const noexcept;
     [[nodiscard]] std::vector<State *> byUrgency();
     [[nodiscard]] bool addCopy(base::Millis now, const std::string &service, const EngineSpec &engine);
     [[nodiscard]] std::map<std::string, double> loads(const std::string &service) const;
--- a/src/bamboomoor/placement/residencycopies.cpp
+++ b/src/bamboomoor/placement/residencycopies.cpp
@@ -127,13 +127,45 @@
     return freeMib >= neededMib ? std::optional(std::move(evicted)) : std::nullopt;
 }
 
+double Residency::servedPart(base::Millis loadTime) const noexcept
+{
+    const base::Millis left = std::max(m_options.horizon - loadTime, base::Millis{1'000});
+    return static_cast<double>(left.count) / static_cast<double>(m_options.horizon.count);
+}
+
+Residency::QuickCopies Residency::quickCopies(const std::string &service, const EngineSpec &engine) const
+{
+    const std::map<std::string, double> before = loads(service);
+    const double part = servedPart(m_options.localLoad);
+    QuickCopies copies;
+    for (const std::string &model : busiestModels(service, engine)) {
+        const std::int64_t size = engine.models.at(model).memoryMib;
+        for (const auto &[id, state] : m_workers) {
+            const bool usable = state.report.service == service && !isGone(state) && !state.task
+                && state.loading.empty() && !holdsOrLoads(state, model) && hasLocalCopy(state, model)
+                && usedMib(state) + size <= engine.memoryMib;
+            const double gain = usable ? gainOf(state, model, {}, before, Arrival::There) * part : 0;
+            if (gain > m_options.leastGain) {
+                copies[id].push_back({size, gain});
+            }
+        }
+    }
+    return copies;
+}
+
+bool Residency::loadsCopyFirst(
+    const QuickCopies &copies, const std::string &worker, std::int64_t freeMib, double urgency)
+{
+    const auto own = copies.find(worker);
+    return own != copies.end()
+        && std::any_of(own->second.begin(), own->second.end(), [freeMib, urgency](const QuickCopy &it) {
+               return it.memoryMib <= freeMib && it.gain > urgency;
+           });
+}
+
 bool Residency::addCopy(base::Millis now, const std::string &service, const EngineSpec &engine)
 {
     const std::map<std::string, double> before = loads(service);
-    const auto served = [this](base::Millis loadTime) {
-        const base::Millis left = std::max(m_options.horizon - loadTime, base::Millis{1'000});
-        return static_cast<double>(left.count) / static_cast<double>(m_options.horizon.count);
-    };
     const bool mayWait = mayWaitForStore(service);
     State *best = nullptr;
     Task task;
@@ -147,7 +179,7 @@
             if (!evicted) {
                 continue;
             }
-            const double part = served(hasLocalCopy(state, model) ? m_options.localLoad : spec.loadTime);
+            const double part = servedPart(hasLocalCopy(state, model) ? m_options.localLoad : spec.loadTime);
             // The evicted replicas are missing while the new one is still loading.
             const double gain = gainOf(state, model, *evicted, before, Arrival::There) * part
                 + gainOf(state, model, *evicted, before, Arrival::Pending) * (1 - part);
--- a/src/bamboomoor/placement/residencyplan.cpp
+++ b/src/bamboomoor/placement/residencyplan.cpp
@@ -313,9 +313,14 @@
             lost.emplace_back(-modelDemand(model), model);
         }
     }
+    if (lost.empty()) {
+        return;
+    }
     std::sort(lost.begin(), lost.end());
-    const bool fits = lost.empty() || fitsAll(service, engine);
+    const bool fits = fitsAll(service, engine);
+    QuickCopies copies = quickCopies(service, engine);
     for (const auto &[demand, model] : lost) {
+        const double urgency = LOST_URGENCY * (1 - demand);
         const bool mayWait = mayWaitForStore(service);
         State *best = nullptr;
         std::vector<std::string> bestEvicted;
@@ -329,6 +334,10 @@
                 continue;
             }
             const std::int64_t needed = engine.models.at(model).memoryMib;
+            // A worker executes one load at a time: a short load of a busier model goes first if both models fit.
+            if (loadsCopyFirst(copies, id, engine.memoryMib - usedMib(state) - needed, urgency)) {
+                continue;
+            }
             auto evicted = evictionsFor(now, state, needed);
             const bool replaces = !evicted && !fits;
             if (replaces) {
@@ -346,9 +355,9 @@
         }
         if (best != nullptr) {
             const base::Millis drained = drainedAt(now, bestEvicted);
-            best->task =
-                Task{model, std::move(bestEvicted), LOST, drained, LOST_URGENCY * (1 - demand), std::get<0>(bestRank)};
+            best->task = Task{model, std::move(bestEvicted), LOST, drained, urgency, std::get<0>(bestRank)};
             surveyWorkers();
+            copies = quickCopies(service, engine);
         }
     }
 }
--- a/test/bamboomoor/placement/residency.cpp
+++ b/test/bamboomoor/placement/residency.cpp
@@ -33,6 +33,7 @@
     std::set<std::string> localCopies;
     // False if every load uses the weight store.
     bool keepsCopies = true;
+    base::Millis storeLoad{4'000};
     std::uint64_t incarnation = 1;
     std::uint64_t orders = 0;
     std::string loading;
@@ -131,6 +132,20 @@
         }
     }
 
+    /** @brief Starts a worker anew, with nothing loaded. @param worker The worker. @param copies The content of its
+     * disk. */
+    static void restart(FakeWorker &worker, const std::set<std::string> &copies)
+    {
+        ++worker.incarnation;
+        worker.orders = 0;
+        worker.loading.clear();
+        worker.holdings = {};
+        worker.announced = {};
+        worker.onTheirWay.clear();
+        worker.past.clear();
+        worker.localCopies = copies;
+    }
+
     /** @brief Switches to another leader, which knows the announcements received so far. */
     void changeLeader()
     {
@@ -202,7 +217,7 @@
         } else if (order.adapter.empty()) {
             worker.loading = order.model;
             const bool local = worker.localCopies.contains(order.model);
-            worker.loadedAt = now + (local ? base::Millis{1'000} : base::Millis{4'000});
+            worker.loadedAt = now + (local ? base::Millis{1'000} : worker.storeLoad);
             if (!local) {
                 storeLoads.push_back(now);
             }
@@ -336,14 +351,7 @@
         it.step();
     }
     for (const std::string id : {"w1", "w2", "w3"}) {
-        FakeWorker &worker = it.find(id);
-        ++worker.incarnation;
-        worker.orders = 0;
-        worker.loading.clear();
-        worker.holdings = {};
-        worker.announced = {};
-        worker.onTheirWay.clear();
-        worker.localCopies = {"m0"};
+        Engines::restart(it.find(id), {"m0"});
     }
     for (int n = 0; n < 40; ++n) {
         it.demand("m0", 20);
@@ -361,6 +369,64 @@
     BOOST_TEST(it.mostStoreLoads({5'000}) <= 4);
 }
 
+// Seven of twelve workers are lost for 3 s each, one a second. Each has the busiest model on its disk, and a lost idle
+// model only the store has.
+BOOST_AUTO_TEST_CASE(after_crashes_the_busiest_model_returns_before_workers_load_idle_models_from_the_store)
+{
+    constexpr int WORKERS = 12;
+    constexpr int MODELS = 16;
+    constexpr std::size_t FIRST_LOST = 5;
+    constexpr double DEMAND = 60;
+    Engines it(WORKERS, 1);
+    for (int n = 0; n < MODELS; ++n) {
+        it.spec.models["m" + std::to_string(n)] = {90, 0, 0, {8'000}};
+    }
+    for (int n = 0; n < WORKERS; ++n) {
+        FakeWorker &worker = it.list[static_cast<std::size_t>(n)];
+        worker.storeLoad = {8'000};
+        worker.holdings.models.clear();
+        worker.holdings.models["m" + std::to_string(n + 1)];
+        worker.holdings.models[n < MODELS - WORKERS - 1 ? "m" + std::to_string(n + 1 + WORKERS) : "m0"];
+        worker.announced = worker.holdings;
+        worker.localCopies = {"m0"};
+    }
+    it.plan.setEngines({{"llm", it.spec}});
+    const int copiesBefore = it.copies("m0");
+    double served = 0;
+    int counted = 0;
+    for (int n = 0; n < 800; ++n) {
+        const base::Millis sinceFirst{(n - 200) * STEP.count};
+        for (std::size_t lost = FIRST_LOST; lost < it.list.size(); ++lost) {
+            FakeWorker &worker = it.list[lost];
+            const std::int64_t sinceCrash = sinceFirst.count - static_cast<std::int64_t>(lost - FIRST_LOST) * 1'000;
+            if (sinceCrash >= 0 && sinceCrash < 3'000) {
+                worker.holdings = {};
+                it.plan.unreachable(worker.id);
+            } else if (sinceCrash == 3'000) {
+                Engines::restart(worker, {"m0"});
+            }
+        }
+        if (n % 5 == 0) {
+            std::vector<ResidencyDemand> demand{{"m0", "", DEMAND, 0}};
+            for (int idle = 1; idle < MODELS; ++idle) {
+                demand.push_back({"m" + std::to_string(idle), "", 0.2, 0});
+            }
+            it.plan.setDemand(it.now, "entry", demand);
+        }
+        it.step();
+        if (sinceFirst >= base::Millis{6'000} && sinceFirst < base::Millis{14'000}) {
+            served += std::min(1.0, static_cast<double>(it.copies("m0")) / copiesBefore);
+            ++counted;
+        }
+    }
+    BOOST_TEST(served / counted >= 0.5);
+    for (const auto &[model, spec] : it.spec.models) {
+        BOOST_TEST(it.copies(model) >= 1);
+    }
+    BOOST_TEST(!it.exceeded);
+    BOOST_TEST(it.mostStoreLoads({5'000}) <= 10);
+}
+
 // Two workers have memory for four of eight models: models in demand are loaded, and models in use are kept.
 BOOST_AUTO_TEST_CASE(a_model_in_demand_replaces_an_idle_one_if_not_all_fit)
 {
