--- a/src/bamboomoor/placement/residencyplan.cpp
+++ b/src/bamboomoor/placement/residencyplan.cpp
@@ -102,7 +102,7 @@
             continue;
         }
         const bool unknown = modelOf(state, state.task->model) == nullptr;
-        if (isGone(state) || unknown || state.view.models.contains(state.task->model)) {
+        if (isGone(state) || state.report.overdue || unknown || state.view.models.contains(state.task->model)) {
             state.task.reset();
         }
     }
@@ -313,22 +313,31 @@
             lost.emplace_back(-modelDemand(model), model);
         }
     }
+    if (lost.empty()) {
+        return;
+    }
     std::sort(lost.begin(), lost.end());
-    const bool fits = lost.empty() || fitsAll(service, engine);
+    const bool fits = fitsAll(service, engine);
+    QuickCopies copies = quickCopies(service, engine);
     for (const auto &[demand, model] : lost) {
+        const double urgency = LOST_URGENCY * (1 - demand);
         const bool mayWait = mayWaitForStore(service);
         State *best = nullptr;
         std::vector<std::string> bestEvicted;
         // Preference: no last replica evicted, a local copy of the model, few evictions, low load.
         std::tuple<bool, bool, std::size_t, double> bestRank;
         for (auto &[id, state] : m_workers) {
-            if (state.report.service != service || isGone(state) || state.task || !state.loading.empty()) {
+            if (state.report.service != service || !mayTakeTask(state)) {
                 continue;
             }
             if (!hasLocalCopy(state, model) && !mayWait) {
                 continue;
             }
             const std::int64_t needed = engine.models.at(model).memoryMib;
+            // A worker executes one load at a time: a short load of a busier model goes first if both models fit.
+            if (loadsCopyFirst(copies, id, engine.memoryMib - usedMib(state) - needed, urgency)) {
+                continue;
+            }
             auto evicted = evictionsFor(now, state, needed);
             const bool replaces = !evicted && !fits;
             if (replaces) {
@@ -346,9 +355,9 @@
         }
         if (best != nullptr) {
             const base::Millis drained = drainedAt(now, bestEvicted);
-            best->task =
-                Task{model, std::move(bestEvicted), LOST, drained, LOST_URGENCY * (1 - demand), std::get<0>(bestRank)};
+            best->task = Task{model, std::move(bestEvicted), LOST, drained, urgency, std::get<0>(bestRank)};
             surveyWorkers();
+            copies = quickCopies(service, engine);
         }
     }
 }
