Give a part that requests which crash upstreams share a second to survive

Callers saw: three requests that each crash upstreams by their body share a part that one in forty sound requests has. The part was quarantined 0.75 s after they began, and sound requests with it were refused.

Cause: a part needs three crashes of two requests and 100 ms without a survival after them. A deadly request is tried again by its entry and its caller, so two of them bring that in less time than a sound request with a rare part, and the report of it, take.

Now, once one of the requests that were lost with the part was at several crashes or is quarantined, the part must have gone unsurvived for a second since the first crash that counts. It is counted from the first crash, so that crashes that are further apart wait no longer than before, and the bound of three seconds after the fifth crash holds.

What remains: three requests that crash one upstream each before one of them comes again.

--- a/src/bamboomoor/quarantine/crashanalysis.cpp
+++ b/src/bamboomoor/quarantine/crashanalysis.cpp
@@ -276,8 +276,19 @@
     }
     // A part in clearly more crashes, which may still be cleared, is the better explanation.
     std::size_t most = 0;
-    for (const auto &[part, it] : appearances) {
-        most = std::max(most, countCrashes(now, part, it).crashes);
+    // Crashes with a request that was in others as well, or is quarantined.
+    std::set<standing::Run> recurrent;
+    for (auto &[subject, it] : appearances) {
+        it.crashes = countCrashes(now, subject, it).crashes;
+        most = std::max(most, it.crashes);
+        const bool comesAgain = std::any_of(it.attempts.begin(), it.attempts.end(), [&it](const LostAttempt *lost) {
+            return lost->run != it.attempts.front()->run;
+        });
+        if (it.isRequest && (comesAgain || quarantinedFor(now, subject))) {
+            for (const LostAttempt *lost : it.attempts) {
+                recurrent.insert(lost->run);
+            }
+        }
     }
     std::optional<Candidate> best;
     for (const auto &[part, it] : appearances) {
@@ -285,7 +296,14 @@
         const std::size_t needed = isOnProbation(now, part) ? 1 : minCrashes;
         const base::Millis settle = it.position == 0 ? m_options.firstPartSettleTime : m_options.settleTime;
         Candidate candidate = countCrashes(now - settle, part, it);
-        if (candidate.crashes < needed || countCrashes(now, part, it).crashes + 1 < most) {
+        if (candidate.crashes < needed || it.crashes + 1 < most) {
+            continue;
+        }
+        const bool isDoubtful =
+            !it.isRequest && std::any_of(it.attempts.begin(), it.attempts.end(), [&](const LostAttempt *lost) {
+                return recurrent.contains(lost->run);
+            });
+        if (isDoubtful && now - candidate.firstCrash < m_options.doubtTime) {
             continue;
         }
         // Of subjects that go together, the later one affects the fewest sound requests.
@@ -300,7 +318,7 @@
     base::Millis until, const std::string &part, const Appearances &appearances) const
 {
     const auto held = m_held.find(part);
-    Candidate candidate{part, appearances.position, 0, {}};
+    Candidate candidate{part, appearances.position, 0, {}, {}};
     std::set<std::string> requests;
     std::vector<standing::Run> runs;
     for (const LostAttempt *it : appearances.attempts) {
@@ -308,6 +326,7 @@
             && (runs.empty() || it->at - candidate.lastCrash >= m_options.mergeInterval)
             && std::find(runs.begin(), runs.end(), it->run) == runs.end();
         if (counts) {
+            candidate.firstCrash = runs.empty() ? it->at : candidate.firstCrash;
             requests.insert(it->request);
             runs.push_back(it->run);
             candidate.lastCrash = it->at;
--- a/src/bamboomoor/quarantine/crashanalysis.hpp
+++ b/src/bamboomoor/quarantine/crashanalysis.hpp
@@ -76,6 +76,9 @@
     // shared by the most sound requests and gets more.
     base::Millis settleTime{100};
     base::Millis firstPartSettleTime{1'000};
+    // The time since the first crash that is needed if a request with the part was in several crashes or is
+    // quarantined: several such requests that share a part look like it, but sound ones with it survive.
+    base::Millis doubtTime{1'000};
     // A lost attempt counts only if its upstream is found to have crashed within this time.
     base::Millis confirmTimeout{10'000};
     base::Millis evidenceLife{600'000};
@@ -182,11 +185,13 @@
         std::size_t position = 0;
         bool isRequest = false;
         std::vector<const LostAttempt *> attempts;
+        std::size_t crashes = 0;
     };
     struct Candidate {
         std::string part;
         std::size_t position = 0;
         std::size_t crashes = 0;
+        base::Millis firstCrash;
         base::Millis lastCrash;
     };
 
