--- a/src/bamboomoor/placement/residency.hpp
+++ b/src/bamboomoor/placement/residency.hpp
@@ -377,11 +377,6 @@
     {
         return state.report.leaving || state.unreachable;
     }
-    // A worker that missed an announcement may be gone, or have restarted under another id.
-    [[nodiscard]] static bool mayTakeTask(const State &state) noexcept
-    {
-        return !isGone(state) && !state.report.overdue && !state.task && state.loading.empty();
-    }
     [[nodiscard]] const EngineSpec *engineOf(const State &state) const;
     [[nodiscard]] const ModelSpec *modelOf(const State &state, const std::string &model) const;
     [[nodiscard]] std::int64_t usedMib(const State &state) const;
--- a/src/bamboomoor/placement/residencycopies.cpp
+++ b/src/bamboomoor/placement/residencycopies.cpp
@@ -141,8 +141,9 @@
     for (const std::string &model : busiestModels(service, engine)) {
         const std::int64_t size = engine.models.at(model).memoryMib;
         for (const auto &[id, state] : m_workers) {
-            const bool usable = state.report.service == service && mayTakeTask(state) && !holdsOrLoads(state, model)
-                && hasLocalCopy(state, model) && usedMib(state) + size <= engine.memoryMib;
+            const bool usable = state.report.service == service && !isGone(state) && !state.task
+                && state.loading.empty() && !holdsOrLoads(state, model) && hasLocalCopy(state, model)
+                && usedMib(state) + size <= engine.memoryMib;
             const double gain = usable ? gainOf(state, model, {}, before, Arrival::There) * part : 0;
             if (gain > m_options.leastGain) {
                 copies[id].push_back({size, gain});
@@ -172,8 +173,8 @@
     for (const std::string &model : busiestModels(service, engine)) {
         const ModelSpec &spec = engine.models.at(model);
         for (auto &[id, state] : m_workers) {
-            const bool usable = state.report.service == service && mayTakeTask(state) && !holdsOrLoads(state, model)
-                && (mayWait || hasLocalCopy(state, model));
+            const bool usable = state.report.service == service && !isGone(state) && !state.task
+                && state.loading.empty() && !holdsOrLoads(state, model) && (mayWait || hasLocalCopy(state, model));
             auto evicted = usable ? evictionsFor(now, state, spec.memoryMib) : std::nullopt;
             if (!evicted) {
                 continue;
@@ -228,7 +229,7 @@
             continue;
         }
         underWay += state.task && state.task->reason == PACK ? 1 : 0;
-        if (state.report.service == service && mayTakeTask(state)) {
+        if (state.report.service == service && !state.task && state.loading.empty()) {
             freeMib.emplace(id, engine.memoryMib - usedMib(state));
         }
         for (const auto &[model, adapters] : state.view.models) {
--- a/src/bamboomoor/placement/residencyplan.cpp
+++ b/src/bamboomoor/placement/residencyplan.cpp
@@ -102,7 +102,7 @@
             continue;
         }
         const bool unknown = modelOf(state, state.task->model) == nullptr;
-        if (isGone(state) || state.report.overdue || unknown || state.view.models.contains(state.task->model)) {
+        if (isGone(state) || unknown || state.view.models.contains(state.task->model)) {
             state.task.reset();
         }
     }
@@ -327,7 +327,7 @@
         // Preference: no last replica evicted, a local copy of the model, few evictions, low load.
         std::tuple<bool, bool, std::size_t, double> bestRank;
         for (auto &[id, state] : m_workers) {
-            if (state.report.service != service || !mayTakeTask(state)) {
+            if (state.report.service != service || isGone(state) || state.task || !state.loading.empty()) {
                 continue;
             }
             if (!hasLocalCopy(state, model) && !mayWait) {
