Do not charge a restarted upstream with connections of the process before it

What callers saw, by the test: an upstream that has restarted gets no requests for 0.3 s and more, and is reported to the leader as unreachable, when a connection to the process before it is reset.

Cause: the load balancer keeps its state by the upstream's id and discards it at a restart, but the ends of earlier attempts were booked on the new state: back-off, failures, the number of requests in progress and the queued tokens. A VM that was switched off resets old connections just when its new process is up.

The counts of rooms and permits were kept by process already.

--- a/src/bamboomoor/relay/fleet.cpp
+++ b/src/bamboomoor/relay/fleet.cpp
@@ -83,6 +83,12 @@
     return it == m_workers.end() ? nullptr : &it->second;
 }
 
+Fleet::TrackedWorker *Fleet::find(const Choice &choice)
+{
+    TrackedWorker *known = find(choice.id);
+    return known == nullptr || known->worker.incarnation != choice.incarnation ? nullptr : known;
+}
+
 bool Fleet::hasLoaded(base::Millis now, const TrackedWorker &known, const std::string &holding) const
 {
     if (known.missing.contains(holding)) {
@@ -401,7 +407,7 @@
 bool Fleet::onSent(base::Millis now, const Choice &choice, const Requirements &requirements)
 {
     const bool usesPermit = m_standing.sent(now, {choice.id, choice.incarnation});
-    TrackedWorker *known = find(choice.id);
+    TrackedWorker *known = find(choice);
     if (known == nullptr) {
         return usesPermit;
     }
@@ -414,7 +420,7 @@
 
 void Fleet::onFirstEvent(base::Millis now, const Choice &choice, base::Millis sentAt)
 {
-    TrackedWorker *known = find(choice.id);
+    TrackedWorker *known = find(choice);
     if (known == nullptr) {
         return;
     }
@@ -489,7 +495,7 @@
 
 void Fleet::onPause(base::Millis now, const Choice &choice, base::Millis pause, base::Millis objective)
 {
-    TrackedWorker *known = find(choice.id);
+    TrackedWorker *known = find(choice);
     if (known == nullptr) {
         return;
     }
@@ -502,7 +508,7 @@
 
 void Fleet::onStall(base::Millis now, const Choice &choice)
 {
-    if (TrackedWorker *known = find(choice.id)) {
+    if (TrackedWorker *known = find(choice)) {
         State &state = known->state;
         const double fade = decay(now, state.measuredAt);
         state.failures = state.failures * fade * (1 - NEWEST_WEIGHT) + NEWEST_WEIGHT;
@@ -514,7 +520,7 @@
 void Fleet::onEnded(base::Millis now, const Choice &choice, bool hadStarted, AttemptResult result)
 {
     m_standing.ended({choice.id, choice.incarnation});
-    TrackedWorker *known = find(choice.id);
+    TrackedWorker *known = find(choice);
     if (known == nullptr) {
         return;
     }
--- a/src/bamboomoor/relay/fleet.hpp
+++ b/src/bamboomoor/relay/fleet.hpp
@@ -370,6 +370,8 @@
     void remember(State &state, const Requirements &requirements) const;
     [[nodiscard]] double referenceTokens(const std::string &service, std::int64_t tokens) const;
     TrackedWorker *find(const std::string &id);
+    // Null if the process has restarted since it was chosen: its state is that of another one.
+    TrackedWorker *find(const Choice &choice);
 
     FleetOptions m_options;
     std::mt19937_64 m_random;
