Keep the logs of a failed system test whole, and report what reaches the unruly upstream

A start of system_relay that failed left the last 15 lines of each log, and nothing of the stand-in, so that it could not be told whether a request without an answer had reached it. FLEET_KEEP names a folder that keeps the logs of a failed start; the stand-in writes a line for each connection, request, answer and closing, with the caller's port and the time. Checks are untouched.

--- a/test/bamboomoor/platform/system/unruly_upstream.cpp
+++ b/test/bamboomoor/platform/system/unruly_upstream.cpp
@@ -5,6 +5,7 @@
  *
  * The last part of a request's path names the answer (ANSWERS below). `POST /say` replaces the header lines that all
  * later answers carry by its body; `GET /stats` tells how many requests were answered so far, `all` and by answer.
+ * Standard output has a line for each connection, request and answer, with the caller's port.
  */
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -33,6 +34,14 @@
 constexpr std::size_t READ_SIZE = 16'384;
 constexpr int BACKLOG = 256;
 
+// Prints one line, with the time since the epoch.
+void report(int callerPort, const char *step, const std::string &text)
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    std::printf("unix_ms=%lld caller_port=%d event=%s %s\n",
+        static_cast<long long>(std::chrono::duration_cast<milliseconds>(now).count()), callerPort, step, text.c_str());
+}
+
 void rest(int millis)
 {
     std::this_thread::sleep_for(milliseconds(millis));
@@ -303,9 +312,10 @@
     peer.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
 }
 
-void serve(int socket, Upstream &upstream)
+void serve(int socket, int port, Upstream &upstream)
 {
     Peer peer(socket);
+    report(port, "connected", {});
     Request request;
     bool open = true;
     while (open && readRequest(peer, request)) {
@@ -322,9 +332,12 @@
             ++upstream.counts[name];
             said = upstream.said;
         }
+        report(port, "request", "id=" + request.id + " answer=" + name);
         open = answer == ANSWERS.end() ? peer.write(headOf(404, request.id, said + "Content-Length: 0\r\n\r\n"))
                                        : answer->second(peer, request, said);
+        report(port, "answered", "id=" + request.id);
     }
+    report(port, "closed", {});
 }
 
 } // namespace
@@ -348,13 +361,15 @@
         std::perror("unruly_upstream");
         return 1;
     }
+    std::setvbuf(stdout, nullptr, _IOLBF, 0);
     std::printf("listening %s:%s\n", argv[1], argv[2]);
-    std::fflush(stdout);
     Upstream upstream;
     for (;;) {
-        const int socket = accept(listener, nullptr, nullptr);
+        sockaddr_in caller{};
+        socklen_t length = sizeof(caller);
+        const int socket = accept(listener, reinterpret_cast<sockaddr *>(&caller), &length);
         if (socket >= 0) {
-            std::thread(serve, socket, std::ref(upstream)).detach();
+            std::thread(serve, socket, ntohs(caller.sin_port), std::ref(upstream)).detach();
         }
     }
 }
--- a/test/system/fleet.sh
+++ b/test/system/fleet.sh
@@ -1,4 +1,5 @@
 # Starts a small fleet on loopback and talks to it; sourced by the demo and the system tests.
+# FLEET_LOGS prints the ends of the logs of a failed start, FLEET_KEEP names a folder that keeps them whole.
 # Ports: FLEET_PORT + n of daemon n (callers), +20+n (peers), +40.. (stand-ins).
 set -euo pipefail
 
@@ -24,6 +25,10 @@
     if [ "$status" -ne 0 ] && [ -n "${FLEET_LOGS:-}" ]; then
         tail -n 15 "$FLEET_DIR"/*.log >&2 || true
     fi
+    if [ "$status" -ne 0 ] && [ -n "${FLEET_KEEP:-}" ]; then
+        mkdir -p "$FLEET_KEEP/$FLEET_PORT"
+        cp "$FLEET_DIR"/*.log "$FLEET_KEEP/$FLEET_PORT" || true
+    fi
     rm -rf "$FLEET_DIR"
     exit "$status"
 }
