--- a/src/bamboomoor/relay/core.hpp
+++ b/src/bamboomoor/relay/core.hpp
@@ -154,7 +154,7 @@
     std::optional<Charge> charge;
     bool freshConnection = false;
     bool permit = false;
-    // Set for Step::AttemptFailed and Step::Silent.
+    // Set for Step::AttemptFailed and Step::Stalled.
     std::optional<RetryDecision> retryDecision;
     // Set for Step::AttemptFailed: complete events of the attempt.
     std::optional<std::size_t> events;
@@ -506,7 +506,7 @@
     // Null before the first configuration.
     std::shared_ptr<const RouteTable> m_table;
     Fleet m_fleet;
-    // Bytes of all buffered bodies; at most maxHeldBytes.
+    // Bytes of all buffered bodies; at most maxBufferedBytes.
     std::size_t m_bufferedBytes = 0;
     RetryBudget m_retries;
     budget::Holder m_budgetHolder;
--- a/src/bamboomoor/relay/fleet.hpp
+++ b/src/bamboomoor/relay/fleet.hpp
@@ -296,7 +296,7 @@
      * @brief Records the end of a request.
      * @param now The current time.
      * @param choice The upstream.
-     * @param hadStarted Whether started() was called for it.
+     * @param hadStarted Whether onFirstEvent() was called for it.
      * @param result How it ended.
      */
     void onEnded(base::Millis now, const Choice &choice, bool hadStarted, AttemptResult result);
--- a/test/bamboomoor/relay/endings.cpp
+++ b/test/bamboomoor/relay/endings.cpp
@@ -403,14 +403,14 @@
 
     void arrive()
     {
-        static const std::vector<std::string> PREFIXES{
+        static const std::vector<std::string> prefixes{
             "/once/", "/again/", "/stream/", "/resume/", "/model/", "/none/"};
         if (m_isStopped) {
             return;
         }
         const std::uint64_t id = ++m_lastExchange;
         Caller caller;
-        caller.path = PREFIXES[static_cast<std::size_t>(below(static_cast<std::int64_t>(PREFIXES.size())))] + "x";
+        caller.path = prefixes[static_cast<std::size_t>(below(static_cast<std::int64_t>(prefixes.size())))] + "x";
         caller.isDeadly = m_disturbances.quarantine && below(4) == 0;
         relay::Request request;
         request.id = "r" + std::to_string(id);
--- a/test/bamboomoor/relay/outcome.hpp
+++ b/test/bamboomoor/relay/outcome.hpp
@@ -6,7 +6,7 @@
 namespace bamboomoor::relay::test
 {
 
-/** @brief Callers by result; those still being served at the end of a simulation count only in `asked`. */
+/** @brief Callers by result; those still being served at the end of a simulation count only in `requested`. */
 struct Outcome {
     int requested = 0;
     int inTime = 0;
