Keep what upstreams say of themselves on the product's own path

Callers waited for, or failed at, upstreams that had just said that they take nothing: the own path passed a 503 with Retry-After on or tried elsewhere, and sent the next request to the same upstream. Only an announcement could say that it leaves.

The entry's desk now reads the head of every answer and keeps it in a standing::UpstreamTracker, as the relayed path does. An upstream that answers 503 with Retry-After (seconds, a fraction, or a date that counts from the answer's Date) gets nothing new from that entry for so long, max_closure_ms at most; one that sends X-Bamboomoor-Leaving gets nothing until a later incarnation. First attempts, retries, resumed streams and what is queued all pass the same choice. A Retry-After that is repeated, negative, unreadable or above 1,000,000 s is logged, counted and passed over. With all upstreams of a target closed its callers are refused at once as not run, with the earliest opening, spread over 2 s, as Retry-After; a stream that has begun waits for the opening.

Not shared among entries: each hears its own answers, and announcements tell all.

--- a/src/bamboomoor/daemon/daemon.cpp
+++ b/src/bamboomoor/daemon/daemon.cpp
@@ -70,6 +70,7 @@
     options.queueLimit = static_cast<std::size_t>(settings.entry.queueLimit);
     options.engineDepth = static_cast<std::uint64_t>(settings.upstreams.engineDepth);
     options.progressTimeout = settings.upstreams.progressTimeout;
+    options.maxClosure = settings.upstreams.maxClosure;
     options.driftPermille = settings.budget.driftPermille;
     options.seed = seedOf(settings);
     return options;
--- a/src/bamboomoor/entry/admit.cpp
+++ b/src/bamboomoor/entry/admit.cpp
@@ -4,6 +4,7 @@
 #include "bamboomoor/base/digest.hpp"
 #include "bamboomoor/control/budgetwire.hpp"
 #include "bamboomoor/entry/desk.hpp"
+#include "bamboomoor/entry/upstreamaccess.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -338,7 +339,8 @@
         return false;
     }
     const base::Millis now = m_context.clock.now();
-    const auto candidates = m_context.upstreams.candidates(now, target);
+    // With all of them closed nothing waits, so that callers are refused at once.
+    const auto candidates = selectOpen(now, m_standing, m_context.upstreams.candidates(now, target));
     const bool room = candidates.empty() || std::any_of(candidates.begin(), candidates.end(), [this](const auto &it) {
         return m_router.load(it.upstream).inFlight < m_options.engineDepth;
     });
--- a/src/bamboomoor/entry/attempt.cpp
+++ b/src/bamboomoor/entry/attempt.cpp
@@ -1,10 +1,13 @@
 /**
  * The entry's thread: attempts at upstreams, and the way of their answers back to the callers.
  */
+#include "bamboomoor/base/eventlog.hpp"
 #include "bamboomoor/entry/desk.hpp"
+#include "bamboomoor/entry/upstreamaccess.hpp"
 #include "bamboomoor/http/forwarding.hpp"
 #include "bamboomoor/quarantine/partlimits.hpp"
 
+#include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -16,6 +19,7 @@
 namespace
 {
 
+constexpr base::Millis DEFAULT_RETRY_DELAY{1'000};
 constexpr int HTTP_OK = 200;
 constexpr int HTTP_REDIRECT = 300;
 constexpr int HTTP_BAD_REQUEST = 400;
@@ -82,6 +86,13 @@
     return exchange.requestId + '.' + std::to_string(exchange.attempt.id);
 }
 
+/** @brief Tells whether an answer names another attempt than the one that it came for. */
+bool isCrossed(const Exchange &exchange)
+{
+    const std::string_view echoed = http::headerValue(exchange.attempt.headers, "X-Request-Id");
+    return !echoed.empty() && echoed != attemptName(exchange);
+}
+
 } // namespace
 
 /** @brief Passes what the client's thread receives on to the desk's ring. */
@@ -141,7 +152,11 @@
         return true;
     }
     const Resolved &resolved = exchange.resolved;
-    const auto candidates = m_context.upstreams.candidates(now, resolved.target);
+    const auto known = m_context.upstreams.candidates(now, resolved.target);
+    const auto candidates = selectOpen(now, m_standing, known);
+    if (candidates.empty() && !known.empty()) {
+        return rejectClosed(now, exchange, known);
+    }
     routing::Request request;
     request.model = resolved.target.model;
     request.adapter = resolved.target.adapter;
@@ -174,6 +189,25 @@
     return true;
 }
 
+bool Desk::rejectClosed(base::Millis now, Exchange &exchange, const std::vector<routing::Candidate> &candidates)
+{
+    const base::Millis opening = earliestOpening(now, m_standing, candidates);
+    if (exchange.streaming && opening < exchange.deadline - now) {
+        return false;
+    }
+    m_context.metrics.gaveUp(routing::GIVE_UP_REASON_NAMES.name(routing::GiveUpReason::Closed));
+    const routing::Decision decision = exchange.delivery.giveUp();
+    const char *const message = "every upstream of this is closed at present";
+    if (decision != routing::Decision::FailNotRun) {
+        giveUp(exchange, decision, message);
+        return true;
+    }
+    const base::Millis retryAfter =
+        opening == base::NEVER ? DEFAULT_RETRY_DELAY : spreadRetry(std::max(opening, DEFAULT_RETRY_DELAY), exchange.id);
+    endWithError(exchange, admission::Refusal::NoUpstream, message, admission::Execution::NotRun, retryAfter);
+    return true;
+}
+
 void Desk::send(Exchange &exchange, const std::string &address)
 {
     Attempt &attempt = exchange.attempt;
@@ -242,6 +276,27 @@
     exchange->attempt.status = event.status;
     exchange->attempt.headers = std::move(event.headers);
     m_router.firstByte(m_context.clock.now(), event.attempt);
+    if (!isCrossed(*exchange)) {
+        noteSignal(*exchange);
+    }
+}
+
+void Desk::noteSignal(const Exchange &exchange)
+{
+    const base::Millis now = m_context.clock.now();
+    const Attempt &attempt = exchange.attempt;
+    const standing::UpstreamSignal signal = readSignal(attempt.status, attempt.headers);
+    for (const standing::Change it :
+        m_standing.onSignal(now, {attempt.upstream, attempt.incarnation}, signal, now, false)) {
+        m_context.metrics.upstreamSaid(standing::CHANGE_NAMES.name(it));
+        base::LogLine line("upstream_word");
+        line.add("id", exchange.requestId).add("upstream", attempt.upstream);
+        line.add("change", standing::CHANGE_NAMES.name(it));
+        if (signal.closedFor) {
+            line.add("closed_ms", std::min(*signal.closedFor, m_options.maxClosure));
+        }
+        LOG(INFO) << line.text();
+    }
 }
 
 void Desk::on(AnswerData &event)
@@ -348,8 +403,7 @@
 std::optional<FailureKind> Desk::judgeAnswer(Exchange &exchange) const
 {
     const Attempt &attempt = exchange.attempt;
-    const std::string_view echoed = http::headerValue(attempt.headers, "X-Request-Id");
-    if (!echoed.empty() && echoed != attemptName(exchange)) {
+    if (isCrossed(exchange)) {
         m_context.metrics.dropped("crossed_answer");
         return FailureKind::Malformed;
     }
--- a/src/bamboomoor/entry/desk.cpp
+++ b/src/bamboomoor/entry/desk.cpp
@@ -20,6 +20,7 @@
 constexpr base::Millis IDLE_TICK{50};
 // Longer than the election of another authority.
 constexpr base::Millis BUDGET_PATIENCE{4'000};
+constexpr base::Millis LISTING_INTERVAL{200};
 constexpr std::size_t MAX_EVENTS_PER_PUMP = 256;
 constexpr std::string_view BEARER = "Bearer ";
 
@@ -51,6 +52,13 @@
     return router;
 }
 
+standing::UpstreamTrackerOptions trackerOptions(const DeskOptions &options)
+{
+    standing::UpstreamTrackerOptions tracker;
+    tracker.maxClosure = options.maxClosure;
+    return tracker;
+}
+
 budget::HolderOptions holderOptions(const DeskOptions &options)
 {
     budget::HolderOptions holder;
@@ -82,6 +90,7 @@
     , m_ring(m_options.ringSize)
     , m_holder(holderOptions(m_options))
     , m_router(routing::makePolicy(routing::PolicyKind::TimeToFirstToken, m_options.seed), routerOptions(m_options))
+    , m_standing(trackerOptions(m_options))
     , m_backoff(m_options.seed)
 {
 }
@@ -312,6 +321,10 @@
     retryClaims(now);
     reviewLate();
     reviewQuarantine();
+    if (now >= m_nextListing) {
+        m_nextListing = now + LISTING_INTERVAL;
+        m_standing.setListed(m_context.upstreams.runs(now));
+    }
     m_retries.prune(now);
     m_context.metrics.fill(m_ring.size(), m_queued);
     const absl::MutexLock lock(&m_mutex);
--- a/src/bamboomoor/entry/desk.hpp
+++ b/src/bamboomoor/entry/desk.hpp
@@ -21,6 +21,7 @@
 #include "bamboomoor/quarantine/promptguard.hpp"
 #include "bamboomoor/routing/retrybudget.hpp"
 #include "bamboomoor/routing/router.hpp"
+#include "bamboomoor/standing/upstreamtracker.hpp"
 #include "bamboomoor/state/command.hpp"
 #include "bamboomoor/state/outcome.hpp"
 
@@ -49,6 +50,8 @@
     std::uint64_t engineDepth = 16;
     std::int64_t driftPermille = 10;
     base::Millis progressTimeout{10'000};
+    // The upper bound of the time for which an upstream closes itself.
+    base::Millis maxClosure{600'000};
     std::uint64_t seed = 1;
 };
 
@@ -206,6 +209,9 @@
     // attempt.cpp: attempts at upstreams and their answers.
     [[nodiscard]] bool dispatch(Exchange &exchange);
     void send(Exchange &exchange, const std::string &address);
+    [[nodiscard]] bool rejectClosed(
+        base::Millis now, Exchange &exchange, const std::vector<routing::Candidate> &candidates);
+    void noteSignal(const Exchange &exchange);
     [[nodiscard]] http::Call makeCall(const Exchange &exchange, const std::string &address) const;
     [[nodiscard]] std::string makeBody(const Exchange &exchange) const;
     void on(AnswerHead &event);
@@ -247,6 +253,9 @@
     std::unordered_map<std::uint64_t, std::uint64_t> m_byReservation;
     budget::Holder m_holder;
     routing::Router m_router;
+    // What upstreams said of themselves; asked at every choice.
+    standing::UpstreamTracker m_standing;
+    base::Millis m_nextListing;
     routing::RetryBudget m_retries;
     routing::Backoff m_backoff;
     quarantine::PromptGuard m_guard;
--- a/src/bamboomoor/entry/metrics.cpp
+++ b/src/bamboomoor/entry/metrics.cpp
@@ -49,6 +49,7 @@
     , m_announcements(counters(m_registry, "bamboomoor_announcements_total", "Announcements, by verdict"))
     , m_quarantines(counters(
           m_registry, "bamboomoor_quarantines_total", "Prompt parts and requests quarantined, by who decided it"))
+    , m_words(counters(m_registry, "bamboomoor_upstream_words_total", "What upstreams said of themselves, by change"))
     , m_firstToken(histogram(m_registry, "bamboomoor_first_token_seconds", "From arrival to the first token"))
     , m_betweenTokens(histogram(m_registry, "bamboomoor_between_tokens_seconds", "Between two tokens of a stream"))
     , m_ring(gauge(m_registry, "bamboomoor_ring_events", "Events that wait for the entry's thread"))
@@ -86,6 +87,11 @@
     count(m_quarantines, "decided_by", byLeader ? "leader" : "entry");
 }
 
+void Metrics::upstreamSaid(std::string_view change)
+{
+    count(m_words, "change", change);
+}
+
 void Metrics::announced(std::string_view verdict)
 {
     count(m_announcements, "verdict", verdict);
--- a/src/bamboomoor/entry/metrics.hpp
+++ b/src/bamboomoor/entry/metrics.hpp
@@ -36,6 +36,8 @@
     void dropped(std::string_view reason);
     /** @brief Counts a quarantine. @param byLeader Whether the leader decided on it. */
     void quarantined(bool byLeader);
+    /** @brief Counts what an answer changed about its upstream. @param change What. */
+    void upstreamSaid(std::string_view change);
     /** @brief Counts an announcement. @param verdict What became of it. */
     void announced(std::string_view verdict);
     /** @brief Notes the time to a first token. @param span Milliseconds since the request arrived. */
@@ -60,6 +62,7 @@
     prometheus::Family<prometheus::Counter> &m_drops;
     prometheus::Family<prometheus::Counter> &m_announcements;
     prometheus::Family<prometheus::Counter> &m_quarantines;
+    prometheus::Family<prometheus::Counter> &m_words;
     prometheus::Histogram &m_firstToken;
     prometheus::Histogram &m_betweenTokens;
     prometheus::Gauge &m_ring;
--- a/src/bamboomoor/entry/upstreambook.cpp
+++ b/src/bamboomoor/entry/upstreambook.cpp
@@ -4,6 +4,7 @@
 #include "bamboomoor/entry/upstreambook.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace bamboomoor::entry
 {
@@ -56,7 +57,8 @@
     std::vector<routing::Candidate> found;
     for (const membership::Entry *it : m_registry.usable(now)) {
         if (serves(it->announcement, target)) {
-            found.push_back({it->announcement.id, it->announcement.load, now - it->loadReportedAt});
+            found.push_back(
+                {it->announcement.id, it->announcement.load, now - it->loadReportedAt, it->announcement.incarnation});
         }
     }
     return found;
@@ -88,6 +90,19 @@
     return copies;
 }
 
+std::vector<standing::ListedRun> UpstreamBook::runs(base::Millis now) const
+{
+    const absl::MutexLock lock(&m_mutex);
+    std::vector<standing::ListedRun> runs;
+    for (const membership::Entry *it : m_registry.list(now)) {
+        standing::ListedRun run;
+        run.run = {it->announcement.id, it->announcement.incarnation};
+        run.service = it->announcement.service;
+        runs.push_back(std::move(run));
+    }
+    return runs;
+}
+
 std::set<DrainingReplica> UpstreamBook::draining() const
 {
     const absl::MutexLock lock(&m_mutex);
--- a/src/bamboomoor/entry/upstreambook.hpp
+++ b/src/bamboomoor/entry/upstreambook.hpp
@@ -7,6 +7,7 @@
 #include "bamboomoor/entry/target.hpp"
 #include "bamboomoor/membership/registry.hpp"
 #include "bamboomoor/routing/policy.hpp"
+#include "bamboomoor/standing/roomtracker.hpp"
 
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
@@ -98,6 +99,13 @@
      */
     [[nodiscard]] std::vector<membership::Entry> list(base::Millis now) const;
 
+    /**
+     * @brief Lists the processes of all live upstreams.
+     * @param now The present time.
+     * @return Their ids and incarnations, by ascending id.
+     */
+    [[nodiscard]] std::vector<standing::ListedRun> runs(base::Millis now) const;
+
     /**
      * @brief Reads the replicas that get no new work.
      * @return All of them.
--- a/src/bamboomoor/routing/delivery.hpp
+++ b/src/bamboomoor/routing/delivery.hpp
@@ -66,11 +66,19 @@
     base::makeNames<Decision>("retry", "resume", "fail_not_run", "fail_unknown", "fail_run");
 
 /** @brief Reason for not retrying a request. */
-enum class GiveUpReason { NotRepeatable, AttemptsExhausted, OrganisationBudget, UpstreamBudget, Deadline, NoUpstream };
+enum class GiveUpReason {
+    NotRepeatable,
+    AttemptsExhausted,
+    OrganisationBudget,
+    UpstreamBudget,
+    Deadline,
+    NoUpstream,
+    Closed
+};
 
 /** @brief Names of the reasons, used as metric labels. */
 inline constexpr auto GIVE_UP_REASON_NAMES = base::makeNames<GiveUpReason>(
-    "not_repeatable", "attempts_spent", "organisation_budget", "upstream_budget", "deadline", "no_upstream");
+    "not_repeatable", "attempts_spent", "organisation_budget", "upstream_budget", "deadline", "no_upstream", "closed");
 
 /** @brief Input of a retry decision. */
 struct Situation {
--- a/src/bamboomoor/routing/policy.hpp
+++ b/src/bamboomoor/routing/policy.hpp
@@ -47,6 +47,8 @@
     membership::Load reported;
     // Milliseconds since the load was reported.
     base::Millis loadAge;
+    // Increases with each start of the upstream's process.
+    std::uint64_t incarnation = 0;
 };
 
 /** @brief Exact count of the work of this daemon at an upstream. */
--- a/src/bamboomoor/settings/settings.cpp
+++ b/src/bamboomoor/settings/settings.cpp
@@ -57,6 +57,7 @@
     readSpan(in, "lease_ms", out.lease);
     readSpan(in, "warm_up_ms", out.warmUp, {0, MAX_SPAN_MS});
     readSpan(in, "progress_timeout_ms", out.progressTimeout);
+    readSpan(in, "max_closure_ms", out.maxClosure);
     readCount(in, "engine_depth", out.engineDepth);
 }
 
--- a/src/bamboomoor/settings/settings.hpp
+++ b/src/bamboomoor/settings/settings.hpp
@@ -70,6 +70,8 @@
     base::Millis warmUp;
     // The longest silence within one answer.
     base::Millis progressTimeout{10'000};
+    // The upper bound of the time for which an upstream closes itself.
+    base::Millis maxClosure{600'000};
     // The most requests of this entry at one engine.
     std::int64_t engineDepth = 16;
 
--- a/test/bamboomoor/settings/settings.cpp
+++ b/test/bamboomoor/settings/settings.cpp
@@ -47,6 +47,7 @@
     BOOST_TEST(read.voters.at(0).address == "127.0.0.1:9090");
     BOOST_TEST(read.control.freshnessLease.count == 1500);
     BOOST_TEST(read.upstreams.lease.count == 3000);
+    BOOST_TEST(read.upstreams.maxClosure.count == 600'000);
     BOOST_TEST(read.placement.adaptersInFlight == 130);
     BOOST_TEST(read.bootstrap);
 }
@@ -66,6 +67,13 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(the_longest_closure_of_an_upstream_can_be_set)
+{
+    const std::string section = GOOD + "[upstreams]\nmax_closure_ms = ";
+    BOOST_TEST(settings::parseSettings(section + "5000\n", "a.toml").value().upstreams.maxClosure.count == 5'000);
+    BOOST_TEST(mistake(section + "-1\n") != "no mistake");
+}
+
 BOOST_AUTO_TEST_CASE(the_share_of_retries_is_between_nothing_and_all)
 {
     const auto shareOf = [](const std::string &value) {
--- a/test/fakes/upstream.cpp
+++ b/test/fakes/upstream.cpp
@@ -142,12 +142,18 @@
     noteKeys(request);
     FaultKind fault = FaultKind::None;
     base::Millis delay;
+    http::Headers refusal;
     {
         const absl::MutexLock lock(&m_mutex);
         ++m_requests;
         fault = request.path == "/order" ? FaultKind::None : m_faults.takeNext();
         m_faulted += fault == FaultKind::None ? 0 : 1;
         delay = m_faults.delay;
+        refusal = request.path == "/order" ? http::Headers() : m_refusal;
+    }
+    if (!refusal.empty()) {
+        responder->respond({503, std::move(refusal), R"({"error":{"not_run":true}})"});
+        return;
     }
     if (fault == FaultKind::ResetBefore) {
         responder->abort();
@@ -196,6 +202,12 @@
             m_sequence = 0;
         }
         leaving = document.value("leaving", false);
+        if (document.contains("refuse_with")) {
+            m_refusal.clear();
+            for (const auto &[name, value] : document["refuse_with"].items()) {
+                m_refusal.push_back({name, value.get<std::string>()});
+            }
+        }
     }
     if (leaving) {
         leave();
--- a/test/fakes/upstream.hpp
+++ b/test/fakes/upstream.hpp
@@ -155,6 +155,8 @@
     std::string m_address;
     mutable absl::Mutex m_mutex;
     Faults m_faults ABSL_GUARDED_BY(m_mutex);
+    // While not empty, requests are refused as not run, with these headers.
+    http::Headers m_refusal ABSL_GUARDED_BY(m_mutex);
     std::int64_t m_incarnation ABSL_GUARDED_BY(m_mutex);
     std::int64_t m_sequence ABSL_GUARDED_BY(m_mutex) = 0;
     std::int64_t m_requests ABSL_GUARDED_BY(m_mutex) = 0;
