Count crashes of a request that is tried again right after each of them

Callers saw: a request that crashes upstreams and is tried again at once ends more upstreams than it need, as crashes less than 100 ms apart count once, whoever they hit.

Cause: a rack may fail at one moment, so crashes that are close together may have one cause. But an attempt that was sent after the crash before cannot have been part of it. Reports now tell how long an attempt ran (`ran_ms`, optional; an older build leaves it out and ignores it), and such an attempt counts against its request. It does not if upstreams that the request was not at were lost within 100 ms: a rack may take a while to fail, and a sound request goes from one of its upstreams to the next. Parts are merged as before.

With that alone, a part whose requests are each tried four times 60 ms apart was lost: the request was quarantined at the moment when the part had crashes enough, and took the evidence with it; four attempts came later than 3 s after the fifth crash and twelve upstreams ended. So a part that the request has in common with one that is quarantined already is quarantined together with it, if the evidence suffices.

Evidence: a_request_that_is_tried_again_at_once_... fails without the new condition (run against the source with it switched off), the four-tries test fails without the second change. A staggered rack and attempts that ran at the same time quarantine nothing (tests).

Not covered: three dying upstreams of which a sound request was at each and nothing else was lost; several tries that are sent at one moment count once. Clocks are compared by the age of reports, so latencies of entries blur sentAt by tens of ms.

--- a/src/bamboomoor/control/quarantinewire.cpp
+++ b/src/bamboomoor/control/quarantinewire.cpp
@@ -66,6 +66,9 @@
         lost->set_age_ms((now - it.at).count);
         lost->set_request(it.request);
         lost->set_identity(it.identity);
+        if (it.sentAt) {
+            lost->set_ran_ms((it.at - *it.sentAt).count);
+        }
         for (const std::string &part : it.parts) {
             lost->add_parts(part);
         }
@@ -98,6 +101,9 @@
         lost.at = timeOf(now, it.age_ms());
         lost.request = it.request();
         lost.identity = isValid(it.identity()) ? it.identity() : std::string();
+        if (it.has_ran_ms()) {
+            lost.sentAt = timeOf(lost.at, it.ran_ms());
+        }
         for (int part = 0; part < std::min(it.parts_size(), static_cast<int>(quarantine::MAX_PARTS)); ++part) {
             // Keeps the positions of the others.
             lost.parts.push_back(isValid(it.parts(part)) ? it.parts(part) : std::string());
--- a/src/bamboomoor/entry/attempt.cpp
+++ b/src/bamboomoor/entry/attempt.cpp
@@ -170,6 +170,7 @@
     exchange.attempt.id = choice.attempt;
     exchange.attempt.upstream = choice.upstream;
     exchange.attempt.incarnation = place->incarnation;
+    exchange.attempt.sentAt = now;
     send(exchange, place->address);
     return true;
 }
--- a/src/bamboomoor/entry/exchange.hpp
+++ b/src/bamboomoor/entry/exchange.hpp
@@ -35,6 +35,7 @@
     std::uint64_t id = 0;
     std::string upstream;
     std::uint64_t incarnation = 0;
+    base::Millis sentAt;
     http::CallId call;
     // Set by the client's thread when an event of the attempt was lost.
     std::shared_ptr<std::atomic<bool>> broken;
--- a/src/bamboomoor/entry/quarantine.cpp
+++ b/src/bamboomoor/entry/quarantine.cpp
@@ -156,7 +156,7 @@
     if (!mayBeCrash(failure, attempt.events)) {
         return;
     }
-    m_guard.onLost(now, {attempt.upstream, attempt.incarnation}, traitsIn(exchange));
+    m_guard.onLost(now, {attempt.upstream, attempt.incarnation}, traitsIn(exchange), attempt.sentAt);
     m_askLeaderUntil = now + DECISION_TIME;
     LOG(INFO) << lineOf("attempt_failed", exchange, routing::FAILURE_KIND_NAMES.name(failure))
                      .add("upstream", attempt.upstream)
--- a/src/bamboomoor/quarantine/crashanalysis.cpp
+++ b/src/bamboomoor/quarantine/crashanalysis.cpp
@@ -169,33 +169,54 @@
     if (now > m_evaluateUntil) {
         return findings;
     }
-    while (const auto candidate = nextCandidate(now)) {
-        const auto held = m_held.find(candidate->part);
-        const base::Millis duration = held == m_held.end()
-            ? m_options.quarantineTime
-            : std::min(held->second.duration * 2, m_options.maxQuarantineTime);
-        std::set<std::string> rivals = rivalsOf(candidate->part);
-        releaseRivalsOf(now, candidate->part);
-        std::vector<Record> kept = doubtOf(candidate->part, rivals);
-        hold(candidate->part, {now + duration, duration, candidate->lastCrash, std::move(rivals)});
-        m_lifted.erase(candidate->part);
-        findings.push_back({candidate->part, now + duration, candidate->crashes});
-        std::vector<standing::Run> runs;
-        for (const Record &it : m_records) {
-            if (it.confirmed && hasSubject(it.attempt, candidate->part)) {
-                runs.push_back(it.attempt.run);
-            }
-        }
-        std::for_each(runs.begin(), runs.end(), [this](const standing::Run &it) {
-            explain(it);
-        });
-        for (Record &it : kept) {
-            insert(std::move(it));
+    while (const auto candidate = nextCandidate(now, {})) {
+        // The evidence against the part goes with the quarantine of the request.
+        const auto common = candidate->position == MAX_PARTS ? nextCandidate(now, candidate->part) : std::nullopt;
+        findings.push_back(quarantine(now, *candidate));
+        if (common) {
+            findings.push_back(quarantine(now, *common));
         }
     }
     return findings;
 }
 
+Finding CrashAnalysis::quarantine(base::Millis now, const Candidate &candidate)
+{
+    const auto held = m_held.find(candidate.part);
+    const base::Millis duration = held == m_held.end()
+        ? m_options.quarantineTime
+        : std::min(held->second.duration * 2, m_options.maxQuarantineTime);
+    std::set<std::string> rivals = rivalsOf(candidate.part);
+    releaseRivalsOf(now, candidate.part);
+    std::vector<Record> kept = doubtOf(candidate.part, rivals);
+    hold(candidate.part, {now + duration, duration, candidate.lastCrash, std::move(rivals)});
+    m_lifted.erase(candidate.part);
+    std::vector<standing::Run> runs;
+    for (const Record &it : m_records) {
+        if (it.confirmed && hasSubject(it.attempt, candidate.part)) {
+            runs.push_back(it.attempt.run);
+        }
+    }
+    std::for_each(runs.begin(), runs.end(), [this](const standing::Run &it) {
+        explain(it);
+    });
+    for (Record &it : kept) {
+        insert(std::move(it));
+    }
+    return {candidate.part, now + duration, candidate.crashes};
+}
+
+bool CrashAnalysis::isCommonPart(base::Millis now, const Appearances &part, const std::string &request) const
+{
+    const bool hasQuarantined = std::any_of(part.attempts.begin(), part.attempts.end(), [&](const LostAttempt *it) {
+        return it->identity != request && quarantinedFor(now, it->identity);
+    });
+    const bool hasRequest = std::any_of(part.attempts.begin(), part.attempts.end(), [&](const LostAttempt *it) {
+        return it->identity == request;
+    });
+    return !part.isRequest && hasQuarantined && hasRequest;
+}
+
 std::set<std::string> CrashAnalysis::rivalsOf(const std::string &request) const
 {
     std::set<standing::Run> runs;
@@ -256,7 +277,7 @@
     });
 }
 
-std::optional<CrashAnalysis::Candidate> CrashAnalysis::nextCandidate(base::Millis now) const
+std::optional<CrashAnalysis::Candidate> CrashAnalysis::nextCandidate(base::Millis now, const std::string &request) const
 {
     std::map<std::string, Appearances> appearances;
     for (const auto &[attempt, confirmed] : m_records) {
@@ -299,6 +320,9 @@
         if (candidate.crashes < needed || it.crashes + 1 < most) {
             continue;
         }
+        if (!request.empty() && !isCommonPart(now, it, request)) {
+            continue;
+        }
         const bool isDoubtful =
             !it.isRequest && std::any_of(it.attempts.begin(), it.attempts.end(), [&](const LostAttempt *lost) {
                 return recurrent.contains(lost->run);
@@ -314,6 +338,26 @@
     return best;
 }
 
+bool CrashAnalysis::isIndependent(
+    const LostAttempt &attempt, base::Millis lastCrash, const Appearances &appearances) const
+{
+    if (attempt.at - lastCrash >= m_options.mergeInterval) {
+        return true;
+    }
+    if (!appearances.isRequest || !attempt.sentAt || *attempt.sentAt < lastCrash) {
+        return false;
+    }
+    // A rack may fail within some time; then it loses upstreams that the request was not at.
+    return std::all_of(m_records.begin(), m_records.end(), [&](const Record &it) {
+        const bool isBeside =
+            it.attempt.at > lastCrash - m_options.mergeInterval && it.attempt.at < attempt.at + m_options.mergeInterval;
+        return !isBeside
+            || std::any_of(appearances.attempts.begin(), appearances.attempts.end(), [&it](const LostAttempt *attempt) {
+                   return attempt->run == it.attempt.run;
+               });
+    });
+}
+
 CrashAnalysis::Candidate CrashAnalysis::countCrashes(
     base::Millis until, const std::string &part, const Appearances &appearances) const
 {
@@ -323,8 +367,8 @@
     std::vector<standing::Run> runs;
     for (const LostAttempt *it : appearances.attempts) {
         const bool counts = it->at <= until && (held == m_held.end() || it->at > held->second.until)
-            && (runs.empty() || it->at - candidate.lastCrash >= m_options.mergeInterval)
-            && std::find(runs.begin(), runs.end(), it->run) == runs.end();
+            && std::find(runs.begin(), runs.end(), it->run) == runs.end()
+            && (runs.empty() || isIndependent(*it, candidate.lastCrash, appearances));
         if (counts) {
             candidate.firstCrash = runs.empty() ? it->at : candidate.firstCrash;
             requests.insert(it->request);
--- a/src/bamboomoor/quarantine/crashanalysis.hpp
+++ b/src/bamboomoor/quarantine/crashanalysis.hpp
@@ -38,6 +38,8 @@
     std::vector<std::string> parts;
     // The subject that stands for the whole request; empty once it has been cleared.
     std::string identity{};
+    // When the attempt was sent, if that is known.
+    std::optional<base::Millis> sentAt{};
 
     friend bool operator==(const LostAttempt &, const LostAttempt &) = default;
 };
@@ -70,7 +72,8 @@
     std::size_t minRequestCrashes = 3;
     // Requests that a part must have crashed upstreams with; retries of one may account for several crashes.
     std::size_t minRequests = 2;
-    // Crashes within this time may have one common cause and count once.
+    // Crashes within this time may have one common cause and count once. One of an attempt of the same request that was
+    // sent after the crash before counts, unless upstreams without the request were lost beside.
     base::Millis mergeInterval{100};
     // The time after the last crash that is needed in which a survival clears the part; the first part of a prompt is
     // shared by the most sound requests and gets more.
@@ -204,7 +207,14 @@
     // a part that other requests have too, and all but one of the crashes that rivals need.
     [[nodiscard]] std::vector<Record> doubtOf(const std::string &request, const std::set<std::string> &rivals) const;
     void releaseRivalsOf(base::Millis now, const std::string &request);
-    [[nodiscard]] std::optional<Candidate> nextCandidate(base::Millis now) const;
+    Finding quarantine(base::Millis now, const Candidate &candidate);
+    // Tells whether a request has the part, and one that is quarantined had it in another crash.
+    [[nodiscard]] bool isCommonPart(base::Millis now, const Appearances &part, const std::string &request) const;
+    // Finds the best explanation of the crashes; beside a given request, of the parts that it has in common with one
+    // that is quarantined.
+    [[nodiscard]] std::optional<Candidate> nextCandidate(base::Millis now, const std::string &request) const;
+    [[nodiscard]] bool isIndependent(
+        const LostAttempt &attempt, base::Millis lastCrash, const Appearances &appearances) const;
     [[nodiscard]] Candidate countCrashes(
         base::Millis until, const std::string &part, const Appearances &appearances) const;
     [[nodiscard]] bool isOnProbation(base::Millis now, const std::string &part) const;
--- a/src/bamboomoor/quarantine/promptguard.cpp
+++ b/src/bamboomoor/quarantine/promptguard.cpp
@@ -59,11 +59,11 @@
     }
 }
 
-void PromptGuard::onLost(base::Millis now, const standing::Run &run, const RequestTraits &request)
+void PromptGuard::onLost(base::Millis now, const standing::Run &run, const RequestTraits &request, base::Millis sentAt)
 {
     const std::string identity = identityOf(request);
-    LostAttempt attempt{
-        run, now, request.parts.empty() ? identity : keyOf(request.parts.back()), sharedParts(request.parts), identity};
+    const std::string key = request.parts.empty() ? identity : keyOf(request.parts.back());
+    LostAttempt attempt{run, now, key, sharedParts(request.parts), identity, sentAt};
     for (const std::string &it : subjectsOf(request)) {
         watch(now, it);
     }
--- a/src/bamboomoor/quarantine/promptguard.hpp
+++ b/src/bamboomoor/quarantine/promptguard.hpp
@@ -79,8 +79,9 @@
      * @param now The current time.
      * @param run The upstream.
      * @param request The request.
+     * @param sentAt When the attempt was sent.
      */
-    void onLost(base::Millis now, const standing::Run &run, const RequestTraits &request);
+    void onLost(base::Millis now, const standing::Run &run, const RequestTraits &request, base::Millis sentAt);
 
     /** @brief Records that an upstream accepts no connection. @param now The current time. @param upstream Its id. */
     void onUnreachable(base::Millis now, const std::string &upstream);
--- a/src/bamboomoor/relay/core.cpp
+++ b/src/bamboomoor/relay/core.cpp
@@ -415,7 +415,7 @@
 void Core::noteLoss(base::Millis now, const Exchange &exchange)
 {
     const standing::Run run{exchange.choice.id, exchange.choice.incarnation};
-    m_guard.onLost(now, run, traitsOf(exchange));
+    m_guard.onLost(now, run, traitsOf(exchange), exchange.sentAt);
 }
 
 void Core::noteSurvival(base::Millis now, const Exchange &exchange)
--- a/test/bamboomoor/control/crashreports.cpp
+++ b/test/bamboomoor/control/crashreports.cpp
@@ -59,11 +59,11 @@
     const quarantine::RequestTraits request{{}, "f1"};
     quarantine::PromptGuard a;
     quarantine::PromptGuard b;
-    a.onLost(now, {"w1", 1}, request);
+    a.onLost(now, {"w1", 1}, request, now);
     exchange(a, "a");
-    b.onLost(now, {"w2", 1}, request);
+    b.onLost(now, {"w2", 1}, request, now);
     exchange(b, "b");
-    b.onLost(now, {"w3", 1}, request);
+    b.onLost(now, {"w3", 1}, request, now);
     exchange(b, "b");
     BOOST_TEST((inspected == std::vector<std::string>{"w1", "w2", "w3"}));
     exchange(a, "a");
--- a/test/bamboomoor/control/wire.cpp
+++ b/test/bamboomoor/control/wire.cpp
@@ -88,6 +88,7 @@
     report.sequence = 7;
     report.lostAttempts.push_back({{"w1", 3}, sent - base::Millis{40}, "own", {"a", "", "b"}, "request:r"});
     report.lostAttempts.push_back({{"w1", 3}, sent, std::string(65, 'x'), {"a"}});
+    report.lostAttempts.push_back({{"w2", 3}, sent, "own", {}, "request:r", sent - base::Millis{30}});
     report.survivals.push_back({"a", sent - base::Millis{10}});
     report.quarantines.push_back({"b", sent + base::Millis{500}});
     peer::wire::DemandReport message;
@@ -96,7 +97,10 @@
     BOOST_REQUIRE(parsed.ParseFromString(message.SerializeAsString()));
     const quarantine::Report read = control::quarantineReport(received, parsed);
     BOOST_TEST(read.sequence == 7U);
-    BOOST_REQUIRE(read.lostAttempts.size() == 1U);
+    BOOST_REQUIRE(read.lostAttempts.size() == 2U);
+    // An earlier version does not tell when it was sent.
+    BOOST_TEST(!read.lostAttempts[0].sentAt.has_value());
+    BOOST_TEST((read.lostAttempts[1].sentAt == received - base::Millis{30}));
     const quarantine::LostAttempt expected{{"w1", 3}, received - base::Millis{40}, "own", {"a", "", "b"}, "request:r"};
     BOOST_TEST((read.lostAttempts[0] == expected));
     BOOST_TEST((read.survivals.at(0).at == received - base::Millis{10}));
@@ -116,6 +120,7 @@
     auto *lost = odd.add_lost_attempts();
     lost->set_request("own");
     lost->set_age_ms(INT64_MIN);
+    lost->set_ran_ms(INT64_MIN);
     for (int n = 0; n < 100; ++n) {
         lost->add_parts("p" + std::to_string(n));
     }
@@ -123,6 +128,7 @@
     odd.mutable_quarantines(0)->set_left_ms(INT64_MAX);
     const quarantine::Report bounded = control::quarantineReport(received, odd);
     BOOST_TEST((bounded.lostAttempts.at(0).at == received));
+    BOOST_TEST((bounded.lostAttempts.at(0).sentAt == received));
     BOOST_TEST(bounded.lostAttempts.at(0).parts.size() == 16U);
     BOOST_TEST((bounded.quarantines.at(0).until <= received + base::Millis{3'600'000}));
 }
--- a/test/bamboomoor/quarantine/crashanalysis.cpp
+++ b/test/bamboomoor/quarantine/crashanalysis.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -356,6 +357,96 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_request_that_is_tried_again_at_once_is_quarantined_after_three_crashes)
+{
+    for (const std::string upstream : {"w1", "w2", "w3"}) {
+        const base::Millis sentAt = now;
+        now = now + base::Millis{60};
+        analysis.add(now, {{upstream, 1}, now, "request:r", {}, "request:r", sentAt});
+        // Lost beside it.
+        analysis.add(now, {{upstream, 1}, now, "request:" + upstream, {}, "request:" + upstream, sentAt});
+        analysis.onUnreachable(now, upstream);
+    }
+    BOOST_TEST(settle(200) == std::vector<std::string>{"request:r"});
+}
+
+BOOST_AUTO_TEST_CASE(attempts_that_ran_at_the_moment_of_an_earlier_crash_count_as_one_crash_with_it)
+{
+    for (const std::string upstream : {"w1", "w2", "w3"}) {
+        now = now + base::Millis{60};
+        analysis.add(now, {{upstream, 1}, now, "request:r", {}, "request:r", START});
+        analysis.onUnreachable(now, upstream);
+    }
+    BOOST_TEST(settle().empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_sound_request_that_is_tried_at_one_upstream_of_a_failing_rack_after_another_is_not_quarantined)
+{
+    for (const std::string upstream : {"w1", "w2", "w3", "w4", "w5", "w6"}) {
+        const base::Millis sentAt = now;
+        now = now + base::Millis{15};
+        const bool hasIt = upstream == "w1" || upstream == "w3" || upstream == "w6";
+        const std::string request = hasIt ? "request:r" : "request:" + upstream;
+        analysis.add(now, {{upstream, 1}, now, request, {}, request, sentAt});
+        analysis.onUnreachable(now, upstream);
+    }
+    BOOST_TEST(settle().empty());
+}
+
+// Entries try each of them at up to four upstreams, one right after the other.
+BOOST_AUTO_TEST_CASE(a_part_is_found_although_each_request_with_it_crashes_four_upstreams_at_once)
+{
+    constexpr base::Millis contact{3'000};
+    constexpr base::Millis confirmation{60};
+    constexpr base::Millis tick{10};
+    for (const int gap : {60, 80, 90, 100, 110, 130, 150, 200}) {
+        analysis = CrashAnalysis();
+        const base::Millis begin = now;
+        std::vector<base::Millis> crashes;
+        std::vector<base::Millis> sent;
+        base::Millis sentAt;
+        int attempts = 0;
+        for (; now < begin + base::Millis{60'000}; now = now + tick) {
+            const auto request = static_cast<int>((now - begin).count / 6'000);
+            const std::string identity = "request:" + std::to_string(request);
+            if ((now - begin).count % 6'000 == 0 && !isQuarantined("x")) {
+                attempts = 1;
+                sentAt = now;
+                sent.push_back(now);
+            }
+            if (attempts > 0 && now - sentAt >= base::Millis{gap}) {
+                analysis.add(now,
+                    {{"w" + std::to_string(++lastUpstream), 1}, now, "own" + identity, {"first", "x"}, identity,
+                        sentAt});
+                crashes.push_back(now);
+                const bool ends = attempts == 4 || isQuarantined("x") || isQuarantined(identity);
+                attempts = ends ? 0 : attempts + 1;
+                sentAt = now;
+                if (!ends) {
+                    sent.push_back(now);
+                }
+            }
+            for (int n = 0; n <= lastUpstream; ++n) {
+                if (!crashes.empty() && now - crashes.back() >= confirmation) {
+                    analysis.onUnreachable(now, "w" + std::to_string(n));
+                }
+            }
+            analysis.onSurvival({"first", now});
+            static_cast<void>(analysis.evaluate(now));
+        }
+        BOOST_TEST_CONTEXT("tries " << gap << " ms apart")
+        {
+            BOOST_REQUIRE(crashes.size() >= 5U);
+            const auto later = std::count_if(sent.begin(), sent.end(), [&](base::Millis at) {
+                return at > crashes[4] + contact;
+            });
+            BOOST_TEST(later == 0);
+            BOOST_TEST(crashes.size() <= 8U);
+            BOOST_TEST(isQuarantined("x"));
+        }
+    }
+}
+
 // Every report of an entry is answered with them, which are hundreds in a second in a large fleet.
 BOOST_AUTO_TEST_CASE(suspects_are_not_compiled_anew_for_every_report)
 {
--- a/test/bamboomoor/quarantine/promptguard.cpp
+++ b/test/bamboomoor/quarantine/promptguard.cpp
@@ -34,13 +34,13 @@
 BOOST_AUTO_TEST_CASE(a_lost_attempt_is_reported_until_a_reply_acknowledges_it)
 {
     PromptGuard guard;
-    guard.onLost(NOW, {"w1", 1}, prompt({"first", "x", "own"}));
+    guard.onLost(NOW, {"w1", 1}, prompt({"first", "x", "own"}), NOW);
     BOOST_TEST(guard.takeUrgent());
     const Report first = guard.takeReport(NOW);
     BOOST_REQUIRE(first.lostAttempts.size() == 1U);
     BOOST_TEST(first.lostAttempts[0].request == "own");
     BOOST_TEST((first.lostAttempts[0].parts == std::vector<std::string>{"first", "x"}));
-    guard.onLost(NOW, {"w2", 1}, prompt({"first", "x", "other"}));
+    guard.onLost(NOW, {"w2", 1}, prompt({"first", "x", "other"}), NOW);
     BOOST_TEST(guard.takeReport(NOW).lostAttempts.size() == 2U);
     guard.onLeaderReply(NOW, replyTo(first));
     BOOST_TEST(guard.takeReport(NOW).lostAttempts.size() == 1U);
@@ -51,7 +51,7 @@
 BOOST_AUTO_TEST_CASE(a_new_leader_gets_everything_again_and_an_old_one_is_ignored)
 {
     PromptGuard guard;
-    guard.onLost(NOW, {"w1", 1}, prompt({"x", "own"}));
+    guard.onLost(NOW, {"w1", 1}, prompt({"x", "own"}), NOW);
     guard.onSurvival(NOW, prompt({"x", "another"}));
     guard.onLeaderReply(NOW, replyTo(guard.takeReport(NOW), 1));
     const Report acknowledged = guard.takeReport(NOW);
@@ -96,7 +96,7 @@
 BOOST_AUTO_TEST_CASE(a_request_without_prompt_parts_is_evidence_too)
 {
     PromptGuard guard;
-    guard.onLost(NOW, {"w1", 1}, {{}, "digest"});
+    guard.onLost(NOW, {"w1", 1}, {{}, "digest"}, NOW);
     const Report report = guard.takeReport(NOW);
     BOOST_REQUIRE(report.lostAttempts.size() == 1U);
     BOOST_TEST(report.lostAttempts[0].identity == "request:digest");
@@ -122,9 +122,9 @@
 BOOST_AUTO_TEST_CASE(a_lost_attempt_is_reported_although_many_others_are_lost_before_the_report)
 {
     PromptGuard guard;
-    guard.onLost(NOW, {"w1", 1}, {{}, "deadly"});
+    guard.onLost(NOW, {"w1", 1}, {{}, "deadly"}, NOW);
     for (int n = 0; n < 200; ++n) {
-        guard.onLost(NOW, {"w2", 1}, {{}, "sound" + std::to_string(n)});
+        guard.onLost(NOW, {"w2", 1}, {{}, "sound" + std::to_string(n)}, NOW);
     }
     const Report report = guard.takeReport(NOW);
     BOOST_REQUIRE(!report.lostAttempts.empty());
@@ -137,7 +137,8 @@
     const PromptGuardOptions options;
     for (int n = 0; n < 20'000; ++n) {
         const std::string number = std::to_string(n);
-        guard.onLost(NOW, {"w" + number, 1}, prompt({std::string(10'000, 'a') + number, "b" + number, "own" + number}));
+        guard.onLost(
+            NOW, {"w" + number, 1}, prompt({std::string(10'000, 'a') + number, "b" + number, "own" + number}), NOW);
     }
     const Report report = guard.takeReport(NOW);
     BOOST_TEST(report.lostAttempts.size() <= options.maxReported);
