List the deadly request among hundreds of other losses as known red

Three crashes that lose 300 requests each fill the evidence (512 losses), of which the oldest go when all their upstreams are known to have crashed.

--- a/test/bamboomoor/quarantine/crashanalysis.cpp
+++ b/test/bamboomoor/quarantine/crashanalysis.cpp
@@ -447,6 +447,20 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_request_is_found_although_each_crash_loses_hundreds_of_others)
+{
+    for (const std::string upstream : {"w1", "w2", "w3"}) {
+        analysis.add(now, {{upstream, 1}, now, "request:r", {}, "request:r"});
+        for (int n = 0; n < 300; ++n) {
+            const std::string identity = "request:" + upstream + "-" + std::to_string(n);
+            analysis.add(now, {{upstream, 1}, now, identity, {}, identity});
+        }
+        analysis.onUnreachable(now, upstream);
+        now = now + base::Millis{600};
+    }
+    BOOST_TEST(settle() == std::vector<std::string>{"request:r"});
+}
+
 // Every report of an entry is answered with them, which are hundreds in a second in a large fleet.
 BOOST_AUTO_TEST_CASE(suspects_are_not_compiled_anew_for_every_report)
 {
