--- a/src/bamboomoor/quarantine/crashanalysis.cpp
+++ b/src/bamboomoor/quarantine/crashanalysis.cpp
@@ -302,9 +302,10 @@
     for (auto &[subject, it] : appearances) {
         it.crashes = countCrashes(now, subject, it).crashes;
         most = std::max(most, it.crashes);
-        const bool comesAgain = std::any_of(it.attempts.begin(), it.attempts.end(), [&it](const LostAttempt *lost) {
-            return lost->run != it.attempts.front()->run;
-        });
+        const bool comesAgain =
+            std::any_of(it.attempts.begin(), it.attempts.end(), [first = it.attempts.front()](const LostAttempt *lost) {
+                return lost->run != first->run;
+            });
         if (it.isRequest && (comesAgain || quarantinedFor(now, subject))) {
             for (const LostAttempt *lost : it.attempts) {
                 recurrent.insert(lost->run);
