--- a/src/bamboomoor/gateway/relaythread.hpp
+++ b/src/bamboomoor/gateway/relaythread.hpp
@@ -219,7 +219,6 @@
     // Rate and burst of each organisation as last logged; 0 means no limit.
     std::map<std::string, std::pair<std::int64_t, std::int64_t>> m_limits;
     base::Millis m_nextRefresh;
-    membership::Position m_seen;
 
     mutable absl::Mutex m_mutex;
     std::vector<entry::TargetDemand> m_demand ABSL_GUARDED_BY(m_mutex);
--- a/src/bamboomoor/relay/core.hpp
+++ b/src/bamboomoor/relay/core.hpp
@@ -347,12 +347,12 @@
      * report for each upstream with signalled state. */
     [[nodiscard]] std::vector<standing::Report> takeReports(base::Millis now);
 
-    /** @brief Applies the leader's reply on prompt parts: requests with a quarantined one that no upstream has begun to
+    /** @brief Applies the leader's reply on prompt parts and requests: quarantined ones that no upstream has begun to
      * answer are ended. @param now The current time. @param reply The reply. */
     void onQuarantineReply(base::Millis now, const quarantine::LeaderReply &reply);
 
-    /** @brief Makes the report on prompt parts that is due to the leader. @param now The current time. @return The
-     * report. */
+    /** @brief Makes the report on prompt parts and requests that is due to the leader. @param now The current time.
+     * @return The report. */
     [[nodiscard]] quarantine::Report takeQuarantineReport(base::Millis now);
 
     /** @brief Lists the upstreams that currently accept no connection. @param now The current time. @return Their ids.
