--- a/src/bamboomoor/quarantine/crashanalysis.cpp
+++ b/src/bamboomoor/quarantine/crashanalysis.cpp
@@ -382,12 +382,12 @@
         requests.insert(it->request);
         runs.push_back(it->run);
     }
-    if (held != m_held.end()) {
+    const bool suffices =
+        appearances.isRequest ? moments >= m_options.minRequestMoments : requests.size() >= m_options.minRequests;
+    if (suffices || held != m_held.end()) {
         candidate.crashes = runs.size();
     } else if (appearances.isRequest) {
-        candidate.crashes = moments >= m_options.minRequestMoments ? runs.size() : moments;
-    } else if (requests.size() >= m_options.minRequests) {
-        candidate.crashes = runs.size();
+        candidate.crashes = moments;
     }
     return candidate;
 }
