--- a/test/bamboomoor/quarantine/crashanalysis.cpp
+++ b/test/bamboomoor/quarantine/crashanalysis.cpp
@@ -420,9 +420,9 @@
 // Entries try each of them at up to four upstreams, one right after the other.
 BOOST_AUTO_TEST_CASE(a_part_is_found_although_each_request_with_it_crashes_four_upstreams_at_once)
 {
-    constexpr base::Millis contact{3'000};
-    constexpr base::Millis confirmation{60};
-    constexpr base::Millis tick{10};
+    constexpr base::Millis CONTACT{3'000};
+    constexpr base::Millis CONFIRMATION{60};
+    constexpr base::Millis TICK{10};
     for (const int gap : {60, 80, 90, 100, 110, 130, 150, 200}) {
         analysis = CrashAnalysis();
         const base::Millis begin = now;
@@ -430,7 +430,7 @@
         std::vector<base::Millis> sent;
         base::Millis sentAt;
         int attempts = 0;
-        for (; now < begin + base::Millis{60'000}; now = now + tick) {
+        for (; now < begin + base::Millis{60'000}; now = now + TICK) {
             const auto request = static_cast<int>((now - begin).count / 6'000);
             const std::string identity = "request:" + std::to_string(request);
             if ((now - begin).count % 6'000 == 0 && !isQuarantined("x")) {
@@ -451,7 +451,7 @@
                 }
             }
             for (int n = 0; n <= lastUpstream; ++n) {
-                if (!crashes.empty() && now - crashes.back() >= confirmation) {
+                if (!crashes.empty() && now - crashes.back() >= CONFIRMATION) {
                     analysis.onUnreachable(now, "w" + std::to_string(n));
                 }
             }
@@ -462,7 +462,7 @@
         {
             BOOST_REQUIRE(crashes.size() >= 5U);
             const auto later = std::count_if(sent.begin(), sent.end(), [&](base::Millis at) {
-                return at > crashes[4] + contact;
+                return at > crashes[4] + CONTACT;
             });
             BOOST_TEST(later == 0);
             BOOST_TEST(crashes.size() <= 8U);
