Count bursts at the leader only, and do not wait a second for a rare part

cutentries/first_tries_at_entries_... failed (84 of 100 served where 95 are wanted): an entry that is partitioned from all upstreams loses its retries one after the other within a moment and is refused connections, which counted as crashes by the request. Bursts count at the leader only, which finds crashes by its own inspections.

--- a/src/bamboomoor/quarantine/crashanalysis.cpp
+++ b/src/bamboomoor/quarantine/crashanalysis.cpp
@@ -297,20 +297,9 @@
     }
     // A part in clearly more crashes, which may still be cleared, is the better explanation.
     std::size_t most = 0;
-    // Crashes with a request that was in others as well, or is quarantined.
-    std::set<standing::Run> recurrent;
     for (auto &[subject, it] : appearances) {
         it.crashes = countCrashes(now, subject, it).crashes;
         most = std::max(most, it.crashes);
-        const bool comesAgain =
-            std::any_of(it.attempts.begin(), it.attempts.end(), [first = it.attempts.front()](const LostAttempt *lost) {
-                return lost->run != first->run;
-            });
-        if (it.isRequest && (comesAgain || quarantinedFor(now, subject))) {
-            for (const LostAttempt *lost : it.attempts) {
-                recurrent.insert(lost->run);
-            }
-        }
     }
     std::optional<Candidate> best;
     for (const auto &[part, it] : appearances) {
@@ -324,13 +313,6 @@
         if (!request.empty() && !isCommonPart(now, it, request)) {
             continue;
         }
-        const bool isDoubtful =
-            !it.isRequest && std::any_of(it.attempts.begin(), it.attempts.end(), [&](const LostAttempt *lost) {
-                return recurrent.contains(lost->run);
-            });
-        if (isDoubtful && now - candidate.firstCrash < m_options.doubtTime) {
-            continue;
-        }
         // Of subjects that go together, the later one affects the fewest sound requests.
         if (!best || std::pair(candidate.position, candidate.crashes) > std::pair(best->position, best->crashes)) {
             best = std::move(candidate);
@@ -355,7 +337,7 @@
     base::Millis until, const std::string &part, const Appearances &appearances) const
 {
     const auto held = m_held.find(part);
-    Candidate candidate{part, appearances.position, 0, {}, {}};
+    Candidate candidate{part, appearances.position, 0, {}};
     std::set<std::string> requests;
     std::vector<standing::Run> runs;
     std::size_t moments = 0;
@@ -367,8 +349,8 @@
         }
         bool isSeparate = moments == 0 || it->at - moment >= m_options.mergeInterval;
         // A rack may fail within some time; then it loses upstreams that the request was not at.
-        const bool isByRequest =
-            !isSeparate && appearances.isRequest && isAlone(candidate.lastCrash, it->at, appearances);
+        const bool isByRequest = !isSeparate && appearances.isRequest && m_options.countBursts
+            && isAlone(candidate.lastCrash, it->at, appearances);
         isSeparate = isSeparate || (isByRequest && it->sentAt && *it->sentAt >= candidate.lastCrash);
         if (!isSeparate && !isByRequest) {
             continue;
@@ -377,7 +359,6 @@
             ++moments;
             moment = it->at;
         }
-        candidate.firstCrash = runs.empty() ? it->at : candidate.firstCrash;
         candidate.lastCrash = it->at;
         requests.insert(it->request);
         runs.push_back(it->run);
--- a/src/bamboomoor/quarantine/crashanalysis.hpp
+++ b/src/bamboomoor/quarantine/crashanalysis.hpp
@@ -79,13 +79,12 @@
     // count against a request that was at every upstream that was lost then, and one that it was sent to after the
     // crash before is a moment of its own.
     base::Millis mergeInterval{100};
+    // Whether crashes of one moment count against such a request.
+    bool countBursts = true;
     // The time after the last crash that is needed in which a survival clears the part; the first part of a prompt is
     // shared by the most sound requests and gets more.
     base::Millis settleTime{100};
     base::Millis firstPartSettleTime{1'000};
-    // The time since the first crash that is needed if a request with the part was in several crashes or is
-    // quarantined: several such requests that share a part look like it, but sound ones with it survive.
-    base::Millis doubtTime{1'000};
     // A lost attempt counts only if its upstream is found to have crashed within this time.
     base::Millis confirmTimeout{10'000};
     base::Millis evidenceLife{600'000};
@@ -198,7 +197,6 @@
         std::string part;
         std::size_t position = 0;
         std::size_t crashes = 0;
-        base::Millis firstCrash;
         base::Millis lastCrash;
     };
 
--- a/src/bamboomoor/quarantine/promptguard.hpp
+++ b/src/bamboomoor/quarantine/promptguard.hpp
@@ -54,8 +54,9 @@
 
 /** @brief The settings of PromptGuard. */
 struct PromptGuardOptions {
-    // An entry needs more crashes than the leader, as it may not see the requests that caused them.
-    CrashAnalysisOptions analysis{.minCrashes = 5};
+    // An entry needs more crashes than the leader, as it may not see the requests that caused them. If it is
+    // partitioned from upstreams, its retries lose one after the other within a moment, and none has crashed.
+    CrashAnalysisOptions analysis{.minCrashes = 5, .countBursts = false};
     // As many as an entry has streams at an upstream that crashes, and as a burst of reset connections loses.
     std::size_t maxReported = 512;
     // Lost attempts that are kept for a new leader.
