Log how inspections of suspected upstreams end

The leader's log had no line for an inspection that showed nothing, so late inspections, timeouts and responses of a successor looked the same. Both leaders write one now; what follows from an inspection is unchanged.

--- a/src/bamboomoor/control/placementthread.cpp
+++ b/src/bamboomoor/control/placementthread.cpp
@@ -188,8 +188,9 @@
     {
     }
 
-    void onHead(int /*status*/, http::Headers /*headers*/) override
+    void onHead(int status, http::Headers /*headers*/) override
     {
+        m_status = status;
     }
 
     void onData(std::string_view /*bytes*/) override
@@ -198,7 +199,7 @@
 
     void onEnd(http::Ending ending) override
     {
-        m_desk.post(InspectionDone{m_term, m_upstream, m_sentAt, connectionOf(ending.kind)});
+        m_desk.post(InspectionDone{m_term, m_upstream, m_sentAt, ending.kind, m_status});
     }
 
 private:
@@ -206,6 +207,7 @@
     const std::uint64_t m_term;
     const std::string m_upstream;
     const base::Millis m_sentAt;
+    int m_status = 0;
 };
 
 PlacementThread::PlacementThread(PlacementThreadOptions options, VoterThread &voter, ListUpstreams upstreams,
@@ -395,11 +397,20 @@
         return;
     }
     const base::Millis now = m_clock.now();
-    switch (m_suspects.onInspected(now, event.upstream, event.sentAt, event.connection)) {
+    if (m_suspects.isSuspected(event.upstream)) {
+        log(base::LogLine("upstream_inspected")
+                .add("upstream", event.upstream)
+                .add("end", http::END_KIND_NAMES.name(event.kind))
+                .add("status", event.status)
+                .add("age_ms", now - event.sentAt)
+                .add("term", static_cast<std::int64_t>(m_term)));
+    }
+    const Connection connection = connectionOf(event.kind);
+    switch (m_suspects.onInspected(now, event.upstream, event.sentAt, connection)) {
     case SuspectVerdict::Unreachable:
         log(base::LogLine("upstream_unreachable")
                 .add("upstream", event.upstream)
-                .add("connection", CONNECTION_NAMES.name(event.connection))
+                .add("connection", CONNECTION_NAMES.name(connection))
                 .add("term", static_cast<std::int64_t>(m_term)));
         m_crashes.onUnreachable(now, event.upstream);
         break;
--- a/src/bamboomoor/control/placementthread.hpp
+++ b/src/bamboomoor/control/placementthread.hpp
@@ -101,7 +101,9 @@
         std::uint64_t term = 0;
         std::string upstream;
         base::Millis sentAt;
-        Connection connection = Connection::Accepted;
+        http::EndKind kind = http::EndKind::Complete;
+        // 0 without a response.
+        int status = 0;
     };
     using Event = std::variant<ReportEvent, Leading, NotLeading, CatalogueChanged, PlannerInput, InspectionDone>;
     using Drain = std::pair<std::string, placement::ModelRef>;
--- a/src/bamboomoor/control/suspecttracker.hpp
+++ b/src/bamboomoor/control/suspecttracker.hpp
@@ -59,6 +59,12 @@
      * upstream must be inspected now. */
     [[nodiscard]] bool suspect(base::Millis now, const std::string &upstream);
 
+    /** @brief Tells whether an upstream is suspected. @param upstream The upstream. */
+    [[nodiscard]] bool isSuspected(const std::string &upstream) const
+    {
+        return m_suspects.contains(upstream);
+    }
+
     /**
      * @brief Handles the end of an inspection.
      * @param now The current time.
--- a/src/bamboomoor/gateway/residencythread.cpp
+++ b/src/bamboomoor/gateway/residencythread.cpp
@@ -148,8 +148,8 @@
     {
         const bool answered = ending.kind == http::EndKind::Complete;
         m_desk.post(InspectionDone{m_term, m_worker,
-            answered ? m_desk.m_context.dialect.readInspection(m_status, m_body) : std::nullopt, m_sentAt,
-            control::connectionOf(ending.kind)});
+            answered ? m_desk.m_context.dialect.readInspection(m_status, m_body) : std::nullopt, m_sentAt, ending.kind,
+            m_status});
     }
 
 private:
@@ -495,12 +495,20 @@
 {
     if (m_plan && event.term == m_term) {
         const base::Millis now = m_context.clock.now();
-        const control::SuspectVerdict verdict =
-            m_suspects.onInspected(now, event.worker, event.sentAt, event.connection);
+        if (m_suspects.isSuspected(event.worker)) {
+            m_context.log.write(base::LogLine("upstream_inspected")
+                                    .add("upstream", event.worker)
+                                    .add("end", http::END_KIND_NAMES.name(event.kind))
+                                    .add("status", event.status)
+                                    .add("age_ms", now - event.sentAt)
+                                    .add("term", static_cast<std::int64_t>(m_term)));
+        }
+        const control::Connection connection = control::connectionOf(event.kind);
+        const control::SuspectVerdict verdict = m_suspects.onInspected(now, event.worker, event.sentAt, connection);
         if (verdict == control::SuspectVerdict::Unreachable) {
             m_context.log.write(base::LogLine("upstream_unreachable")
                                     .add("upstream", event.worker)
-                                    .add("connection", control::CONNECTION_NAMES.name(event.connection))
+                                    .add("connection", control::CONNECTION_NAMES.name(connection))
                                     .add("term", static_cast<std::int64_t>(m_term)));
             m_context.metrics.unreachable();
             m_plan->unreachable(event.worker);
--- a/src/bamboomoor/gateway/residencythread.hpp
+++ b/src/bamboomoor/gateway/residencythread.hpp
@@ -127,7 +127,9 @@
         std::string worker;
         std::optional<placement::InspectionResult> found;
         base::Millis sentAt;
-        control::Connection connection = control::Connection::Accepted;
+        http::EndKind kind = http::EndKind::Complete;
+        // 0 without a response.
+        int status = 0;
     };
     using Event = std::variant<ReportEvent, Leading, NotLeading, ConfigurationChanged, OrderDone, InspectionDone>;
     class OrderListener;
