--- a/src/bamboomoor/control/placementthread.cpp
+++ b/src/bamboomoor/control/placementthread.cpp
@@ -397,14 +397,13 @@
         return;
     }
     const base::Millis now = m_clock.now();
-    if (m_suspects.isSuspected(event.upstream)) {
-        log(base::LogLine("upstream_inspected")
-                .add("upstream", event.upstream)
-                .add("end", http::END_KIND_NAMES.name(event.kind))
-                .add("status", event.status)
-                .add("age_ms", now - event.sentAt)
-                .add("term", static_cast<std::int64_t>(m_term)));
-    }
+    log(base::LogLine("upstream_inspected")
+            .add("upstream", event.upstream)
+            .add("end", http::END_KIND_NAMES.name(event.kind))
+            .add("status", event.status)
+            .add("age_ms", now - event.sentAt)
+            .add("suspected", static_cast<std::int64_t>(m_suspects.isSuspected(event.upstream)))
+            .add("term", static_cast<std::int64_t>(m_term)));
     const Connection connection = connectionOf(event.kind);
     switch (m_suspects.onInspected(now, event.upstream, event.sentAt, connection)) {
     case SuspectVerdict::Unreachable:
--- a/src/bamboomoor/gateway/residencythread.cpp
+++ b/src/bamboomoor/gateway/residencythread.cpp
@@ -495,12 +495,14 @@
 {
     if (m_plan && event.term == m_term) {
         const base::Millis now = m_context.clock.now();
-        if (m_suspects.isSuspected(event.worker)) {
+        const bool isSuspected = m_suspects.isSuspected(event.worker);
+        if (isSuspected || !event.found) {
             m_context.log.write(base::LogLine("upstream_inspected")
                                     .add("upstream", event.worker)
                                     .add("end", http::END_KIND_NAMES.name(event.kind))
                                     .add("status", event.status)
                                     .add("age_ms", now - event.sentAt)
+                                    .add("suspected", static_cast<std::int64_t>(isSuspected))
                                     .add("term", static_cast<std::int64_t>(m_term)));
         }
         const control::Connection connection = control::connectionOf(event.kind);
