Wait for the result of an inspection while other upstreams are suspected

Requests that crash upstreams were not quarantined on a large fleet with a busy leader: a suspicion was forgotten after 500 ms as soon as another upstream was suspected, also while its inspection was in progress, and a refused connection that was reported later had no effect.

A suspicion is now kept until its inspection has ended, for at most 5 s. The test returned None instead of Unreachable before.

--- a/src/bamboomoor/control/suspecttracker.cpp
+++ b/src/bamboomoor/control/suspecttracker.cpp
@@ -26,11 +26,17 @@
 }
 
 bool SuspectTracker::suspect(base::Millis now, const std::string &upstream)
+{
+    expire(now);
+    return m_suspects.try_emplace(upstream, Suspect{now}).second;
+}
+
+void SuspectTracker::expire(base::Millis now)
 {
     std::erase_if(m_suspects, [&](const auto &it) {
-        return !it.second.repeatAt && now - it.second.inspectedAt > m_options.interval;
+        const base::Millis life = it.second.isInspected ? m_options.maxInspection : m_options.interval;
+        return !it.second.repeatAt && now - it.second.inspectedAt > life;
     });
-    return m_suspects.try_emplace(upstream, Suspect{now}).second;
 }
 
 SuspectVerdict SuspectTracker::onInspected(
@@ -41,10 +47,11 @@
         return SuspectVerdict::None;
     }
     Suspect &suspect = it->second;
+    suspect.isInspected = suspect.isInspected && sentAt < suspect.inspectedAt;
     switch (connection) {
     case Connection::Accepted:
     case Connection::Refused:
-        suspect = {suspect.inspectedAt};
+        suspect = {suspect.inspectedAt, suspect.isInspected};
         return connection == Connection::Refused ? SuspectVerdict::Unreachable : SuspectVerdict::None;
     case Connection::Dropped:
         onDropped(now, sentAt, suspect);
@@ -77,6 +84,7 @@
         return SuspectVerdict::None;
     }
     suspect.inspectedAt = now;
+    suspect.isInspected = true;
     return SuspectVerdict::InspectAgain;
 }
 
@@ -98,6 +106,7 @@
         if (it.repeatAt && now >= *it.repeatAt) {
             it.repeatAt.reset();
             it.inspectedAt = now;
+            it.isInspected = true;
             due.push_back(upstream);
         }
     }
--- a/src/bamboomoor/control/suspecttracker.hpp
+++ b/src/bamboomoor/control/suspecttracker.hpp
@@ -1,10 +1,11 @@
 /**
  * Decides which suspected upstreams have become unreachable, from the inspections that the leader makes of them.
  *
- * A refused connection shows at once that the process is gone. A connection attempt without an answer does not: sound
- * upstreams fall silent for a second or so. Such an upstream is inspected again until it answers or has been silent for
- * longer than that. A connection that was closed without an answer shows nothing: a process that is about to exit, or
- * one with too many connections, does that. It is inspected again for a while, until its state is clear.
+ * A refused connection shows at once that the process is gone. A connection attempt
+ * without an answer does not: sound upstreams fall silent for a second or so. Such an upstream is inspected again until
+ * it answers or has been silent for longer than that. A connection that ended without a response shows nothing: a
+ * process that is about to exit, one that pauses, or one with too many connections does that. It is inspected again for
+ * a while, until its state is clear.
  */
 #pragma once
 
@@ -30,6 +31,8 @@
     // After a connection that was closed without an answer, inspections are repeated at this interval for this time.
     base::Millis droppedInterval{100};
     base::Millis maxDropped{2'000};
+    // An inspection that has not ended by then is not waited for.
+    base::Millis maxInspection{5'000};
 };
 
 /** @brief How the connection of an inspection ended: it was accepted, closed without an answer, refused, or not
@@ -87,6 +90,8 @@
     struct Suspect {
         // When it was last inspected because of suspicions.
         base::Millis inspectedAt;
+        // That inspection has not ended.
+        bool isInspected = true;
         // When the first of the unanswered inspections was sent; unset if the last one was answered.
         std::optional<base::Millis> silentSince = std::nullopt;
         // When the first of the dropped inspections was sent; unset if the last one ended otherwise.
@@ -95,6 +100,7 @@
         std::optional<base::Millis> repeatAt = std::nullopt;
     };
 
+    void expire(base::Millis now);
     void onDropped(base::Millis now, base::Millis sentAt, Suspect &suspect) const;
     [[nodiscard]] SuspectVerdict onSilence(base::Millis now, base::Millis sentAt, Suspect &suspect) const;
 
--- a/test/bamboomoor/control/suspecttracker.cpp
+++ b/test/bamboomoor/control/suspecttracker.cpp
@@ -204,6 +204,19 @@
         == SuspectVerdict::Unreachable));
 }
 
+BOOST_AUTO_TEST_CASE(a_crash_is_found_although_other_upstreams_are_suspected_while_its_slow_inspection_is_in_progress)
+{
+    control::SuspectTracker it;
+    BOOST_TEST(it.suspect({1'000}, "w1"));
+    for (base::Millis now{1'100}; now <= base::Millis{1'900}; now = now + base::Millis{100}) {
+        BOOST_TEST(it.suspect(now, "w" + std::to_string(now.count)));
+    }
+    // The inspection in progress is not doubled.
+    BOOST_TEST(!it.suspect({1'950}, "w1"));
+    BOOST_TEST((it.onInspected({1'960}, "w1", {1'000}, control::connectionOf(http::EndKind::ConnectFailed))
+        == SuspectVerdict::Unreachable));
+}
+
 BOOST_AUTO_TEST_CASE(an_upstream_that_closes_surplus_connections_is_not_found_to_be_gone_and_inspected_for_a_while_only)
 {
     control::SuspectTracker it;
