Inspect a suspected upstream again after a timeout

An inspection that ended by its total timeout counted as an accepted connection and ended the suspicion, although it shows nothing: the leader's client may have stalled, a process that pauses has its connections accepted by the kernel, and one that exits may accept a last one. Such an inspection is repeated like one that was closed without a response, for 2 s after the first has ended rather than after it was sent, as a stalled client may end it later than that. A response to an inspection that was sent before the suspicion ends it no more.

Both tests returned no due inspection before.

--- a/src/bamboomoor/control/suspecttracker.cpp
+++ b/src/bamboomoor/control/suspecttracker.cpp
@@ -16,12 +16,12 @@
         return Connection::Refused;
     case EndKind::ConnectTimeout:
         return Connection::NotAnswered;
-    case EndKind::ResetBeforeAnswer:
-    case EndKind::Unusable:
-    case EndKind::Stale:
-        return Connection::Dropped;
-    default:
+    case EndKind::Complete:
+    case EndKind::Malformed:
+    case EndKind::TooLarge:
         return Connection::Accepted;
+    default:
+        return Connection::Dropped;
     }
 }
 
@@ -47,6 +47,10 @@
         return SuspectVerdict::None;
     }
     Suspect &suspect = it->second;
+    if (sentAt < suspect.inspectedAt && connection == Connection::Accepted) {
+        // It may have been sent before the crash.
+        return SuspectVerdict::None;
+    }
     suspect.isInspected = suspect.isInspected && sentAt < suspect.inspectedAt;
     switch (connection) {
     case Connection::Accepted:
@@ -54,7 +58,7 @@
         suspect = {suspect.inspectedAt, suspect.isInspected};
         return connection == Connection::Refused ? SuspectVerdict::Unreachable : SuspectVerdict::None;
     case Connection::Dropped:
-        onDropped(now, sentAt, suspect);
+        onDropped(now, suspect);
         return SuspectVerdict::None;
     case Connection::NotAnswered:
         break;
@@ -62,10 +66,10 @@
     return onSilence(now, sentAt, suspect);
 }
 
-void SuspectTracker::onDropped(base::Millis now, base::Millis sentAt, Suspect &suspect) const
+void SuspectTracker::onDropped(base::Millis now, Suspect &suspect) const
 {
     suspect.silentSince.reset();
-    suspect.droppedSince = std::min(suspect.droppedSince.value_or(sentAt), sentAt);
+    suspect.droppedSince = suspect.droppedSince.value_or(now);
     if (now - *suspect.droppedSince < m_options.maxDropped) {
         suspect.repeatAt = now + m_options.droppedInterval;
     }
--- a/src/bamboomoor/control/suspecttracker.hpp
+++ b/src/bamboomoor/control/suspecttracker.hpp
@@ -28,15 +28,15 @@
     // An upstream counts as unreachable once no connection attempt has been answered for this time. It exceeds a sound
     // upstream's pause by the connect timeout, as an attempt during the pause fails only after it.
     base::Millis maxSilence{2'000};
-    // After a connection that was closed without an answer, inspections are repeated at this interval for this time.
+    // After a connection that ended without a response, inspections are repeated at this interval for this time.
     base::Millis droppedInterval{100};
     base::Millis maxDropped{2'000};
     // An inspection that has not ended by then is not waited for.
     base::Millis maxInspection{5'000};
 };
 
-/** @brief How the connection of an inspection ended: it was accepted, closed without an answer, refused, or not
- * answered in time. */
+/** @brief How the connection of an inspection ended: with a response, after it was accepted without one, refused, or
+ * not accepted in time. */
 enum class Connection { Accepted, Dropped, Refused, NotAnswered };
 
 /** @brief The names of Connection in logs. */
@@ -94,14 +94,14 @@
         bool isInspected = true;
         // When the first of the unanswered inspections was sent; unset if the last one was answered.
         std::optional<base::Millis> silentSince = std::nullopt;
-        // When the first of the dropped inspections was sent; unset if the last one ended otherwise.
+        // When the first of the dropped inspections ended; unset if the last one ended otherwise.
         std::optional<base::Millis> droppedSince = std::nullopt;
         // When the next inspection after a dropped one is due.
         std::optional<base::Millis> repeatAt = std::nullopt;
     };
 
     void expire(base::Millis now);
-    void onDropped(base::Millis now, base::Millis sentAt, Suspect &suspect) const;
+    void onDropped(base::Millis now, Suspect &suspect) const;
     [[nodiscard]] SuspectVerdict onSilence(base::Millis now, base::Millis sentAt, Suspect &suspect) const;
 
     SuspectOptions m_options;
--- a/test/bamboomoor/control/suspecttracker.cpp
+++ b/test/bamboomoor/control/suspecttracker.cpp
@@ -217,6 +217,29 @@
         == SuspectVerdict::Unreachable));
 }
 
+BOOST_AUTO_TEST_CASE(a_crash_is_found_although_the_first_inspection_timed_out)
+{
+    for (const http::EndKind end : {http::EndKind::TimedOut, http::EndKind::Silent, http::EndKind::ResetDuring,
+             http::EndKind::Truncated, http::EndKind::Cancelled}) {
+        control::SuspectTracker it;
+        BOOST_TEST(it.suspect({1'000}, "w1"));
+        // The leader's client may stall for longer than the timeout of the inspection.
+        BOOST_TEST((it.onInspected({3'500}, "w1", {1'000}, control::connectionOf(end)) == SuspectVerdict::None));
+        BOOST_TEST(it.takeDue({3'600}) == std::vector<std::string>{"w1"});
+        BOOST_TEST((it.onInspected({3'601}, "w1", {3'600}, control::connectionOf(http::EndKind::ConnectFailed))
+            == SuspectVerdict::Unreachable));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_response_to_an_inspection_that_was_sent_before_the_suspicion_does_not_end_it)
+{
+    control::SuspectTracker it;
+    BOOST_TEST(it.suspect({1'000}, "w1"));
+    BOOST_TEST((it.onInspected({1'001}, "w1", {1'000}, Connection::Dropped) == SuspectVerdict::None));
+    BOOST_TEST((it.onInspected({1'010}, "w1", {900}, Connection::Accepted) == SuspectVerdict::None));
+    BOOST_TEST(it.takeDue({1'200}) == std::vector<std::string>{"w1"});
+}
+
 BOOST_AUTO_TEST_CASE(an_upstream_that_closes_surplus_connections_is_not_found_to_be_gone_and_inspected_for_a_while_only)
 {
     control::SuspectTracker it;
