Take the response of another process for the end of the one that was inspected

An upstream that crashes comes back at its address under another id. It answers an inspection of the earlier process that it is not the one; that response was classified as an accepted connection and cleared the earlier process of its crash, although it shows that it is gone. Results of inspections that an earlier term sent are not waited for any more.

--- a/src/bamboomoor/control/placementthread.cpp
+++ b/src/bamboomoor/control/placementthread.cpp
@@ -366,6 +366,8 @@
     m_entries.clear();
     m_draining.clear();
     m_crashes = CrashReports(m_options.crashes);
+    // Results of an earlier term are not waited for.
+    m_suspects = SuspectTracker(m_options.suspects);
     step(event.catalogue);
     step(event.input);
 }
--- a/src/bamboomoor/control/suspecttracker.cpp
+++ b/src/bamboomoor/control/suspecttracker.cpp
@@ -55,8 +55,9 @@
     switch (connection) {
     case Connection::Accepted:
     case Connection::Refused:
+    case Connection::Replaced:
         suspect = {suspect.inspectedAt, suspect.isInspected};
-        return connection == Connection::Refused ? SuspectVerdict::Unreachable : SuspectVerdict::None;
+        return connection == Connection::Accepted ? SuspectVerdict::None : SuspectVerdict::Unreachable;
     case Connection::Dropped:
         onDropped(now, suspect);
         return SuspectVerdict::None;
--- a/src/bamboomoor/control/suspecttracker.hpp
+++ b/src/bamboomoor/control/suspecttracker.hpp
@@ -1,7 +1,7 @@
 /**
  * Decides which suspected upstreams have become unreachable, from the inspections that the leader makes of them.
  *
- * A refused connection shows at once that the process is gone. A connection attempt
+ * A refused connection, or a response of another process, shows at once that the process is gone. A connection attempt
  * without an answer does not: sound upstreams fall silent for a second or so. Such an upstream is inspected again until
  * it answers or has been silent for longer than that. A connection that ended without a response shows nothing: a
  * process that is about to exit, one that pauses, or one with too many connections does that. It is inspected again for
@@ -35,12 +35,13 @@
     base::Millis maxInspection{5'000};
 };
 
-/** @brief How the connection of an inspection ended: with a response, after it was accepted without one, refused, or
- * not accepted in time. */
-enum class Connection { Accepted, Dropped, Refused, NotAnswered };
+/** @brief How the connection of an inspection ended: with a response, after it was accepted without one, refused, not
+ * accepted in time, or accepted by another process that has the address now. */
+enum class Connection { Accepted, Dropped, Refused, NotAnswered, Replaced };
 
 /** @brief The names of Connection in logs. */
-inline constexpr auto CONNECTION_NAMES = base::makeNames<Connection>("accepted", "dropped", "refused", "not_answered");
+inline constexpr auto CONNECTION_NAMES =
+    base::makeNames<Connection>("accepted", "dropped", "refused", "not_answered", "replaced");
 
 /** @brief Classifies the end of an inspection. @param kind The end of the call. @return How its connection ended. */
 [[nodiscard]] Connection connectionOf(http::EndKind kind) noexcept;
--- a/src/bamboomoor/gateway/dialect.hpp
+++ b/src/bamboomoor/gateway/dialect.hpp
@@ -163,6 +163,10 @@
      */
     [[nodiscard]] virtual std::optional<placement::InspectionResult> readInspection(
         int status, std::string_view body) const = 0;
+
+    /** @brief Tells whether the response to an inspection comes from another process, which has the worker's address
+     * now. @param status The HTTP status. */
+    [[nodiscard]] virtual bool isOtherProcess(int status) const noexcept = 0;
 };
 
 /** @brief All dialects of one infrastructure. */
--- a/src/bamboomoor/gateway/residencythread.cpp
+++ b/src/bamboomoor/gateway/residencythread.cpp
@@ -449,6 +449,8 @@
 void ResidencyThread::on(Leading &event)
 {
     m_crashes = control::CrashReports();
+    // Results of an earlier term are not waited for.
+    m_suspects = control::SuspectTracker(m_options.suspects);
     m_permits = standing::PermitAuthority(m_options.permits);
     m_rooms = standing::RoomAuthority(m_context.clock.now(), event.term);
     m_term = event.term;
@@ -505,7 +507,7 @@
                                     .add("suspected", static_cast<std::int64_t>(isSuspected))
                                     .add("term", static_cast<std::int64_t>(m_term)));
         }
-        const control::Connection connection = control::connectionOf(event.kind);
+        const control::Connection connection = connectionOf(event);
         const control::SuspectVerdict verdict = m_suspects.onInspected(now, event.worker, event.sentAt, connection);
         if (verdict == control::SuspectVerdict::Unreachable) {
             m_context.log.write(base::LogLine("upstream_unreachable")
@@ -522,6 +524,12 @@
     }
 }
 
+control::Connection ResidencyThread::connectionOf(const InspectionDone &event) const
+{
+    const bool isReplaced = event.kind == http::EndKind::Complete && m_context.dialect.isOtherProcess(event.status);
+    return isReplaced ? control::Connection::Replaced : control::connectionOf(event.kind);
+}
+
 void ResidencyThread::updateWorkers(base::Millis now)
 {
     std::vector<placement::WorkerReport> reports;
--- a/src/bamboomoor/gateway/residencythread.hpp
+++ b/src/bamboomoor/gateway/residencythread.hpp
@@ -155,6 +155,7 @@
     void countQuarantine() override;
     void takeRoomReport(
         base::Millis now, const std::string &vm, const standing::Run &run, const standing::RoomReport &report);
+    [[nodiscard]] control::Connection connectionOf(const InspectionDone &event) const;
     void updateWorkers(base::Millis now);
     [[nodiscard]] bool hasConfirmedLeadership(base::Millis now) const;
     void send(const placement::ResidencyOrder &order);
--- a/test/bamboomoor/control/suspecttracker.cpp
+++ b/test/bamboomoor/control/suspecttracker.cpp
@@ -231,6 +231,13 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_crash_is_found_although_another_process_answers_at_the_address)
+{
+    control::SuspectTracker it;
+    BOOST_TEST(it.suspect({1'000}, "w1"));
+    BOOST_TEST((it.onInspected({4'000}, "w1", {3'999}, Connection::Replaced) == SuspectVerdict::Unreachable));
+}
+
 BOOST_AUTO_TEST_CASE(a_response_to_an_inspection_that_was_sent_before_the_suspicion_does_not_end_it)
 {
     control::SuspectTracker it;
--- a/test/bamboomoor/platform/messages.cpp
+++ b/test/bamboomoor/platform/messages.cpp
@@ -346,4 +346,11 @@
     BOOST_TEST(!Orders().readInspection(503, "").has_value());
 }
 
+BOOST_AUTO_TEST_CASE(an_inspection_tells_whether_another_process_has_the_address)
+{
+    BOOST_TEST(Orders().isOtherProcess(421));
+    BOOST_TEST(!Orders().isOtherProcess(200));
+    BOOST_TEST(!Orders().isOtherProcess(503));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
