Count an upstream as gone once a later process has announced its address

Workers that crashed came back at their addresses under new ids.

Of live upstreams with one address, the registry lists those with the latest incarnation, which is a start time; the leader takes the others for crashed. A late announcement of the earlier process does not turn that round, and with equal incarnations both are listed.

Ruled out: the order of arrival, as announcements may be delayed by a partition until the successor has announced itself.

--- a/src/bamboomoor/entry/upstreambook.cpp
+++ b/src/bamboomoor/entry/upstreambook.cpp
@@ -90,6 +90,16 @@
     return copies;
 }
 
+std::vector<standing::Run> UpstreamBook::replaced(base::Millis now) const
+{
+    const absl::MutexLock lock(&m_mutex);
+    std::vector<standing::Run> runs;
+    for (const membership::Entry *it : m_registry.replaced(now)) {
+        runs.push_back({it->announcement.id, it->announcement.incarnation});
+    }
+    return runs;
+}
+
 std::vector<standing::ListedRun> UpstreamBook::runs(base::Millis now) const
 {
     const absl::MutexLock lock(&m_mutex);
--- a/src/bamboomoor/entry/upstreambook.hpp
+++ b/src/bamboomoor/entry/upstreambook.hpp
@@ -99,6 +99,13 @@
      */
     [[nodiscard]] std::vector<membership::Entry> list(base::Millis now) const;
 
+    /**
+     * @brief Lists the processes whose address a later one has announced.
+     * @param now The present time.
+     * @return Their ids and incarnations, by ascending id.
+     */
+    [[nodiscard]] std::vector<standing::Run> replaced(base::Millis now) const;
+
     /**
      * @brief Lists the processes of all live upstreams.
      * @param now The present time.
--- a/src/bamboomoor/gateway/residencythread.cpp
+++ b/src/bamboomoor/gateway/residencythread.cpp
@@ -541,6 +541,11 @@
     }
     const std::vector<membership::Entry> upstreams = m_context.upstreams.list(now);
     const bool hasUnconfirmed = m_crashes.hasUnconfirmed();
+    if (hasUnconfirmed) {
+        for (const standing::Run &it : m_context.upstreams.replaced(now)) {
+            m_crashes.onUnreachable(now, it.id);
+        }
+    }
     for (const membership::Entry &it : upstreams) {
         if (hasUnconfirmed) {
             m_crashes.onRun(now, {it.announcement.id, it.announcement.incarnation});
--- a/src/bamboomoor/membership/registry.cpp
+++ b/src/bamboomoor/membership/registry.cpp
@@ -7,6 +7,7 @@
 #include "bamboomoor/membership/codec.hpp"
 
 #include <algorithm>
+#include <unordered_map>
 #include <utility>
 
 namespace bamboomoor::membership
@@ -94,13 +95,34 @@
 }
 
 std::vector<const Entry *> Registry::list(base::Millis now) const
+{
+    return select(now, false);
+}
+
+std::vector<const Entry *> Registry::replaced(base::Millis now) const
+{
+    return select(now, true);
+}
+
+std::vector<const Entry *> Registry::select(base::Millis now, bool replaced) const
 {
     std::vector<const Entry *> entries;
+    // An incarnation is a start time, so a late announcement of a process that has ended replaces none.
+    std::unordered_map<std::string_view, std::uint64_t> latest;
     for (const auto &[id, record] : m_records) {
         if (isLive(now, record)) {
+            const Announcement &announcement = record.entry.announcement;
             entries.push_back(&record.entry);
+            std::uint64_t &incarnation = latest[announcement.address];
+            incarnation = std::max(incarnation, announcement.incarnation);
         }
     }
+    std::erase_if(entries, [&](const Entry *it) {
+        const Announcement &announcement = it->announcement;
+        const bool isReplaced =
+            !announcement.address.empty() && announcement.incarnation < latest.at(announcement.address);
+        return isReplaced != replaced;
+    });
     return entries;
 }
 
--- a/src/bamboomoor/membership/registry.hpp
+++ b/src/bamboomoor/membership/registry.hpp
@@ -139,12 +139,19 @@
     [[nodiscard]] const Entry *find(base::Millis now, std::string_view id) const;
 
     /**
-     * @brief Lists the live upstreams, including leaving ones.
+     * @brief Lists the live upstreams, including leaving ones, without those that were replaced.
      * @param now Current time.
      * @return Entries by ascending id, valid until the next change.
      */
     [[nodiscard]] std::vector<const Entry *> list(base::Millis now) const;
 
+    /**
+     * @brief Lists the upstreams whose lease has not ended although a later process has announced their address.
+     * @param now Current time.
+     * @return Entries by ascending id, valid until the next change.
+     */
+    [[nodiscard]] std::vector<const Entry *> replaced(base::Millis now) const;
+
     /**
      * @brief Lists the upstreams that accept new work.
      * @param now Current time.
@@ -186,6 +193,8 @@
     };
 
     [[nodiscard]] bool isLive(base::Millis now, const Record &record) const noexcept;
+    // Lists the live upstreams that were replaced, or those that were not.
+    [[nodiscard]] std::vector<const Entry *> select(base::Millis now, bool replaced) const;
     void setContent(Record &record, Announcement announcement);
     void touch(Record &record) noexcept;
     bool markLeaving(Record &record);
--- a/test/bamboomoor/membership/registry.cpp
+++ b/test/bamboomoor/membership/registry.cpp
@@ -254,3 +254,40 @@
     BOOST_TEST(registry.expire({4'000}).size() == 1U);
     BOOST_TEST(registry.changesSince({4'000}, second.position).removed.size() == 1U);
 }
+
+BOOST_AUTO_TEST_CASE(a_process_whose_address_a_later_one_has_announced_is_not_listed_until_its_lease_ends)
+{
+    const auto announcementOf = [](std::string id, std::string address, std::uint64_t incarnation,
+                                    std::uint64_t sequence) {
+        Announcement announcement;
+        announcement.id = std::move(id);
+        announcement.address = std::move(address);
+        announcement.incarnation = incarnation;
+        announcement.sequence = sequence;
+        return announcement;
+    };
+    const auto idsOf = [](const std::vector<const membership::Entry *> &entries) {
+        std::vector<std::string> ids;
+        for (const membership::Entry *it : entries) {
+            ids.push_back(it->announcement.id);
+        }
+        return ids;
+    };
+    using Ids = std::vector<std::string>;
+    membership::Registry registry;
+    registry.announce({0}, announcementOf("a", "10.0.0.1:80", 1'000, 1));
+    registry.announce({0}, announcementOf("b", "10.0.0.2:80", 1'000, 1));
+    registry.announce({1'000}, announcementOf("c", "10.0.0.1:80", 5'000, 1));
+    BOOST_TEST(idsOf(registry.list({1'000})) == (Ids{"b", "c"}));
+    BOOST_TEST(idsOf(registry.usable({1'000})) == (Ids{"b", "c"}));
+    BOOST_TEST(idsOf(registry.replaced({1'000})) == Ids{"a"});
+    // An announcement that was delayed by a partition.
+    registry.announce({2'000}, announcementOf("a", "10.0.0.1:80", 1'000, 2));
+    BOOST_TEST(idsOf(registry.replaced({2'000})) == Ids{"a"});
+    registry.announce({3'500}, announcementOf("a", "10.0.0.1:80", 1'000, 3));
+    BOOST_TEST(idsOf(registry.list({4'000})) == Ids{"a"});
+    BOOST_TEST(registry.replaced({4'000}).empty());
+    // The order of start is not known.
+    registry.announce({4'000}, announcementOf("d", "10.0.0.1:80", 1'000, 1));
+    BOOST_TEST(idsOf(registry.list({4'000})) == (Ids{"a", "d"}));
+}
