Resend token requests with a backoff

Callers saw requests refused or held for up to a second on large fleets, and crashes were confirmed seconds late, as the leader was busy: an entry resent an unanswered token request every 20 ms. Once replies took longer than that, each of 69 entries sent 50 a second, which kept replies late; the leader, on 0.6 of a core, did not recover by itself.

The first resend now waits for twice as long as replies take, 20 ms at least, and the interval doubles up to 160 ms. A lost message is still made up for within 20 ms while replies are fast; peers are reached over TCP, so only a change of the leader or a broken connection loses one.

Ruled out: fewer reports of spends, as they are sent 17 times a second at most, and lower limits on the leader, which would refuse instead.

--- a/src/bamboomoor/budget/holder.cpp
+++ b/src/bamboomoor/budget/holder.cpp
@@ -14,6 +14,8 @@
 namespace
 {
 constexpr std::int64_t PERMILLE = 1'000;
+constexpr std::int64_t PERCENT = 100;
+constexpr std::int64_t REPLY_TIME_DECAY_PERCENT = 90;
 // The time constant of the exponential decay of recent use, in milliseconds.
 constexpr double USE_DECAY_MILLIS = 100;
 // Spends within this interval are reported as one, in milliseconds.
@@ -151,6 +153,7 @@
     }
     m_sessionTerm = reply.term;
     m_leaseStart = start;
+    m_replyTime = std::max(now - start, m_replyTime * REPLY_TIME_DECAY_PERCENT / PERCENT);
     m_inFlight.reset();
     for (const TokenReplyEntry &it : reply.entries) {
         applyEntry(now, it, decided);
--- a/src/bamboomoor/budget/holder.hpp
+++ b/src/bamboomoor/budget/holder.hpp
@@ -28,8 +28,10 @@
     std::uint64_t incarnation = 1;
     // The maximum rate error of any clock, in thousandths.
     std::int64_t driftPermille = 10;
-    // A token request without a reply is resent after this time, in milliseconds.
+    // A token request without a reply is resent after this time at least, in milliseconds: twice as long as replies
+    // take, and doubled with each resend up to maxResendTimeout, or holders would keep a busy authority busy.
     base::Millis resendTimeout{20};
+    base::Millis maxResendTimeout{160};
     // The maximum time between a spend and its report, in milliseconds.
     base::Millis reportInterval{25};
     // Tokens are returned after this time without a spend, in milliseconds.
@@ -166,7 +168,8 @@
     struct InFlightRequest {
         TokenRequest request;
         base::Millis firstSent;
-        base::Millis lastSent;
+        base::Millis resendAt;
+        base::Millis resendTimeout;
     };
 
     void spend(base::Millis now, Pool &pool, const std::string &organisation, std::uint64_t id, Tokens tokens);
@@ -197,6 +200,8 @@
     base::Millis m_lease;
     base::Millis m_previousLeaseStart;
     std::optional<InFlightRequest> m_inFlight;
+    // The time that replies take, a maximum that decays with each reply.
+    base::Millis m_replyTime;
     std::uint64_t m_lastReservation = 0;
     std::map<std::string, Pool> m_pools;
     std::unordered_map<std::uint64_t, Reservation> m_reservations;
--- a/src/bamboomoor/budget/tokenrequests.cpp
+++ b/src/bamboomoor/budget/tokenrequests.cpp
@@ -19,10 +19,11 @@
 {
     expireLease(now);
     if (m_inFlight) {
-        if (now < m_inFlight->lastSent + m_options.resendTimeout) {
+        if (now < m_inFlight->resendAt) {
             return std::nullopt;
         }
-        m_inFlight->lastSent = now;
+        m_inFlight->resendTimeout = std::min(m_inFlight->resendTimeout * 2, m_options.maxResendTimeout);
+        m_inFlight->resendAt = now + m_inFlight->resendTimeout;
         return m_inFlight->request;
     }
     const bool due = std::any_of(m_pools.begin(), m_pools.end(), [this, now](const auto &it) {
@@ -39,7 +40,8 @@
             request.entries.push_back(std::move(entry));
         }
     }
-    m_inFlight = InFlightRequest{request, now, now};
+    const base::Millis timeout = std::clamp(m_replyTime * 2, m_options.resendTimeout, m_options.maxResendTimeout);
+    m_inFlight = InFlightRequest{request, now, now + timeout, timeout};
     return request;
 }
 
