Start a killed daemon again only once its process is gone

The script killed all four with SIGKILL and started their successors at once; the kernel closes the sockets of a killed process only when it gets to it, which takes longer on a busy machine. A supervisor starts a process again after it has reaped the earlier one, and the daemon's refusal to start is right, so the script waits like that too; its checks are the same.

--- a/test/system/failover.sh
+++ b/test/system/failover.sh
@@ -158,7 +158,7 @@
 
 before=$(operate 4 history --json | jq -c '[.versions[] | [.version, .digest, .change_id]]')
 for n in 1 2 3 4; do
-    kill -KILL "$(pid_of "$n")"
+    kill_daemon "$n"
 done
 for n in 1 2 3 4; do
     start_daemon "$n"
--- a/test/system/fleet.sh
+++ b/test/system/fleet.sh
@@ -83,6 +83,12 @@
     printf '%s' "${!name}"
 }
 
+# kill_daemon N: returns once its ports are free again.
+kill_daemon() {
+    kill -KILL "$(pid_of "$1")"
+    wait "$(pid_of "$1")" 2>/dev/null || true
+}
+
 # start_fleet DAEMONS VOTERS
 start_fleet() {
     local n
