Keep copies of the busiest model while a lost idle one waits for a worker

At 7.9 s, while requests of the busiest model are refused as busy, the leader unloads one of its last copies for a model that hardly anyone asks for, as a copy with siblings is the only thing that may be evicted at a full worker. The workers that crashed are back two seconds later, empty.

A model without a replica now waits for up to 6 s for a worker where the load that the eviction adds to others is less than its urgency, and of such workers takes the one where it is least. Later it is loaded in any case, so that every model stays reachable.

The test of a worker that restarts found one of three copies left before; that of a worker that is gone for good passed before as well.

Ruled out: never evicting copies of busy models, as models of workers that are gone would stay lost on a full fleet.

--- a/src/bamboomoor/placement/residency.hpp
+++ b/src/bamboomoor/placement/residency.hpp
@@ -76,6 +76,8 @@
     std::size_t candidates = 8;
     // Maximum number of additional replicas per review.
     int copies = 4;
+    // Time for which a model without a replica waits for a worker where its load costs others less than it is worth.
+    base::Millis lostPatience{6'000};
     // If not all models fit, a model without a replica replaces the only replica of a model whose demand is less than
     // this fraction of its own.
     double replaceBelow = 0.25;
@@ -413,6 +415,8 @@
     // Tells whether another load from the store can start soon; more tasks would only block their workers.
     [[nodiscard]] bool mayWaitForStore(const std::string &service) const;
     void placeLost(base::Millis now, const std::string &service, const EngineSpec &engine);
+    void noteLost(
+        base::Millis now, const std::string &service, const std::vector<std::pair<double, std::string>> &lost);
     // A copy that a worker can load from its own disk or memory, without evictions.
     struct QuickCopy {
         std::int64_t memoryMib = 0;
@@ -439,6 +443,9 @@
     enum class Arrival { Pending, There };
     [[nodiscard]] double gainOf(const State &state, const std::string &model, const std::vector<std::string> &evicted,
         const std::map<std::string, double> &loads, Arrival arrival) const;
+    // Increase of the sum of the squared loads until the evicted replicas are loaded again.
+    [[nodiscard]] double evictionCost(
+        const State &state, const std::vector<std::string> &evicted, const std::map<std::string, double> &loads) const;
     // The last replica of a model is evicted only if the demand of the model is less than soleBelow.
     [[nodiscard]] std::optional<std::vector<std::string>> evictionsFor(
         base::Millis now, const State &state, std::int64_t neededMib, double soleBelow = 0) const;
@@ -461,6 +468,8 @@
     std::map<std::string, base::Millis> m_reportedAt;
     // Adapters that requests did not find, until they are loaded.
     std::set<std::pair<std::string, std::string>> m_missed;
+    // When models without a replica were first found to have none, by service and model.
+    std::map<std::pair<std::string, std::string>, base::Millis> m_lostSince;
     // Models that arrived at workers since the last plan.
     std::vector<ModelArrival> m_arrivals;
     // Token bucket that paces loads from the store.
--- a/src/bamboomoor/placement/residencycopies.cpp
+++ b/src/bamboomoor/placement/residencycopies.cpp
@@ -97,6 +97,12 @@
     return gain;
 }
 
+double Residency::evictionCost(
+    const State &state, const std::vector<std::string> &evicted, const std::map<std::string, double> &loads) const
+{
+    return evicted.empty() ? 0 : -gainOf(state, {}, evicted, loads, Arrival::Pending);
+}
+
 std::optional<std::vector<std::string>> Residency::evictionsFor(
     base::Millis now, const State &state, std::int64_t neededMib, double soleBelow) const
 {
--- a/src/bamboomoor/placement/residencyplan.cpp
+++ b/src/bamboomoor/placement/residencyplan.cpp
@@ -313,19 +313,23 @@
             lost.emplace_back(-modelDemand(model), model);
         }
     }
+    noteLost(now, service, lost);
     if (lost.empty()) {
         return;
     }
     std::sort(lost.begin(), lost.end());
     const bool fits = fitsAll(service, engine);
     QuickCopies copies = quickCopies(service, engine);
+    std::map<std::string, double> before = loads(service);
     for (const auto &[demand, model] : lost) {
         const double urgency = LOST_URGENCY * (1 - demand);
         const bool mayWait = mayWaitForStore(service);
+        // Workers that crashed are back after a few seconds, with room.
+        const bool isPatient = now - m_lostSince.at({service, model}) < m_options.lostPatience;
         State *best = nullptr;
         std::vector<std::string> bestEvicted;
-        // Preference: no last replica evicted, a local copy of the model, few evictions, low load.
-        std::tuple<bool, bool, std::size_t, double> bestRank;
+        // Preference: no last replica evicted, a local copy of the model, cheap and few evictions, low load.
+        std::tuple<bool, bool, double, std::size_t, double> bestRank;
         for (auto &[id, state] : m_workers) {
             if (state.report.service != service || isGone(state) || state.task || !state.loading.empty()) {
                 continue;
@@ -346,7 +350,11 @@
             if (!evicted) {
                 continue;
             }
-            const std::tuple rank{replaces, !hasLocalCopy(state, model), evicted->size(), loadOf(state)};
+            const double cost = replaces ? 0 : evictionCost(state, *evicted, before);
+            if (isPatient && cost > urgency) {
+                continue;
+            }
+            const std::tuple rank{replaces, !hasLocalCopy(state, model), cost, evicted->size(), loadOf(state)};
             if (best == nullptr || rank < bestRank) {
                 best = &state;
                 bestEvicted = std::move(*evicted);
@@ -358,8 +366,23 @@
             best->task = Task{model, std::move(bestEvicted), LOST, drained, urgency, std::get<0>(bestRank)};
             surveyWorkers();
             copies = quickCopies(service, engine);
+            before = loads(service);
         }
     }
 }
 
+void Residency::noteLost(
+    base::Millis now, const std::string &service, const std::vector<std::pair<double, std::string>> &lost)
+{
+    std::map<std::pair<std::string, std::string>, base::Millis> since;
+    for (const auto &[demand, model] : lost) {
+        const auto known = m_lostSince.find({service, model});
+        since.emplace(std::pair{service, model}, known == m_lostSince.end() ? now : known->second);
+    }
+    std::erase_if(m_lostSince, [&service](const auto &it) {
+        return it.first.first == service;
+    });
+    m_lostSince.merge(since);
+}
+
 } // namespace bamboomoor::placement
--- a/test/bamboomoor/placement/residency.cpp
+++ b/test/bamboomoor/placement/residency.cpp
@@ -427,6 +427,83 @@
     BOOST_TEST(it.mostStoreLoads({5'000}) <= 10);
 }
 
+namespace
+{
+
+/** @brief Six full workers, of which three have a copy of the busiest model beside an idle one, and the last has two
+ * idle models that no other has. It is lost after 10 s. */
+class FullWorkers : public Engines
+{
+public:
+    FullWorkers()
+        : Engines(6, 1)
+    {
+        constexpr int MODELS = 10;
+        for (int n = 0; n < MODELS; ++n) {
+            spec.models["m" + std::to_string(n)] = {90, 0, 0, {4'000}};
+        }
+        int next = 1;
+        for (std::size_t n = 0; n < list.size(); ++n) {
+            list[n].holdings.models.clear();
+            list[n].holdings.models[n < 3 ? "m0" : "m" + std::to_string(next++)];
+            list[n].holdings.models["m" + std::to_string(next++)];
+            list[n].announced = list[n].holdings;
+            list[n].localCopies = {"m0"};
+        }
+        plan.setEngines({{"llm", spec}});
+    }
+
+    /** @brief Plays 50 ms. @param isGone Whether the last worker is gone. */
+    void play(bool isGone)
+    {
+        if (isGone) {
+            list.back().holdings = {};
+            plan.unreachable(list.back().id);
+        }
+        std::vector<ResidencyDemand> demand{{"m0", "", 60, 0}};
+        for (const auto &[model, ignored] : spec.models) {
+            if (model != "m0") {
+                demand.push_back({model, "", 0.2, 0});
+            }
+        }
+        plan.setDemand(now, "entry", demand);
+        step();
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(copies_of_the_busiest_model_are_not_evicted_for_idle_models_of_a_worker_that_restarts)
+{
+    FullWorkers it;
+    int fewest = it.copies("m0");
+    for (int n = 0; n < 600; ++n) {
+        const base::Millis sinceCrash{(n - 200) * STEP.count};
+        if (sinceCrash == base::Millis{3'000}) {
+            Engines::restart(it.list.back(), {"m0"});
+        }
+        it.play(sinceCrash >= base::Millis{} && sinceCrash < base::Millis{3'000});
+        fewest = std::min(fewest, it.copies("m0"));
+    }
+    BOOST_TEST(fewest == 3);
+    for (const auto &[model, spec] : it.spec.models) {
+        BOOST_TEST(it.copies(model) >= 1);
+    }
+    BOOST_TEST(!it.exceeded);
+}
+
+BOOST_AUTO_TEST_CASE(idle_models_of_a_worker_that_is_gone_are_loaded_in_place_of_copies_of_the_busiest_model)
+{
+    FullWorkers it;
+    for (int n = 0; n < 800; ++n) {
+        it.play(n >= 200);
+    }
+    for (const auto &[model, spec] : it.spec.models) {
+        BOOST_TEST(it.copies(model) >= 1);
+    }
+    BOOST_TEST(!it.exceeded);
+}
+
 // Two workers have memory for four of eight models: models in demand are loaded, and models in use are kept.
 BOOST_AUTO_TEST_CASE(a_model_in_demand_replaces_an_idle_one_if_not_all_fit)
 {
