--- a/src/bamboomoor/base/ring.hpp
+++ b/src/bamboomoor/base/ring.hpp
@@ -19,7 +19,9 @@
 {
 
 /**
- * @brief A bounded queue between threads; a full ring refuses, it never blocks its producer.
+ * @brief A bounded queue between threads; a full ring refuses new work, it never blocks its producer.
+ * What belongs to accepted work is delivered to a full ring too, so that no request waits for an event that was
+ * dropped.
  * @tparam Item The movable type that it holds.
  */
 template<class Item>
@@ -28,7 +30,7 @@
 public:
     /**
      * @brief Makes an empty, open ring.
-     * @param capacity The most items that it holds, at least 1.
+     * @param capacity The number of items from which on it refuses, at least 1.
      */
     explicit Ring(std::size_t capacity)
         : m_capacity(capacity)
@@ -51,6 +53,19 @@
         return true;
     }
 
+    /**
+     * @brief Appends an item beyond the capacity if need be; a closed ring drops it, as its consumer ends.
+     * For items of which accepted work causes a bounded number, such as the reply to a call, so that memory is bounded.
+     * @param item The item.
+     */
+    void deliver(Item &&item)
+    {
+        const absl::MutexLock lock(&m_mutex);
+        if (!m_closed) {
+            m_items.push_back(std::move(item));
+        }
+    }
+
     /**
      * @brief Takes the oldest item, waiting for one.
      * @param timeout The longest wait, in milliseconds.
@@ -87,7 +102,7 @@
 
     /**
      * @brief Counts the items held.
-     * @return A number from 0 to the capacity.
+     * @return The number, over the capacity after deliver().
      */
     [[nodiscard]] std::size_t size() const
     {
@@ -103,7 +118,7 @@
 
     const std::size_t m_capacity;
     mutable absl::Mutex m_mutex;
-    // Never longer than m_capacity.
+    // Longer than m_capacity only by items that were delivered.
     std::deque<Item> m_items ABSL_GUARDED_BY(m_mutex);
     bool m_closed ABSL_GUARDED_BY(m_mutex) = false;
 };
--- a/src/bamboomoor/entry/admit.cpp
+++ b/src/bamboomoor/entry/admit.cpp
@@ -66,7 +66,7 @@
                     event.outcome = std::get<state::ClaimOutcome>(outcome.value());
                 }
             }
-            static_cast<void>(m_ring.push(std::move(event)));
+            m_ring.deliver(std::move(event));
         });
 }
 
@@ -269,7 +269,7 @@
     m_context.peers.find(voter)->call(
         control::toWire(*ask), ASK_TIMEOUT, [this, voter](const std::optional<peer::wire::BudgetReply> &reply) {
             if (reply && reply->served()) {
-                static_cast<void>(m_ring.push(BudgetReplied{control::fromWire(*reply)}));
+                m_ring.deliver(BudgetReplied{control::fromWire(*reply)});
             } else if (reply && !reply->leader().empty()) {
                 m_context.leader.learn(reply->leader());
             } else {
--- a/src/bamboomoor/entry/attempt.cpp
+++ b/src/bamboomoor/entry/attempt.cpp
@@ -110,27 +110,25 @@
 
     void onHead(int status, http::Headers headers) override
     {
-        post(AnswerHead{m_exchange, m_attempt, status, std::move(headers)});
+        m_ring.deliver(AnswerHead{m_exchange, m_attempt, status, std::move(headers)});
     }
 
     void onData(std::string_view bytes) override
     {
-        post(AnswerData{m_exchange, m_attempt, std::string(bytes)});
+        if (!*m_broken && !m_ring.push(AnswerData{m_exchange, m_attempt, std::string(bytes)})) {
+            *m_broken = true;
+        }
     }
 
     void onEnd(http::Ending ending) override
     {
-        post(AnswerEnd{m_exchange, m_attempt, std::move(ending)});
-    }
-
-private:
-    void post(Event event)
-    {
-        if (*m_broken || !m_ring.push(std::move(event))) {
-            *m_broken = true;
+        // A broken answer has no end: the desk cancels its call.
+        if (!*m_broken) {
+            m_ring.deliver(AnswerEnd{m_exchange, m_attempt, std::move(ending)});
         }
     }
 
+private:
     base::Ring<Event> &m_ring;
     const std::uint64_t m_exchange;
     const std::uint64_t m_attempt;
--- a/src/bamboomoor/entry/desk.cpp
+++ b/src/bamboomoor/entry/desk.cpp
@@ -129,7 +129,10 @@
 
 void Desk::configurationChanged()
 {
-    static_cast<void>(m_ring.push(ConfigurationChanged{}));
+    // One is enough, as the version in force is read when it is taken.
+    if (!m_changePending.exchange(true)) {
+        m_ring.deliver(ConfigurationChanged{});
+    }
 }
 
 void Desk::run()
@@ -197,7 +200,7 @@
         .claimed = !exchange.claimKey.empty(),
         .generation = exchange.resolved.generation.has_value()});
     exchange.responder->onGone([this, id] {
-        static_cast<void>(m_ring.push(CallerGone{id}));
+        m_ring.deliver(CallerGone{id});
     });
     if (exchange.claimKey.empty()) {
         admit(exchange);
@@ -292,6 +295,7 @@
 
 void Desk::on(ConfigurationChanged & /*event*/)
 {
+    m_changePending = false;
     std::vector<std::uint64_t> withdrawn;
     for (const auto &[id, exchange] : m_exchanges) {
         if (checkKey(*exchange) == admission::Refusal::KeyWithdrawn) {
--- a/src/bamboomoor/entry/desk.hpp
+++ b/src/bamboomoor/entry/desk.hpp
@@ -245,6 +245,8 @@
     base::Ring<Event> m_ring;
     std::thread m_thread;
     std::atomic<bool> m_stopping{false};
+    // A ConfigurationChanged is in the ring.
+    std::atomic<bool> m_changePending{false};
     std::atomic<std::size_t> m_inProgress{0};
 
     // Used by the desk's thread only.
--- a/src/bamboomoor/entry/exchange.hpp
+++ b/src/bamboomoor/entry/exchange.hpp
@@ -37,7 +37,7 @@
     std::uint64_t incarnation = 0;
     base::Millis sentAt;
     http::CallId call;
-    // Set by the client's thread when an event of the attempt was lost.
+    // Set by the client's thread when bytes of the answer did not fit the ring.
     std::shared_ptr<std::atomic<bool>> broken;
     int status = 0;
     http::Headers headers;
--- a/test/bamboomoor/base/ring.cpp
+++ b/test/bamboomoor/base/ring.cpp
@@ -37,6 +37,22 @@
     BOOST_TEST(!ring.pop({0}).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(what_belongs_to_accepted_work_is_not_refused_by_a_full_ring)
+{
+    base::Ring<int> ring(1);
+    BOOST_TEST(ring.push(1));
+    ring.deliver(2);
+    BOOST_TEST(!ring.push(3));
+    BOOST_TEST(ring.size() == 2U);
+    BOOST_TEST(ring.pop({0}).value() == 1);
+    BOOST_TEST(!ring.push(3));
+    BOOST_TEST(ring.pop({0}).value() == 2);
+    BOOST_TEST(ring.push(3));
+    ring.close();
+    ring.deliver(4);
+    BOOST_TEST(ring.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(closing_wakes_a_waiting_thread)
 {
     base::Ring<int> ring(1);
--- /dev/null
+++ b/test/bamboomoor/entry/desk.cpp
@@ -0,0 +1,461 @@
+/**
+ * Tests of the entry's thread with a leader and an upstream in the same process: accepted requests end with their
+ * answer when the ring is full, when the configuration changes, and when the entry stops.
+ */
+#include "bamboomoor/entry/desk.hpp"
+#include "heldcaller.hpp"
+
+#include "bamboomoor/base/digest.hpp"
+#include "bamboomoor/control/budgetwire.hpp"
+#include "bamboomoor/peer/server.hpp"
+#include "bamboomoor/state/machine.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <thread>
+#include <utility>
+#include <variant>
+#include <vector>
+
+using namespace bamboomoor;
+using entry::test::HeldCaller;
+
+namespace
+{
+
+constexpr std::size_t RING_SIZE = 4;
+// Each below the timeout of a call to the leader.
+constexpr absl::Duration SETTLING = absl::Milliseconds(200);
+constexpr int OK = 200;
+constexpr std::int64_t GRANT = 1'000'000;
+
+/** @brief Leads alone: applies commands, now or when told, and grants what holders want. */
+class Leader final : public peer::Handler
+{
+public:
+    void deliver(const peer::wire::Envelope & /*envelope*/) override
+    {
+    }
+
+    void propose(const peer::wire::ProposeRequest &request, peer::Answer<peer::wire::ProposeReply> answer) override
+    {
+        const absl::MutexLock lock(&m_mutex);
+        peer::wire::ProposeReply reply;
+        reply.set_verdict(peer::wire::APPLIED);
+        reply.set_outcome(state::encode(m_machine.apply(++m_index, request.command())));
+        ++m_proposals;
+        if (m_holds) {
+            m_held.emplace_back(std::move(answer), std::move(reply));
+        } else {
+            answer(std::move(reply));
+        }
+    }
+
+    void freshen(const peer::wire::FreshenRequest & /*request*/, peer::Answer<peer::wire::FreshenReply> answer) override
+    {
+        answer({});
+    }
+
+    void witness(const peer::wire::WitnessRequest & /*request*/, peer::Answer<peer::wire::WitnessReply> answer) override
+    {
+        answer({});
+    }
+
+    void ask(const peer::wire::BudgetAsk &request, peer::Answer<peer::wire::BudgetReply> answer) override
+    {
+        const budget::TokenRequest wanted = control::fromWire(request);
+        budget::TokenReply reply{wanted.holder, wanted.session, 1, wanted.sequence,
+            budget::TokenRequestStatus::Processed, base::Millis{60'000}, {}};
+        for (const budget::TokenRequestEntry &it : wanted.entries) {
+            budget::TokenReplyEntry entry;
+            entry.organisation = it.organisation;
+            entry.granted = GRANT;
+            entry.needs.assign(it.needs.size(), {budget::AdmissionDecision::Admitted, {}});
+            reply.entries.push_back(std::move(entry));
+        }
+        answer(control::toWire(reply));
+    }
+
+    void syncUpstreams(
+        const peer::wire::UpstreamSync & /*request*/, peer::Answer<peer::wire::UpstreamSync> answer) override
+    {
+        answer({});
+    }
+
+    void history(const peer::wire::HistoryRequest & /*request*/, peer::Answer<peer::wire::HistoryReply> answer) override
+    {
+        answer({});
+    }
+
+    void reportDemand(
+        const peer::wire::DemandReport & /*request*/, peer::Answer<peer::wire::DemandReply> answer) override
+    {
+        answer({});
+    }
+
+    void join(const peer::wire::JoinRequest & /*request*/, peer::Answer<peer::wire::JoinReply> answer) override
+    {
+        answer({});
+    }
+
+    /** @brief Keeps the replies to commands from now on; the commands are applied all the same. */
+    void hold()
+    {
+        const absl::MutexLock lock(&m_mutex);
+        m_holds = true;
+    }
+
+    /** @brief Waits for a held reply. */
+    void awaitHeld()
+    {
+        const absl::MutexLock lock(&m_mutex);
+        const auto holds = [this] {
+            m_mutex.AssertReaderHeld();
+            return !m_held.empty();
+        };
+        BOOST_REQUIRE(m_mutex.AwaitWithTimeout(absl::Condition(&holds), absl::Seconds(10)));
+    }
+
+    /** @brief Waits for a number of commands since the start. */
+    void awaitProposals(int number)
+    {
+        const absl::MutexLock lock(&m_mutex);
+        const auto reached = [this, number] {
+            m_mutex.AssertReaderHeld();
+            return m_proposals >= number;
+        };
+        BOOST_REQUIRE(m_mutex.AwaitWithTimeout(absl::Condition(&reached), absl::Seconds(10)));
+    }
+
+    /** @brief Sends what it holds. */
+    void letGo()
+    {
+        const absl::MutexLock lock(&m_mutex);
+        m_holds = false;
+        for (auto &[answer, reply] : m_held) {
+            answer(std::move(reply));
+        }
+        m_held.clear();
+    }
+
+private:
+    absl::Mutex m_mutex;
+    state::Machine m_machine ABSL_GUARDED_BY(m_mutex);
+    std::uint64_t m_index ABSL_GUARDED_BY(m_mutex) = 0;
+    int m_proposals ABSL_GUARDED_BY(m_mutex) = 0;
+    bool m_holds ABSL_GUARDED_BY(m_mutex) = false;
+    std::vector<std::pair<peer::Answer<peer::wire::ProposeReply>, peer::wire::ProposeReply>> m_held ABSL_GUARDED_BY(
+        m_mutex);
+};
+
+/** @brief Answers at once, or when told; a stream gets its first event at once. */
+class Upstream final : public http::Handler
+{
+public:
+    void handle(http::Request request, std::shared_ptr<http::Responder> responder) override
+    {
+        const absl::MutexLock lock(&m_mutex);
+        const bool streams = request.body.find(R"("stream":true)") != std::string::npos;
+        if (streams) {
+            responder->begin(OK, {{"Content-Type", "text/event-stream"}});
+            responder->write(event());
+        }
+        ++m_received;
+        if (m_holds) {
+            m_held.emplace_back(std::move(responder), streams);
+        } else {
+            answer(*responder, streams);
+        }
+    }
+
+    void hold()
+    {
+        const absl::MutexLock lock(&m_mutex);
+        m_holds = true;
+    }
+
+    void letGo()
+    {
+        const absl::MutexLock lock(&m_mutex);
+        m_holds = false;
+        for (auto &[responder, streams] : m_held) {
+            answer(*responder, streams);
+        }
+        m_held.clear();
+    }
+
+    void awaitReceived(int number)
+    {
+        const absl::MutexLock lock(&m_mutex);
+        const auto reached = [this, number] {
+            m_mutex.AssertReaderHeld();
+            return m_received >= number;
+        };
+        BOOST_REQUIRE(m_mutex.AwaitWithTimeout(absl::Condition(&reached), absl::Seconds(10)));
+    }
+
+private:
+    static std::string event()
+    {
+        return "data: {\"id\":\"g\",\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n";
+    }
+
+    static void answer(http::Responder &responder, bool streams)
+    {
+        if (streams) {
+            responder.write(event());
+            responder.write("data: [DONE]\n\n");
+            responder.end();
+        } else {
+            responder.respond({OK, {}, R"({"choices":[{"message":{"content":"a"}}],"usage":{"completion_tokens":1}})"});
+        }
+    }
+
+    absl::Mutex m_mutex;
+    int m_received ABSL_GUARDED_BY(m_mutex) = 0;
+    bool m_holds ABSL_GUARDED_BY(m_mutex) = false;
+    std::vector<std::pair<std::shared_ptr<http::Responder>, bool>> m_held ABSL_GUARDED_BY(m_mutex);
+};
+
+std::string freeAddress()
+{
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    BOOST_REQUIRE(bind(listener, reinterpret_cast<sockaddr *>(&address), size) == 0);
+    getsockname(listener, reinterpret_cast<sockaddr *>(&address), &size);
+    close(listener);
+    return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+}
+
+config::Document wholeDocument()
+{
+    config::Document document;
+    document.models.push_back({.name = "m", .memoryMib = 1});
+    document.routes.push_back({.prefix = "/once", .upstream = "service"});
+    for (const char *name : {"one", "two"}) {
+        config::Organisation organisation;
+        organisation.name = name;
+        organisation.rate = organisation.burst = GRANT;
+        organisation.keys.push_back({"k", base::sha256(std::string("key-") + name), false});
+        document.organisations.push_back(organisation);
+    }
+    return document;
+}
+
+/** @brief One entry with its leader and one upstream, all in this process. */
+class Fixture
+{
+public:
+    explicit Fixture(std::size_t ringSize = RING_SIZE)
+        : m_peerServer(leader)
+        , m_upstreamServer(upstream)
+    {
+        const std::string leaderAddress = freeAddress();
+        BOOST_REQUIRE(m_peerServer.start(leaderAddress).has_value());
+        m_peers = std::make_unique<control::PeerRegistry>(std::vector<control::VoterAddress>{{"v", leaderAddress}});
+        const auto address = m_upstreamServer.start("127.0.0.1:0");
+        BOOST_REQUIRE(address.has_value());
+        announce(address.value(), "worker", {});
+        announce(address.value(), "plain", "service");
+        install(wholeDocument());
+        entry::DeskOptions options;
+        options.vm = "vm";
+        options.incarnation = 2;
+        options.ringSize = ringSize;
+        desk = std::make_unique<entry::Desk>(
+            options, entry::DeskContext{m_clock, inForce, m_book, *m_peers, m_leaderHint, m_client, m_metrics});
+        desk->start();
+        // Claims of the process before are abandoned first.
+        leader.awaitProposals(1);
+    }
+
+    ~Fixture()
+    {
+        leader.letGo();
+        upstream.letGo();
+        desk->stop();
+        m_client.stop();
+        m_peers->stop();
+        m_peerServer.stop();
+        m_upstreamServer.stop({0});
+    }
+
+    Fixture(const Fixture &) = delete;
+    Fixture &operator=(const Fixture &) = delete;
+
+    void install(config::Document document)
+    {
+        inForce.install(entry::makeConfiguration(++m_version, "d", std::move(document)));
+        inForce.extend(m_version, base::NEVER);
+    }
+
+    std::shared_ptr<HeldCaller> post(const std::string &path, const std::string &body, const std::string &claim = {},
+        const std::string &key = "key-one", bool holds = false) const
+    {
+        auto caller = std::make_shared<HeldCaller>(holds);
+        http::Request request;
+        request.method = "POST";
+        request.path = path;
+        request.body = body;
+        request.headers = {{"Authorization", "Bearer " + key}};
+        if (!claim.empty()) {
+            request.headers.push_back({"Idempotency-Key", claim});
+        }
+        desk->handle(std::move(request), caller);
+        return caller;
+    }
+
+    std::shared_ptr<HeldCaller> stream() const
+    {
+        return post("/v1/chat/completions", R"({"model":"m","messages":[],"max_tokens":9,"stream":true})");
+    }
+
+    /** @brief Holds the desk's thread. @return The caller that holds it. */
+    std::shared_ptr<HeldCaller> holdDesk() const
+    {
+        auto caller = post("/once", "", {}, "unknown", true);
+        caller->awaitHeld();
+        return caller;
+    }
+
+    /** @brief Fills the ring while the desk's thread is held. */
+    void fillRing() const
+    {
+        while (post("/once", "", {}, "unknown")->ends() == 0) { }
+    }
+
+    Leader leader;
+    Upstream upstream;
+    entry::InForce inForce;
+    std::unique_ptr<entry::Desk> desk;
+
+private:
+    void announce(const std::string &address, const std::string &id, const std::string &service)
+    {
+        membership::Announcement out;
+        out.id = id;
+        out.incarnation = 1;
+        out.sequence = 1;
+        out.address = address;
+        out.service = service;
+        out.kind = service.empty() ? membership::UpstreamKind::ModelWorker : membership::UpstreamKind::Service;
+        if (service.empty()) {
+            out.accelerators.push_back({"a", 10, {{"m", {}, {}, 1}}});
+        }
+        m_book.announce(m_clock.now(), std::move(out));
+    }
+
+    static membership::RegistryOptions longLease()
+    {
+        membership::RegistryOptions options;
+        options.lease = base::Millis{600'000};
+        return options;
+    }
+
+    base::SteadyClock m_clock;
+    peer::Server m_peerServer;
+    http::Server m_upstreamServer;
+    std::uint64_t m_version = 0;
+    entry::UpstreamBook m_book{longLease()};
+    std::unique_ptr<control::PeerRegistry> m_peers;
+    entry::LeaderHint m_leaderHint{{"v"}};
+    http::Client m_client;
+    entry::Metrics m_metrics;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(desk)
+
+BOOST_AUTO_TEST_CASE(a_reply_to_a_claim_that_meets_a_full_ring_is_not_lost)
+{
+    Fixture fixture;
+    fixture.leader.hold();
+    const auto caller = fixture.post("/once", "x", "claim");
+    fixture.leader.awaitHeld();
+    const auto holder = fixture.holdDesk();
+    fixture.fillRing();
+    fixture.leader.letGo();
+    absl::SleepFor(SETTLING);
+    holder->letGo();
+    BOOST_TEST(caller->await());
+    BOOST_TEST(caller->status() == OK);
+}
+
+BOOST_AUTO_TEST_CASE(a_reply_to_the_storing_of_an_answer_that_meets_a_full_ring_is_not_lost)
+{
+    Fixture fixture;
+    fixture.upstream.hold();
+    const auto caller = fixture.post("/once", "x", "claim");
+    fixture.upstream.awaitReceived(1);
+    fixture.leader.hold();
+    fixture.upstream.letGo();
+    fixture.leader.awaitHeld();
+    const auto holder = fixture.holdDesk();
+    fixture.fillRing();
+    fixture.leader.letGo();
+    absl::SleepFor(SETTLING);
+    holder->letGo();
+    BOOST_TEST(caller->await());
+    BOOST_TEST(caller->status() == OK);
+}
+
+BOOST_AUTO_TEST_CASE(the_end_of_an_answer_that_meets_a_full_ring_is_not_lost)
+{
+    Fixture fixture;
+    fixture.upstream.hold();
+    const auto caller = fixture.post("/once", "x");
+    fixture.upstream.awaitReceived(1);
+    const auto holder = fixture.holdDesk();
+    // Room for the head and the bytes of the answer, but not for its end.
+    static_cast<void>(fixture.post("/once", "", {}, "unknown"));
+    static_cast<void>(fixture.post("/once", "", {}, "unknown"));
+    fixture.upstream.letGo();
+    absl::SleepFor(SETTLING);
+    holder->letGo();
+    BOOST_TEST(caller->await());
+    BOOST_TEST(caller->status() == OK);
+}
+
+BOOST_AUTO_TEST_CASE(a_change_of_the_configuration_that_meets_a_full_ring_ends_what_a_withdrawn_key_runs)
+{
+    Fixture fixture;
+    fixture.upstream.hold();
+    const auto caller = fixture.stream();
+    BOOST_TEST(caller->awaitStream());
+    const auto holder = fixture.holdDesk();
+    fixture.fillRing();
+    config::Document document = wholeDocument();
+    document.organisations.front().keys.clear();
+    fixture.install(std::move(document));
+    fixture.desk->configurationChanged();
+    holder->letGo();
+    BOOST_TEST(caller->await(absl::Seconds(5)));
+    BOOST_TEST(caller->body().find("key_withdrawn") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_while_the_ring_is_full_does_not_keep_its_generation)
+{
+    Fixture fixture;
+    fixture.upstream.hold();
+    const auto caller = fixture.stream();
+    BOOST_TEST(caller->awaitStream());
+    const auto holder = fixture.holdDesk();
+    fixture.fillRing();
+    caller->leave();
+    holder->letGo();
+    BOOST_TEST(caller->await(absl::Seconds(5)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
