Give the answers that a stopping entry holds, and refuse what waits in its ring (LOST)

An entry of the own path that reached its drain limit answered outcome_unknown to a request whose answer it held while that was being stored, and to one whose answer waited in its ring. A request that waited there had no end at all: the thread left it behind, and the server then closed its connection. Found by reading; the relayed path refused such requests already.

A desk that stops now takes what is in its closed ring: arrivals are refused as draining and not run, all else is handled as usual, and commands that wait for their next try are sent once more. An answer that is being stored is given. Its claim is released as may have run, which changes nothing once the answer is stored and is replaced by the answer if that is committed later, so that a resend learns the answer or that the outcome is unknown.

Three new tests, on the code before: 502 instead of 200 for the answer that is stored and for the one in the ring, no end for the request in the ring.

--- a/src/bamboomoor/entry/admit.cpp
+++ b/src/bamboomoor/entry/admit.cpp
@@ -104,9 +104,7 @@
     }
     if (exchange->phase == Phase::Storing) {
         // Without an outcome the answer may not be stored; the caller has it all the same.
-        exchange->responder->respond(*std::move(exchange->answer));
-        settle(*exchange, exchange->usedTokens.value_or(exchange->resolved.cost));
-        finish(*exchange);
+        giveAnswer(*exchange);
         return;
     }
     if (!event.outcome) {
@@ -201,6 +199,13 @@
     proposeClaim({exchange.id, state::encode(command), m_context.clock.now() + STORE_DEADLINE});
 }
 
+void Desk::giveAnswer(Exchange &exchange)
+{
+    exchange.responder->respond(*std::move(exchange.answer));
+    settle(exchange, exchange.usedTokens.value_or(exchange.resolved.cost));
+    finish(exchange);
+}
+
 void Desk::admit(Exchange &exchange)
 {
     // Asked behind the claim, as an answer that is stored is given all the same.
--- a/src/bamboomoor/entry/desk.cpp
+++ b/src/bamboomoor/entry/desk.cpp
@@ -154,12 +154,35 @@
         pump();
         sendAsk();
     }
+    finishAll();
+}
+
+void Desk::finishAll()
+{
+    // What waits in the closed ring may be the answer to a request, or a request that has none.
+    while (auto event = m_ring.pop({0})) {
+        if (auto *arrived = std::get_if<Arrived>(&*event)) {
+            m_context.metrics.refused(admission::REFUSAL_NAMES.name(admission::Refusal::Draining));
+            arrived->responder->respond(
+                errorResponse({admission::Refusal::Draining, "the entry stops", admission::Execution::NotRun}));
+            --m_inProgress;
+        } else {
+            take(*std::move(event));
+        }
+    }
+    retryClaims(base::NEVER);
     std::vector<std::uint64_t> rest;
     for (const auto &[id, exchange] : m_exchanges) {
         rest.push_back(id);
     }
     for (const std::uint64_t id : rest) {
         Exchange &exchange = *m_exchanges.at(id);
+        if (exchange.phase == Phase::Storing) {
+            // Takes effect only where the answer is not stored: a resend then learns that the outcome is unknown.
+            releaseClaim(exchange, true);
+            giveAnswer(exchange);
+            continue;
+        }
         const bool sent = exchange.delivery.attempts() > 0;
         cancelAttempt(exchange);
         endWithError(exchange, sent ? admission::Refusal::OutcomeUnknown : admission::Refusal::Draining,
--- a/src/bamboomoor/entry/desk.hpp
+++ b/src/bamboomoor/entry/desk.hpp
@@ -172,6 +172,7 @@
 
     // desk.cpp: the loop, arrival and refusal.
     void run();
+    void finishAll();
     void take(Event event);
     void on(Arrived &event);
     void on(CallerGone &event);
@@ -191,6 +192,7 @@
     void answerStored(Exchange &exchange, const state::StoredResponse &answer);
     void releaseClaim(Exchange &exchange, bool mayHaveRun);
     void storeAnswer(Exchange &exchange, http::Response answer);
+    void giveAnswer(Exchange &exchange);
     void proposeClaim(ClaimTry attempt);
     void abandonEarlier();
     void retryClaims(base::Millis now);
--- a/test/bamboomoor/entry/desk.cpp
+++ b/test/bamboomoor/entry/desk.cpp
@@ -32,9 +32,13 @@
 {
 
 constexpr std::size_t RING_SIZE = 4;
+constexpr std::size_t LONG_RING = 1'024;
+// More than the desk takes before it looks whether it stops.
+constexpr int CROWD = 600;
 // Each below the timeout of a call to the leader.
 constexpr absl::Duration SETTLING = absl::Milliseconds(200);
 constexpr int OK = 200;
+constexpr int UNAVAILABLE = 503;
 constexpr std::int64_t GRANT = 1'000'000;
 
 /** @brief Leads alone: applies commands, now or when told, and grants what holders want. */
@@ -335,6 +339,26 @@
         while (post("/once", "", {}, "unknown")->ends() == 0) { }
     }
 
+    /** @brief Puts many requests before what comes next, while the desk's thread is held. */
+    void crowdRing() const
+    {
+        for (int n = 0; n < CROWD; ++n) {
+            static_cast<void>(post("/once", "", {}, "unknown"));
+        }
+    }
+
+    /** @brief Stops the desk while its thread is held, then lets it go. */
+    void stopHeld(HeldCaller &holder) const
+    {
+        std::thread stopping([this] {
+            desk->stop();
+        });
+        fillRing();
+        absl::SleepFor(SETTLING);
+        holder.letGo();
+        stopping.join();
+    }
+
     Leader leader;
     Upstream upstream;
     entry::InForce inForce;
@@ -458,4 +482,45 @@
     BOOST_TEST(caller->await(absl::Seconds(5)));
 }
 
+BOOST_AUTO_TEST_CASE(an_entry_that_stops_while_an_answer_is_stored_gives_the_answer)
+{
+    Fixture fixture;
+    fixture.upstream.hold();
+    const auto caller = fixture.post("/once", "x", "claim");
+    fixture.upstream.awaitReceived(1);
+    fixture.leader.hold();
+    fixture.upstream.letGo();
+    fixture.leader.awaitHeld();
+    fixture.desk->stop();
+    BOOST_TEST(caller->ends() == 1);
+    BOOST_TEST(caller->status() == OK);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_waits_in_the_ring_of_a_stopping_entry_is_refused)
+{
+    Fixture fixture(LONG_RING);
+    const auto holder = fixture.holdDesk();
+    fixture.crowdRing();
+    const auto caller = fixture.post("/once", "x");
+    fixture.stopHeld(*holder);
+    BOOST_TEST(caller->ends() == 1);
+    BOOST_TEST(caller->status() == UNAVAILABLE);
+    BOOST_TEST(caller->body().find("draining") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_waits_in_the_ring_of_a_stopping_entry_is_given)
+{
+    Fixture fixture(LONG_RING);
+    fixture.upstream.hold();
+    const auto caller = fixture.post("/once", "x");
+    fixture.upstream.awaitReceived(1);
+    const auto holder = fixture.holdDesk();
+    fixture.crowdRing();
+    fixture.upstream.letGo();
+    absl::SleepFor(SETTLING);
+    fixture.stopHeld(*holder);
+    BOOST_TEST(caller->ends() == 1);
+    BOOST_TEST(caller->status() == OK);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
