--- a/src/bamboomoor/gateway/relaythread.cpp
+++ b/src/bamboomoor/gateway/relaythread.cpp
@@ -42,8 +42,7 @@
                 return;
             }
         }
-        m_broken = !m_runner.push(
-            Head{m_attempt, m_runner.m_context.dialect.readHead(status, std::move(headers), m_requestId)});
+        m_runner.deliver(Head{m_attempt, m_runner.m_context.dialect.readHead(status, std::move(headers), m_requestId)});
     }
 
     void onData(std::string_view bytes) override
@@ -51,27 +50,27 @@
         if (m_broken || !isPassed()) {
             return;
         }
-        if (*m_unread + bytes.size() > m_runner.m_options.maxUnreadBytes) {
-            m_broken = true;
-            static_cast<void>(m_runner.push(Ended{m_attempt, {http::EndKind::TooLarge, true, false, 0, {}}}));
+        const bool fits = *m_unread + bytes.size() <= m_runner.m_options.maxUnreadBytes;
+        *m_unread += bytes.size();
+        if (fits && m_runner.push(Data{m_attempt, std::string(bytes), m_unread})) {
             return;
         }
-        *m_unread += bytes.size();
-        m_broken = !m_runner.push(Data{m_attempt, std::string(bytes), m_unread});
+        // Ended at once, not as truncated: the upstream is not to blame.
+        m_broken = true;
+        m_runner.deliver(Ended{m_attempt, {http::EndKind::TooLarge, true, false, 0, {}}});
     }
 
     void onEnd(http::Ending ending) override
     {
         if (m_broken) {
-            ending.kind = http::EndKind::Truncated;
+            return;
         }
         if (!m_isForwarded) {
-            static_cast<void>(m_runner.push(Ended{m_attempt, std::move(ending)}));
+            m_runner.deliver(Ended{m_attempt, std::move(ending)});
             return;
         }
         ForwardedEnd end = interpretEnd(std::move(ending), m_hasHead, m_statement);
-        static_cast<void>(
-            m_runner.push(Ended{m_attempt, std::move(end.ending), end.peerFailed, std::move(end.reason)}));
+        m_runner.deliver(Ended{m_attempt, std::move(end.ending), end.peerFailed, std::move(end.reason)});
     }
 
 private:
@@ -88,7 +87,7 @@
     // What the forwarding entry stated.
     std::optional<ForwardStatement> m_statement;
     const std::shared_ptr<Unread> m_unread = std::make_shared<Unread>(0);
-    // Set when a part of the response did not fit the ring.
+    // Set when a part of the response did not fit the ring; its end has been told.
     bool m_broken = false;
 };
 
@@ -130,6 +129,11 @@
     return false;
 }
 
+void RelayThread::deliver(Event event)
+{
+    m_ring.deliver(std::move(event));
+}
+
 void RelayThread::handle(http::Request request, std::shared_ptr<http::Responder> responder)
 {
     auto read = m_context.callers.read(std::move(request));
@@ -147,12 +151,15 @@
 
 void RelayThread::drain()
 {
-    static_cast<void>(push(Draining{}));
+    deliver(Draining{});
 }
 
 void RelayThread::configurationChanged()
 {
-    static_cast<void>(push(TableChanged{}));
+    // One is enough, as the version in force is read when it is taken.
+    if (!m_changePending.exchange(true)) {
+        deliver(TableChanged{});
+    }
 }
 
 void RelayThread::run()
@@ -162,12 +169,7 @@
         const base::Millis due = std::min(m_core.nextDeadline(now), m_nextRefresh);
         auto event = m_ring.pop(std::max(due - now, base::Millis{0}));
         for (std::size_t n = 0; event && n < MAX_EVENTS_PER_TURN; ++n) {
-            const base::Millis at = m_context.clock.now();
-            std::visit(
-                [this, at](auto &it) {
-                    on(at, it);
-                },
-                *event);
+            take(*event);
             event = n + 1 < MAX_EVENTS_PER_TURN ? m_ring.pop({0}) : std::nullopt;
         }
         const base::Millis after = m_context.clock.now();
@@ -188,21 +190,34 @@
         m_cutOff = m_core.reach().isCutOff();
         m_offersForwarding = !m_isDraining && !m_cutOff && answeredAt && after - *answeredAt <= m_options.reachAge;
     }
+    // What waits in the closed ring may be a response.
     while (auto event = m_ring.pop({0})) {
         if (auto *arrived = std::get_if<Arrived>(&*event)) {
             arrived->responder->respond(m_context.callers.refusal(
                 {relay::Reason::Stopping, true, m_options.core.defaultRetryDelay}, arrived->request.id));
+        } else {
+            take(*event);
         }
     }
     m_core.stop(m_context.clock.now());
     m_inProgress = 0;
 }
 
+void RelayThread::take(Event &event)
+{
+    const base::Millis now = m_context.clock.now();
+    std::visit(
+        [this, now](auto &it) {
+            on(now, it);
+        },
+        event);
+}
+
 void RelayThread::on(base::Millis now, Arrived &event)
 {
     const std::uint64_t exchange = ++m_lastExchange;
     event.responder->onGone([this, exchange] {
-        static_cast<void>(push(CallerGone{exchange}));
+        deliver(CallerGone{exchange});
     });
     m_callers.emplace(exchange, Caller{std::move(event.responder), event.request.id});
     m_core.onRequest(now, exchange, std::move(event.request));
@@ -254,6 +269,7 @@
 
 void RelayThread::on(base::Millis /*now*/, TableChanged & /*event*/)
 {
+    m_changePending = false;
     if (const auto held = m_context.inForce.current()) {
         const std::shared_ptr<const config::Document> document(held, &held->document);
         logLimits(held->version, held->document);
@@ -402,6 +418,7 @@
 
 void RelayThread::takeNews(entry::LeaderNews news)
 {
+    // The next reply repeats what a full ring drops.
     static_cast<void>(push(News{std::move(news)}));
 }
 
@@ -420,7 +437,7 @@
     m_context.peers.find(voter)->call(control::toWire(*ask), m_options.budgetTimeout,
         [this, voter](const std::optional<peer::wire::BudgetReply> &reply) {
             if (reply && reply->served()) {
-                static_cast<void>(push(BudgetReplied{control::fromWire(*reply)}));
+                deliver(BudgetReplied{control::fromWire(*reply)});
             } else if (reply && !reply->leader().empty()) {
                 m_context.leader.learn(reply->leader());
             } else {
--- a/src/bamboomoor/gateway/relaythread.hpp
+++ b/src/bamboomoor/gateway/relaythread.hpp
@@ -177,7 +177,9 @@
     void refreshUpstreams();
     void collectDemand();
     void sendAsk(base::Millis now);
+    void take(Event &event);
     [[nodiscard]] bool push(Event event);
+    void deliver(Event event);
 
     void respond(std::uint64_t exchange, http::Response response) override;
     void sendLocalReply(std::uint64_t exchange, const relay::LocalReply &refused) override;
@@ -203,6 +205,8 @@
     base::Ring<Event> m_ring;
     std::thread m_thread;
     std::atomic<bool> m_stopping{false};
+    // A TableChanged is in the ring.
+    std::atomic<bool> m_changePending{false};
     std::atomic<std::size_t> m_inProgress{0};
     std::atomic<bool> m_cutOff{false};
     // Upstreams answered lately, and no shutdown has begun.
