--- a/src/bamboomoor/entry/admit.cpp
+++ b/src/bamboomoor/entry/admit.cpp
@@ -66,7 +66,7 @@
                     event.outcome = std::get<state::ClaimOutcome>(outcome.value());
                 }
             }
-            static_cast<void>(m_ring.push(std::move(event)));
+            m_ring.deliver(std::move(event));
         });
 }
 
@@ -104,9 +104,7 @@
     }
     if (exchange->phase == Phase::Storing) {
         // Without an outcome the answer may not be stored; the caller has it all the same.
-        exchange->responder->respond(*std::move(exchange->answer));
-        settle(*exchange, exchange->usedTokens.value_or(exchange->resolved.cost));
-        finish(*exchange);
+        giveAnswer(*exchange);
         return;
     }
     if (!event.outcome) {
@@ -201,6 +199,13 @@
     proposeClaim({exchange.id, state::encode(command), m_context.clock.now() + STORE_DEADLINE});
 }
 
+void Desk::giveAnswer(Exchange &exchange)
+{
+    exchange.responder->respond(*std::move(exchange.answer));
+    settle(exchange, exchange.usedTokens.value_or(exchange.resolved.cost));
+    finish(exchange);
+}
+
 void Desk::admit(Exchange &exchange)
 {
     // Asked behind the claim, as an answer that is stored is given all the same.
@@ -269,7 +274,7 @@
     m_context.peers.find(voter)->call(
         control::toWire(*ask), ASK_TIMEOUT, [this, voter](const std::optional<peer::wire::BudgetReply> &reply) {
             if (reply && reply->served()) {
-                static_cast<void>(m_ring.push(BudgetReplied{control::fromWire(*reply)}));
+                m_ring.deliver(BudgetReplied{control::fromWire(*reply)});
             } else if (reply && !reply->leader().empty()) {
                 m_context.leader.learn(reply->leader());
             } else {
--- a/src/bamboomoor/entry/desk.hpp
+++ b/src/bamboomoor/entry/desk.hpp
@@ -172,6 +172,7 @@
 
     // desk.cpp: the loop, arrival and refusal.
     void run();
+    void finishAll();
     void take(Event event);
     void on(Arrived &event);
     void on(CallerGone &event);
@@ -191,6 +192,7 @@
     void answerStored(Exchange &exchange, const state::StoredResponse &answer);
     void releaseClaim(Exchange &exchange, bool mayHaveRun);
     void storeAnswer(Exchange &exchange, http::Response answer);
+    void giveAnswer(Exchange &exchange);
     void proposeClaim(ClaimTry attempt);
     void abandonEarlier();
     void retryClaims(base::Millis now);
@@ -245,6 +247,8 @@
     base::Ring<Event> m_ring;
     std::thread m_thread;
     std::atomic<bool> m_stopping{false};
+    // A ConfigurationChanged is in the ring.
+    std::atomic<bool> m_changePending{false};
     std::atomic<std::size_t> m_inProgress{0};
 
     // Used by the desk's thread only.
