Take no evidence twice from a lost attempt that is reported again

Entries repeat a report until it is acknowledged. A survival that came in between cleared the attempt of its request, so that the repeated report was taken for another attempt and brought back the evidence against parts and the request that had just survived. Sound requests could be refused because of it.

--- a/src/bamboomoor/quarantine/crashanalysis.cpp
+++ b/src/bamboomoor/quarantine/crashanalysis.cpp
@@ -60,12 +60,13 @@
         if (it.attempt.run != attempt.run) {
             continue;
         }
-        if (it.attempt.request == attempt.request && it.attempt.identity == attempt.identity) {
+        if (it.attempt.request == attempt.request && it.identity == attempt.identity) {
             return false;
         }
         confirmed = confirmed || it.confirmed;
     }
-    insert({std::move(attempt), confirmed});
+    std::string identity = attempt.identity;
+    insert({std::move(attempt), std::move(identity), confirmed});
     m_evaluateUntil = now + m_options.firstPartSettleTime * 2;
     return true;
 }
@@ -280,7 +281,7 @@
 std::optional<CrashAnalysis::Candidate> CrashAnalysis::nextCandidate(base::Millis now, const std::string &request) const
 {
     std::map<std::string, Appearances> appearances;
-    for (const auto &[attempt, confirmed] : m_records) {
+    for (const auto &[attempt, identity, confirmed] : m_records) {
         for (std::size_t n = 0; confirmed && n < attempt.parts.size(); ++n) {
             if (!attempt.parts[n].empty()) {
                 Appearances &it = appearances[attempt.parts[n]];
@@ -392,8 +393,9 @@
 void CrashAnalysis::expire(base::Millis now)
 {
     std::erase_if(m_records, [&](const Record &it) {
-        const base::Millis life = it.confirmed ? m_options.evidenceLife : m_options.confirmTimeout;
-        return subjectsOf(it.attempt).empty() || now - it.attempt.at > life;
+        // Cleared ones remain for a while, as reports of them are repeated.
+        const bool isEvidence = it.confirmed && !subjectsOf(it.attempt).empty();
+        return now - it.attempt.at > (isEvidence ? m_options.evidenceLife : m_options.confirmTimeout);
     });
     std::erase_if(m_lifted, [&](const auto &it) {
         return now - it.second > m_options.liftedLife;
--- a/src/bamboomoor/quarantine/crashanalysis.hpp
+++ b/src/bamboomoor/quarantine/crashanalysis.hpp
@@ -173,6 +173,8 @@
 private:
     struct Record {
         LostAttempt attempt;
+        // As reported, also after a survival has cleared the attempt of it; reports are repeated.
+        std::string identity;
         // The upstream has crashed.
         bool confirmed = false;
     };
--- a/test/bamboomoor/quarantine/crashanalysis.cpp
+++ b/test/bamboomoor/quarantine/crashanalysis.cpp
@@ -463,6 +463,29 @@
     BOOST_TEST(settle() == std::vector<std::string>{"request:r"});
 }
 
+BOOST_AUTO_TEST_CASE(a_report_that_comes_again_after_a_survival_is_no_new_evidence)
+{
+    for (const std::string upstream : {"w1", "w2", "w3"}) {
+        const LostAttempt lost{{upstream, 1}, now, "own" + upstream, {"x", "y"}, "request:" + upstream};
+        analysis.add(now, lost);
+        analysis.onUnreachable(now, upstream);
+        static_cast<void>(settle(50));
+        analysis.onSurvival({"x", now});
+        analysis.onSurvival({"request:" + upstream, now});
+        BOOST_TEST(!analysis.add(now, lost));
+        static_cast<void>(settle(150));
+    }
+    BOOST_TEST(isQuarantined("y"));
+    // Nor if nothing of it is left.
+    const LostAttempt cleared{{"w4", 1}, now, "own", {"z"}, "request:s"};
+    analysis.add(now, cleared);
+    analysis.onUnreachable(now, "w4");
+    analysis.onSurvival({"z", now});
+    analysis.onSurvival({"request:s", now});
+    BOOST_TEST(settle().empty());
+    BOOST_TEST(!analysis.add(now, cleared));
+}
+
 // Every report of an entry is answered with them, which are hundreds in a second in a large fleet.
 BOOST_AUTO_TEST_CASE(suspects_are_not_compiled_anew_for_every_report)
 {
