Keep a request that was lost at several upstreams when crashes lose hundreds

A request that crashed upstream after upstream was never quarantined if each crash lost some hundred others beside it, and went on to all entries. The analysis kept the 512 newest losses, an entry the 512 newest that it had not reported, so that identities of bystanders displaced it: three crashes of 300 each left nothing of it, and with 150 to 200 it depended on the order of the reports.

When there are more, losses go that have nothing that was lost at several upstreams, then those with something that many requests have, and of these the ones at the upstreams with the most. Which of those that are alike go depends on a digest of the request, not on the order. An entry keeps 4,096 by the same ranking and reports 512 at a time, the next at once when they are acknowledged; the messages are unchanged, and their bound of 1,024 elements is not reached.

Requests that were in all crashes of a quarantined one stay bounded by 512.

--- a/src/bamboomoor/quarantine/crashanalysis.cpp
+++ b/src/bamboomoor/quarantine/crashanalysis.cpp
@@ -6,8 +6,10 @@
 #include "bamboomoor/quarantine/partlimits.hpp"
 
 #include <algorithm>
-#include <set>
+#include <iterator>
+#include <limits>
 #include <string_view>
+#include <tuple>
 #include <utility>
 
 namespace bamboomoor::quarantine
@@ -16,8 +18,7 @@
 namespace
 {
 
-/** @brief Lists what may have caused the loss of an attempt and has not been cleared: shared parts, then the request.
- */
+/** @brief Lists what may have caused the loss of an attempt: shared parts, then the request. */
 std::vector<std::string_view> subjectsOf(const LostAttempt &attempt)
 {
     std::vector<std::string_view> subjects;
@@ -32,15 +33,9 @@
     return subjects;
 }
 
-bool hasSubject(const LostAttempt &attempt, const std::string &subject)
-{
-    return attempt.identity == subject
-        || std::find(attempt.parts.begin(), attempt.parts.end(), subject) != attempt.parts.end();
-}
-
 } // namespace
 
-bool CrashAnalysis::add(base::Millis now, LostAttempt attempt)
+bool CrashAnalysis::add(base::Millis now, const LostAttempt &attempt)
 {
     const bool explained = std::find(m_explained.begin(), m_explained.end(), attempt.run) != m_explained.end();
     const std::vector<std::string_view> subjects = subjectsOf(attempt);
@@ -54,76 +49,30 @@
         explain(attempt.run);
         return false;
     }
-    // Another attempt that was lost in the same crash may have been confirmed already.
-    bool confirmed = false;
-    for (const Record &it : m_records) {
-        if (it.attempt.run != attempt.run) {
-            continue;
-        }
-        if (it.attempt.request == attempt.request && it.identity == attempt.identity) {
-            return false;
-        }
-        confirmed = confirmed || it.confirmed;
+    if (!m_losses.add(attempt)) {
+        return false;
     }
-    std::string identity = attempt.identity;
-    insert({std::move(attempt), std::move(identity), confirmed});
     m_evaluateUntil = now + m_options.firstPartSettleTime * 2;
     return true;
 }
 
-void CrashAnalysis::insert(Record record)
-{
-    const auto place =
-        std::upper_bound(m_records.begin(), m_records.end(), record.attempt.at, [](base::Millis at, const Record &it) {
-            return at < it.attempt.at;
-        });
-    m_records.insert(place, std::move(record));
-    if (m_records.size() > m_options.maxAttempts) {
-        const auto unconfirmed = std::find_if(m_records.begin(), m_records.end(), [](const Record &it) {
-            return !it.confirmed;
-        });
-        m_records.erase(unconfirmed == m_records.end() ? m_records.begin() : unconfirmed);
-    }
-}
-
 void CrashAnalysis::onUnreachable(base::Millis now, const std::string &upstream)
 {
-    for (Record &it : m_records) {
-        if (!it.confirmed && it.attempt.run.id == upstream && now - it.attempt.at <= m_options.confirmTimeout) {
-            it.confirmed = true;
-            m_evaluateUntil = now + m_options.firstPartSettleTime * 2;
-        }
+    if (m_losses.confirm(upstream, std::numeric_limits<std::uint64_t>::max(), now - m_options.confirmTimeout)) {
+        m_evaluateUntil = now + m_options.firstPartSettleTime * 2;
     }
 }
 
-bool CrashAnalysis::hasUnconfirmed() const noexcept
-{
-    return std::any_of(m_records.begin(), m_records.end(), [](const Record &it) {
-        return !it.confirmed;
-    });
-}
-
 void CrashAnalysis::onRun(base::Millis now, const standing::Run &run)
 {
-    for (Record &it : m_records) {
-        const bool restarted = it.attempt.run.id == run.id && it.attempt.run.incarnation < run.incarnation;
-        if (!it.confirmed && restarted && now - it.attempt.at <= m_options.confirmTimeout) {
-            it.confirmed = true;
-            m_evaluateUntil = now + m_options.firstPartSettleTime * 2;
-        }
+    if (m_losses.confirm(run.id, run.incarnation, now - m_options.confirmTimeout)) {
+        m_evaluateUntil = now + m_options.firstPartSettleTime * 2;
     }
 }
 
 bool CrashAnalysis::onSurvival(const Survival &survival)
 {
-    for (Record &it : m_records) {
-        if (it.attempt.at <= survival.at) {
-            std::replace(it.attempt.parts.begin(), it.attempt.parts.end(), survival.part, std::string());
-            if (it.attempt.identity == survival.part) {
-                it.attempt.identity.clear();
-            }
-        }
-    }
+    m_losses.clear(survival.part, survival.at);
     const auto held = m_held.find(survival.part);
     if (held == m_held.end() || survival.at <= held->second.lastCrash) {
         return false;
@@ -189,30 +138,31 @@
         : std::min(held->second.duration * 2, m_options.maxQuarantineTime);
     std::set<std::string> rivals = rivalsOf(candidate.part);
     releaseRivalsOf(now, candidate.part);
-    std::vector<Record> kept = doubtOf(candidate.part, rivals);
+    const std::set<const Record *> kept = doubtOf(candidate.part, rivals);
     hold(candidate.part, {now + duration, duration, candidate.lastCrash, std::move(rivals)});
     m_lifted.erase(candidate.part);
-    std::vector<standing::Run> runs;
-    for (const Record &it : m_records) {
-        if (it.confirmed && hasSubject(it.attempt, candidate.part)) {
-            runs.push_back(it.attempt.run);
+    const std::uint32_t subject = m_losses.names().find(candidate.part);
+    std::set<std::uint32_t> runs;
+    for (const Record &it : m_losses.records()) {
+        if (it.confirmed && it.has(subject)) {
+            runs.insert(it.run);
         }
     }
-    std::for_each(runs.begin(), runs.end(), [this](const standing::Run &it) {
-        explain(it);
-    });
-    for (Record &it : kept) {
-        insert(std::move(it));
+    for (const std::uint32_t it : runs) {
+        addExplained(m_losses.runs().key(it));
     }
+    m_losses.remove([&](const Record &it) {
+        return runs.contains(it.run) && !kept.contains(&it);
+    });
     return {candidate.part, now + duration, candidate.crashes};
 }
 
-bool CrashAnalysis::isCommonPart(base::Millis now, const Appearances &part, const std::string &request) const
+bool CrashAnalysis::isCommonPart(base::Millis now, const Appearances &part, std::uint32_t request) const
 {
-    const bool hasQuarantined = std::any_of(part.attempts.begin(), part.attempts.end(), [&](const LostAttempt *it) {
-        return it->identity != request && quarantinedFor(now, it->identity);
+    const bool hasQuarantined = std::any_of(part.attempts.begin(), part.attempts.end(), [&](const Record *it) {
+        return it->identity != request && it->identity != 0 && quarantinedFor(now, m_losses.names().key(it->identity));
     });
-    const bool hasRequest = std::any_of(part.attempts.begin(), part.attempts.end(), [&](const LostAttempt *it) {
+    const bool hasRequest = std::any_of(part.attempts.begin(), part.attempts.end(), [&](const Record *it) {
         return it->identity == request;
     });
     return !part.isRequest && hasQuarantined && hasRequest;
@@ -220,38 +170,52 @@
 
 std::set<std::string> CrashAnalysis::rivalsOf(const std::string &request) const
 {
-    std::set<standing::Run> runs;
-    std::map<std::string, std::set<standing::Run>> others;
-    for (const Record &it : m_records) {
-        if (it.confirmed && !it.attempt.identity.empty()) {
-            (it.attempt.identity == request ? runs : others[it.attempt.identity]).insert(it.attempt.run);
+    const std::uint32_t subject = m_losses.names().find(request);
+    std::set<std::uint32_t> runs;
+    for (const Record &it : m_losses.records()) {
+        if (it.confirmed && it.identity == subject && subject != 0) {
+            runs.insert(it.run);
+        }
+    }
+    std::map<std::uint32_t, std::set<std::uint32_t>> others;
+    for (const Record &it : m_losses.records()) {
+        if (it.confirmed && it.identity != 0 && it.identity != subject && runs.contains(it.run)) {
+            others[it.identity].insert(it.run);
         }
     }
     std::set<std::string> rivals;
     for (const auto &[identity, theirs] : others) {
-        if (!runs.empty() && std::includes(theirs.begin(), theirs.end(), runs.begin(), runs.end())) {
-            rivals.insert(identity);
+        if (theirs.size() == runs.size()) {
+            rivals.insert(m_losses.names().key(identity));
         }
     }
+    // Many are in a single crash only, which renews a quarantine.
+    while (rivals.size() > m_options.maxRivals) {
+        rivals.erase(std::prev(rivals.end()));
+    }
     return rivals;
 }
 
-std::vector<CrashAnalysis::Record> CrashAnalysis::doubtOf(
+std::set<const CrashAnalysis::Record *> CrashAnalysis::doubtOf(
     const std::string &request, const std::set<std::string> &rivals) const
 {
-    std::map<std::string, std::vector<Record>> kept;
-    for (auto it = m_records.rbegin(); it != m_records.rend(); ++it) {
-        const std::string &identity = it->attempt.identity;
-        const std::size_t wanted = identity == request ? 1 : m_options.minRequestCrashes - 1;
-        if (it->confirmed && (identity == request || rivals.contains(identity)) && kept[identity].size() < wanted) {
-            kept[identity].push_back(*it);
+    std::set<const Record *> kept;
+    std::map<std::uint32_t, std::size_t> counts;
+    const auto &records = m_losses.records();
+    const std::uint32_t subject = m_losses.names().find(request);
+    for (auto it = records.rbegin(); it != records.rend(); ++it) {
+        const bool isRequest = it->identity == subject;
+        if (!it->confirmed || it->identity == 0
+            || !(isRequest || rivals.contains(m_losses.names().key(it->identity)))) {
+            continue;
+        }
+        const std::size_t wanted = isRequest ? 1 : m_options.minRequestCrashes - 1;
+        if (counts[it->identity] < wanted) {
+            ++counts[it->identity];
+            kept.insert(&*it);
         }
     }
-    std::vector<Record> records;
-    for (auto &[identity, it] : kept) {
-        records.insert(records.end(), it.begin(), it.end());
-    }
-    return records;
+    return kept;
 }
 
 void CrashAnalysis::releaseRivalsOf(base::Millis now, const std::string &request)
@@ -265,7 +229,7 @@
     });
 }
 
-void CrashAnalysis::explain(const standing::Run &run)
+void CrashAnalysis::addExplained(const standing::Run &run)
 {
     if (std::find(m_explained.begin(), m_explained.end(), run) == m_explained.end()) {
         m_explained.push_back(run);
@@ -273,37 +237,59 @@
     if (m_explained.size() > m_options.maxExplained) {
         m_explained.pop_front();
     }
-    std::erase_if(m_records, [&run](const Record &it) {
-        return it.attempt.run == run;
-    });
 }
 
-std::optional<CrashAnalysis::Candidate> CrashAnalysis::nextCandidate(base::Millis now, const std::string &request) const
+void CrashAnalysis::explain(const standing::Run &run)
 {
-    std::map<std::string, Appearances> appearances;
-    for (const auto &[attempt, identity, confirmed] : m_records) {
-        for (std::size_t n = 0; confirmed && n < attempt.parts.size(); ++n) {
-            if (!attempt.parts[n].empty()) {
-                Appearances &it = appearances[attempt.parts[n]];
+    addExplained(run);
+    const std::uint32_t number = m_losses.runs().find(run);
+    if (number != 0) {
+        m_losses.remove([number](const Record &it) {
+            return it.run == number;
+        });
+    }
+}
+
+std::unordered_map<std::uint32_t, CrashAnalysis::Appearances> CrashAnalysis::appearances() const
+{
+    // A crash that is the only one counts only against what was quarantined before.
+    std::vector<bool> matters = m_losses.atSeveral(true);
+    for (const auto &[subject, held] : m_held) {
+        matters[m_losses.names().find(subject)] = true;
+    }
+    matters[0] = false;
+    std::unordered_map<std::uint32_t, Appearances> found;
+    for (const Record &record : m_losses.records()) {
+        for (std::size_t n = 0; record.confirmed && n < record.parts.size(); ++n) {
+            if (matters[record.parts[n]]) {
+                Appearances &it = found[record.parts[n]];
                 it.position = std::max(it.position, n);
-                it.attempts.push_back(&attempt);
+                it.attempts.push_back(&record);
             }
         }
-        if (confirmed && !attempt.identity.empty()) {
-            Appearances &it = appearances[attempt.identity];
+        if (record.confirmed && matters[record.identity]) {
+            Appearances &it = found[record.identity];
             it.position = MAX_PARTS;
             it.isRequest = true;
-            it.attempts.push_back(&attempt);
+            it.attempts.push_back(&record);
         }
     }
+    return found;
+}
+
+std::optional<CrashAnalysis::Candidate> CrashAnalysis::nextCandidate(base::Millis now, const std::string &request) const
+{
+    std::unordered_map<std::uint32_t, Appearances> subjects = appearances();
+    const std::uint32_t requestNumber = m_losses.names().find(request);
     // A part in clearly more crashes, which may still be cleared, is the better explanation.
     std::size_t most = 0;
-    for (auto &[subject, it] : appearances) {
-        it.crashes = countCrashes(now, subject, it).crashes;
+    for (auto &[subject, it] : subjects) {
+        it.crashes = countCrashes(now, m_losses.names().key(subject), it).crashes;
         most = std::max(most, it.crashes);
     }
     std::optional<Candidate> best;
-    for (const auto &[part, it] : appearances) {
+    for (const auto &[subject, it] : subjects) {
+        const std::string &part = m_losses.names().key(subject);
         const std::size_t minCrashes = it.isRequest ? m_options.minRequestCrashes : m_options.minCrashes;
         const std::size_t needed = isOnProbation(now, part) ? 1 : minCrashes;
         const base::Millis settle = it.position == 0 ? m_options.firstPartSettleTime : m_options.settleTime;
@@ -311,11 +297,13 @@
         if (candidate.crashes < needed || it.crashes + 1 < most) {
             continue;
         }
-        if (!request.empty() && !isCommonPart(now, it, request)) {
+        if (!request.empty() && !isCommonPart(now, it, requestNumber)) {
             continue;
         }
         // Of subjects that go together, the later one affects the fewest sound requests.
-        if (!best || std::pair(candidate.position, candidate.crashes) > std::pair(best->position, best->crashes)) {
+        if (!best
+            || std::tie(candidate.position, candidate.crashes, best->part)
+                > std::tie(best->position, best->crashes, candidate.part)) {
             best = std::move(candidate);
         }
     }
@@ -324,13 +312,17 @@
 
 bool CrashAnalysis::isAlone(base::Millis from, base::Millis to, const Appearances &appearances) const
 {
-    return std::all_of(m_records.begin(), m_records.end(), [&](const Record &it) {
-        const bool isBeside =
-            it.attempt.at > from - m_options.mergeInterval && it.attempt.at < to + m_options.mergeInterval;
-        return !isBeside
-            || std::any_of(appearances.attempts.begin(), appearances.attempts.end(), [&it](const LostAttempt *attempt) {
-                   return attempt->run == it.attempt.run;
-               });
+    std::set<std::uint32_t> runs;
+    for (const Record *it : appearances.attempts) {
+        runs.insert(it->run);
+    }
+    const auto &records = m_losses.records();
+    const auto first =
+        std::upper_bound(records.begin(), records.end(), from - m_options.mergeInterval, [](auto at, const auto &it) {
+            return at < it.at;
+        });
+    return std::all_of(first, records.end(), [&](const Record &it) {
+        return it.at >= to + m_options.mergeInterval || runs.contains(it.run);
     });
 }
 
@@ -339,11 +331,11 @@
 {
     const auto held = m_held.find(part);
     Candidate candidate{part, appearances.position, 0, {}};
-    std::set<std::string> requests;
-    std::vector<standing::Run> runs;
+    std::set<std::uint32_t> requests;
+    std::vector<std::uint32_t> runs;
     std::size_t moments = 0;
     base::Millis moment;
-    for (const LostAttempt *it : appearances.attempts) {
+    for (const Record *it : appearances.attempts) {
         const bool isKnown = std::find(runs.begin(), runs.end(), it->run) != runs.end();
         if (isKnown || it->at > until || (held != m_held.end() && it->at <= held->second.until)) {
             continue;
@@ -392,10 +384,10 @@
 
 void CrashAnalysis::expire(base::Millis now)
 {
-    std::erase_if(m_records, [&](const Record &it) {
+    m_losses.remove([&](const Record &it) {
         // Cleared ones remain for a while, as reports of them are repeated.
-        const bool isEvidence = it.confirmed && !subjectsOf(it.attempt).empty();
-        return now - it.attempt.at > (isEvidence ? m_options.evidenceLife : m_options.confirmTimeout);
+        const bool isEvidence = it.confirmed && !it.isCleared();
+        return now - it.at > (isEvidence ? m_options.evidenceLife : m_options.confirmTimeout);
     });
     std::erase_if(m_lifted, [&](const auto &it) {
         return now - it.second > m_options.liftedLife;
@@ -444,23 +436,22 @@
 
 std::vector<std::string> CrashAnalysis::findSuspects() const
 {
-    std::map<std::string, std::vector<const standing::Run *>> runs;
-    for (const Record &it : m_records) {
-        for (const std::string_view subject : subjectsOf(it.attempt)) {
-            auto &known = runs[std::string(subject)];
-            const bool isNew = std::none_of(known.begin(), known.end(), [&it](const standing::Run *run) {
-                return *run == it.attempt.run;
-            });
-            if (isNew) {
-                known.push_back(&it.attempt.run);
+    const std::vector<bool> atSeveral = m_losses.atSeveral(false);
+    std::unordered_map<std::uint32_t, std::set<std::uint32_t>> runs;
+    for (const Record &it : m_losses.records()) {
+        for (const std::uint32_t part : it.parts) {
+            if (atSeveral[part]) {
+                runs[part].insert(it.run);
             }
         }
+        if (atSeveral[it.identity]) {
+            runs[it.identity].insert(it.run);
+        }
     }
     std::vector<std::pair<std::size_t, std::string>> counts;
-    for (const auto &[part, known] : runs) {
-        if (known.size() > 1) {
-            counts.emplace_back(known.size(), part);
-        }
+    counts.reserve(runs.size());
+    for (const auto &[subject, known] : runs) {
+        counts.emplace_back(known.size(), m_losses.names().key(subject));
     }
     std::sort(counts.rbegin(), counts.rend());
     std::vector<std::string> parts;
--- a/src/bamboomoor/quarantine/crashanalysis.hpp
+++ b/src/bamboomoor/quarantine/crashanalysis.hpp
@@ -13,6 +13,7 @@
 #pragma once
 
 #include "bamboomoor/base/clock.hpp"
+#include "bamboomoor/quarantine/lossstore.hpp"
 #include "bamboomoor/standing/upstreamsignal.hpp"
 
 #include <cstddef>
@@ -22,6 +23,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace bamboomoor::quarantine
@@ -66,7 +68,7 @@
 
 /** @brief The settings of CrashAnalysis. */
 struct CrashAnalysisOptions {
-    // Crashes that a part must have been in.
+    // Crashes that a part must have been in; more than one.
     std::size_t minCrashes = 3;
     // The same for a whole request, of which every process that analyses has seen the attempts.
     std::size_t minRequestCrashes = 3;
@@ -95,8 +97,11 @@
     base::Millis clockTolerance{5'000};
     // How long a lifted quarantine is announced and reports of it are ignored.
     base::Millis liftedLife{60'000};
-    std::size_t maxAttempts = 512;
+    // Crashes that lose several hundred attempts each need some thousands.
+    std::size_t maxAttempts = 8'192;
     std::size_t maxQuarantined = 256;
+    // Requests that were in all crashes of a quarantined one.
+    std::size_t maxRivals = 512;
     // Parts that are watched for survivals.
     std::size_t maxSuspects = 64;
     // Crashes that are attributed to a quarantined part and remembered, as reports of them may still arrive.
@@ -114,23 +119,27 @@
     /** @brief Creates an analysis without evidence. @param options The settings. */
     explicit CrashAnalysis(CrashAnalysisOptions options = {}) noexcept
         : m_options(options)
+        , m_losses(options.maxAttempts)
     {
     }
 
     /**
-     * @brief Adds a lost attempt; if there are too many, the oldest one is dropped whose upstream is not known to have
-     * crashed.
+     * @brief Adds a lost attempt; if there are too many, those are dropped that tell the least about what crashes
+     * upstreams.
      * @param now The current time.
      * @param attempt The attempt.
      * @return False if it is known already, its crash is attributed to a quarantined subject, or it has no subject.
      */
-    bool add(base::Millis now, LostAttempt attempt);
+    bool add(base::Millis now, const LostAttempt &attempt);
 
     /** @brief Records that an upstream accepts no connection. @param now The current time. @param upstream Its id. */
     void onUnreachable(base::Millis now, const std::string &upstream);
 
     /** @brief Tells whether onRun() may confirm a crash. */
-    [[nodiscard]] bool hasUnconfirmed() const noexcept;
+    [[nodiscard]] bool hasUnconfirmed() const noexcept
+    {
+        return m_losses.hasUnconfirmed();
+    }
 
     /** @brief Records the running incarnation of an upstream. @param now The current time. @param run The incarnation.
      */
@@ -171,13 +180,8 @@
     [[nodiscard]] const std::vector<std::string> &suspects(base::Millis now);
 
 private:
-    struct Record {
-        LostAttempt attempt;
-        // As reported, also after a survival has cleared the attempt of it; reports are repeated.
-        std::string identity;
-        // The upstream has crashed.
-        bool confirmed = false;
-    };
+    using Record = LossStore::Record;
+
     struct Held {
         base::Millis until;
         base::Millis duration;
@@ -192,7 +196,7 @@
         // The last position of the part in their prompts; a whole request counts as behind all parts.
         std::size_t position = 0;
         bool isRequest = false;
-        std::vector<const LostAttempt *> attempts;
+        std::vector<const Record *> attempts;
         std::size_t crashes = 0;
     };
     struct Candidate {
@@ -202,18 +206,22 @@
         base::Millis lastCrash;
     };
 
-    void insert(Record record);
     void expire(base::Millis now);
     [[nodiscard]] std::vector<std::string> findSuspects() const;
+    void addExplained(const standing::Run &run);
+    // Discards the evidence of a crash as well.
     void explain(const standing::Run &run);
+    // Lists what may be quarantined, by its number.
+    [[nodiscard]] std::unordered_map<std::uint32_t, Appearances> appearances() const;
     [[nodiscard]] std::set<std::string> rivalsOf(const std::string &request) const;
     // Lists the evidence that outlives the quarantine of a request: one crash against its parts, as the cause may be
     // a part that other requests have too, and all but one of the crashes that rivals need.
-    [[nodiscard]] std::vector<Record> doubtOf(const std::string &request, const std::set<std::string> &rivals) const;
+    [[nodiscard]] std::set<const Record *> doubtOf(
+        const std::string &request, const std::set<std::string> &rivals) const;
     void releaseRivalsOf(base::Millis now, const std::string &request);
     Finding quarantine(base::Millis now, const Candidate &candidate);
     // Tells whether a request has the part, and one that is quarantined had it in another crash.
-    [[nodiscard]] bool isCommonPart(base::Millis now, const Appearances &part, const std::string &request) const;
+    [[nodiscard]] bool isCommonPart(base::Millis now, const Appearances &part, std::uint32_t request) const;
     // Finds the best explanation of the crashes; beside a given request, of the parts that it has in common with one
     // that is quarantined.
     [[nodiscard]] std::optional<Candidate> nextCandidate(base::Millis now, const std::string &request) const;
@@ -230,8 +238,8 @@
     std::vector<std::string> m_suspects;
     // Later than this, no time that a decision depends on can pass any more; set whenever evidence is added.
     base::Millis m_evaluateUntil;
-    // By the time of the loss, oldest first; at most maxAttempts.
-    std::deque<Record> m_records;
+    // At most maxAttempts.
+    LossStore m_losses;
     // Upstreams that crashed on a quarantined part, oldest first; at most maxExplained.
     std::deque<standing::Run> m_explained;
     // Quarantined parts, and those whose quarantine ended no longer ago than it lasted: these are on probation, where
--- a/src/bamboomoor/quarantine/promptguard.cpp
+++ b/src/bamboomoor/quarantine/promptguard.cpp
@@ -4,9 +4,11 @@
 #include "bamboomoor/quarantine/promptguard.hpp"
 
 #include "bamboomoor/base/digest.hpp"
+#include "bamboomoor/quarantine/lossranking.hpp"
 #include "bamboomoor/quarantine/partlimits.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace bamboomoor::quarantine
@@ -69,15 +71,36 @@
     }
     m_analysis.add(now, attempt);
     m_lost.push_back({std::move(attempt), 0, false});
-    if (m_lost.size() > m_options.maxReported) {
-        const auto acknowledged = std::find_if(m_lost.begin(), m_lost.end(), [](const Unacknowledged &it) {
-            return it.acknowledged;
-        });
-        m_lost.erase(acknowledged == m_lost.end() ? m_lost.begin() : acknowledged);
+    if (m_lost.size() > m_options.maxLost) {
+        dropLost();
     }
     m_urgent = true;
 }
 
+void PromptGuard::dropLost()
+{
+    std::vector<Loss> losses;
+    losses.reserve(m_lost.size());
+    const std::hash<std::string> digest;
+    for (const Unacknowledged &it : m_lost) {
+        Loss loss;
+        loss.upstream = digest(it.attempt.run.id) + it.attempt.run.incarnation;
+        loss.request = digest(it.attempt.identity);
+        for (const std::string &part : it.attempt.parts) {
+            loss.subjects.push_back(digest(part));
+        }
+        loss.subjects.push_back(loss.request);
+        loss.isPreferred = !it.acknowledged;
+        losses.push_back(std::move(loss));
+    }
+    const std::size_t count = std::max<std::size_t>(1, m_options.maxLost / DROPPED_PART);
+    const std::vector<bool> dropped = leastInformative(losses, count);
+    std::size_t n = 0;
+    std::erase_if(m_lost, [&](const Unacknowledged & /*it*/) {
+        return dropped[n++];
+    });
+}
+
 void PromptGuard::onUnreachable(base::Millis now, const std::string &upstream)
 {
     m_analysis.onUnreachable(now, upstream);
@@ -137,9 +160,16 @@
             it.acknowledged = false;
         }
     }
+    bool isNews = false;
+    bool hasMore = false;
     for (Unacknowledged &it : m_lost) {
-        it.acknowledged = it.acknowledged || (it.sequence != 0 && it.sequence <= reply.acknowledged);
+        const bool isAcknowledged = it.sequence != 0 && it.sequence <= reply.acknowledged;
+        isNews = isNews || (isAcknowledged && !it.acknowledged);
+        it.acknowledged = it.acknowledged || isAcknowledged;
+        hasMore = hasMore || (it.sequence == 0 && !it.acknowledged);
     }
+    // What did not fit into the acknowledged report.
+    m_urgent = m_urgent || (isNews && hasMore);
     for (auto &[part, it] : m_watched) {
         it.acknowledged = it.acknowledged || (it.sequence != 0 && it.sequence <= reply.acknowledged);
     }
@@ -178,7 +208,7 @@
     Report report;
     report.sequence = ++m_lastSequence;
     for (Unacknowledged &it : m_lost) {
-        if (!it.acknowledged) {
+        if (!it.acknowledged && report.lostAttempts.size() < m_options.maxReported) {
             it.sequence = it.sequence == 0 ? report.sequence : it.sequence;
             report.lostAttempts.push_back(it.attempt);
         }
--- a/src/bamboomoor/quarantine/promptguard.hpp
+++ b/src/bamboomoor/quarantine/promptguard.hpp
@@ -57,8 +57,10 @@
     // An entry needs more crashes than the leader, as it may not see the requests that caused them. If it is
     // partitioned from upstreams, its retries lose one after the other within a moment, and none has crashed.
     CrashAnalysisOptions analysis{.minCrashes = 5, .countBursts = false};
-    // As many as an entry has streams at an upstream that crashes, and as a burst of reset connections loses.
+    // Lost attempts in one report; the next one contains others when it has been acknowledged.
     std::size_t maxReported = 512;
+    // As many as an entry has streams at several upstreams that crash, and as a burst of reset connections loses.
+    std::size_t maxLost = 4'096;
     // Lost attempts that are kept for a new leader.
     base::Millis reportLife{60'000};
     std::size_t maxWatched = 1'024;
@@ -149,11 +151,12 @@
     };
 
     void watch(base::Millis now, const std::string &part);
+    void dropLost();
 
     PromptGuardOptions m_options;
     CrashAnalysis m_analysis;
-    // Lost attempts that are younger than reportLife, oldest first; at most maxReported. Acknowledged ones, which only
-    // a new leader needs, are dropped first.
+    // Lost attempts that are younger than reportLife, oldest first; at most maxLost. Acknowledged ones, which only a
+    // new leader needs, are dropped first.
     std::deque<Unacknowledged> m_lost;
     // Suspected parts, which are watched for survivals; at most maxWatched.
     std::unordered_map<std::string, Watched> m_watched;
--- a/test/bamboomoor/quarantine/crashanalysis.cpp
+++ b/test/bamboomoor/quarantine/crashanalysis.cpp
@@ -7,8 +7,12 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
+#include <ctime>
+#include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace bamboomoor;
@@ -19,6 +23,88 @@
 
 constexpr base::Millis START{10'000};
 
+/** @brief Returns the processor time of the calling thread. */
+base::Millis processorTime()
+{
+    timespec used{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+    return base::Millis{used.tv_sec * 1'000 + used.tv_nsec / 1'000'000};
+}
+
+/** @brief When the deadly attempt of a crash is reported. */
+enum class Reported { First, Last, Anywhere };
+
+/** @brief Crashes that lose many sound requests beside the one that causes them. */
+struct Crashes {
+    Reported reported = Reported::First;
+    std::size_t bystanders = 0;
+    // Upstreams that end at each moment; the deadly request is at one of them.
+    std::size_t upstreamsAtOnce = 1;
+    base::Millis distance{200};
+    bool hasParts = false;
+    // Different requests with one part in common, instead of one request.
+    bool isPart = false;
+    std::uint64_t seed = 0;
+};
+
+/** @brief Plays three crashes. @return What is quarantined. */
+std::vector<std::string> findingsOf(const Crashes &crashes)
+{
+    constexpr std::size_t TEXTS = 40;
+    CrashAnalysis analysis;
+    std::mt19937_64 random(crashes.seed);
+    base::Millis now = START;
+    std::vector<std::string> found;
+    for (int moment = 0; moment < 3; ++moment) {
+        std::vector<LostAttempt> lost;
+        for (std::size_t upstream = 0; upstream < crashes.upstreamsAtOnce; ++upstream) {
+            const std::string id = "w" + std::to_string(moment) + "-" + std::to_string(upstream);
+            const base::Millis at = now + base::Millis{static_cast<std::int64_t>(upstream) * 7};
+            for (std::size_t n = 0; n < crashes.bystanders; ++n) {
+                const std::string own = id + "-" + std::to_string(n);
+                std::vector<std::string> parts;
+                if (crashes.hasParts) {
+                    parts = {"first", "text" + std::to_string(n % TEXTS)};
+                }
+                lost.push_back({{id, 1}, at, own, std::move(parts), "request:" + own});
+            }
+        }
+        std::shuffle(lost.begin(), lost.end(), random);
+        const std::string number = crashes.isPart ? std::to_string(moment) : std::string();
+        std::vector<std::string> parts;
+        if (crashes.hasParts || crashes.isPart) {
+            parts = {"first", crashes.isPart ? "x" : "text0"};
+        }
+        const std::size_t position = crashes.reported == Reported::First ? 0
+            : crashes.reported == Reported::Last                         ? lost.size()
+                                                                         : random() % (lost.size() + 1);
+        lost.insert(lost.begin() + static_cast<std::ptrdiff_t>(position),
+            {{"w" + std::to_string(moment) + "-0", 1}, now, "own" + number, std::move(parts), "request:r" + number});
+        now = now + base::Millis{30};
+        for (const LostAttempt &it : lost) {
+            analysis.add(now, it);
+        }
+        for (std::size_t upstream = 0; upstream < crashes.upstreamsAtOnce; ++upstream) {
+            analysis.onUnreachable(now, "w" + std::to_string(moment) + "-" + std::to_string(upstream));
+        }
+        analysis.onSurvival({"first", now});
+        for (std::size_t n = 0; n < TEXTS; ++n) {
+            analysis.onSurvival({"text" + std::to_string(n), now});
+        }
+        for (const base::Millis until = now + crashes.distance; now < until; now = now + base::Millis{10}) {
+            for (const Finding &it : analysis.evaluate(now)) {
+                found.push_back(it.part);
+            }
+        }
+    }
+    for (const base::Millis until = now + base::Millis{2'000}; now < until; now = now + base::Millis{50}) {
+        for (const Finding &it : analysis.evaluate(now)) {
+            found.push_back(it.part);
+        }
+    }
+    return found;
+}
+
 /** @brief An analysis with a clock, and shorthands for evidence. */
 struct Fixture {
     CrashAnalysis analysis;
@@ -463,6 +549,41 @@
     BOOST_TEST(settle() == std::vector<std::string>{"request:r"});
 }
 
+BOOST_AUTO_TEST_CASE(what_is_found_does_not_depend_on_the_order_of_reports_nor_on_the_number_of_bystanders)
+{
+    BOOST_TEST(rc::check([] {
+        Crashes crashes;
+        crashes.reported = *rc::gen::element(Reported::First, Reported::Last, Reported::Anywhere);
+        crashes.bystanders = *rc::gen::inRange<std::size_t>(0, 700);
+        crashes.upstreamsAtOnce = *rc::gen::inRange<std::size_t>(1, 4);
+        crashes.distance = {*rc::gen::inRange(150, 2'000)};
+        crashes.hasParts = *rc::gen::arbitrary<bool>();
+        crashes.isPart = *rc::gen::arbitrary<bool>();
+        crashes.seed = *rc::gen::arbitrary<std::uint64_t>();
+        RC_ASSERT(findingsOf(crashes) == std::vector<std::string>{crashes.isPart ? "x" : "request:r"});
+    }));
+}
+
+// Its crash is confirmed before most of them are reported.
+BOOST_AUTO_TEST_CASE(a_request_lost_at_two_upstreams_is_not_displaced_by_those_lost_at_the_third)
+{
+    const CrashAnalysisOptions options;
+    for (const bool isFirst : {true, false}) {
+        analysis = CrashAnalysis();
+        for (const std::string upstream : {"w1", "w2", "w3"}) {
+            const bool isLarge = upstream == "w3";
+            for (std::size_t n = 0; n <= (isLarge ? options.maxAttempts * 3 : 0); ++n) {
+                const bool isDeadly = isFirst ? n == 0 : n == (isLarge ? options.maxAttempts * 3 : 0);
+                const std::string identity = isDeadly ? "request:r" : "request:" + std::to_string(n);
+                analysis.add(now, {{upstream, 1}, now, identity, {}, identity});
+                analysis.onUnreachable(now, upstream);
+            }
+            now = now + base::Millis{600};
+        }
+        BOOST_TEST(settle() == std::vector<std::string>{"request:r"});
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_report_that_comes_again_after_a_survival_is_no_new_evidence)
 {
     for (const std::string upstream : {"w1", "w2", "w3"}) {
@@ -486,6 +607,40 @@
     BOOST_TEST(!analysis.add(now, cleared));
 }
 
+// The leader has six tenths of a core, of which this may take a tenth.
+BOOST_AUTO_TEST_CASE(crashes_that_lose_hundreds_of_requests_take_little_processor_time)
+{
+    constexpr base::Millis LENGTH{20'000};
+    constexpr base::Millis TICK{5};
+    const base::Millis before = processorTime();
+    std::size_t added = 0;
+    int crashed = 0;
+    for (; now < START + LENGTH; now = now + TICK) {
+        if ((now - START).count % 1'000 == 0) {
+            const std::string upstream = "w" + std::to_string(++crashed);
+            for (int n = 0; n < 500; ++n) {
+                const std::string own = upstream + "-" + std::to_string(n);
+                added += analysis.add(now,
+                             {{upstream, 1}, now, own, {"first", "text" + std::to_string(n % 40), "t" + own},
+                                 "request:" + own})
+                    ? 1
+                    : 0;
+            }
+            analysis.onUnreachable(now, upstream);
+            analysis.onSurvival({"first", now});
+        }
+        // Entries report often, and survivals with each report.
+        analysis.onSurvival({"text" + std::to_string((now - START).count / TICK.count % 40), now});
+        static_cast<void>(analysis.evaluate(now));
+        static_cast<void>(analysis.suspects(now));
+        analysis.onRun(now, {"other", 1});
+    }
+    const base::Millis used = processorTime() - before;
+    BOOST_TEST_MESSAGE("processor time: " << used.count << " ms for " << added << " lost attempts");
+    BOOST_TEST(added == 10'000U);
+    BOOST_TEST(used.count * 100 <= LENGTH.count * 6);
+}
+
 // Every report of an entry is answered with them, which are hundreds in a second in a large fleet.
 BOOST_AUTO_TEST_CASE(suspects_are_not_compiled_anew_for_every_report)
 {
--- a/test/bamboomoor/quarantine/promptguard.cpp
+++ b/test/bamboomoor/quarantine/promptguard.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <cstddef>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -131,6 +133,52 @@
     BOOST_TEST(report.lostAttempts.front().identity == "request:deadly");
 }
 
+BOOST_AUTO_TEST_CASE(a_request_lost_at_three_upstreams_is_reported_whenever_it_was_lost_among_hundreds_of_others)
+{
+    const PromptGuardOptions options;
+    constexpr int OTHERS = 900;
+    for (const int position : {0, OTHERS / 2, OTHERS}) {
+        PromptGuard guard;
+        for (const std::string upstream : {"w1", "w2", "w3"}) {
+            for (int n = 0; n <= OTHERS; ++n) {
+                const std::string own = n == position ? "deadly" : upstream + "-" + std::to_string(n);
+                guard.onLost(NOW, {upstream, 1}, prompt({"first", own}), NOW);
+            }
+        }
+        std::set<std::string> upstreams;
+        std::size_t reported = 0;
+        BOOST_TEST(guard.takeUrgent());
+        for (bool isUrgent = true; isUrgent; isUrgent = guard.takeUrgent()) {
+            const Report report = guard.takeReport(NOW);
+            BOOST_TEST(report.lostAttempts.size() <= options.maxReported);
+            for (const LostAttempt &it : report.lostAttempts) {
+                ++reported;
+                if (it.identity == "request:of deadly") {
+                    upstreams.insert(it.run.id);
+                }
+            }
+            guard.onLeaderReply(NOW, replyTo(report));
+        }
+        BOOST_TEST(upstreams.size() == 3U);
+        BOOST_TEST(reported == 3U * (OTHERS + 1));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_request_lost_at_two_upstreams_is_not_displaced_by_those_lost_at_the_third)
+{
+    PromptGuard guard;
+    for (const std::string upstream : {"w1", "w2"}) {
+        guard.onLost(NOW, {upstream, 1}, prompt({"first", "deadly"}), NOW);
+    }
+    for (std::size_t n = 0; n < 20'000; ++n) {
+        guard.onLost(NOW, {"w3", 1}, prompt({"first", std::to_string(n)}), NOW);
+    }
+    const Report report = guard.takeReport(NOW);
+    BOOST_REQUIRE(report.lostAttempts.size() >= 2U);
+    BOOST_TEST(report.lostAttempts[0].identity == "request:of deadly");
+    BOOST_TEST(report.lostAttempts[1].identity == "request:of deadly");
+}
+
 BOOST_AUTO_TEST_CASE(memory_is_bounded_when_every_request_is_lost)
 {
     PromptGuard guard;
