Inspect an upstream again that is suspected after its last inspection

Requests that crash upstreams could come to more of them than needed, as a crash was not confirmed: a suspicion within 500 ms after an inspection was dropped, and a lost attempt causes only one. So the upstream was not inspected if it had been inspected for a reset connection just before the crash, if the crash came while an inspection was in progress that it still answered, or if its attempt was reported after the crash had been found. On the path of placement orders nothing else inspects it; with models by residency it was inspected once it missed an announcement.

Such a suspicion is now covered by one more inspection, 500 ms after the last one. The three tests found no inspection due before.

--- a/src/bamboomoor/control/suspecttracker.cpp
+++ b/src/bamboomoor/control/suspecttracker.cpp
@@ -28,7 +28,13 @@
 bool SuspectTracker::suspect(base::Millis now, const std::string &upstream)
 {
     expire(now);
-    return m_suspects.try_emplace(upstream, Suspect{now}).second;
+    const auto [it, isNew] = m_suspects.try_emplace(upstream, Suspect{now, now});
+    Suspect &suspect = it->second;
+    suspect.suspectedAt = now;
+    if (!suspect.isInspected && !suspect.repeatAt) {
+        suspect.repeatAt = suspect.inspectedAt + m_options.interval;
+    }
+    return isNew;
 }
 
 void SuspectTracker::expire(base::Millis now)
@@ -56,7 +62,11 @@
     case Connection::Accepted:
     case Connection::Refused:
     case Connection::Replaced:
-        suspect = {suspect.inspectedAt, suspect.isInspected};
+        suspect = {suspect.inspectedAt, suspect.suspectedAt, suspect.isInspected};
+        if (connection == Connection::Accepted && suspect.suspectedAt > sentAt) {
+            // It may have crashed after the response.
+            suspect.repeatAt = suspect.inspectedAt + m_options.interval;
+        }
         return connection == Connection::Accepted ? SuspectVerdict::None : SuspectVerdict::Unreachable;
     case Connection::Dropped:
         onDropped(now, suspect);
--- a/src/bamboomoor/control/suspecttracker.hpp
+++ b/src/bamboomoor/control/suspecttracker.hpp
@@ -5,7 +5,8 @@
  * without an answer does not: sound upstreams fall silent for a second or so. Such an upstream is inspected again until
  * it answers or has been silent for longer than that. A connection that ended without a response shows nothing: a
  * process that is about to exit, one that pauses, or one with too many connections does that. It is inspected again for
- * a while, until its state is clear.
+ * a while, until its state is clear. A response shows only that the process ran when it was inspected, so a later
+ * suspicion leads to another inspection.
  */
 #pragma once
 
@@ -59,8 +60,9 @@
     {
     }
 
-    /** @brief Handles a suspicion. @param now The current time. @param upstream The upstream. @return True if the
-     * upstream must be inspected now. */
+    /** @brief Handles a suspicion. If the upstream has been inspected within the interval, the next inspection is due
+     * after it. @param now The current time. @param upstream The upstream. @return True if the upstream must be
+     * inspected now. */
     [[nodiscard]] bool suspect(base::Millis now, const std::string &upstream);
 
     /** @brief Tells whether an upstream is suspected. @param upstream The upstream. */
@@ -91,13 +93,15 @@
     struct Suspect {
         // When it was last inspected because of suspicions.
         base::Millis inspectedAt;
+        // When it was last suspected.
+        base::Millis suspectedAt;
         // That inspection has not ended.
         bool isInspected = true;
         // When the first of the unanswered inspections was sent; unset if the last one was answered.
         std::optional<base::Millis> silentSince = std::nullopt;
         // When the first of the dropped inspections ended; unset if the last one ended otherwise.
         std::optional<base::Millis> droppedSince = std::nullopt;
-        // When the next inspection after a dropped one is due.
+        // When the next inspection is due, after a dropped one or a suspicion that the last one does not cover.
         std::optional<base::Millis> repeatAt = std::nullopt;
     };
 
--- a/test/bamboomoor/control/suspecttracker.cpp
+++ b/test/bamboomoor/control/suspecttracker.cpp
@@ -238,6 +238,40 @@
     BOOST_TEST((it.onInspected({4'000}, "w1", {3'999}, Connection::Replaced) == SuspectVerdict::Unreachable));
 }
 
+BOOST_AUTO_TEST_CASE(a_crash_is_found_although_an_inspection_just_before_it_was_answered)
+{
+    control::SuspectTracker it;
+    // A reset connection, of a process that runs.
+    BOOST_TEST(it.suspect({1'000}, "w1"));
+    BOOST_TEST((it.onInspected({1'005}, "w1", {1'000}, Connection::Accepted) == SuspectVerdict::None));
+    // The crash.
+    BOOST_TEST(!it.suspect({1'100}, "w1"));
+    BOOST_TEST(it.suspect({1'600}, "w2"));
+    BOOST_TEST(it.takeDue({1'600}) == std::vector<std::string>{"w1"});
+    BOOST_TEST((it.onInspected({1'601}, "w1", {1'600}, Connection::Refused) == SuspectVerdict::Unreachable));
+    BOOST_TEST(!it.dueAt());
+}
+
+BOOST_AUTO_TEST_CASE(a_crash_is_found_although_it_was_reported_while_an_earlier_inspection_was_in_progress)
+{
+    control::SuspectTracker it;
+    BOOST_TEST(it.suspect({1'000}, "w1"));
+    BOOST_TEST(!it.suspect({1'010}, "w1"));
+    BOOST_TEST((it.onInspected({1'020}, "w1", {1'000}, Connection::Accepted) == SuspectVerdict::None));
+    BOOST_TEST(it.takeDue({1'500}) == std::vector<std::string>{"w1"});
+    BOOST_TEST((it.onInspected({1'501}, "w1", {1'500}, Connection::Accepted) == SuspectVerdict::None));
+    BOOST_TEST(!it.dueAt());
+}
+
+BOOST_AUTO_TEST_CASE(an_attempt_is_found_to_be_lost_in_a_crash_that_was_noticed_before_it_was_reported)
+{
+    control::SuspectTracker it;
+    BOOST_TEST(it.suspect({1'000}, "w1"));
+    BOOST_TEST((it.onInspected({1'001}, "w1", {1'000}, Connection::Refused) == SuspectVerdict::Unreachable));
+    BOOST_TEST(!it.suspect({1'100}, "w1"));
+    BOOST_TEST(it.takeDue({1'500}) == std::vector<std::string>{"w1"});
+}
+
 BOOST_AUTO_TEST_CASE(a_response_to_an_inspection_that_was_sent_before_the_suspicion_does_not_end_it)
 {
     control::SuspectTracker it;
