Confirm crashes of upstreams whose lease has ended

A crash that was reported after the upstream's lease had ended was confirmed by nothing: the leader inspects an upstream at its address, which it no longer had, and looks for a later process at that address among live upstreams only. That concerns above all a new leader, to which entries report the losses of the last minute again, and workers that come back at the old address under another id after more than the lease of 3 s. A request that had crashed upstreams before the change of the leader could so crash three more.

The registry keeps upstreams for 60 s after their lease. A suspected one is now inspected at its last address, and one that was at the address of a live later process counts as replaced also after its lease. The test listed none as replaced before.

A process that answers at the address does not clear the earlier one where it announces itself. A voter that started after the lease ended still knows nothing of the upstream.

--- a/src/bamboomoor/entry/upstreambook.cpp
+++ b/src/bamboomoor/entry/upstreambook.cpp
@@ -71,6 +71,13 @@
     return entry == nullptr ? std::nullopt : std::optional(entry->announcement.address);
 }
 
+std::optional<std::string> UpstreamBook::lastAddressOf(const std::string &id) const
+{
+    const absl::MutexLock lock(&m_mutex);
+    const membership::Entry *entry = m_registry.findRetained(id);
+    return entry == nullptr ? std::nullopt : std::optional(entry->announcement.address);
+}
+
 std::optional<UpstreamPlace> UpstreamBook::placeOf(base::Millis now, const std::string &id) const
 {
     const absl::MutexLock lock(&m_mutex);
--- a/src/bamboomoor/entry/upstreambook.hpp
+++ b/src/bamboomoor/entry/upstreambook.hpp
@@ -84,6 +84,13 @@
      */
     [[nodiscard]] std::optional<std::string> addressOf(base::Millis now, const std::string &id) const;
 
+    /**
+     * @brief Finds where an upstream listens, or listened before its lease ended.
+     * @param id The upstream.
+     * @return "IP:PORT", or nothing when it is not known any more.
+     */
+    [[nodiscard]] std::optional<std::string> lastAddressOf(const std::string &id) const;
+
     /**
      * @brief Finds where and as which incarnation an upstream runs.
      * @param now The present time.
@@ -100,7 +107,7 @@
     [[nodiscard]] std::vector<membership::Entry> list(base::Millis now) const;
 
     /**
-     * @brief Lists the processes whose address a later one has announced.
+     * @brief Lists the processes whose address a later one has announced, also those whose lease has ended.
      * @param now The present time.
      * @return Their ids and incarnations, by ascending id.
      */
--- a/src/bamboomoor/gateway/residencythread.cpp
+++ b/src/bamboomoor/gateway/residencythread.cpp
@@ -261,7 +261,7 @@
     }
     const base::Millis eventsEnded = m_context.clock.now();
     for (const std::string &it : m_suspects.takeDue(eventsEnded)) {
-        inspectSuspect(eventsEnded, it);
+        inspectSuspect(it);
     }
     if (m_plan && eventsEnded >= m_schedule.dueAt()) {
         decide();
@@ -317,13 +317,14 @@
 {
     const base::Millis now = m_context.clock.now();
     if (m_suspects.suspect(now, worker)) {
-        inspectSuspect(now, worker);
+        inspectSuspect(worker);
     }
 }
 
-void ResidencyThread::inspectSuspect(base::Millis now, const std::string &worker)
+void ResidencyThread::inspectSuspect(const std::string &worker)
 {
-    if (const auto address = m_context.upstreams.addressOf(now, worker)) {
+    // Its lease may have ended: the loss of an attempt may be reported, or a new leader begin, later than that.
+    if (const auto address = m_context.upstreams.lastAddressOf(worker)) {
         inspect({worker, *address});
     }
 }
@@ -509,7 +510,7 @@
             m_plan->unreachable(event.worker);
             m_crashes.onUnreachable(now, event.worker);
         } else if (verdict == control::SuspectVerdict::InspectAgain) {
-            inspectSuspect(now, event.worker);
+            inspectSuspect(event.worker);
         }
         m_plan->inspected(now, event.worker, event.found);
     }
--- a/src/bamboomoor/gateway/residencythread.hpp
+++ b/src/bamboomoor/gateway/residencythread.hpp
@@ -161,7 +161,7 @@
     [[nodiscard]] bool hasConfirmedLeadership(base::Millis now) const;
     void send(const placement::ResidencyOrder &order);
     void inspect(const placement::Inspection &inspection);
-    void inspectSuspect(base::Millis now, const std::string &worker);
+    void inspectSuspect(const std::string &worker);
     [[nodiscard]] http::Call limited(http::Call call) const;
 
     ResidencyThreadOptions m_options;
--- a/src/bamboomoor/membership/registry.cpp
+++ b/src/bamboomoor/membership/registry.cpp
@@ -7,7 +7,6 @@
 #include "bamboomoor/membership/codec.hpp"
 
 #include <algorithm>
-#include <unordered_map>
 #include <utility>
 
 namespace bamboomoor::membership
@@ -94,36 +93,54 @@
     return &it->second.entry;
 }
 
-std::vector<const Entry *> Registry::list(base::Millis now) const
+const Entry *Registry::findRetained(std::string_view id) const
 {
-    return select(now, false);
+    const auto it = m_records.find(id);
+    return it == m_records.end() ? nullptr : &it->second.entry;
 }
 
-std::vector<const Entry *> Registry::replaced(base::Millis now) const
+std::vector<const Entry *> Registry::list(base::Millis now) const
 {
-    return select(now, true);
+    const LatestRuns latest = latestRuns(now);
+    std::vector<const Entry *> entries;
+    for (const auto &[id, record] : m_records) {
+        if (isLive(now, record) && !isReplaced(record, latest)) {
+            entries.push_back(&record.entry);
+        }
+    }
+    return entries;
 }
 
-std::vector<const Entry *> Registry::select(base::Millis now, bool replaced) const
+std::vector<const Entry *> Registry::replaced(base::Millis now) const
 {
+    const LatestRuns latest = latestRuns(now);
     std::vector<const Entry *> entries;
-    // An incarnation is a start time, so a late announcement of a process that has ended replaces none.
-    std::unordered_map<std::string_view, std::uint64_t> latest;
     for (const auto &[id, record] : m_records) {
-        if (isLive(now, record)) {
-            const Announcement &announcement = record.entry.announcement;
+        if (isReplaced(record, latest)) {
             entries.push_back(&record.entry);
+        }
+    }
+    return entries;
+}
+
+Registry::LatestRuns Registry::latestRuns(base::Millis now) const
+{
+    LatestRuns latest;
+    for (const auto &[id, record] : m_records) {
+        const Announcement &announcement = record.entry.announcement;
+        if (isLive(now, record) && !announcement.address.empty()) {
             std::uint64_t &incarnation = latest[announcement.address];
             incarnation = std::max(incarnation, announcement.incarnation);
         }
     }
-    std::erase_if(entries, [&](const Entry *it) {
-        const Announcement &announcement = it->announcement;
-        const bool isReplaced =
-            !announcement.address.empty() && announcement.incarnation < latest.at(announcement.address);
-        return isReplaced != replaced;
-    });
-    return entries;
+    return latest;
+}
+
+bool Registry::isReplaced(const Record &record, const LatestRuns &latest) const
+{
+    // An incarnation is a start time, so a late announcement of a process that has ended replaces none.
+    const auto it = latest.find(record.entry.announcement.address);
+    return it != latest.end() && record.entry.announcement.incarnation < it->second;
 }
 
 std::vector<const Entry *> Registry::usable(base::Millis now) const
--- a/src/bamboomoor/membership/registry.hpp
+++ b/src/bamboomoor/membership/registry.hpp
@@ -16,6 +16,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace bamboomoor::membership
@@ -138,6 +139,14 @@
      */
     [[nodiscard]] const Entry *find(base::Millis now, std::string_view id) const;
 
+    /**
+     * @brief Finds an upstream whose lease may have ended.
+     * @param id The upstream's id.
+     * @return The entry, valid until the next change; null if it is unknown or its lease ended longer than the
+     * retention ago.
+     */
+    [[nodiscard]] const Entry *findRetained(std::string_view id) const;
+
     /**
      * @brief Lists the live upstreams, including leaving ones, without those that were replaced.
      * @param now Current time.
@@ -146,7 +155,7 @@
     [[nodiscard]] std::vector<const Entry *> list(base::Millis now) const;
 
     /**
-     * @brief Lists the upstreams whose lease has not ended although a later process has announced their address.
+     * @brief Lists the upstreams whose address a live later process has announced, also those whose lease has ended.
      * @param now Current time.
      * @return Entries by ascending id, valid until the next change.
      */
@@ -192,9 +201,12 @@
         bool expired = false;
     };
 
+    // The latest incarnation at each address of a live upstream.
+    using LatestRuns = std::unordered_map<std::string_view, std::uint64_t>;
+
     [[nodiscard]] bool isLive(base::Millis now, const Record &record) const noexcept;
-    // Lists the live upstreams that were replaced, or those that were not.
-    [[nodiscard]] std::vector<const Entry *> select(base::Millis now, bool replaced) const;
+    [[nodiscard]] bool isReplaced(const Record &record, const LatestRuns &latest) const;
+    [[nodiscard]] LatestRuns latestRuns(base::Millis now) const;
     void setContent(Record &record, Announcement announcement);
     void touch(Record &record) noexcept;
     bool markLeaving(Record &record);
--- a/test/bamboomoor/membership/registry.cpp
+++ b/test/bamboomoor/membership/registry.cpp
@@ -291,3 +291,36 @@
     registry.announce({4'000}, announcementOf("d", "10.0.0.1:80", 1'000, 1));
     BOOST_TEST(idsOf(registry.list({4'000})) == (Ids{"a", "d"}));
 }
+
+BOOST_AUTO_TEST_CASE(a_process_whose_lease_has_ended_is_still_found_to_be_replaced_and_has_a_last_address)
+{
+    Announcement crashed;
+    crashed.id = "a";
+    crashed.address = "10.0.0.1:80";
+    crashed.incarnation = 1'000;
+    crashed.sequence = 1;
+    Announcement successor = crashed;
+    successor.id = "b";
+    successor.incarnation = 5'000;
+    membership::Registry registry;
+    registry.announce({0}, crashed);
+    for (const base::Millis now : {base::Millis{3'000}, base::Millis{3'400}}) {
+        registry.expire(now);
+        BOOST_TEST(registry.find(now, "a") == nullptr);
+        BOOST_TEST(registry.replaced(now).empty());
+        const membership::Entry *retained = registry.findRetained("a");
+        BOOST_REQUIRE(retained != nullptr);
+        BOOST_TEST(retained->announcement.address == "10.0.0.1:80");
+    }
+    registry.announce({4'000}, successor);
+    const auto replaced = registry.replaced({4'000});
+    BOOST_REQUIRE(replaced.size() == 1U);
+    BOOST_TEST(replaced[0]->announcement.id == "a");
+    BOOST_TEST(registry.list({4'000}).size() == 1U);
+    registry.expire({4'000});
+    BOOST_TEST(registry.replaced({4'000}).size() == 1U);
+    registry.expire({70'000});
+    BOOST_TEST(registry.findRetained("a") == nullptr);
+    BOOST_TEST(registry.findRetained("c") == nullptr);
+    BOOST_TEST(registry.replaced({70'000}).empty());
+}
