--- a/test/bamboomoor/membership/registry.cpp
+++ b/test/bamboomoor/membership/registry.cpp
@@ -268,6 +268,7 @@
     };
     const auto idsOf = [](const std::vector<const membership::Entry *> &entries) {
         std::vector<std::string> ids;
+        ids.reserve(entries.size());
         for (const membership::Entry *it : entries) {
             ids.push_back(it->announcement.id);
         }
