Keep the leader's quarantines over a restart of all voters and entries

Entries kept the quarantines and told a new leader, but nothing was stored. After a restart of all entries and voters at once, such as a loss of power, the entries sent a quarantined request again, until it had ended three more upstreams.

The cause is a decision of the leader that lived in memory only. The leader now records the whole set of its quarantines by a command, RecordQuarantines, with the calendar times of their ends: when one begins, is prolonged by more than 5 s, is lifted or ends. Nothing waits for it. Changes within 500 ms share a command, and it is repeated while this voter leads until it is committed. A new leader starts its analysis with the set, so that entries learn it with their first report; the time left is limited to the longest quarantine, as calendars step. Both leaders do so, ResidencyThread and PlacementThread.

The whole set, and not its changes, because a voter of an older build ignores the command: its replica is equal to the others after the next one.

Ruled out: entries that store quarantines, as their disks may be lost and they are replaced; entries that wait for a leader before they send.

What remains: an entry does not know the quarantines before its first reply of a leader. Probation and the number of renewals are not recorded. Calendars of voters that differ by more than 5 s may move an end by as much at a change of leader.

--- a/src/bamboomoor/base/clock.hpp
+++ b/src/bamboomoor/base/clock.hpp
@@ -106,7 +106,7 @@
 
 /**
  * @brief Reads the calendar time.
- * @return Milliseconds since the Unix epoch, for people to read; no decision depends on it.
+ * @return Milliseconds since the Unix epoch; steps, so that it serves people and what outlasts restarts.
  */
 [[nodiscard]] inline Millis wallClock() noexcept
 {
--- a/src/bamboomoor/control/crashreports.cpp
+++ b/src/bamboomoor/control/crashreports.cpp
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <string_view>
+#include <utility>
 
 namespace bamboomoor::control
 {
@@ -15,6 +16,9 @@
 namespace
 {
 
+// Who reported a quarantine that an earlier leader had recorded.
+constexpr std::string_view FROM_STATE = "state";
+
 base::LogLine quarantineLine(base::Millis now, std::uint64_t term, const quarantine::Quarantine &quarantine,
     std::size_t crashes, std::string_view reportedBy)
 {
@@ -26,6 +30,16 @@
 
 } // namespace
 
+void CrashReports::begin(base::Millis now, base::Millis wallNow, std::uint64_t term,
+    const std::map<std::string, std::int64_t> &ends, CrashReportEffects &effects)
+{
+    for (const quarantine::Quarantine &it : m_recorder.begin(now, wallNow, ends)) {
+        if (m_analysis.merge(now, it)) {
+            effects.log(quarantineLine(now, term, it, 0, FROM_STATE));
+        }
+    }
+}
+
 void CrashReports::exchange(base::Millis now, std::uint64_t term, const peer::wire::DemandReport &request,
     peer::wire::DemandReply &reply, CrashReportEffects &effects)
 {
@@ -60,8 +74,20 @@
         effects.countQuarantine();
         effects.log(quarantineLine(now, term, {it.part, it.until}, it.crashes, {}));
     }
-    toWire(now, quarantine::LeaderReply{term, report.sequence, m_analysis.suspects(now), m_analysis.announced(now)},
-        reply);
+    std::vector<quarantine::Quarantine> announced = m_analysis.announced(now);
+    if (const auto record = m_recorder.next(now, announced)) {
+        effects.record(*record);
+    }
+    toWire(now, quarantine::LeaderReply{term, report.sequence, m_analysis.suspects(now), std::move(announced)}, reply);
+}
+
+void CrashReports::onRecorded(std::uint64_t term, std::uint64_t number, bool committed, CrashReportEffects &effects)
+{
+    if (m_recorder.onVerdict(number, committed)) {
+        base::LogLine line("quarantines_recorded");
+        line.add("record", static_cast<std::int64_t>(number));
+        effects.log(line.add("term", static_cast<std::int64_t>(term)));
+    }
 }
 
 } // namespace bamboomoor::control
--- a/src/bamboomoor/control/crashreports.hpp
+++ b/src/bamboomoor/control/crashreports.hpp
@@ -1,17 +1,19 @@
 /**
  * What the leader of a control group does with the entries' reports on attempts that were lost in crashes: it collects
- * them, has the upstreams inspected, and tells the entries what is quarantined.
+ * them, has the upstreams inspected, tells the entries what is quarantined, and has that recorded.
  */
 #pragma once
 
 #include "bamboomoor/base/clock.hpp"
 #include "bamboomoor/base/eventlog.hpp"
+#include "bamboomoor/control/quarantinerecorder.hpp"
 #include "bamboomoor/quarantine/crashanalysis.hpp"
 #include "bamboomoor/standing/upstreamsignal.hpp"
 
 #include "peer.pb.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 
 namespace bamboomoor::control
@@ -30,6 +32,10 @@
     virtual void inspect(const std::string &upstream) = 0;
     /** @brief Counts a quarantine that the leader decided on. */
     virtual void countQuarantine() = 0;
+    /** @brief Proposes recordCommand() with the quarantines; the verdict goes to onRecorded(). @param record The
+     * record.
+     */
+    virtual void record(const QuarantineRecord &record) = 0;
 };
 
 /** @brief Collects reports on lost attempts while this voter leads. Not thread-safe. */
@@ -39,9 +45,21 @@
     /** @brief Starts without evidence. @param options The settings of the analysis. */
     explicit CrashReports(quarantine::CrashAnalysisOptions options = {}) noexcept
         : m_analysis(options)
+        , m_recorder({.maxTime = options.maxQuarantineTime, .tolerance = options.clockTolerance})
     {
     }
 
+    /**
+     * @brief Takes over what an earlier leader had recorded, so that entries learn it with their first report.
+     * @param now The current time.
+     * @param wallNow The calendar time.
+     * @param term The term in which this voter leads.
+     * @param ends The ends of the recorded quarantines in milliseconds since the Unix epoch, by subject.
+     * @param effects What the owner does.
+     */
+    void begin(base::Millis now, base::Millis wallNow, std::uint64_t term,
+        const std::map<std::string, std::int64_t> &ends, CrashReportEffects &effects);
+
     /**
      * @brief Takes an entry's report and adds what the entry is told to the reply.
      * @param now The current time.
@@ -53,6 +71,15 @@
     void exchange(base::Millis now, std::uint64_t term, const peer::wire::DemandReport &request,
         peer::wire::DemandReply &reply, CrashReportEffects &effects);
 
+    /**
+     * @brief Takes the verdict on a proposal of the same term.
+     * @param term The term.
+     * @param number The number of the record.
+     * @param committed False if it was rejected, or may or may not be committed.
+     * @param effects What the owner does.
+     */
+    void onRecorded(std::uint64_t term, std::uint64_t number, bool committed, CrashReportEffects &effects);
+
     /** @brief Records that an upstream accepts no connection. @param now The current time. @param upstream Its id. */
     void onUnreachable(base::Millis now, const std::string &upstream)
     {
@@ -74,6 +101,7 @@
 
 private:
     quarantine::CrashAnalysis m_analysis;
+    QuarantineRecorder m_recorder;
 };
 
 } // namespace bamboomoor::control
--- a/src/bamboomoor/control/placementthread.cpp
+++ b/src/bamboomoor/control/placementthread.cpp
@@ -257,7 +257,7 @@
     for (const auto &[id, intent] : machine.leaderLog().openIntents()) {
         input.openIntents.push_back(orderOf(intent));
     }
-    post(Leading{term, std::move(input), catalogueOf(machine)});
+    post(Leading{term, std::move(input), catalogueOf(machine), machine.quarantines().ends()});
 }
 
 void PlacementThread::onNotLeading()
@@ -280,6 +280,9 @@
         refuse(*report);
     } else if (const auto *done = std::get_if<InspectionDone>(&event)) { // NOLINT(bugprone-use-after-move)
         LOG(WARNING) << "event=inspection_dropped upstream=" << done->upstream;
+    } else if (!m_ring.closed()
+        && std::holds_alternative<QuarantinesRecorded>(event)) { // NOLINT(bugprone-use-after-move)
+        LOG(WARNING) << "event=verdict_dropped command=record_quarantines";
     } else if (!m_ring.closed()) {
         LOG(FATAL) << "event=placement_ring_full";
     }
@@ -366,6 +369,7 @@
     m_entries.clear();
     m_draining.clear();
     m_crashes = CrashReports(m_options.crashes);
+    m_crashes.begin(m_clock.now(), base::wallClock(), m_term, event.quarantines, *this);
     // Results of an earlier term are not waited for.
     m_suspects = SuspectTracker(m_options.suspects);
     step(event.catalogue);
@@ -423,6 +427,13 @@
     }
 }
 
+void PlacementThread::on(QuarantinesRecorded &event)
+{
+    if (event.term == m_term) {
+        m_crashes.onRecorded(event.term, event.number, event.committed, *this);
+    }
+}
+
 void PlacementThread::log(const base::LogLine &line)
 {
     LOG(INFO) << line.text();
@@ -459,6 +470,15 @@
     // Entries count the quarantines that reach them.
 }
 
+void PlacementThread::record(const QuarantineRecord &record)
+{
+    const state::Command command = recordCommand(m_clock.now(), base::wallClock(), record.quarantines);
+    m_voter.propose(
+        state::encode(command), m_term, [this, term = m_term, number = record.number](const ProposalOutcome &verdict) {
+            post(QuarantinesRecorded{term, number, verdict.status == consensus::ProposalStatus::Committed});
+        });
+}
+
 void PlacementThread::decide()
 {
     feedReports();
--- a/src/bamboomoor/control/placementthread.hpp
+++ b/src/bamboomoor/control/placementthread.hpp
@@ -86,6 +86,8 @@
         std::uint64_t term = 0;
         placement::BecomeLeader input;
         placement::Catalogue catalogue;
+        // The recorded quarantines.
+        std::map<std::string, std::int64_t> quarantines;
     };
     struct NotLeading {
     };
@@ -105,7 +107,13 @@
         // 0 without a response.
         int status = 0;
     };
-    using Event = std::variant<ReportEvent, Leading, NotLeading, CatalogueChanged, PlannerInput, InspectionDone>;
+    struct QuarantinesRecorded {
+        std::uint64_t term = 0;
+        std::uint64_t number = 0;
+        bool committed = false;
+    };
+    using Event = std::variant<ReportEvent, Leading, NotLeading, CatalogueChanged, PlannerInput, InspectionDone,
+        QuarantinesRecorded>;
     using Drain = std::pair<std::string, placement::ModelRef>;
     struct EntryReport {
         base::Millis at;
@@ -122,10 +130,12 @@
     void on(CatalogueChanged &event);
     void on(PlannerInput &event);
     void on(InspectionDone &event);
+    void on(QuarantinesRecorded &event);
     void log(const base::LogLine &line) override;
     void inspect(const std::string &upstream) override;
     void startInspection(const std::string &upstream);
     void countQuarantine() override;
+    void record(const QuarantineRecord &record) override;
     void refuse(ReportEvent &event) const;
     void post(Event event);
     void decide();
@@ -158,7 +168,7 @@
     std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> m_reported;
     std::map<std::string, EntryReport> m_entries;
     std::set<Drain> m_draining;
-    // Reset with each leadership; the entries report again what they know.
+    // Starts with the recorded quarantines at each leadership; the entries report again what they know.
     CrashReports m_crashes;
     SuspectTracker m_suspects;
 };
--- a/src/bamboomoor/gateway/residencythread.cpp
+++ b/src/bamboomoor/gateway/residencythread.cpp
@@ -203,7 +203,7 @@
 
 void ResidencyThread::onLeading(std::uint64_t term, const state::Machine &machine)
 {
-    post(Leading{term, enginesOf(machine)});
+    post(Leading{term, enginesOf(machine), machine.quarantines().ends()});
 }
 
 void ResidencyThread::onNotLeading()
@@ -224,6 +224,9 @@
     // A rejected push does not move from the event.
     if (auto *report = std::get_if<ReportEvent>(&event)) { // NOLINT(bugprone-use-after-move)
         report->answer({});
+    } else if (!m_ring.closed()
+        && std::holds_alternative<QuarantinesRecorded>(event)) { // NOLINT(bugprone-use-after-move)
+        m_context.log.write(base::LogLine("verdict_dropped").add("command", "record_quarantines"));
     } else if (!m_ring.closed()) {
         LOG(FATAL) << "event=residency_ring_full";
     }
@@ -436,9 +439,19 @@
     m_context.metrics.partQuarantined();
 }
 
+void ResidencyThread::record(const control::QuarantineRecord &record)
+{
+    const state::Command command = control::recordCommand(m_context.clock.now(), base::wallClock(), record.quarantines);
+    m_context.voter.propose(state::encode(command), m_term,
+        [this, term = m_term, number = record.number](const control::ProposalOutcome &verdict) {
+            post(QuarantinesRecorded{term, number, verdict.status == consensus::ProposalStatus::Committed});
+        });
+}
+
 void ResidencyThread::on(Leading &event)
 {
     m_crashes = control::CrashReports();
+    m_crashes.begin(m_context.clock.now(), base::wallClock(), event.term, event.quarantines, *this);
     // Results of an earlier term are not waited for.
     m_suspects = control::SuspectTracker(m_options.suspects);
     m_permits = standing::PermitAuthority(m_options.permits);
@@ -515,6 +528,13 @@
     }
 }
 
+void ResidencyThread::on(QuarantinesRecorded &event)
+{
+    if (m_plan && event.term == m_term) {
+        m_crashes.onRecorded(event.term, event.number, event.committed, *this);
+    }
+}
+
 control::Connection ResidencyThread::connectionOf(const InspectionDone &event) const
 {
     const bool isReplaced = event.kind == http::EndKind::Complete && m_context.dialect.isOtherProcess(event.status);
--- a/src/bamboomoor/gateway/residencythread.hpp
+++ b/src/bamboomoor/gateway/residencythread.hpp
@@ -68,7 +68,7 @@
 /** @brief Dependencies of the residency thread; all must outlive it. */
 struct ResidencyThreadContext {
     const base::Clock &clock;
-    const control::VoterThread &voter;
+    control::VoterThread &voter;
     const entry::UpstreamBook &upstreams;
     http::Client &client;
     const OrderDialect &dialect;
@@ -110,6 +110,8 @@
     struct Leading {
         std::uint64_t term = 0;
         Engines engines;
+        // The recorded quarantines.
+        std::map<std::string, std::int64_t> quarantines;
     };
     struct NotLeading {
     };
@@ -132,7 +134,13 @@
         // 0 without a response.
         int status = 0;
     };
-    using Event = std::variant<ReportEvent, Leading, NotLeading, ConfigurationChanged, OrderDone, InspectionDone>;
+    struct QuarantinesRecorded {
+        std::uint64_t term = 0;
+        std::uint64_t number = 0;
+        bool committed = false;
+    };
+    using Event = std::variant<ReportEvent, Leading, NotLeading, ConfigurationChanged, OrderDone, InspectionDone,
+        QuarantinesRecorded>;
     class OrderListener;
     class InspectionListener;
 
@@ -143,6 +151,7 @@
     void on(ConfigurationChanged &event);
     void on(OrderDone &event);
     void on(InspectionDone &event);
+    void on(QuarantinesRecorded &event);
     void post(Event event);
     void takeEvents();
     void decide();
@@ -154,6 +163,7 @@
     void log(const base::LogLine &line) override;
     void inspect(const std::string &upstream) override;
     void countQuarantine() override;
+    void record(const control::QuarantineRecord &record) override;
     void takeRoomReport(
         base::Millis now, const std::string &vm, const standing::Run &run, const standing::RoomReport &report);
     [[nodiscard]] control::Connection connectionOf(const InspectionDone &event) const;
@@ -179,7 +189,7 @@
     // Reset with each leadership.
     standing::PermitAuthority m_permits;
     standing::RoomAuthority m_rooms;
-    // Reset with each leadership; the entries report again what they know.
+    // Starts with the recorded quarantines at each leadership; the entries report again what they know.
     control::CrashReports m_crashes;
     PlanReply m_planReply;
     DecisionSchedule m_schedule;
--- a/src/bamboomoor/state/command.hpp
+++ b/src/bamboomoor/state/command.hpp
@@ -203,9 +203,26 @@
     friend bool operator==(const ReleaseClaim &, const ReleaseClaim &) = default;
 };
 
+/** @brief A subject that is not sent to upstreams, and the end of that. */
+struct QuarantineEnd {
+    // A prompt part or the identity of a request.
+    std::string subject;
+    // In milliseconds since the Unix epoch.
+    std::int64_t untilMillis = 0;
+
+    friend bool operator==(const QuarantineEnd &, const QuarantineEnd &) = default;
+};
+
+/** @brief Replaces the set of quarantined subjects, so that a replica that lacks earlier commands has them again. */
+struct RecordQuarantines {
+    std::vector<QuarantineEnd> quarantines;
+
+    friend bool operator==(const RecordQuarantines &, const RecordQuarantines &) = default;
+};
+
 /** @brief Any command of the replicated log. */
 using Command = std::variant<ApplyConfig, AddKey, WithdrawKey, OpenClaim, FinishClaim, AbandonClaims, SweepClaims,
-    RaiseCeiling, RecordIntent, CloseIntent, ReleaseClaim, ReplaceConfig>;
+    RaiseCeiling, RecordIntent, CloseIntent, ReleaseClaim, ReplaceConfig, RecordQuarantines>;
 
 /** @brief The reason why bytes cannot be decoded. */
 struct DecodeError {
--- a/src/bamboomoor/state/fwd.hpp
+++ b/src/bamboomoor/state/fwd.hpp
@@ -16,6 +16,8 @@
 struct RecordIntent;
 struct CloseIntent;
 struct ReleaseClaim;
+struct QuarantineEnd;
+struct RecordQuarantines;
 struct ChangeOutcome;
 struct ClaimOutcome;
 struct CountOutcome;
--- a/src/bamboomoor/state/json.hpp
+++ b/src/bamboomoor/state/json.hpp
@@ -90,6 +90,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReleaseClaim, organisation, key, vm, attempt, mayHaveRun)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(OrganisationCeiling, organisation, level, exposure)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RaiseCeiling, term, reservedUntilMillis, organisations)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuarantineEnd, subject, untilMillis)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RecordQuarantines, quarantines)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CountOutcome, count)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Malformed, message)
 
--- a/src/bamboomoor/state/limits.hpp
+++ b/src/bamboomoor/state/limits.hpp
@@ -3,6 +3,8 @@
  */
 #pragma once
 
+#include "bamboomoor/quarantine/partlimits.hpp"
+
 #include <cstddef>
 
 namespace bamboomoor::state
@@ -26,6 +28,10 @@
     std::size_t responseBytes = 65'536;
     // The maximum total size of all stored responses, in bytes.
     std::size_t totalResponseBytes = 67'108'864;
+    // The maximum number of quarantined subjects; those that end first are dropped.
+    std::size_t quarantines = 256;
+    // The maximum length of a subject, in bytes; longer ones are ignored.
+    std::size_t quarantineSubjectBytes = quarantine::MAX_PART_LENGTH;
 };
 
 } // namespace bamboomoor::state
--- a/src/bamboomoor/state/machine.cpp
+++ b/src/bamboomoor/state/machine.cpp
@@ -17,12 +17,14 @@
 
 // Must be incremented when the layout of snapshots changes.
 constexpr int SNAPSHOT_FORMAT = 1;
+constexpr std::string_view QUARANTINES_KEY = "quarantines";
 
 } // namespace
 
 Machine::Machine(const Limits &limits)
     : m_configuration(limits)
     , m_claims(limits)
+    , m_quarantines(limits)
 {
 }
 
@@ -76,14 +78,21 @@
         [this](const ReleaseClaim &it) -> Outcome {
             return m_claims.release(it);
         },
+        [this](const RecordQuarantines &it) -> Outcome {
+            return m_quarantines.replace(it);
+        },
     };
     return std::visit(visitor, command);
 }
 
 std::string Machine::snapshot() const
 {
-    const nlohmann::json out = {{"format", SNAPSHOT_FORMAT}, {"lastIndex", m_lastIndex},
+    nlohmann::json out = {{"format", SNAPSHOT_FORMAT}, {"lastIndex", m_lastIndex},
         {"configuration", m_configuration.save()}, {"claims", m_claims.save()}, {"leaderLog", m_leaderLog.save()}};
+    // Left out when empty, as in snapshots of builds without quarantines.
+    if (!m_quarantines.ends().empty()) {
+        out[QUARANTINES_KEY] = m_quarantines.save();
+    }
     return internal::dump(out);
 }
 
@@ -99,6 +108,9 @@
         machine.m_configuration.load(in.at("configuration"));
         machine.m_claims.load(in.at("claims"));
         machine.m_leaderLog.load(in.at("leaderLog"));
+        if (in.contains(QUARANTINES_KEY)) {
+            machine.m_quarantines.load(in.at(QUARANTINES_KEY));
+        }
         return machine;
     } catch (const std::exception &error) {
         return base::failure(RestoreError{.message = error.what()});
--- a/src/bamboomoor/state/machine.hpp
+++ b/src/bamboomoor/state/machine.hpp
@@ -12,6 +12,7 @@
 #include "bamboomoor/state/leaderlog.hpp"
 #include "bamboomoor/state/limits.hpp"
 #include "bamboomoor/state/outcome.hpp"
+#include "bamboomoor/state/quarantinetable.hpp"
 
 #include <cstdint>
 #include <string>
@@ -26,7 +27,7 @@
     std::string message;
 };
 
-/** @brief The replicated state: configuration, claims, ceilings and intents. */
+/** @brief The replicated state: configuration, claims, ceilings, intents and quarantines. */
 class Machine
 {
 public:
@@ -100,6 +101,15 @@
         return m_leaderLog;
     }
 
+    /**
+     * @brief Returns the quarantined subjects.
+     * @return The subjects that the last leader recorded; some may have ended since.
+     */
+    [[nodiscard]] const QuarantineTable &quarantines() const noexcept
+    {
+        return m_quarantines;
+    }
+
 private:
     Outcome applyCommand(std::uint64_t index, const Command &command);
 
@@ -107,6 +117,7 @@
     ConfigHistory m_configuration;
     ClaimTable m_claims;
     LeaderLog m_leaderLog;
+    QuarantineTable m_quarantines;
 };
 
 } // namespace bamboomoor::state
--- a/src/bamboomoor/state/outcome.hpp
+++ b/src/bamboomoor/state/outcome.hpp
@@ -95,9 +95,9 @@
     friend bool operator==(const ClaimOutcome &, const ClaimOutcome &) = default;
 };
 
-/** @brief The outcome of AbandonClaims and SweepClaims. */
+/** @brief The outcome of AbandonClaims, SweepClaims and RecordQuarantines. */
 struct CountOutcome {
-    // The number of claims that were marked as unknown or removed.
+    // The number of claims that were marked as unknown or removed, or of subjects that are quarantined now.
     std::uint64_t count = 0;
 
     friend bool operator==(const CountOutcome &, const CountOutcome &) = default;
--- a/test/bamboomoor/state/generators.hpp
+++ b/test/bamboomoor/state/generators.hpp
@@ -66,9 +66,20 @@
     }
 }
 
+inline RecordQuarantines anyQuarantines()
+{
+    RecordQuarantines command;
+    for (int n = *rc::gen::inRange(0, 6); n > 0; --n) {
+        command.quarantines.push_back({anyName("request:", 4), *rc::gen::inRange(-2, 5)});
+    }
+    return command;
+}
+
 inline Command anyLeaderCommand(const Machine &machine)
 {
-    switch (*rc::gen::inRange(0, 3)) {
+    switch (*rc::gen::inRange(0, 4)) {
+    case 3:
+        return anyQuarantines();
     case 0:
         return RaiseCeiling{
             *rc::gen::inRange<std::uint64_t>(0, 4), 5, {{anyName("o", 2), *rc::gen::inRange(0, 99), 1}}};
--- a/test/system/deadlyrequest.sh
+++ b/test/system/deadlyrequest.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # One request that crashes each engine that begins to answer it comes again at all entries, as a whole answer, as a
-# stream and under claims: after some crashes no entry sends it any more, and other requests of the caller are answered.
+# stream and under claims: after some crashes no entry sends it any more, also after all daemons were killed and started
+# again, and other requests of the caller are answered.
 source "$(dirname "$0")/fleet.sh"
 
 ENGINES=12
@@ -59,4 +60,31 @@
 [ "$(ask 2 'sound words' 'Idempotency-Key: sound' | tail -n 1)" = 200 ] || fail "a stored answer is not given"
 [ "$(alive)" -eq "$left" ] || fail "$((left - $(alive))) engines ended after the quarantine"
 curl -s "http://$(entry 1)/metrics" | grep -q '^bamboomoor_quarantines_total{decided_by="leader"}' || fail "not counted"
+# taken N: how many quarantines daemon N has taken since the log began.
+taken() {
+    grep -c 'event=part_quarantined.*part=request:' "$FLEET_DIR/vm$1.log" || true
+}
+took_more() {
+    [ "$(taken "$1")" -gt "$2" ]
+}
+eventually 10 grep -hq 'event=quarantines_recorded' "$FLEET_DIR"/vm?.log || fail "no leader recorded its quarantines"
+for n in 1 2 3; do
+    kill -KILL "$(pid_of "$n")"
+    printf -v "TAKEN_$n" '%d' "$(taken "$n")"
+done
+for n in 1 2 3; do
+    # Until its ports and its folder are free.
+    wait "$(pid_of "$n")" || true
+    start_daemon "$n"
+done
+wait_ready 1 2 3
+for n in 1 2 3; do
+    eventually 30 has_upstreams "$n" "$left" || fail "daemon $n does not know $left upstreams after its restart"
+    known=TAKEN_$n
+    eventually 10 took_more "$n" "${!known}" || fail "daemon $n has no quarantine after a restart of all daemons"
+    answer=$(ask "$n" 'the deadly words' 'X-None: 1')
+    [ "$(head -n -1 <<<"$answer" | jq -r .error.code)" = quarantined ] || fail "daemon $n sends it again: $answer"
+    [ "$(ask "$n" "sound words $n" | tail -n 1)" = 200 ] || fail "daemon $n refuses a sound request after its restart"
+done
+[ "$(alive)" -eq "$left" ] || fail "$((left - $(alive))) engines ended after a restart of all daemons"
 say "$(alive) of $ENGINES engines are left, the request is refused everywhere, and sound ones are answered"
