Release a claim that opens after its request has ended (LOST)

A request whose key was withdrawn while its claim was on its way was refused and released the claim at once. The command that opens the claim went on to be sent until the leader took it; opened after the release, the claim belonged to no request, and every resend with its Idempotency-Key was answered in_progress until the entry was started again. Found by reading beside changes of the configuration.

The command now carries the one that takes it back. When its reply comes and the request has ended, it is not sent again, and the release is, which changes nothing unless the claim of this very attempt is open. The request was never sent, so that the claim is removed and a resend may run.

The new test: 409 on the code before, 200 after.

--- a/src/bamboomoor/entry/admit.cpp
+++ b/src/bamboomoor/entry/admit.cpp
@@ -43,7 +43,8 @@
     command.attempt = exchange.requestId;
     command.wallMillis = base::wallClock().count;
     command.expiresMillis = command.wallMillis + exchange.resolved.retention.count;
-    proposeClaim({exchange.id, state::encode(command), exchange.arrivedAt + CLAIM_DEADLINE});
+    const state::ReleaseClaim undo{exchange.organisation, exchange.claimKey, m_options.vm, exchange.requestId, false};
+    proposeClaim({exchange.id, state::encode(command), exchange.arrivedAt + CLAIM_DEADLINE, state::encode(undo)});
 }
 
 void Desk::proposeClaim(ClaimTry attempt)
@@ -94,11 +95,16 @@
 void Desk::on(ClaimReplied &event)
 {
     const base::Millis now = m_context.clock.now();
+    Exchange *exchange = find(event.sent.exchange);
+    if (exchange == nullptr && !event.sent.undo.empty()) {
+        // The release that its end sent may have come before the claim was open.
+        proposeClaim({0, std::move(event.sent.undo), now + RELEASE_DEADLINE});
+        return;
+    }
     if (!event.applied && now < event.sent.deadline) {
         m_claimRetries.push_back({now + CLAIM_RETRY_DELAY, std::move(event.sent)});
         return;
     }
-    Exchange *exchange = find(event.sent.exchange);
     if (exchange == nullptr) {
         return;
     }
--- a/src/bamboomoor/entry/desk.hpp
+++ b/src/bamboomoor/entry/desk.hpp
@@ -149,6 +149,8 @@
         std::uint64_t exchange = 0;
         std::string payload;
         base::Millis deadline;
+        // The command that takes it back, as its request may end before it takes effect; empty where none does.
+        std::string undo = {};
     };
     struct ClaimReplied {
         ClaimTry sent;
--- a/test/bamboomoor/entry/desk.cpp
+++ b/test/bamboomoor/entry/desk.cpp
@@ -39,6 +39,10 @@
 constexpr absl::Duration SETTLING = absl::Milliseconds(500);
 constexpr int OK = 200;
 constexpr int UNAVAILABLE = 503;
+constexpr std::uint64_t SEEDS = 12;
+constexpr int STEPS = 300;
+constexpr const char *STREAM = R"({"model":"m","messages":[],"max_tokens":9,"stream":true})";
+constexpr const char *GENERATION = R"({"model":"m","messages":[],"max_tokens":9})";
 constexpr std::int64_t GRANT = 1'000'000;
 
 /** @brief Leads alone: applies commands, now or when told, and grants what holders want. */
@@ -53,6 +57,13 @@
     {
         const absl::MutexLock lock(&m_mutex);
         peer::wire::ProposeReply reply;
+        const auto command = state::decode(request.command());
+        if (m_refusesClaims && command && std::holds_alternative<state::OpenClaim>(command.value())) {
+            ++m_refusedClaims;
+            reply.set_verdict(peer::wire::NOT_LEADER);
+            answer(std::move(reply));
+            return;
+        }
         reply.set_verdict(peer::wire::APPLIED);
         reply.set_outcome(state::encode(m_machine.apply(++m_index, request.command())));
         ++m_proposals;
@@ -128,6 +139,24 @@
         BOOST_REQUIRE(m_mutex.AwaitWithTimeout(absl::Condition(&holds), absl::Seconds(10)));
     }
 
+    /** @brief Opens no claims for now, or opens them again. */
+    void refuseClaims(bool refuses)
+    {
+        const absl::MutexLock lock(&m_mutex);
+        m_refusesClaims = refuses;
+    }
+
+    /** @brief Waits until it refused to open a claim. */
+    void awaitRefusedClaim()
+    {
+        const absl::MutexLock lock(&m_mutex);
+        const auto refused = [this] {
+            m_mutex.AssertReaderHeld();
+            return m_refusedClaims > 0;
+        };
+        BOOST_REQUIRE(m_mutex.AwaitWithTimeout(absl::Condition(&refused), absl::Seconds(10)));
+    }
+
     /** @brief Waits for a number of commands since the start. */
     void awaitProposals(int number)
     {
@@ -156,6 +185,8 @@
     std::uint64_t m_index ABSL_GUARDED_BY(m_mutex) = 0;
     int m_proposals ABSL_GUARDED_BY(m_mutex) = 0;
     bool m_holds ABSL_GUARDED_BY(m_mutex) = false;
+    bool m_refusesClaims ABSL_GUARDED_BY(m_mutex) = false;
+    int m_refusedClaims ABSL_GUARDED_BY(m_mutex) = 0;
     std::vector<std::pair<peer::Answer<peer::wire::ProposeReply>, peer::wire::ProposeReply>> m_held ABSL_GUARDED_BY(
         m_mutex);
 };
@@ -196,6 +227,26 @@
         m_held.clear();
     }
 
+    /** @brief Sends all but the end of the answers that it holds. */
+    void begin()
+    {
+        const absl::MutexLock lock(&m_mutex);
+        for (auto &[responder, streams] : m_held) {
+            responder->begin(OK, {});
+            responder->write("whole");
+        }
+    }
+
+    /** @brief Ends the answers that have begun. */
+    void end()
+    {
+        const absl::MutexLock lock(&m_mutex);
+        for (auto &[responder, streams] : m_held) {
+            responder->end();
+        }
+        m_held.clear();
+    }
+
     void awaitReceived(int number)
     {
         const absl::MutexLock lock(&m_mutex);
@@ -257,6 +308,35 @@
     return document;
 }
 
+/** @brief Leaves out, or moves, any part of the document. */
+config::Document changedDocument(std::mt19937_64 &random)
+{
+    config::Document document = wholeDocument();
+    const auto chance = [&random] {
+        return random() % 4 == 0;
+    };
+    if (chance()) {
+        document.models.clear();
+    }
+    if (chance()) {
+        document.routes.clear();
+    } else {
+        document.routes.front().idempotent = chance();
+        document.routes.front().open = chance();
+    }
+    if (chance()) {
+        document.organisations.front().keys.clear();
+    }
+    if (chance()) {
+        document.organisations.front().keys.swap(document.organisations.back().keys);
+    }
+    if (chance()) {
+        document.organisations.pop_back();
+    }
+    document.limits.queueDeadline = base::Millis{static_cast<std::int64_t>(random() % 2'000)};
+    return document;
+}
+
 /** @brief One entry with its leader and one upstream, all in this process. */
 class Fixture
 {
@@ -322,7 +402,7 @@
 
     std::shared_ptr<HeldCaller> stream() const
     {
-        return post("/v1/chat/completions", R"({"model":"m","messages":[],"max_tokens":9,"stream":true})");
+        return post("/v1/chat/completions", STREAM);
     }
 
     /** @brief Holds the desk's thread. @return The caller that holds it. */
@@ -441,11 +521,12 @@
     fixture.upstream.hold();
     const auto caller = fixture.post("/once", "x");
     fixture.upstream.awaitReceived(1);
+    fixture.upstream.begin();
+    // The head and the bytes come to the desk, the end to its full ring.
+    absl::SleepFor(SETTLING);
     const auto holder = fixture.holdDesk();
-    // Room for the head and the bytes of the answer, but not for its end.
-    static_cast<void>(fixture.post("/once", "", {}, "unknown"));
-    static_cast<void>(fixture.post("/once", "", {}, "unknown"));
-    fixture.upstream.letGo();
+    fixture.fillRing();
+    fixture.upstream.end();
     absl::SleepFor(SETTLING);
     holder->letGo();
     BOOST_TEST(caller->await());
@@ -482,6 +563,85 @@
     BOOST_TEST(caller->await(absl::Seconds(5)));
 }
 
+BOOST_AUTO_TEST_CASE(a_claim_that_opens_after_its_request_has_ended_does_not_block_a_resend)
+{
+    Fixture fixture;
+    fixture.leader.refuseClaims(true);
+    const auto caller = fixture.post("/once", "x", "claim");
+    fixture.leader.awaitRefusedClaim();
+    config::Document document = wholeDocument();
+    document.organisations.front().keys.clear();
+    fixture.install(std::move(document));
+    fixture.desk->configurationChanged();
+    BOOST_REQUIRE(caller->await());
+    BOOST_TEST(caller->body().find("key_withdrawn") != std::string::npos);
+    // The release comes to a claim that is not open yet.
+    fixture.leader.awaitProposals(2);
+    fixture.leader.refuseClaims(false);
+    absl::SleepFor(SETTLING);
+    fixture.install(wholeDocument());
+    const auto resend = fixture.post("/once", "x", "claim");
+    BOOST_TEST(resend->await());
+    BOOST_TEST(resend->status() == OK);
+}
+
+BOOST_AUTO_TEST_CASE(every_request_ends_exactly_once_beside_changes_of_the_configuration_and_a_stop)
+{
+    for (std::uint64_t seed = 1; seed <= SEEDS; ++seed) {
+        std::mt19937_64 random(seed);
+        Fixture fixture(seed % 2 == 0 ? LONG_RING : 16);
+        std::vector<std::shared_ptr<HeldCaller>> callers;
+        for (int n = 0; n < STEPS; ++n) {
+            const std::string key = random() % 2 == 0 ? "key-one" : "key-two";
+            const std::string claim = random() % 2 == 0 ? "claim-" + std::to_string(random() % 20) : std::string();
+            switch (random() % 12) {
+            case 0:
+                fixture.install(changedDocument(random));
+                fixture.desk->configurationChanged();
+                break;
+            case 1:
+                random() % 2 == 0 ? fixture.upstream.hold() : fixture.upstream.letGo();
+                break;
+            case 2:
+                random() % 2 == 0 ? fixture.leader.hold() : fixture.leader.letGo();
+                break;
+            case 3:
+                absl::SleepFor(absl::Milliseconds(random() % 20));
+                break;
+            case 4:
+                if (!callers.empty()) {
+                    callers[random() % callers.size()]->leave();
+                }
+                break;
+            case 5:
+            case 6:
+                callers.push_back(fixture.post("/v1/chat/completions", STREAM, {}, key));
+                break;
+            case 7:
+            case 8:
+                callers.push_back(fixture.post("/v1/chat/completions", GENERATION, claim, key));
+                break;
+            default:
+                callers.push_back(fixture.post("/once", "x", claim, key));
+                break;
+            }
+        }
+        if (seed % 3 != 0) {
+            // Without a stop each has its answer or refusal once nobody holds anything back.
+            fixture.leader.letGo();
+            fixture.upstream.letGo();
+            for (const auto &it : callers) {
+                BOOST_TEST(it->await(absl::Seconds(20)));
+            }
+        }
+        fixture.desk->stop();
+        BOOST_TEST(fixture.desk->inProgress() == 0U);
+        for (const auto &it : callers) {
+            BOOST_TEST(it->ends() == 1);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_entry_that_stops_while_an_answer_is_stored_gives_the_answer)
 {
     Fixture fixture;
