Keep the peers that an earlier leader named when a new one names few

First tries at an entry that is partitioned from all upstreams failed for up to a second after a change of the leader (RECOVER): a new leader knows only the entries that have reported to it, its first replies name few of them or none, and each reply replaced the entry's list. Without a peer the entry refuses.

Peers that the new leader does not name are now kept for 2 s, up to the number named before, so that a complete list displaces them. Such a peer may not know the new leader's token yet; it is sent that of the leader which named it, which peers accept for one more term.

The test of tokens needs the new function.

--- a/src/bamboomoor/gateway/peertokens.cpp
+++ b/src/bamboomoor/gateway/peertokens.cpp
@@ -3,6 +3,7 @@
  */
 #include "bamboomoor/gateway/peertokens.hpp"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -21,24 +22,33 @@
     return token;
 }
 
-void PeerTokens::learn(const std::string &token)
+void PeerTokens::learn(const std::string &token, const std::vector<std::string> &peers)
 {
     const absl::MutexLock lock(&m_mutex);
-    if (!token.empty() && token != m_current) {
-        m_previous = std::exchange(m_current, token);
+    if (token.empty()) {
+        return;
     }
+    if (token != m_current.token) {
+        m_previous = std::move(m_current);
+        m_current.token = token;
+    }
+    m_current.peers = peers;
 }
 
-std::string PeerTokens::current() const
+std::string PeerTokens::tokenFor(const std::string &peer) const
 {
     const absl::MutexLock lock(&m_mutex);
-    return m_current;
+    const auto names = [&peer](const Leader &leader) {
+        return std::find(leader.peers.begin(), leader.peers.end(), peer) != leader.peers.end();
+    };
+    // A peer that has not reported to the current leader yet knows only the token of the one before.
+    return !names(m_current) && names(m_previous) ? m_previous.token : m_current.token;
 }
 
 bool PeerTokens::accepts(std::string_view token) const
 {
     const absl::MutexLock lock(&m_mutex);
-    return !token.empty() && (token == m_current || token == m_previous);
+    return !token.empty() && (token == m_current.token || token == m_previous.token);
 }
 
 } // namespace bamboomoor::gateway
--- a/src/bamboomoor/gateway/peertokens.hpp
+++ b/src/bamboomoor/gateway/peertokens.hpp
@@ -9,6 +9,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace bamboomoor::gateway
 {
@@ -20,19 +21,27 @@
 class PeerTokens
 {
 public:
-    /** @brief Takes the leader's token. @param token The token; an empty one is ignored. */
-    void learn(const std::string &token);
+    /** @brief Takes the leader's token. @param token The token; an empty one is ignored. @param peers The addresses of
+     * the entries that the leader names, which know the token. */
+    void learn(const std::string &token, const std::vector<std::string> &peers);
 
-    /** @brief Returns the current token. @return Empty before the first. */
-    [[nodiscard]] std::string current() const;
+    /** @brief Selects the token that a peer knows. @param peer Its address. @return The token of the last leader that
+     * named it; empty before the first. */
+    [[nodiscard]] std::string tokenFor(const std::string &peer) const;
 
     /** @brief Tells whether a token is valid. @param token The token. @return False for an empty one. */
     [[nodiscard]] bool accepts(std::string_view token) const;
 
 private:
+    struct Leader {
+        std::string token;
+        // The peers that it named last.
+        std::vector<std::string> peers;
+    };
+
     mutable absl::Mutex m_mutex;
-    std::string m_current ABSL_GUARDED_BY(m_mutex);
-    std::string m_previous ABSL_GUARDED_BY(m_mutex);
+    Leader m_current ABSL_GUARDED_BY(m_mutex);
+    Leader m_previous ABSL_GUARDED_BY(m_mutex);
 };
 
 } // namespace bamboomoor::gateway
--- a/src/bamboomoor/gateway/relaythread.cpp
+++ b/src/bamboomoor/gateway/relaythread.cpp
@@ -289,8 +289,8 @@
     m_core.setPlacements(now, placed);
     m_core.onLeaderReports(now, event.news.words);
     m_core.onQuarantineReply(now, event.news.quarantine);
-    m_core.setPeers(std::move(event.news.peers));
-    m_context.tokens.learn(event.news.peerToken);
+    m_context.tokens.learn(event.news.peerToken, event.news.peers);
+    m_core.setPeers(now, std::move(event.news.peers), event.news.quarantine.term);
 }
 
 void RelayThread::on(base::Millis /*now*/, Draining & /*event*/)
@@ -488,7 +488,7 @@
     call.progressTimeout = call.totalTimeout;
     const bool isForwarded = !attempt.via.empty();
     if (isForwarded) {
-        call = forwardThrough(std::move(call), attempt.upstream, attempt.via, m_context.tokens.current());
+        call = forwardThrough(std::move(call), attempt.upstream, attempt.via, m_context.tokens.tokenFor(attempt.via));
         call.connectTimeout = std::min(m_options.peerConnectTimeout, attempt.remaining);
     }
     m_calls[attempt.id] = m_context.client.start(
--- a/src/bamboomoor/relay/core.hpp
+++ b/src/bamboomoor/relay/core.hpp
@@ -290,10 +290,10 @@
     /** @brief Replaces the list of available upstreams. @param workers The complete list. */
     void setWorkers(std::vector<Worker> workers);
 
-    /** @brief Replaces the list of entries that can forward requests. @param addresses "IP:PORT" of each. */
-    void setPeers(std::vector<std::string> addresses)
+    /** @copydoc UpstreamReach::setPeers */
+    void setPeers(base::Millis now, std::vector<std::string> addresses, std::uint64_t term)
     {
-        m_reach.setPeers(std::move(addresses));
+        m_reach.setPeers(now, std::move(addresses), term);
     }
 
     /** @brief Returns the detection of a partition from all upstreams. */
--- a/src/bamboomoor/relay/upstreamreach.cpp
+++ b/src/bamboomoor/relay/upstreamreach.cpp
@@ -23,14 +23,32 @@
     return it == m_peers.end() ? nullptr : &*it;
 }
 
-void UpstreamReach::setPeers(std::vector<std::string> addresses)
+void UpstreamReach::setPeers(base::Millis now, std::vector<std::string> addresses, std::uint64_t term)
 {
+    const bool isOtherLeader = std::exchange(m_peersTerm, term) != term;
     std::vector<Peer> next;
     for (std::string &it : addresses) {
         if (const Peer *known = find(it)) {
             next.push_back(*known);
+            next.back().keptUntil.reset();
         } else {
-            next.push_back({std::move(it), {}, 0});
+            next.push_back({std::move(it), {}, 0, {}});
+        }
+    }
+    const std::size_t named = next.size();
+    for (Peer &it : m_peers) {
+        const bool isNamed =
+            std::any_of(next.begin(), next.begin() + static_cast<std::ptrdiff_t>(named), [&](const Peer &peer) {
+                return peer.address == it.address;
+            });
+        if (isNamed || next.size() >= m_peers.size()) {
+            continue;
+        }
+        if (isOtherLeader && !it.keptUntil) {
+            it.keptUntil = now + m_options.formerPeerLife;
+        }
+        if (it.keptUntil && now < *it.keptUntil) {
+            next.push_back(std::move(it));
         }
     }
     m_peers = std::move(next);
--- a/src/bamboomoor/relay/upstreamreach.hpp
+++ b/src/bamboomoor/relay/upstreamreach.hpp
@@ -38,6 +38,8 @@
     base::Millis unrepeatableTrialInterval{2'000};
     // How long a peer that failed is not used.
     base::Millis peerBackoff{1'000};
+    // How long peers that a new leader does not name are kept: until every entry has reported to it.
+    base::Millis formerPeerLife{2'000};
     // The number of upstreams in a row that a peer may not reach before it counts as failed.
     int maxPeerMisses = 2;
 };
@@ -69,8 +71,14 @@
         m_upstreams = count;
     }
 
-    /** @brief Replaces the list of entries that can forward requests. @param addresses "IP:PORT" of each. */
-    void setPeers(std::vector<std::string> addresses);
+    /**
+     * @brief Replaces the list of entries that can forward requests. A new leader may not know all of them yet, so
+     * those that the one before named are kept for a while, up to their number then.
+     * @param now The current time.
+     * @param addresses "IP:PORT" of each.
+     * @param term The term of the leader that names them.
+     */
+    void setPeers(base::Millis now, std::vector<std::string> addresses, std::uint64_t term);
 
     /** @brief Records a failed direct attempt. @param now The current time. @param upstream The upstream. @param
      * failure How it failed. */
@@ -123,6 +131,8 @@
         std::string address;
         base::Millis backoffUntil;
         int misses = 0;
+        // Of a peer that the current leader has not named: until when it is kept.
+        std::optional<base::Millis> keptUntil{};
     };
 
     [[nodiscard]] Peer *find(const std::string &address);
@@ -137,6 +147,8 @@
     std::size_t m_failedConnections = 0;
     bool m_answeredSince = false;
     std::vector<Peer> m_peers;
+    // The term of the leader that named peers last.
+    std::uint64_t m_peersTerm = 0;
     std::optional<base::Millis> m_lastAnswerAt;
     bool m_cutOff = false;
     // An answer has ended the partition; evaluate() reports it.
--- a/test/bamboomoor/gateway/forwarding.cpp
+++ b/test/bamboomoor/gateway/forwarding.cpp
@@ -63,7 +63,7 @@
             m_metrics, m_log})
         , m_server(m_forwarder)
     {
-        tokens.learn("secret");
+        tokens.learn("secret", {});
         address = m_server.start("127.0.0.1:0").value();
     }
 
@@ -338,12 +338,12 @@
     peers.unavailable = true;
     BOOST_TEST(refusal("secret") == "cut_off");
     peers.unavailable = false;
-    peers.tokens.learn("next");
+    peers.tokens.learn("next", {});
     peers.known.clear();
     BOOST_TEST(upstream.requests() == 0);
     // The token of the leader before is still valid, older ones are not.
     BOOST_TEST((statementOf(*peers.send(call)).result == ForwardResult::Passed));
-    peers.tokens.learn("one more");
+    peers.tokens.learn("one more", {});
     BOOST_TEST(refusal("secret") == "token");
     BOOST_TEST(upstream.requests() == 1);
 
@@ -354,6 +354,27 @@
     BOOST_TEST(statementOf(*plain).reason == "malformed");
 }
 
+BOOST_AUTO_TEST_CASE(a_peer_that_has_not_heard_of_a_new_leader_is_sent_the_token_that_it_knows)
+{
+    RawServer upstream("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", Then::Close);
+    Peers peers;
+    gateway::PeerTokens own;
+    BOOST_TEST(own.tokenFor(peers.address).empty());
+    own.learn("secret", {peers.address});
+    own.learn("next", {"10.0.0.1:1"});
+    const auto passes = [&] {
+        const auto collector = peers.send(Peers::callTo(addressOf(upstream)), own.tokenFor(peers.address));
+        return statementOf(*collector).result == ForwardResult::Passed;
+    };
+    BOOST_TEST(passes());
+    BOOST_TEST(own.tokenFor("10.0.0.1:1") == "next");
+    // Named by both leaders: it has reported to the new one.
+    own.learn("next", {peers.address, "10.0.0.1:1"});
+    BOOST_TEST(own.tokenFor(peers.address) == "next");
+    peers.tokens.learn("next", {});
+    BOOST_TEST(passes());
+}
+
 BOOST_AUTO_TEST_CASE(entries_are_told_of_others_that_reach_upstreams_near_and_far)
 {
     gateway::EntryDirectory directory({1'500});
--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -761,7 +761,7 @@
 
 BOOST_AUTO_TEST_CASE(a_forwarding_entry_that_ends_does_not_cost_a_request_its_only_upstream)
 {
-    core.setPeers({"10.0.2.1:1", "10.0.2.2:1"});
+    core.setPeers(now, {"10.0.2.1:1", "10.0.2.2:1"}, 1);
     arrive(1, "/again/x");
     fail(last(), false);
     fail(last(), false);
--- a/test/bamboomoor/relay/cutentries.cpp
+++ b/test/bamboomoor/relay/cutentries.cpp
@@ -34,6 +34,9 @@
 // The time after the begin of the cut and after its end from which first tries are counted.
 constexpr std::int64_t CONTACT = 3'000;
 constexpr std::size_t MAX_PEERS = 6;
+// From here on entries report to a new leader, which knows them only after all have reported.
+constexpr std::int64_t LEADER_CHANGED_AT = CUT_AT + 5'000;
+constexpr std::int64_t REPORT_INTERVAL = 1'000;
 // The interval at which entries learn which others reach upstreams.
 constexpr std::int64_t PEER_INTERVAL = 250;
 
@@ -51,6 +54,8 @@
     double requestsPerSecond = 120;
     // Entries that are cut off although they are told to be peers.
     bool staleList = false;
+    // A new leader names no peers at first.
+    bool losesLeader = false;
     // Instead of a partition, the first upstreams accept no connection.
     std::size_t crashed = 0;
 };
@@ -219,15 +224,18 @@
     // A peer is named by the number of its entry.
     void exchangePeers()
     {
+        const bool isOtherLeader = m_partition.losesLeader && m_now >= LEADER_CHANGED_AT;
+        const std::uint64_t term = isOtherLeader ? 2 : 1;
+        const bool knowsNone = isOtherLeader && m_now < LEADER_CHANGED_AT + REPORT_INTERVAL;
         for (std::size_t n = 0; n < ENTRIES; ++n) {
             std::vector<std::string> peers;
-            for (std::size_t step = 0; step + 1 < ENTRIES && peers.size() < MAX_PEERS; ++step) {
+            for (std::size_t step = 0; !knowsNone && step + 1 < ENTRIES && peers.size() < MAX_PEERS; ++step) {
                 const std::size_t other = (n + 1 + (step + m_exchanges) % (ENTRIES - 1)) % ENTRIES;
                 if (m_partition.staleList || !m_cores[other]->reach().isCutOff()) {
                     peers.push_back(std::to_string(other));
                 }
             }
-            m_cores[n]->setPeers(peers);
+            m_cores[n]->setPeers({m_now}, peers, term);
         }
         ++m_exchanges;
     }
@@ -385,6 +393,31 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(
+    first_tries_at_entries_that_reach_no_upstream_are_served_while_a_new_leader_does_not_know_the_others)
+{
+    for (const Cut cut : {Cut::Hangs, Cut::Resets, Cut::RefusesNew}) {
+        for (const std::size_t entries : {1, 4, 6}) {
+            Partition partition;
+            partition.cut = cut;
+            partition.entries = entries;
+            partition.losesLeader = true;
+            Play play(partition);
+            play.run();
+            describe(partition, play);
+            BOOST_TEST_CONTEXT("cut " << static_cast<int>(cut) << ", entries " << entries)
+            {
+                BOOST_TEST(percentServed(play.cutOff) >= 95);
+                BOOST_TEST(percentServed(play.others) >= 99);
+                BOOST_TEST(percentServed(play.later) >= 99);
+                BOOST_TEST(play.executedTwice == 0);
+                BOOST_TEST(play.falselyRefused == 0);
+                BOOST_TEST(play.forwardedLater == 0);
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(crashed_upstreams_cost_one_more_hop_and_no_loop)
 {
     for (const std::size_t crashed : {3, 5, 10}) {
--- a/test/bamboomoor/relay/endings.cpp
+++ b/test/bamboomoor/relay/endings.cpp
@@ -363,7 +363,7 @@
         for (std::int64_t n = below(4); n > 0; --n) {
             peers.push_back("10.0.2.1:" + std::to_string(n));
         }
-        m_core.setPeers(std::move(peers));
+        m_core.setPeers(m_now, std::move(peers), below(3) == 0 ? 2 : 1);
     }
 
     void replyAsLeader()
