List a quarantine by an entry that is cut off without peers as known red

A sound request that its caller repeats is quarantined for all entries, for ten minutes, by an entry that is partitioned from all upstreams and knows no peers: it takes connections that are refused meanwhile for crashes of upstreams which closed earlier ones. With peers the refusals are left out.

--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -759,6 +759,35 @@
     BOOST_TEST(core.inProgress() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(an_entry_that_is_cut_off_without_peers_does_not_quarantine_a_sound_request)
+{
+    core.setWorkers({worker("w1"), worker("w2"), worker("w3")});
+    arrive(1, "/again/x");
+    fail(last(), false);
+    fail(last(), false);
+    now += base::Millis{300};
+    fail(last(), false);
+    BOOST_REQUIRE(core.reach().isCutOff());
+    std::size_t lost = 0;
+    for (std::uint64_t id = 2; id < 20; ++id) {
+        arrive(id, "/again/x");
+        // Connections are closed with the request unread, later refused.
+        for (bool loses = id < 6; !world.open.empty(); loses = false) {
+            if (loses) {
+                loseConnection(last());
+                ++lost;
+            } else {
+                fail(last(), false);
+            }
+        }
+        now += base::Millis{400};
+        core.tick(now);
+    }
+    BOOST_TEST(core.reach().isCutOff());
+    BOOST_TEST(lost >= 3U);
+    BOOST_TEST(core.takeQuarantineReport(now).quarantines.empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_forwarding_entry_that_ends_does_not_cost_a_request_its_only_upstream)
 {
     core.setPeers(now, {"10.0.2.1:1", "10.0.2.2:1"}, 1);
