Log elections, ends of leaderships, slow syncs and rejected changes (CONFIG)

Now each step of an election and each end of a leadership says its cause, a slow sync and a late voter's thread are logged, and a change that a follower rejected reads outcome=rejected, with the VM that was asked, where it read outcome=unknown as one that a leader had taken. Reads that are not confirmed are logged too. No decision changes.

--- a/src/bamboomoor/consensus/election.cpp
+++ b/src/bamboomoor/consensus/election.cpp
@@ -54,7 +54,7 @@
             return false;
         }
         if (!request->preVote && message.term > m_hard.term) {
-            becomeFollower(message.term, {});
+            becomeFollower(message.term, {}, RoleCause::HigherTerm);
         }
         return true;
     }
@@ -62,7 +62,7 @@
         return m_role == Role::PreCandidate && message.term == m_hard.term + 1;
     }
     if (message.term > m_hard.term) {
-        becomeFollower(message.term, {});
+        becomeFollower(message.term, {}, RoleCause::HigherTerm);
     }
     if (message.term < m_hard.term
         && (std::holds_alternative<Append>(message.body) || std::holds_alternative<InstallSnapshot>(message.body))) {
@@ -87,7 +87,7 @@
         send(from, VoteReply{false, false});
         return;
     }
-    m_role = Role::Follower;
+    setRole(Role::Follower, RoleCause::VoteGranted);
     setHardState(term, from);
     resetElectionTimer();
     sendDurable(from, VoteReply{false, true});
@@ -123,7 +123,7 @@
 
 void Node::startPreVote()
 {
-    m_role = Role::PreCandidate;
+    setRole(Role::PreCandidate, RoleCause::ElectionTimeout);
     m_leader.clear();
     m_granted = {m_options.self};
     resetElectionTimer();
@@ -133,11 +133,11 @@
 
 void Node::startElection(bool transfer)
 {
-    m_role = Role::Candidate;
+    setHardState(m_hard.term + 1, m_options.self);
+    setRole(Role::Candidate, transfer ? RoleCause::TransferRequested : RoleCause::PreVotesGranted);
     m_leader.clear();
     m_granted.clear();
     m_verified = m_commit;
-    setHardState(m_hard.term + 1, m_options.self);
     m_campaignSequence = m_sequence + 1;
     resetElectionTimer();
     requestVotes(false, transfer);
@@ -170,7 +170,19 @@
     }
 }
 
-void Node::becomeFollower(std::uint64_t term, const VoterId &leader)
+void Node::setRole(Role role, RoleCause cause)
+{
+    if (role == Role::Follower && m_role == Role::Follower) {
+        return;
+    }
+    const bool campaigned = m_role == Role::PreCandidate || m_role == Role::Candidate;
+    const bool ownVoteSynced = m_role != Role::Candidate || m_granted.contains(m_options.self);
+    m_out.roleChanges.push_back(
+        {m_role, role, cause, m_hard.term, campaigned ? m_granted.size() : 0, ownVoteSynced});
+    m_role = role;
+}
+
+void Node::becomeFollower(std::uint64_t term, const VoterId &leader, RoleCause cause)
 {
     if (m_role == Role::Leader) {
         abandonRequests();
@@ -180,7 +192,7 @@
         m_verified = m_commit;
         m_incoming.reset();
     }
-    m_role = Role::Follower;
+    setRole(Role::Follower, cause);
     m_leader = leader;
     m_progress.clear();
     m_transferDeadline = base::NEVER;
@@ -189,7 +201,7 @@
 
 void Node::becomeLeader()
 {
-    m_role = Role::Leader;
+    setRole(Role::Leader, RoleCause::Elected);
     m_leader = m_options.self;
     m_progress.clear();
     m_reads.clear();
--- a/src/bamboomoor/consensus/follower.cpp
+++ b/src/bamboomoor/consensus/follower.cpp
@@ -23,7 +23,7 @@
 void Node::followLeader(const VoterId &from, bool toLearner)
 {
     if (m_role != Role::Follower || m_leader != from) {
-        becomeFollower(m_hard.term, from);
+        becomeFollower(m_hard.term, from, RoleCause::LeaderHeard);
     }
     m_leaderContactAt = m_now;
     resetElectionTimer();
--- a/src/bamboomoor/consensus/inputs.hpp
+++ b/src/bamboomoor/consensus/inputs.hpp
@@ -124,6 +124,46 @@
     VoterId leader;
 };
 
+/** @brief Raft roles of a node. */
+enum class Role { Follower, PreCandidate, Candidate, Leader };
+
+/** @brief Names of the roles. */
+inline constexpr auto ROLE_NAMES = base::makeNames<Role>("follower", "pre-candidate", "candidate", "leader");
+
+/** @brief Why a node changed its role, or began another attempt to be elected. */
+enum class RoleCause {
+    // No leader was heard, or an attempt to be elected got too few votes in time.
+    ElectionTimeout,
+    PreVotesGranted,
+    TransferRequested,
+    Elected,
+    VoteGranted,
+    LeaderHeard,
+    HigherTerm,
+    // The leader heard nothing from a quorum for an election timeout.
+    QuorumSilent,
+    TransferTimeout,
+    Removed,
+};
+
+/** @brief Names of the causes. */
+inline constexpr auto ROLE_CAUSE_NAMES =
+    base::makeNames<RoleCause>("election-timeout", "pre-votes-granted", "transfer-requested", "elected", "vote-granted",
+        "leader-heard", "higher-term", "quorum-silent", "transfer-timeout", "removed");
+
+/** @brief A change of a node's role. */
+struct RoleChange {
+    Role from = Role::Follower;
+    Role to = Role::Follower;
+    RoleCause cause = RoleCause::ElectionTimeout;
+    // After the change.
+    std::uint64_t term = 0;
+    // Votes or pre-votes that the node held before the change, its own included.
+    std::size_t votes = 0;
+    // False if the change ended a candidacy whose vote for itself was not synced yet.
+    bool ownVoteSynced = true;
+};
+
 /** @brief Output of a step. Messages that depend on unsynced data are deferred by the node itself. */
 struct Outputs {
     // May be sent immediately; the protocol tolerates reordering, loss and duplication.
@@ -135,6 +175,8 @@
     std::vector<Entry> committed;
     std::vector<ProposalResult> proposals;
     std::vector<ReadResult> reads;
+    // In order; a repeated attempt to be elected counts as a change.
+    std::vector<RoleChange> roleChanges;
 };
 
 } // namespace bamboomoor::consensus
--- a/src/bamboomoor/consensus/leader.cpp
+++ b/src/bamboomoor/consensus/leader.cpp
@@ -132,8 +132,12 @@
 
 void Node::leaderTick()
 {
-    if (hasLostQuorum() || m_now >= m_transferDeadline) {
-        becomeFollower(m_hard.term, {});
+    if (hasLostQuorum()) {
+        becomeFollower(m_hard.term, {}, RoleCause::QuorumSilent);
+        return;
+    }
+    if (m_now >= m_transferDeadline) {
+        becomeFollower(m_hard.term, {}, RoleCause::TransferTimeout);
         return;
     }
     if (m_now >= m_heartbeatDeadline) {
--- a/src/bamboomoor/consensus/membership.cpp
+++ b/src/bamboomoor/consensus/membership.cpp
@@ -135,7 +135,7 @@
     if (m_role == Role::Leader && settled && !isVoter(m_options.self)) {
         // The other members learn of the commit before their leader stops sending.
         flush();
-        becomeFollower(m_hard.term, {});
+        becomeFollower(m_hard.term, {}, RoleCause::Removed);
     }
 }
 
--- a/src/bamboomoor/consensus/node.hpp
+++ b/src/bamboomoor/consensus/node.hpp
@@ -18,12 +18,6 @@
 namespace bamboomoor::consensus
 {
 
-/** @brief Raft roles of a node. */
-enum class Role { Follower, PreCandidate, Candidate, Leader };
-
-/** @brief Names of the roles. */
-inline constexpr auto ROLE_NAMES = base::makeNames<Role>("follower", "pre-candidate", "candidate", "leader");
-
 /** @brief Raft state machine of one member of the group. */
 class Node
 {
@@ -182,7 +176,8 @@
     void startElection(bool transfer);
     void requestVotes(bool preVote, bool transfer);
     void countVotes();
-    void becomeFollower(std::uint64_t term, const VoterId &leader);
+    void becomeFollower(std::uint64_t term, const VoterId &leader, RoleCause cause);
+    void setRole(Role role, RoleCause cause);
     void becomeLeader();
     void resetElectionTimer();
     void abandonRequests();
--- a/src/bamboomoor/control/voterthread.cpp
+++ b/src/bamboomoor/control/voterthread.cpp
@@ -156,14 +156,19 @@
 void VoterThread::run()
 {
     while (!m_stopping && !m_failed) {
-        const base::Millis wait = std::clamp(m_node->nextDeadline() - m_clock.now(), base::Millis{0}, MAX_WAIT);
+        const base::Millis due = std::max(m_node->nextDeadline(), m_clock.now());
+        const base::Millis wait = std::clamp(due - m_clock.now(), base::Millis{0}, MAX_WAIT);
         std::vector<consensus::Input> inputs;
         takeJobs(inputs, wait);
         inputs.emplace_back(consensus::Tick{});
-        process(m_node->stepAll(m_clock.now(), std::move(inputs)));
+        const base::Millis began = m_clock.now();
+        const std::size_t count = inputs.size();
+        m_stepSynced = {};
+        process(m_node->stepAll(began, std::move(inputs)));
         compactIfDue();
         followRole();
         publishStatus();
+        logSlowStep(count, due, began);
     }
     // Complete every pending job, proposal and read.
     m_ring.close();
@@ -216,6 +221,7 @@
 {
     // Completing a persist step releases further outputs, such as acknowledgements.
     while (true) {
+        logRoles(outputs.roleChanges);
         send(outputs.messages);
         if (outputs.installed) {
             install(*outputs.installed);
@@ -244,7 +250,15 @@
 bool VoterThread::persist(const consensus::Persist &persist)
 {
     trackTail(persist);
+    const base::Millis began = m_clock.now();
     const auto written = write(persist);
+    const base::Millis took = m_clock.now() - began;
+    m_stepSynced = m_stepSynced + took;
+    if (took >= m_options.slowStep) {
+        LOG(WARNING) << "event=slow_sync sync_ms=" << took.count << " entries=" << persist.entries.size()
+                     << " snapshot=" << (persist.snapshot ? 1 : 0)
+                     << " role=" << consensus::ROLE_NAMES.name(m_node->role()) << " term=" << m_node->term();
+    }
     if (!written) {
         fail(storage::describe(written.error()));
         return false;
@@ -359,6 +373,28 @@
     }
 }
 
+void VoterThread::logRoles(const std::vector<consensus::RoleChange> &changes) const
+{
+    for (const consensus::RoleChange &it : changes) {
+        LOG(INFO) << "event=role_changed from=" << consensus::ROLE_NAMES.name(it.from)
+                  << " to=" << consensus::ROLE_NAMES.name(it.to)
+                  << " cause=" << consensus::ROLE_CAUSE_NAMES.name(it.cause) << " term=" << it.term
+                  << " votes=" << it.votes << " own_vote_synced=" << (it.ownVoteSynced ? 1 : 0)
+                  << " voters=" << m_node->membership().voters.size() << " leader=" << m_node->leader();
+    }
+}
+
+void VoterThread::logSlowStep(std::size_t inputs, base::Millis due, base::Millis began) const
+{
+    const base::Millis late = std::max(began - due, base::Millis{});
+    const base::Millis took = m_clock.now() - began - m_stepSynced;
+    if (took >= m_options.slowStep || late >= m_options.slowStep) {
+        LOG(WARNING) << "event=slow_step thread=voter inputs=" << inputs << " late_ms=" << late.count
+                     << " step_ms=" << took.count << " queued=" << m_ring.size() << " role=" << consensus::ROLE_NAMES.name(m_node->role())
+                     << " term=" << m_node->term();
+    }
+}
+
 void VoterThread::publishStatus()
 {
     VoterStatus status;
--- a/src/bamboomoor/control/voterthread.hpp
+++ b/src/bamboomoor/control/voterthread.hpp
@@ -101,6 +101,8 @@
     std::uint64_t snapshotInterval = 2'000;
     // Maximum number of queued jobs; further ones are rejected.
     std::size_t ringSize = 8'192;
+    // A sync, a step without its syncs, or a late wake-up that takes at least this long is logged.
+    base::Millis slowStep{200};
 };
 
 /** @brief Runs a voter of the control group on its own thread. */
@@ -207,6 +209,8 @@
     void answer(const consensus::Outputs &outputs);
     void compactIfDue();
     void followRole();
+    void logRoles(const std::vector<consensus::RoleChange> &changes) const;
+    void logSlowStep(std::size_t inputs, base::Millis due, base::Millis began) const;
     void publishStatus();
     void fail(const std::string &reason);
     void refuse(Job job);
@@ -238,6 +242,8 @@
     std::uint64_t m_leadingTerm = 0;
     std::uint64_t m_seenVersion = 0;
     bool m_failed = false;
+    // Time spent in syncs since the step began.
+    base::Millis m_stepSynced;
 
     mutable absl::Mutex m_mutex;
     VoterStatus m_status ABSL_GUARDED_BY(m_mutex);
--- a/src/bamboomoor/gateway/controlapi.cpp
+++ b/src/bamboomoor/gateway/controlapi.cpp
@@ -19,6 +19,14 @@
 
 constexpr int OK = 200;
 
+/** @brief Names the outcome of a change that was not applied: a rejected one never takes effect. */
+std::string_view unappliedOutcome(const std::optional<peer::wire::ProposeReply> &reply)
+{
+    const bool rejected =
+        reply && (reply->verdict() == peer::wire::NOT_LEADER || reply->verdict() == peer::wire::REFUSED);
+    return rejected ? "rejected" : "unknown";
+}
+
 } // namespace
 
 void ControlApi::handle(http::Request request, std::shared_ptr<http::Responder> responder)
@@ -122,6 +130,10 @@
     }
     peer::Client *leader = this->leader();
     if (leader == nullptr) {
+        m_context.log.write(base::LogLine("configuration_call")
+                                .add("version", static_cast<std::int64_t>(call.version))
+                                .add("outcome", "rejected")
+                                .add("reason", "no_leader_known"));
         responder->respond(m_context.dialect.unavailable("no leader is known here"));
         return;
     }
@@ -134,19 +146,24 @@
     peer::wire::ProposeRequest request;
     request.set_command(state::encode(command));
     leader->call(request, m_options.timeout,
-        [this, responder, version = call.version](const std::optional<peer::wire::ProposeReply> &reply) {
-            responder->respond(answerReplace(version, reply));
+        [this, responder, version = call.version, asked = leader->address()](
+            const std::optional<peer::wire::ProposeReply> &reply) {
+            responder->respond(answerReplace(version, asked, reply));
         });
 }
 
 http::Response ControlApi::answerReplace(
-    std::uint64_t version, const std::optional<peer::wire::ProposeReply> &reply) const
+    std::uint64_t version, const std::string &asked, const std::optional<peer::wire::ProposeReply> &reply) const
 {
     base::LogLine line("configuration_call");
     line.add("version", static_cast<std::int64_t>(version));
     if (!reply || reply->verdict() != peer::wire::APPLIED) {
-        m_context.metrics.changed("unknown");
-        m_context.log.write(line.add("outcome", "unknown").add("reason", reply ? reply->reason() : "no_answer"));
+        const std::string_view outcome = unappliedOutcome(reply);
+        m_context.metrics.changed(outcome);
+        m_context.log.write(line.add("outcome", outcome)
+                                .add("reason", reply ? reply->reason() : "no_answer")
+                                .add("asked", asked)
+                                .add("leader", reply ? reply->leader() : std::string()));
         return m_context.dialect.unavailable("the leader did not confirm the change");
     }
     const auto outcome = state::decodeOutcome(reply->outcome());
@@ -167,14 +184,20 @@
 {
     peer::Client *leader = this->leader();
     if (leader == nullptr) {
+        m_context.log.write(base::LogLine("configuration_read").add("outcome", "no_leader_known"));
         responder->respond(m_context.dialect.unavailable("no leader is known here"));
         return;
     }
     peer::wire::HistoryRequest request;
     request.set_version(peer::VERSION_IN_FORCE);
-    leader->call(request, m_options.timeout, [this, responder](const std::optional<peer::wire::HistoryReply> &reply) {
+    leader->call(request, m_options.timeout, [this, responder, asked = leader->address()](
+                                                 const std::optional<peer::wire::HistoryReply> &reply) {
         const bool confirmed = reply && reply->confirmed() && !reply->records().empty();
         if (!confirmed || !reply->records(0).has_source()) {
+            m_context.log.write(base::LogLine("configuration_read")
+                                    .add("outcome", reply ? "unconfirmed" : "no_answer")
+                                    .add("asked", asked)
+                                    .add("leader", reply ? reply->leader() : std::string()));
             responder->respond(m_context.dialect.unavailable("no quorum confirms a configuration"));
             return;
         }
--- a/src/bamboomoor/gateway/controlapi.hpp
+++ b/src/bamboomoor/gateway/controlapi.hpp
@@ -71,7 +71,7 @@
     [[nodiscard]] bool isLed();
     [[nodiscard]] peer::Client *leader() const;
     [[nodiscard]] http::Response answerReplace(
-        std::uint64_t version, const std::optional<peer::wire::ProposeReply> &reply) const;
+        std::uint64_t version, const std::string &asked, const std::optional<peer::wire::ProposeReply> &reply) const;
 
     ControlApiOptions m_options;
     ControlApiContext m_context;
