Show that slow disks keep the control group without a leader (CONFIG), known red

Three voters whose syncs take three times the election timeout: a leader that was elected before steps down at its second change and reports it as unknown, and a group that starts on such disks elects nobody in 20 s, as each candidate begins again before its own vote is synced. The terms rise, leadership_begun is never logged and every call ends as not-leader: what the record of the users shows. VoterOptions names the function that opens the folder, so that a test can slow it down.

--- a/src/bamboomoor/consensus/election.cpp
+++ b/src/bamboomoor/consensus/election.cpp
@@ -177,8 +177,7 @@
     }
     const bool campaigned = m_role == Role::PreCandidate || m_role == Role::Candidate;
     const bool ownVoteSynced = m_role != Role::Candidate || m_granted.contains(m_options.self);
-    m_out.roleChanges.push_back(
-        {m_role, role, cause, m_hard.term, campaigned ? m_granted.size() : 0, ownVoteSynced});
+    m_out.roleChanges.push_back({m_role, role, cause, m_hard.term, campaigned ? m_granted.size() : 0, ownVoteSynced});
     m_role = role;
 }
 
--- a/src/bamboomoor/control/voterthread.cpp
+++ b/src/bamboomoor/control/voterthread.cpp
@@ -42,6 +42,12 @@
 
 } // namespace
 
+storage::Result<std::unique_ptr<storage::FileSystem>> openLogFolder(const std::string &path)
+{
+    BOOST_OUTCOME_TRY(folder, storage::PosixFolder::open(path));
+    return std::move(folder);
+}
+
 VoterThread::VoterThread(VoterOptions options, const PeerRegistry &peers, const base::Clock &clock)
     : m_options(std::move(options))
     , m_peers(peers)
@@ -63,7 +69,7 @@
 
 base::Result<void, std::string> VoterThread::start()
 {
-    auto folder = storage::PosixFolder::open(m_options.folder);
+    auto folder = m_options.openFolder(m_options.folder);
     if (!folder) {
         return base::failure(storage::describe(folder.error()));
     }
@@ -390,8 +396,8 @@
     const base::Millis took = m_clock.now() - began - m_stepSynced;
     if (took >= m_options.slowStep || late >= m_options.slowStep) {
         LOG(WARNING) << "event=slow_step thread=voter inputs=" << inputs << " late_ms=" << late.count
-                     << " step_ms=" << took.count << " queued=" << m_ring.size() << " role=" << consensus::ROLE_NAMES.name(m_node->role())
-                     << " term=" << m_node->term();
+                     << " step_ms=" << took.count << " queued=" << m_ring.size()
+                     << " role=" << consensus::ROLE_NAMES.name(m_node->role()) << " term=" << m_node->term();
     }
 }
 
--- a/src/bamboomoor/control/voterthread.hpp
+++ b/src/bamboomoor/control/voterthread.hpp
@@ -93,10 +93,20 @@
     virtual void onConfiguration(const state::Machine &machine) = 0;
 };
 
+/**
+ * @brief Opens the folder of a voter's log.
+ * @param path The folder, created if necessary.
+ * @return The folder; fails with Io, or with Locked if another process has it open.
+ */
+[[nodiscard]] storage::Result<std::unique_ptr<storage::FileSystem>> openLogFolder(const std::string &path);
+
 /** @brief Settings of a voter. */
 struct VoterOptions {
     consensus::Options node;
     std::string folder;
+    // Opens the folder; tests replace it by one with faults.
+    std::function<storage::Result<std::unique_ptr<storage::FileSystem>>(const std::string &)> openFolder =
+        openLogFolder;
     // Number of entries applied between two snapshots.
     std::uint64_t snapshotInterval = 2'000;
     // Maximum number of queued jobs; further ones are rejected.
--- a/src/bamboomoor/gateway/controlapi.cpp
+++ b/src/bamboomoor/gateway/controlapi.cpp
@@ -190,19 +190,19 @@
     }
     peer::wire::HistoryRequest request;
     request.set_version(peer::VERSION_IN_FORCE);
-    leader->call(request, m_options.timeout, [this, responder, asked = leader->address()](
-                                                 const std::optional<peer::wire::HistoryReply> &reply) {
-        const bool confirmed = reply && reply->confirmed() && !reply->records().empty();
-        if (!confirmed || !reply->records(0).has_source()) {
-            m_context.log.write(base::LogLine("configuration_read")
-                                    .add("outcome", reply ? "unconfirmed" : "no_answer")
-                                    .add("asked", asked)
-                                    .add("leader", reply ? reply->leader() : std::string()));
-            responder->respond(m_context.dialect.unavailable("no quorum confirms a configuration"));
-            return;
-        }
-        responder->respond(m_context.dialect.document(reply->records(0).source()));
-    });
+    leader->call(request, m_options.timeout,
+        [this, responder, asked = leader->address()](const std::optional<peer::wire::HistoryReply> &reply) {
+            const bool confirmed = reply && reply->confirmed() && !reply->records().empty();
+            if (!confirmed || !reply->records(0).has_source()) {
+                m_context.log.write(base::LogLine("configuration_read")
+                                        .add("outcome", reply ? "unconfirmed" : "no_answer")
+                                        .add("asked", asked)
+                                        .add("leader", reply ? reply->leader() : std::string()));
+                responder->respond(m_context.dialect.unavailable("no quorum confirms a configuration"));
+                return;
+            }
+            responder->respond(m_context.dialect.document(reply->records(0).source()));
+        });
 }
 
 } // namespace bamboomoor::gateway
--- /dev/null
+++ b/test/bamboomoor/control/voterthread.cpp
@@ -0,0 +1,276 @@
+/**
+ * Tests of voter threads that form a group over gRPC on loopback, with disks whose syncs are slow.
+ */
+#include "bamboomoor/control/voterthread.hpp"
+#include "bamboomoor/control/consensuswire.hpp"
+#include "bamboomoor/peer/server.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <chrono>
+#include <cstdlib>
+#include <filesystem>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace bamboomoor;
+
+namespace
+{
+
+constexpr std::chrono::seconds LIMIT{20};
+constexpr std::chrono::milliseconds PAUSE{10};
+constexpr base::Millis ELECTION_TIMEOUT{300};
+constexpr base::Millis HEARTBEAT{50};
+constexpr std::size_t VOTERS = 3;
+
+/** @brief A folder whose syncs take as long as the test wishes. */
+class SlowFolder final : public storage::FileSystem
+{
+public:
+    SlowFolder(std::unique_ptr<storage::FileSystem> files, const std::atomic<int> &syncMillis)
+        : m_files(std::move(files))
+        , m_syncMillis(syncMillis)
+    {
+    }
+
+    [[nodiscard]] storage::Result<std::optional<std::string>> read(const std::string &name) override
+    {
+        return m_files->read(name);
+    }
+    [[nodiscard]] storage::Result<void> append(const std::string &name, std::string_view bytes) override
+    {
+        return m_files->append(name, bytes);
+    }
+    [[nodiscard]] storage::Result<void> truncate(const std::string &name, std::uint64_t size) override
+    {
+        return m_files->truncate(name, size);
+    }
+    [[nodiscard]] storage::Result<void> sync(const std::string &name) override
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(m_syncMillis));
+        return m_files->sync(name);
+    }
+    [[nodiscard]] storage::Result<void> rename(const std::string &from, const std::string &to) override
+    {
+        return m_files->rename(from, to);
+    }
+    [[nodiscard]] storage::Result<void> remove(const std::string &name) override
+    {
+        return m_files->remove(name);
+    }
+    [[nodiscard]] storage::Result<void> syncFolder() override
+    {
+        return m_files->syncFolder();
+    }
+
+private:
+    std::unique_ptr<storage::FileSystem> m_files;
+    const std::atomic<int> &m_syncMillis;
+};
+
+/** @brief Hands consensus messages to a voter. */
+class Receiver final : public peer::Handler
+{
+public:
+    explicit Receiver(control::VoterThread &voter)
+        : m_voter(voter)
+    {
+    }
+
+    void deliver(const peer::wire::Envelope &envelope) override
+    {
+        if (auto message = control::fromWire(envelope)) {
+            m_voter.deliver(*std::move(message));
+        }
+    }
+    void propose(const peer::wire::ProposeRequest & /*request*/, peer::Answer<peer::wire::ProposeReply> answer) override
+    {
+        answer({});
+    }
+    void freshen(const peer::wire::FreshenRequest & /*request*/, peer::Answer<peer::wire::FreshenReply> answer) override
+    {
+        answer({});
+    }
+    void witness(const peer::wire::WitnessRequest & /*request*/, peer::Answer<peer::wire::WitnessReply> answer) override
+    {
+        answer({});
+    }
+    void ask(const peer::wire::BudgetAsk & /*request*/, peer::Answer<peer::wire::BudgetReply> answer) override
+    {
+        answer({});
+    }
+    void syncUpstreams(
+        const peer::wire::UpstreamSync & /*request*/, peer::Answer<peer::wire::UpstreamSync> answer) override
+    {
+        answer({});
+    }
+    void history(const peer::wire::HistoryRequest & /*request*/, peer::Answer<peer::wire::HistoryReply> answer) override
+    {
+        answer({});
+    }
+    void reportDemand(
+        const peer::wire::DemandReport & /*request*/, peer::Answer<peer::wire::DemandReply> answer) override
+    {
+        answer({});
+    }
+    void join(const peer::wire::JoinRequest & /*request*/, peer::Answer<peer::wire::JoinReply> answer) override
+    {
+        answer({});
+    }
+
+private:
+    control::VoterThread &m_voter;
+};
+
+std::string freeAddress()
+{
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    BOOST_REQUIRE(bind(listener, reinterpret_cast<sockaddr *>(&address), size) == 0);
+    getsockname(listener, reinterpret_cast<sockaddr *>(&address), &size);
+    close(listener);
+    return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+}
+
+/** @brief A voter with its disk and its server. */
+struct Vm {
+    Vm(control::VoterOptions options, const std::vector<control::VoterAddress> &addresses, const base::Clock &clock)
+        : peers(addresses)
+        , voter(std::move(options), peers, clock)
+        , receiver(voter)
+        , server(receiver)
+    {
+    }
+    ~Vm()
+    {
+        voter.stop();
+        server.stop();
+        peers.stop();
+    }
+    Vm(const Vm &) = delete;
+    Vm &operator=(const Vm &) = delete;
+
+    control::PeerRegistry peers;
+    control::VoterThread voter;
+    Receiver receiver;
+    peer::Server server;
+};
+
+class Group
+{
+public:
+    explicit Group(int syncMillis)
+        : m_syncMillis(syncMillis)
+    {
+        std::string name = (std::filesystem::temp_directory_path() / "bamboomoor-voters-XXXXXX").string();
+        BOOST_REQUIRE(mkdtemp(name.data()) != nullptr);
+        m_folder = name;
+        std::vector<control::VoterAddress> addresses;
+        control::VoterOptions options;
+        for (std::size_t n = 0; n < VOTERS; ++n) {
+            addresses.push_back({"v" + std::to_string(n), freeAddress()});
+            options.node.initialVoters.push_back(addresses.back().name);
+        }
+        options.node.bootstrap = true;
+        options.node.electionTimeout = ELECTION_TIMEOUT;
+        options.node.heartbeat = HEARTBEAT;
+        options.openFolder = [this](const std::string &path) -> storage::Result<std::unique_ptr<storage::FileSystem>> {
+            BOOST_OUTCOME_TRY(files, storage::PosixFolder::open(path));
+            return std::make_unique<SlowFolder>(std::move(files), m_syncMillis);
+        };
+        for (std::size_t n = 0; n < VOTERS; ++n) {
+            options.node.self = addresses[n].name;
+            options.node.seed = n + 1;
+            options.folder = (m_folder / addresses[n].name).string();
+            m_vms.push_back(std::make_unique<Vm>(options, addresses, m_clock));
+            BOOST_REQUIRE(m_vms.back()->voter.start().has_value());
+            BOOST_REQUIRE(m_vms.back()->server.start(addresses[n].address).has_value());
+        }
+    }
+    ~Group()
+    {
+        m_syncMillis = 0;
+        m_vms.clear();
+        std::filesystem::remove_all(m_folder);
+    }
+    Group(const Group &) = delete;
+    Group &operator=(const Group &) = delete;
+
+    void setSync(base::Millis took)
+    {
+        m_syncMillis = static_cast<int>(took.count);
+    }
+
+    /** @brief Returns the voter that leads and has committed in its term; waits for one. */
+    control::VoterThread &leader()
+    {
+        const auto end = std::chrono::steady_clock::now() + LIMIT;
+        while (std::chrono::steady_clock::now() < end) {
+            for (const auto &it : m_vms) {
+                if (it->voter.status().confirmedAt) {
+                    return it->voter;
+                }
+            }
+            std::this_thread::sleep_for(PAUSE);
+        }
+        BOOST_FAIL("no voter became a leader that commits");
+        throw std::logic_error("not reached");
+    }
+
+    static consensus::ProposalStatus propose(control::VoterThread &voter, const std::string &payload)
+    {
+        auto done = std::make_shared<std::promise<consensus::ProposalStatus>>();
+        voter.propose(payload, std::nullopt, [done](const control::ProposalOutcome &it) {
+            done->set_value(it.status);
+        });
+        auto status = done->get_future();
+        BOOST_REQUIRE((status.wait_for(LIMIT) == std::future_status::ready));
+        return status.get();
+    }
+
+private:
+    base::SteadyClock m_clock;
+    std::atomic<int> m_syncMillis;
+    std::filesystem::path m_folder;
+    std::vector<std::unique_ptr<Vm>> m_vms;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(voterthread)
+
+BOOST_AUTO_TEST_CASE(a_leader_does_not_step_down_while_syncs_outlast_the_election_timeout)
+{
+    constexpr int CHANGES = 4;
+    Group group(0);
+    control::VoterThread &leader = group.leader();
+    const std::uint64_t term = leader.status().term;
+    group.setSync(ELECTION_TIMEOUT * 3);
+    for (int n = 0; n < CHANGES; ++n) {
+        BOOST_TEST((Group::propose(leader, std::to_string(n)) == consensus::ProposalStatus::Committed));
+    }
+    BOOST_TEST((leader.status().role == consensus::Role::Leader));
+    BOOST_TEST(leader.status().term == term);
+}
+
+BOOST_AUTO_TEST_CASE(a_group_elects_a_leader_although_syncs_outlast_the_election_timeout)
+{
+    Group group(static_cast<int>((ELECTION_TIMEOUT * 3).count));
+    control::VoterThread &leader = group.leader();
+    BOOST_TEST((Group::propose(leader, "x") == consensus::ProposalStatus::Committed));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
