Write and sync a voter's log on a thread of its own (CONFIG)

What callers saw: changes of the configuration ended as unknown, and grants stopped, while a disk was slow. Cause: VoterThread wrote and synced on the thread that sends heartbeats, takes their replies and answers votes and reads. A sync longer than the election timeout ended the leadership, and several in a row (a compaction syncs five times) did the same on a faster disk. The core has always allowed a sync that is still under way; only its shell waited. Change: LogWriter takes what is to be written, in order, and reports each sync to the voter's ring, also to a full one, as the report belongs to accepted work. What queues up during a sync shares the next. Ruled out: a longer election timeout, which only moves the bound and slows every real failover.

--- a/src/bamboomoor/control/voterthread.cpp
+++ b/src/bamboomoor/control/voterthread.cpp
@@ -100,6 +100,10 @@
     }
     m_node = std::make_unique<consensus::Node>(m_options.node, std::move(recovered));
     publishStatus();
+    m_writer = std::make_unique<LogWriter>(*m_store, m_clock, [this](LogWritten written) {
+        m_ring.deliver(Job(std::move(written)));
+    });
+    m_writer->start();
     m_thread = std::thread([this] {
         run();
     });
@@ -113,6 +117,9 @@
     if (m_thread.joinable()) {
         m_thread.join();
     }
+    if (m_writer) {
+        m_writer->stop();
+    }
 }
 
 void VoterThread::deliver(consensus::Message message)
@@ -169,7 +176,6 @@
         inputs.emplace_back(consensus::Tick{});
         const base::Millis began = m_clock.now();
         const std::size_t count = inputs.size();
-        m_stepSynced = {};
         process(m_node->stepAll(began, std::move(inputs)));
         compactIfDue();
         followRole();
@@ -219,28 +225,39 @@
                    [&](LocalLogJob &it) {
                        it.done(localLogReport());
                    },
+                   [&](const LogWritten &it) {
+                       takeWritten(inputs, it);
+                   },
                },
         job);
 }
 
+void VoterThread::takeWritten(std::vector<consensus::Input> &inputs, const LogWritten &written)
+{
+    if (written.took >= m_options.slowStep) {
+        LOG(WARNING) << "event=slow_sync sync_ms=" << written.took.count << " entries=" << written.entries
+                     << " snapshot=" << (written.hasSnapshot ? 1 : 0)
+                     << " role=" << consensus::ROLE_NAMES.name(m_node->role()) << " term=" << m_node->term();
+    }
+    if (!written.error.empty()) {
+        fail(written.error);
+        return;
+    }
+    inputs.emplace_back(consensus::PersistDone{written.sequence});
+}
+
 void VoterThread::process(consensus::Outputs outputs)
 {
-    // Completing a persist step releases further outputs, such as acknowledgements.
-    while (true) {
-        logRoles(outputs.roleChanges);
-        send(outputs.messages);
-        if (outputs.installed) {
-            install(*outputs.installed);
-        }
-        apply(outputs.committed);
-        answer(outputs);
-        if (!outputs.persist) {
-            return;
-        }
-        if (!persist(*outputs.persist)) {
-            return;
-        }
-        outputs = m_node->step(m_clock.now(), consensus::PersistDone{outputs.persist->sequence});
+    logRoles(outputs.roleChanges);
+    send(outputs.messages);
+    if (outputs.installed) {
+        install(*outputs.installed);
+    }
+    apply(outputs.committed);
+    answer(outputs);
+    if (outputs.persist) {
+        trackTail(*outputs.persist);
+        m_writer->write(*std::move(outputs.persist));
     }
 }
 
@@ -253,31 +270,6 @@
     }
 }
 
-bool VoterThread::persist(const consensus::Persist &persist)
-{
-    trackTail(persist);
-    const base::Millis began = m_clock.now();
-    const auto written = write(persist);
-    const base::Millis took = m_clock.now() - began;
-    m_stepSynced = m_stepSynced + took;
-    if (took >= m_options.slowStep) {
-        LOG(WARNING) << "event=slow_sync sync_ms=" << took.count << " entries=" << persist.entries.size()
-                     << " snapshot=" << (persist.snapshot ? 1 : 0)
-                     << " role=" << consensus::ROLE_NAMES.name(m_node->role()) << " term=" << m_node->term();
-    }
-    if (!written) {
-        fail(storage::describe(written.error()));
-        return false;
-    }
-    return true;
-}
-
-storage::Result<void> VoterThread::write(const consensus::Persist &persist)
-{
-    BOOST_OUTCOME_TRY(m_store->persist(persist));
-    return m_store->sync();
-}
-
 void VoterThread::trackTail(const consensus::Persist &persist)
 {
     if (persist.snapshot) {
@@ -393,7 +385,7 @@
 void VoterThread::logSlowStep(std::size_t inputs, base::Millis due, base::Millis began) const
 {
     const base::Millis late = std::max(began - due, base::Millis{});
-    const base::Millis took = m_clock.now() - began - m_stepSynced;
+    const base::Millis took = m_clock.now() - began;
     if (took >= m_options.slowStep || late >= m_options.slowStep) {
         LOG(WARNING) << "event=slow_step thread=voter inputs=" << inputs << " late_ms=" << late.count
                      << " step_ms=" << took.count << " queued=" << m_ring.size()
@@ -440,6 +432,7 @@
                    [](LocalLogJob &it) {
                        it.done({});
                    },
+                   [](LogWritten &) {},
                },
         job);
 }
--- a/src/bamboomoor/control/voterthread.hpp
+++ b/src/bamboomoor/control/voterthread.hpp
@@ -7,6 +7,7 @@
 #include "bamboomoor/base/clock.hpp"
 #include "bamboomoor/base/ring.hpp"
 #include "bamboomoor/consensus/node.hpp"
+#include "bamboomoor/control/logwriter.hpp"
 #include "bamboomoor/control/peerregistry.hpp"
 #include "bamboomoor/state/machine.hpp"
 #include "bamboomoor/storage/filesystem.hpp"
@@ -111,7 +112,7 @@
     std::uint64_t snapshotInterval = 2'000;
     // Maximum number of queued jobs; further ones are rejected.
     std::size_t ringSize = 8'192;
-    // A sync, a step without its syncs, or a late wake-up that takes at least this long is logged.
+    // A sync, a step, or a late wake-up that takes at least this long is logged.
     base::Millis slowStep{200};
 };
 
@@ -204,15 +205,14 @@
     struct LocalLogJob {
         std::function<void(const LocalLogReport &)> done;
     };
-    using Job = std::variant<consensus::Message, ProposeJob, VotersJob, ReadJob, LocalLogJob>;
+    using Job = std::variant<consensus::Message, ProposeJob, VotersJob, ReadJob, LocalLogJob, LogWritten>;
 
     void run();
     void takeJobs(std::vector<consensus::Input> &inputs, base::Millis timeout);
     void takeJob(std::vector<consensus::Input> &inputs, Job job);
     void process(consensus::Outputs outputs);
     void send(const std::vector<consensus::Message> &messages);
-    [[nodiscard]] bool persist(const consensus::Persist &persist);
-    [[nodiscard]] storage::Result<void> write(const consensus::Persist &persist);
+    void takeWritten(std::vector<consensus::Input> &inputs, const LogWritten &written);
     void trackTail(const consensus::Persist &persist);
     void install(const consensus::Snapshot &snapshot);
     void apply(const std::vector<consensus::Entry> &entries);
@@ -252,8 +252,8 @@
     std::uint64_t m_leadingTerm = 0;
     std::uint64_t m_seenVersion = 0;
     bool m_failed = false;
-    // Time spent in syncs since the step began.
-    base::Millis m_stepSynced;
+    // Uses m_store, and posts to m_ring.
+    std::unique_ptr<LogWriter> m_writer;
 
     mutable absl::Mutex m_mutex;
     VoterStatus m_status ABSL_GUARDED_BY(m_mutex);
