Give an election the time that slow disks need for its votes (CONFIG)

What callers saw: no leader for as long as the disks were slow, with every change and read answered not-leader. Cause: a candidate counted the time of its attempt from its start, although its vote for itself, and then those of the others, have to be synced one after the other. Where both together outlast the timeout, each attempt ended before its votes could count, began a new term and made the votes under way worthless; a voter whose vote was not synced yet did the same. Change: no attempt begins while the own term or vote is being synced; its time begins at the end of that sync, covers one more as long, and doubles (twice at most) with each further term without a leader, for slowness of any kind. Leases and the detection of a lost leader keep the plain timeout. Ruled out: timing the attempt by the own sync alone, since a candidate on a fast disk among slow voters learns nothing.

--- a/src/bamboomoor/consensus/election.cpp
+++ b/src/bamboomoor/consensus/election.cpp
@@ -12,6 +12,14 @@
 namespace bamboomoor::consensus
 {
 
+namespace
+{
+
+// Bounds the growth of the election timeout while elections fail.
+constexpr int MAX_TIMEOUT_DOUBLINGS = 2;
+
+} // namespace
+
 void Node::onMessage(Message &&message)
 {
     if (message.to != m_options.self || message.from == m_options.self || !checkTerm(message)) {
@@ -209,6 +217,7 @@
     m_confirmedAt.reset();
     m_pendingBytes = 0;
     m_round = 0;
+    m_leaderlessTerms = 0;
     m_transferDeadline = base::NEVER;
     m_leaderStart = m_log.lastIndex() + 1;
     syncProgress();
@@ -218,8 +227,20 @@
 
 void Node::resetElectionTimer()
 {
-    std::uniform_int_distribution<std::int64_t> extra(0, m_options.electionTimeout.count);
-    m_electionDeadline = m_now + m_options.electionTimeout + base::Millis{extra(m_random)};
+    // Votes that come slowly, for whatever reason, need a longer attempt; the first repetition may be a split vote.
+    const int doublings = std::clamp(m_leaderlessTerms - 1, 0, MAX_TIMEOUT_DOUBLINGS);
+    const base::Millis shortest = m_options.electionTimeout * (1 << doublings);
+    std::uniform_int_distribution<std::int64_t> extra(0, shortest.count);
+    m_electionDeadline = m_now + shortest + base::Millis{extra(m_random)};
+    if (m_leaderlessTerms > 0) {
+        // The others sync their votes too.
+        m_electionDeadline = m_electionDeadline + m_syncTime;
+    }
+}
+
+bool Node::isHardStateSyncing() const noexcept
+{
+    return !m_pending.empty() && m_pending.front().sequence <= m_hardSequence;
 }
 
 void Node::abandonRequests()
--- a/src/bamboomoor/consensus/follower.cpp
+++ b/src/bamboomoor/consensus/follower.cpp
@@ -26,6 +26,7 @@
         becomeFollower(m_hard.term, from, RoleCause::LeaderHeard);
     }
     m_leaderContactAt = m_now;
+    m_leaderlessTerms = 0;
     resetElectionTimer();
     if (toLearner) {
         markJoined();
--- a/src/bamboomoor/consensus/node.cpp
+++ b/src/bamboomoor/consensus/node.cpp
@@ -46,6 +46,7 @@
         markJoined();
         appendEntry({1, 1, EntryKind::Voters, encodeMembership(first)});
         m_commit = m_verified = 1;
+        m_leaderlessTerms = 0;
     }
 }
 
@@ -80,7 +81,7 @@
     if (m_role == Role::Leader) {
         return std::min(m_heartbeatDeadline, m_transferDeadline);
     }
-    return mayCampaign() ? m_electionDeadline : base::NEVER;
+    return mayCampaign() && !isHardStateSyncing() ? m_electionDeadline : base::NEVER;
 }
 
 std::optional<base::Millis> Node::confirmedAt() const noexcept
@@ -126,7 +127,7 @@
 {
     if (m_role == Role::Leader) {
         leaderTick();
-    } else if (m_now >= m_electionDeadline && mayCampaign()) {
+    } else if (m_now >= m_electionDeadline && mayCampaign() && !isHardStateSyncing()) {
         startPreVote();
     }
 }
@@ -135,6 +136,10 @@
 {
     assert(sequence <= m_sequence);
     const std::uint64_t before = m_durable;
+    const bool wasSyncing = isHardStateSyncing();
+    if (!m_pending.empty() && m_pending.front().sequence <= sequence) {
+        m_syncTime = std::max(m_now - m_pending.front().startedAt, base::Millis{m_syncTime.count / 2});
+    }
     while (!m_pending.empty() && m_pending.front().sequence <= sequence) {
         m_durable = std::max(m_durable, m_pending.front().lastIndex);
         m_pending.pop_front();
@@ -146,6 +151,10 @@
         }
         m_heldMessages.pop_front();
     }
+    if (wasSyncing && !isHardStateSyncing() && m_role != Role::Leader) {
+        // A vote takes effect only now, so the time for its election starts now.
+        resetElectionTimer();
+    }
     if (m_role == Role::Candidate && sequence >= m_campaignSequence) {
         m_granted.insert(m_options.self);
         countVotes();
@@ -202,6 +211,7 @@
     persist.sequence = ++m_sequence;
     if (m_hardChanged) {
         persist.hardState = m_hard;
+        m_hardSequence = m_sequence;
     }
     persist.snapshot = std::exchange(m_snapshotToPersist, std::nullopt);
     if (hasEntries) {
@@ -209,7 +219,7 @@
     }
     m_hardChanged = false;
     m_dirtyFrom = 0;
-    m_pending.push_back({m_sequence, m_log.lastIndex()});
+    m_pending.push_back({m_sequence, m_now, m_log.lastIndex()});
     m_out.persist = std::move(persist);
 }
 
@@ -275,6 +285,7 @@
 void Node::setHardState(std::uint64_t term, const VoterId &votedFor)
 {
     if (m_hard.term != term || m_hard.votedFor != votedFor) {
+        m_leaderlessTerms += m_hard.term != term ? 1 : 0;
         m_hard.term = term;
         m_hard.votedFor = votedFor;
         m_hardChanged = true;
--- a/src/bamboomoor/consensus/node.hpp
+++ b/src/bamboomoor/consensus/node.hpp
@@ -127,6 +127,7 @@
 private:
     struct PendingPersist {
         std::uint64_t sequence = 0;
+        base::Millis startedAt;
         // Newest entry that becomes durable with the sequence; lowered by truncation.
         std::uint64_t lastIndex = 0;
     };
@@ -182,6 +183,7 @@
     void resetElectionTimer();
     void abandonRequests();
     [[nodiscard]] bool hasRecentLeader() const noexcept;
+    [[nodiscard]] bool isHardStateSyncing() const noexcept;
     [[nodiscard]] bool mayCampaign() const noexcept;
     [[nodiscard]] bool isVoter(const VoterId &id) const noexcept;
     [[nodiscard]] bool hasQuorum(const std::set<VoterId> &ids) const noexcept;
@@ -247,6 +249,10 @@
 
     std::uint64_t m_sequence = 0;
     std::deque<PendingPersist> m_pending;
+    // Sequence of the newest Persist with a hard state.
+    std::uint64_t m_hardSequence = 0;
+    // Recent duration of a Persist; falls by half with each shorter one.
+    base::Millis m_syncTime;
     // In sequence order; sent once their sequence is durable.
     std::deque<HeldMessage> m_heldMessages;
     std::vector<Message> m_deferred;
@@ -256,6 +262,8 @@
     std::optional<Snapshot> m_snapshotToPersist;
 
     base::Millis m_electionDeadline;
+    // Terms that this node has seen begin since it last led or heard a leader.
+    int m_leaderlessTerms = 0;
     // Last contact with the leader, or the start of this node.
     base::Millis m_leaderContactAt;
     std::set<VoterId> m_granted;
--- a/test/bamboomoor/consensus/fuzz.cpp
+++ b/test/bamboomoor/consensus/fuzz.cpp
@@ -76,6 +76,23 @@
     BOOST_TEST(committed > 0U);
 }
 
+// All disks sync for longer than the election timeout, all the time.
+BOOST_AUTO_TEST_CASE(a_group_on_slow_disks_keeps_committing)
+{
+    constexpr std::int64_t SLOWEST_SYNC_MS = 2'000;
+    BOOST_TEST(rc::check("slow disks never stop the group", [] {
+        sim::Scenario scenario;
+        scenario.voters = *rc::gen::inRange<std::size_t>(3, 6);
+        scenario.seed = *rc::gen::arbitrary<std::uint64_t>();
+        scenario.syncMs = *rc::gen::resize(100, rc::gen::inRange<std::int64_t>(1, SLOWEST_SYNC_MS));
+        sim::Group group(scenario);
+        const std::string failure = group.run();
+        RC_LOG() << failure;
+        RC_ASSERT(group.terms == 1U);
+        return failure.empty();
+    }));
+}
+
 BOOST_AUTO_TEST_CASE(a_group_survives_any_mix_of_faults)
 {
     std::size_t reads = 0;
--- a/test/bamboomoor/consensus/rules.cpp
+++ b/test/bamboomoor/consensus/rules.cpp
@@ -131,6 +131,61 @@
     BOOST_TEST(solo.sent<AppendReply>().value().matchIndex == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(a_candidate_does_not_start_again_before_its_own_vote_is_synced)
+{
+    Solo solo;
+    solo.now += LONG_MS;
+    solo.step(Tick{});
+    solo.stepUnsynced(Message{"b", "a", solo.node->term() + 1, VoteReply{true, true}});
+    BOOST_REQUIRE((solo.node->role() == Role::Candidate));
+    const std::uint64_t term = solo.node->term();
+    const std::uint64_t sequence = solo.out.persist.value().sequence;
+    BOOST_TEST((solo.node->nextDeadline() == base::NEVER));
+    solo.now += LONG_MS;
+    solo.stepUnsynced(Tick{});
+    BOOST_TEST((solo.node->role() == Role::Candidate));
+    solo.stepUnsynced(PersistDone{sequence});
+    BOOST_TEST(solo.sent<VoteRequest>().has_value());
+    // The others sync their votes as slowly.
+    solo.now += LONG_MS;
+    solo.stepUnsynced(Message{"b", "a", term, VoteReply{false, true}});
+    BOOST_TEST((solo.node->role() == Role::Leader));
+    BOOST_TEST(solo.node->term() == term);
+}
+
+BOOST_AUTO_TEST_CASE(a_voter_does_not_campaign_before_its_vote_for_another_is_synced)
+{
+    Solo solo;
+    solo.now += LONG_MS;
+    solo.stepUnsynced(Message{"b", "a", 7, VoteRequest{false, false, 1'000, 6}});
+    const std::uint64_t sequence = solo.out.persist.value().sequence;
+    solo.now += LONG_MS;
+    solo.stepUnsynced(Tick{});
+    BOOST_TEST((solo.node->role() == Role::Follower));
+    solo.stepUnsynced(PersistDone{sequence});
+    BOOST_TEST(solo.sent<VoteReply>().value().granted);
+    BOOST_TEST((solo.node->nextDeadline() >= base::Millis{solo.now} + solo.options.electionTimeout));
+}
+
+BOOST_AUTO_TEST_CASE(failed_elections_lengthen_the_next_attempt_until_a_leader_is_heard)
+{
+    Solo solo;
+    const auto attempt = [&solo] {
+        solo.now = std::max(solo.now, solo.node->nextDeadline().count);
+        solo.step(Tick{});
+        solo.from("b", solo.node->term() + 1, VoteReply{true, true});
+        BOOST_REQUIRE((solo.node->role() == Role::Candidate));
+        return solo.node->nextDeadline().count - solo.now;
+    };
+    const std::int64_t timeout = solo.options.electionTimeout.count;
+    BOOST_TEST(attempt() <= 2 * timeout);
+    BOOST_TEST(attempt() >= 2 * timeout);
+    BOOST_TEST(attempt() >= 4 * timeout);
+    BOOST_TEST(attempt() <= 8 * timeout);
+    solo.from("b", solo.node->term(), Append{1, 1, {}, 1, 1, false});
+    BOOST_TEST(solo.node->nextDeadline().count - solo.now <= 2 * timeout);
+}
+
 BOOST_AUTO_TEST_CASE(a_leader_counts_itself_only_after_its_sync)
 {
     Solo solo;
--- a/test/bamboomoor/consensus/sim.hpp
+++ b/test/bamboomoor/consensus/sim.hpp
@@ -56,6 +56,8 @@
     bool planned = false;
     std::uint64_t seed = 0;
     std::vector<Fault> faults;
+    // Duration of every sync; 0 for fast disks that SlowDisk slows down.
+    std::int64_t syncMs = 0;
 };
 
 /** @brief Synced contents of a member's disk. */
