Forget a leader that no member follows any more (CONFIG)

What callers saw: while no leader stands, calls of operators go on to the last one that was named, for as long as the outage lasts, and a VM that reaches no leader never tells upstreams to try another VM, as ControlApi::isLed() always found a name. Cause: MembershipThread kept the leader of the latest join reply for good, and named it to others in its own replies, so that members went on naming a lost leader to each other. Change: a name holds for a second after the reply that gave it, and a reply names only the leader that its sender follows.

--- a/src/bamboomoor/control/membershipthread.cpp
+++ b/src/bamboomoor/control/membershipthread.cpp
@@ -70,7 +70,8 @@
 {
     const VoterStatus status = m_voter.status();
     peer::wire::JoinReply reply;
-    reply.set_leader(leader());
+    // Never a leader named by others: members would go on naming a lost one to each other.
+    reply.set_leader(status.leader);
     reply.mutable_voters()->Add(status.voters.begin(), status.voters.end());
     if (status.role == consensus::Role::Leader && !addressIn(request.id()).empty()) {
         reply.set_served(m_ring.push(JoinRequested{request.id()}));
@@ -92,7 +93,7 @@
         return followed;
     }
     const absl::MutexLock lock(&m_mutex);
-    return m_namedLeader;
+    return m_clock.now() - m_namedAt <= m_options.namedLeaderAge ? m_namedLeader : std::string();
 }
 
 void MembershipThread::run()
@@ -125,6 +126,7 @@
     m_peers.learn({event.reply.voters().begin(), event.reply.voters().end()});
     const absl::MutexLock lock(&m_mutex);
     m_namedLeader = event.reply.leader();
+    m_namedAt = m_clock.now();
 }
 
 void MembershipThread::on(NewSeeds &event)
--- a/src/bamboomoor/control/membershipthread.hpp
+++ b/src/bamboomoor/control/membershipthread.hpp
@@ -33,6 +33,8 @@
     base::Millis interval{150};
     // Timeout of a join request.
     base::Millis timeout{500};
+    // How long a leader counts as known after a member named it.
+    base::Millis namedLeaderAge{1'000};
 };
 
 /** @brief Joins the control group and, on the leader, maintains its membership. */
@@ -70,7 +72,8 @@
 
     /**
      * @brief Returns the leader as known to this daemon.
-     * @return The leader that the local voter follows, otherwise the one named in a join reply; empty if unknown.
+     * @return The leader that the local voter follows, otherwise one that a member following it named just now; empty
+     * if unknown.
      */
     [[nodiscard]] std::string leader() const;
 
@@ -115,6 +118,7 @@
     mutable absl::Mutex m_mutex;
     // The leader named in the latest join reply; used while the local voter follows no leader.
     std::string m_namedLeader ABSL_GUARDED_BY(m_mutex);
+    base::Millis m_namedAt ABSL_GUARDED_BY(m_mutex);
 };
 
 } // namespace bamboomoor::control
--- a/test/bamboomoor/control/voterthread.cpp
+++ b/test/bamboomoor/control/voterthread.cpp
@@ -3,14 +3,10 @@
  */
 #include "bamboomoor/control/voterthread.hpp"
 #include "bamboomoor/control/consensuswire.hpp"
-#include "bamboomoor/peer/server.hpp"
 
-#include <boost/test/unit_test.hpp>
+#include "loopback.hpp"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
+#include <boost/test/unit_test.hpp>
 
 #include <atomic>
 #include <chrono>
@@ -79,7 +75,7 @@
 };
 
 /** @brief Hands consensus messages to a voter. */
-class Receiver final : public peer::Handler
+class Receiver final : public control_test::EmptyHandler
 {
 public:
     explicit Receiver(control::VoterThread &voter)
@@ -93,58 +89,11 @@
             m_voter.deliver(*std::move(message));
         }
     }
-    void propose(const peer::wire::ProposeRequest & /*request*/, peer::Answer<peer::wire::ProposeReply> answer) override
-    {
-        answer({});
-    }
-    void freshen(const peer::wire::FreshenRequest & /*request*/, peer::Answer<peer::wire::FreshenReply> answer) override
-    {
-        answer({});
-    }
-    void witness(const peer::wire::WitnessRequest & /*request*/, peer::Answer<peer::wire::WitnessReply> answer) override
-    {
-        answer({});
-    }
-    void ask(const peer::wire::BudgetAsk & /*request*/, peer::Answer<peer::wire::BudgetReply> answer) override
-    {
-        answer({});
-    }
-    void syncUpstreams(
-        const peer::wire::UpstreamSync & /*request*/, peer::Answer<peer::wire::UpstreamSync> answer) override
-    {
-        answer({});
-    }
-    void history(const peer::wire::HistoryRequest & /*request*/, peer::Answer<peer::wire::HistoryReply> answer) override
-    {
-        answer({});
-    }
-    void reportDemand(
-        const peer::wire::DemandReport & /*request*/, peer::Answer<peer::wire::DemandReply> answer) override
-    {
-        answer({});
-    }
-    void join(const peer::wire::JoinRequest & /*request*/, peer::Answer<peer::wire::JoinReply> answer) override
-    {
-        answer({});
-    }
 
 private:
     control::VoterThread &m_voter;
 };
 
-std::string freeAddress()
-{
-    const int listener = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    BOOST_REQUIRE(bind(listener, reinterpret_cast<sockaddr *>(&address), size) == 0);
-    getsockname(listener, reinterpret_cast<sockaddr *>(&address), &size);
-    close(listener);
-    return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-}
-
 /** @brief A voter with its disk and its server. */
 struct Vm {
     Vm(control::VoterOptions options, const std::vector<control::VoterAddress> &addresses, const base::Clock &clock)
@@ -181,7 +130,7 @@
         std::vector<control::VoterAddress> addresses;
         control::VoterOptions options;
         for (std::size_t n = 0; n < VOTERS; ++n) {
-            addresses.push_back({"v" + std::to_string(n), freeAddress()});
+            addresses.push_back({"v" + std::to_string(n), control_test::freeAddress()});
             options.node.initialVoters.push_back(addresses.back().name);
         }
         options.node.bootstrap = true;
