Grant rates while commits are slow (CONFIG)

What callers saw: rate_unknown at every entry while the log's disks were slow, although a leader stood. The authority's right to grant ran out 3 s after its latest committed ceiling had been proposed, so that commits of 3 s left none of it; and the reserve between two ceilings is at most a quarter of the burst, which one commit of a quarter of a second uses up. Change: a round of heartbeats that a quorum answered extends the right as a commit does, as both show that no later authority began before; the reserve grows with the time that commits take, up to the burst. Ruled out: a longer lease, since a successor has to wait for its end. The constructor of the test's Faults names one more field; its checks are unchanged.

--- a/src/bamboomoor/budget/authority.hpp
+++ b/src/bamboomoor/budget/authority.hpp
@@ -27,7 +27,7 @@
     std::int64_t driftPermille = 10;
     // How long a holder's grants are valid, counted from its token request, in milliseconds.
     base::Millis lease{2'000};
-    // How long a committed ceiling entitles the authority to grant, from the time of its proposal, in milliseconds.
+    // How long the authority may grant after a time at which it is known to have led, in milliseconds.
     base::Millis authorityLease{3'000};
     // After a shortage, only tokens for waiting requests are granted for this time, in milliseconds.
     base::Millis scarcityPeriod{200};
@@ -78,11 +78,17 @@
     [[nodiscard]] std::optional<Ceiling> nextCeiling(base::Millis now);
 
     /**
-     * @brief Handles the commit of a ceiling. Tokens are granted only within AuthorityOptions::authorityLease of its
-     * proposal.
+     * @brief Extends the authority's lease.
+     * @param at A time at which this authority led: a quorum has since replied to it in its term.
+     */
+    void onLeadershipConfirmed(base::Millis at);
+
+    /**
+     * @brief Handles the commit of a ceiling, which also shows that the authority led when it was proposed.
+     * @param now The current time.
      * @param number The number of the ceiling.
      */
-    void onCeilingCommitted(std::uint64_t number);
+    void onCeilingCommitted(base::Millis now, std::uint64_t number);
 
     /**
      * @brief Handles a ceiling whose outcome is unknown; it may still be committed.
@@ -158,6 +164,7 @@
     bool chargeOutstanding(base::Millis now, const Session &session);
     void openAccount(const Limit &limit);
     [[nodiscard]] base::Millis minElapsed(base::Millis age) const noexcept;
+    [[nodiscard]] Tokens usualReserve(const Limit &limit) const;
     [[nodiscard]] bool needsCeiling(base::Millis now, const std::string &organisation, const Account &account) const;
 
     AuthorityOptions m_options;
@@ -175,8 +182,10 @@
     std::vector<Proposal> m_proposals;
     std::uint64_t m_lastNumber = 0;
     base::Millis m_lastProposedAt;
-    // The time at which the latest committed ceiling was proposed.
+    // The latest time at which this authority is known to have led.
     std::optional<base::Millis> m_confirmedAt;
+    // Recent duration of a commit; falls by half with each shorter one.
+    base::Millis m_commitTime;
     // Tokens were requested and not granted, or are expected to be needed, so the ceiling has to be renewed.
     bool m_renewalNeeded = false;
     bool m_proposalPending = false;
--- a/src/bamboomoor/budget/ceiling.cpp
+++ b/src/bamboomoor/budget/ceiling.cpp
@@ -15,18 +15,25 @@
 {
 // The lower bound of a reserve is the burst divided by this.
 constexpr Tokens RESERVE_DIVISOR = 16;
-// The upper bound of a reserve is the burst divided by this, since a successor counts it as spent until it expires.
+// The upper bound of a reserve is the burst divided by this, since a successor counts it as spent until it expires;
+// only slow commits raise it.
 constexpr Tokens EXPOSURE_DIVISOR = 4;
 // A record whose level is too low by more than the burst divided by this is renewed.
 constexpr Tokens LAG_DIVISOR = 8;
 
-Tokens usualReserve(const Limit &limit)
+// A reserve lasts for this many commits, so that the next one is committed before it is used up.
+constexpr std::int64_t COMMITS_COVERED = 2;
+constexpr std::int64_t MILLIS_PER_SECOND = 1'000;
+} // namespace
+
+Tokens Authority::usualReserve(const Limit &limit) const
 {
     const Tokens least = limit.burst / RESERVE_DIVISOR;
     const Tokens most = limit.burst / EXPOSURE_DIVISOR;
-    return std::clamp<Tokens>(limit.rate, std::max<Tokens>(least, 1), std::max<Tokens>(most, 1));
+    const Tokens usual = std::clamp<Tokens>(limit.rate, std::max<Tokens>(least, 1), std::max<Tokens>(most, 1));
+    const Tokens covering = limit.rate * COMMITS_COVERED * m_commitTime.count / MILLIS_PER_SECOND;
+    return std::max(usual, std::min(covering, limit.burst));
 }
-} // namespace
 
 bool Authority::isConfirmed(base::Millis now) const noexcept
 {
@@ -101,11 +108,17 @@
     return ceiling;
 }
 
-void Authority::onCeilingCommitted(std::uint64_t number)
+void Authority::onLeadershipConfirmed(base::Millis at)
+{
+    m_confirmedAt = std::max(at, m_confirmedAt.value_or(at));
+}
+
+void Authority::onCeilingCommitted(base::Millis now, std::uint64_t number)
 {
     if (number == m_lastNumber) {
         m_proposalPending = false;
-        m_confirmedAt = m_lastProposedAt;
+        m_commitTime = std::max(now - m_lastProposedAt, m_commitTime / 2);
+        onLeadershipConfirmed(m_lastProposedAt);
     }
     for (const Proposal &it : m_proposals) {
         if (it.number > number) {
--- a/src/bamboomoor/control/budgetthread.cpp
+++ b/src/bamboomoor/control/budgetthread.cpp
@@ -120,6 +120,7 @@
             event = m_ring.pop({0});
         }
         if (m_authority) {
+            confirmLeadership();
             m_authority->tick(m_clock.now());
             proposeCeiling();
         }
@@ -167,12 +168,20 @@
         return;
     }
     if (event.status == consensus::ProposalStatus::Committed) {
-        m_authority->onCeilingCommitted(event.number);
+        m_authority->onCeilingCommitted(m_clock.now(), event.number);
     } else {
         m_authority->onCeilingUnknown(event.number);
     }
 }
 
+void BudgetThread::confirmLeadership()
+{
+    const VoterStatus status = m_voter.status();
+    if (status.term == m_term && status.confirmedAt) {
+        m_authority->onLeadershipConfirmed(*status.confirmedAt);
+    }
+}
+
 void BudgetThread::proposeCeiling()
 {
     const auto ceiling = m_authority->nextCeiling(m_clock.now());
--- a/src/bamboomoor/control/budgetthread.hpp
+++ b/src/bamboomoor/control/budgetthread.hpp
@@ -81,6 +81,7 @@
     void on(NotLeading &event);
     void on(LimitsChanged &event);
     void on(CeilingDone &event);
+    void confirmLeadership();
     void proposeCeiling();
     void post(Event event);
     void refuse(AskEvent &event) const;
--- a/test/bamboomoor/budget/fleet.cpp
+++ b/test/bamboomoor/budget/fleet.cpp
@@ -212,6 +212,9 @@
     if (!it.alive) {
         return;
     }
+    if (leader + 1 == m_leaders.size()) {
+        it.authority->onLeadershipConfirmed(it.clock.at(m_now));
+    }
     const TokenReply reply = it.authority->onRequest(it.clock.at(m_now), tokenRequest);
     propose(leader);
     if (m_now < m_vms[n].cutOffUntil) {
@@ -235,7 +238,7 @@
     }
     const bool acknowledged = percent() >= m_faults.commitLossPercent;
     const bool lost = !acknowledged && percent() < 50;
-    const Micros delay = 500 + static_cast<Micros>(m_random() % 3'000);
+    const Micros delay = m_faults.maxCommit / 7 + static_cast<Micros>(m_random() % (m_faults.maxCommit * 6 / 7));
     after(delay, [=, this] {
         // The log of a later leader does not accept the record.
         const bool committed = !lost && leader + 1 == m_leaders.size();
@@ -246,7 +249,8 @@
         }
         if (committed && acknowledged) {
             after(percent() < m_faults.commitLossPercent ? 200'000 : 0, [=, this] {
-                m_leaders[leader].authority->onCeilingCommitted(ceiling->number);
+                const Leader &proposer = m_leaders[leader];
+                proposer.authority->onCeilingCommitted(proposer.clock.at(m_now), ceiling->number);
             });
         } else {
             after(30'000, [=, this] {
--- a/test/bamboomoor/budget/fleet.hpp
+++ b/test/bamboomoor/budget/fleet.hpp
@@ -30,6 +30,8 @@
     // The maximum rate error of the clocks.
     int driftPermille = 0;
     int commitLossPercent = 0;
+    // The longest time from the proposal of a ceiling to its commit.
+    Micros maxCommit = 3'500;
     // Holders return their tokens after this time without a spend, in milliseconds.
     base::Millis idleTimeout{250};
 };
--- a/test/bamboomoor/budget/fuzz.cpp
+++ b/test/bamboomoor/budget/fuzz.cpp
@@ -122,7 +122,8 @@
     const bool held = rc::check("never more", [] {
         const Faults faults{*rc::gen::inRange(0, 40), *rc::gen::inRange(0, 30),
             *rc::gen::element<Micros>(1'500, 5'000, 60'000, 900'000), *rc::gen::inRange(0, 11),
-            *rc::gen::inRange(0, 40), *rc::gen::element(base::Millis{250}, base::Millis{60'000})};
+            *rc::gen::inRange(0, 40), *rc::gen::element<Micros>(3'500, 700'000, 4'000'000),
+            *rc::gen::element(base::Millis{250}, base::Millis{60'000})};
         checkNeverMore(faults, *rc::gen::inRange(1, 5));
     });
     BOOST_TEST(held);
@@ -131,7 +132,7 @@
 BOOST_AUTO_TEST_CASE(two_holders_on_a_lossy_network_do_not_exceed_the_bucket)
 {
     const bool held = rc::check("two holders", [] {
-        checkNeverMore({30, 10, 5'000, 9, 0, {250}}, 2);
+        checkNeverMore({30, 10, 5'000, 9, 0, 3'500, {250}}, 2);
     });
     BOOST_TEST(held);
 }
@@ -140,7 +141,8 @@
 {
     const bool held = rc::check("changed limit", [] {
         const auto steps = *genSteps(true);
-        Fleet fleet(*rc::gen::arbitrary<std::uint32_t>(), 3, {10, 10, 5'000, 9, 10, {250}}, {"o", 1'000, 1'000}, 10);
+        Fleet fleet(
+            *rc::gen::arbitrary<std::uint32_t>(), 3, {10, 10, 5'000, 9, 10, 3'500, {250}}, {"o", 1'000, 1'000}, 10);
         for (std::size_t n = 0; n < steps.size(); ++n) {
             apply(fleet, steps[n], 3);
             if (n % 5 == 4) {
--- a/test/bamboomoor/budget/lease.cpp
+++ b/test/bamboomoor/budget/lease.cpp
@@ -65,13 +65,56 @@
     const Ceiling first = authority.nextCeiling({1}).value();
     BOOST_TEST(first.entries.at(0).exposure >= 10);
     BOOST_TEST((decisionAt(2) == AdmissionDecision::Waiting));
-    authority.onCeilingCommitted(first.number);
+    authority.onCeilingCommitted({3}, first.number);
     BOOST_TEST((decisionAt(3'000) == AdmissionDecision::Admitted));
     BOOST_TEST((decisionAt(3'001) == AdmissionDecision::Waiting));
-    authority.onCeilingCommitted(authority.nextCeiling({3'002}).value().number);
+    authority.onCeilingCommitted({3'003}, authority.nextCeiling({3'002}).value().number);
     BOOST_TEST((decisionAt(3'003) == AdmissionDecision::Admitted));
 }
 
+BOOST_AUTO_TEST_CASE(a_reply_of_a_quorum_extends_the_lease_but_not_the_reserve)
+{
+    Authority authority({}, {0}, {});
+    authority.setLimits({0}, {{"o", 1'000, 1'000}});
+    std::uint64_t session = 0;
+    const auto decisionAt = [&](std::int64_t now, Tokens need) {
+        const TokenRequest request{"vm0", {1, ++session}, 0, 1, {{"o", {}, 0, 0, {}, {need}, 0}}};
+        return authority.onRequest({now}, request).entries.at(0).needs.at(0).decision;
+    };
+    authority.onLeadershipConfirmed({0});
+    BOOST_TEST((decisionAt(0, 10) == AdmissionDecision::Waiting));
+    const Ceiling ceiling = authority.nextCeiling({1}).value();
+    authority.onCeilingCommitted({3}, ceiling.number);
+    authority.onLeadershipConfirmed({5'000});
+    BOOST_TEST((decisionAt(7'998, 10) == AdmissionDecision::Admitted));
+    BOOST_TEST((decisionAt(7'999, ceiling.entries.at(0).exposure + 1) == AdmissionDecision::Waiting));
+    BOOST_TEST((decisionAt(8'000, 10) == AdmissionDecision::Waiting));
+}
+
+BOOST_AUTO_TEST_CASE(grants_go_on_while_commits_outlast_the_lease)
+{
+    constexpr test::Micros SECOND = 1'000'000;
+    constexpr test::Micros WARM_UP = 10 * SECOND;
+    constexpr test::Micros END = 40 * SECOND;
+    constexpr test::Micros INTERVAL = 20'000;
+    constexpr Tokens RATE = 10'000;
+    // Two fifths of the rate.
+    constexpr Tokens NEED = RATE / 50 * 2 / 5;
+    test::Faults faults;
+    faults.maxCommit = 4 * SECOND;
+    test::Fleet fleet(1, 2, faults, {"o", RATE, 2 * RATE}, 10);
+    for (int n = 0; fleet.now() < END; ++n) {
+        fleet.request(n % 2, NEED, NEED, 0);
+        fleet.run(fleet.now() + INTERVAL);
+    }
+    Tokens used = 0;
+    for (const test::Use &it : fleet.uses) {
+        used += it.at >= WARM_UP ? it.tokens : 0;
+    }
+    const Tokens wanted = NEED * ((END - WARM_UP) / INTERVAL);
+    BOOST_TEST(used >= wanted * 9 / 10);
+}
+
 BOOST_AUTO_TEST_CASE(idle_tokens_are_recalled_for_another_holder)
 {
     test::Faults faults;
