Confirm a repeated change that was committed after its sender gave up waiting (CONFIG)

What callers saw: a change that takes effect and is never confirmed, however often its sender repeats it. Operators wait a second, ControlApi 0.9 s, claims 1 s; each repetition was a proposal of its own, which took as long to commit as the first. Cause: a proposal that changes nothing still had to be committed to be answered. Change: the leader answers a command that has taken effect already (a decided change, a version in force, a claim that exists or is finished) from its state after a linearizable read, which needs a quorum but no disk. This holds for both daemons, as proposals of both come through VoterThread. A property over random commands compares decided() with what apply() then does. Ruled out: longer waits at each sender, since callers move on by their own clocks.

--- a/src/bamboomoor/control/voterthread.cpp
+++ b/src/bamboomoor/control/voterthread.cpp
@@ -211,8 +211,7 @@
                        inputs.emplace_back(std::move(message));
                    },
                    [&](ProposeJob &it) {
-                       m_proposals.emplace(++m_lastRequest, std::move(it.done));
-                       inputs.emplace_back(consensus::Propose{m_lastRequest, std::move(it.payload), it.term});
+                       takeProposal(inputs, it);
                    },
                    [&](VotersJob &it) {
                        m_proposals.emplace(++m_lastRequest, std::move(it.done));
@@ -232,6 +231,35 @@
         job);
 }
 
+void VoterThread::takeProposal(std::vector<consensus::Input> &inputs, ProposeJob &job)
+{
+    // A leader does not repeat the proposals that it binds to its term.
+    if (!job.term && m_machine->decided(job.payload)) {
+        m_reads.emplace(++m_lastRequest, [this, job = std::move(job)](const ReadOutcome &read) mutable {
+            answerDecided(job, read);
+        });
+        inputs.emplace_back(consensus::ReadRequest{m_lastRequest});
+        return;
+    }
+    m_proposals.emplace(++m_lastRequest, std::move(job.done));
+    inputs.emplace_back(consensus::Propose{m_lastRequest, std::move(job.payload), job.term});
+}
+
+void VoterThread::answerDecided(ProposeJob &job, const ReadOutcome &read)
+{
+    if (!read.confirmed) {
+        job.done(rejected(read.leader, consensus::RejectReason::NotLeader));
+        return;
+    }
+    auto outcome = read.machine->decided(job.payload);
+    if (!outcome) {
+        // What it had done is not kept any more.
+        propose(std::move(job.payload), job.term, std::move(job.done));
+        return;
+    }
+    job.done({consensus::ProposalStatus::Committed, consensus::RejectReason::None, *std::move(outcome), read.leader});
+}
+
 void VoterThread::takeWritten(std::vector<consensus::Input> &inputs, const LogWritten &written)
 {
     if (written.took >= m_options.slowStep) {
--- a/src/bamboomoor/control/voterthread.hpp
+++ b/src/bamboomoor/control/voterthread.hpp
@@ -153,7 +153,8 @@
     void deliver(consensus::Message message);
 
     /**
-     * @brief Proposes a command.
+     * @brief Proposes a command. One that has taken effect already is answered after a read instead, which needs no
+     * disk; so a sender that repeats it learns of a commit that took longer than it had waited.
      * @param payload The command as encoded by state::encode().
      * @param term If given, the proposal is rejected in any other term.
      * @param done Called with the result on the voter's thread, or on the calling thread if it cannot be queued.
@@ -210,6 +211,8 @@
     void run();
     void takeJobs(std::vector<consensus::Input> &inputs, base::Millis timeout);
     void takeJob(std::vector<consensus::Input> &inputs, Job job);
+    void takeProposal(std::vector<consensus::Input> &inputs, ProposeJob &job);
+    void answerDecided(ProposeJob &job, const ReadOutcome &read);
     void process(consensus::Outputs outputs);
     void send(const std::vector<consensus::Message> &messages);
     void takeWritten(std::vector<consensus::Input> &inputs, const LogWritten &written);
--- a/src/bamboomoor/state/claimtable.cpp
+++ b/src/bamboomoor/state/claimtable.cpp
@@ -44,12 +44,27 @@
 
 } // namespace
 
+std::optional<ClaimOutcome> ClaimTable::decided(const OpenClaim &command) const
+{
+    const Claim *earlier = find({.organisation = command.organisation, .key = command.key});
+    return earlier == nullptr ? std::nullopt : std::optional(outcomeOfExisting(*earlier, command));
+}
+
+std::optional<ClaimOutcome> ClaimTable::decided(const FinishClaim &command) const
+{
+    const Claim *claim = find({.organisation = command.organisation, .key = command.key});
+    if (claim == nullptr || claim->id != command.claimId || claim->state != ClaimState::Finished) {
+        return std::nullopt;
+    }
+    return ClaimOutcome{.code = ClaimCode::Finished, .claimId = claim->id, .response = std::nullopt};
+}
+
 ClaimOutcome ClaimTable::open(std::uint64_t index, const OpenClaim &command)
 {
-    ClaimKey key{.organisation = command.organisation, .key = command.key};
-    if (const Claim *earlier = find(key); earlier != nullptr) {
-        return outcomeOfExisting(*earlier, command);
+    if (auto earlier = decided(command); earlier.has_value()) {
+        return *std::move(earlier);
     }
+    ClaimKey key{.organisation = command.organisation, .key = command.key};
     if (m_claims.size() >= m_limits.claims) {
         return {.code = ClaimCode::Full, .claimId = 0, .response = std::nullopt};
     }
--- a/src/bamboomoor/state/claimtable.hpp
+++ b/src/bamboomoor/state/claimtable.hpp
@@ -13,6 +13,7 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -75,6 +76,20 @@
      */
     ClaimOutcome finish(const FinishClaim &command);
 
+    /**
+     * @brief Finds the outcome of a command that has taken effect already.
+     * @param command The command.
+     * @return What open() would return for an existing claim; nothing if it would open one.
+     */
+    [[nodiscard]] std::optional<ClaimOutcome> decided(const OpenClaim &command) const;
+
+    /**
+     * @copybrief decided
+     * @param command The command.
+     * @return Finished if the claim is; nothing if finish() may change it.
+     */
+    [[nodiscard]] std::optional<ClaimOutcome> decided(const FinishClaim &command) const;
+
     /**
      * @brief Marks open claims of dead incarnations as unknown.
      * @param command The command.
--- a/src/bamboomoor/state/confighistory.cpp
+++ b/src/bamboomoor/state/confighistory.cpp
@@ -64,14 +64,30 @@
     m_current.digest = base::sha256(*m_current.text);
 }
 
+ConfigHistory::Request ConfigHistory::requestOf(const ApplyConfig &change)
+{
+    return {change.changeId, change.author, change.wallMillis, base::sha256("apply\n" + change.documentText),
+        std::to_string(change.baseVersion) + " " + change.baseDigest};
+}
+
+ConfigHistory::Request ConfigHistory::requestOf(const AddKey &change)
+{
+    return {change.changeId, change.author, change.wallMillis,
+        base::sha256("add\n" + change.organisation + "\n" + change.keyId + "\n" + change.hash), {}};
+}
+
+ConfigHistory::Request ConfigHistory::requestOf(const WithdrawKey &change)
+{
+    return {change.changeId, change.author, change.wallMillis,
+        base::sha256("withdraw\n" + change.organisation + "\n" + change.keyId), {}};
+}
+
 template<class Change>
-ChangeOutcome ConfigHistory::applyOnce(const Change &change, Request request)
+ChangeOutcome ConfigHistory::applyOnce(const Change &change)
 {
-    request.changeId = change.changeId;
-    request.author = change.author;
-    request.wallMillis = change.wallMillis;
-    if (auto decided = findDecided(request); decided.has_value()) {
-        return *std::move(decided);
+    const Request request = requestOf(change);
+    if (auto earlier = findDecided(request); earlier.has_value()) {
+        return *std::move(earlier);
     }
     ChangeOutcome outcome = decide(change, request);
     recordOutcome(request, outcome);
@@ -80,32 +96,48 @@
 
 ChangeOutcome ConfigHistory::apply(const ApplyConfig &change)
 {
-    Request request;
-    request.identity = base::sha256("apply\n" + change.documentText);
-    request.base = std::to_string(change.baseVersion) + " " + change.baseDigest;
-    return applyOnce(change, std::move(request));
+    return applyOnce(change);
 }
 
 ChangeOutcome ConfigHistory::apply(const AddKey &change)
 {
-    Request request;
-    request.identity = base::sha256("add\n" + change.organisation + "\n" + change.keyId + "\n" + change.hash);
-    return applyOnce(change, std::move(request));
+    return applyOnce(change);
 }
 
 ChangeOutcome ConfigHistory::apply(const WithdrawKey &change)
 {
-    Request request;
-    request.identity = base::sha256("withdraw\n" + change.organisation + "\n" + change.keyId);
-    return applyOnce(change, std::move(request));
+    return applyOnce(change);
 }
 
-ChangeOutcome ConfigHistory::apply(const ReplaceConfig &change)
+std::optional<ChangeOutcome> ConfigHistory::decided(const ApplyConfig &change) const
+{
+    return findDecided(requestOf(change));
+}
+
+std::optional<ChangeOutcome> ConfigHistory::decided(const AddKey &change) const
+{
+    return findDecided(requestOf(change));
+}
+
+std::optional<ChangeOutcome> ConfigHistory::decided(const WithdrawKey &change) const
+{
+    return findDecided(requestOf(change));
+}
+
+std::optional<ChangeOutcome> ConfigHistory::decided(const ReplaceConfig &change) const
 {
     // A repeated or superseded change is not an error of its sender.
     if (change.version <= m_current.version) {
         return makeOutcome(ChangeCode::Accepted, "version " + std::to_string(m_current.version) + " is in force");
     }
+    return std::nullopt;
+}
+
+ChangeOutcome ConfigHistory::apply(const ReplaceConfig &change)
+{
+    if (auto earlier = decided(change); earlier.has_value()) {
+        return *std::move(earlier);
+    }
     auto parsed = config::parse(change.documentText);
     if (parsed.has_error()) {
         return makeOutcome(ChangeCode::InvalidDocument, parsed.error().place + ": " + parsed.error().message);
--- a/src/bamboomoor/state/confighistory.hpp
+++ b/src/bamboomoor/state/confighistory.hpp
@@ -68,6 +68,19 @@
      */
     ChangeOutcome apply(const ReplaceConfig &change);
 
+    /**
+     * @brief Finds the outcome of a change that apply() would not decide anew.
+     * @param change The change.
+     * @return The outcome that apply() would return, or nothing if it may change something.
+     */
+    [[nodiscard]] std::optional<ChangeOutcome> decided(const ApplyConfig &change) const;
+    /** @copydoc decided */
+    [[nodiscard]] std::optional<ChangeOutcome> decided(const AddKey &change) const;
+    /** @copydoc decided */
+    [[nodiscard]] std::optional<ChangeOutcome> decided(const WithdrawKey &change) const;
+    /** @copydoc decided */
+    [[nodiscard]] std::optional<ChangeOutcome> decided(const ReplaceConfig &change) const;
+
     /**
      * @brief Returns the current version.
      * @return The version; its text is always present.
@@ -142,8 +155,11 @@
     [[nodiscard]] ChangeOutcome accept(config::Document document, std::string summary, const Request &request);
     [[nodiscard]] ChangeOutcome install(config::Document document, VersionInfo next);
     [[nodiscard]] static std::size_t bytesOf(const VersionInfo &info) noexcept;
+    [[nodiscard]] static Request requestOf(const ApplyConfig &change);
+    [[nodiscard]] static Request requestOf(const AddKey &change);
+    [[nodiscard]] static Request requestOf(const WithdrawKey &change);
     template<class Change>
-    ChangeOutcome applyOnce(const Change &change, Request request);
+    ChangeOutcome applyOnce(const Change &change);
     [[nodiscard]] std::optional<std::string> findWithdrawn(const config::Document &document) const;
     void keepAddedKeys(config::Document &document) const;
     void recordOutcome(const Request &request, const ChangeOutcome &outcome);
--- a/src/bamboomoor/state/machine.cpp
+++ b/src/bamboomoor/state/machine.cpp
@@ -39,6 +39,41 @@
     return applyCommand(index, decoded.value());
 }
 
+std::optional<Outcome> Machine::decided(std::string_view command) const
+{
+    const auto decoded = decode(command);
+    if (decoded.has_error()) {
+        return std::nullopt;
+    }
+    const auto asOutcome = [](auto &&outcome) {
+        return outcome ? std::optional<Outcome>(*std::move(outcome)) : std::nullopt;
+    };
+    return std::visit(base::Overloaded{
+                          [&](const ApplyConfig &it) {
+                              return asOutcome(m_configuration.decided(it));
+                          },
+                          [&](const ReplaceConfig &it) {
+                              return asOutcome(m_configuration.decided(it));
+                          },
+                          [&](const AddKey &it) {
+                              return asOutcome(m_configuration.decided(it));
+                          },
+                          [&](const WithdrawKey &it) {
+                              return asOutcome(m_configuration.decided(it));
+                          },
+                          [&](const OpenClaim &it) {
+                              return asOutcome(m_claims.decided(it));
+                          },
+                          [&](const FinishClaim &it) {
+                              return asOutcome(m_claims.decided(it));
+                          },
+                          [](const auto &) {
+                              return std::optional<Outcome>();
+                          },
+                      },
+        decoded.value());
+}
+
 Outcome Machine::applyCommand(std::uint64_t index, const Command &command)
 {
     const base::Overloaded visitor{
--- a/src/bamboomoor/state/machine.hpp
+++ b/src/bamboomoor/state/machine.hpp
@@ -45,6 +45,13 @@
      */
     Outcome apply(std::uint64_t index, std::string_view command);
 
+    /**
+     * @brief Finds the outcome of a command that has taken effect already, such as a resent one.
+     * @param command The result of encode(), or any other bytes.
+     * @return What apply() would return without changing anything; nothing if it may change something.
+     */
+    [[nodiscard]] std::optional<Outcome> decided(std::string_view command) const;
+
     /**
      * @brief Serialises the whole state.
      * @return JSON; equal states produce equal bytes.
--- a/test/bamboomoor/control/voterthread.cpp
+++ b/test/bamboomoor/control/voterthread.cpp
@@ -2,6 +2,7 @@
  * Tests of voter threads that form a group over gRPC on loopback, with disks whose syncs are slow.
  */
 #include "bamboomoor/control/voterthread.hpp"
+#include "bamboomoor/config/parse.hpp"
 #include "bamboomoor/control/consensuswire.hpp"
 
 #include "loopback.hpp"
@@ -222,4 +223,28 @@
     BOOST_TEST((Group::propose(leader, "x") == consensus::ProposalStatus::Committed));
 }
 
+BOOST_AUTO_TEST_CASE(a_repeated_change_is_confirmed_although_commits_outlast_its_sender)
+{
+    constexpr std::chrono::milliseconds PATIENCE{400};
+    Group group(0);
+    control::VoterThread &leader = group.leader();
+    group.setSync(ELECTION_TIMEOUT * 3);
+    state::ReplaceConfig change;
+    change.version = 1;
+    change.documentText = config::print({});
+    const std::string payload = state::encode(change);
+    const auto end = std::chrono::steady_clock::now() + LIMIT;
+    bool confirmed = false;
+    while (!confirmed && std::chrono::steady_clock::now() < end) {
+        auto done = std::make_shared<std::promise<control::ProposalOutcome>>();
+        auto outcome = done->get_future();
+        leader.propose(payload, std::nullopt, [done](const control::ProposalOutcome &it) {
+            done->set_value(it);
+        });
+        // As an operator does, it sends the change again without waiting for the earlier reply.
+        confirmed = outcome.wait_for(PATIENCE) == std::future_status::ready && outcome.get().outcome.has_value();
+    }
+    BOOST_TEST(confirmed);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/bamboomoor/state/machine.cpp
+++ b/test/bamboomoor/state/machine.cpp
@@ -104,6 +104,31 @@
     BOOST_TEST(passed);
 }
 
+BOOST_AUTO_TEST_CASE(a_command_that_counts_as_decided_has_that_outcome_and_changes_nothing)
+{
+    std::size_t repeated = 0;
+    const bool passed = rc::check([&repeated] {
+        Machine machine;
+        std::vector<std::string> sent;
+        for (int n = 0; n < 60; ++n) {
+            const bool again = !sent.empty() && *rc::gen::inRange(0, 2) == 0;
+            sent.push_back(again ? *rc::gen::elementOf(sent) : encode(anyCommand(machine)));
+            const auto decided = machine.decided(sent.back());
+            const std::uint64_t index = machine.lastIndex() + 1;
+            Machine before = machine;
+            const Outcome outcome = machine.apply(index, sent.back());
+            if (decided) {
+                ++repeated;
+                RC_ASSERT(*decided == outcome);
+                static_cast<void>(before.apply(index, encode(SweepClaims{0})));
+                RC_ASSERT(before.digest() == machine.digest());
+            }
+        }
+    });
+    BOOST_TEST(passed);
+    BOOST_TEST(repeated > 100U);
+}
+
 BOOST_AUTO_TEST_CASE(a_restored_snapshot_behaves_like_the_original)
 {
     const bool passed = rc::check([] {
