Answer status and drain while a change waits for its commit

What operators saw: status did not answer within 2 s on two of three daemons whose disks were slow, when it is needed most. Cause: OperatorDesk serves one request at a time on its thread, and a change or a read that nobody confirms holds it for 8 s. Change: requests that need no other daemon are answered by the thread that took them. The module had no test program; it has one now.

--- a/src/bamboomoor/daemon/operatordesk.cpp
+++ b/src/bamboomoor/daemon/operatordesk.cpp
@@ -140,6 +140,10 @@
         responder->respond(refused(401, "invalid_token", "the operator's token is missing or wrong"));
         return;
     }
+    if (auto response = serveLocally(request)) {
+        responder->respond(*std::move(response));
+        return;
+    }
     if (!m_ring.push(Job{std::move(request), responder})) {
         responder->respond(refused(503, "overloaded", "too many operators' requests wait"));
     }
@@ -157,16 +161,10 @@
     }
 }
 
-http::Response OperatorDesk::serve(const http::Request &request)
+std::optional<http::Response> OperatorDesk::serveLocally(const http::Request &request)
 {
     const bool reads = request.method == "GET";
     operators::Reply reply;
-    if (reads && request.path == operators::SHOW_PATH) {
-        return show(request.query);
-    }
-    if (reads && request.path == operators::HISTORY_PATH) {
-        return history();
-    }
     if (reads && request.path == operators::STATUS_PATH) {
         reply.status = m_status().dump();
         return respond(OK, reply);
@@ -176,6 +174,18 @@
         reply.message = "the daemon drains";
         return respond(OK, reply);
     }
+    return std::nullopt;
+}
+
+http::Response OperatorDesk::serve(const http::Request &request)
+{
+    const bool reads = request.method == "GET";
+    if (reads && request.path == operators::SHOW_PATH) {
+        return show(request.query);
+    }
+    if (reads && request.path == operators::HISTORY_PATH) {
+        return history();
+    }
     return change(request);
 }
 
--- a/src/bamboomoor/daemon/operatordesk.hpp
+++ b/src/bamboomoor/daemon/operatordesk.hpp
@@ -31,8 +31,8 @@
      * @param token The secret that operators present.
      * @param peers Connections to the voters; outlives the desk.
      * @param leader The guess at the leader; outlives the desk.
-     * @param status Gives the answer to a question for the status.
-     * @param drain Called when an operator drains this daemon.
+     * @param status Gives the answer to a question for the status; called on any thread.
+     * @param drain Called on any thread when an operator drains this daemon.
      */
     OperatorDesk(std::string token, const control::PeerRegistry &peers, entry::LeaderHint &leader,
         std::function<nlohmann::json()> status, std::function<void()> drain);
@@ -60,6 +60,8 @@
     };
 
     void run();
+    // The answer to a request that needs no other daemon; a change in progress must not delay it.
+    [[nodiscard]] std::optional<http::Response> serveLocally(const http::Request &request);
     [[nodiscard]] http::Response serve(const http::Request &request);
     [[nodiscard]] http::Response change(const http::Request &request);
     [[nodiscard]] http::Response show(const std::string &query);
--- /dev/null
+++ b/test/bamboomoor/daemon/main.cpp
@@ -0,0 +1,5 @@
+/**
+ * Entry point of the tests of the daemon module.
+ */
+#define BOOST_TEST_MODULE daemon
+#include <boost/test/unit_test.hpp>
