--- a/src/bamboomoor/control/voterthread.cpp
+++ b/src/bamboomoor/control/voterthread.cpp
@@ -117,6 +117,7 @@
     if (m_thread.joinable()) {
         m_thread.join();
     }
+    joinSnapshot();
     if (m_writer) {
         m_writer->stop();
     }
@@ -227,6 +228,10 @@
                    [&](const LogWritten &it) {
                        takeWritten(inputs, it);
                    },
+                   [&](SnapshotMade &it) {
+                       m_makingSnapshot = false;
+                       inputs.emplace_back(consensus::Compact{it.index, std::move(it.data)});
+                   },
                },
         job);
 }
@@ -370,11 +375,22 @@
 
 void VoterThread::compactIfDue()
 {
-    if (m_failed || m_applied < m_compacted + m_options.snapshotInterval) {
+    if (m_failed || m_makingSnapshot || m_applied < m_compacted + m_options.snapshotInterval) {
         return;
     }
+    joinSnapshot();
+    m_makingSnapshot = true;
     m_compacted = m_applied;
-    process(m_node->step(m_clock.now(), consensus::Compact{m_applied, m_machine->snapshot()}));
+    m_snapshotThread = std::thread([this, index = m_applied, machine = *m_machine] {
+        m_ring.deliver(Job(SnapshotMade{index, machine.snapshot()}));
+    });
+}
+
+void VoterThread::joinSnapshot()
+{
+    if (m_snapshotThread.joinable()) {
+        m_snapshotThread.join();
+    }
 }
 
 void VoterThread::followRole()
@@ -461,6 +477,7 @@
                        it.done({});
                    },
                    [](LogWritten &) {},
+                   [](SnapshotMade &) {},
                },
         job);
 }
--- a/src/bamboomoor/control/voterthread.hpp
+++ b/src/bamboomoor/control/voterthread.hpp
@@ -206,7 +206,11 @@
     struct LocalLogJob {
         std::function<void(const LocalLogReport &)> done;
     };
-    using Job = std::variant<consensus::Message, ProposeJob, VotersJob, ReadJob, LocalLogJob, LogWritten>;
+    struct SnapshotMade {
+        std::uint64_t index = 0;
+        std::string data;
+    };
+    using Job = std::variant<consensus::Message, ProposeJob, VotersJob, ReadJob, LocalLogJob, LogWritten, SnapshotMade>;
 
     void run();
     void takeJobs(std::vector<consensus::Input> &inputs, base::Millis timeout);
@@ -221,6 +225,7 @@
     void apply(const std::vector<consensus::Entry> &entries);
     void answer(const consensus::Outputs &outputs);
     void compactIfDue();
+    void joinSnapshot();
     void followRole();
     void logRoles(const std::vector<consensus::RoleChange> &changes) const;
     void logSlowStep(std::size_t inputs, base::Millis due, base::Millis began) const;
@@ -251,6 +256,9 @@
     std::map<std::uint64_t, bool> m_tail;
     std::uint64_t m_applied = 0;
     std::uint64_t m_compacted = 0;
+    // Serialises a copy of the state, as a large one takes longer than an election timeout.
+    std::thread m_snapshotThread;
+    bool m_makingSnapshot = false;
     // The term for which the observers were notified of this voter's leadership; 0 if it is not the leader.
     std::uint64_t m_leadingTerm = 0;
     std::uint64_t m_seenVersion = 0;
--- a/test/bamboomoor/control/voterthread.cpp
+++ b/test/bamboomoor/control/voterthread.cpp
@@ -9,12 +9,14 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <cstdlib>
 #include <filesystem>
 #include <future>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -122,7 +124,7 @@
 class Group
 {
 public:
-    explicit Group(int syncMillis)
+    explicit Group(int syncMillis, std::size_t voters = VOTERS, std::uint64_t snapshotInterval = 2'000)
         : m_syncMillis(syncMillis)
     {
         std::string name = (std::filesystem::temp_directory_path() / "bamboomoor-voters-XXXXXX").string();
@@ -130,7 +132,8 @@
         m_folder = name;
         std::vector<control::VoterAddress> addresses;
         control::VoterOptions options;
-        for (std::size_t n = 0; n < VOTERS; ++n) {
+        options.snapshotInterval = snapshotInterval;
+        for (std::size_t n = 0; n < voters; ++n) {
             addresses.push_back({"v" + std::to_string(n), control_test::freeAddress()});
             options.node.initialVoters.push_back(addresses.back().name);
         }
@@ -141,7 +144,7 @@
             BOOST_OUTCOME_TRY(files, storage::PosixFolder::open(path));
             return std::make_unique<SlowFolder>(std::move(files), m_syncMillis);
         };
-        for (std::size_t n = 0; n < VOTERS; ++n) {
+        for (std::size_t n = 0; n < voters; ++n) {
             options.node.self = addresses[n].name;
             options.node.seed = n + 1;
             options.folder = (m_folder / addresses[n].name).string();
@@ -191,6 +194,22 @@
         return status.get();
     }
 
+    /** @brief Returns how long a read takes, in milliseconds, and copies the state. */
+    static double read(control::VoterThread &voter, std::optional<state::Machine> &machine)
+    {
+        auto done = std::make_shared<std::promise<void>>();
+        auto answered = done->get_future();
+        const auto began = std::chrono::steady_clock::now();
+        voter.read([done, &machine](const control::ReadOutcome &it) {
+            if (it.confirmed) {
+                machine = *it.machine;
+            }
+            done->set_value();
+        });
+        BOOST_REQUIRE((answered.wait_for(LIMIT) == std::future_status::ready));
+        return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - began).count();
+    }
+
 private:
     base::SteadyClock m_clock;
     std::atomic<int> m_syncMillis;
@@ -247,4 +266,34 @@
     BOOST_TEST(confirmed);
 }
 
+BOOST_AUTO_TEST_CASE(reads_do_not_wait_for_the_snapshot_of_a_large_state)
+{
+    constexpr int CLAIMS = 400;
+    constexpr std::size_t RESPONSE_BYTES = 60'000;
+    // The snapshot falls due with the last of the claims' commands, and the first entries of the log.
+    Group group(0, 1, 2 * CLAIMS);
+    control::VoterThread &voter = group.leader();
+    std::optional<state::Machine> machine;
+    double slowest = 0;
+    for (int n = 0; n < CLAIMS; ++n) {
+        const std::string key = std::to_string(n);
+        BOOST_REQUIRE((Group::propose(voter, state::encode(state::OpenClaim{"acme", key, "digest", "vm", 1, "a", 1, 1}))
+            == consensus::ProposalStatus::Committed));
+        static_cast<void>(Group::read(voter, machine));
+        const std::uint64_t id = machine->claims().find({"acme", key})->id;
+        state::FinishClaim finish;
+        finish.organisation = "acme";
+        finish.key = key;
+        finish.claimId = id;
+        finish.status = 200;
+        finish.body = std::string(RESPONSE_BYTES, '"');
+        BOOST_REQUIRE((Group::propose(voter, state::encode(finish)) == consensus::ProposalStatus::Committed));
+        slowest = std::max(slowest, Group::read(voter, machine));
+    }
+    const auto began = std::chrono::steady_clock::now();
+    BOOST_TEST(!machine->snapshot().empty());
+    const double snapshot = std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - began).count();
+    BOOST_TEST(slowest < snapshot / 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
