Bound the nesting of JSON from callers and upstreams

What callers saw: one request with JSON of 100,000 levels, or one such event of an upstream, ended the entry and all that it served: the stack overflowed. Cause: the JSON library parses and destroys without recursion, but copies, compares and prints recursively, and collectText() recurses too. The body of a generation is copied and printed for each attempt, each event of a stream is printed. Change: base::parseJson() refuses what nests deeper than 256 levels before it parses; the entry reads generations, events and error answers with it. The scan also keeps a body of megabytes of brackets from taking gigabytes of memory while it is parsed. Evidence: deeply_nested_json_of_callers_and_upstreams_is_refused died with a memory access violation before. Ruled out: the parser's callback, which can leave values out but not end the parsing.

--- a/src/bamboomoor/entry/attempt.cpp
+++ b/src/bamboomoor/entry/attempt.cpp
@@ -2,6 +2,7 @@
  * The entry's thread: attempts at upstreams, and the way of their answers back to the callers.
  */
 #include "bamboomoor/base/eventlog.hpp"
+#include "bamboomoor/base/json.hpp"
 #include "bamboomoor/entry/desk.hpp"
 #include "bamboomoor/entry/upstreamaccess.hpp"
 #include "bamboomoor/http/forwarding.hpp"
@@ -60,7 +61,7 @@
 /** @brief Tells whether an upstream's error answer says that the request was not run. */
 bool saysNotRun(const std::string &body)
 {
-    const Json json = Json::parse(body, nullptr, false);
+    const Json json = base::parseJson(body);
     const auto error = json.is_object() ? json.find("error") : json.end();
     if (!json.is_object() || error == json.end() || !error->is_object()) {
         return false;
@@ -353,7 +354,7 @@
         exchange.usedTokens = progress->promptTokens.value_or(exchange.resolved.generation->promptTokens)
             + std::max(progress->completionTokens.value_or(0), exchange.generatedTokens + progress->tokens);
     }
-    Json chunk = Json::parse(data, nullptr, false);
+    Json chunk = base::parseJson(data);
     const bool onlyUsage = chunk.contains("choices") && chunk["choices"].empty();
     if (onlyUsage && !exchange.resolved.generation->includeUsage) {
         return;
--- a/src/bamboomoor/entry/generation.cpp
+++ b/src/bamboomoor/entry/generation.cpp
@@ -3,6 +3,8 @@
  */
 #include "bamboomoor/entry/generation.hpp"
 
+#include "bamboomoor/base/json.hpp"
+
 #include <algorithm>
 #include <functional>
 
@@ -103,7 +105,7 @@
 base::Result<Generation, GenerationError> parseGeneration(std::string_view body)
 {
     Generation generation;
-    generation.body = Json::parse(body, nullptr, false);
+    generation.body = base::parseJson(body);
     const Json &json = generation.body;
     if (!json.is_object()) {
         return base::failure(GenerationError{"the body: a JSON object is allowed"});
@@ -128,7 +130,7 @@
 
 std::optional<Progress> readProgress(std::string_view data)
 {
-    const Json json = Json::parse(data, nullptr, false);
+    const Json json = base::parseJson(data);
     if (!json.is_object()) {
         return std::nullopt;
     }
--- a/test/bamboomoor/entry/generation.cpp
+++ b/test/bamboomoor/entry/generation.cpp
@@ -7,6 +7,8 @@
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 
+#include <string>
+
 using namespace bamboomoor;
 
 BOOST_AUTO_TEST_CASE(a_request_is_read)
@@ -66,3 +68,14 @@
     request.method = "GET";
     BOOST_TEST(entry::resolve(document, request).has_error());
 }
+
+BOOST_AUTO_TEST_CASE(deeply_nested_json_of_callers_and_upstreams_is_refused)
+{
+    const std::string deep = std::string(100'000, '[') + std::string(100'000, ']');
+    BOOST_TEST(entry::parseGeneration(R"({"model":"m","messages":)" + deep + "}").has_error());
+    BOOST_TEST(entry::parseGeneration(R"({"model":"m","messages":[],"tools":)" + deep + "}").has_error());
+    BOOST_TEST(entry::parseGeneration(R"({"model":"m","prompt":)" + deep + "}").has_error());
+    BOOST_TEST(!entry::readProgress(R"({"choices":[{"delta":{"content":"a"}}],"x":)" + deep + "}").has_value());
+    const std::string usual = std::string(64, '[') + std::string(64, ']');
+    BOOST_TEST(entry::parseGeneration(R"({"model":"m","messages":[],"tools":)" + usual + "}").has_value());
+}
