Do not add up token counts that no answer can have

What callers saw: an upstream that reports a usage near the largest integer makes the entry's sum of used tokens overflow, which is undefined and charges the organisation a negative amount. Cause: any integer that is not negative was read as a count. Change: counts of more than 10^12 tokens, the largest limit of an organisation, count as not reported, as other unreadable ones do. Evidence: usage_that_no_answer_can_have_is_not_counted failed for before.

--- a/src/bamboomoor/entry/generation.cpp
+++ b/src/bamboomoor/entry/generation.cpp
@@ -15,6 +15,8 @@
 {
 
 constexpr std::size_t PREFIX_BYTES = 256;
+// Tokens; a larger count of an answer is an error of its upstream.
+constexpr std::uint64_t MAX_USAGE = 1'000'000'000'000;
 
 using Json = nlohmann::json;
 
@@ -61,7 +63,7 @@
 std::optional<std::int64_t> usageOf(const Json &usage, const char *name)
 {
     const auto it = usage.find(name);
-    if (it == usage.end() || !it->is_number_integer() || it->get<std::int64_t>() < 0) {
+    if (it == usage.end() || !it->is_number_unsigned() || it->get<std::uint64_t>() > MAX_USAGE) {
         return std::nullopt;
     }
     return it->get<std::int64_t>();
--- a/test/bamboomoor/entry/generation.cpp
+++ b/test/bamboomoor/entry/generation.cpp
@@ -79,3 +79,15 @@
     const std::string usual = std::string(64, '[') + std::string(64, ']');
     BOOST_TEST(entry::parseGeneration(R"({"model":"m","messages":[],"tools":)" + usual + "}").has_value());
 }
+
+BOOST_AUTO_TEST_CASE(usage_that_no_answer_can_have_is_not_counted)
+{
+    for (const char *count : {"9223372036854775807", "18446744073709551615", "1e300", "-1", "1.5", "\"7\"", "null"}) {
+        const auto progress = entry::readProgress(R"({"choices":[],"usage":{"prompt_tokens":)" + std::string(count)
+            + R"(,"completion_tokens":)" + count + "}}");
+        BOOST_REQUIRE(progress.has_value());
+        BOOST_TEST(!progress->promptTokens.has_value(), count);
+        BOOST_TEST(!progress->completionTokens.has_value(), count);
+    }
+    BOOST_TEST(!entry::readProgress(R"({"choices":[],"usage":{"prompt_tokens":1e400}})").has_value());
+}
