Read any reply to an order without ending the leader

What callers saw: an upstream that answers an order with an outcome of another type, such as {"outcome":3}, ends the leading daemon. Cause: json::value() throws for a field of another type, and nothing catches on the thread of the HTTP client. Change: readOrderReply() checks the type; such a reply counts as unknown, as one that is no JSON did. Looked for elsewhere: value(), at() and get() of JSON from others. The rest is either checked or within a try block; the load generator, a client, still reads answers with value().

--- a/src/bamboomoor/control/placementthread.cpp
+++ b/src/bamboomoor/control/placementthread.cpp
@@ -3,6 +3,8 @@
  */
 #include "bamboomoor/control/placementthread.hpp"
 
+#include "bamboomoor/control/orderreply.hpp"
+
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
@@ -22,8 +24,6 @@
 constexpr double DEFAULT_RATE = 5.0;
 constexpr base::Millis ORDER_CONNECT_TIMEOUT{1'000};
 constexpr base::Millis ORDER_TIMEOUT{120'000};
-constexpr int OK = 200;
-constexpr int CONFLICT = 409;
 
 placement::CatalogueEntry entryOf(const config::Model &model, placement::ModelRef ref)
 {
@@ -160,13 +160,7 @@
         if (!whole) {
             return ending.bytesSent ? placement::TransportResult::Unknown : placement::TransportResult::Refused;
         }
-        const nlohmann::json json = nlohmann::json::parse(m_body, nullptr, false);
-        const std::string outcome = json.is_object() ? json.value("outcome", std::string()) : std::string();
-        if (m_status == OK && outcome == "done") {
-            return placement::TransportResult::Done;
-        }
-        const bool refused = m_status == CONFLICT && outcome == "refused";
-        return refused ? placement::TransportResult::Refused : placement::TransportResult::Unknown;
+        return readOrderReply(m_status, m_body);
     }
 
     PlacementThread &m_desk;
