Refuse an address with a NUL in it

What callers saw: an announcement with the address "10.0.0.1\\u0000x:80" is listed. Requests to it go to what the HTTP client makes of the text up to the NUL, which is another port of that host. Cause: inet_pton() was given a C string, which ends at the first NUL; JSON and TOML can hold one. Evidence: an_address_ends_where_its_text_ends failed before.

--- a/src/bamboomoor/reader/tablereader.cpp
+++ b/src/bamboomoor/reader/tablereader.cpp
@@ -57,6 +57,10 @@
         return false;
     }
     const std::string host(text.substr(0, colon));
+    // inet_pton() reads up to the first NUL only.
+    if (host.find('\0') != std::string::npos) {
+        return false;
+    }
     std::array<unsigned char, sizeof(in6_addr)> buf{};
     if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
         return inet_pton(AF_INET6, host.substr(1, host.size() - 2).c_str(), buf.data()) == 1;
--- a/test/bamboomoor/membership/codec.cpp
+++ b/test/bamboomoor/membership/codec.cpp
@@ -84,3 +84,13 @@
     const std::string text = membership::encodeDelta(delta);
     BOOST_TEST(membership::encodeDelta(membership::parseDelta(text).value()) == text);
 }
+
+BOOST_AUTO_TEST_CASE(an_address_ends_where_its_text_ends)
+{
+    auto document = nlohmann::json::parse(membership::encode(sample()));
+    for (const std::string &address :
+        {std::string("10.0.0.1\0x:80", 13), std::string("[::1\0]:80", 10), std::string("[10.0.0.1]:80")}) {
+        document["address"] = address;
+        expectError(document, ParseErrorKind::BadValue, "address");
+    }
+}
