--- a/test/bamboomoor/platform/messages.cpp
+++ b/test/bamboomoor/platform/messages.cpp
@@ -99,6 +99,19 @@
     BOOST_TEST(!isAccepted(without("r1", "\"public\":false", "\"public\":3")));
 }
 
+BOOST_AUTO_TEST_CASE(a_number_out_of_range_makes_a_manifest_invalid)
+{
+    for (const char *number : {"1e308", "1e400", "18446744073709551616", "-1", "-1e308", "9223372036854775808"}) {
+        BOOST_TEST(!isAccepted(without("r1", "20000", number)), number);
+        BOOST_TEST(!isAccepted(without("r1", "\"max_attempts\":1", std::string("\"max_attempts\":") + number)), number);
+        BOOST_TEST(!isAccepted(without("services", "370", number)), number);
+        BOOST_TEST(!isAccepted(without("tenants", "73479", number)), number);
+        BOOST_TEST(!isAccepted(without("limits", "16384", number)), number);
+        BOOST_TEST(!isAccepted(without("split", ":10}", std::string(":") + number + "}")), number);
+        BOOST_TEST(!isAccepted(without("engine", "2.1", number)), number);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(no_bytes_stop_the_reader)
 {
     BOOST_TEST(rc::check([] {
