--- a/test/bamboomoor/platform/messages.cpp
+++ b/test/bamboomoor/platform/messages.cpp
@@ -162,6 +162,21 @@
 
 BOOST_AUTO_TEST_SUITE(callers_and_upstreams)
 
+BOOST_AUTO_TEST_CASE(token_counts_of_any_size_can_be_added)
+{
+    const std::string most = std::to_string(INT64_MAX);
+    const auto read = Callers().read(request({{"X-Attempt-Id", "r"}, {"X-Token-Usage", most + "," + most},
+        {"X-Prompt-Prefix", "a:" + most + ",b:" + most}}));
+    BOOST_REQUIRE(read.has_value());
+    constexpr std::int64_t LARGEST_LIMIT = 1'000'000'000'000;
+    BOOST_TEST(*read.value().promptTokens >= LARGEST_LIMIT);
+    BOOST_TEST(*read.value().promptTokens <= INT64_MAX / 1'000'000);
+    BOOST_TEST(*read.value().maxTokens <= INT64_MAX / 1'000'000);
+    for (const relay::PromptPart &it : read.value().parts) {
+        BOOST_TEST(it.tokens <= INT64_MAX / 1'000'000);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_request_is_read_and_nothing_of_the_callers_own_reaches_an_upstream)
 {
     const Callers callers;
