--- a/test/bamboomoor/platform/messages.cpp
+++ b/test/bamboomoor/platform/messages.cpp
@@ -177,6 +177,16 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_closure_up_to_no_date_at_all_is_not_endless)
+{
+    const auto head =
+        Upstreams().readHead(503, {{"Date", "Fri, 04 Dec 2026 12:00:00 GMT"}, {"Retry-After", "infinite-future"}}, "r");
+    BOOST_TEST((!head.signal.closedFor || head.signal.closedFor->count <= 1'000'000'000));
+    const auto far =
+        Upstreams().readHead(503, {{"Date", "infinite-past"}, {"Retry-After", "Fri, 04 Dec 9999 12:00:00 GMT"}}, "r");
+    BOOST_TEST((!far.signal.closedFor || far.signal.closedFor->count <= 1'000'000'000));
+}
+
 BOOST_AUTO_TEST_CASE(a_request_is_read_and_nothing_of_the_callers_own_reaches_an_upstream)
 {
     const Callers callers;
