--- a/test/bamboomoor/control/wire.cpp
+++ b/test/bamboomoor/control/wire.cpp
@@ -159,3 +159,31 @@
     BOOST_TEST(bounded.running == 0);
     BOOST_TEST((bounded.receivedAt == received));
 }
+
+BOOST_AUTO_TEST_CASE(bytes_that_are_no_text_in_names_of_callers_do_not_make_a_report_unreadable)
+{
+    const std::string bytes = "\xff\xfe";
+    peer::wire::DemandReport report;
+    report.set_vm("a");
+    auto *demand = report.add_demands();
+    demand->set_model(bytes);
+    demand->set_adapter(bytes);
+    demand->set_version(bytes);
+    auto *lost = report.add_lost_attempts();
+    lost->set_request(bytes);
+    lost->add_parts(bytes);
+    lost->set_identity(bytes);
+    report.add_survivals()->set_part(bytes);
+    report.add_quarantines()->set_part(bytes);
+    peer::wire::DemandReport received;
+    BOOST_TEST(received.ParseFromString(report.SerializeAsString()));
+    BOOST_TEST(received.demands(0).model() == bytes);
+    BOOST_TEST(received.lost_attempts(0).parts(0) == bytes);
+
+    peer::wire::DemandReply reply;
+    reply.add_suspect_parts(bytes);
+    reply.add_quarantines()->set_part(bytes);
+    peer::wire::DemandReply answered;
+    BOOST_TEST(answered.ParseFromString(reply.SerializeAsString()));
+    BOOST_TEST(answered.suspect_parts(0) == bytes);
+}
