--- a/src/bamboomoor/entry/upstreamsync.cpp
+++ b/src/bamboomoor/entry/upstreamsync.cpp
@@ -4,6 +4,8 @@
 #include "bamboomoor/entry/upstreamsync.hpp"
 #include "bamboomoor/membership/codec.hpp"
 
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <functional>
 #include <set>
@@ -16,6 +18,23 @@
 {
 
 constexpr std::size_t RING_SIZE = 64;
+// Seconds between two lines about deltas that cannot be read, which are sent again and again.
+constexpr int UNREADABLE_LOG_INTERVAL = 60;
+
+base::Result<membership::Delta, membership::ParseError> readDelta(const std::string &text, std::string_view sender)
+{
+    auto delta = membership::parseDelta(text);
+    if (!delta) {
+        LOG_EVERY_T(WARNING, UNREADABLE_LOG_INTERVAL)
+            << "event=upstreams_unreadable vm=" << sender
+            << " reason=" << membership::PARSE_ERROR_KIND_NAMES.name(delta.error().kind);
+    } else if (!delta.value().unreadable.empty()) {
+        LOG_EVERY_T(WARNING, UNREADABLE_LOG_INTERVAL)
+            << "event=upstreams_left_out vm=" << sender << " count=" << delta.value().unreadable.size()
+            << " first=" << delta.value().unreadable.front();
+    }
+    return delta;
+}
 
 } // namespace
 
@@ -137,7 +156,7 @@
     if (!answer.pulled) {
         return;
     }
-    const auto delta = membership::parseDelta(answer.reply->delta());
+    const auto delta = readDelta(answer.reply->delta(), answer.voter);
     if (!delta) {
         choosePuller(answer.voter);
         return;
@@ -173,7 +192,7 @@
     peer::wire::UpstreamSync answer;
     answer.set_warming(warming);
     if (!request.delta().empty()) {
-        const auto delta = membership::parseDelta(request.delta());
+        const auto delta = readDelta(request.delta(), request.vm());
         answer.set_resend(!delta || book.merge(now, delta.value()).incomplete);
     }
     if (!request.push_only()) {
--- a/src/bamboomoor/membership/codec.cpp
+++ b/src/bamboomoor/membership/codec.cpp
@@ -3,6 +3,7 @@
  */
 #include "bamboomoor/membership/codec.hpp"
 
+#include "bamboomoor/base/json.hpp"
 #include "bamboomoor/membership/internal/reader.hpp"
 
 #include <nlohmann/json.hpp>
@@ -161,9 +162,9 @@
 Delta readDelta(Reader &reader)
 {
     Delta delta;
-    delta.entries = reader.list<DeltaEntry>("entries", readEntry);
-    delta.renewals = reader.list<Renewal>("renewals", readRenewal);
-    delta.removed = reader.list<Removal>("removed", readRemoval);
+    delta.entries = reader.readableOf<DeltaEntry>("entries", readEntry, delta.unreadable);
+    delta.renewals = reader.readableOf<Renewal>("renewals", readRenewal, delta.unreadable);
+    delta.removed = reader.readableOf<Removal>("removed", readRemoval, delta.unreadable);
     delta.position.epoch = reader.number("epoch");
     delta.position.revision = reader.number("revision");
     return delta;
@@ -172,7 +173,7 @@
 template<class Value>
 base::Result<Value, ParseError> parseAs(std::string_view text, Value (*read)(Reader &))
 {
-    const json document = json::parse(text, nullptr, false);
+    const json document = base::parseJson(text);
     if (document.is_discarded()) {
         return base::failure(ParseError{ParseErrorKind::NotJson, {}});
     }
--- a/src/bamboomoor/membership/codec.hpp
+++ b/src/bamboomoor/membership/codec.hpp
@@ -49,9 +49,9 @@
 [[nodiscard]] std::string encodeDelta(const Delta &delta);
 
 /**
- * @brief Parses a delta from JSON; unknown fields are ignored.
+ * @brief Parses a delta from JSON; unknown fields are ignored, and elements that cannot be read are left out.
  * @param text The JSON text.
- * @return The delta, or the first error found.
+ * @return The delta, or the first error outside of its elements.
  */
 [[nodiscard]] base::Result<Delta, ParseError> parseDelta(std::string_view text);
 
--- a/src/bamboomoor/membership/internal/reader.hpp
+++ b/src/bamboomoor/membership/internal/reader.hpp
@@ -98,6 +98,38 @@
         return values;
     }
 
+    /**
+     * @brief Reads a list of objects with the given function, and leaves out those that it cannot read.
+     * @param field Name of the list.
+     * @param read Reads one element.
+     * @param unreadable Receives the path of the first unreadable field of each element that is left out.
+     */
+    template<class Value>
+    [[nodiscard]] std::vector<Value> readableOf(
+        const char *field, Value (*read)(Reader &), std::vector<std::string> &unreadable)
+    {
+        std::vector<Value> values;
+        const nlohmann::json *found = get(field);
+        if (found == nullptr) {
+            return values;
+        }
+        if (!found->is_array()) {
+            fail(ParseErrorKind::WrongType, field);
+            return values;
+        }
+        for (std::size_t n = 0; n < found->size(); ++n) {
+            std::optional<ParseError> error;
+            Reader reader((*found)[n], pathOf(field) + "[" + std::to_string(n) + "]", error);
+            Value value = read(reader);
+            if (error) {
+                unreadable.push_back(std::move(error->field));
+            } else {
+                values.push_back(std::move(value));
+            }
+        }
+        return values;
+    }
+
 private:
     [[nodiscard]] const nlohmann::json *get(const char *field);
     [[nodiscard]] std::string pathOf(std::string_view field) const;
--- a/src/bamboomoor/membership/registry.hpp
+++ b/src/bamboomoor/membership/registry.hpp
@@ -87,6 +87,8 @@
     std::vector<Removal> removed;
     // Position from which to request the next delta.
     Position position;
+    // Paths of the elements that parseDelta() left out because it could not read them; not encoded.
+    std::vector<std::string> unreadable;
 };
 
 /** @brief Result of a merge. */
