Take no heartbeat that other daemons cannot read (LOST)

What callers saw: one odd heartbeat ended the spreading of all upstreams. A service, data centre, id, model, adapter or local copy of more than 256 bytes, an id that is no UTF-8, or "pending":["/a@1"] was accepted by the control VM that heard it and refused by the reader of deltas at every other daemon. Bodies of up to 32 MiB were taken, of which two exceed the message that carries a delta. A sequence of 2^64-1 overtook all later heartbeats of the worker until its lease and the retention of its record had run out. Cause: the reader of heartbeats and the codec between daemons do not agree on what an announcement may hold. Change: membership::check() tells whether an announcement comes back unchanged from the codec and takes at most 256 KiB; the reader of heartbeats asks it. Ids with spaces or control characters are refused, as they are sent in a header. sequence and born must be whole numbers below 2^53; born of another type counted as missing before. Adapters without a name are refused, pending ones without a name or model are left out. Bodies are bounded before they are parsed, the product's own announcements too. Sound before: ports out of range, host names, fields that are missing, 1e400, nesting of 100,000 levels. The test of slots of another type, which are read as unknown, is unchanged.

--- a/src/bamboomoor/membership/codec.cpp
+++ b/src/bamboomoor/membership/codec.cpp
@@ -194,9 +194,22 @@
 
 base::Result<Announcement, ParseError> parse(std::string_view text)
 {
+    if (text.size() > MAX_ANNOUNCEMENT_BYTES) {
+        return base::failure(ParseError{ParseErrorKind::BadValue, {}});
+    }
     return parseAs<Announcement>(text, readAnnouncement);
 }
 
+base::Result<void, ParseError> check(const Announcement &announcement)
+{
+    BOOST_OUTCOME_TRY(read, parse(encode(announcement)));
+    // Bytes that are no UTF-8 are replaced when they are encoded.
+    if (read != announcement) {
+        return base::failure(ParseError{ParseErrorKind::BadValue, {}});
+    }
+    return base::success();
+}
+
 std::string encodeDelta(const Delta &delta)
 {
     json entries = json::array();
--- a/src/bamboomoor/membership/codec.hpp
+++ b/src/bamboomoor/membership/codec.hpp
@@ -7,6 +7,7 @@
 #include "bamboomoor/membership/announcement.hpp"
 #include "bamboomoor/membership/registry.hpp"
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -34,6 +35,16 @@
  */
 [[nodiscard]] std::string encode(const Announcement &announcement);
 
+/** @brief Longest announcement, in bytes of its encoding, so that the message with a delta of many stays bounded. */
+inline constexpr std::size_t MAX_ANNOUNCEMENT_BYTES = 262'144;
+
+/**
+ * @brief Tells whether an announcement that was read from another format can be passed on to other registries.
+ * @param announcement The announcement.
+ * @return Success, or the first field that parse() would not read as it is; no field if that is not known.
+ */
+[[nodiscard]] base::Result<void, ParseError> check(const Announcement &announcement);
+
 /**
  * @brief Parses an announcement from JSON; unknown fields are ignored.
  * @param text The JSON text.
--- a/test/bamboomoor/platform/messages.cpp
+++ b/test/bamboomoor/platform/messages.cpp
@@ -2,6 +2,8 @@
  * Tests of the adapter: each message is read into the product's types, and broken ones get a clear answer.
  */
 #include "bamboomoor/config/parse.hpp"
+#include "bamboomoor/membership/codec.hpp"
+#include "bamboomoor/membership/registry.hpp"
 #include "platform/announcements.hpp"
 #include "platform/callers.hpp"
 #include "platform/control.hpp"
@@ -160,6 +162,147 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(foreign_heartbeats)
+
+namespace
+{
+
+const std::string HEARTBEAT = R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":64,)"
+                              R"("state":"ready","cold_remaining_ms":0,"stage":"both","born":1785757233099,)"
+                              R"("sequence":4,"models":[{"name":"m","version":1,"adapters":["a1"]}],)"
+                              R"("available":{"in_memory":["x"],"on_disk":["m"]},"pending":["m/a2@1"]})";
+
+const std::vector<std::string> FIELDS{"service", "address", "zone", "version", "slots", "state", "cold_remaining_ms",
+    "stage", "born", "sequence", "models", "available", "pending", "name", "adapters", "in_memory"};
+
+const std::vector<std::string> VALUES{"null", "true", "-1", "1.5", "1e308", "1e400", "9007199254740992",
+    "18446744073709551615", "18446744073709551616", "\"\"", R"("\u0000")", R"("a\r\nb")", "\"\xff\"", "[]", "{}",
+    R"([""])", R"(["/"])", R"(["/a@1"])", R"(["m/"])", R"([{"name":"","version":1e300}])", R"("10.0.0.1:0")",
+    R"("10.0.0.1:65536")", R"("10.0.0.1:-1")", R"("10.0.0.1:99999999999")", R"("10.0.0.1\u0000x:80")", R"("10.0.0.1")",
+    R"("[::1]:80")", R"("localhost:80")", '"' + std::string(300, 'x') + '"', "[\"" + std::string(300, 'x') + "\"]",
+    R"([{"name":"m","adapters":[""]}])", R"([{"name":"m","adapters":[")" + std::string(300, 'x') + "\"]}]",
+    std::string(100'000, '[') + std::string(100'000, ']'), std::string(100'000, '['), "\"open"};
+
+const std::vector<std::string> IDS{
+    "i-1", "i\xff", "i\r\nHost: x", std::string("i\0j", 3), std::string(300, 'i'), "i j", "\xc3\xa9"};
+
+std::string withField(std::string body, const std::string &field, const std::string &value)
+{
+    const std::size_t at = body.find('"' + field + "\":");
+    if (at == std::string::npos) {
+        return body;
+    }
+    const std::size_t begin = at + field.size() + 3;
+    const char open = body[begin];
+    const char close = open == '[' ? ']' : '}';
+    std::size_t end = begin;
+    if (open == '[' || open == '{') {
+        for (int depth = 0; end < body.size(); ++end) {
+            depth += body[end] == open ? 1 : body[end] == close ? -1 : 0;
+            if (depth == 0) {
+                ++end;
+                break;
+            }
+        }
+    } else {
+        end = std::min(body.find_first_of(",}", begin), body.size());
+    }
+    return body.replace(begin, end - begin, value);
+}
+
+/** @brief Tells whether what was read reaches another registry unchanged. */
+bool isReplicated(const membership::Announcement &announcement)
+{
+    membership::Registry here;
+    here.announce({1'000}, announcement);
+    const auto delta = membership::parseDelta(membership::encodeDelta(here.changesSince({1'001}, {})));
+    membership::Registry there;
+    if (!delta || there.merge({1'001}, delta.value()).changed != 1U) {
+        return false;
+    }
+    const membership::Entry *entry = there.find({1'002}, announcement.id);
+    return entry != nullptr && entry->announcement == announcement;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_heartbeat_that_is_accepted_reaches_the_other_daemons)
+{
+    BOOST_REQUIRE(readHeartbeat("i-1", HEARTBEAT).has_value());
+    for (const std::string &id : IDS) {
+        const auto read = readHeartbeat(id, HEARTBEAT);
+        BOOST_TEST((!read || isReplicated(read.value())), "id " << id.substr(0, 40));
+    }
+    for (const std::string &id :
+        {std::string("i\r\nHost: x"), std::string("i\0j", 3), std::string("i j"), std::string()}) {
+        BOOST_TEST(!readHeartbeat(id, HEARTBEAT).has_value());
+    }
+    for (const std::string &field : FIELDS) {
+        for (const std::string &value : VALUES) {
+            const auto read = readHeartbeat("i-1", withField(HEARTBEAT, field, value));
+            BOOST_TEST((!read || isReplicated(read.value())), field << " " << value.substr(0, 40));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(no_mutation_of_a_heartbeat_stops_the_reader_or_the_daemons_after_it)
+{
+    BOOST_TEST(rc::check([] {
+        std::string body = HEARTBEAT;
+        const int changes = *rc::gen::inRange(1, 5);
+        for (int n = 0; n < changes; ++n) {
+            body = withField(body, *rc::gen::elementOf(FIELDS), *rc::gen::elementOf(VALUES));
+        }
+        const auto read = readHeartbeat(*rc::gen::elementOf(IDS), body);
+        const bool passed = !read || isReplicated(read.value());
+        RC_ASSERT(passed);
+        static_cast<void>(Orders().readInspection(200, body));
+        static_cast<void>(readManifest(body));
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(a_huge_heartbeat_does_not_fill_the_message_that_carries_all_upstreams)
+{
+    std::string models = "[";
+    for (int n = 0; n < 200'000; ++n) {
+        models += R"({"name":"model-)" + std::to_string(n) + "\"},";
+    }
+    models.back() = ']';
+    BOOST_TEST(!readHeartbeat("i-1", withField(HEARTBEAT, "models", models)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_heartbeat_with_a_number_too_large_does_not_overtake_those_of_the_worker)
+{
+    for (const char *field : {"born", "sequence"}) {
+        for (const char *value : {"18446744073709551615", "18446744073709551616", "9007199254740992", "1e308", "1e400",
+                 "-1", "1.5", "null", "\"4\""}) {
+            BOOST_TEST(!readHeartbeat("i-1", withField(HEARTBEAT, field, value)).has_value(), field << " " << value);
+        }
+    }
+    BOOST_TEST(readHeartbeat("i-1", withField(HEARTBEAT, "born", "9007199254740991")).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_heartbeat_whose_address_does_not_end_with_its_text_names_no_upstream)
+{
+    for (const char *address : {R"("10.0.0.1\u0000x:80")", R"("10.0.0.1:80\u0000")", R"("10.0.0.1\n:80")",
+             R"("[::1\u0000]:80")", R"("10.0.0.1:+80")", R"("10.0.0.1: 80")", R"(":80")", R"("[10.0.0.1]:80")"}) {
+        BOOST_TEST(!readHeartbeat("i-1", withField(HEARTBEAT, "address", address)).has_value(), address);
+    }
+    BOOST_TEST(readHeartbeat("i-1", withField(HEARTBEAT, "address", R"("[2001:db8::1]:80")")).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_report_never_names_a_model_without_a_name)
+{
+    const auto found = Orders().readInspection(200,
+        R"({"models":[{"name":"m","adapters":[""]}],"busy":false,"sequence":2,"pending":["/a7@1","m/","m/@2","/"]})");
+    if (found) {
+        BOOST_TEST(found->holdings.models.size() == 1U);
+        BOOST_TEST(found->holdings.models.at("m").empty());
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(callers_and_upstreams)
 
 BOOST_AUTO_TEST_CASE(token_counts_of_any_size_can_be_added)
