Log an unreadable call that repeats once a minute

What operators saw: a line for each heartbeat of a writer that is not understood, which does not say whose it was, and quotes a path of any length. Cause: the reason named neither the upstream nor bounded what it quotes, and only the rate of all such lines was bounded.

--- a/src/bamboomoor/gateway/controlapi.cpp
+++ b/src/bamboomoor/gateway/controlapi.cpp
@@ -45,10 +45,19 @@
 
 void ControlApi::on(BadCall &call, const Responder &responder)
 {
-    m_context.log.write(base::LogLine("call_unreadable").add("reason", call.reason).add("status", call.answer.status));
+    if (isNewProblem(call.reason)) {
+        m_context.log.write(
+            base::LogLine("call_unreadable").add("reason", call.reason).add("status", call.answer.status));
+    }
     responder->respond(std::move(call.answer));
 }
 
+bool ControlApi::isNewProblem(const std::string &reason)
+{
+    const absl::MutexLock lock(&m_mutex);
+    return m_unreadable.isNew(m_context.clock.now(), reason);
+}
+
 bool ControlApi::isLed()
 {
     const std::int64_t now = m_context.clock.now().count;
--- a/src/bamboomoor/gateway/controlapi.hpp
+++ b/src/bamboomoor/gateway/controlapi.hpp
@@ -7,6 +7,7 @@
 
 #include "bamboomoor/base/clock.hpp"
 #include "bamboomoor/base/eventlog.hpp"
+#include "bamboomoor/base/repeatfilter.hpp"
 #include "bamboomoor/control/membershipthread.hpp"
 #include "bamboomoor/control/peerregistry.hpp"
 #include "bamboomoor/entry/upstreambook.hpp"
@@ -14,7 +15,11 @@
 #include "bamboomoor/gateway/fwd.hpp"
 #include "bamboomoor/http/server.hpp"
 
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -29,6 +34,10 @@
     base::Millis timeout{900};
     // How long this VM may be without a known leader before it rejects upstreams, so that they try another VM.
     base::Millis leaderlessTimeout{5'000};
+    // How long an unreadable call that repeats is not logged again, and how many different ones are logged in that
+    // time.
+    base::Millis unreadableSpan{60'000};
+    std::size_t unreadableCount = 64;
 };
 
 /** @brief Dependencies of the control API; all must outlive it. */
@@ -49,9 +58,10 @@
 {
 public:
     /** @brief Creates the handler. @param options The settings. @param context The dependencies. */
-    ControlApi(ControlApiOptions options, ControlApiContext context) noexcept
+    ControlApi(ControlApiOptions options, ControlApiContext context)
         : m_options(options)
         , m_context(context)
+        , m_unreadable(options.unreadableSpan, options.unreadableCount)
         , m_ledAt(context.clock.now().count)
     {
     }
@@ -68,6 +78,7 @@
     void on(BadCall &call, const Responder &responder);
     [[nodiscard]] static std::string modelsOf(const membership::Announcement &announcement);
     void announce(membership::Announcement announcement);
+    [[nodiscard]] bool isNewProblem(const std::string &reason);
     [[nodiscard]] bool isLed();
     [[nodiscard]] peer::Client *leader() const;
     [[nodiscard]] http::Response answerReplace(
@@ -75,6 +86,9 @@
 
     ControlApiOptions m_options;
     ControlApiContext m_context;
+    absl::Mutex m_mutex;
+    // Reasons of unreadable calls, which their senders repeat.
+    base::RepeatFilter m_unreadable ABSL_GUARDED_BY(m_mutex);
     // When a leader was last known, in milliseconds.
     std::atomic<std::int64_t> m_ledAt;
 };
--- a/test/bamboomoor/platform/messages.cpp
+++ b/test/bamboomoor/platform/messages.cpp
@@ -291,6 +291,22 @@
     BOOST_TEST(readHeartbeat("i-1", withField(HEARTBEAT, "address", R"("[2001:db8::1]:80")")).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(a_refused_call_gives_a_short_reason_that_names_its_sender)
+{
+    http::Request call;
+    call.method = "POST";
+    call.body = "[[[";
+    for (const char *path : {"/Instances.Heartbeat/i-9", "/i-9"}) {
+        call.path = path + std::string(10'000, '\xff');
+        const gateway::ControlCall read = Control().read(call);
+        const auto *bad = std::get_if<gateway::BadCall>(&read);
+        BOOST_REQUIRE(bad != nullptr);
+        BOOST_TEST(bad->reason.size() < 1'000U);
+        BOOST_TEST(bad->reason.find("i-9") != std::string::npos);
+        BOOST_TEST(bad->answer.status >= 400);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_report_never_names_a_model_without_a_name)
 {
     const auto found = Orders().readInspection(200,
