Refuse a document that is nested too deeply before it is parsed

What callers saw: a document with one key of 200,000 dotted parts, in an operator's change, ends every replica that applies it, and each of them again when it starts and reads its log. Cause: the TOML library bounds the nesting of values, not the parts of a key; each part is a table, and tables are destroyed recursively, which overflows the stack. Change: parseToml() scans the text first, outside of strings and comments, and refuses keys of more than 64 parts and more than 64 open brackets. Evidence: a_document_of_deeply_nested_keys_ends_no_process and a_deeply_nested_document_in_the_log_ends_no_replica died with a memory access violation before. The latter also holds that commands of deeply nested JSON in the log end no replica. Ruled out: checking changes only where they arrive, since what is in the log already would still end replicas.

--- a/src/bamboomoor/reader/tablereader.cpp
+++ b/src/bamboomoor/reader/tablereader.cpp
@@ -4,6 +4,7 @@
 #include "bamboomoor/reader/tablereader.hpp"
 
 #include "bamboomoor/base/nametable.hpp"
+#include "bamboomoor/reader/nesting.hpp"
 
 #include <arpa/inet.h>
 
@@ -108,6 +109,9 @@
 
 base::Result<toml::table, Problem> parseToml(std::string_view text)
 {
+    if (isTooDeep(text)) {
+        return base::failure(Problem{.place = "the whole text", .message = "is nested too deeply"});
+    }
     try {
         return toml::parse(text);
     } catch (const toml::parse_error &error) {
--- a/test/bamboomoor/config/document.cpp
+++ b/test/bamboomoor/config/document.cpp
@@ -127,3 +127,32 @@
     });
     BOOST_TEST(passed);
 }
+
+BOOST_AUTO_TEST_CASE(a_document_of_deeply_nested_keys_ends_no_process)
+{
+    constexpr int LEVELS = 200'000;
+    std::string key;
+    std::string tables;
+    std::string members;
+    for (int n = 0; n < LEVELS; ++n) {
+        key += "a.";
+        tables += "{a=";
+    }
+    for (int n = 0; n < 200; ++n) {
+        members += "[{" + key.substr(0, 2'000) + "a=\n";
+    }
+    for (const std::string &text : {key + "a = 1", '[' + key + "a]", "[[" + key + "a]]", "x = {" + key + "a = 1}",
+             "# \"\n" + key + "a = 1", "x = '\"'\n" + key + "a = 1", "x = \"\\\"\"\n" + key + "a = 1",
+             "x = \"\"\"\"\"\n\"\"\"\n" + key + "a = 1", "x = " + tables, "x = " + std::string(LEVELS, '['),
+             "x = " + members, "\"" + std::string(LEVELS, '.') + "\" = 1"}) {
+        const auto result = config::parse(text);
+        BOOST_REQUIRE(result.has_error());
+        BOOST_TEST(!result.error().message.empty());
+    }
+    const std::string dots(100'000, '.');
+    config::Document document;
+    document.services.emplace_back().name = dots + '"' + dots + "\n[{" + dots;
+    const auto result = config::parse(config::print(document));
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST((result.value() == document));
+}
--- a/test/bamboomoor/state/replaceconfig.cpp
+++ b/test/bamboomoor/state/replaceconfig.cpp
@@ -49,6 +49,37 @@
     BOOST_TEST(machine.configuration().document()->organisations[0].rate == 1);
 }
 
+BOOST_AUTO_TEST_CASE(a_deeply_nested_document_in_the_log_ends_no_replica)
+{
+    constexpr int LEVELS = 200'000;
+    std::string text;
+    for (int n = 0; n < LEVELS; ++n) {
+        text += "a.";
+    }
+    text += "a = 1";
+    state::Machine machine;
+    state::ReplaceConfig replaced;
+    replaced.version = 9;
+    replaced.documentText = text;
+    auto outcome = std::get<state::ChangeOutcome>(machine.apply(1, state::encode(replaced)));
+    BOOST_TEST((outcome.code == state::ChangeCode::InvalidDocument));
+    state::ApplyConfig applied;
+    applied.changeId = "c";
+    applied.author = "operator";
+    applied.baseVersion = machine.configuration().current().version;
+    applied.baseDigest = machine.configuration().current().digest;
+    applied.documentText = text;
+    outcome = std::get<state::ChangeOutcome>(machine.apply(2, state::encode(applied)));
+    BOOST_TEST((outcome.code == state::ChangeCode::InvalidDocument));
+    const std::string nested =
+        R"({"kind":"replace_config","value":)" + std::string(LEVELS, '[') + std::string(LEVELS, ']') + '}';
+    BOOST_TEST(std::holds_alternative<state::Malformed>(machine.apply(3, nested)));
+    const std::string beside = R"({"kind":"sweep_claims","value":{"before":1},"x":)" + std::string(LEVELS, '[')
+        + std::string(LEVELS, ']') + '}';
+    static_cast<void>(machine.apply(4, beside));
+    BOOST_TEST(state::Machine::restore(machine.snapshot()).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(an_invalid_document_has_no_effect)
 {
     state::Machine machine;
