--- a/src/bamboomoor/reader/tablereader.cpp
+++ b/src/bamboomoor/reader/tablereader.cpp
@@ -4,6 +4,7 @@
 #include "bamboomoor/reader/tablereader.hpp"
 
 #include "bamboomoor/base/nametable.hpp"
+#include "bamboomoor/reader/nesting.hpp"
 
 #include <arpa/inet.h>
 
@@ -57,6 +58,10 @@
         return false;
     }
     const std::string host(text.substr(0, colon));
+    // inet_pton() reads up to the first NUL only.
+    if (host.find('\0') != std::string::npos) {
+        return false;
+    }
     std::array<unsigned char, sizeof(in6_addr)> buf{};
     if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
         return inet_pton(AF_INET6, host.substr(1, host.size() - 2).c_str(), buf.data()) == 1;
@@ -104,6 +109,9 @@
 
 base::Result<toml::table, Problem> parseToml(std::string_view text)
 {
+    if (isTooDeep(text)) {
+        return base::failure(Problem{.place = "the whole text", .message = "is nested too deeply"});
+    }
     try {
         return toml::parse(text);
     } catch (const toml::parse_error &error) {
