Ask for the configuration without a leader no more often than with one (CONFIG)

What callers saw: while no leader stands, every entry of a large fleet loads the voters that have to elect one; on few cores changes, reads and grants stand still for long. Cause: Freshness paused 50 ms after each answer without confirmation and then asked the supposed leader and all voters again, although their confirmation holds for 2 s. With a leader it asks two or three times a second, as the leader holds its questions for 400 ms; without one, 112 times (five voters that answer at once). The load of the outage is 45 times that of the calm, and its testimonies pass through the voters' threads, beside heartbeats and votes. Change: the pause doubles up to 400 ms, voters are asked only once half of the lease is over, and a voter that names another leader is followed at once, but not twice in a row, as voters may name each other. Ruled out: fewer testimonies by asking only some voters, since a majority has to answer. The product's own daemon uses the same thread.

--- a/src/bamboomoor/entry/freshness.cpp
+++ b/src/bamboomoor/entry/freshness.cpp
@@ -76,20 +76,33 @@
 
 void Freshness::run()
 {
+    base::Millis pause = m_options.pause;
+    bool redirected = false;
     while (!m_stopping) {
-        if (!askLeader()) {
-            askVoters();
+        const Answered answered = askLeader(m_leader.get());
+        if (answered == Answered::Confirmed) {
+            pause = m_options.pause;
+        } else if (answered == Answered::Unconfirmed || redirected) {
+            if (needsVoters()) {
+                askVoters();
+            }
             // Only a closed ring or the pause ends this wait, as every question has its own round.
-            static_cast<void>(m_answers.pop(m_options.pause));
+            static_cast<void>(m_answers.pop(pause));
+            pause = std::min(pause * 2, m_options.longestPause);
         }
+        redirected = answered == Answered::Redirected && !redirected;
         watchLease();
     }
 }
 
-bool Freshness::askLeader()
+bool Freshness::needsVoters() const
+{
+    return m_inForce.freshUntil() - m_clock.now() < m_options.lease / 2;
+}
+
+Freshness::Answered Freshness::askLeader(const std::string &voter)
 {
     const std::uint64_t round = ++m_round;
-    const std::string voter = m_leader.get();
     const auto held = m_inForce.current();
     peer::wire::FreshenRequest request;
     request.set_vm(m_options.vm);
@@ -106,16 +119,16 @@
         if (answer->reply && answer->reply->confirmed()) {
             m_leader.learn(answer->reply->leader());
             learnVoters(*answer->reply);
-            return take(*answer->reply, sentAt);
+            return take(*answer->reply, sentAt) ? Answered::Confirmed : Answered::Unconfirmed;
         }
         if (answer->reply && !answer->reply->leader().empty() && answer->reply->leader() != voter) {
             m_leader.learn(answer->reply->leader());
-        } else {
-            m_leader.skip(voter);
+            return Answered::Redirected;
         }
-        return false;
+        m_leader.skip(voter);
+        return Answered::Unconfirmed;
     }
-    return false;
+    return Answered::Unconfirmed;
 }
 
 void Freshness::learnVoters(const peer::wire::FreshenReply &reply)
--- a/src/bamboomoor/entry/freshness.hpp
+++ b/src/bamboomoor/entry/freshness.hpp
@@ -30,8 +30,10 @@
     base::Millis lease{2'000};
     // The longest wait for an answer.
     base::Millis timeout{700};
-    // The pause after an answer without confirmation.
+    // The pause after an answer without confirmation, doubled with each further one up to the longest, so that entries
+    // without a leader do not ask more often than a leader holds their questions.
     base::Millis pause{50};
+    base::Millis longestPause{400};
     // True in a group that finds itself: the voters are those that the leader names.
     bool learnsVoters = false;
 };
@@ -86,9 +88,13 @@
         std::optional<WitnessAnswer> answer;
     };
 
+    // Redirected: the voter does not lead and named another one.
+    enum class Answered { Confirmed, Redirected, Unconfirmed };
+
     void run();
-    [[nodiscard]] bool askLeader();
+    [[nodiscard]] Answered askLeader(const std::string &voter);
     void askVoters();
+    [[nodiscard]] bool needsVoters() const;
     void learnVoters(const peer::wire::FreshenReply &reply);
     [[nodiscard]] bool take(const peer::wire::FreshenReply &reply, base::Millis sentAt);
     void watchLease();
