Keep a connection to a peer on which other calls are answered (CONFIG)

What callers saw: nothing by itself. While commits are slow, each change that the leader does not confirm in 0.9 s costs the connection that carries the heartbeats between the two VMs, and on a leader with little processor time each call of an entry that is answered late costs another connection, which is one more handshake that the leader has to serve. Cause: Client took every call that timed out for a sign of a silent connection, also one that the peer only answers late while it answers others at once. Change: a connection is silent if a call timed out and no call was answered over it since that one was sent. Evidence: silence/a_late_answer_does_not_cost_a_connection_on_which_others_arrive failed before. A connection that falls silent is still found by the first call after its last answer; the test of that is unchanged and passes. Ruled out: a client for consensus messages alone, since entries would still open connections under load.

--- a/src/bamboomoor/peer/client.cpp
+++ b/src/bamboomoor/peer/client.cpp
@@ -10,6 +10,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstdint>
 #include <set>
 #include <utility>
 
@@ -47,9 +48,32 @@
     {
     }
 
+    /** @brief Notes that the peer answered a call. @param now The time. */
+    void noteAnswer(base::Millis now)
+    {
+        m_answeredAt = now.count;
+    }
+
+    /** @brief Notes that a call timed out. @param sentAt When it was sent. */
+    void noteTimeout(base::Millis sentAt)
+    {
+        if (m_answeredAt <= sentAt.count) {
+            m_silent = true;
+        }
+    }
+
+    [[nodiscard]] bool isSilent() const
+    {
+        return m_silent;
+    }
+
     std::unique_ptr<wire::Peer::Stub> stub;
-    // Set by the first call that timed out; the next call takes a new link.
-    std::atomic<bool> silent{false};
+
+private:
+    // When the latest answer to any call arrived.
+    std::atomic<std::int64_t> m_answeredAt{INT64_MIN};
+    // Set when a call timed out and no other was answered since it was sent; the next call takes a new link.
+    std::atomic<bool> m_silent{false};
 };
 
 /** @brief Contexts of the calls in progress, so that they can be cancelled. */
@@ -107,6 +131,8 @@
 {
     auto pending = std::make_shared<Pending<Request, Reply>>();
     pending->request = request;
+    const base::SteadyClock clock;
+    const base::Millis sentAt = clock.now();
     pending->context.set_deadline(std::chrono::system_clock::now() + std::chrono::milliseconds(timeout.count));
     auto *raw = pending.get();
     if (!calls.add(&raw->context)) {
@@ -114,9 +140,12 @@
         return;
     }
     begin(link->stub->async(), &raw->context, &raw->request, &raw->reply,
-        [&calls, link, pending = std::move(pending), onReply = std::move(onReply)](const grpc::Status &status) {
-            if (status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED) {
-                link->silent = true;
+        [&calls, link, clock, sentAt, pending = std::move(pending), onReply = std::move(onReply)](
+            const grpc::Status &status) {
+            if (status.ok()) {
+                link->noteAnswer(clock.now());
+            } else if (status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED) {
+                link->noteTimeout(sentAt);
             }
             onReply(status.ok() ? std::optional<Reply>(std::move(pending->reply)) : std::nullopt);
             calls.remove(&pending->context);
@@ -144,7 +173,7 @@
 std::shared_ptr<Client::Link> Client::link()
 {
     const absl::MutexLock lock(&m_mutex);
-    if (!m_link || m_link->silent) {
+    if (!m_link || m_link->isSilent()) {
         m_link = std::make_shared<Link>(m_address);
     }
     return m_link;
--- a/test/bamboomoor/peer/silence.cpp
+++ b/test/bamboomoor/peer/silence.cpp
@@ -188,6 +188,18 @@
         done.WaitForNotification();
         return answered;
     }
+
+    bool join()
+    {
+        absl::Notification done;
+        bool answered = false;
+        client.call(peer::wire::JoinRequest(), CALL_TIMEOUT, [&](const std::optional<peer::wire::JoinReply> &reply) {
+            answered = reply.has_value();
+            done.Notify();
+        });
+        done.WaitForNotification();
+        return answered;
+    }
 };
 
 } // namespace
@@ -219,4 +231,21 @@
     BOOST_TEST(!std::includes(before.begin(), before.end(), after.begin(), after.end()));
 }
 
+BOOST_AUTO_TEST_CASE(a_late_answer_does_not_cost_a_connection_on_which_others_arrive)
+{
+    BOOST_REQUIRE(ask());
+    handler.fallSilent();
+    absl::Notification late;
+    client.call(peer::wire::HistoryRequest(), CALL_TIMEOUT, [&late](const std::optional<peer::wire::HistoryReply> &) {
+        late.Notify();
+    });
+    while (!late.WaitForNotificationWithTimeout(absl::Milliseconds(50))) {
+        BOOST_TEST(join());
+    }
+    const std::set<int> before = callersAt(port);
+    BOOST_TEST(before.size() == 1U);
+    BOOST_TEST(join());
+    BOOST_TEST((callersAt(port) == before));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
