--- a/src/bamboomoor/control/voterthread.cpp
+++ b/src/bamboomoor/control/voterthread.cpp
@@ -17,8 +17,6 @@
 namespace
 {
 
-// Maximum number of jobs per step; the jobs of a step share one fsync.
-constexpr std::size_t MAX_BATCH = 512;
 constexpr base::Millis MAX_WAIT{1'000};
 
 /** @brief Returns whether an entry may change the configuration; payloads that cannot be decoded may not. */
@@ -42,6 +40,12 @@
 
 } // namespace
 
+storage::Result<std::unique_ptr<storage::FileSystem>> openLogFolder(const std::string &path)
+{
+    BOOST_OUTCOME_TRY(folder, storage::PosixFolder::open(path));
+    return std::move(folder);
+}
+
 VoterThread::VoterThread(VoterOptions options, const PeerRegistry &peers, const base::Clock &clock)
     : m_options(std::move(options))
     , m_peers(peers)
@@ -63,7 +67,7 @@
 
 base::Result<void, std::string> VoterThread::start()
 {
-    auto folder = storage::PosixFolder::open(m_options.folder);
+    auto folder = m_options.openFolder(m_options.folder);
     if (!folder) {
         return base::failure(storage::describe(folder.error()));
     }
@@ -94,6 +98,10 @@
     }
     m_node = std::make_unique<consensus::Node>(m_options.node, std::move(recovered));
     publishStatus();
+    m_writer = std::make_unique<LogWriter>(*m_store, m_clock, [this](LogWritten written) {
+        m_ring.deliver(Job(std::move(written)));
+    });
+    m_writer->start();
     m_thread = std::thread([this] {
         run();
     });
@@ -107,6 +115,10 @@
     if (m_thread.joinable()) {
         m_thread.join();
     }
+    joinSnapshot();
+    if (m_writer) {
+        m_writer->stop();
+    }
 }
 
 void VoterThread::deliver(consensus::Message message)
@@ -156,14 +168,23 @@
 void VoterThread::run()
 {
     while (!m_stopping && !m_failed) {
-        const base::Millis wait = std::clamp(m_node->nextDeadline() - m_clock.now(), base::Millis{0}, MAX_WAIT);
+        const base::Millis deadline = std::max(m_node->nextDeadline(), m_clock.now());
+        auto job = m_ring.pop(std::clamp(deadline - m_clock.now(), base::Millis{0}, MAX_WAIT));
+        const base::Millis woken = m_clock.now();
+        const bool isDue = woken >= m_node->nextDeadline();
         std::vector<consensus::Input> inputs;
-        takeJobs(inputs, wait);
-        inputs.emplace_back(consensus::Tick{});
-        process(m_node->stepAll(m_clock.now(), std::move(inputs)));
+        takeQueued(inputs, std::move(job));
+        if (isDue) {
+            // Heartbeats that were queued when the deadline had passed come first.
+            inputs.emplace_back(consensus::Tick{});
+        }
+        const base::Millis began = m_clock.now();
+        const std::size_t count = inputs.size();
+        process(m_node->stepAll(began, std::move(inputs)));
         compactIfDue();
         followRole();
         publishStatus();
+        logSlowStep(count, woken - deadline, began);
     }
     // Complete every pending job, proposal and read.
     m_ring.close();
@@ -178,12 +199,11 @@
     }
 }
 
-void VoterThread::takeJobs(std::vector<consensus::Input> &inputs, base::Millis timeout)
+void VoterThread::takeQueued(std::vector<consensus::Input> &inputs, std::optional<Job> job)
 {
-    auto job = m_ring.pop(timeout);
-    while (job) {
+    for (std::size_t queued = m_ring.size(); job; --queued) {
         takeJob(inputs, *std::move(job));
-        job = inputs.size() < MAX_BATCH ? m_ring.pop({0}) : std::nullopt;
+        job = queued > 0 ? m_ring.pop({0}) : std::nullopt;
     }
 }
 
@@ -194,8 +214,7 @@
                        inputs.emplace_back(std::move(message));
                    },
                    [&](ProposeJob &it) {
-                       m_proposals.emplace(++m_lastRequest, std::move(it.done));
-                       inputs.emplace_back(consensus::Propose{m_lastRequest, std::move(it.payload), it.term});
+                       takeProposal(inputs, it);
                    },
                    [&](VotersJob &it) {
                        m_proposals.emplace(++m_lastRequest, std::move(it.done));
@@ -208,54 +227,82 @@
                    [&](LocalLogJob &it) {
                        it.done(localLogReport());
                    },
+                   [&](const LogWritten &it) {
+                       takeWritten(inputs, it);
+                   },
+                   [&](SnapshotMade &it) {
+                       m_makingSnapshot = false;
+                       inputs.emplace_back(consensus::Compact{it.index, std::move(it.data)});
+                   },
                },
         job);
 }
 
-void VoterThread::process(consensus::Outputs outputs)
+void VoterThread::takeProposal(std::vector<consensus::Input> &inputs, ProposeJob &job)
 {
-    // Completing a persist step releases further outputs, such as acknowledgements.
-    while (true) {
-        send(outputs.messages);
-        if (outputs.installed) {
-            install(*outputs.installed);
-        }
-        apply(outputs.committed);
-        answer(outputs);
-        if (!outputs.persist) {
-            return;
-        }
-        if (!persist(*outputs.persist)) {
-            return;
-        }
-        outputs = m_node->step(m_clock.now(), consensus::PersistDone{outputs.persist->sequence});
+    // A leader does not repeat the proposals that it binds to its term.
+    if (!job.term && m_machine->decided(job.payload)) {
+        m_reads.emplace(++m_lastRequest, [this, job = std::move(job)](const ReadOutcome &read) mutable {
+            answerDecided(job, read);
+        });
+        inputs.emplace_back(consensus::ReadRequest{m_lastRequest});
+        return;
     }
+    m_proposals.emplace(++m_lastRequest, std::move(job.done));
+    inputs.emplace_back(consensus::Propose{m_lastRequest, std::move(job.payload), job.term});
 }
 
-void VoterThread::send(const std::vector<consensus::Message> &messages)
+void VoterThread::answerDecided(ProposeJob &job, const ReadOutcome &read)
 {
-    for (const consensus::Message &it : messages) {
-        if (peer::Client *client = m_peers.find(it.to)) {
-            client->deliver(toWire(it));
-        }
+    if (!read.confirmed) {
+        job.done(rejected(read.leader, consensus::RejectReason::NotLeader));
+        return;
+    }
+    auto outcome = read.machine->decided(job.payload);
+    if (!outcome) {
+        // What it had done is not kept any more.
+        propose(std::move(job.payload), job.term, std::move(job.done));
+        return;
     }
+    job.done({consensus::ProposalStatus::Committed, consensus::RejectReason::None, *std::move(outcome), read.leader});
 }
 
-bool VoterThread::persist(const consensus::Persist &persist)
+void VoterThread::takeWritten(std::vector<consensus::Input> &inputs, const LogWritten &written)
 {
-    trackTail(persist);
-    const auto written = write(persist);
-    if (!written) {
-        fail(storage::describe(written.error()));
-        return false;
+    if (written.took >= m_options.slowStep) {
+        LOG(WARNING) << "event=slow_sync sync_ms=" << written.took.count << " entries=" << written.entries
+                     << " snapshot=" << (written.hasSnapshot ? 1 : 0)
+                     << " role=" << consensus::ROLE_NAMES.name(m_node->role()) << " term=" << m_node->term();
+    }
+    if (!written.error.empty()) {
+        fail(written.error);
+        return;
     }
-    return true;
+    inputs.emplace_back(consensus::PersistDone{written.sequence});
 }
 
-storage::Result<void> VoterThread::write(const consensus::Persist &persist)
+void VoterThread::process(consensus::Outputs outputs)
 {
-    BOOST_OUTCOME_TRY(m_store->persist(persist));
-    return m_store->sync();
+    logRoles(outputs.roleChanges);
+    send(outputs.messages);
+    if (outputs.installed) {
+        install(*outputs.installed);
+    }
+    apply(outputs.committed);
+    answer(outputs);
+    if (outputs.persist) {
+        trackTail(*outputs.persist);
+        m_writer->write(*std::move(outputs.persist));
+    }
+}
+
+void VoterThread::send(const std::vector<consensus::Message> &messages)
+{
+    for (const consensus::Message &it : messages) {
+        if (peer::Client *client = m_peers.find(it.to)) {
+            client->deliver(toWire(it));
+        }
+    }
 }
 
 void VoterThread::trackTail(const consensus::Persist &persist)
@@ -330,11 +377,22 @@
 
 void VoterThread::compactIfDue()
 {
-    if (m_failed || m_applied < m_compacted + m_options.snapshotInterval) {
+    if (m_failed || m_makingSnapshot || m_applied < m_compacted + m_options.snapshotInterval) {
         return;
     }
+    joinSnapshot();
+    m_makingSnapshot = true;
     m_compacted = m_applied;
-    process(m_node->step(m_clock.now(), consensus::Compact{m_applied, m_machine->snapshot()}));
+    m_snapshotThread = std::thread([this, index = m_applied, machine = *m_machine] {
+        m_ring.deliver(Job(SnapshotMade{index, machine.snapshot()}));
+    });
+}
+
+void VoterThread::joinSnapshot()
+{
+    if (m_snapshotThread.joinable()) {
+        m_snapshotThread.join();
+    }
 }
 
 void VoterThread::followRole()
@@ -359,6 +417,28 @@
     }
 }
 
+void VoterThread::logRoles(const std::vector<consensus::RoleChange> &changes) const
+{
+    for (const consensus::RoleChange &it : changes) {
+        LOG(INFO) << "event=role_changed from=" << consensus::ROLE_NAMES.name(it.from)
+                  << " to=" << consensus::ROLE_NAMES.name(it.to)
+                  << " cause=" << consensus::ROLE_CAUSE_NAMES.name(it.cause) << " term=" << it.term
+                  << " votes=" << it.votes << " own_vote_synced=" << (it.ownVoteSynced ? 1 : 0)
+                  << " voters=" << m_node->membership().voters.size() << " leader=" << m_node->leader();
+    }
+}
+
+void VoterThread::logSlowStep(std::size_t inputs, base::Millis late, base::Millis began) const
+{
+    const base::Millis took = m_clock.now() - began;
+    if (took >= m_options.slowStep || late >= m_options.slowStep) {
+        LOG(WARNING) << "event=slow_step thread=voter inputs=" << inputs
+                     << " late_ms=" << std::max<std::int64_t>(late.count, 0) << " step_ms=" << took.count
+                     << " queued=" << m_ring.size() << " role=" << consensus::ROLE_NAMES.name(m_node->role())
+                     << " term=" << m_node->term();
+    }
+}
+
 void VoterThread::publishStatus()
 {
     VoterStatus status;
@@ -398,6 +478,8 @@
                    [](LocalLogJob &it) {
                        it.done({});
                    },
+                   [](LogWritten &) {},
+                   [](SnapshotMade &) {},
                },
         job);
 }
--- a/src/bamboomoor/control/voterthread.hpp
+++ b/src/bamboomoor/control/voterthread.hpp
@@ -7,6 +7,7 @@
 #include "bamboomoor/base/clock.hpp"
 #include "bamboomoor/base/ring.hpp"
 #include "bamboomoor/consensus/node.hpp"
+#include "bamboomoor/control/logwriter.hpp"
 #include "bamboomoor/control/peerregistry.hpp"
 #include "bamboomoor/state/machine.hpp"
 #include "bamboomoor/storage/filesystem.hpp"
@@ -93,14 +94,26 @@
     virtual void onConfiguration(const state::Machine &machine) = 0;
 };
 
+/**
+ * @brief Opens the folder of a voter's log.
+ * @param path The folder, created if necessary.
+ * @return The folder; fails with Io, or with Locked if another process has it open.
+ */
+[[nodiscard]] storage::Result<std::unique_ptr<storage::FileSystem>> openLogFolder(const std::string &path);
+
 /** @brief Settings of a voter. */
 struct VoterOptions {
     consensus::Options node;
     std::string folder;
+    // Opens the folder; tests replace it by one with faults.
+    std::function<storage::Result<std::unique_ptr<storage::FileSystem>>(const std::string &)> openFolder =
+        openLogFolder;
     // Number of entries applied between two snapshots.
     std::uint64_t snapshotInterval = 2'000;
     // Maximum number of queued jobs; further ones are rejected.
     std::size_t ringSize = 8'192;
+    // A sync, a step, or a late wake-up that takes at least this long is logged.
+    base::Millis slowStep{200};
 };
 
 /** @brief Runs a voter of the control group on its own thread. */
@@ -140,7 +153,8 @@
     void deliver(consensus::Message message);
 
     /**
-     * @brief Proposes a command.
+     * @brief Proposes a command. One that has taken effect already is answered after a read instead, which needs no
+     * disk; so a sender that repeats it learns of a commit that took longer than it had waited.
      * @param payload The command as encoded by state::encode().
      * @param term If given, the proposal is rejected in any other term.
      * @param done Called with the result on the voter's thread, or on the calling thread if it cannot be queued.
@@ -192,21 +206,30 @@
     struct LocalLogJob {
         std::function<void(const LocalLogReport &)> done;
     };
-    using Job = std::variant<consensus::Message, ProposeJob, VotersJob, ReadJob, LocalLogJob>;
+    struct SnapshotMade {
+        std::uint64_t index = 0;
+        std::string data;
+    };
+    using Job = std::variant<consensus::Message, ProposeJob, VotersJob, ReadJob, LocalLogJob, LogWritten, SnapshotMade>;
 
     void run();
-    void takeJobs(std::vector<consensus::Input> &inputs, base::Millis timeout);
+    // Takes a job, and all that are queued now.
+    void takeQueued(std::vector<consensus::Input> &inputs, std::optional<Job> job);
     void takeJob(std::vector<consensus::Input> &inputs, Job job);
+    void takeProposal(std::vector<consensus::Input> &inputs, ProposeJob &job);
+    void answerDecided(ProposeJob &job, const ReadOutcome &read);
     void process(consensus::Outputs outputs);
     void send(const std::vector<consensus::Message> &messages);
-    [[nodiscard]] bool persist(const consensus::Persist &persist);
-    [[nodiscard]] storage::Result<void> write(const consensus::Persist &persist);
+    void takeWritten(std::vector<consensus::Input> &inputs, const LogWritten &written);
     void trackTail(const consensus::Persist &persist);
     void install(const consensus::Snapshot &snapshot);
     void apply(const std::vector<consensus::Entry> &entries);
     void answer(const consensus::Outputs &outputs);
     void compactIfDue();
+    void joinSnapshot();
     void followRole();
+    void logRoles(const std::vector<consensus::RoleChange> &changes) const;
+    void logSlowStep(std::size_t inputs, base::Millis late, base::Millis began) const;
     void publishStatus();
     void fail(const std::string &reason);
     void refuse(Job job);
@@ -234,10 +257,15 @@
     std::map<std::uint64_t, bool> m_tail;
     std::uint64_t m_applied = 0;
     std::uint64_t m_compacted = 0;
+    // Serialises a copy of the state, as a large one takes longer than an election timeout.
+    std::thread m_snapshotThread;
+    bool m_makingSnapshot = false;
     // The term for which the observers were notified of this voter's leadership; 0 if it is not the leader.
     std::uint64_t m_leadingTerm = 0;
     std::uint64_t m_seenVersion = 0;
     bool m_failed = false;
+    // Uses m_store, and posts to m_ring.
+    std::unique_ptr<LogWriter> m_writer;
 
     mutable absl::Mutex m_mutex;
     VoterStatus m_status ABSL_GUARDED_BY(m_mutex);
--- a/src/bamboomoor/entry/generation.cpp
+++ b/src/bamboomoor/entry/generation.cpp
@@ -3,6 +3,8 @@
  */
 #include "bamboomoor/entry/generation.hpp"
 
+#include "bamboomoor/base/json.hpp"
+
 #include <algorithm>
 #include <functional>
 
@@ -13,6 +15,8 @@
 {
 
 constexpr std::size_t PREFIX_BYTES = 256;
+// Tokens; a larger count of an answer is an error of its upstream.
+constexpr std::uint64_t MAX_USAGE = 1'000'000'000'000;
 
 using Json = nlohmann::json;
 
@@ -59,7 +63,7 @@
 std::optional<std::int64_t> usageOf(const Json &usage, const char *name)
 {
     const auto it = usage.find(name);
-    if (it == usage.end() || !it->is_number_integer() || it->get<std::int64_t>() < 0) {
+    if (it == usage.end() || !it->is_number_unsigned() || it->get<std::uint64_t>() > MAX_USAGE) {
         return std::nullopt;
     }
     return it->get<std::int64_t>();
@@ -103,7 +107,7 @@
 base::Result<Generation, GenerationError> parseGeneration(std::string_view body)
 {
     Generation generation;
-    generation.body = Json::parse(body, nullptr, false);
+    generation.body = base::parseJson(body);
     const Json &json = generation.body;
     if (!json.is_object()) {
         return base::failure(GenerationError{"the body: a JSON object is allowed"});
@@ -128,7 +132,7 @@
 
 std::optional<Progress> readProgress(std::string_view data)
 {
-    const Json json = Json::parse(data, nullptr, false);
+    const Json json = base::parseJson(data);
     if (!json.is_object()) {
         return std::nullopt;
     }
