Believe a refusal on a pooled connection only with the request's id (REFUSED)

Callers saw: other operators report clients that were told 'not run' for requests that a worker had run or was running, after a faulty worker wrote an earlier refusal once more on a kept connection.

Cause: a response without an id was taken for the response to the request that was just sent, whatever connection it came on. On a pooled connection it may be a late copy of an earlier one. A copied 503, 429, 421 or 400 made the running request 'not run': it was refused, or sent elsewhere without being charged as a retry; a copied 404 was forwarded to the wrong caller.

Change: a response without an id on a pooled connection is treated as one with another request's id: the request may have run, and goes on over a new connection. On a new connection, which carried no other request, a response without an id is still believed.

Ruled out: requests that may run once. They, and every retry, always take a new connection, so neither an earlier refusal nor one with the id of an earlier attempt can meet them; a test keeps this.

--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -266,10 +266,11 @@
         m_reach.onPeerAnswered(exchange->attempt.via);
     }
     settleRetry(now, *exchange, true);
-    if (head.owner == ResponseOwner::Other) {
+    if (mayBeForeign(head, exchange->attempt.freshConnection)) {
         m_effects.cancel(attempt);
         const bool pooled = readmitAfterPooled(*exchange);
-        fail(now, *exchange, pooled ? AttemptResult::Stray : AttemptResult::Failed, false, true, "foreign_answer");
+        fail(now, *exchange, pooled ? AttemptResult::Stray : AttemptResult::Failed, false, true,
+            head.owner == ResponseOwner::Other ? "foreign_answer" : "unidentified_answer");
         return;
     }
     applySignal(now, *exchange, head);
--- a/src/bamboomoor/relay/request.hpp
+++ b/src/bamboomoor/relay/request.hpp
@@ -83,4 +83,16 @@
     standing::UpstreamSignal signal;
 };
 
+/**
+ * @brief Tells whether a response may belong to another request than the one it arrived for. A pooled connection may
+ * deliver a late copy of an earlier response, which only the echoed id tells apart.
+ * @param head The head of the response.
+ * @param freshConnection Whether the connection carried no request before.
+ * @return False if the response certainly belongs to the request.
+ */
+[[nodiscard]] constexpr bool mayBeForeign(const ResponseHead &head, bool freshConnection) noexcept
+{
+    return head.owner == ResponseOwner::Other || (head.owner == ResponseOwner::Unknown && !freshConnection);
+}
+
 } // namespace bamboomoor::relay
--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -393,6 +393,66 @@
     BOOST_TEST(!world.callers[1].refusedNotRun);
 }
 
+BOOST_AUTO_TEST_CASE(a_late_copy_of_a_refusal_on_a_pooled_connection_does_not_make_a_running_request_not_run)
+{
+    for (const int status : {400, 421, 429, UNAVAILABLE}) {
+        for (const ResponseOwner owner : {ResponseOwner::Unknown, ResponseOwner::Other}) {
+            Fixture it;
+            it.core.setWorkers({worker("w1")});
+            it.arrive(1, "/again/x");
+            BOOST_REQUIRE(!it.world.sent.back().freshConnection);
+            ResponseHead refusal = Fixture::head(status, owner, false);
+            refusal.notRun = true;
+            refusal.misdirected = status == 421;
+            it.answer(it.last(), refusal, "refused");
+            BOOST_REQUIRE(it.world.sent.size() == 2U);
+            BOOST_TEST(it.world.sent.back().freshConnection);
+            BOOST_TEST((it.world.sent.back().charge == relay::Charge::Retry));
+            it.loseConnection(it.last());
+            BOOST_TEST(it.world.callers[1].refused);
+            BOOST_TEST(!it.world.callers[1].refusedNotRun);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_late_copy_of_an_error_on_a_pooled_connection_is_not_forwarded)
+{
+    arrive(1, "/again/x");
+    BOOST_REQUIRE(!world.sent.back().freshConnection);
+    answer(last(), head(404, ResponseOwner::Unknown), "of another request");
+    BOOST_REQUIRE(world.sent.size() == 2U);
+    answer(last(), head(OK), "mine");
+    BOOST_TEST(world.callers[1].bytes == "mine");
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_that_echoes_the_request_is_believed_on_a_pooled_connection)
+{
+    core.setWorkers({worker("w1")});
+    arrive(1, "/again/x");
+    ResponseHead refusal = head(UNAVAILABLE, ResponseOwner::Same, false);
+    refusal.notRun = true;
+    answer(last(), refusal, "");
+    BOOST_TEST(world.callers[1].refusedNotRun);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_may_run_once_or_is_sent_again_never_shares_a_connection_with_an_earlier_one)
+{
+    for (const char *path : {"/once/x", "/stream/x"}) {
+        Fixture it;
+        it.arrive(1, path);
+        BOOST_TEST(it.world.sent.back().freshConnection);
+    }
+    for (const char *path : {"/again/x", "/resume/x"}) {
+        Fixture it;
+        it.arrive(1, path);
+        ResponseHead refusal = Fixture::head(UNAVAILABLE, ResponseOwner::Same, false);
+        refusal.notRun = true;
+        it.answer(it.last(), refusal, "");
+        BOOST_REQUIRE(it.world.sent.size() == 2U);
+        BOOST_TEST(it.world.sent.back().freshConnection);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(upstreams_that_answer_a_connection_attempt_too_late_have_not_crashed_on_a_prompt)
 {
     for (const bool refused : {true, false}) {
