Take only the statuses of a refusal for 'not run' (REFUSED)

Callers saw: nothing known; found while looking for refusals that prove nothing.

Cause: the line X-Not-Executed made any answer a refusal, also one with the status of a run, such as 200 or 500. The request was then sent elsewhere, or its caller was told 'not run'.

--- a/test/bamboomoor/platform/messages.cpp
+++ b/test/bamboomoor/platform/messages.cpp
@@ -220,6 +220,16 @@
     BOOST_TEST(!coded.isSigned);
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_of_a_status_that_follows_a_run_is_not_taken_for_not_run)
+{
+    const Upstreams upstreams;
+    for (int status = 200; status < 600; ++status) {
+        const bool refuses = status == 400 || status == 421 || status == 429 || status == 503;
+        BOOST_TEST(upstreams.readHead(status, {{"X-Not-Executed", "1"}}, "r").notRun == refuses, status);
+        BOOST_TEST(!upstreams.readHead(status, {}, "r").notRun, status);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_upstream_that_leaves_says_so_in_answers_of_any_status)
 {
     const Upstreams upstreams;
