--- a/src/bamboomoor/control/placementthread.cpp
+++ b/src/bamboomoor/control/placementthread.cpp
@@ -138,9 +138,10 @@
     {
     }
 
-    void onHead(int status, http::Headers /*headers*/) override
+    bool onHead(int status, http::Headers /*headers*/) override
     {
         m_status = status;
+        return true;
     }
 
     void onData(std::string_view bytes) override
@@ -188,9 +189,10 @@
     {
     }
 
-    void onHead(int status, http::Headers /*headers*/) override
+    bool onHead(int status, http::Headers /*headers*/) override
     {
         m_status = status;
+        return true;
     }
 
     void onData(std::string_view /*bytes*/) override
--- a/src/bamboomoor/entry/attempt.cpp
+++ b/src/bamboomoor/entry/attempt.cpp
@@ -87,10 +87,10 @@
 }
 
 /** @brief Tells whether an answer names another attempt than the one that it came for. */
-bool isCrossed(const Exchange &exchange)
+bool isCrossed(const http::Headers &headers, std::string_view attempt)
 {
-    const std::string_view echoed = http::headerValue(exchange.attempt.headers, "X-Request-Id");
-    return !echoed.empty() && echoed != attemptName(exchange);
+    const std::string_view echoed = http::headerValue(headers, "X-Request-Id");
+    return !echoed.empty() && echoed != attempt;
 }
 
 } // namespace
@@ -99,18 +99,20 @@
 class Desk::AttemptListener final : public http::Listener
 {
 public:
-    AttemptListener(base::Ring<Event> &ring, std::uint64_t exchange, std::uint64_t attempt,
-        std::shared_ptr<std::atomic<bool>> broken)
+    AttemptListener(base::Ring<Event> &ring, const Exchange &exchange)
         : m_ring(ring)
-        , m_exchange(exchange)
-        , m_attempt(attempt)
-        , m_broken(std::move(broken))
+        , m_exchange(exchange.id)
+        , m_attempt(exchange.attempt.id)
+        , m_name(attemptName(exchange))
+        , m_broken(exchange.attempt.broken)
     {
     }
 
-    void onHead(int status, http::Headers headers) override
+    bool onHead(int status, http::Headers headers) override
     {
+        const bool isOwn = !isCrossed(headers, m_name);
         m_ring.deliver(AnswerHead{m_exchange, m_attempt, status, std::move(headers)});
+        return isOwn;
     }
 
     void onData(std::string_view bytes) override
@@ -132,6 +134,7 @@
     base::Ring<Event> &m_ring;
     const std::uint64_t m_exchange;
     const std::uint64_t m_attempt;
+    const std::string m_name;
     const std::shared_ptr<std::atomic<bool>> m_broken;
 };
 
@@ -219,8 +222,7 @@
     }
     http::Call call = makeCall(exchange, address);
     exchange.delivery.sent(attempt.id, call.body.size() + 1);
-    attempt.call = m_context.client.start(
-        std::move(call), std::make_shared<AttemptListener>(m_ring, exchange.id, attempt.id, attempt.broken));
+    attempt.call = m_context.client.start(std::move(call), std::make_shared<AttemptListener>(m_ring, exchange));
 }
 
 http::Call Desk::makeCall(const Exchange &exchange, const std::string &address) const
@@ -275,9 +277,12 @@
     exchange->attempt.status = event.status;
     exchange->attempt.headers = std::move(event.headers);
     m_router.firstByte(m_context.clock.now(), event.attempt);
-    if (!isCrossed(*exchange)) {
-        noteSignal(*exchange);
+    if (isCrossed(exchange->attempt.headers, attemptName(*exchange))) {
+        m_context.metrics.dropped("crossed_answer");
+        failAttempt(*exchange, FailureKind::Malformed);
+        return;
     }
+    noteSignal(*exchange);
 }
 
 void Desk::noteSignal(const Exchange &exchange)
@@ -402,10 +407,6 @@
 std::optional<FailureKind> Desk::judgeAnswer(Exchange &exchange) const
 {
     const Attempt &attempt = exchange.attempt;
-    if (isCrossed(exchange)) {
-        m_context.metrics.dropped("crossed_answer");
-        return FailureKind::Malformed;
-    }
     if (attempt.status >= HTTP_BAD_REQUEST && saysNotRun(attempt.body)) {
         return FailureKind::UpstreamNotRun;
     }
--- a/src/bamboomoor/gateway/forwarder.cpp
+++ b/src/bamboomoor/gateway/forwarder.cpp
@@ -43,7 +43,7 @@
     {
     }
 
-    void onHead(int status, http::Headers headers) override
+    bool onHead(int status, http::Headers headers) override
     {
         const bool hasBody = !m_isHead && status != NO_CONTENT && status != NOT_MODIFIED;
         ForwardStatement statement{ForwardResult::Passed, true, {}};
@@ -56,6 +56,7 @@
         } else {
             m_whole = http::Response{status, std::move(headers), {}};
         }
+        return true;
     }
 
     void onData(std::string_view bytes) override
--- a/src/bamboomoor/gateway/relaythread.cpp
+++ b/src/bamboomoor/gateway/relaythread.cpp
@@ -25,24 +25,28 @@
 class RelayThread::AttemptListener final : public http::Listener
 {
 public:
-    AttemptListener(RelayThread &runner, std::uint64_t attempt, std::string requestId, bool isForwarded)
+    AttemptListener(RelayThread &runner, const relay::Attempt &attempt, std::string requestId)
         : m_runner(runner)
-        , m_attempt(attempt)
+        , m_attempt(attempt.id)
         , m_requestId(std::move(requestId))
-        , m_isForwarded(isForwarded)
+        , m_isForwarded(!attempt.via.empty())
+        , m_freshConnection(attempt.freshConnection)
     {
     }
 
-    void onHead(int status, http::Headers headers) override
+    bool onHead(int status, http::Headers headers) override
     {
         if (m_isForwarded) {
             m_hasHead = true;
             m_statement = takeStatement(headers);
             if (!isPassed()) {
-                return;
+                return true;
             }
         }
-        m_runner.deliver(Head{m_attempt, m_runner.m_context.dialect.readHead(status, std::move(headers), m_requestId)});
+        relay::ResponseHead head = m_runner.m_context.dialect.readHead(status, std::move(headers), m_requestId);
+        const bool isOwn = !relay::mayBeForeign(head, m_freshConnection);
+        m_runner.deliver(Head{m_attempt, std::move(head)});
+        return isOwn;
     }
 
     void onData(std::string_view bytes) override
@@ -83,6 +87,7 @@
     const std::uint64_t m_attempt;
     const std::string m_requestId;
     const bool m_isForwarded;
+    const bool m_freshConnection;
     bool m_hasHead = false;
     // What the forwarding entry stated.
     std::optional<ForwardStatement> m_statement;
@@ -503,13 +508,12 @@
     call.totalTimeout = attempt.remaining + m_options.responseGrace;
     call.firstByteTimeout = call.totalTimeout;
     call.progressTimeout = call.totalTimeout;
-    const bool isForwarded = !attempt.via.empty();
-    if (isForwarded) {
+    if (!attempt.via.empty()) {
         call = forwardThrough(std::move(call), attempt.upstream, attempt.via, m_context.tokens.tokenFor(attempt.via));
         call.connectTimeout = std::min(m_options.peerConnectTimeout, attempt.remaining);
     }
-    m_calls[attempt.id] = m_context.client.start(
-        std::move(call), std::make_shared<AttemptListener>(*this, attempt.id, request.id, isForwarded));
+    m_calls[attempt.id] =
+        m_context.client.start(std::move(call), std::make_shared<AttemptListener>(*this, attempt, request.id));
 }
 
 void RelayThread::cancel(std::uint64_t attempt)
--- a/src/bamboomoor/gateway/residencythread.cpp
+++ b/src/bamboomoor/gateway/residencythread.cpp
@@ -94,9 +94,10 @@
     {
     }
 
-    void onHead(int status, http::Headers /*headers*/) override
+    bool onHead(int status, http::Headers /*headers*/) override
     {
         m_status = status;
+        return true;
     }
 
     void onData(std::string_view /*bytes*/) override
@@ -134,9 +135,10 @@
     {
     }
 
-    void onHead(int status, http::Headers /*headers*/) override
+    bool onHead(int status, http::Headers /*headers*/) override
     {
         m_status = status;
+        return true;
     }
 
     void onData(std::string_view bytes) override
--- a/src/bamboomoor/http/client.hpp
+++ b/src/bamboomoor/http/client.hpp
@@ -62,8 +62,10 @@
      * @brief Receives the head of the answer, once.
      * @param status The HTTP status, 200 or more.
      * @param headers The header lines.
+     * @return False if the answer is not this call's. The call then ends as Cancelled and its connection is closed, as
+     * the upstream may still be working on the request.
      */
-    virtual void onHead(int status, Headers headers) = 0;
+    virtual bool onHead(int status, Headers headers) = 0;
 
     /**
      * @brief Receives bytes of the answer's body.
--- a/src/bamboomoor/http/fetch.cpp
+++ b/src/bamboomoor/http/fetch.cpp
@@ -21,10 +21,11 @@
     {
     }
 
-    void onHead(int status, Headers headers) override
+    bool onHead(int status, Headers headers) override
     {
         m_fetched.status = status;
         m_fetched.headers = std::move(headers);
+        return true;
     }
 
     void onData(std::string_view bytes) override
--- a/src/bamboomoor/http/internal/transfer.cpp
+++ b/src/bamboomoor/http/internal/transfer.cpp
@@ -141,7 +141,7 @@
     auto &transfer = *static_cast<Transfer *>(self);
     transfer.touch(transfer.m_clock.now());
     transfer.readHeaderLine({bytes, size * count});
-    return transfer.m_malformed || transfer.m_tooLarge ? 0 : size * count;
+    return transfer.m_malformed || transfer.m_tooLarge || transfer.m_rejected ? 0 : size * count;
 }
 
 void Transfer::readHeaderLine(std::string_view line)
@@ -181,7 +181,7 @@
     m_headDone = true;
     m_delimited = hasNoBody() || findHeader(m_headers, "Content-Length") != nullptr
         || findHeader(m_headers, "Transfer-Encoding") != nullptr;
-    m_listener->onHead(m_status, std::move(m_headers));
+    m_rejected = !m_listener->onHead(m_status, std::move(m_headers));
 }
 
 bool Transfer::hasNoBody() const noexcept
@@ -214,6 +214,9 @@
 
 EndKind Transfer::judge(CURLcode code) const
 {
+    if (m_rejected) {
+        return EndKind::Cancelled;
+    }
     if (m_tooLarge) {
         return EndKind::TooLarge;
     }
--- a/src/bamboomoor/http/internal/transfer.hpp
+++ b/src/bamboomoor/http/internal/transfer.hpp
@@ -118,6 +118,8 @@
     bool m_answered = false;
     bool m_tooLarge = false;
     bool m_malformed = false;
+    // The listener did not take the answer for this call's.
+    bool m_rejected = false;
     std::size_t m_headBytes = 0;
     std::uint64_t m_bodyBytes = 0;
 };
--- a/src/bamboomoor/load/load.cpp
+++ b/src/bamboomoor/load/load.cpp
@@ -84,9 +84,10 @@
         m_sample.organisation = std::move(organisation);
     }
 
-    void onHead(int status, http::Headers) override
+    bool onHead(int status, http::Headers) override
     {
         m_sample.status = status;
+        return true;
     }
 
     void onData(std::string_view bytes) override
--- a/test/bamboomoor/gateway/forwarding.cpp
+++ b/test/bamboomoor/gateway/forwarding.cpp
@@ -170,8 +170,9 @@
     class Counter final : public http::Listener
     {
     public:
-        void onHead(int /*status*/, http::Headers /*headers*/) override
+        bool onHead(int /*status*/, http::Headers /*headers*/) override
         {
+            return true;
         }
         void onData(std::string_view it) override
         {
--- a/test/bamboomoor/gateway/relaythread.cpp
+++ b/test/bamboomoor/gateway/relaythread.cpp
@@ -28,6 +28,7 @@
 constexpr base::Millis ROUTE_TIMEOUT{8'000};
 constexpr int OK = 200;
 constexpr int UNAVAILABLE = 503;
+constexpr const char *FOREIGN = "Foreign";
 
 /** @brief Knows requests by their path only. */
 class Callers final : public gateway::CallerDialect
@@ -49,7 +50,7 @@
     }
 };
 
-/** @brief Takes each response for the right one. */
+/** @brief Takes each response for the right one unless it names another request. */
 class Upstreams final : public gateway::UpstreamDialect
 {
 public:
@@ -66,8 +67,9 @@
     {
         relay::ResponseHead head;
         head.status = status;
+        const bool isForeign = http::findHeader(headers, FOREIGN) != nullptr;
+        head.owner = isForeign ? relay::ResponseOwner::Other : relay::ResponseOwner::Same;
         head.headers = std::move(headers);
-        head.owner = relay::ResponseOwner::Same;
         head.isSigned = true;
         return head;
     }
@@ -99,11 +101,11 @@
         return m_mutex.AwaitWithTimeout(absl::Condition(&received), limit);
     }
 
-    void answer(const std::string &body = "whole")
+    void answer(const std::string &body = "whole", const http::Headers &headers = {})
     {
         const absl::MutexLock lock(&m_mutex);
         for (const auto &it : m_held) {
-            it->respond({OK, {}, body});
+            it->respond({OK, headers, body});
         }
         m_held.clear();
     }
@@ -232,6 +234,12 @@
         stopping.join();
     }
 
+    /** @brief Counts the open connections to the upstream. */
+    [[nodiscard]] std::uint64_t connections() const
+    {
+        return m_server.counters().openConnections;
+    }
+
     Upstream upstream;
     std::unique_ptr<gateway::RelayThread> thread;
 
@@ -346,4 +354,20 @@
     BOOST_TEST(caller->body() == "stopping");
 }
 
+BOOST_AUTO_TEST_CASE(an_upstream_that_delivered_a_foreign_response_is_not_left_running_the_request)
+{
+    Fixture fixture;
+    const std::uint64_t pooled = fixture.connections();
+    const auto caller = fixture.post("/a/x");
+    fixture.upstream.awaitReceived();
+    BOOST_TEST(fixture.connections() == pooled + 1);
+    fixture.upstream.answer("", {{FOREIGN, "1"}});
+    BOOST_TEST(caller->await());
+    BOOST_TEST(caller->body() == "upstream_failed");
+    for (int n = 0; n < MAX_TRIES && fixture.connections() > pooled; ++n) {
+        absl::SleepFor(absl::Milliseconds(100));
+    }
+    BOOST_TEST(fixture.connections() == pooled);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/bamboomoor/http/client.cpp
+++ b/test/bamboomoor/http/client.cpp
@@ -88,10 +88,11 @@
     class Holder final : public http::Listener
     {
     public:
-        void onHead(int /*status*/, http::Headers /*headers*/) override
+        bool onHead(int /*status*/, http::Headers /*headers*/) override
         {
             began.Notify();
             std::this_thread::sleep_for(std::chrono::milliseconds(400));
+            return true;
         }
         void onData(std::string_view /*bytes*/) override
         {
@@ -192,6 +193,48 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_connection_that_delivered_a_foreign_answer_is_not_kept_while_its_request_may_still_run)
+{
+    /** @brief Takes each answer for another call's. */
+    class Rejecting final : public http::Listener
+    {
+    public:
+        bool onHead(int /*status*/, http::Headers /*headers*/) override
+        {
+            return false;
+        }
+        void onData(std::string_view /*bytes*/) override
+        {
+            ++chunks;
+        }
+        void onEnd(http::Ending ending) override
+        {
+            end = std::move(ending);
+            ended.Notify();
+        }
+        int chunks = 0;
+        http::Ending end;
+        absl::Notification ended;
+    };
+    for (const char *bytes : {WHOLE, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"}) {
+        http::Client client;
+        RawServer server(bytes, Then::Hold);
+        BOOST_TEST((send(client, callTo(server.url(), false))->await().kind == EndKind::Complete));
+        const auto rejecting = std::make_shared<Rejecting>();
+        client.start(callTo(server.url(), false), rejecting);
+        rejecting->ended.WaitForNotification();
+        BOOST_TEST((rejecting->end.kind == EndKind::Cancelled));
+        BOOST_TEST(rejecting->end.bytesSent);
+        BOOST_TEST(rejecting->chunks == 0);
+        for (int n = 0; n < 400 && server.closedByCaller() == 0; ++n) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        }
+        BOOST_TEST(server.closedByCaller() == 1);
+        BOOST_TEST((send(client, callTo(server.url(), false))->await().kind == EndKind::Complete));
+        BOOST_TEST(server.requests() == 3);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_whole_answer_is_fetched)
 {
     http::Client client;
--- a/test/bamboomoor/http/support.hpp
+++ b/test/bamboomoor/http/support.hpp
@@ -49,11 +49,12 @@
 class Collector final : public Listener
 {
 public:
-    void onHead(int status, Headers headers) override
+    bool onHead(int status, Headers headers) override
     {
         m_status = status;
         m_headers = std::move(headers);
         m_head.Notify();
+        return true;
     }
 
     void onData(std::string_view bytes) override
