--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -280,6 +280,11 @@
         fail(now, *exchange, AttemptResult::Failed, false, true, "unsigned_answer");
         return;
     }
+    if (success && exchange->headSent && !head.isEventStream) {
+        m_effects.cancel(attempt);
+        fail(now, *exchange, AttemptResult::Failed, false, true, "no_event_stream");
+        return;
+    }
     exchange->head = std::move(head);
 }
 
--- a/test/bamboomoor/platform/messages.cpp
+++ b/test/bamboomoor/platform/messages.cpp
@@ -216,6 +216,12 @@
     BOOST_TEST((upstreams.readHead(200, {{"X-Attempt-Id", "q"}}, "r").owner == relay::ResponseOwner::Other));
     BOOST_TEST(upstreams.readHead(503, {{"X-Not-Executed", "1"}}, "r").notRun);
     BOOST_TEST(upstreams.readHead(421, {}, "r").misdirected);
+    for (const char *type : {"text/event-stream", "text/event-stream; charset=utf-8", "Text/Event-Stream ;a=b"}) {
+        BOOST_TEST(upstreams.readHead(200, {{"content-type", type}}, "r").isEventStream, type);
+    }
+    for (const char *type : {"", "text/plain", "text/event-streams", "application/json"}) {
+        BOOST_TEST(!upstreams.readHead(200, {{"Content-Type", type}}, "r").isEventStream, type);
+    }
     const auto coded = upstreams.readHead(200, {{"X-Server-Signature", "s"}, {"Content-Encoding", "gzip"}}, "r");
     BOOST_TEST(!coded.isSigned);
 }
--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -89,8 +89,9 @@
         open.erase(attempt);
         cancelled.push_back(attempt);
     }
-    void logDecision(const relay::Decision & /*decision*/) override
+    void logDecision(const relay::Decision &decision) override
     {
+        steps.push_back(decision.step);
     }
     void logSignal(const relay::SignalNote &note) override
     {
@@ -108,6 +109,7 @@
     std::map<std::uint64_t, relay::Attempt> open;
     std::vector<std::uint64_t> cancelled;
     std::vector<standing::Change> words;
+    std::vector<relay::Step> steps;
 };
 
 std::string eventOf(int number)
@@ -197,6 +199,7 @@
         out.status = status;
         out.owner = owner;
         out.isSigned = isSigned;
+        out.isEventStream = status == OK;
         return out;
     }
 
@@ -217,6 +220,31 @@
         core.onAttemptEnded(now, attempt, {false, true, true, "test"});
     }
 
+    /** @brief Begins a resumable stream with one event and interrupts it; a second attempt is the last. */
+    void interruptStream()
+    {
+        arrive(1, "/resume-once/x");
+        core.onResponseHead(now, last(), head(OK));
+        core.onResponseData(now, last(), eventOf(1));
+        fail(last(), true);
+        BOOST_REQUIRE(world.sent.size() == 2U);
+        BOOST_REQUIRE(world.sent.back().lastEventId == "1");
+    }
+
+    /** @brief Checks that the caller has the beginning of the interrupted stream and nothing else, as a broken stream.
+     */
+    void checkAborted()
+    {
+        const Seen &seen = world.callers[1];
+        BOOST_TEST(seen.ends == 1);
+        BOOST_TEST(seen.aborted);
+        BOOST_TEST(!seen.whole);
+        BOOST_TEST(!seen.refused);
+        BOOST_TEST(seen.bytes == eventOf(1));
+        BOOST_TEST(std::count(world.steps.begin(), world.steps.end(), relay::Step::Answered) == 0);
+        BOOST_TEST(core.inProgress() == 0U);
+    }
+
     void answer(std::uint64_t attempt, ResponseHead answer, const std::string &body)
     {
         core.onResponseHead(now, attempt, std::move(answer));
@@ -755,6 +783,45 @@
     BOOST_TEST(world.callers[1].whole);
 }
 
+BOOST_AUTO_TEST_CASE(an_error_of_the_next_upstream_does_not_reach_the_caller_of_an_interrupted_stream)
+{
+    for (const int status : {301, 400, 404, 408, 421, 429, SERVER_ERROR, 502, UNAVAILABLE}) {
+        for (const bool notRun : {false, true}) {
+            for (const bool delimited : {false, true}) {
+                Fixture it;
+                it.interruptStream();
+                ResponseHead error = Fixture::head(status);
+                error.notRun = notRun;
+                error.misdirected = status == 421;
+                it.core.onResponseHead(it.now, it.last(), error);
+                it.core.onResponseData(it.now, it.last(), "id: 2\ndata: error\n\n");
+                it.world.open.erase(it.last());
+                it.core.onAttemptEnded(it.now, it.last(), {true, true, false, "complete", false, delimited});
+                if (it.core.inProgress() > 0) {
+                    // An attempt that was not run does not count.
+                    BOOST_TEST((notRun || status == 421));
+                    it.fail(it.last(), true);
+                }
+                it.checkAborted();
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_success_of_the_next_upstream_that_is_no_event_stream_does_not_reach_the_caller)
+{
+    for (const int status : {200, 204, 206}) {
+        for (const char *body : {"", "{\"error\":\"down\"}", "<p>down</p>\n\n", "id: 2\ndata: b\n\n"}) {
+            Fixture it;
+            it.interruptStream();
+            ResponseHead other = Fixture::head(status);
+            other.isEventStream = false;
+            it.answer(it.last(), other, body);
+            it.checkAborted();
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_interrupted_stream_that_is_not_resumable_is_aborted)
 {
     arrive(1, "/stream/x");
--- a/test/bamboomoor/relay/endings.cpp
+++ b/test/bamboomoor/relay/endings.cpp
@@ -483,6 +483,7 @@
         out.status = status;
         out.owner = owner;
         out.isSigned = isSigned;
+        out.isEventStream = status == OK;
         out.notRun = status == UNAVAILABLE;
         out.misdirected = status == MISDIRECTED;
         if (m_disturbances.signals) {
--- a/test/bamboomoor/relay/engines.cpp
+++ b/test/bamboomoor/relay/engines.cpp
@@ -212,6 +212,7 @@
                 head.status = 200;
                 head.owner = relay::ResponseOwner::Same;
                 head.isSigned = true;
+                head.isEventStream = true;
                 core.onResponseHead({m_now}, it.attempt, head);
             }
             core.onResponseData({m_now}, it.attempt, "id: " + std::to_string(number) + "\ndata: x\n\n");
