--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -227,7 +227,7 @@
     exchange.stalled = false;
     exchange.head.reset();
     static_cast<void>(takeBody(exchange));
-    exchange.splitter = {};
+    exchange.splitter = EventSplitter(exchange.headSent ? exchange.lastEventId : std::string());
     Attempt &attempt = exchange.attempt;
     attempt.id = ++m_lastAttempt;
     attempt.exchange = exchange.id;
@@ -343,9 +343,9 @@
 {
     const std::size_t eventsBefore = exchange.splitter.events();
     const std::string_view events = exchange.splitter.feed(bytes);
-    if (exchange.splitter.failed()) {
+    if (const EventFault fault = exchange.splitter.fault(); fault != EventFault::None) {
         m_effects.cancel(exchange.attempt.id);
-        fail(now, exchange, AttemptResult::Failed, false, true, "event_too_long");
+        fail(now, exchange, AttemptResult::Failed, false, true, EVENT_FAULT_NAMES.name(fault));
         return;
     }
     if (events.empty()) {
--- a/src/bamboomoor/relay/eventsplitter.hpp
+++ b/src/bamboomoor/relay/eventsplitter.hpp
@@ -1,15 +1,26 @@
 /**
- * Splits a stream of server-sent events at event boundaries without changing a byte, and extracts the event ids.
+ * Splits a stream of server-sent events at event boundaries without changing a byte, extracts the event ids, and
+ * detects what is not an event of the stream.
  */
 #pragma once
 
+#include "bamboomoor/base/nametable.hpp"
+
 #include <cstddef>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace bamboomoor::relay
 {
 
+/** @brief Why a stream of events cannot be forwarded any further. */
+enum class EventFault { None, TooLong, Malformed, OutOfOrder };
+
+/** @brief The names of the faults in logs. */
+inline constexpr auto EVENT_FAULT_NAMES =
+    base::makeNames<EventFault>("", "event_too_long", "malformed_event", "event_out_of_order");
+
 /** @brief Buffers bytes until complete events can be forwarded. */
 class EventSplitter
 {
@@ -17,16 +28,27 @@
     // The greatest size of one event.
     static constexpr std::size_t MAX_EVENT_BYTES = 1'048'576;
 
+    /**
+     * @brief Creates a splitter.
+     * @param after The id of the event after which the stream continues, so that every event must have an id, and a
+     * greater one than the event before if both are numbers; empty for a stream that nothing precedes.
+     */
+    explicit EventSplitter(std::string after = {})
+        : m_lastId(std::move(after))
+        , m_continues(!m_lastId.empty())
+    {
+    }
+
     /**
      * @brief Appends bytes of the stream.
      * @param bytes The next bytes of the stream.
-     * @return All events that they complete; valid until the next call.
+     * @return All events that they complete, none after a fault; valid until the next call.
      */
     [[nodiscard]] std::string_view feed(std::string_view bytes);
 
     /**
      * @brief Returns the id of the last complete event.
-     * @return The id; empty before the first event that has one.
+     * @return The id; before the first event that has one, the id after which the stream continues.
      */
     [[nodiscard]] const std::string &lastId() const noexcept
     {
@@ -49,23 +71,26 @@
     }
 
     /**
-     * @brief Tells whether an event exceeds MAX_EVENT_BYTES.
-     * @return True if so; the stream must then be aborted.
+     * @brief Returns the fault that was found.
+     * @return The fault; unless it is None, the rest of the stream must not be forwarded.
      */
-    [[nodiscard]] bool failed() const noexcept
+    [[nodiscard]] EventFault fault() const noexcept
     {
-        return m_rest.size() > MAX_EVENT_BYTES;
+        return m_fault;
     }
 
 private:
-    void readIds(std::string_view events);
+    [[nodiscard]] EventFault readEvents(std::string_view events);
+    [[nodiscard]] bool continues(std::string_view id) const noexcept;
 
     // The events returned by the last call of feed().
     std::string m_whole;
     // The bytes of an incomplete event.
     std::string m_rest;
     std::string m_lastId;
+    bool m_continues = false;
     std::size_t m_events = 0;
+    EventFault m_fault = EventFault::None;
 };
 
 } // namespace bamboomoor::relay
--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -822,6 +822,56 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(an_error_within_the_events_of_the_next_upstream_does_not_reach_the_caller)
+{
+    const std::string head = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain\r\n\r\n";
+    const std::vector<std::string> bodies{head, head + "down\n\n", "down\n\n", "{\"error\":\"down\"}\n\n",
+        "id: 2\ndata: b" + head + "down\n\n", "error: down\n\n", "event: error\ndata: down\n\n", "data: down\n\n",
+        eventOf(1), "id: 0\ndata: b\n\n", "id:\ndata: b\n\n"};
+    for (const std::string &body : bodies) {
+        for (const bool delimited : {false, true}) {
+            Fixture it;
+            it.interruptStream();
+            it.core.onResponseHead(it.now, it.last(), Fixture::head(OK));
+            it.core.onResponseData(it.now, it.last(), body);
+            it.core.onAttemptEnded(it.now, it.last(), {true, true, false, "complete", false, delimited});
+            BOOST_TEST_CONTEXT(body)
+            {
+                it.checkAborted();
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_error_that_an_upstream_writes_into_its_own_stream_does_not_reach_the_caller)
+{
+    for (const char *error : {"HTTP/1.1 500 Oops\r\nA: b\r\n\r\noops\n\n", "Internal error\n\n", "{\"error\":1}\n\n"}) {
+        Fixture it;
+        it.arrive(1, "/stream/x");
+        it.answer(it.last(), Fixture::head(OK), eventOf(1));
+        BOOST_TEST(it.world.callers[1].whole);
+        it.arrive(2, "/stream/x");
+        it.core.onResponseHead(it.now, it.last(), Fixture::head(OK));
+        it.core.onResponseData(it.now, it.last(), eventOf(1));
+        it.core.onResponseData(it.now, it.last(), error);
+        BOOST_TEST(it.world.callers[2].aborted);
+        BOOST_TEST(it.world.callers[2].bytes == eventOf(1));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_resumed_stream_goes_on_with_comments_other_fields_and_gaps_between_ids)
+{
+    interruptStream();
+    const std::string rest = ": comment\n\nx-other: 4\nid: 3\nevent: token\ndata\n\nid:10\r\ndata: b\r\n\r\n";
+    core.onResponseHead(now, last(), head(OK));
+    for (const char it : rest) {
+        core.onResponseData(now, last(), std::string(1, it));
+    }
+    core.onAttemptEnded(now, last(), {true, true, false, "complete"});
+    BOOST_TEST(world.callers[1].whole);
+    BOOST_TEST(world.callers[1].bytes == eventOf(1) + rest);
+}
+
 BOOST_AUTO_TEST_CASE(an_interrupted_stream_that_is_not_resumable_is_aborted)
 {
     arrive(1, "/stream/x");
