--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -432,8 +432,8 @@
 
 void Core::endStream(base::Millis now, Exchange &exchange, bool delimited)
 {
-    // Only a resumed stream may have no events left.
-    if (!delimited && exchange.splitter.events() == 0 && exchange.lastEventId.empty()) {
+    // A resumed stream may have no events left, but without a length or chunks a crash before the first looks the same.
+    if (!delimited && exchange.splitter.events() == 0) {
         noteLoss(now, exchange);
         fail(now, exchange, AttemptResult::Failed, false, true, "no_events");
         return;
--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -872,6 +872,23 @@
     BOOST_TEST(world.callers[1].bytes == eventOf(1) + rest);
 }
 
+BOOST_AUTO_TEST_CASE(a_resumed_stream_without_length_or_chunks_that_ends_before_its_first_event_is_not_complete)
+{
+    interruptStream();
+    core.onResponseHead(now, last(), head(OK));
+    core.onAttemptEnded(now, last(), {true, true, false, "complete", false, false});
+    checkAborted();
+}
+
+BOOST_AUTO_TEST_CASE(a_resumed_stream_without_events_is_complete_if_its_response_is)
+{
+    interruptStream();
+    core.onResponseHead(now, last(), head(OK));
+    core.onAttemptEnded(now, last(), {true, true, false, "complete", false, true});
+    BOOST_TEST(world.callers[1].whole);
+    BOOST_TEST(world.callers[1].bytes == eventOf(1));
+}
+
 BOOST_AUTO_TEST_CASE(an_interrupted_stream_that_is_not_resumable_is_aborted)
 {
     arrive(1, "/stream/x");
