--- a/src/bamboomoor/entry/attempt.cpp
+++ b/src/bamboomoor/entry/attempt.cpp
@@ -417,7 +417,8 @@
         // The replica was unloaded meanwhile.
         return FailureKind::UpstreamNotRun;
     }
-    if (attempt.status >= HTTP_SERVER_ERROR) {
+    // Nothing but events may follow the beginning of a stream.
+    if (attempt.status >= HTTP_SERVER_ERROR || (exchange.streaming && attempt.status != HTTP_OK)) {
         return FailureKind::UpstreamError;
     }
     if (attempt.status != HTTP_OK || exchange.resolved.generation->stream) {
--- a/test/bamboomoor/entry/desk.cpp
+++ b/test/bamboomoor/entry/desk.cpp
@@ -18,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <thread>
@@ -199,6 +200,23 @@
     {
         const absl::MutexLock lock(&m_mutex);
         const bool streams = request.body.find(R"("stream":true)") != std::string::npos;
+        if (m_next && (!streams || m_interrupted)) {
+            ++m_received;
+            http::Response response = *m_next;
+            if (m_echoes) {
+                response.headers.push_back({"X-Request-Id", std::string(request.header("X-Request-Id"))});
+            }
+            responder->respond(std::move(response));
+            return;
+        }
+        if (m_next) {
+            ++m_received;
+            m_interrupted = true;
+            responder->begin(OK, {{"Content-Type", "text/event-stream"}});
+            responder->write(event());
+            m_broken = std::move(responder);
+            return;
+        }
         if (streams) {
             responder->begin(OK, {{"Content-Type", "text/event-stream"}});
             responder->write(event());
@@ -211,6 +229,22 @@
         }
     }
 
+    /** @brief Answers with this from now on, but begins the first stream and leaves it to interrupt(). */
+    void answerWith(http::Response response, bool echoes = true)
+    {
+        const absl::MutexLock lock(&m_mutex);
+        m_next = std::move(response);
+        m_echoes = echoes;
+    }
+
+    /** @brief Breaks the stream off that answerWith() left. */
+    void interrupt()
+    {
+        const absl::MutexLock lock(&m_mutex);
+        m_broken->abort();
+        m_broken.reset();
+    }
+
     void hold()
     {
         const absl::MutexLock lock(&m_mutex);
@@ -277,6 +311,10 @@
     absl::Mutex m_mutex;
     int m_received ABSL_GUARDED_BY(m_mutex) = 0;
     bool m_holds ABSL_GUARDED_BY(m_mutex) = false;
+    std::optional<http::Response> m_next ABSL_GUARDED_BY(m_mutex);
+    bool m_echoes ABSL_GUARDED_BY(m_mutex) = false;
+    bool m_interrupted ABSL_GUARDED_BY(m_mutex) = false;
+    std::shared_ptr<http::Responder> m_broken ABSL_GUARDED_BY(m_mutex);
     std::vector<std::pair<std::shared_ptr<http::Responder>, bool>> m_held ABSL_GUARDED_BY(m_mutex);
 };
 
@@ -341,7 +379,7 @@
 class Fixture
 {
 public:
-    explicit Fixture(std::size_t ringSize = RING_SIZE)
+    explicit Fixture(std::size_t ringSize = RING_SIZE, bool hasSecondWorker = false)
         : m_peerServer(leader)
         , m_upstreamServer(upstream)
     {
@@ -351,6 +389,9 @@
         const auto address = m_upstreamServer.start("127.0.0.1:0");
         BOOST_REQUIRE(address.has_value());
         announce(address.value(), "worker", {});
+        if (hasSecondWorker) {
+            announce(address.value(), "second", {});
+        }
         announce(address.value(), "plain", "service");
         install(wholeDocument());
         entry::DeskOptions options;
@@ -439,6 +480,12 @@
         stopping.join();
     }
 
+    /** @brief Tells whether an answer of an upstream was counted as given. */
+    [[nodiscard]] bool hasAnswered() const
+    {
+        return m_metrics.text().find("bamboomoor_answers_total{") != std::string::npos;
+    }
+
     Leader leader;
     Upstream upstream;
     entry::InForce inForce;
@@ -683,4 +730,28 @@
     BOOST_TEST(caller->status() == OK);
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_of_the_next_upstream_does_not_reach_the_caller_of_an_interrupted_stream)
+{
+    for (const int status : {201, 204, 302, 400, 404, 422, 429, 500, UNAVAILABLE}) {
+        Fixture fixture(LONG_RING, true);
+        fixture.upstream.answerWith({status, {}, status == 204 ? "" : R"({"error":{"message":"of the upstream"}})"});
+        const auto caller = fixture.stream();
+        BOOST_REQUIRE(caller->awaitStream());
+        const std::string begun = caller->body();
+        fixture.upstream.interrupt();
+        BOOST_REQUIRE(caller->await());
+        fixture.upstream.awaitReceived(2);
+        BOOST_TEST_CONTEXT(status)
+        {
+            BOOST_TEST(caller->ends() == 1);
+            BOOST_TEST(caller->status() == OK);
+            BOOST_TEST(caller->body().starts_with(begun));
+            BOOST_TEST(caller->body().find("of the upstream") == std::string::npos);
+            BOOST_TEST(caller->body().find("[DONE]") == std::string::npos);
+            BOOST_TEST(caller->body().find("upstream_failed") != std::string::npos);
+            BOOST_TEST(!fixture.hasAnswered());
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
