Believe a refusal on a pooled connection only with the attempt's id, on the product's path (REFUSED)

Callers saw: other operators report clients that were told 'not run' for requests that a worker had run or was running, after a faulty worker wrote an earlier refusal once more on a kept connection.

A stated not_run, or a model worker's 404, without X-Request-Id was taken for the answer to the request just sent, also on a pooled connection, where it may be a late copy.

Change: on a pooled connection such an answer proves nothing without the id; the attempt counts as one that may have run. The stand-in's refusals echo the id, as upstreams are asked to.

Ruled out: requests that may run once and retries, which take new connections; a refusal without id is believed there (a test keeps this).

Evidence: a_refusal_on_a_pooled_connection_* failed before for 404, 429 and 503 without id ('not_run':true).

--- a/src/bamboomoor/entry/attempt.cpp
+++ b/src/bamboomoor/entry/attempt.cpp
@@ -221,6 +221,7 @@
         ++m_running[{attempt.upstream, exchange.resolved.target}];
     }
     http::Call call = makeCall(exchange, address);
+    attempt.freshConnection = call.freshConnection;
     exchange.delivery.sent(attempt.id, call.body.size() + 1);
     attempt.call = m_context.client.start(std::move(call), std::make_shared<AttemptListener>(m_ring, exchange));
 }
@@ -407,16 +408,19 @@
 std::optional<FailureKind> Desk::judgeAnswer(Exchange &exchange) const
 {
     const Attempt &attempt = exchange.attempt;
-    if (attempt.status >= HTTP_BAD_REQUEST && saysNotRun(attempt.body)) {
-        return FailureKind::UpstreamNotRun;
+    // A model worker answers 404 if the replica was unloaded meanwhile.
+    const bool isUnloaded = exchange.resolved.generation && attempt.status == HTTP_NOT_FOUND;
+    if (isUnloaded || (attempt.status >= HTTP_BAD_REQUEST && saysNotRun(attempt.body))) {
+        // A pooled connection may deliver a late copy of an earlier refusal, which only the echoed id tells apart.
+        const bool isOwn = attempt.freshConnection || http::findHeader(attempt.headers, "X-Request-Id") != nullptr;
+        if (!isOwn) {
+            m_context.metrics.dropped("unidentified_refusal");
+        }
+        return isOwn ? FailureKind::UpstreamNotRun : FailureKind::Malformed;
     }
     if (!exchange.resolved.generation) {
         return std::nullopt;
     }
-    if (attempt.status == HTTP_NOT_FOUND) {
-        // The replica was unloaded meanwhile.
-        return FailureKind::UpstreamNotRun;
-    }
     // Nothing but events may follow the beginning of a stream.
     if (attempt.status >= HTTP_SERVER_ERROR || (exchange.streaming && attempt.status != HTTP_OK)) {
         return FailureKind::UpstreamError;
--- a/src/bamboomoor/entry/exchange.hpp
+++ b/src/bamboomoor/entry/exchange.hpp
@@ -37,6 +37,8 @@
     std::uint64_t incarnation = 0;
     base::Millis sentAt;
     http::CallId call;
+    // False if the connection may have carried earlier requests.
+    bool freshConnection = true;
     // Set by the client's thread when bytes of the answer did not fit the ring.
     std::shared_ptr<std::atomic<bool>> broken;
     int status = 0;
--- a/test/bamboomoor/entry/desk.cpp
+++ b/test/bamboomoor/entry/desk.cpp
@@ -754,4 +754,33 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_refusal_on_a_pooled_connection_is_not_run_only_if_it_names_the_attempt)
+{
+    for (const int status : {404, 429, UNAVAILABLE}) {
+        for (const bool echoes : {false, true}) {
+            Fixture fixture(LONG_RING);
+            const auto first = fixture.post("/v1/chat/completions", GENERATION);
+            BOOST_REQUIRE(first->await());
+            BOOST_REQUIRE(first->status() == OK);
+            fixture.upstream.answerWith({status, {}, R"({"error":{"not_run":true}})"}, echoes);
+            const auto caller = fixture.post("/v1/chat/completions", GENERATION);
+            BOOST_REQUIRE(caller->await());
+            BOOST_TEST_CONTEXT(status << ' ' << echoes << ' ' << caller->body())
+            {
+                const bool notRun = caller->body().find(R"("not_run":true)") != std::string::npos;
+                BOOST_TEST(notRun == echoes);
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_on_a_new_connection_is_not_run_without_naming_the_attempt)
+{
+    Fixture fixture(LONG_RING);
+    fixture.upstream.answerWith({UNAVAILABLE, {}, R"({"error":{"not_run":true}})"}, false);
+    const auto caller = fixture.post("/once", "x");
+    BOOST_REQUIRE(caller->await());
+    BOOST_TEST(caller->body().find(R"("not_run":true)") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/fakes/upstream.cpp
+++ b/test/fakes/upstream.cpp
@@ -152,6 +152,7 @@
         refusal = request.path == "/order" ? http::Headers() : m_refusal;
     }
     if (!refusal.empty()) {
+        refusal.push_back({"X-Request-Id", std::string(request.header("X-Request-Id"))});
         responder->respond({503, std::move(refusal), R"({"error":{"not_run":true}})"});
         return;
     }
