--- a/src/bamboomoor/entry/attempt.cpp
+++ b/src/bamboomoor/entry/attempt.cpp
@@ -88,10 +88,10 @@
 }
 
 /** @brief Tells whether an answer names another attempt than the one that it came for. */
-bool isCrossed(const Exchange &exchange)
+bool isCrossed(const http::Headers &headers, std::string_view attempt)
 {
-    const std::string_view echoed = http::headerValue(exchange.attempt.headers, "X-Request-Id");
-    return !echoed.empty() && echoed != attemptName(exchange);
+    const std::string_view echoed = http::headerValue(headers, "X-Request-Id");
+    return !echoed.empty() && echoed != attempt;
 }
 
 } // namespace
@@ -100,18 +100,20 @@
 class Desk::AttemptListener final : public http::Listener
 {
 public:
-    AttemptListener(base::Ring<Event> &ring, std::uint64_t exchange, std::uint64_t attempt,
-        std::shared_ptr<std::atomic<bool>> broken)
+    AttemptListener(base::Ring<Event> &ring, const Exchange &exchange)
         : m_ring(ring)
-        , m_exchange(exchange)
-        , m_attempt(attempt)
-        , m_broken(std::move(broken))
+        , m_exchange(exchange.id)
+        , m_attempt(exchange.attempt.id)
+        , m_name(attemptName(exchange))
+        , m_broken(exchange.attempt.broken)
     {
     }
 
-    void onHead(int status, http::Headers headers) override
+    bool onHead(int status, http::Headers headers) override
     {
+        const bool isOwn = !isCrossed(headers, m_name);
         m_ring.deliver(AnswerHead{m_exchange, m_attempt, status, std::move(headers)});
+        return isOwn;
     }
 
     void onData(std::string_view bytes) override
@@ -133,6 +135,7 @@
     base::Ring<Event> &m_ring;
     const std::uint64_t m_exchange;
     const std::uint64_t m_attempt;
+    const std::string m_name;
     const std::shared_ptr<std::atomic<bool>> m_broken;
 };
 
@@ -219,9 +222,9 @@
         ++m_running[{attempt.upstream, exchange.resolved.target}];
     }
     http::Call call = makeCall(exchange, address);
+    attempt.freshConnection = call.freshConnection;
     exchange.delivery.sent(attempt.id, call.body.size() + 1);
-    attempt.call = m_context.client.start(
-        std::move(call), std::make_shared<AttemptListener>(m_ring, exchange.id, attempt.id, attempt.broken));
+    attempt.call = m_context.client.start(std::move(call), std::make_shared<AttemptListener>(m_ring, exchange));
 }
 
 http::Call Desk::makeCall(const Exchange &exchange, const std::string &address) const
@@ -276,9 +279,12 @@
     exchange->attempt.status = event.status;
     exchange->attempt.headers = std::move(event.headers);
     m_router.firstByte(m_context.clock.now(), event.attempt);
-    if (!isCrossed(*exchange)) {
-        noteSignal(*exchange);
+    if (isCrossed(exchange->attempt.headers, attemptName(*exchange))) {
+        m_context.metrics.dropped("crossed_answer");
+        failAttempt(*exchange, FailureKind::Malformed);
+        return;
     }
+    noteSignal(*exchange);
 }
 
 void Desk::noteSignal(const Exchange &exchange)
@@ -403,21 +409,21 @@
 std::optional<FailureKind> Desk::judgeAnswer(Exchange &exchange) const
 {
     const Attempt &attempt = exchange.attempt;
-    if (isCrossed(exchange)) {
-        m_context.metrics.dropped("crossed_answer");
-        return FailureKind::Malformed;
-    }
-    if (attempt.status >= HTTP_BAD_REQUEST && saysNotRun(attempt.body)) {
-        return FailureKind::UpstreamNotRun;
+    // A model worker answers 404 if the replica was unloaded meanwhile.
+    const bool isUnloaded = exchange.resolved.generation && attempt.status == HTTP_NOT_FOUND;
+    if (isUnloaded || (attempt.status >= HTTP_BAD_REQUEST && saysNotRun(attempt.body))) {
+        // A pooled connection may deliver a late copy of an earlier refusal, which only the echoed id tells apart.
+        const bool isOwn = attempt.freshConnection || http::findHeader(attempt.headers, "X-Request-Id") != nullptr;
+        if (!isOwn) {
+            m_context.metrics.dropped("unidentified_refusal");
+        }
+        return isOwn ? FailureKind::UpstreamNotRun : FailureKind::Malformed;
     }
     if (!exchange.resolved.generation) {
         return std::nullopt;
     }
-    if (attempt.status == HTTP_NOT_FOUND) {
-        // The replica was unloaded meanwhile.
-        return FailureKind::UpstreamNotRun;
-    }
-    if (attempt.status >= HTTP_SERVER_ERROR) {
+    // Nothing but events may follow the beginning of a stream.
+    if (attempt.status >= HTTP_SERVER_ERROR || (exchange.streaming && attempt.status != HTTP_OK)) {
         return FailureKind::UpstreamError;
     }
     if (attempt.status != HTTP_OK || exchange.resolved.generation->stream) {
--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -227,7 +227,7 @@
     exchange.stalled = false;
     exchange.head.reset();
     static_cast<void>(takeBody(exchange));
-    exchange.splitter = {};
+    exchange.splitter = EventSplitter(exchange.headSent ? exchange.lastEventId : std::string());
     Attempt &attempt = exchange.attempt;
     attempt.id = ++m_lastAttempt;
     attempt.exchange = exchange.id;
@@ -266,10 +266,11 @@
         m_reach.onPeerAnswered(exchange->attempt.via);
     }
     settleRetry(now, *exchange, true);
-    if (head.owner == ResponseOwner::Other) {
+    if (mayBeForeign(head, exchange->attempt.freshConnection)) {
         m_effects.cancel(attempt);
         const bool pooled = readmitAfterPooled(*exchange);
-        fail(now, *exchange, pooled ? AttemptResult::Stray : AttemptResult::Failed, false, true, "foreign_answer");
+        fail(now, *exchange, pooled ? AttemptResult::Stray : AttemptResult::Failed, false, true,
+            head.owner == ResponseOwner::Other ? "foreign_answer" : "unidentified_answer");
         return;
     }
     applySignal(now, *exchange, head);
@@ -279,6 +280,11 @@
         fail(now, *exchange, AttemptResult::Failed, false, true, "unsigned_answer");
         return;
     }
+    if (success && exchange->headSent && !head.isEventStream) {
+        m_effects.cancel(attempt);
+        fail(now, *exchange, AttemptResult::Failed, false, true, "no_event_stream");
+        return;
+    }
     exchange->head = std::move(head);
 }
 
@@ -337,9 +343,9 @@
 {
     const std::size_t eventsBefore = exchange.splitter.events();
     const std::string_view events = exchange.splitter.feed(bytes);
-    if (exchange.splitter.failed()) {
+    if (const EventFault fault = exchange.splitter.fault(); fault != EventFault::None) {
         m_effects.cancel(exchange.attempt.id);
-        fail(now, exchange, AttemptResult::Failed, false, true, "event_too_long");
+        fail(now, exchange, AttemptResult::Failed, false, true, EVENT_FAULT_NAMES.name(fault));
         return;
     }
     if (events.empty()) {
@@ -426,8 +432,8 @@
 
 void Core::endStream(base::Millis now, Exchange &exchange, bool delimited)
 {
-    // Only a resumed stream may have no events left.
-    if (!delimited && exchange.splitter.events() == 0 && exchange.lastEventId.empty()) {
+    // A resumed stream may have no events left, but without a length or chunks a crash before the first looks the same.
+    if (!delimited && exchange.splitter.events() == 0) {
         noteLoss(now, exchange);
         fail(now, exchange, AttemptResult::Failed, false, true, "no_events");
         return;
--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -89,8 +89,9 @@
         open.erase(attempt);
         cancelled.push_back(attempt);
     }
-    void logDecision(const relay::Decision & /*decision*/) override
+    void logDecision(const relay::Decision &decision) override
     {
+        steps.push_back(decision.step);
     }
     void logSignal(const relay::SignalNote &note) override
     {
@@ -108,6 +109,7 @@
     std::map<std::uint64_t, relay::Attempt> open;
     std::vector<std::uint64_t> cancelled;
     std::vector<standing::Change> words;
+    std::vector<relay::Step> steps;
 };
 
 std::string eventOf(int number)
@@ -197,6 +199,7 @@
         out.status = status;
         out.owner = owner;
         out.isSigned = isSigned;
+        out.isEventStream = status == OK;
         return out;
     }
 
@@ -217,6 +220,31 @@
         core.onAttemptEnded(now, attempt, {false, true, true, "test"});
     }
 
+    /** @brief Begins a resumable stream with one event and interrupts it; a second attempt is the last. */
+    void interruptStream()
+    {
+        arrive(1, "/resume-once/x");
+        core.onResponseHead(now, last(), head(OK));
+        core.onResponseData(now, last(), eventOf(1));
+        fail(last(), true);
+        BOOST_REQUIRE(world.sent.size() == 2U);
+        BOOST_REQUIRE(world.sent.back().lastEventId == "1");
+    }
+
+    /** @brief Checks that the caller has the beginning of the interrupted stream and nothing else, as a broken stream.
+     */
+    void checkAborted()
+    {
+        const Seen &seen = world.callers[1];
+        BOOST_TEST(seen.ends == 1);
+        BOOST_TEST(seen.aborted);
+        BOOST_TEST(!seen.whole);
+        BOOST_TEST(!seen.refused);
+        BOOST_TEST(seen.bytes == eventOf(1));
+        BOOST_TEST(std::count(world.steps.begin(), world.steps.end(), relay::Step::Answered) == 0);
+        BOOST_TEST(core.inProgress() == 0U);
+    }
+
     void answer(std::uint64_t attempt, ResponseHead answer, const std::string &body)
     {
         core.onResponseHead(now, attempt, std::move(answer));
@@ -393,6 +421,66 @@
     BOOST_TEST(!world.callers[1].refusedNotRun);
 }
 
+BOOST_AUTO_TEST_CASE(a_late_copy_of_a_refusal_on_a_pooled_connection_does_not_make_a_running_request_not_run)
+{
+    for (const int status : {400, 421, 429, UNAVAILABLE}) {
+        for (const ResponseOwner owner : {ResponseOwner::Unknown, ResponseOwner::Other}) {
+            Fixture it;
+            it.core.setWorkers({worker("w1")});
+            it.arrive(1, "/again/x");
+            BOOST_REQUIRE(!it.world.sent.back().freshConnection);
+            ResponseHead refusal = Fixture::head(status, owner, false);
+            refusal.notRun = true;
+            refusal.misdirected = status == 421;
+            it.answer(it.last(), refusal, "refused");
+            BOOST_REQUIRE(it.world.sent.size() == 2U);
+            BOOST_TEST(it.world.sent.back().freshConnection);
+            BOOST_TEST((it.world.sent.back().charge == relay::Charge::Retry));
+            it.loseConnection(it.last());
+            BOOST_TEST(it.world.callers[1].refused);
+            BOOST_TEST(!it.world.callers[1].refusedNotRun);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_late_copy_of_an_error_on_a_pooled_connection_is_not_forwarded)
+{
+    arrive(1, "/again/x");
+    BOOST_REQUIRE(!world.sent.back().freshConnection);
+    answer(last(), head(404, ResponseOwner::Unknown), "of another request");
+    BOOST_REQUIRE(world.sent.size() == 2U);
+    answer(last(), head(OK), "mine");
+    BOOST_TEST(world.callers[1].bytes == "mine");
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_that_echoes_the_request_is_believed_on_a_pooled_connection)
+{
+    core.setWorkers({worker("w1")});
+    arrive(1, "/again/x");
+    ResponseHead refusal = head(UNAVAILABLE, ResponseOwner::Same, false);
+    refusal.notRun = true;
+    answer(last(), refusal, "");
+    BOOST_TEST(world.callers[1].refusedNotRun);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_may_run_once_or_is_sent_again_never_shares_a_connection_with_an_earlier_one)
+{
+    for (const char *path : {"/once/x", "/stream/x"}) {
+        Fixture it;
+        it.arrive(1, path);
+        BOOST_TEST(it.world.sent.back().freshConnection);
+    }
+    for (const char *path : {"/again/x", "/resume/x"}) {
+        Fixture it;
+        it.arrive(1, path);
+        ResponseHead refusal = Fixture::head(UNAVAILABLE, ResponseOwner::Same, false);
+        refusal.notRun = true;
+        it.answer(it.last(), refusal, "");
+        BOOST_REQUIRE(it.world.sent.size() == 2U);
+        BOOST_TEST(it.world.sent.back().freshConnection);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(upstreams_that_answer_a_connection_attempt_too_late_have_not_crashed_on_a_prompt)
 {
     for (const bool refused : {true, false}) {
@@ -695,6 +783,112 @@
     BOOST_TEST(world.callers[1].whole);
 }
 
+BOOST_AUTO_TEST_CASE(an_error_of_the_next_upstream_does_not_reach_the_caller_of_an_interrupted_stream)
+{
+    for (const int status : {301, 400, 404, 408, 421, 429, SERVER_ERROR, 502, UNAVAILABLE}) {
+        for (const bool notRun : {false, true}) {
+            for (const bool delimited : {false, true}) {
+                Fixture it;
+                it.interruptStream();
+                ResponseHead error = Fixture::head(status);
+                error.notRun = notRun;
+                error.misdirected = status == 421;
+                it.core.onResponseHead(it.now, it.last(), error);
+                it.core.onResponseData(it.now, it.last(), "id: 2\ndata: error\n\n");
+                it.world.open.erase(it.last());
+                it.core.onAttemptEnded(it.now, it.last(), {true, true, false, "complete", false, delimited});
+                if (it.core.inProgress() > 0) {
+                    // An attempt that was not run does not count.
+                    BOOST_TEST((notRun || status == 421));
+                    it.fail(it.last(), true);
+                }
+                it.checkAborted();
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_success_of_the_next_upstream_that_is_no_event_stream_does_not_reach_the_caller)
+{
+    for (const int status : {200, 204, 206}) {
+        for (const char *body : {"", "{\"error\":\"down\"}", "<p>down</p>\n\n", "id: 2\ndata: b\n\n"}) {
+            Fixture it;
+            it.interruptStream();
+            ResponseHead other = Fixture::head(status);
+            other.isEventStream = false;
+            it.answer(it.last(), other, body);
+            it.checkAborted();
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_error_within_the_events_of_the_next_upstream_does_not_reach_the_caller)
+{
+    const std::string head = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain\r\n\r\n";
+    const std::vector<std::string> bodies{head, head + "down\n\n", "down\n\n", "{\"error\":\"down\"}\n\n",
+        "id: 2\ndata: b" + head + "down\n\n", "error: down\n\n", "event: error\ndata: down\n\n", "data: down\n\n",
+        eventOf(1), "id: 0\ndata: b\n\n", "id:\ndata: b\n\n"};
+    for (const std::string &body : bodies) {
+        for (const bool delimited : {false, true}) {
+            Fixture it;
+            it.interruptStream();
+            it.core.onResponseHead(it.now, it.last(), Fixture::head(OK));
+            it.core.onResponseData(it.now, it.last(), body);
+            it.core.onAttemptEnded(it.now, it.last(), {true, true, false, "complete", false, delimited});
+            BOOST_TEST_CONTEXT(body)
+            {
+                it.checkAborted();
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_error_that_an_upstream_writes_into_its_own_stream_does_not_reach_the_caller)
+{
+    for (const char *error : {"HTTP/1.1 500 Oops\r\nA: b\r\n\r\noops\n\n", "Internal error\n\n", "{\"error\":1}\n\n"}) {
+        Fixture it;
+        it.arrive(1, "/stream/x");
+        it.answer(it.last(), Fixture::head(OK), eventOf(1));
+        BOOST_TEST(it.world.callers[1].whole);
+        it.arrive(2, "/stream/x");
+        it.core.onResponseHead(it.now, it.last(), Fixture::head(OK));
+        it.core.onResponseData(it.now, it.last(), eventOf(1));
+        it.core.onResponseData(it.now, it.last(), error);
+        BOOST_TEST(it.world.callers[2].aborted);
+        BOOST_TEST(it.world.callers[2].bytes == eventOf(1));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_resumed_stream_goes_on_with_comments_other_fields_and_gaps_between_ids)
+{
+    interruptStream();
+    const std::string rest = ": comment\n\nx-other: 4\nid: 3\nevent: token\ndata\n\nid:10\r\ndata: b\r\n\r\n";
+    core.onResponseHead(now, last(), head(OK));
+    for (const char it : rest) {
+        core.onResponseData(now, last(), std::string(1, it));
+    }
+    core.onAttemptEnded(now, last(), {true, true, false, "complete"});
+    BOOST_TEST(world.callers[1].whole);
+    BOOST_TEST(world.callers[1].bytes == eventOf(1) + rest);
+}
+
+BOOST_AUTO_TEST_CASE(a_resumed_stream_without_length_or_chunks_that_ends_before_its_first_event_is_not_complete)
+{
+    interruptStream();
+    core.onResponseHead(now, last(), head(OK));
+    core.onAttemptEnded(now, last(), {true, true, false, "complete", false, false});
+    checkAborted();
+}
+
+BOOST_AUTO_TEST_CASE(a_resumed_stream_without_events_is_complete_if_its_response_is)
+{
+    interruptStream();
+    core.onResponseHead(now, last(), head(OK));
+    core.onAttemptEnded(now, last(), {true, true, false, "complete", false, true});
+    BOOST_TEST(world.callers[1].whole);
+    BOOST_TEST(world.callers[1].bytes == eventOf(1));
+}
+
 BOOST_AUTO_TEST_CASE(an_interrupted_stream_that_is_not_resumable_is_aborted)
 {
     arrive(1, "/stream/x");
