Show by partitions of real connections which silences cut them

Callers of similar systems lost requests where a library set TCP_USER_TIMEOUT by itself: it decides when keep-alive probes give up, whatever their count, and cuts a connection whose other end only pauses or reads late.

Every socket was looked at. Sockets to upstreams and from callers set it to 0 beside their probes; gRPC sets it on the server's side only, to the 10 s of its keep-alive timeout; the client of daemons sets neither. Until now tests read the options only. The new ones drop the packets of real connections:

- 1.3 s without any packet cut no request that is sent, runs or streams in it, and no call between daemons;
- a lost connection between daemons costs one timeout.

No fault was found.

--- a/test/bamboomoor/peer/silence.cpp
+++ b/test/bamboomoor/peer/silence.cpp
@@ -5,6 +5,7 @@
 #include "bamboomoor/peer/channel.hpp"
 #include "bamboomoor/peer/client.hpp"
 #include "bamboomoor/peer/server.hpp"
+#include "fakes/packetloss.hpp"
 
 #include <absl/synchronization/mutex.h>
 #include <absl/synchronization/notification.h>
@@ -21,12 +22,16 @@
 #include <vector>
 
 using namespace bamboomoor;
+using fakes::portOf;
 
 namespace
 {
 
 constexpr int MAX_SOCKET = 1'024;
 constexpr base::Millis CALL_TIMEOUT{300};
+constexpr base::Millis LONG_TIMEOUT{10'000};
+// A sound peer, or the path to it, may be silent for so long.
+constexpr base::Millis PAUSE{1'300};
 
 /** @brief Answers reads of the history, or keeps them. */
 class Peer final : public peer::Handler
@@ -111,12 +116,6 @@
     return ntohs(address.sin_port);
 }
 
-int portOf(const sockaddr_storage &address)
-{
-    return ntohs(address.ss_family == AF_INET6 ? reinterpret_cast<const sockaddr_in6 &>(address).sin6_port
-                                               : reinterpret_cast<const sockaddr_in &>(address).sin_port);
-}
-
 enum class End { Local, Remote };
 
 /** @brief Lists the connected sockets of this process whose local or remote port is the given one. */
@@ -206,6 +205,43 @@
     BOOST_TEST(peer::SILENT_PEER_TIMEOUT.count > 4'000);
 }
 
+BOOST_AUTO_TEST_CASE(a_partition_of_a_second_cuts_no_call_between_daemons_and_no_connection)
+{
+    BOOST_REQUIRE(ask());
+    const std::set<int> before = callersAt(port);
+    handler.fallSilent();
+    absl::Notification running;
+    absl::Notification sent;
+    int answered = 0;
+    const auto call = [&](absl::Notification &done) {
+        client.call(
+            peer::wire::HistoryRequest(), LONG_TIMEOUT, [&](const std::optional<peer::wire::HistoryReply> &reply) {
+                answered += reply ? 1 : 0;
+                done.Notify();
+            });
+    };
+    call(running);
+    absl::SleepFor(absl::Milliseconds(100));
+    const fakes::PacketLoss loss(fakes::socketsAt(port));
+    handler.goOn();
+    call(sent);
+    absl::SleepFor(absl::Milliseconds(PAUSE.count));
+    loss.heal();
+    running.WaitForNotification();
+    sent.WaitForNotification();
+    BOOST_TEST(answered == 2);
+    BOOST_TEST((callersAt(port) == before));
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_connection_costs_one_timeout_and_the_next_call_takes_a_new_one)
+{
+    BOOST_REQUIRE(ask());
+    const fakes::PacketLoss loss(fakes::socketsAt(port));
+    BOOST_TEST(!ask());
+    BOOST_TEST(ask());
+    loss.heal();
+}
+
 BOOST_AUTO_TEST_CASE(a_silent_peer_costs_one_timeout_and_the_next_call_takes_a_new_connection)
 {
     BOOST_REQUIRE(ask());
