Wait for upstreams that answer no connection attempt because they pause

What callers saw: a sound upstream that falls silent for a second or so leaves connection attempts without an answer (its VM pauses; SYNs are lost). Callers were refused although it would have answered in time: `upstream_refused` by those whose attempts timed out after 400 ms, `not_held` by those that arrived during the back-off.

Cause: an attempt to connect that gets no answer was taken for a refused connection. It excluded the upstream from the request, which has no other one if all of a service pause or one alone holds the model; it started a back-off that doubles, during which what the upstream holds counts as not held; it used up one of three unreached attempts; and it halved the window of a plain service.

Change: such an attempt ends as `Unanswered`. For 2 s from the first one the upstream counts as paused: it is tried again after 300 ms without doubling, requests that need it wait in the queue as for room, and neither attempts nor window are used up. Nothing was sent, so no retry is charged, as before. After 2 s it counts as gone, as before; refused connections do so at once, as before.

Ruled out: connections that the kernel of a paused upstream accepts.

The new case of `fleet` shows that the wait has an end.

--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -409,10 +409,17 @@
         } else if (!reached && !end.connectTimedOut && !inPartition) {
             m_guard.onUnreachable(now, exchange->choice.id);
         }
+        const bool unanswered = !reached && end.connectTimedOut;
+        if (unanswered) {
+            // It may be paused and the only one; otherwise its back-off gives way to the others.
+            exchange->requirements.excluded.erase(exchange->choice.id);
+            ++exchange->unanswered;
+        }
         const AttemptResult result = inPartition ? AttemptResult::Cancelled
             : lost                               ? AttemptResult::Lost
             : stray                              ? AttemptResult::Stray
             : reached                            ? AttemptResult::Failed
+            : unanswered                         ? AttemptResult::Unanswered
                                                  : AttemptResult::NotReached;
         fail(now, *exchange, result, !reached, reached, end.reason);
         return;
@@ -546,7 +553,8 @@
     if (now >= exchange.deadline) {
         return RetryDecision::NoTime;
     }
-    if (exchange.sent >= exchange.route->attempts || exchange.unreached >= m_options.maxUnreachedAttempts) {
+    if (exchange.sent >= exchange.route->attempts
+        || exchange.unreached - exchange.unanswered >= m_options.maxUnreachedAttempts) {
         return RetryDecision::NoAttempts;
     }
     if (!hasOtherUpstream(now, exchange)) {
--- a/src/bamboomoor/relay/core.hpp
+++ b/src/bamboomoor/relay/core.hpp
@@ -237,7 +237,8 @@
     base::Millis minBusyRetryDelay{1'000};
     // Retries of callers that were rejected by a closed upstream are spread over this time after it reopens.
     base::Millis retrySpread{400};
-    // The number of attempts that failed before any byte was sent after which a request fails.
+    // The number of attempts that failed before any byte was sent after which a request fails; connection attempts
+    // without an answer do not count.
     int maxUnreachedAttempts = 3;
     // The number of forwarding entries that failed before they forwarded after which a request fails.
     int maxPeerFailures = 4;
@@ -427,6 +428,8 @@
         // Attempts that may have reached an upstream.
         std::int64_t sent = 0;
         int unreached = 0;
+        // Those of the unreached that upstreams did not answer, as they may be paused.
+        int unanswered = 0;
         // Forwarding entries that failed before they forwarded.
         int peerFailures = 0;
         // A direct attempt failed during a partition; the next ones are forwarded.
--- a/src/bamboomoor/relay/fleet.cpp
+++ b/src/bamboomoor/relay/fleet.cpp
@@ -98,13 +98,20 @@
     return known.worker.holdings.contains(holding) || (placed != known.placed.end() && now >= placed->second);
 }
 
-bool Fleet::isEligible(base::Millis now, const TrackedWorker &known, const Requirements &requirements) const
+bool Fleet::isEligible(
+    base::Millis now, const TrackedWorker &known, const Requirements &requirements, bool despiteBackoff) const
 {
-    const bool gone = known.missing.contains(std::string()) || now < known.state.backoffUntil
+    const bool gone = known.missing.contains(std::string()) || (now < known.state.backoffUntil && !despiteBackoff)
         || m_standing.access(now, runOf(known)) == standing::Access::Leaving;
     return !gone && (requirements.holding.empty() || hasLoaded(now, known, requirements.holding));
 }
 
+bool Fleet::isPaused(base::Millis now, const TrackedWorker &known) const noexcept
+{
+    return known.state.unansweredSince && now < known.state.backoffUntil
+        && now - *known.state.unansweredSince < m_options.maxPause;
+}
+
 bool Fleet::canServe(base::Millis now, const TrackedWorker &known, const Requirements &requirements) const
 {
     return isEligible(now, known, requirements) && !isClosed(now, known);
@@ -225,7 +232,7 @@
     }
     UnavailableReason lack = UnavailableReason::NotHeld;
     for (const TrackedWorker *it : service->second) {
-        if (!isEligible(now, *it, requirements)) {
+        if (!isEligible(now, *it, requirements, isPaused(now, *it))) {
             continue;
         }
         if (requirements.excluded.contains(it->worker.id)) {
@@ -430,6 +437,10 @@
         profile.addObservation(choice.newTokens, now - sentAt);
     }
     state.queuedTokens = std::max<std::int64_t>(0, state.queuedTokens - choice.newTokens);
+    if (choice.freshConnection && state.unansweredSince && sentAt >= *state.unansweredSince) {
+        state.unansweredSince.reset();
+        state.backoffUntil = {};
+    }
     const double explained = static_cast<double>(choice.newTokens) / profile.tokensPerMilli();
     const double excess = std::max(0.0, static_cast<double>((now - sentAt).count) - explained);
     const double fade = decay(now, state.measuredAt);
@@ -529,7 +540,8 @@
     if (!hadStarted) {
         state.queuedTokens = std::max<std::int64_t>(0, state.queuedTokens - choice.newTokens);
     }
-    if (result == AttemptResult::Refused || result == AttemptResult::NotReached || result == AttemptResult::Lost) {
+    if (result == AttemptResult::Refused || result == AttemptResult::NotReached || result == AttemptResult::Unanswered
+        || result == AttemptResult::Lost) {
         state.pacer.refund(std::llround(referenceTokens(known->worker.service, choice.newTokens)));
     }
     if (result == AttemptResult::Cancelled) {
@@ -544,23 +556,48 @@
     state.measuredAt = now;
     if (result == AttemptResult::Answered) {
         state.window = std::min(m_options.maxWindow, state.window + 1 / state.window);
-    } else if (result != AttemptResult::ErrorResponse && result != AttemptResult::Stray && !stalePooled) {
+    } else if (result != AttemptResult::ErrorResponse && result != AttemptResult::Unanswered
+        && result != AttemptResult::Stray && !stalePooled) {
         state.window = std::max(1.0, state.window / 2);
     }
     if (result == AttemptResult::Answered || result == AttemptResult::ErrorResponse
         || result == AttemptResult::Refused) {
         state.lostConnection = false;
+        state.unansweredSince.reset();
     } else if (result == AttemptResult::Lost) {
         state.lostConnection = true;
     }
-    // Losing a new connection indicates that the upstream is gone.
-    if (result == AttemptResult::NotReached || (result == AttemptResult::Lost && !stalePooled)) {
-        state.backoff = std::clamp(state.backoff * 2, m_options.initialBackoff, m_options.maxBackoff);
-        state.backoffUntil = now + state.backoff;
-    } else if (result == AttemptResult::Answered) {
+    backOff(now, state, result, stalePooled);
+}
+
+void Fleet::backOff(base::Millis now, State &state, AttemptResult result, bool stalePooled) const
+{
+    switch (result) {
+    case AttemptResult::Answered:
         state.backoff = {};
         state.backoffUntil = {};
+        return;
+    case AttemptResult::Unanswered:
+        state.unansweredSince = state.unansweredSince.value_or(now);
+        if (now - *state.unansweredSince < m_options.maxPause) {
+            state.backoffUntil = now + m_options.initialBackoff;
+            return;
+        }
+        break;
+    case AttemptResult::NotReached:
+        state.unansweredSince.reset();
+        break;
+    case AttemptResult::Lost:
+        // Losing a new connection indicates that the upstream is gone.
+        if (stalePooled) {
+            return;
+        }
+        break;
+    default:
+        return;
     }
+    state.backoff = std::clamp(state.backoff * 2, m_options.initialBackoff, m_options.maxBackoff);
+    state.backoffUntil = now + state.backoff;
 }
 
 void Fleet::setFailuresAside()
@@ -569,6 +606,7 @@
         State &state = known.state;
         state.directBackoff = std::exchange(state.backoff, {});
         state.directBackoffUntil = std::exchange(state.backoffUntil, {});
+        state.unansweredSince.reset();
         state.failures = 0;
         state.lostConnection = false;
         state.window = std::max(state.window, m_options.initialWindow);
--- a/src/bamboomoor/relay/fleet.hpp
+++ b/src/bamboomoor/relay/fleet.hpp
@@ -74,6 +74,9 @@
     // The initial and the greatest back-off after an upstream refused a connection; it doubles with each refusal.
     base::Millis initialBackoff{300};
     base::Millis maxBackoff{4'000};
+    // An upstream that does not answer connection attempts counts as paused for this time, and as gone afterwards; a
+    // sound one pauses for a second or so. Requests wait for a paused upstream.
+    base::Millis maxPause{2'000};
     // The initial and the greatest window of concurrent requests to an upstream of a plain service; a failed or
     // rejected request halves the window, an error response does not.
     double initialWindow = 4;
@@ -126,17 +129,19 @@
     base::Millis readyIn;
 };
 
-/** @brief Why no upstream can be selected. Busy upstreams regain capacity as they process prompts, Closed ones have
- * signalled that they accept no requests for some time, and Loading means that a load is in progress. */
+/** @brief Why no upstream can be selected. Busy upstreams regain capacity as they process prompts, or are paused;
+ * Closed ones have signalled that they accept no requests for some time, and Loading means that a load is in progress.
+ */
 enum class UnavailableReason { NoUpstream, NotHeld, AllTried, Closed, Busy, Loading };
 
 /** @brief The names of UnavailableReason in logs. */
 inline constexpr auto UNAVAILABLE_REASON_NAMES =
     base::makeNames<UnavailableReason>("no_upstream", "not_held", "all_tried", "closed", "busy", "coming");
 
-/** @brief How an attempt at an upstream ended; Lost means that the connection closed before any response byte, Stray
- * that a pooled connection delivered the response to another request, or bytes of none. */
-enum class AttemptResult { Answered, Failed, ErrorResponse, Refused, NotReached, Lost, Stray, Cancelled };
+/** @brief How an attempt at an upstream ended; NotReached means that it refused the connection, Unanswered that it did
+ * not answer the connection attempt in time, Lost that the connection closed before any response byte, Stray that a
+ * pooled connection delivered the response to another request, or bytes of none. */
+enum class AttemptResult { Answered, Failed, ErrorResponse, Refused, NotReached, Unanswered, Lost, Stray, Cancelled };
 
 /** @brief The load balancer of an entry. Not thread-safe. */
 class Fleet
@@ -337,6 +342,8 @@
         base::Millis measuredAt;
         base::Millis backoffUntil;
         base::Millis backoff;
+        // When the first of the connection attempts failed that it has not answered; unset after any response.
+        std::optional<base::Millis> unansweredSince;
         // The back-off of direct attempts while requests are forwarded.
         base::Millis directBackoffUntil;
         base::Millis directBackoff;
@@ -360,7 +367,10 @@
     [[nodiscard]] static standing::Run runOf(const TrackedWorker &known);
     [[nodiscard]] bool isLimited(base::Millis now, const TrackedWorker &known) const;
     [[nodiscard]] bool isClosed(base::Millis now, const TrackedWorker &known) const;
-    [[nodiscard]] bool isEligible(base::Millis now, const TrackedWorker &known, const Requirements &requirements) const;
+    void backOff(base::Millis now, State &state, AttemptResult result, bool stalePooled) const;
+    [[nodiscard]] bool isPaused(base::Millis now, const TrackedWorker &known) const noexcept;
+    [[nodiscard]] bool isEligible(base::Millis now, const TrackedWorker &known, const Requirements &requirements,
+        bool despiteBackoff = false) const;
     [[nodiscard]] bool canServe(base::Millis now, const TrackedWorker &known, const Requirements &requirements) const;
     [[nodiscard]] bool hasLoaded(base::Millis now, const TrackedWorker &known, const std::string &holding) const;
     [[nodiscard]] double costOf(
--- a/test/bamboomoor/relay/fleet.cpp
+++ b/test/bamboomoor/relay/fleet.cpp
@@ -131,6 +131,39 @@
     BOOST_TEST(fleet.choose(soon, prompt(10)).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(a_model_whose_only_engine_answers_no_connection_attempt_is_waited_for_while_it_may_be_paused)
+{
+    const relay::FleetOptions options;
+    Fleet fleet(options);
+    fleet.update({engine("a", {"m"})});
+    const auto fail = [&](base::Millis now) {
+        auto choice = fleet.choose(now, prompt(10));
+        BOOST_REQUIRE(choice.has_value());
+        choice->freshConnection = true;
+        fleet.onSent(now, *choice, prompt(10));
+        fleet.onEnded(now, *choice, false, relay::AttemptResult::Unanswered);
+        return *choice;
+    };
+    fail(START);
+    base::Millis now = START + base::Millis{10};
+    BOOST_TEST(!fleet.choose(now, prompt(10)).has_value());
+    BOOST_TEST((fleet.unavailableReason(now, prompt(10)) == UnavailableReason::Busy));
+    BOOST_TEST((fleet.unavailableReason(now, {"llm", "other", {}, 10, {}}) == UnavailableReason::NotHeld));
+    BOOST_TEST(fleet.unreachable(now) == std::vector<std::string>{"a"});
+    // It is tried as often as at first, until it has been silent for longer than sound ones are.
+    now = START + options.initialBackoff;
+    fail(now);
+    now = START + options.initialBackoff * 2;
+    const relay::Choice last = fail(now);
+    now = START + options.maxPause;
+    BOOST_TEST((fleet.unavailableReason(now, prompt(10)) == UnavailableReason::Busy));
+    fail(now);
+    BOOST_TEST((fleet.unavailableReason(now, prompt(10)) == UnavailableReason::NotHeld));
+    // A response over a new connection shows that it is back.
+    fleet.onFirstEvent(now + base::Millis{10}, last, now);
+    BOOST_TEST(fleet.choose(now + base::Millis{10}, prompt(10)).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(an_adapter_is_loaded_by_an_engine_with_its_base_model)
 {
     Fleet fleet({});
