Tell a paused upstream from a crashed one through a forwarding entry

What callers would see: while an entry sends through others, as it takes a pause of all upstreams for a partition, a connection attempt of the other entry that gets no answer reached it as a refused connection. That is evidence of a crash, which can quarantine a sound request that was sent there shortly before, and makes callers of the upstream be refused for the back-off.

Cause: the statement of the forwarding entry names the kind of failure, but its reader mapped each attempt without connection to `connect_failed`.

Change: `connect_timeout` stays `connect_timeout`, as on the direct path.

Evidence: the new case of `forwarding` failed before (connect_failed) and passes now, with the other nine.

--- a/src/bamboomoor/gateway/forwarding.cpp
+++ b/src/bamboomoor/gateway/forwarding.cpp
@@ -149,7 +149,10 @@
         end.ending.bytesSent = false;
         break;
     case ForwardResult::NotConnected:
-        end.ending.kind = http::EndKind::ConnectFailed;
+        // A pause and a refusal of the upstream mean different things to its sender.
+        end.ending.kind = statement->reason == http::END_KIND_NAMES.name(http::EndKind::ConnectTimeout)
+            ? http::EndKind::ConnectTimeout
+            : http::EndKind::ConnectFailed;
         end.ending.bytesSent = false;
         break;
     case ForwardResult::NoResponse:
--- a/test/bamboomoor/gateway/forwarding.cpp
+++ b/test/bamboomoor/gateway/forwarding.cpp
@@ -320,6 +320,17 @@
     BOOST_TEST(!kind(ForwardResult::Passed).delimited);
 }
 
+BOOST_AUTO_TEST_CASE(a_paused_upstream_that_a_peer_does_not_reach_is_not_taken_for_a_crashed_one)
+{
+    const auto kindFor = [](http::EndKind atPeer) {
+        const gateway::ForwardStatement statement{
+            ForwardResult::NotConnected, true, std::string(http::END_KIND_NAMES.name(atPeer))};
+        return gateway::interpretEnd({http::EndKind::Complete, true, true, 0, {}}, true, statement).ending.kind;
+    };
+    BOOST_TEST((kindFor(http::EndKind::ConnectTimeout) == http::EndKind::ConnectTimeout));
+    BOOST_TEST((kindFor(http::EndKind::ConnectFailed) == http::EndKind::ConnectFailed));
+}
+
 BOOST_AUTO_TEST_CASE(nothing_is_forwarded_for_strangers_to_unknown_upstreams_or_without_a_path)
 {
     RawServer upstream("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", Then::Close);
