--- a/src/bamboomoor/standing/roomauthority.cpp
+++ b/src/bamboomoor/standing/roomauthority.cpp
@@ -172,7 +172,7 @@
         return std::nullopt;
     }
     const Upstream &upstream = place->second;
-    if (now - upstream.receivedAt > m_options.signalLife) {
+    if (now - upstream.receivedAt > (upstream.brittle ? m_options.signalLife : m_options.endLife)) {
         m_upstreams.erase(place);
         return std::nullopt;
     }
--- a/src/bamboomoor/standing/roomauthority.hpp
+++ b/src/bamboomoor/standing/roomauthority.hpp
@@ -26,7 +26,8 @@
 /** @brief The settings of RoomAuthority. */
 struct RoomOptions {
     // As in RoomTrackerOptions.
-    base::Millis signalLife{30'000};
+    base::Millis signalLife{600'000};
+    base::Millis endLife{30'000};
     base::Millis leaseLife{3'000};
     // How long requests of an entry that does not report any more count as in progress.
     base::Millis runLife{10'000};
--- a/src/bamboomoor/standing/roomtracker.cpp
+++ b/src/bamboomoor/standing/roomtracker.cpp
@@ -63,6 +63,12 @@
     return record.brittle && now - record.receivedAt <= m_options.signalLife;
 }
 
+bool RoomTracker::isReportable(base::Millis now, const Record &record) const noexcept
+{
+    const base::Millis life = record.brittle ? m_options.signalLife : m_options.endLife;
+    return record.receivedAt > base::Millis{} && now - record.receivedAt <= life;
+}
+
 void RoomTracker::begin(base::Millis now, Record &record) const noexcept
 {
     // Until the leader replies, the load stays as it is.
@@ -243,7 +249,7 @@
     std::vector<Run> runs;
     for (const auto &[id, record] : m_records) {
         // The end of a signal is reported as well.
-        if (record.receivedAt > base::Millis{} && now - record.receivedAt <= m_options.signalLife) {
+        if (isReportable(now, record)) {
             runs.push_back({id, record.incarnation});
         }
     }
@@ -253,7 +259,7 @@
 std::optional<RoomReport> RoomTracker::takeReport(base::Millis now, const Run &run)
 {
     Record *record = find(run) == nullptr ? nullptr : &m_records.at(run.id);
-    if (record == nullptr || now - record->receivedAt > m_options.signalLife) {
+    if (record == nullptr || !isReportable(now, *record)) {
         return std::nullopt;
     }
     RoomReport report;
--- a/src/bamboomoor/standing/roomtracker.hpp
+++ b/src/bamboomoor/standing/roomtracker.hpp
@@ -36,8 +36,11 @@
 
 /** @brief The settings of RoomTracker. */
 struct RoomTrackerOptions {
-    // A signal expires if no response has renewed it for this time.
-    base::Millis signalLife{30'000};
+    // A signal expires if no response has renewed it for this time. It outlasts a time without requests, as those that
+    // end it would all be sent at once.
+    base::Millis signalLife{600'000};
+    // The end of a signal is reported for this time.
+    base::Millis endLife{30'000};
     // A share is valid for this time, counted from the report that the leader replied to.
     base::Millis leaseLife{3'000};
     // Demand for room expires after this time unless it is renewed.
@@ -177,6 +180,7 @@
 
     [[nodiscard]] const Record *find(const Run &run) const;
     [[nodiscard]] Record *recordOf(const Run &run);
+    [[nodiscard]] bool isReportable(base::Millis now, const Record &record) const noexcept;
     [[nodiscard]] bool isBrittle(base::Millis now, const Record &record) const noexcept;
     [[nodiscard]] std::int64_t allowed(base::Millis now, const std::string &id, const Record &record) const;
     void begin(base::Millis now, Record &record) const noexcept;
--- a/test/bamboomoor/relay/brittle.cpp
+++ b/test/bamboomoor/relay/brittle.cpp
@@ -41,6 +41,7 @@
 constexpr std::int64_t URGENT_INTERVAL = 40;
 constexpr std::int64_t REPLY_DELAY = 20;
 constexpr std::int64_t SECOND = 1'000;
+constexpr std::int64_t NEVER = 1'000'000;
 
 /** @brief A fleet and the load on it. */
 struct Scenario {
@@ -54,8 +55,26 @@
     // Offered requests in relation to what the slots can serve.
     double load = 0.5;
     // No entry reaches a leader in this time.
-    std::int64_t noLeaderFrom = END;
-    std::int64_t noLeaderUntil = END;
+    std::int64_t noLeaderFrom = NEVER;
+    std::int64_t noLeaderUntil = NEVER;
+    // These entries, from the first one, never reach a leader.
+    std::size_t cutEntries = 0;
+    // These entries, from the first one, start anew at this time.
+    std::size_t restartedEntries = 0;
+    std::int64_t restartAt = NEVER;
+    // No requests arrive in this time.
+    std::int64_t idleFrom = NEVER;
+    std::int64_t idleUntil = NEVER;
+    // The upstreams are sound in this time, and shorten their queues some seconds after it.
+    std::int64_t soundFrom = NEVER;
+    std::int64_t soundUntil = NEVER;
+    // The slots from a time on.
+    std::int64_t laterSlots = 0;
+    std::int64_t laterSlotsFrom = NEVER;
+    // These upstreams, from the first one, crash for another reason at this time.
+    std::size_t otherCrashes = 0;
+    std::int64_t otherCrashesAt = NEVER;
+    std::int64_t end = END;
 };
 
 /** @brief Simulates entries, their leader and brittle upstreams in virtual time. */
@@ -82,16 +101,14 @@
         route.shares = {{"svc", 1}};
         route.open = true;
         document->relays.push_back(route);
-        const auto table = std::make_shared<const relay::RouteTable>(1, document);
+        m_table = std::make_shared<const relay::RouteTable>(1, document);
         m_upstreams.resize(scenario.upstreams);
         for (std::size_t n = 0; n < scenario.entries; ++n) {
             m_entries.push_back(std::make_unique<Entry>(*this, n));
-            relay::CoreOptions options;
-            options.fleet.seed = n + 1;
-            m_cores.push_back(std::make_unique<relay::Core>(options, *m_entries.back()));
-            m_cores.back()->setTable(table);
+            m_cores.push_back(makeCore(n));
         }
         m_replies.resize(scenario.entries);
+        m_lives.resize(scenario.entries);
         m_reportedAt.resize(scenario.entries);
         list();
     }
@@ -101,9 +118,12 @@
         const double capacity = static_cast<double>(m_scenario.slots) * static_cast<double>(m_scenario.upstreams);
         std::exponential_distribution<double> pause(capacity * m_scenario.load / static_cast<double>(RUN_TIME));
         auto next = static_cast<double>(START);
-        for (; m_now < END; m_now += TICK) {
+        for (; m_now < m_scenario.end; m_now += TICK) {
+            disturb();
             while (next <= static_cast<double>(m_now)) {
-                arrive();
+                if (m_now < m_scenario.idleFrom || m_now >= m_scenario.idleUntil) {
+                    arrive();
+                }
                 next += pause(m_random);
             }
             for (std::size_t n = 0; n < m_upstreams.size(); ++n) {
@@ -132,7 +152,8 @@
     struct Job {
         std::size_t entry = 0;
         std::uint64_t attempt = 0;
-        std::int64_t arrivedAt = 0;
+        // The start of the entry; answers to requests of an earlier one reach nobody.
+        int life = 0;
     };
     struct Upstream {
         std::uint64_t incarnation = 1;
@@ -146,6 +167,7 @@
         std::int64_t at = 0;
         std::size_t entry = 0;
         std::uint64_t attempt = 0;
+        int life = 0;
         // Unset if the connection failed.
         std::optional<relay::ResponseHead> head;
         bool bytesSent = true;
@@ -183,6 +205,53 @@
         const std::size_t m_index;
     };
 
+    std::unique_ptr<relay::Core> makeCore(std::size_t entry)
+    {
+        relay::CoreOptions options;
+        options.fleet.seed = entry + 1;
+        auto core = std::make_unique<relay::Core>(options, *m_entries[entry]);
+        core->setTable(m_table);
+        return core;
+    }
+
+    void disturb()
+    {
+        if (m_now == m_scenario.restartAt) {
+            for (std::size_t n = 0; n < m_scenario.restartedEntries; ++n) {
+                m_cores[n] = makeCore(n);
+                m_replies[n] = {};
+                ++m_lives[n];
+            }
+            list();
+        }
+        if (m_now == m_scenario.laterSlotsFrom) {
+            list();
+        }
+        if (m_now == m_scenario.otherCrashesAt) {
+            for (std::size_t n = 0; n < m_scenario.otherCrashes; ++n) {
+                crash(m_upstreams[n]);
+                --crashes;
+            }
+        }
+    }
+
+    [[nodiscard]] std::int64_t slots() const
+    {
+        return m_now >= m_scenario.laterSlotsFrom ? m_scenario.laterSlots : m_scenario.slots;
+    }
+
+    [[nodiscard]] bool isBrittle() const
+    {
+        return m_now >= BRITTLE_FROM && (m_now < m_scenario.soundFrom || m_now >= m_scenario.soundUntil);
+    }
+
+    // Whether queues are shortened, and upstreams crash.
+    [[nodiscard]] bool isStrict() const
+    {
+        return isBrittle() && m_now >= COUNTED_FROM
+            && (m_now < m_scenario.soundFrom || m_now >= m_scenario.soundUntil + ANNOUNCED);
+    }
+
     void list()
     {
         std::vector<relay::Worker> workers;
@@ -195,7 +264,7 @@
                 worker.holdings = {"m"};
             }
             worker.incarnation = m_upstreams[n].incarnation;
-            worker.slots = m_scenario.slots;
+            worker.slots = slots();
             workers.push_back(worker);
         }
         for (const auto &it : m_cores) {
@@ -223,13 +292,13 @@
     void receive(std::size_t entry, const relay::Attempt &attempt)
     {
         Upstream &upstream = m_upstreams[std::stoul(attempt.upstream.substr(1))];
-        const Job job{entry, attempt.id, m_now};
+        const Job job{entry, attempt.id, m_lives[entry]};
         if (m_now < upstream.downUntil) {
-            m_events.push({m_now + TICK, entry, attempt.id, std::nullopt, false});
+            m_events.push({m_now + TICK, entry, attempt.id, job.life, std::nullopt, false});
             return;
         }
-        const std::int64_t queue = m_now >= COUNTED_FROM ? m_scenario.queue / 2 : m_scenario.queue;
-        if (static_cast<std::int64_t>(upstream.running.size()) < m_scenario.slots) {
+        const std::int64_t queue = isStrict() ? m_scenario.queue / 2 : m_scenario.queue;
+        if (static_cast<std::int64_t>(upstream.running.size()) < slots()) {
             upstream.running.emplace(m_now + RUN_TIME, job);
         } else if (static_cast<std::int64_t>(upstream.queue.size()) < queue) {
             upstream.queue.push_back(job);
@@ -243,13 +312,13 @@
         relay::ResponseHead head = answerHead();
         head.status = 503;
         head.notRun = true;
-        m_events.push({m_now + TICK, job.entry, job.attempt, head});
+        m_events.push({m_now + TICK, job.entry, job.attempt, job.life, head});
         std::erase_if(upstream.rejectedAt, [this](std::int64_t it) {
             return it <= m_now - SECOND;
         });
         upstream.rejectedAt.push_back(m_now);
         const auto rejected = static_cast<std::int64_t>(upstream.rejectedAt.size());
-        if (m_now < COUNTED_FROM) {
+        if (!isStrict()) {
             return;
         }
         mostRejections = std::max(mostRejections, rejected);
@@ -262,10 +331,10 @@
     {
         ++crashes;
         for (const auto &[at, it] : upstream.running) {
-            m_events.push({m_now + TICK, it.entry, it.attempt, std::nullopt});
+            m_events.push({m_now + TICK, it.entry, it.attempt, it.life, std::nullopt});
         }
         for (const Job &it : upstream.queue) {
-            m_events.push({m_now + TICK, it.entry, it.attempt, std::nullopt});
+            m_events.push({m_now + TICK, it.entry, it.attempt, it.life, std::nullopt});
         }
         upstream.running.clear();
         upstream.queue.clear();
@@ -284,8 +353,8 @@
         while (!upstream.running.empty() && upstream.running.begin()->first <= m_now) {
             const Job done = upstream.running.begin()->second;
             upstream.running.erase(upstream.running.begin());
-            m_events.push({m_now, done.entry, done.attempt, answerHead()});
-            if (!upstream.queue.empty()) {
+            m_events.push({m_now, done.entry, done.attempt, done.life, answerHead()});
+            if (!upstream.queue.empty() && static_cast<std::int64_t>(upstream.running.size()) < slots()) {
                 upstream.running.emplace(m_now + RUN_TIME, upstream.queue.front());
                 upstream.queue.pop_front();
             }
@@ -298,7 +367,7 @@
         head.status = 200;
         head.owner = relay::ResponseOwner::Same;
         head.isSigned = true;
-        if (m_now >= BRITTLE_FROM) {
+        if (isBrittle()) {
             head.signal.brittle = m_scenario.rejections;
         }
         return head;
@@ -310,6 +379,9 @@
             const Event event = m_events.top();
             m_events.pop();
             relay::Core &core = *m_cores[event.entry];
+            if (event.life != m_lives[event.entry]) {
+                continue;
+            }
             if (event.head) {
                 core.onResponseHead({m_now}, event.attempt, *event.head);
                 core.onAttemptEnded({m_now}, event.attempt, {true, true, false, "complete"});
@@ -331,7 +403,8 @@
             m_otherLeads = true;
             m_rooms = standing::RoomAuthority({m_now}, 1);
         }
-        const bool hasLeader = m_now < m_scenario.noLeaderFrom || m_now >= m_scenario.noLeaderUntil;
+        const bool hasLeader =
+            entry >= m_scenario.cutEntries && (m_now < m_scenario.noLeaderFrom || m_now >= m_scenario.noLeaderUntil);
         const std::int64_t since = m_now - m_reportedAt[entry];
         const bool due = since >= REPORT_INTERVAL || (since >= URGENT_INTERVAL && core.takeUrgent());
         if (!hasLeader || reply.at > 0 || !due) {
@@ -355,6 +428,7 @@
     }
 
     const Scenario m_scenario;
+    std::shared_ptr<const relay::RouteTable> m_table;
     std::mt19937_64 m_random{42};
     std::int64_t m_now = START;
     std::uint64_t m_lastRequest = 0;
@@ -364,6 +438,7 @@
     bool m_otherLeads = false;
     std::vector<Reply> m_replies;
     std::vector<std::int64_t> m_reportedAt;
+    std::vector<int> m_lives;
     std::vector<std::unique_ptr<Entry>> m_entries;
     std::vector<std::unique_ptr<relay::Core>> m_cores;
 };
@@ -393,6 +468,29 @@
         + (scenario.isEngine ? " engines" : " plain upstreams") + ", load " + std::to_string(scenario.load);
 }
 
+// Many callers at upstreams with few slots.
+Scenario crowdOf(std::size_t entries)
+{
+    Scenario scenario;
+    scenario.entries = entries;
+    scenario.upstreams = 20;
+    scenario.load = 3;
+    return scenario;
+}
+
+void check(const Scenario &scenario, const std::string &name)
+{
+    Simulation simulation(scenario);
+    simulation.run();
+    BOOST_TEST_MESSAGE(nameOf(scenario) << ", " << name << ": " << simulation.crashes << " crashes, at most "
+                                        << simulation.mostRejections << " rejections in a second, " << simulation.served
+                                        << " served of " << simulation.offered);
+    BOOST_TEST_CONTEXT(nameOf(scenario))
+    {
+        BOOST_TEST(simulation.crashes <= simulation.allowedCrashes());
+    }
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(brittle)
@@ -458,4 +556,45 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(brittle_upstreams_survive_entries_that_restart)
+{
+    for (const std::size_t entries : {7, 60}) {
+        Scenario scenario = crowdOf(entries);
+        scenario.restartedEntries = entries / 3;
+        scenario.restartAt = COUNTED_FROM + 3'000;
+        check(scenario, "restarts");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(brittle_upstreams_survive_a_crowd_after_a_time_without_requests)
+{
+    for (const std::size_t entries : {7, 60}) {
+        Scenario scenario = crowdOf(entries);
+        scenario.idleFrom = COUNTED_FROM + 2'000;
+        scenario.idleUntil = scenario.idleFrom + 40'000;
+        scenario.end = scenario.idleUntil + 8'000;
+        check(scenario, "idle");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(upstreams_that_become_brittle_again_survive)
+{
+    for (const std::size_t entries : {7, 60}) {
+        Scenario scenario = crowdOf(entries);
+        scenario.soundFrom = COUNTED_FROM + 3'000;
+        scenario.soundUntil = COUNTED_FROM + 5'000;
+        check(scenario, "sound for a while");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(brittle_upstreams_that_come_back_after_a_crash_survive)
+{
+    for (const std::size_t entries : {7, 60}) {
+        Scenario scenario = crowdOf(entries);
+        scenario.otherCrashes = 10;
+        scenario.otherCrashesAt = COUNTED_FROM + 2'000;
+        check(scenario, "crashes of another cause");
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
