Lower the room of a brittle upstream with its announced slots (LIMIT)

What callers would see: a brittle upstream that announces fewer slots than before crashes, and what it runs is lost.

Cause: the leader kept the most slots that any entry had ever reported of a run, so shares went on to fill slots that were gone; only rejections lowered the room, and for a time.

Change: the slots of the newest report count; none reported means unknown, as before.

--- a/src/bamboomoor/standing/roomauthority.cpp
+++ b/src/bamboomoor/standing/roomauthority.cpp
@@ -113,7 +113,8 @@
         upstream.grownAt = now;
         upstream.knownSince = now;
     }
-    upstream.slots = std::max(upstream.slots, report.slots);
+    // The newest announcement that the entry knows may name fewer than before.
+    upstream.slots = report.slots > 0 ? report.slots : upstream.slots;
     const bool wasBrittle = isBrittle(now, upstream);
     if (report.receivedAt > upstream.receivedAt && now - report.receivedAt <= m_options.signalLife) {
         upstream.brittle = report.brittle;
--- a/test/bamboomoor/relay/brittle.cpp
+++ b/test/bamboomoor/relay/brittle.cpp
@@ -587,6 +587,16 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(brittle_upstreams_survive_a_change_to_fewer_slots)
+{
+    for (const std::size_t entries : {7, 60}) {
+        Scenario scenario = crowdOf(entries);
+        scenario.laterSlots = 2;
+        scenario.laterSlotsFrom = COUNTED_FROM + 3'000;
+        check(scenario, "fewer slots");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(brittle_upstreams_that_come_back_after_a_crash_survive)
 {
     for (const std::size_t entries : {7, 60}) {
