Report an entry as ready once requests find upstreams at it (CONFIG)

What callers saw: an entry that had just started was ready, and refused its first requests with no_upstream for up to 0.2 s, each with the promise that it did not run. Cause: readiness asked the threads that receive the configuration and the upstreams, not the relay thread that serves requests from copies of both; it took the upstreams over only every 200 ms. Change: readiness asks the relay thread what it has taken over, which looks every 20 ms until the first upstreams are known. The check added to relay.sh failed before ("an entry that had just become ready answered 503") and passes. The product's own path is sound: its desk reads the book itself, at each request.

--- a/src/bamboomoor/gateway/entrydaemon.cpp
+++ b/src/bamboomoor/gateway/entrydaemon.cpp
@@ -163,10 +163,11 @@
     if (m_draining) {
         return "draining";
     }
-    if (!m_inForce.current()) {
+    // What the relay thread has taken over, not what other threads received.
+    if (!m_runner.isConfigured()) {
         return "not_configured";
     }
-    return m_sync.synced() ? "" : "upstreams_unknown";
+    return m_runner.knowsUpstreams() ? "" : "upstreams_unknown";
 }
 
 bool EntryDaemon::knows(const std::string &upstream, const std::string &address) const
--- a/src/bamboomoor/gateway/relaythread.cpp
+++ b/src/bamboomoor/gateway/relaythread.cpp
@@ -180,8 +180,8 @@
         }
         sendAsk(after);
         if (after >= m_nextRefresh) {
-            m_nextRefresh = after + m_options.refresh;
             refreshUpstreams();
+            m_nextRefresh = after + (m_knowsUpstreams ? m_options.refresh : m_options.firstRefresh);
             collectDemand();
             m_context.metrics.fill(m_ring.size(), m_core.inProgress());
         }
@@ -274,6 +274,7 @@
         const std::shared_ptr<const config::Document> document(held, &held->document);
         logLimits(held->version, held->document);
         m_core.setTable(std::make_shared<const relay::RouteTable>(held->version, document));
+        m_configured = true;
     }
 }
 
@@ -317,6 +318,7 @@
 
 void RelayThread::refreshUpstreams()
 {
+    const bool synced = m_context.sync.synced();
     const base::Millis bookTime = m_context.sync.bookTime();
     const std::set<entry::DrainingReplica> draining = m_context.upstreams.draining();
     std::vector<relay::Worker> workers;
@@ -345,6 +347,9 @@
         workers.push_back(std::move(worker));
     }
     m_core.setWorkers(std::move(workers));
+    if (synced) {
+        m_knowsUpstreams = true;
+    }
 }
 
 void RelayThread::collectDemand()
--- a/src/bamboomoor/gateway/relaythread.hpp
+++ b/src/bamboomoor/gateway/relaythread.hpp
@@ -37,8 +37,9 @@
 struct RelayThreadOptions {
     relay::CoreOptions core;
     std::size_t ringSize = 65'536;
-    // Interval at which the upstreams are refreshed.
+    // Interval at which the upstreams are refreshed, and until the first ones are known.
     base::Millis refresh{200};
+    base::Millis firstRefresh{20};
     // Timeout for a new connection to an upstream.
     base::Millis connectTimeout{400};
     // Timeout for a new connection to an entry that forwards requests.
@@ -111,6 +112,18 @@
     [[nodiscard]] std::string forwardAddress() const override;
     void takeNews(entry::LeaderNews news) override;
 
+    /** @brief Tells whether requests find their routes. */
+    [[nodiscard]] bool isConfigured() const noexcept
+    {
+        return m_configured;
+    }
+
+    /** @brief Tells whether requests find the upstreams that this entry has pulled. */
+    [[nodiscard]] bool knowsUpstreams() const noexcept
+    {
+        return m_knowsUpstreams;
+    }
+
     /** @brief Tells whether this entry is partitioned from all upstreams. */
     [[nodiscard]] bool isCutOff() const noexcept
     {
@@ -208,6 +221,9 @@
     // A TableChanged is in the ring.
     std::atomic<bool> m_changePending{false};
     std::atomic<std::size_t> m_inProgress{0};
+    // What requests find once the thread has taken it over; both stay set.
+    std::atomic<bool> m_configured{false};
+    std::atomic<bool> m_knowsUpstreams{false};
     std::atomic<bool> m_cutOff{false};
     // Upstreams answered lately, and no shutdown has begun.
     std::atomic<bool> m_offersForwarding{false};
--- a/test/bamboomoor/gateway/relaythread.cpp
+++ b/test/bamboomoor/gateway/relaythread.cpp
@@ -264,6 +264,13 @@
 
 BOOST_AUTO_TEST_SUITE(relaythread)
 
+BOOST_AUTO_TEST_CASE(an_entry_without_pulled_upstreams_does_not_count_as_one_that_knows_them)
+{
+    const Fixture fixture;
+    BOOST_TEST(fixture.thread->isConfigured());
+    BOOST_TEST(!fixture.thread->knowsUpstreams());
+}
+
 BOOST_AUTO_TEST_CASE(the_end_of_a_response_that_meets_a_full_ring_is_not_lost)
 {
     Fixture fixture;
--- a/test/bamboomoor/platform/system/relay.sh
+++ b/test/bamboomoor/platform/system/relay.sh
@@ -211,3 +211,20 @@
     [ "$(grep -c '^data: ' "$FLEET_DIR/stop$k")" = 10 ] || fail "a stream of a stopping entry is not whole"
 done
 say "a planned stop cuts nothing"
+
+# An entry that counts as ready serves its first request.
+is_ready() {
+    [ "$(curl -s -m 2 -o /dev/null -w '%{http_code}' "http://$(entry_ip "$1"):$((FLEET_PORT + 2))/readyz")" = 200 ]
+}
+for k in 1 2 3; do
+    start entry 3 "$(entry_ip 3)"
+    began=$SECONDS
+    until is_ready 3; do
+        [ $((SECONDS - began)) -lt 30 ] || fail "an entry is not ready 30 s after its start"
+    done
+    code=$(status_of 3 /again/whole)
+    [ "$code" = 200 ] || fail "an entry that had just become ready answered $code"
+    kill -KILL "$(pid entry 3)"
+    wait "$(pid entry 3)" 2>/dev/null || true
+done
+say "an entry that counts as ready serves"
