Send odd heartbeats beside the sound ones to real control processes

Every 0.7 s the test of relayed requests sends one heartbeat as another writer may leave it: ids of 300 bytes and of bytes that are no UTF-8, a pending adapter without a model, 20,000 levels of nesting, port 65536, 1e400, a model's name of 300 bytes.

--- a/test/bamboomoor/platform/system/relay.sh
+++ b/test/bamboomoor/platform/system/relay.sh
@@ -57,6 +57,25 @@
     printf ']}'
 }
 
+# odd_heartbeat N: what another writer leaves beside the heartbeats of upstreams; none of it names an upstream to use.
+odd_heartbeat() {
+    local id=odd$1 address more='' deep long
+    address=$(upstream_ip 1):$FLEET_PORT
+    deep=$(printf '[%.0s' $(seq 1 20000))
+    long=$(printf 'x%.0s' $(seq 1 300))
+    case $(($1 % 7)) in
+        0) id=$long ;;
+        1) more=',"models":[],"pending":["/a@1"]' ;;
+        2) more=",\"x\":$deep" ;;
+        3) address=$(upstream_ip 1):65536 ;;
+        4) more=',"born":1e400' ;;
+        5) more=",\"models\":[{\"name\":\"$long\"}]" ;;
+        6) id=$(printf 'odd\377') ;;
+    esac
+    curl -s -m 1 -o /dev/null -X POST -H 'Content-Type: application/json' "$(control "$(($1 % 3 + 1))")/Instances.Heartbeat/$id" \
+        -d "{\"service\":\"svc\",\"address\":\"$address\",\"zone\":\"dc1\",\"state\":\"ready\",\"sequence\":1$more}" || true
+}
+
 # announce: keeps the two upstreams announced, until the test ends.
 announce() {
     local n sequence
@@ -66,6 +85,7 @@
                 -d "{\"service\":\"svc\",\"address\":\"$(upstream_ip "$n"):$FLEET_PORT\",\"zone\":\"dc$n\",\"version\":\"v1\",
                     \"slots\":64,\"state\":\"ready\",\"cold_remaining_ms\":0,\"born\":1000,\"sequence\":$sequence}" || true
         done
+        odd_heartbeat "$sequence"
         sleep 0.7
     done
 }
