--- a/src/bamboomoor/state/machine.cpp
+++ b/src/bamboomoor/state/machine.cpp
@@ -45,7 +45,7 @@
     if (decoded.has_error()) {
         return std::nullopt;
     }
-    const auto asOutcome = [](auto &&outcome) {
+    const auto asOutcome = [](auto outcome) {
         return outcome ? std::optional<Outcome>(*std::move(outcome)) : std::nullopt;
     };
     return std::visit(base::Overloaded{
