Let rivals on slow disks find out about each other's votes (CONFIG)

What callers saw, in a play of real voters (one core, syncs of 700 ms, the leader killed, stopped and emptied in turn): 40 s without a leader, with two or three candidates within 10 to 30 ms in terms 4 to 6. Cause: a candidate's requests leave only after the sync of its own vote. Until then its rivals know nothing of it and are granted pre-votes, and the spread of the timeouts is shorter than the sync. Change: a member whose own term or vote is being synced grants no pre-vote, and the spread covers the sync. The play itself was not repeated.

--- a/src/bamboomoor/consensus/election.cpp
+++ b/src/bamboomoor/consensus/election.cpp
@@ -85,7 +85,9 @@
     const bool upToDate = request.lastTerm > m_log.lastTerm()
         || (request.lastTerm == m_log.lastTerm() && request.lastIndex >= m_log.lastIndex());
     if (request.preVote) {
-        const bool granted = m_hard.joined && term > m_hard.term && upToDate && !hasRecentLeader();
+        // A vote that is being synced may elect another candidate, or this node, within the time of that sync.
+        const bool granted =
+            m_hard.joined && term > m_hard.term && upToDate && !hasRecentLeader() && !isHardStateSyncing();
         sendAs(granted ? term : m_hard.term, from, VoteReply{true, granted});
         return;
     }
@@ -229,13 +231,11 @@
 {
     // Votes that come slowly, for whatever reason, need a longer attempt; the first repetition may be a split vote.
     const int doublings = std::clamp(m_leaderlessTerms - 1, 0, MAX_TIMEOUT_DOUBLINGS);
-    const base::Millis shortest = m_options.electionTimeout * (1 << doublings);
+    // The others sync their votes too, and a rival is noticed only after the sync of its vote.
+    const base::Millis sync = m_leaderlessTerms > 0 ? m_syncTime : base::Millis{};
+    const base::Millis shortest = m_options.electionTimeout * (1 << doublings) + sync;
     std::uniform_int_distribution<std::int64_t> extra(0, shortest.count);
     m_electionDeadline = m_now + shortest + base::Millis{extra(m_random)};
-    if (m_leaderlessTerms > 0) {
-        // The others sync their votes too.
-        m_electionDeadline = m_electionDeadline + m_syncTime;
-    }
 }
 
 bool Node::isHardStateSyncing() const noexcept
--- a/test/bamboomoor/consensus/rules.cpp
+++ b/test/bamboomoor/consensus/rules.cpp
@@ -167,6 +167,20 @@
     BOOST_TEST((solo.node->nextDeadline() >= base::Millis{solo.now} + solo.options.electionTimeout));
 }
 
+BOOST_AUTO_TEST_CASE(no_pre_vote_is_granted_while_a_vote_is_synced)
+{
+    Solo solo;
+    solo.now += LONG_MS;
+    const VoteRequest preVote{true, false, 1'000, 6};
+    solo.stepUnsynced(Message{"b", "a", 7, VoteRequest{false, false, 1'000, 6}});
+    const std::uint64_t sequence = solo.out.persist.value().sequence;
+    solo.stepUnsynced(Message{"c", "a", 8, preVote});
+    BOOST_TEST(!solo.sent<VoteReply>().value().granted);
+    solo.stepUnsynced(PersistDone{sequence});
+    solo.stepUnsynced(Message{"c", "a", 8, preVote});
+    BOOST_TEST(solo.sent<VoteReply>().value().granted);
+}
+
 BOOST_AUTO_TEST_CASE(failed_elections_lengthen_the_next_attempt_until_a_leader_is_heard)
 {
     Solo solo;
