Tell a wait for a grant from an exceeded rate (CONFIG)

Cause: a wait for a grant that ends without a decision was refused like one that the authority had refused, if any reply had come within a second. Change: Admission tells whether the authority decided. An undecided one is rate_unknown (overloaded on the product's own path). Evidence: a_wait_that_ends_without_a_decision_says_nothing_about_the_rate uses the new field; the relay's and the desk's reasons follow it and have no test of their own yet.

--- a/src/bamboomoor/budget/holder.cpp
+++ b/src/bamboomoor/budget/holder.cpp
@@ -44,7 +44,7 @@
         return {id, AdmissionDecision::Refused, base::NEVER};
     }
     if (pool.waiting.size() >= m_options.maxWaiting) {
-        return {id, AdmissionDecision::Refused, NO_REPLY_RETRY_AFTER};
+        return {id, AdmissionDecision::Refused, NO_REPLY_RETRY_AFTER, false};
     }
     pool.waiting.push_back({id, estimate, now, now});
     return {id, AdmissionDecision::Waiting, {}};
@@ -221,7 +221,8 @@
     std::vector<Admission> decided;
     for (auto &[name, pool] : m_pools) {
         while (!pool.waiting.empty() && now >= pool.waiting.front().arrival + m_options.waitTimeout) {
-            decided.push_back({pool.waiting.front().reservation, AdmissionDecision::Refused, NO_REPLY_RETRY_AFTER});
+            decided.push_back(
+                {pool.waiting.front().reservation, AdmissionDecision::Refused, NO_REPLY_RETRY_AFTER, false});
             pool.waiting.pop_front();
         }
     }
--- a/src/bamboomoor/budget/holder.hpp
+++ b/src/bamboomoor/budget/holder.hpp
@@ -51,6 +51,8 @@
     AdmissionDecision decision = AdmissionDecision::Waiting;
     // Refusals only: milliseconds until the caller should retry; base::NEVER if the estimate exceeds the burst.
     base::Millis retryAfter;
+    // Refusals only: false if nothing was decided in time, which says nothing about the rate.
+    bool isDecided = true;
 };
 
 /** @brief Admits the requests of one VM. Not thread-safe. */
--- a/src/bamboomoor/entry/admit.cpp
+++ b/src/bamboomoor/entry/admit.cpp
@@ -243,8 +243,8 @@
     }
     m_byReservation.erase(exchange.reservation);
     exchange.reservation = 0;
-    if (m_context.clock.now() - m_budgetHeardAt > BUDGET_SILENCE) {
-        refuse(exchange, admission::Refusal::Overloaded, "the budget's authority does not answer");
+    if (!admission.isDecided || m_context.clock.now() - m_budgetHeardAt > BUDGET_SILENCE) {
+        refuse(exchange, admission::Refusal::Overloaded, "the budget's authority did not decide in time");
         return;
     }
     const bool never = admission.retryAfter == base::NEVER;
--- a/src/bamboomoor/relay/core.cpp
+++ b/src/bamboomoor/relay/core.cpp
@@ -163,7 +163,7 @@
     }
     m_byReservation.erase(it);
     exchange->reservation = 0;
-    if (now - m_lastBudgetReplyAt > m_options.budgetTimeout) {
+    if (!admission.isDecided || now - m_lastBudgetReplyAt > m_options.budgetTimeout) {
         giveUp(now, *exchange, Reason::RateUnknown, m_options.minLoadRetryDelay);
         return;
     }
--- a/test/bamboomoor/budget/lease.cpp
+++ b/test/bamboomoor/budget/lease.cpp
@@ -52,6 +52,28 @@
     BOOST_TEST((holder.takeRequest({1'965}).value().session > request.session));
 }
 
+BOOST_AUTO_TEST_CASE(a_wait_that_ends_without_a_decision_says_nothing_about_the_rate)
+{
+    Holder holder = makeHolder();
+    BOOST_TEST((admitAt(holder, 0) == AdmissionDecision::Waiting));
+    const TokenRequest request = holder.takeRequest({0}).value();
+    // The authority replies, and leaves the need waiting for a ceiling.
+    const TokenReply waits{request.holder, request.session, 1, request.sequence, TokenRequestStatus::Processed,
+        base::Millis{2'000}, {{"o", 1, 0, {{AdmissionDecision::Waiting, {}}}, false}}};
+    BOOST_TEST(holder.onReply({5}, waits).empty());
+    const std::vector<Admission> ended = holder.tick(HolderOptions().waitTimeout);
+    BOOST_REQUIRE(ended.size() == 1U);
+    BOOST_TEST((ended.front().decision == AdmissionDecision::Refused));
+    BOOST_TEST(!ended.front().isDecided);
+    BOOST_TEST((admitAt(holder, 10'000) == AdmissionDecision::Waiting));
+    const TokenRequest next = holder.takeRequest({10'000}).value();
+    const TokenReply refuses{next.holder, next.session, 1, next.sequence, TokenRequestStatus::Processed,
+        base::Millis{2'000}, {{"o", 1, 0, {{AdmissionDecision::Refused, {50}}}, false}}};
+    const std::vector<Admission> refused = holder.onReply({10'005}, refuses);
+    BOOST_REQUIRE(refused.size() == 1U);
+    BOOST_TEST(refused.front().isDecided);
+}
+
 BOOST_AUTO_TEST_CASE(an_authority_grants_only_after_a_recent_ceiling)
 {
     Authority authority({}, {0}, {});
