--- a/test/fakes/engine.cpp
+++ b/test/fakes/engine.cpp
@@ -186,7 +186,10 @@
     if (resident) {
         enqueue(std::move(generation));
     } else {
-        answer(responder, 404, {{"error", {{"code", "model_not_resident"}, {"message", generation->model}}}});
+        const json error{{"error", {{"code", "model_not_resident"}, {"message", generation->model}}}};
+        responder->respond(
+            {404, {{"Content-Type", "application/json"}, {"X-Request-Id", std::string(request.header("X-Request-Id"))}},
+                error.dump()});
     }
 }
 
