--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -508,7 +508,8 @@
     case config::Repeat::AtMostOnce:
         return false;
     case config::Repeat::Stream:
-        return exchange.route->resumable;
+        // Without an id to resume after, another attempt would begin the stream again.
+        return exchange.route->resumable && (!exchange.headSent || !exchange.lastEventId.empty());
     }
     return false;
 }
--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -889,6 +889,17 @@
     BOOST_TEST(world.callers[1].bytes == eventOf(1));
 }
 
+BOOST_AUTO_TEST_CASE(an_interrupted_stream_whose_events_have_no_ids_is_not_sent_again_from_its_beginning)
+{
+    arrive(1, "/resume/x");
+    core.onResponseHead(now, last(), head(OK));
+    core.onResponseData(now, last(), "data: a\n\n");
+    fail(last(), true);
+    BOOST_TEST(world.sent.size() == 1U);
+    BOOST_TEST(world.callers[1].aborted);
+    BOOST_TEST(world.callers[1].bytes == "data: a\n\n");
+}
+
 BOOST_AUTO_TEST_CASE(an_interrupted_stream_that_is_not_resumable_is_aborted)
 {
     arrive(1, "/stream/x");
