Keep what is in progress at an upstream that becomes brittle for a second only (LIMIT)

What callers would see: entries that are cut off from the leader while a service becomes brittle crash its upstreams at the moment at which these shorten their queues.

Cause: from the first signal an entry kept the load that it had for a lease of 3 s, also if no leader replied. It hears the signal with its next response, so the load was kept beyond the 3 s after which upstreams let fewer wait.

Change: this first lease lasts 1 s. The leader replies within a fraction of that; without a reply the entry goes on with its equal part of the room.

--- a/src/bamboomoor/standing/roomtracker.cpp
+++ b/src/bamboomoor/standing/roomtracker.cpp
@@ -74,7 +74,7 @@
     // Until the leader replies, the load stays as it is.
     record.share = record.running;
     record.revision = 0;
-    record.leaseUntil = now + m_options.leaseLife;
+    record.leaseUntil = now + m_options.initialLease;
     record.peak = record.running;
 }
 
--- a/src/bamboomoor/standing/roomtracker.hpp
+++ b/src/bamboomoor/standing/roomtracker.hpp
@@ -43,6 +43,9 @@
     base::Millis endLife{30'000};
     // A share is valid for this time, counted from the report that the leader replied to.
     base::Millis leaseLife{3'000};
+    // What is in progress when an upstream becomes brittle stays the share for this time, in which the leader replies.
+    // Upstreams shorten their queues some seconds after the signal, by when requests beyond have to have ended.
+    base::Millis initialLease{1'000};
     // Demand for room expires after this time unless it is renewed.
     base::Millis demandLife{300};
     // The least interval between two urgent reports.
--- a/test/bamboomoor/relay/brittle.cpp
+++ b/test/bamboomoor/relay/brittle.cpp
@@ -556,6 +556,15 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(brittle_upstreams_survive_entries_that_are_cut_off_from_the_leader)
+{
+    for (const std::size_t entries : {7, 60}) {
+        Scenario scenario = crowdOf(entries);
+        scenario.cutEntries = entries / 5;
+        check(scenario, "cut off");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(brittle_upstreams_survive_entries_that_restart)
 {
     for (const std::size_t entries : {7, 60}) {
