Show that brittle upstreams crash without a leader from before the signal (LIMIT), known red

What callers would see: if the control group has no leader when a service becomes brittle, the entries of a large fleet crash each of its upstreams once, when these shorten their queues.

Seen: 60 entries, 20 upstreams, three times the load that they serve, no leader from 1 s before the signal on: 20 crashes (4 are allowed), 18 rejections in a second at most, with the first lease of 1 s; 20 crashes and 24 rejections with 3 s. 7 entries: none. The leader's replies could tell the number of entries before it is needed; not done.

--- a/test/bamboomoor/relay/brittle.cpp
+++ b/test/bamboomoor/relay/brittle.cpp
@@ -556,6 +556,16 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(brittle_upstreams_survive_a_leader_that_is_lost_before_they_become_brittle)
+{
+    for (const std::size_t entries : {7, 60}) {
+        Scenario scenario = crowdOf(entries);
+        scenario.noLeaderFrom = BRITTLE_FROM - 1'000;
+        scenario.noLeaderUntil = COUNTED_FROM + 6'000;
+        check(scenario, "no leader");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(brittle_upstreams_survive_entries_that_are_cut_off_from_the_leader)
 {
     for (const std::size_t entries : {7, 60}) {
