--- a/src/bamboomoor/entry/attempt.cpp
+++ b/src/bamboomoor/entry/attempt.cpp
@@ -218,6 +218,7 @@
         ++m_running[{attempt.upstream, exchange.resolved.target}];
     }
     http::Call call = makeCall(exchange, address);
+    attempt.freshConnection = call.freshConnection;
     exchange.delivery.sent(attempt.id, call.body.size() + 1);
     attempt.call = m_context.client.start(
         std::move(call), std::make_shared<AttemptListener>(m_ring, exchange.id, attempt.id, attempt.broken));
@@ -275,7 +276,10 @@
     exchange->attempt.status = event.status;
     exchange->attempt.headers = std::move(event.headers);
     m_router.firstByte(m_context.clock.now(), event.attempt);
+    const Attempt &attempt = exchange->attempt;
+    m_guard.onReached(attempt.sentAt, attempt.freshConnection);
     if (!isCrossed(*exchange)) {
+        m_guard.onAnswered({attempt.upstream, attempt.incarnation}, attempt.sentAt);
         noteSignal(*exchange);
     }
 }
--- a/src/bamboomoor/entry/exchange.hpp
+++ b/src/bamboomoor/entry/exchange.hpp
@@ -36,6 +36,7 @@
     std::string upstream;
     std::uint64_t incarnation = 0;
     base::Millis sentAt;
+    bool freshConnection = false;
     http::CallId call;
     // Set by the client's thread when bytes of the answer did not fit the ring.
     std::shared_ptr<std::atomic<bool>> broken;
--- a/src/bamboomoor/quarantine/crashanalysis.cpp
+++ b/src/bamboomoor/quarantine/crashanalysis.cpp
@@ -56,20 +56,30 @@
     return true;
 }
 
-void CrashAnalysis::onUnreachable(base::Millis now, const std::string &upstream)
+void CrashAnalysis::onUnreachable(base::Millis now, const std::string &upstream, base::Millis until)
 {
-    if (m_losses.confirm(upstream, std::numeric_limits<std::uint64_t>::max(), now - m_options.confirmTimeout)) {
+    if (m_losses.confirm(upstream, std::numeric_limits<std::uint64_t>::max(), now - m_options.confirmTimeout, until)) {
         m_evaluateUntil = now + m_options.firstPartSettleTime * 2;
     }
 }
 
+void CrashAnalysis::onAnswered(const standing::Run &run, base::Millis sentAt)
+{
+    m_losses.refute(run, sentAt);
+}
+
 void CrashAnalysis::onRun(base::Millis now, const standing::Run &run)
 {
-    if (m_losses.confirm(run.id, run.incarnation, now - m_options.confirmTimeout)) {
+    if (m_losses.confirm(run.id, run.incarnation, now - m_options.confirmTimeout, base::NEVER)) {
         m_evaluateUntil = now + m_options.firstPartSettleTime * 2;
     }
 }
 
+bool CrashAnalysis::hasCrashed(const standing::Run &run) const
+{
+    return m_losses.isConfirmed(run) || std::find(m_explained.begin(), m_explained.end(), run) != m_explained.end();
+}
+
 bool CrashAnalysis::onSurvival(const Survival &survival)
 {
     m_losses.clear(survival.part, survival.at);
--- a/src/bamboomoor/quarantine/crashanalysis.hpp
+++ b/src/bamboomoor/quarantine/crashanalysis.hpp
@@ -132,8 +132,16 @@
      */
     bool add(base::Millis now, const LostAttempt &attempt);
 
-    /** @brief Records that an upstream accepts no connection. @param now The current time. @param upstream Its id. */
-    void onUnreachable(base::Millis now, const std::string &upstream);
+    /** @brief Records that an upstream accepts no connection. @param now The current time. @param upstream Its id.
+     * @param until Only losses until then are known to be due to that. */
+    void onUnreachable(base::Millis now, const std::string &upstream, base::Millis until = base::NEVER);
+
+    /** @brief Records that an upstream answered, so that it had not crashed before. @param run The upstream. @param
+     * sentAt When the answered attempt was sent. */
+    void onAnswered(const standing::Run &run, base::Millis sentAt);
+
+    /** @brief Tells whether an upstream is known to have crashed. @param run The upstream. */
+    [[nodiscard]] bool hasCrashed(const standing::Run &run) const;
 
     /** @brief Tells whether onRun() may confirm a crash. */
     [[nodiscard]] bool hasUnconfirmed() const noexcept
--- a/src/bamboomoor/quarantine/lossstore.cpp
+++ b/src/bamboomoor/quarantine/lossstore.cpp
@@ -62,7 +62,7 @@
     return true;
 }
 
-bool LossStore::confirm(const std::string &id, std::uint64_t before, base::Millis since)
+bool LossStore::confirm(const std::string &id, std::uint64_t before, base::Millis since, base::Millis until)
 {
     std::vector<std::uint32_t> runs;
     const auto &numbers = m_runs.numbers();
@@ -75,7 +75,7 @@
         }
     }
     bool isNews = false;
-    for (auto it = m_records.begin(); !runs.empty() && it != m_records.end(); ++it) {
+    for (auto it = m_records.begin(); !runs.empty() && it != m_records.end() && it->at <= until; ++it) {
         if (!it->confirmed && it->at >= since && std::find(runs.begin(), runs.end(), it->run) != runs.end()) {
             it->confirmed = true;
             ++m_confirmed[it->run];
@@ -86,6 +86,22 @@
     return isNews;
 }
 
+bool LossStore::isConfirmed(const standing::Run &run) const
+{
+    const std::uint32_t number = m_runs.find(run);
+    return number != 0 && m_confirmed[number] > 0;
+}
+
+void LossStore::refute(const standing::Run &run, base::Millis before)
+{
+    const std::uint32_t number = m_unconfirmed == 0 ? 0 : m_runs.find(run);
+    if (number != 0) {
+        remove([&](const Record &it) {
+            return it.run == number && !it.confirmed && it.at < before;
+        });
+    }
+}
+
 void LossStore::clear(const std::string &subject, base::Millis until)
 {
     const std::uint32_t number = m_names.find(subject);
--- a/src/bamboomoor/quarantine/lossstore.hpp
+++ b/src/bamboomoor/quarantine/lossstore.hpp
@@ -64,8 +64,16 @@
     bool add(const LostAttempt &attempt);
 
     /** @brief Records that an upstream has crashed. @param id Its id. @param before Only incarnations before this one.
-     * @param since Only attempts that were lost since. @return True if attempts were confirmed. */
-    bool confirm(const std::string &id, std::uint64_t before, base::Millis since);
+     * @param since Only attempts that were lost since. @param until Only attempts that were lost until then. @return
+     * True if attempts were confirmed. */
+    bool confirm(const std::string &id, std::uint64_t before, base::Millis since, base::Millis until);
+
+    /** @brief Tells whether an upstream is known to have crashed. @param run The upstream. */
+    [[nodiscard]] bool isConfirmed(const standing::Run &run) const;
+
+    /** @brief Removes unconfirmed losses at an upstream that has not crashed. @param run The upstream. @param before
+     * Only attempts that were lost before this time. */
+    void refute(const standing::Run &run, base::Millis before);
 
     /** @brief Clears a subject of losses. @param subject Its name. @param until The last loss of which. */
     void clear(const std::string &subject, base::Millis until);
--- a/src/bamboomoor/quarantine/promptguard.cpp
+++ b/src/bamboomoor/quarantine/promptguard.cpp
@@ -103,11 +103,38 @@
 
 void PromptGuard::onUnreachable(base::Millis now, const std::string &upstream)
 {
-    m_analysis.onUnreachable(now, upstream);
+    if (m_reachedAt) {
+        m_analysis.onUnreachable(now, upstream, *m_reachedAt);
+    }
+    if (haveOthersCrashed(upstream)) {
+        m_analysis.onUnreachable(now, upstream);
+    }
+}
+
+bool PromptGuard::haveOthersCrashed(const std::string &upstream) const
+{
+    return m_runs.size() > 1 && std::all_of(m_runs.begin(), m_runs.end(), [&](const standing::Run &it) {
+        return it.id == upstream || m_analysis.hasCrashed(it);
+    });
+}
+
+void PromptGuard::onReached(base::Millis sentAt, bool newConnection) noexcept
+{
+    if (newConnection) {
+        m_reachedAt = std::max(m_reachedAt.value_or(sentAt), sentAt);
+    }
+}
+
+void PromptGuard::onAnswered(const standing::Run &run, base::Millis sentAt)
+{
+    m_analysis.onAnswered(run, sentAt);
 }
 
 void PromptGuard::onRuns(base::Millis now, const std::vector<standing::Run> &runs)
 {
+    if (!runs.empty()) {
+        m_runs = runs;
+    }
     if (m_analysis.hasUnconfirmed()) {
         for (const standing::Run &it : runs) {
             m_analysis.onRun(now, it);
--- a/src/bamboomoor/quarantine/promptguard.hpp
+++ b/src/bamboomoor/quarantine/promptguard.hpp
@@ -86,11 +86,24 @@
      */
     void onLost(base::Millis now, const standing::Run &run, const RequestTraits &request, base::Millis sentAt);
 
-    /** @brief Records that an upstream accepts no connection. @param now The current time. @param upstream Its id. */
+    /**
+     * @brief Records that an upstream accepts no connection. While this entry is partitioned from upstreams, none does;
+     * so only losses count after which an upstream answered over a new connection, or if all others have crashed.
+     * @param now The current time.
+     * @param upstream Its id.
+     */
     void onUnreachable(base::Millis now, const std::string &upstream);
 
-    /** @brief Records the running incarnations of upstreams. @param now The current time. @param runs The incarnations.
-     */
+    /** @brief Records that a direct connection brought bytes of a response. @param sentAt When the attempt was sent.
+     * @param newConnection Whether it required a new connection. */
+    void onReached(base::Millis sentAt, bool newConnection) noexcept;
+
+    /** @brief Records that an upstream answered an attempt, so that it has not crashed. @param run The upstream.
+     * @param sentAt When the attempt was sent. */
+    void onAnswered(const standing::Run &run, base::Millis sentAt);
+
+    /** @brief Records the running incarnations of upstreams. @param now The current time. @param runs The incarnations;
+     * none if they are as before. */
     void onRuns(base::Millis now, const std::vector<standing::Run> &runs);
 
     /** @brief Tells whether survivals matter now, so that callers need not collect the traits of every request. */
@@ -151,6 +164,7 @@
     };
 
     void watch(base::Millis now, const std::string &part);
+    [[nodiscard]] bool haveOthersCrashed(const std::string &upstream) const;
     void dropLost();
 
     PromptGuardOptions m_options;
@@ -160,6 +174,9 @@
     std::deque<Unacknowledged> m_lost;
     // Suspected parts, which are watched for survivals; at most maxWatched.
     std::unordered_map<std::string, Watched> m_watched;
+    std::vector<standing::Run> m_runs;
+    // When the latest attempt was sent that an upstream answered over a new connection.
+    std::optional<base::Millis> m_reachedAt;
     std::uint64_t m_lastSequence = 0;
     std::uint64_t m_term = 0;
     bool m_urgent = false;
--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -259,11 +259,9 @@
         return;
     }
     exchange->lastProgressAt = now;
-    if (exchange->attempt.via.empty()) {
-        m_reach.onAnswered(now, exchange->sentAt, exchange->attempt.freshConnection);
-        evaluateReach(now);
-    } else {
-        m_reach.onPeerAnswered(exchange->attempt.via);
+    noteReached(now, *exchange);
+    if (exchange->attempt.via.empty() && head.owner != ResponseOwner::Other && !head.misdirected) {
+        m_guard.onAnswered({exchange->choice.id, exchange->choice.incarnation}, exchange->sentAt);
     }
     settleRetry(now, *exchange, true);
     if (head.owner == ResponseOwner::Other) {
@@ -391,7 +389,9 @@
         }
         const bool stalePooled = lost && !exchange->attempt.freshConnection;
         const bool stray = end.malformed && !exchange->head && readmitAfterPooled(*exchange);
-        if (!exchange->head && !stalePooled && !stray) {
+        if (!exchange->head && end.truncated && exchange->attempt.via.empty()) {
+            noteReached(now, *exchange);
+        } else if (!exchange->head && !stalePooled && !stray) {
             noteUnanswered(now, *exchange, reached ? ReachFailure::NoAnswer : ReachFailure::NotConnected);
         }
         if (!reached && forwardInstead(now, *exchange, end.reason)) {
--- a/src/bamboomoor/relay/core.hpp
+++ b/src/bamboomoor/relay/core.hpp
@@ -481,6 +481,8 @@
     void selectPath(base::Millis now, Exchange &exchange);
     void evaluateReach(base::Millis now);
     void noteUnanswered(base::Millis now, const Exchange &exchange, ReachFailure failure);
+    // Records that bytes of a response arrived.
+    void noteReached(base::Millis now, const Exchange &exchange);
     [[nodiscard]] bool forwardInstead(base::Millis now, Exchange &exchange, std::string_view how);
     void onPeerFailed(base::Millis now, Exchange &exchange, const AttemptEnd &end);
     [[nodiscard]] bool lostInPartition(base::Millis now, const Exchange &exchange) const;
--- a/src/bamboomoor/relay/paths.cpp
+++ b/src/bamboomoor/relay/paths.cpp
@@ -51,6 +51,17 @@
     }
 }
 
+void Core::noteReached(base::Millis now, const Exchange &exchange)
+{
+    if (exchange.attempt.via.empty()) {
+        m_guard.onReached(exchange.sentAt, exchange.attempt.freshConnection);
+        m_reach.onAnswered(now, exchange.sentAt, exchange.attempt.freshConnection);
+        evaluateReach(now);
+    } else {
+        m_reach.onPeerAnswered(exchange.attempt.via);
+    }
+}
+
 bool Core::lostInPartition(base::Millis now, const Exchange &exchange) const
 {
     return m_reach.isCutOff() && m_reach.hasPeer(now) && exchange.attempt.via.empty();
--- a/test/bamboomoor/quarantine/promptguard.cpp
+++ b/test/bamboomoor/quarantine/promptguard.cpp
@@ -67,6 +67,45 @@
     BOOST_TEST(!guard.quarantined(NOW, prompt({"y", "own"})).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(refused_connections_count_only_where_others_are_answered_or_have_crashed)
+{
+    enum class Others { Silent, AnsweredOverOldConnections, Answered };
+    for (const Others others : {Others::Silent, Others::AnsweredOverOldConnections, Others::Answered}) {
+        PromptGuard guard;
+        base::Millis now = NOW;
+        const std::vector<standing::Run> runs{{"w1", 1}, {"w2", 1}, {"w3", 1}};
+        guard.onRuns(now, runs);
+        for (const standing::Run &it : runs) {
+            guard.onLost(now, it, prompt({"first", "own"}), now);
+            // The last one is left alone.
+            if (others != Others::Silent && it.id != "w3") {
+                guard.onReached(now + base::Millis{1}, others == Others::Answered);
+            }
+            now += base::Millis{200};
+            guard.onUnreachable(now, it.id);
+        }
+        now += base::Millis{200};
+        BOOST_TEST(guard.evaluate(now).size() == (others == Others::Answered ? 1U : 0U));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_shows_that_an_upstream_did_not_crash_before)
+{
+    PromptGuard guard;
+    base::Millis now = NOW;
+    for (const char *it : {"w1", "w2", "w3"}) {
+        guard.onLost(now, {it, 1}, prompt({"first", "own"}), now);
+        now += base::Millis{200};
+    }
+    guard.onAnswered({"w2", 1}, now);
+    guard.onReached(now, true);
+    for (const char *it : {"w1", "w2", "w3"}) {
+        guard.onUnreachable(now, it);
+    }
+    now += base::Millis{200};
+    BOOST_TEST(guard.evaluate(now).empty());
+}
+
 BOOST_AUTO_TEST_CASE(the_leaders_quarantine_applies_to_shared_parts_but_not_to_the_last_one)
 {
     PromptGuard guard;
--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -200,6 +201,15 @@
         return out;
     }
 
+    void setWorkerCount(int count)
+    {
+        std::vector<relay::Worker> workers;
+        for (int n = 1; n <= count; ++n) {
+            workers.push_back(worker("w" + std::to_string(n)));
+        }
+        core.setWorkers(workers);
+    }
+
     std::uint64_t last() const
     {
         return world.sent.back().id;
@@ -788,6 +798,84 @@
     BOOST_TEST(core.takeQuarantineReport(now).quarantines.empty());
 }
 
+BOOST_AUTO_TEST_CASE(connections_refused_before_a_partition_is_detected_do_not_quarantine_a_sound_request)
+{
+    setWorkerCount(9);
+    for (std::uint64_t id = 1; id < 10; ++id) {
+        arrive(id, "/again/x");
+        for (bool loses = true; !world.open.empty(); loses = false) {
+            if (loses) {
+                loseConnection(last());
+            } else {
+                fail(last(), false);
+            }
+        }
+        now += base::Millis{110};
+        core.tick(now);
+    }
+    BOOST_TEST(core.takeQuarantineReport(now).lostAttempts.size() >= 3U);
+    BOOST_TEST(core.takeQuarantineReport(now).quarantines.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_partition_that_ends_and_begins_again_does_not_quarantine_a_sound_request)
+{
+    std::uint64_t id = 0;
+    const auto playAtEach = [&](const char *path, auto &&end) {
+        for (const char *upstream : {"w1", "w2", "w3"}) {
+            core.setWorkers({worker(upstream)});
+            arrive(++id, path);
+            while (!world.open.empty()) {
+                end(last());
+            }
+            now += base::Millis{200};
+            core.tick(now);
+        }
+    };
+    playAtEach("/again/x", [this](std::uint64_t attempt) {
+        loseConnection(attempt);
+    });
+    playAtEach("/once/y", [this](std::uint64_t attempt) {
+        answer(attempt, head(OK), "");
+    });
+    playAtEach("/once/y", [this](std::uint64_t attempt) {
+        fail(attempt, false);
+    });
+    now += base::Millis{200};
+    core.tick(now);
+    const quarantine::Report report = core.takeQuarantineReport(now);
+    BOOST_TEST(report.lostAttempts.size() >= 3U);
+    BOOST_TEST(report.quarantines.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_crashes_upstreams_among_sound_ones_is_found_by_the_refused_connections)
+{
+    setWorkerCount(3);
+    std::map<std::string, base::Millis> downUntil;
+    std::size_t crashes = 0;
+    std::uint64_t id = 0;
+    for (int n = 0; n < 600 && core.takeQuarantineReport(now).quarantines.empty(); ++n) {
+        const bool isDeadly = n % 20 == 19;
+        arrive(++id, isDeadly ? "/once/deadly" : "/once/" + std::to_string(n));
+        while (!world.open.empty()) {
+            const std::string upstream = world.sent.back().upstream;
+            if (now < downUntil[upstream]) {
+                fail(last(), false);
+            } else if (isDeadly) {
+                downUntil[upstream] = now + base::Millis{3'000};
+                ++crashes;
+                loseConnection(last());
+            } else {
+                answer(last(), head(OK), "");
+            }
+        }
+        now += base::Millis{50};
+        core.tick(now);
+    }
+    BOOST_TEST(core.takeQuarantineReport(now).quarantines.size() == 1U);
+    // The fewest that an entry quarantines a request for.
+    BOOST_TEST(crashes == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(a_forwarding_entry_that_ends_does_not_cost_a_request_its_only_upstream)
 {
     core.setPeers(now, {"10.0.2.1:1", "10.0.2.2:1"}, 1);
