Forward requests of entries with few requests that reach no upstream (RECOVER)

Cause: a lost pooled connection was no sign of a partition, and the retry over a new one, which is, was not sent as the share of retries was used up. Failures counted for 3 s, in which such an entry does not try three upstreams. Once the partition was known, every 400 ms a request went directly as a trial, which is nearly every request there, and was lost again. Change: a lost pooled connection counts as an attempt without an answer, which any answer refutes; failures count for 10 s; at least four requests are forwarded between two trials, unless there is no peer. Looked at as well: cuts that are interrupted, entries restarted while cut off, connections that hang, and kept connections that live on while new ones are refused, with 6 to 48 requests a second over eight entries: they kept the rule before and after. Ruled out: exempting trials from the share of retries, as a lost request may have arrived.

--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -387,11 +387,10 @@
         if (lost) {
             static_cast<void>(readmitAfterPooled(*exchange));
         }
-        const bool stalePooled = lost && !exchange->attempt.freshConnection;
         const bool stray = end.malformed && !exchange->head && readmitAfterPooled(*exchange);
         if (!exchange->head && end.truncated && exchange->attempt.via.empty()) {
             noteReached(now, *exchange);
-        } else if (!exchange->head && !stalePooled && !stray) {
+        } else if (!exchange->head && !stray) {
             noteUnanswered(now, *exchange, reached ? ReachFailure::NoAnswer : ReachFailure::NotConnected);
         }
         if (!reached && forwardInstead(now, *exchange, end.reason)) {
--- a/src/bamboomoor/relay/upstreamreach.cpp
+++ b/src/bamboomoor/relay/upstreamreach.cpp
@@ -90,6 +90,7 @@
 {
     // The upstreams may have failed instead of the path to them.
     m_lastTrialAt = std::min(m_lastTrialAt, now - m_options.trialInterval);
+    m_forwardedSinceTrial = m_options.minForwardedPerTrial;
     if (Peer *it = find(peer); it != nullptr && ++it->misses >= m_options.maxPeerMisses) {
         onPeerFailed(now, peer);
     }
@@ -138,6 +139,7 @@
     m_failedConnections = 0;
     m_answeredSince = false;
     m_lastTrialAt = now;
+    m_forwardedSinceTrial = 0;
     return change;
 }
 
@@ -151,10 +153,12 @@
 bool UpstreamReach::takeTrial(base::Millis now, bool repeatable)
 {
     const base::Millis interval = repeatable ? m_options.trialInterval : m_options.unrepeatableTrialInterval;
-    if (!m_cutOff || now - m_lastTrialAt < interval) {
+    const bool isForwarding = hasPeer(now) && m_forwardedSinceTrial < m_options.minForwardedPerTrial;
+    if (!m_cutOff || now - m_lastTrialAt < interval || isForwarding) {
         return false;
     }
     m_lastTrialAt = now;
+    m_forwardedSinceTrial = 0;
     return true;
 }
 
@@ -169,6 +173,7 @@
     if (usable.empty()) {
         return std::nullopt;
     }
+    ++m_forwardedSinceTrial;
     return usable[m_random() % usable.size()]->address;
 }
 
--- a/src/bamboomoor/relay/upstreamreach.hpp
+++ b/src/bamboomoor/relay/upstreamreach.hpp
@@ -28,14 +28,16 @@
     std::size_t minFailedUpstreams = 3;
     // The number of connections that must have failed if answers still arrive over older ones.
     std::size_t minFailedConnections = 8;
-    // How long a failure counts.
-    base::Millis failureLifetime{3'000};
+    // How long a failure counts. An entry with few requests needs some seconds for failures of several upstreams.
+    base::Millis failureLifetime{10'000};
     // How long failures must have gone without an answer.
     base::Millis minSilence{250};
     // The interval between two direct trial requests during a partition; a request that may not be repeated may be lost
     // by a trial and is used only after the longer one.
     base::Millis trialInterval{400};
     base::Millis unrepeatableTrialInterval{2'000};
+    // Requests that are forwarded between two trials, so that few are lost by trials where there are few.
+    int minForwardedPerTrial = 4;
     // How long a peer that failed is not used.
     base::Millis peerBackoff{1'000};
     // How long peers that a new leader does not name are kept: until every entry has reported to it.
@@ -155,6 +157,7 @@
     bool m_reached = false;
     base::Millis m_changedAt;
     base::Millis m_lastTrialAt;
+    int m_forwardedSinceTrial = 0;
 };
 
 } // namespace bamboomoor::relay
--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -798,6 +798,22 @@
     BOOST_TEST(core.takeQuarantineReport(now).quarantines.empty());
 }
 
+BOOST_AUTO_TEST_CASE(an_entry_that_is_cut_off_without_peers_notices_the_end_by_a_repeatable_request)
+{
+    arrive(1, "/again/x");
+    fail(last(), false);
+    fail(last(), false);
+    now += base::Millis{300};
+    fail(last(), false);
+    BOOST_REQUIRE(core.reach().isCutOff());
+    now += base::Millis{5'000};
+    core.tick(now);
+    arrive(2, "/again/x");
+    BOOST_TEST(world.sent.back().freshConnection);
+    answer(last(), head(OK), "");
+    BOOST_TEST(!core.reach().isCutOff());
+}
+
 BOOST_AUTO_TEST_CASE(connections_refused_before_a_partition_is_detected_do_not_quarantine_a_sound_request)
 {
     setWorkerCount(9);
--- a/test/bamboomoor/relay/cutentries.cpp
+++ b/test/bamboomoor/relay/cutentries.cpp
@@ -56,6 +56,11 @@
     bool staleList = false;
     // A new leader names no peers at first.
     bool losesLeader = false;
+    // The cut is interrupted for a while.
+    std::int64_t interruptedAt = 0;
+    std::int64_t interruption = 0;
+    // Entries that are cut off restart during the cut.
+    std::int64_t restartAt = 0;
     // Instead of a partition, the first upstreams accept no connection.
     std::size_t crashed = 0;
 };
@@ -85,24 +90,19 @@
         route.shares = {{"svc", 1}};
         route.open = true;
         document->relays.push_back(route);
-        const auto table = std::make_shared<const relay::RouteTable>(1, document);
-        std::vector<relay::Worker> workers;
+        m_table = std::make_shared<const relay::RouteTable>(1, document);
         for (std::size_t n = 0; n < UPSTREAMS; ++n) {
             relay::Worker worker;
             worker.id = "w" + std::to_string(n);
             worker.address = "10.0.1.1:" + std::to_string(n);
             worker.service = "svc";
             worker.incarnation = 1;
-            workers.push_back(worker);
+            m_workers.push_back(worker);
         }
         for (std::size_t n = 0; n < ENTRIES; ++n) {
             m_entries.push_back(std::make_unique<Entry>(*this, n));
-            relay::CoreOptions options;
-            options.fleet.seed = n + 1;
-            options.reach.seed = n + 1;
-            m_cores.push_back(std::make_unique<relay::Core>(options, *m_entries.back()));
-            m_cores.back()->setTable(table);
-            m_cores.back()->setWorkers(workers);
+            m_cores.emplace_back();
+            start(n);
         }
     }
 
@@ -119,6 +119,9 @@
             if (m_partition.knowsPeers && (m_now - START) % PEER_INTERVAL == 0) {
                 exchangePeers();
             }
+            for (std::size_t n = 0; m_now == m_partition.restartAt && n < m_partition.entries; ++n) {
+                restart(n);
+            }
             while (!m_events.empty() && m_events.begin()->first <= m_now) {
                 const Event event = m_events.begin()->second;
                 m_events.erase(m_events.begin());
@@ -184,9 +187,30 @@
         const std::size_t m_index;
     };
 
+    void start(std::size_t entry)
+    {
+        relay::CoreOptions options;
+        options.fleet.seed = entry + 1;
+        options.reach.seed = entry + 1;
+        m_cores[entry] = std::make_unique<relay::Core>(options, *m_entries[entry]);
+        m_cores[entry]->setTable(m_table);
+        m_cores[entry]->setWorkers(m_workers);
+    }
+
+    /** @brief Restarts an entry, which loses its callers and all that it knows. */
+    void restart(std::size_t entry)
+    {
+        std::erase_if(m_events, [entry](const auto &it) {
+            return it.second.entry == entry;
+        });
+        start(entry);
+    }
+
     [[nodiscard]] bool isCut(std::size_t entry) const
     {
-        return entry < m_partition.entries && m_now >= CUT_AT && m_now < HEALED_AT;
+        const bool isInterrupted =
+            m_now >= m_partition.interruptedAt && m_now < m_partition.interruptedAt + m_partition.interruption;
+        return entry < m_partition.entries && m_now >= CUT_AT && m_now < HEALED_AT && !isInterrupted;
     }
 
     [[nodiscard]] bool isCrashed(const std::string &upstream) const
@@ -198,7 +222,9 @@
     {
         const std::uint64_t exchange = ++m_lastExchange;
         Count *count = nullptr;
-        if (m_now >= CUT_AT + CONTACT && m_now < HEALED_AT - 1'000) {
+        const std::int64_t since =
+            std::max({CUT_AT, m_partition.interruptedAt + m_partition.interruption, m_partition.restartAt});
+        if (m_now >= since + CONTACT && m_now < HEALED_AT - 1'000) {
             count = entry < m_partition.entries ? &cutOff : &others;
         } else if (m_now >= HEALED_AT + CONTACT && m_now < END - 1'000) {
             count = &later;
@@ -330,6 +356,8 @@
     }
 
     const Partition m_partition;
+    std::shared_ptr<const relay::RouteTable> m_table;
+    std::vector<relay::Worker> m_workers;
     std::int64_t m_now = START;
     std::uint64_t m_lastExchange = 0;
     std::size_t m_exchanges = 0;
@@ -418,6 +446,51 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(first_tries_at_entries_with_few_requests_that_reach_no_upstream_are_served_by_others)
+{
+    enum class Event { None, Interrupted, Restarted };
+    for (const double rate : {6.0, 12.0, 24.0, 48.0}) {
+        for (const Cut cut : {Cut::Hangs, Cut::Resets, Cut::RefusesNew}) {
+            Count all;
+            for (const bool repeatable : {true, false}) {
+                for (const Event event : {Event::None, Event::Interrupted, Event::Restarted}) {
+                    Partition partition;
+                    partition.cut = cut;
+                    partition.entries = 4;
+                    partition.repeatable = repeatable;
+                    partition.requestsPerSecond = rate;
+                    if (event == Event::Interrupted) {
+                        partition.interruptedAt = CUT_AT + 1'500;
+                        partition.interruption = 700;
+                    } else if (event == Event::Restarted) {
+                        partition.restartAt = CUT_AT + 1'000;
+                    }
+                    Play play(partition);
+                    play.run();
+                    BOOST_TEST_CONTEXT("rate " << rate << ", event " << static_cast<int>(event) << ", cut "
+                                               << static_cast<int>(cut) << ", repeatable " << repeatable)
+                    {
+                        describe(partition, play);
+                        const std::int64_t asked = play.cutOff.asked + play.others.asked;
+                        const std::int64_t failed = play.cutOff.asked - play.cutOff.served;
+                        const bool isRare = percentServed(play.cutOff) * 3 < percentServed(play.others) * 2;
+                        BOOST_TEST((!isRare || failed <= 10 + asked / 50));
+                        all.asked += play.cutOff.asked;
+                        all.served += play.cutOff.served;
+                        BOOST_TEST(percentServed(play.later) >= 99);
+                        BOOST_TEST(play.executedTwice == 0);
+                        BOOST_TEST(play.falselyRefused == 0);
+                    }
+                }
+            }
+            BOOST_TEST_CONTEXT("rate " << rate << ", cut " << static_cast<int>(cut))
+            {
+                BOOST_TEST(all.served * 3 >= all.asked * 2);
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(crashed_upstreams_cost_one_more_hop_and_no_loop)
 {
     for (const std::size_t crashed : {3, 5, 10}) {
