--- a/src/bamboomoor/entry/attempt.cpp
+++ b/src/bamboomoor/entry/attempt.cpp
@@ -279,11 +279,14 @@
     exchange->attempt.status = event.status;
     exchange->attempt.headers = std::move(event.headers);
     m_router.firstByte(m_context.clock.now(), event.attempt);
-    if (isCrossed(exchange->attempt.headers, attemptName(*exchange))) {
+    const Attempt &attempt = exchange->attempt;
+    m_guard.onReached(attempt.sentAt, attempt.freshConnection);
+    if (isCrossed(attempt.headers, attemptName(*exchange))) {
         m_context.metrics.dropped("crossed_answer");
         failAttempt(*exchange, FailureKind::Malformed);
         return;
     }
+    m_guard.onAnswered({attempt.upstream, attempt.incarnation}, attempt.sentAt);
     noteSignal(*exchange);
 }
 
