Leave the voters their time before an entry's lease runs out (CONFIG)

Found by review of: voters were asked once half of the lease was over, so that a silent leader and a pause could leave less than the time of a call. Change: voters are asked before the leader, and after it at most once between two pauses, when less than two calls are left. Each such round has a number of its own, so that no earlier testimony counts for a later lease.

--- a/src/bamboomoor/entry/freshness.cpp
+++ b/src/bamboomoor/entry/freshness.cpp
@@ -78,17 +78,26 @@
 {
     base::Millis pause = m_options.pause;
     bool redirected = false;
+    // At most once between two pauses.
+    bool votersAsked = false;
+    const auto askVotersIfNeeded = [this, &votersAsked] {
+        if (!votersAsked && needsVoters()) {
+            votersAsked = true;
+            askVoters();
+        }
+    };
     while (!m_stopping) {
+        askVotersIfNeeded();
         const Answered answered = askLeader(m_leader.get());
         if (answered == Answered::Confirmed) {
             pause = m_options.pause;
+            votersAsked = false;
         } else if (answered == Answered::Unconfirmed || redirected) {
-            if (needsVoters()) {
-                askVoters();
-            }
+            askVotersIfNeeded();
             // Only a closed ring or the pause ends this wait, as every question has its own round.
             static_cast<void>(m_answers.pop(pause));
             pause = std::min(pause * 2, m_options.longestPause);
+            votersAsked = false;
         }
         redirected = answered == Answered::Redirected && !redirected;
         watchLease();
@@ -97,7 +106,8 @@
 
 bool Freshness::needsVoters() const
 {
-    return m_inForce.freshUntil() - m_clock.now() < m_options.lease / 2;
+    // A leader that does not answer must leave the voters their time.
+    return m_inForce.freshUntil() - m_clock.now() < m_options.timeout * 2;
 }
 
 Freshness::Answered Freshness::askLeader(const std::string &voter)
@@ -171,7 +181,7 @@
     if (!held) {
         return;
     }
-    const std::uint64_t round = m_round;
+    const std::uint64_t round = ++m_round;
     const base::Millis sentAt = m_clock.now();
     peer::wire::WitnessRequest request;
     request.set_vm(m_options.vm);
--- a/test/bamboomoor/entry/freshness.cpp
+++ b/test/bamboomoor/entry/freshness.cpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <atomic>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 #include <thread>
@@ -28,6 +29,11 @@
 // How long questions are counted.
 constexpr base::Millis SPAN{4'000};
 
+void rest(base::Millis span)
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds(span.count));
+}
+
 /** @brief A voter that confirms the version while it leads, and otherwise names the leader that it was told. */
 class Voter final : public control_test::EmptyHandler
 {
@@ -35,6 +41,13 @@
     void freshen(const peer::wire::FreshenRequest & /*request*/, peer::Answer<peer::wire::FreshenReply> answer) override
     {
         ++questions;
+        if (silent) {
+            m_unanswered.emplace_back([answer = std::move(answer)] {
+                answer({});
+            });
+            return;
+        }
+        rest(delay);
         peer::wire::FreshenReply reply;
         reply.set_confirmed(leads);
         reply.set_version(VERSION);
@@ -45,6 +58,13 @@
     void witness(const peer::wire::WitnessRequest & /*request*/, peer::Answer<peer::wire::WitnessReply> answer) override
     {
         ++questions;
+        if (silent) {
+            m_unanswered.emplace_back([answer = std::move(answer)] {
+                answer({});
+            });
+            return;
+        }
+        rest(delay);
         peer::wire::WitnessReply reply;
         reply.set_usable(usable);
         reply.set_version(VERSION);
@@ -59,12 +79,23 @@
     std::atomic<bool> usable{true};
     // The leader that this voter follows.
     std::atomic<const Voter *> named{nullptr};
-};
+    // Before the first question only.
+    bool silent = false;
+    base::Millis delay;
 
-void rest(base::Millis span)
-{
-    std::this_thread::sleep_for(std::chrono::milliseconds(span.count));
-}
+    /** @brief Ends the calls that got no answer, so that the server can stop. */
+    void endUnanswered()
+    {
+        for (const auto &it : m_unanswered) {
+            it();
+        }
+        m_unanswered.clear();
+    }
+
+private:
+    // Filled by one thread at a time, as the entry asks again only after a timeout.
+    std::vector<std::function<void()>> m_unanswered;
+};
 
 struct Fixture {
     std::array<Voter, VOTERS> voters;
@@ -102,6 +133,9 @@
     {
         freshness->stop();
         peers->stop();
+        for (Voter &it : voters) {
+            it.endUnanswered();
+        }
         for (const auto &it : servers) {
             it->stop();
         }
@@ -189,4 +223,21 @@
     BOOST_TEST(asked() - before <= most);
 }
 
+BOOST_AUTO_TEST_CASE(a_silent_voter_does_not_let_the_lease_of_an_entry_without_a_leader_run_out)
+{
+    voters.front().silent = true;
+    for (Voter &it : voters) {
+        it.delay = {300};
+    }
+    freshness->start();
+    rest(LEASE);
+    const base::Millis end = clock.now() + LEASE * 4;
+    int lapses = 0;
+    while (clock.now() < end) {
+        lapses += isFresh() ? 0 : 1;
+        rest({5});
+    }
+    BOOST_TEST(lapses == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
