Forget the time of a stalled sync, and a leader that was not heard for long (CONFIG)

Found by review. A stall of the disk of 20 s lengthened the attempts of later elections by up to 10 s, as the longest sync was remembered and only halved by each shorter one; now the latest counts. A learner, or a member whose term is being synced, begins no election and so named a lost leader for good; a leader is named for four election timeouts after it was heard. Tests: the three new rules failed before.

--- a/src/bamboomoor/consensus/leader.cpp
+++ b/src/bamboomoor/consensus/leader.cpp
@@ -46,13 +46,13 @@
 
 void Node::rejectProposal(std::uint64_t requestId, RejectReason reason)
 {
-    m_out.proposals.push_back({requestId, ProposalStatus::Rejected, reason, 0, m_leader});
+    m_out.proposals.push_back({requestId, ProposalStatus::Rejected, reason, 0, leader()});
 }
 
 void Node::onReadRequest(const ReadRequest &input)
 {
     if (m_role != Role::Leader) {
-        m_out.reads.push_back({input.requestId, false, RejectReason::NotLeader, 0, m_leader});
+        m_out.reads.push_back({input.requestId, false, RejectReason::NotLeader, 0, leader()});
         return;
     }
     m_reads.push_back({input.requestId, m_round + 1});
--- a/src/bamboomoor/consensus/node.cpp
+++ b/src/bamboomoor/consensus/node.cpp
@@ -15,6 +15,9 @@
 
 namespace
 {
+// Election timeouts after which a silent leader is not named any more; a node that campaigns forgets it earlier.
+constexpr std::int64_t LEADER_TIMEOUTS = 4;
+
 bool contains(const std::vector<VoterId> &ids, const VoterId &id)
 {
     return std::find(ids.begin(), ids.end(), id) != ids.end();
@@ -84,6 +87,14 @@
     return mayCampaign() && !isHardStateSyncing() ? m_electionDeadline : base::NEVER;
 }
 
+const VoterId &Node::leader() const noexcept
+{
+    static const VoterId NONE;
+    const bool isHeard =
+        m_role == Role::Leader || m_now - m_leaderContactAt < m_options.electionTimeout * LEADER_TIMEOUTS;
+    return isHeard ? m_leader : NONE;
+}
+
 std::optional<base::Millis> Node::confirmedAt() const noexcept
 {
     if (m_role != Role::Leader || m_commit < m_leaderStart || m_transferDeadline != base::NEVER) {
@@ -138,7 +149,7 @@
     const std::uint64_t before = m_durable;
     const bool wasSyncing = isHardStateSyncing();
     if (!m_pending.empty() && m_pending.front().sequence <= sequence) {
-        m_syncTime = std::max(m_now - m_pending.front().startedAt, base::Millis{m_syncTime.count / 2});
+        m_syncTime = m_now - m_pending.front().startedAt;
     }
     while (!m_pending.empty() && m_pending.front().sequence <= sequence) {
         m_durable = std::max(m_durable, m_pending.front().lastIndex);
--- a/src/bamboomoor/consensus/node.hpp
+++ b/src/bamboomoor/consensus/node.hpp
@@ -67,12 +67,9 @@
 
     /**
      * @brief Returns the current leader.
-     * @return Id of the leader known to this node, its own id if it leads, or empty.
+     * @return Id of the leader that this node has heard lately, its own id if it leads, or empty.
      */
-    [[nodiscard]] const VoterId &leader() const noexcept
-    {
-        return m_leader;
-    }
+    [[nodiscard]] const VoterId &leader() const noexcept;
 
     /**
      * @brief Returns the commit index.
@@ -251,7 +248,7 @@
     std::deque<PendingPersist> m_pending;
     // Sequence of the newest Persist with a hard state.
     std::uint64_t m_hardSequence = 0;
-    // Recent duration of a Persist; falls by half with each shorter one.
+    // Duration of the latest Persist.
     base::Millis m_syncTime;
     // In sequence order; sent once their sequence is durable.
     std::deque<HeldMessage> m_heldMessages;
--- a/test/bamboomoor/consensus/rules.cpp
+++ b/test/bamboomoor/consensus/rules.cpp
@@ -167,6 +167,40 @@
     BOOST_TEST((solo.node->nextDeadline() >= base::Millis{solo.now} + solo.options.electionTimeout));
 }
 
+BOOST_AUTO_TEST_CASE(a_silent_leader_is_not_named_while_a_term_is_synced)
+{
+    Solo solo;
+    solo.stepUnsynced(Message{"b", "a", 7, Append{1, 1, {}, 1, 1, false}});
+    BOOST_REQUIRE(solo.out.persist.has_value());
+    BOOST_TEST(solo.node->leader() == "b");
+    solo.now += LONG_MS;
+    solo.stepUnsynced(ReadRequest{1});
+    BOOST_TEST(solo.node->leader().empty());
+    BOOST_TEST(solo.out.reads.front().leader.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_learner_does_not_name_a_silent_leader)
+{
+    Solo solo(false);
+    const Entry voters{1, 1, EntryKind::Voters, encodeMembership({{"b", "c"}, {"a"}})};
+    solo.from("b", 1, Append{0, 0, {voters}, 1, 1, true});
+    BOOST_TEST(solo.node->leader() == "b");
+    solo.now += LONG_MS;
+    solo.step(Tick{});
+    BOOST_TEST(solo.node->leader().empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_stall_of_the_disk_that_is_over_does_not_delay_elections)
+{
+    Solo solo;
+    solo.now += LONG_MS;
+    solo.stepUnsynced(Message{"b", "a", 7, VoteRequest{false, false, 1'000, 6}});
+    solo.now += 4 * LONG_MS;
+    solo.stepUnsynced(PersistDone{solo.out.persist.value().sequence});
+    solo.from("c", 8, VoteRequest{false, false, 1'000, 6});
+    BOOST_TEST(solo.node->nextDeadline().count - solo.now <= 4 * solo.options.electionTimeout.count);
+}
+
 BOOST_AUTO_TEST_CASE(no_pre_vote_is_granted_while_a_vote_is_synced)
 {
     Solo solo;
