--- a/src/bamboomoor/gateway/relaythread.cpp
+++ b/src/bamboomoor/gateway/relaythread.cpp
@@ -25,24 +25,28 @@
 class RelayThread::AttemptListener final : public http::Listener
 {
 public:
-    AttemptListener(RelayThread &runner, std::uint64_t attempt, std::string requestId, bool isForwarded)
+    AttemptListener(RelayThread &runner, const relay::Attempt &attempt, std::string requestId)
         : m_runner(runner)
-        , m_attempt(attempt)
+        , m_attempt(attempt.id)
         , m_requestId(std::move(requestId))
-        , m_isForwarded(isForwarded)
+        , m_isForwarded(!attempt.via.empty())
+        , m_freshConnection(attempt.freshConnection)
     {
     }
 
-    void onHead(int status, http::Headers headers) override
+    bool onHead(int status, http::Headers headers) override
     {
         if (m_isForwarded) {
             m_hasHead = true;
             m_statement = takeStatement(headers);
             if (!isPassed()) {
-                return;
+                return true;
             }
         }
-        m_runner.deliver(Head{m_attempt, m_runner.m_context.dialect.readHead(status, std::move(headers), m_requestId)});
+        relay::ResponseHead head = m_runner.m_context.dialect.readHead(status, std::move(headers), m_requestId);
+        const bool isOwn = !relay::mayBeForeign(head, m_freshConnection);
+        m_runner.deliver(Head{m_attempt, std::move(head)});
+        return isOwn;
     }
 
     void onData(std::string_view bytes) override
@@ -83,6 +87,7 @@
     const std::uint64_t m_attempt;
     const std::string m_requestId;
     const bool m_isForwarded;
+    const bool m_freshConnection;
     bool m_hasHead = false;
     // What the forwarding entry stated.
     std::optional<ForwardStatement> m_statement;
@@ -180,8 +185,8 @@
         }
         sendAsk(after);
         if (after >= m_nextRefresh) {
-            m_nextRefresh = after + m_options.refresh;
             refreshUpstreams();
+            m_nextRefresh = after + (m_knowsUpstreams ? m_options.refresh : m_options.firstRefresh);
             collectDemand();
             m_context.metrics.fill(m_ring.size(), m_core.inProgress());
         }
@@ -274,6 +279,7 @@
         const std::shared_ptr<const config::Document> document(held, &held->document);
         logLimits(held->version, held->document);
         m_core.setTable(std::make_shared<const relay::RouteTable>(held->version, document));
+        m_configured = true;
     }
 }
 
@@ -317,6 +323,7 @@
 
 void RelayThread::refreshUpstreams()
 {
+    const bool synced = m_context.sync.synced();
     const base::Millis bookTime = m_context.sync.bookTime();
     const std::set<entry::DrainingReplica> draining = m_context.upstreams.draining();
     std::vector<relay::Worker> workers;
@@ -345,6 +352,9 @@
         workers.push_back(std::move(worker));
     }
     m_core.setWorkers(std::move(workers));
+    if (synced) {
+        m_knowsUpstreams = true;
+    }
 }
 
 void RelayThread::collectDemand()
@@ -503,13 +513,12 @@
     call.totalTimeout = attempt.remaining + m_options.responseGrace;
     call.firstByteTimeout = call.totalTimeout;
     call.progressTimeout = call.totalTimeout;
-    const bool isForwarded = !attempt.via.empty();
-    if (isForwarded) {
+    if (!attempt.via.empty()) {
         call = forwardThrough(std::move(call), attempt.upstream, attempt.via, m_context.tokens.tokenFor(attempt.via));
         call.connectTimeout = std::min(m_options.peerConnectTimeout, attempt.remaining);
     }
-    m_calls[attempt.id] = m_context.client.start(
-        std::move(call), std::make_shared<AttemptListener>(*this, attempt.id, request.id, isForwarded));
+    m_calls[attempt.id] =
+        m_context.client.start(std::move(call), std::make_shared<AttemptListener>(*this, attempt, request.id));
 }
 
 void RelayThread::cancel(std::uint64_t attempt)
--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -227,7 +227,7 @@
     exchange.stalled = false;
     exchange.head.reset();
     static_cast<void>(takeBody(exchange));
-    exchange.splitter = {};
+    exchange.splitter = EventSplitter(exchange.headSent ? exchange.lastEventId : std::string());
     Attempt &attempt = exchange.attempt;
     attempt.id = ++m_lastAttempt;
     attempt.exchange = exchange.id;
@@ -259,17 +259,16 @@
         return;
     }
     exchange->lastProgressAt = now;
-    if (exchange->attempt.via.empty()) {
-        m_reach.onAnswered(now, exchange->sentAt, exchange->attempt.freshConnection);
-        evaluateReach(now);
-    } else {
-        m_reach.onPeerAnswered(exchange->attempt.via);
+    noteReached(now, *exchange);
+    if (exchange->attempt.via.empty() && head.owner != ResponseOwner::Other && !head.misdirected) {
+        m_guard.onAnswered({exchange->choice.id, exchange->choice.incarnation}, exchange->sentAt);
     }
     settleRetry(now, *exchange, true);
-    if (head.owner == ResponseOwner::Other) {
+    if (mayBeForeign(head, exchange->attempt.freshConnection)) {
         m_effects.cancel(attempt);
         const bool pooled = readmitAfterPooled(*exchange);
-        fail(now, *exchange, pooled ? AttemptResult::Stray : AttemptResult::Failed, false, true, "foreign_answer");
+        fail(now, *exchange, pooled ? AttemptResult::Stray : AttemptResult::Failed, false, true,
+            head.owner == ResponseOwner::Other ? "foreign_answer" : "unidentified_answer");
         return;
     }
     applySignal(now, *exchange, head);
@@ -279,6 +278,11 @@
         fail(now, *exchange, AttemptResult::Failed, false, true, "unsigned_answer");
         return;
     }
+    if (success && exchange->headSent && !head.isEventStream) {
+        m_effects.cancel(attempt);
+        fail(now, *exchange, AttemptResult::Failed, false, true, "no_event_stream");
+        return;
+    }
     exchange->head = std::move(head);
 }
 
@@ -337,9 +341,9 @@
 {
     const std::size_t eventsBefore = exchange.splitter.events();
     const std::string_view events = exchange.splitter.feed(bytes);
-    if (exchange.splitter.failed()) {
+    if (const EventFault fault = exchange.splitter.fault(); fault != EventFault::None) {
         m_effects.cancel(exchange.attempt.id);
-        fail(now, exchange, AttemptResult::Failed, false, true, "event_too_long");
+        fail(now, exchange, AttemptResult::Failed, false, true, EVENT_FAULT_NAMES.name(fault));
         return;
     }
     if (events.empty()) {
@@ -389,9 +393,10 @@
         if (lost) {
             static_cast<void>(readmitAfterPooled(*exchange));
         }
-        const bool stalePooled = lost && !exchange->attempt.freshConnection;
         const bool stray = end.malformed && !exchange->head && readmitAfterPooled(*exchange);
-        if (!exchange->head && !stalePooled && !stray) {
+        if (!exchange->head && end.truncated && exchange->attempt.via.empty()) {
+            noteReached(now, *exchange);
+        } else if (!exchange->head && !stray) {
             noteUnanswered(now, *exchange, reached ? ReachFailure::NoAnswer : ReachFailure::NotConnected);
         }
         if (!reached && forwardInstead(now, *exchange, end.reason)) {
@@ -409,10 +414,17 @@
         } else if (!reached && !end.connectTimedOut && !inPartition) {
             m_guard.onUnreachable(now, exchange->choice.id);
         }
+        const bool unanswered = !reached && end.connectTimedOut;
+        if (unanswered) {
+            // It may be paused and the only one; otherwise its back-off gives way to the others.
+            exchange->requirements.excluded.erase(exchange->choice.id);
+            ++exchange->unanswered;
+        }
         const AttemptResult result = inPartition ? AttemptResult::Cancelled
             : lost                               ? AttemptResult::Lost
             : stray                              ? AttemptResult::Stray
             : reached                            ? AttemptResult::Failed
+            : unanswered                         ? AttemptResult::Unanswered
                                                  : AttemptResult::NotReached;
         fail(now, *exchange, result, !reached, reached, end.reason);
         return;
@@ -426,8 +438,8 @@
 
 void Core::endStream(base::Millis now, Exchange &exchange, bool delimited)
 {
-    // Only a resumed stream may have no events left.
-    if (!delimited && exchange.splitter.events() == 0 && exchange.lastEventId.empty()) {
+    // A resumed stream may have no events left, but without a length or chunks a crash before the first looks the same.
+    if (!delimited && exchange.splitter.events() == 0) {
         noteLoss(now, exchange);
         fail(now, exchange, AttemptResult::Failed, false, true, "no_events");
         return;
@@ -502,7 +514,8 @@
     case config::Repeat::AtMostOnce:
         return false;
     case config::Repeat::Stream:
-        return exchange.route->resumable;
+        // Without an id to resume after, another attempt would begin the stream again.
+        return exchange.route->resumable && (!exchange.headSent || !exchange.lastEventId.empty());
     }
     return false;
 }
@@ -546,7 +559,8 @@
     if (now >= exchange.deadline) {
         return RetryDecision::NoTime;
     }
-    if (exchange.sent >= exchange.route->attempts || exchange.unreached >= m_options.maxUnreachedAttempts) {
+    if (exchange.sent >= exchange.route->attempts
+        || exchange.unreached - exchange.unanswered >= m_options.maxUnreachedAttempts) {
         return RetryDecision::NoAttempts;
     }
     if (!hasOtherUpstream(now, exchange)) {
--- a/test/bamboomoor/platform/messages.cpp
+++ b/test/bamboomoor/platform/messages.cpp
@@ -413,10 +413,26 @@
     BOOST_TEST((upstreams.readHead(200, {{"X-Attempt-Id", "q"}}, "r").owner == relay::ResponseOwner::Other));
     BOOST_TEST(upstreams.readHead(503, {{"X-Not-Executed", "1"}}, "r").notRun);
     BOOST_TEST(upstreams.readHead(421, {}, "r").misdirected);
+    for (const char *type : {"text/event-stream", "text/event-stream; charset=utf-8", "Text/Event-Stream ;a=b"}) {
+        BOOST_TEST(upstreams.readHead(200, {{"content-type", type}}, "r").isEventStream, type);
+    }
+    for (const char *type : {"", "text/plain", "text/event-streams", "application/json"}) {
+        BOOST_TEST(!upstreams.readHead(200, {{"Content-Type", type}}, "r").isEventStream, type);
+    }
     const auto coded = upstreams.readHead(200, {{"X-Server-Signature", "s"}, {"Content-Encoding", "gzip"}}, "r");
     BOOST_TEST(!coded.isSigned);
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_of_a_status_that_follows_a_run_is_not_taken_for_not_run)
+{
+    const Upstreams upstreams;
+    for (int status = 200; status < 600; ++status) {
+        const bool refuses = status == 400 || status == 421 || status == 429 || status == 503;
+        BOOST_TEST(upstreams.readHead(status, {{"X-Not-Executed", "1"}}, "r").notRun == refuses, status);
+        BOOST_TEST(!upstreams.readHead(status, {}, "r").notRun, status);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_upstream_that_leaves_says_so_in_answers_of_any_status)
 {
     const Upstreams upstreams;
--- a/test/bamboomoor/platform/system/relay.sh
+++ b/test/bamboomoor/platform/system/relay.sh
@@ -57,6 +57,25 @@
     printf ']}'
 }
 
+# odd_heartbeat N: what another writer leaves beside the heartbeats of upstreams; none of it names an upstream to use.
+odd_heartbeat() {
+    local id=odd$1 address more='' deep long
+    address=$(upstream_ip 1):$FLEET_PORT
+    deep=$(printf '[%.0s' $(seq 1 20000))
+    long=$(printf 'x%.0s' $(seq 1 300))
+    case $(($1 % 7)) in
+        0) id=$long ;;
+        1) more=',"models":[],"pending":["/a@1"]' ;;
+        2) more=",\"x\":$deep" ;;
+        3) address=$(upstream_ip 1):65536 ;;
+        4) more=',"born":1e400' ;;
+        5) more=",\"models\":[{\"name\":\"$long\"}]" ;;
+        6) id=$(printf 'odd\377') ;;
+    esac
+    curl -s -m 1 -o /dev/null -X POST -H 'Content-Type: application/json' "$(control "$(($1 % 3 + 1))")/Instances.Heartbeat/$id" \
+        -d "{\"service\":\"svc\",\"address\":\"$address\",\"zone\":\"dc1\",\"state\":\"ready\",\"sequence\":1$more}" || true
+}
+
 # announce: keeps the two upstreams announced, until the test ends.
 announce() {
     local n sequence
@@ -66,6 +85,7 @@
                 -d "{\"service\":\"svc\",\"address\":\"$(upstream_ip "$n"):$FLEET_PORT\",\"zone\":\"dc$n\",\"version\":\"v1\",
                     \"slots\":64,\"state\":\"ready\",\"cold_remaining_ms\":0,\"born\":1000,\"sequence\":$sequence}" || true
         done
+        odd_heartbeat "$sequence"
         sleep 0.7
     done
 }
@@ -211,3 +231,20 @@
     [ "$(grep -c '^data: ' "$FLEET_DIR/stop$k")" = 10 ] || fail "a stream of a stopping entry is not whole"
 done
 say "a planned stop cuts nothing"
+
+# An entry that counts as ready serves its first request.
+is_ready() {
+    [ "$(curl -s -m 2 -o /dev/null -w '%{http_code}' "http://$(entry_ip "$1"):$((FLEET_PORT + 2))/readyz")" = 200 ]
+}
+for k in 1 2 3; do
+    start entry 3 "$(entry_ip 3)"
+    began=$SECONDS
+    until is_ready 3; do
+        [ $((SECONDS - began)) -lt 30 ] || fail "an entry is not ready 30 s after its start"
+    done
+    code=$(status_of 3 /again/whole)
+    [ "$code" = 200 ] || fail "an entry that had just become ready answered $code"
+    kill -KILL "$(pid entry 3)"
+    wait "$(pid entry 3)" 2>/dev/null || true
+done
+say "an entry that counts as ready serves"
