--- a/src/bamboomoor/consensus/node.cpp
+++ b/src/bamboomoor/consensus/node.cpp
@@ -89,10 +89,10 @@
 
 const VoterId &Node::leader() const noexcept
 {
-    static const VoterId NONE;
+    static const VoterId none;
     const bool isHeard =
         m_role == Role::Leader || m_now - m_leaderContactAt < m_options.electionTimeout * LEADER_TIMEOUTS;
-    return isHeard ? m_leader : NONE;
+    return isHeard ? m_leader : none;
 }
 
 std::optional<base::Millis> Node::confirmedAt() const noexcept
