--- a/test/bamboomoor/control/voterthread.cpp
+++ b/test/bamboomoor/control/voterthread.cpp
@@ -321,14 +321,14 @@
 
 BOOST_AUTO_TEST_CASE(reads_do_not_wait_for_the_snapshot_of_a_large_state)
 {
-    constexpr int CLAIMS = 400;
+    constexpr std::uint64_t CLAIMS = 400;
     constexpr std::size_t RESPONSE_BYTES = 60'000;
     // The snapshot falls due with the last of the claims' commands, and the first entries of the log.
     Group group(0, 1, 2 * CLAIMS);
     control::VoterThread &voter = group.leader();
     std::optional<state::Machine> machine;
     double slowest = 0;
-    for (int n = 0; n < CLAIMS; ++n) {
+    for (std::uint64_t n = 0; n < CLAIMS; ++n) {
         const std::string key = std::to_string(n);
         BOOST_REQUIRE((Group::propose(voter, state::encode(state::OpenClaim{"acme", key, "digest", "vm", 1, "a", 1, 1}))
             == consensus::ProposalStatus::Committed));
