Reuse the peer handler and free addresses of the control tests in the desk's tests

test_entry links loopback.cpp already. The overrides that only gave an empty reply and the search for a free port were copies of it; no check changes. test_entry passed, the file is linted.

--- a/test/bamboomoor/entry/desk.cpp
+++ b/test/bamboomoor/entry/desk.cpp
@@ -10,10 +10,9 @@
 #include "bamboomoor/peer/server.hpp"
 #include "bamboomoor/state/machine.hpp"
 
+#include "bamboomoor/control/loopback.hpp"
+
 #include <boost/test/unit_test.hpp>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <functional>
 #include <map>
@@ -47,13 +46,9 @@
 constexpr std::int64_t GRANT = 1'000'000;
 
 /** @brief Leads alone: applies commands, now or when told, and grants what holders want. */
-class Leader final : public peer::Handler
+class Leader final : public control_test::EmptyHandler
 {
 public:
-    void deliver(const peer::wire::Envelope & /*envelope*/) override
-    {
-    }
-
     void propose(const peer::wire::ProposeRequest &request, peer::Answer<peer::wire::ProposeReply> answer) override
     {
         const absl::MutexLock lock(&m_mutex);
@@ -75,16 +70,6 @@
         }
     }
 
-    void freshen(const peer::wire::FreshenRequest & /*request*/, peer::Answer<peer::wire::FreshenReply> answer) override
-    {
-        answer({});
-    }
-
-    void witness(const peer::wire::WitnessRequest & /*request*/, peer::Answer<peer::wire::WitnessReply> answer) override
-    {
-        answer({});
-    }
-
     void ask(const peer::wire::BudgetAsk &request, peer::Answer<peer::wire::BudgetReply> answer) override
     {
         const budget::TokenRequest wanted = control::fromWire(request);
@@ -100,28 +85,6 @@
         answer(control::toWire(reply));
     }
 
-    void syncUpstreams(
-        const peer::wire::UpstreamSync & /*request*/, peer::Answer<peer::wire::UpstreamSync> answer) override
-    {
-        answer({});
-    }
-
-    void history(const peer::wire::HistoryRequest & /*request*/, peer::Answer<peer::wire::HistoryReply> answer) override
-    {
-        answer({});
-    }
-
-    void reportDemand(
-        const peer::wire::DemandReport & /*request*/, peer::Answer<peer::wire::DemandReply> answer) override
-    {
-        answer({});
-    }
-
-    void join(const peer::wire::JoinRequest & /*request*/, peer::Answer<peer::wire::JoinReply> answer) override
-    {
-        answer({});
-    }
-
     /** @brief Keeps the replies to commands from now on; the commands are applied all the same. */
     void hold()
     {
@@ -318,19 +281,6 @@
     std::vector<std::pair<std::shared_ptr<http::Responder>, bool>> m_held ABSL_GUARDED_BY(m_mutex);
 };
 
-std::string freeAddress()
-{
-    const int listener = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    BOOST_REQUIRE(bind(listener, reinterpret_cast<sockaddr *>(&address), size) == 0);
-    getsockname(listener, reinterpret_cast<sockaddr *>(&address), &size);
-    close(listener);
-    return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-}
-
 config::Document wholeDocument()
 {
     config::Document document;
@@ -383,7 +333,7 @@
         : m_peerServer(leader)
         , m_upstreamServer(upstream)
     {
-        const std::string leaderAddress = freeAddress();
+        const std::string leaderAddress = control_test::freeAddress();
         BOOST_REQUIRE(m_peerServer.start(leaderAddress).has_value());
         m_peers = std::make_unique<control::PeerRegistry>(std::vector<control::VoterAddress>{{"v", leaderAddress}});
         const auto address = m_upstreamServer.start("127.0.0.1:0");
