--- a/src/bamboomoor/membership/announcement.hpp
+++ b/src/bamboomoor/membership/announcement.hpp
@@ -91,6 +91,8 @@
     bool leaving = false;
     // Most recently confirmed orders, oldest first.
     std::vector<OrderOutcome> lastOrders;
+    // Version of the upstream's software, not of its models; empty if not reported.
+    std::string softwareVersion = {};
 
     friend bool operator==(const Announcement &, const Announcement &) = default;
 };
--- a/src/bamboomoor/membership/codec.cpp
+++ b/src/bamboomoor/membership/codec.cpp
@@ -51,6 +51,9 @@
         {"kind", UPSTREAM_KIND_NAMES.name(announcement.kind)}, {"service", announcement.service},
         {"accelerators", std::move(accelerators)}, {"checks_fencing", announcement.checksFencing},
         {"load", toJson(announcement.load)}, {"leaving", announcement.leaving}, {"orders", std::move(orders)}};
+    if (!announcement.softwareVersion.empty()) {
+        out["software_version"] = announcement.softwareVersion;
+    }
     if (announcement.slots > 0) {
         out["slots"] = announcement.slots;
     }
@@ -119,6 +122,9 @@
     if (reader.has("orders")) {
         announcement.lastOrders = reader.list<OrderOutcome>("orders", readOutcome);
     }
+    if (reader.has("software_version")) {
+        announcement.softwareVersion = reader.text("software_version");
+    }
     if (reader.has("slots")) {
         announcement.slots = reader.number("slots");
     }
