--- a/src/bamboomoor/control/voterthread.cpp
+++ b/src/bamboomoor/control/voterthread.cpp
@@ -350,6 +350,12 @@
             it->onConfiguration(*m_machine);
         });
     }
+    if (m_machine->software().versions() != m_seenSoftware) {
+        m_seenSoftware = m_machine->software().versions();
+        std::for_each(m_watchers.begin(), m_watchers.end(), [this](VoterObserver *it) {
+            it->onSoftware(*m_machine);
+        });
+    }
 }
 
 void VoterThread::answer(const consensus::Outputs &outputs)
--- a/src/bamboomoor/control/voterthread.hpp
+++ b/src/bamboomoor/control/voterthread.hpp
@@ -92,6 +92,15 @@
      * @param machine The state machine, valid only during the call.
      */
     virtual void onConfiguration(const state::Machine &machine) = 0;
+
+    /**
+     * @brief Called when the recorded software versions of upstreams have changed.
+     * @param machine The state machine, valid only during the call.
+     */
+    virtual void onSoftware(const state::Machine &machine)
+    {
+        static_cast<void>(machine);
+    }
 };
 
 /**
@@ -263,6 +272,7 @@
     // The term for which the observers were notified of this voter's leadership; 0 if it is not the leader.
     std::uint64_t m_leadingTerm = 0;
     std::uint64_t m_seenVersion = 0;
+    state::SoftwareVersions m_seenSoftware;
     bool m_failed = false;
     // Uses m_store, and posts to m_ring.
     std::unique_ptr<LogWriter> m_writer;
--- a/src/bamboomoor/daemon/peerservice.cpp
+++ b/src/bamboomoor/daemon/peerservice.cpp
@@ -160,6 +160,27 @@
     m_voter->demand.report(request, std::move(answer));
 }
 
+void PeerService::resolveOrigin(const peer::wire::OriginRequest &request, peer::Answer<peer::wire::OriginReply> answer)
+{
+    if (!m_voter) {
+        answer({});
+        return;
+    }
+    // A deposed leader may lack the version that began the stream.
+    m_voter->desk.read([this, request, answer = std::move(answer)](const control::ReadOutcome &it) {
+        if (!it.confirmed) {
+            peer::wire::OriginReply reply;
+            reply.set_leader(it.leader);
+            answer(std::move(reply));
+            return;
+        }
+        const state::SoftwareVersions &recorded = it.machine->software().versions();
+        const auto versions = recorded.find(request.service());
+        m_voter->demand.resolveOrigin(
+            request, versions == recorded.end() ? std::set<std::string>{} : versions->second, answer);
+    });
+}
+
 void PeerService::join(const peer::wire::JoinRequest &request, peer::Answer<peer::wire::JoinReply> answer)
 {
     if (m_group == nullptr) {
--- a/src/bamboomoor/daemon/peerservice.hpp
+++ b/src/bamboomoor/daemon/peerservice.hpp
@@ -54,6 +54,8 @@
     void reportDemand(const peer::wire::DemandReport &request, peer::Answer<peer::wire::DemandReply> answer) override;
     void join(const peer::wire::JoinRequest &request, peer::Answer<peer::wire::JoinReply> answer) override;
 
+    void resolveOrigin(const peer::wire::OriginRequest &request, peer::Answer<peer::wire::OriginReply> answer) override;
+
     /** @brief Answers questions for a place from now on. @param group Outlives the service. */
     void setGroup(control::MembershipThread &group) noexcept
     {
--- a/src/bamboomoor/entry/demandreport.cpp
+++ b/src/bamboomoor/entry/demandreport.cpp
@@ -149,6 +149,15 @@
         }
     }
     control::toWire(now, m_source.takeQuarantineReport(), report);
+    const lineage::Report streams = m_source.takeStreamReport();
+    report.set_stream_sequence(streams.sequence);
+    for (const lineage::StreamRecord &it : streams.streams) {
+        auto *stream = report.add_streams();
+        stream->set_stream(it.stream);
+        stream->set_service(it.origin.service);
+        stream->set_software(it.origin.software);
+        stream->set_left_ms((it.until - now).count);
+    }
     for (const DrainingReplica &it : m_draining) {
         if (!m_source.runsAt(it)) {
             auto *drained = report.add_drained();
@@ -188,6 +197,8 @@
     news.quarantine = control::quarantineReply(now, reply);
     news.peers.assign(reply.peers().begin(), reply.peers().end());
     news.peerToken = reply.peer_token();
+    news.term = reply.term();
+    news.streamSequence = reply.stream_sequence();
     m_source.takeNews(std::move(news));
     std::set<DrainingReplica> draining;
     for (const auto &it : reply.draining()) {
--- a/src/bamboomoor/entry/demandreport.hpp
+++ b/src/bamboomoor/entry/demandreport.hpp
@@ -9,6 +9,7 @@
 #include "bamboomoor/entry/leaderhint.hpp"
 #include "bamboomoor/entry/target.hpp"
 #include "bamboomoor/entry/upstreambook.hpp"
+#include "bamboomoor/lineage/origin.hpp"
 #include "bamboomoor/quarantine/promptguard.hpp"
 #include "bamboomoor/standing/upstreamtracker.hpp"
 
@@ -56,6 +57,9 @@
     // "IP:PORT" of entries that forward requests, and the token that entries present to each other.
     std::vector<std::string> peers;
     std::string peerToken;
+    // The leader's term, and the report on streams that it has taken.
+    std::uint64_t term = 0;
+    std::uint64_t streamSequence = 0;
 };
 
 /** @brief Counts the demand of an entry; usable from any thread. */
@@ -107,6 +111,12 @@
         return {};
     }
 
+    /** @brief Reads the report on begun streams. @return The report; empty where they are not followed. */
+    [[nodiscard]] virtual lineage::Report takeStreamReport()
+    {
+        return {};
+    }
+
     /** @brief Returns where this entry forwards requests of others. @return "IP:PORT"; empty unless upstreams answered
      * lately. */
     [[nodiscard]] virtual std::string forwardAddress() const
--- a/src/bamboomoor/entry/upstreambook.cpp
+++ b/src/bamboomoor/entry/upstreambook.cpp
@@ -57,8 +57,8 @@
     std::vector<routing::Candidate> found;
     for (const membership::Entry *it : m_registry.usable(now)) {
         if (serves(it->announcement, target)) {
-            found.push_back(
-                {it->announcement.id, it->announcement.load, now - it->loadReportedAt, it->announcement.incarnation});
+            found.push_back({it->announcement.id, it->announcement.load, now - it->loadReportedAt,
+                it->announcement.incarnation});
         }
     }
     return found;
@@ -82,9 +82,8 @@
 {
     const absl::MutexLock lock(&m_mutex);
     const membership::Entry *entry = m_registry.find(now, id);
-    return entry == nullptr
-        ? std::nullopt
-        : std::optional(UpstreamPlace{entry->announcement.address, entry->announcement.incarnation});
+    return entry == nullptr ? std::nullopt
+                            : std::optional(UpstreamPlace{entry->announcement.address, entry->announcement.incarnation});
 }
 
 std::vector<membership::Entry> UpstreamBook::list(base::Millis now) const
@@ -132,4 +131,16 @@
     m_draining = std::move(draining);
 }
 
+lineage::SoftwareVersions UpstreamBook::software() const
+{
+    const absl::MutexLock lock(&m_mutex);
+    return m_software;
+}
+
+void UpstreamBook::setSoftware(lineage::SoftwareVersions versions)
+{
+    const absl::MutexLock lock(&m_mutex);
+    m_software = std::move(versions);
+}
+
 } // namespace bamboomoor::entry
--- a/src/bamboomoor/entry/upstreambook.hpp
+++ b/src/bamboomoor/entry/upstreambook.hpp
@@ -5,6 +5,7 @@
 
 #include "bamboomoor/base/clock.hpp"
 #include "bamboomoor/entry/target.hpp"
+#include "bamboomoor/lineage/origin.hpp"
 #include "bamboomoor/membership/registry.hpp"
 #include "bamboomoor/routing/policy.hpp"
 #include "bamboomoor/standing/roomtracker.hpp"
@@ -132,6 +133,18 @@
      */
     void setDraining(std::set<DrainingReplica> draining);
 
+    /**
+     * @brief Reads the software versions that the control group has recorded.
+     * @return The versions by service.
+     */
+    [[nodiscard]] lineage::SoftwareVersions software() const;
+
+    /**
+     * @brief Replaces the recorded software versions.
+     * @param versions All of them.
+     */
+    void setSoftware(lineage::SoftwareVersions versions);
+
 private:
     [[nodiscard]] bool serves(const membership::Announcement &announcement, const Target &target) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
@@ -139,6 +152,7 @@
     mutable absl::Mutex m_mutex;
     membership::Registry m_registry ABSL_GUARDED_BY(m_mutex);
     std::set<DrainingReplica> m_draining ABSL_GUARDED_BY(m_mutex);
+    lineage::SoftwareVersions m_software ABSL_GUARDED_BY(m_mutex);
 };
 
 } // namespace bamboomoor::entry
--- a/src/bamboomoor/entry/upstreamsync.cpp
+++ b/src/bamboomoor/entry/upstreamsync.cpp
@@ -161,6 +161,7 @@
         choosePuller(answer.voter);
         return;
     }
+    takeSoftware(*answer.reply);
     const auto merged = m_book.merge(answer.sentAt, delta.value());
     state.pulled = merged.incomplete ? membership::Position{} : delta.value().position;
     if (answer.reply->warming()) {
@@ -171,6 +172,16 @@
     }
 }
 
+void UpstreamSync::takeSoftware(const peer::wire::UpstreamSync &reply)
+{
+    // A voter that has just started may not have applied the latest versions.
+    lineage::SoftwareVersions versions = reply.warming() ? m_book.software() : lineage::SoftwareVersions{};
+    for (const auto &it : reply.software()) {
+        versions[it.service()].insert(it.versions().begin(), it.versions().end());
+    }
+    m_book.setSoftware(std::move(versions));
+}
+
 base::Millis UpstreamSync::bookTime() const noexcept
 {
     const base::Millis now = m_clock.now();
@@ -196,6 +207,11 @@
         answer.set_resend(!delta || book.merge(now, delta.value()).incomplete);
     }
     if (!request.push_only()) {
+        for (const auto &[service, versions] : book.software()) {
+            auto *software = answer.add_software();
+            software->set_service(service);
+            software->mutable_versions()->Add(versions.begin(), versions.end());
+        }
         answer.set_delta(membership::encodeDelta(book.changesSince(now, {request.epoch(), request.revision()})));
     }
     return answer;
--- a/src/bamboomoor/entry/upstreamsync.hpp
+++ b/src/bamboomoor/entry/upstreamsync.hpp
@@ -95,6 +95,7 @@
     void followVoters();
     void ask(const std::string &voter, VoterState &state, bool pull);
     void take(Answer answer);
+    void takeSoftware(const peer::wire::UpstreamSync &reply);
     void choosePuller(const std::string &failed);
 
     UpstreamSyncOptions m_options;
--- a/src/bamboomoor/gateway/controldaemon.cpp
+++ b/src/bamboomoor/gateway/controldaemon.cpp
@@ -92,6 +92,7 @@
     , m_group(groupOptions(m_settings, m_identity), m_voter, m_peers, m_clock)
     , m_sync(syncOptions(m_settings, m_identity), m_heard, m_book, m_peers, m_clock)
     , m_api({}, {m_clock, *dialects.control, m_peers, m_group, m_heard, m_book, m_metrics, m_log})
+    , m_softwareObserver(m_book)
     , m_peerService(daemon::VoterParts{m_voter, m_freshen, m_budget, m_residency}, m_book, m_clock,
           m_clock.now() + warmUp(m_settings))
     , m_server(m_api, controlServerOptions())
@@ -101,6 +102,7 @@
     m_voter.addObserver(m_freshen);
     m_voter.addObserver(m_budget);
     m_voter.addObserver(m_residency);
+    m_voter.addObserver(m_softwareObserver);
 }
 
 ControlDaemon::~ControlDaemon()
--- a/src/bamboomoor/gateway/controldaemon.hpp
+++ b/src/bamboomoor/gateway/controldaemon.hpp
@@ -18,6 +18,7 @@
 #include "bamboomoor/gateway/dialect.hpp"
 #include "bamboomoor/gateway/process.hpp"
 #include "bamboomoor/gateway/residencythread.hpp"
+#include "bamboomoor/gateway/softwareobserver.hpp"
 #include "bamboomoor/http/client.hpp"
 #include "bamboomoor/http/server.hpp"
 #include "bamboomoor/peer/server.hpp"
@@ -68,6 +69,7 @@
     control::MembershipThread m_group;
     entry::UpstreamSync m_sync;
     ControlApi m_api;
+    SoftwareObserver m_softwareObserver;
     daemon::PeerService m_peerService;
     http::Server m_server;
     peer::Server m_peerServer;
--- a/src/bamboomoor/gateway/relaythread.cpp
+++ b/src/bamboomoor/gateway/relaythread.cpp
@@ -311,6 +311,7 @@
     m_core.setPlacements(now, placed);
     m_core.onLeaderReports(now, event.news.words);
     m_core.onQuarantineReply(now, event.news.quarantine);
+    m_core.onStreamReply(event.news.term, event.news.streamSequence);
     m_context.tokens.learn(event.news.peerToken, event.news.peers);
     m_core.setPeers(now, std::move(event.news.peers), event.news.quarantine.term);
 }
@@ -321,8 +322,54 @@
     m_isDraining = true;
 }
 
+void RelayThread::resolveOrigin(std::uint64_t exchange, const relay::OriginQuery &query)
+{
+    askOrigin(exchange, query, 1);
+}
+
+void RelayThread::askOrigin(std::uint64_t exchange, const relay::OriginQuery &query, int calls)
+{
+    peer::wire::OriginRequest request;
+    request.set_service(query.service);
+    request.set_stream(query.stream);
+    const std::string voter = m_context.leader.get();
+    m_context.peers.find(voter)->call(request, m_options.originTimeout,
+        [this, exchange, query, voter, calls](std::optional<peer::wire::OriginReply> reply) {
+            deliver(OriginReplied{exchange, query, voter, calls, std::move(reply)});
+        });
+}
+
+void RelayThread::on(base::Millis now, OriginReplied &event)
+{
+    const bool served = event.reply && event.reply->served();
+    if (!served) {
+        if (event.reply && !event.reply->leader().empty()) {
+            m_context.leader.learn(event.reply->leader());
+        } else {
+            m_context.leader.skip(event.voter);
+        }
+        if (event.calls < m_options.maxOriginCalls && m_callers.contains(event.exchange)) {
+            askOrigin(event.exchange, event.query, event.calls + 1);
+            return;
+        }
+    }
+    const relay::OriginVerdict verdict = !served ? relay::OriginVerdict::NoLeader
+        : event.reply->known()                   ? relay::OriginVerdict::Known
+                                                 : relay::OriginVerdict::Unknown;
+    const std::string software = served ? event.reply->software() : std::string();
+    m_context.log.write(base::LogLine("origin_resolved")
+                            .add("service", event.query.service)
+                            .add("stream", event.query.stream)
+                            .add("verdict", relay::ORIGIN_VERDICT_NAMES.name(verdict))
+                            .add("software", software)
+                            .add("calls", event.calls));
+    m_core.onOriginResolved(now, event.exchange, verdict, software);
+}
+
 void RelayThread::refreshUpstreams()
 {
+    const lineage::SoftwareVersions software = m_context.upstreams.software();
+    m_core.setSoftware(m_context.clock.now(), software);
     const bool synced = m_context.sync.synced();
     const base::Millis bookTime = m_context.sync.bookTime();
     const std::set<entry::DrainingReplica> draining = m_context.upstreams.draining();
@@ -339,6 +386,9 @@
         worker.service = announcement.service;
         worker.incarnation = announcement.incarnation;
         worker.sequence = announcement.sequence;
+        worker.software = announcement.softwareVersion;
+        const auto recorded = software.find(announcement.service);
+        worker.softwareRecorded = recorded != software.end() && recorded->second.contains(worker.software);
         constexpr std::uint64_t MAX_SLOTS = 1'000'000;
         worker.slots = static_cast<std::int64_t>(std::min(announcement.slots, MAX_SLOTS));
         for (const membership::Accelerator &accelerator : announcement.accelerators) {
@@ -364,6 +414,7 @@
     auto unreachable = m_core.unreachable(m_context.clock.now());
     auto words = m_core.takeReports(m_context.clock.now());
     auto quarantineReport = m_core.takeQuarantineReport(m_context.clock.now());
+    auto streamReport = m_core.takeStreamReport(m_context.clock.now());
     const absl::MutexLock lock(&m_mutex);
     for (const standing::Report &old : m_words) {
         const auto it = std::find_if(words.begin(), words.end(), [&old](const standing::Report &word) {
@@ -375,6 +426,7 @@
     }
     m_words = std::move(words);
     m_quarantineReport = std::move(quarantineReport);
+    m_streamReport = std::move(streamReport);
     m_waiting = std::move(waiting);
     m_unreachable = std::move(unreachable);
     for (relay::HoldingDemand &it : demand) {
@@ -421,6 +473,12 @@
     return m_quarantineReport;
 }
 
+lineage::Report RelayThread::takeStreamReport()
+{
+    const absl::MutexLock lock(&m_mutex);
+    return m_streamReport;
+}
+
 std::string RelayThread::forwardAddress() const
 {
     return m_offersForwarding ? m_options.forwardAddress : std::string();
@@ -536,7 +594,7 @@
     base::LogLine line(relay::STEP_NAMES.name(decision.step));
     line.add("id", decision.request).add("route", decision.route).add("org", decision.organisation);
     line.add("reason", decision.reason).add("model", decision.holding).add("upstream", decision.upstream);
-    line.add("via", decision.via);
+    line.add("software", decision.software).add("via", decision.via);
     if (decision.attempt != 0) {
         line.add("attempt", static_cast<std::int64_t>(decision.attempt));
         line.add("expected_wait_ms", decision.expectedWait);
--- a/src/bamboomoor/gateway/relaythread.hpp
+++ b/src/bamboomoor/gateway/relaythread.hpp
@@ -54,6 +54,10 @@
     std::size_t maxUnreadBytes = 524'288;
     // Timeout of a call to the budget authority.
     base::Millis budgetTimeout{400};
+    // Timeout of a question about the origin of a stream, which the leader may hold for a while, and how often it is
+    // put to another voter.
+    base::Millis originTimeout{600};
+    int maxOriginCalls = 6;
 };
 
 /** @brief Dependencies of the relay thread; all must outlive it. */
@@ -109,6 +113,7 @@
     [[nodiscard]] std::vector<std::string> unreachable() const override;
     [[nodiscard]] std::vector<standing::Report> takeWords() override;
     [[nodiscard]] quarantine::Report takeQuarantineReport() override;
+    [[nodiscard]] lineage::Report takeStreamReport() override;
     [[nodiscard]] std::string forwardAddress() const override;
     void takeNews(entry::LeaderNews news) override;
 
@@ -173,7 +178,16 @@
     struct News {
         entry::LeaderNews news;
     };
-    using Event = std::variant<Arrived, CallerGone, Head, Data, Ended, BudgetReplied, TableChanged, News, Draining>;
+    struct OriginReplied {
+        std::uint64_t exchange = 0;
+        relay::OriginQuery query;
+        std::string voter;
+        // How often voters have been asked.
+        int calls = 0;
+        std::optional<peer::wire::OriginReply> reply;
+    };
+    using Event = std::variant<Arrived, CallerGone, Head, Data, Ended, BudgetReplied, TableChanged, News,
+        Draining, OriginReplied>;
     class AttemptListener;
 
     void run();
@@ -186,6 +200,8 @@
     void on(base::Millis now, TableChanged &event);
     void on(base::Millis now, News &event);
     void on(base::Millis now, Draining &event);
+    void on(base::Millis now, OriginReplied &event);
+    void askOrigin(std::uint64_t exchange, const relay::OriginQuery &query, int calls);
     void logLimits(std::uint64_t version, const config::Document &document);
     void refreshUpstreams();
     void collectDemand();
@@ -202,6 +218,7 @@
     void abortStream(std::uint64_t exchange) override;
     void send(const relay::Attempt &attempt, const relay::Request &request) override;
     void cancel(std::uint64_t attempt) override;
+    void resolveOrigin(std::uint64_t exchange, const relay::OriginQuery &query) override;
     void logDecision(const relay::Decision &decision) override;
     void logSignal(const relay::SignalNote &note) override;
     void logQuarantine(const quarantine::Finding &finding, bool byLeader) override;
@@ -247,6 +264,7 @@
     // Permit requests are kept until takeWords() returns them.
     std::vector<standing::Report> m_words ABSL_GUARDED_BY(m_mutex);
     quarantine::Report m_quarantineReport ABSL_GUARDED_BY(m_mutex);
+    lineage::Report m_streamReport ABSL_GUARDED_BY(m_mutex);
 };
 
 } // namespace bamboomoor::gateway
--- a/src/bamboomoor/gateway/residencythread.cpp
+++ b/src/bamboomoor/gateway/residencythread.cpp
@@ -203,9 +203,15 @@
     post(ReportEvent{request, std::move(answer)});
 }
 
+void ResidencyThread::resolveOrigin(const peer::wire::OriginRequest &request, const std::set<std::string> &versions,
+    peer::Answer<peer::wire::OriginReply> answer)
+{
+    post(OriginEvent{{0, request.service(), request.stream(), versions}, std::move(answer)});
+}
+
 void ResidencyThread::onLeading(std::uint64_t term, const state::Machine &machine)
 {
-    post(Leading{term, enginesOf(machine), machine.quarantines().ends()});
+    post(Leading{term, enginesOf(machine), machine.quarantines().ends(), machine.software().versions()});
 }
 
 void ResidencyThread::onNotLeading()
@@ -226,6 +232,10 @@
     // A rejected push does not move from the event.
     if (auto *report = std::get_if<ReportEvent>(&event)) { // NOLINT(bugprone-use-after-move)
         report->answer({});
+    } else if (auto *origin = std::get_if<OriginEvent>(&event)) { // NOLINT(bugprone-use-after-move)
+        origin->answer({});
+    } else if (!m_ring.closed() && std::holds_alternative<SoftwareRecorded>(event)) { // NOLINT(bugprone-use-after-move)
+        m_context.log.write(base::LogLine("verdict_dropped").add("command", "record_software"));
     } else if (!m_ring.closed()
         && std::holds_alternative<QuarantinesRecorded>(event)) { // NOLINT(bugprone-use-after-move)
         m_context.log.write(base::LogLine("verdict_dropped").add("command", "record_quarantines"));
@@ -242,13 +252,17 @@
     while (auto event = m_ring.pop({0})) {
         if (auto *report = std::get_if<ReportEvent>(&*event)) {
             report->answer({});
+        } else if (auto *origin = std::get_if<OriginEvent>(&*event)) {
+            origin->answer({});
         }
     }
+    abandonOrigins();
 }
 
 void ResidencyThread::takeEvents()
 {
-    const base::Millis waitEnd = m_plan ? m_schedule.dueAt() : m_context.clock.now() + IDLE_WAIT;
+    const base::Millis planned = m_plan ? m_schedule.dueAt() : m_context.clock.now() + IDLE_WAIT;
+    const base::Millis waitEnd = std::min(planned, m_origins.nextDeadline());
     auto event = m_ring.pop(std::max(waitEnd - m_context.clock.now(), base::Millis{0}));
     const base::Millis began = m_context.clock.now();
     std::size_t events = 0;
@@ -265,6 +279,7 @@
         event = isDue ? std::nullopt : m_ring.pop({0});
     }
     const base::Millis eventsEnded = m_context.clock.now();
+    answerOrigins(m_origins.takeAnswers(eventsEnded));
     for (const std::string &it : m_suspects.takeDue(eventsEnded)) {
         inspectSuspect(it);
     }
@@ -311,6 +326,7 @@
     exchangeSignals(event.request, reply);
     m_crashes.exchange(m_context.clock.now(), m_term, event.request, reply, *this);
     exchangePeers(event.request, reply);
+    exchangeStreams(event.request, reply);
     for (const std::string &it : event.request.unreachable()) {
         suspect(it);
     }
@@ -318,6 +334,83 @@
     event.answer(std::move(reply));
 }
 
+void ResidencyThread::exchangeStreams(const peer::wire::DemandReport &request, peer::wire::DemandReply &reply)
+{
+    const base::Millis now = m_context.clock.now();
+    for (const auto &it : request.streams()) {
+        m_origins.add(now, {it.stream(), {it.service(), it.software()}, now + base::Millis{it.left_ms()}});
+    }
+    reply.set_stream_sequence(request.stream_sequence());
+}
+
+void ResidencyThread::on(OriginEvent &event)
+{
+    if (!m_plan) {
+        peer::wire::OriginReply reply;
+        reply.set_leader(m_context.voter.status().leader);
+        event.answer(std::move(reply));
+        return;
+    }
+    event.question.number = ++m_lastQuestion;
+    m_originAnswers.emplace(m_lastQuestion, std::move(event.answer));
+    if (const auto answer = m_origins.ask(m_context.clock.now(), std::move(event.question))) {
+        answerOrigins({*answer});
+    }
+}
+
+void ResidencyThread::answerOrigins(const std::vector<lineage::Answer> &answers)
+{
+    for (const lineage::Answer &it : answers) {
+        auto node = m_originAnswers.extract(it.number);
+        peer::wire::OriginReply reply;
+        reply.set_served(true);
+        reply.set_known(it.software.has_value());
+        reply.set_software(it.software.value_or(std::string()));
+        node.mapped()(std::move(reply));
+    }
+}
+
+void ResidencyThread::abandonOrigins()
+{
+    m_origins = lineage::OriginAuthority();
+    for (auto &[number, answer] : m_originAnswers) {
+        answer({});
+    }
+    m_originAnswers.clear();
+}
+
+void ResidencyThread::recordSoftware(base::Millis now, const std::vector<membership::Entry> &upstreams)
+{
+    lineage::SoftwareVersions listed;
+    for (const membership::Entry &it : upstreams) {
+        listed[it.announcement.service].insert(it.announcement.softwareVersion);
+    }
+    const auto proposal = m_software.next(now, listed);
+    if (!proposal) {
+        return;
+    }
+    state::RecordSoftware command;
+    base::LogLine line("software_changed");
+    for (const auto &[service, versions] : proposal->versions) {
+        command.services.push_back({service, {versions.begin(), versions.end()}});
+        for (const std::string &it : versions) {
+            line.add(service, it);
+        }
+    }
+    m_context.log.write(line.add("term", static_cast<std::int64_t>(m_term)));
+    m_context.voter.propose(state::encode(command), m_term,
+        [this, term = m_term, number = proposal->number](const control::ProposalOutcome &verdict) {
+            post(SoftwareRecorded{term, number, verdict.status == consensus::ProposalStatus::Committed});
+        });
+}
+
+void ResidencyThread::on(SoftwareRecorded &event)
+{
+    if (m_plan && event.term == m_term) {
+        m_software.onVerdict(event.number, event.committed);
+    }
+}
+
 void ResidencyThread::suspect(const std::string &worker)
 {
     const base::Millis now = m_context.clock.now();
@@ -457,6 +550,8 @@
     m_crashes.begin(m_context.clock.now(), base::wallClock(), event.term, event.quarantines, *this);
     // Results of an earlier term are not waited for.
     m_suspects = control::SuspectTracker(m_options.suspects);
+    abandonOrigins();
+    m_software.begin(m_context.clock.now(), event.software);
     m_permits = standing::PermitAuthority(m_options.permits);
     m_rooms = standing::RoomAuthority(m_context.clock.now(), event.term);
     m_term = event.term;
@@ -472,6 +567,7 @@
 void ResidencyThread::on(NotLeading & /*event*/)
 {
     m_term = 0;
+    abandonOrigins();
     m_context.metrics.setLeading(false);
     m_plan.reset();
 }
@@ -574,6 +670,7 @@
         }
     }
     m_plan->setWorkers(now, reports);
+    recordSoftware(now, upstreams);
 }
 
 bool ResidencyThread::hasConfirmedLeadership(base::Millis now) const
--- a/src/bamboomoor/gateway/residencythread.hpp
+++ b/src/bamboomoor/gateway/residencythread.hpp
@@ -19,6 +19,8 @@
 #include "bamboomoor/gateway/planreply.hpp"
 #include "bamboomoor/gateway/waitingtotals.hpp"
 #include "bamboomoor/http/client.hpp"
+#include "bamboomoor/lineage/originauthority.hpp"
+#include "bamboomoor/lineage/softwarerecorder.hpp"
 #include "bamboomoor/placement/residency.hpp"
 #include "bamboomoor/standing/permitauthority.hpp"
 #include "bamboomoor/standing/roomauthority.hpp"
@@ -27,9 +29,11 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <variant>
+#include <vector>
 
 namespace bamboomoor::gateway
 {
@@ -97,6 +101,9 @@
 
     void report(const peer::wire::DemandReport &request, peer::Answer<peer::wire::DemandReply> answer) override;
 
+    void resolveOrigin(const peer::wire::OriginRequest &request, const std::set<std::string> &versions,
+        peer::Answer<peer::wire::OriginReply> answer) override;
+
     void onLeading(std::uint64_t term, const state::Machine &machine) override;
     void onNotLeading() override;
     void onConfiguration(const state::Machine &machine) override;
@@ -112,6 +119,17 @@
         Engines engines;
         // The recorded quarantines.
         std::map<std::string, std::int64_t> quarantines;
+        // The recorded software versions.
+        lineage::SoftwareVersions software;
+    };
+    struct OriginEvent {
+        lineage::Question question;
+        peer::Answer<peer::wire::OriginReply> answer;
+    };
+    struct SoftwareRecorded {
+        std::uint64_t term = 0;
+        std::uint64_t number = 0;
+        bool committed = false;
     };
     struct NotLeading {
     };
@@ -140,7 +158,7 @@
         bool committed = false;
     };
     using Event = std::variant<ReportEvent, Leading, NotLeading, ConfigurationChanged, OrderDone, InspectionDone,
-        QuarantinesRecorded>;
+        QuarantinesRecorded, OriginEvent, SoftwareRecorded>;
     class OrderListener;
     class InspectionListener;
 
@@ -152,6 +170,12 @@
     void on(OrderDone &event);
     void on(InspectionDone &event);
     void on(QuarantinesRecorded &event);
+    void on(OriginEvent &event);
+    void on(SoftwareRecorded &event);
+    void answerOrigins(const std::vector<lineage::Answer> &answers);
+    void abandonOrigins();
+    void exchangeStreams(const peer::wire::DemandReport &request, peer::wire::DemandReply &reply);
+    void recordSoftware(base::Millis now, const std::vector<membership::Entry> &upstreams);
     void post(Event event);
     void takeEvents();
     void decide();
@@ -191,6 +215,12 @@
     standing::RoomAuthority m_rooms;
     // Starts with the recorded quarantines at each leadership; the entries report again what they know.
     control::CrashReports m_crashes;
+    // Both start anew with each leadership; the entries report their streams again.
+    lineage::OriginAuthority m_origins;
+    lineage::SoftwareRecorder m_software;
+    // The answers to held questions, by number.
+    std::map<std::uint64_t, peer::Answer<peer::wire::OriginReply>> m_originAnswers;
+    std::uint64_t m_lastQuestion = 0;
     PlanReply m_planReply;
     DecisionSchedule m_schedule;
     control::SuspectTracker m_suspects;
--- a/src/bamboomoor/peer/client.cpp
+++ b/src/bamboomoor/peer/client.cpp
@@ -252,4 +252,12 @@
         });
 }
 
+void Client::call(const wire::OriginRequest &request, base::Millis timeout, OnReply<wire::OriginReply> onReply)
+{
+    start<wire::OriginRequest, wire::OriginReply>(
+        *m_calls, link(), request, timeout, std::move(onReply), [](auto *stub, auto... args) {
+            stub->ResolveOrigin(args...);
+        });
+}
+
 } // namespace bamboomoor::peer
--- a/src/bamboomoor/peer/client.hpp
+++ b/src/bamboomoor/peer/client.hpp
@@ -65,6 +65,8 @@
     void call(const wire::DemandReport &request, base::Millis timeout, OnReply<wire::DemandReply> onReply);
     /** @copydoc call */
     void call(const wire::JoinRequest &request, base::Millis timeout, OnReply<wire::JoinReply> onReply);
+    /** @copydoc call */
+    void call(const wire::OriginRequest &request, base::Millis timeout, OnReply<wire::OriginReply> onReply);
 
     /** @brief Cancels all calls and waits until their replies are taken; later calls get no reply at once. */
     void stop();
--- a/src/bamboomoor/peer/server.cpp
+++ b/src/bamboomoor/peer/server.cpp
@@ -58,6 +58,7 @@
     BAMBOOMOOR_PEER_CALL(History, history, HistoryRequest, HistoryReply)
     BAMBOOMOOR_PEER_CALL(ReportDemand, reportDemand, DemandReport, DemandReply)
     BAMBOOMOOR_PEER_CALL(Join, join, JoinRequest, JoinReply)
+    BAMBOOMOOR_PEER_CALL(ResolveOrigin, resolveOrigin, OriginRequest, OriginReply)
 
 #undef BAMBOOMOOR_PEER_CALL
 
--- a/src/bamboomoor/peer/server.hpp
+++ b/src/bamboomoor/peer/server.hpp
@@ -43,6 +43,8 @@
     /** @brief Takes a disk that wants into the control group. @param request The disk. @param answer Takes the reply.
      */
     virtual void join(const wire::JoinRequest &request, Answer<wire::JoinReply> answer) = 0;
+    /** @brief Tells which software version began a stream. @param request The stream. @param answer Takes the reply. */
+    virtual void resolveOrigin(const wire::OriginRequest &request, Answer<wire::OriginReply> answer) = 0;
 };
 
 /** @brief Why a server could not start. */
--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -48,7 +48,8 @@
         giveUp(now, exchange, Reason::Quarantined, *left);
         return;
     }
-    const auto queue = m_queues.find({exchange.service, exchange.requirements.holding});
+    pinReported(exchange);
+    const auto queue = m_queues.find(queueOf(exchange));
     const bool othersWait = queue != m_queues.end() && !fromQueue && !exchange.headSent;
     const auto choice = othersWait ? std::nullopt : m_fleet.choose(now, exchange.requirements);
     if (!choice) {
@@ -143,15 +144,40 @@
 
 base::Millis Core::queueTimeout(base::Millis now, const Exchange &exchange) const
 {
-    const base::Millis until = exchange.headSent
+    // The caller of a resumed stream has its first event already.
+    const base::Millis until = exchange.headSent || (isResumable(exchange) && !exchange.request.lastEventId.empty())
         ? exchange.deadline
         : exchange.arrivedAt + exchange.route->objective * m_options.queuePercent / PERCENT;
     return std::min(exchange.deadline, until) - now;
 }
 
+Core::QueueKey Core::queueOf(const Exchange &exchange)
+{
+    return {exchange.service, exchange.requirements.holding, exchange.requirements.software};
+}
+
+Requirements Core::requirementsOf(const QueueKey &key)
+{
+    Requirements common;
+    common.service = key.service;
+    common.holding = key.holding;
+    common.software = key.software;
+    return common;
+}
+
+void Core::pinReported(Exchange &exchange) const
+{
+    if (exchange.requirements.software) {
+        return;
+    }
+    if (auto origin = m_journal.reported(exchange.request.id)) {
+        exchange.requirements.software = std::move(origin->software);
+    }
+}
+
 void Core::enqueue(base::Millis now, Exchange &exchange)
 {
-    const auto key = std::make_pair(exchange.service, exchange.requirements.holding);
+    const QueueKey key = queueOf(exchange);
     admission::FairQueue &queue = m_queues.try_emplace(key, admission::FairQueueOptions{}).first->second;
     const base::Millis patience = queueTimeout(now, exchange);
     const base::Millis until = now + patience;
@@ -170,6 +196,7 @@
         return;
     }
     exchange.queuedUntil = until;
+    exchange.queue = key;
     scheduleCheck(exchange, until);
     note(now, exchange, Step::Queued, {});
 }
@@ -180,7 +207,7 @@
         return;
     }
     exchange.queuedUntil.reset();
-    const auto queue = m_queues.find({exchange.service, exchange.requirements.holding});
+    const auto queue = m_queues.find(exchange.queue);
     if (queue == m_queues.end()) {
         return;
     }
@@ -192,19 +219,20 @@
 
 void Core::dispatchQueued(base::Millis now)
 {
-    std::vector<std::pair<std::string, std::string>> keys;
+    std::vector<QueueKey> keys;
     for (const auto &[key, queue] : m_queues) {
         keys.push_back(key);
     }
-    for (const auto &key : keys) {
+    for (const QueueKey &key : keys) {
+        const Requirements common = requirementsOf(key);
         // Bounds the attempts to one for each queued request, as a dispatched request may be queued again.
         for (std::size_t n = m_queues.at(key).size(); n > 0 && m_queues.contains(key); --n) {
-            const UnavailableReason lack = m_fleet.unavailableReason(now, {key.first, key.second, {}, 0, {}});
+            const UnavailableReason lack = m_fleet.unavailableReason(now, common);
             const bool gone = lack != UnavailableReason::Busy && lack != UnavailableReason::Loading
                 && lack != UnavailableReason::Closed;
-            const bool proceeds = gone || m_fleet.hasRoom(now, key.first, key.second);
+            const bool proceeds = gone || m_fleet.hasRoom(now, common);
             if (!proceeds) {
-                m_fleet.addPermitDemand(now, key.first, key.second, static_cast<std::int64_t>(n));
+                m_fleet.addPermitDemand(now, common, static_cast<std::int64_t>(n));
             }
             const auto item = proceeds ? m_queues.at(key).pop(now) : std::nullopt;
             Exchange *exchange = item ? find(item->id) : nullptr;
@@ -242,6 +270,9 @@
     attempt.charge = exchange.retryCharged ? Charge::Retry
         : exchange.unreached > 0           ? Charge::NoneArrived
                                            : Charge::First;
+    if (isResumable(exchange) && !exchange.requirements.software) {
+        recordOrigin(now, exchange, exchange.choice.software);
+    }
     selectPath(now, exchange);
     exchange.choice.freshConnection = attempt.freshConnection;
     ++exchange.sent;
@@ -367,6 +398,7 @@
     exchange.mayHaveRun = true;
     if (!exchange.headSent) {
         exchange.headSent = true;
+        exchange.requirements.software = exchange.choice.software;
         m_effects.beginStream(exchange.id, exchange.head->status, exchange.head->headers);
     }
     if (!exchange.splitter.lastId().empty()) {
@@ -553,6 +585,7 @@
 
 RetryDecision Core::decideRetry(base::Millis now, Exchange &exchange)
 {
+    pinReported(exchange);
     if (!isRepeatable(exchange) && exchange.mayHaveRun) {
         return RetryDecision::MayHaveRun;
     }
--- a/src/bamboomoor/relay/core.cpp
+++ b/src/bamboomoor/relay/core.cpp
@@ -41,6 +41,7 @@
     , m_budgetHolder(m_options.budget)
     , m_guard(m_options.quarantine)
     , m_reach(m_options.reach)
+    , m_journal(m_options.journal)
 {
 }
 
@@ -104,11 +105,13 @@
     const config::Relay &route = *exchange.route;
     const Request &request = exchange.request;
     exchange.deadline = now + std::min(route.timeout, request.timeout.value_or(route.timeout));
-    exchange.service = RouteTable::serviceOf(route, request.id);
+    // A resumed stream goes on at the service that began it.
+    exchange.service = RouteTable::serviceOf(route, streamOf(exchange));
     exchange.priority = route.priority;
     exchange.requirements.service = exchange.service;
     exchange.requirements.promptTokens = request.promptTokens.value_or(0);
     exchange.requirements.parts = request.parts;
+    exchange.requirements.recordedSoftware = isResumable(exchange);
     const bool needsKey = exchange.table->requiresKeys() && !route.open;
     const config::Organisation *organisation = exchange.table->organisationOf(request.key);
     if (needsKey && organisation == nullptr) {
@@ -131,13 +134,13 @@
     m_retries.countRequest(now, exchange.service);
     scheduleCheck(exchange, exchange.deadline);
     if (!needsKey) {
-        dispatch(now, exchange);
+        begin(now, exchange);
         return;
     }
     exchange.organisation = organisation->name;
     exchange.priority = organisation->priority.value_or(route.priority);
     if (organisation->unlimited) {
-        dispatch(now, exchange);
+        begin(now, exchange);
         return;
     }
     const bool sized = request.promptTokens || request.maxTokens;
@@ -158,7 +161,7 @@
         return;
     }
     if (admission.decision == budget::AdmissionDecision::Admitted) {
-        dispatch(now, *exchange);
+        begin(now, *exchange);
         return;
     }
     m_byReservation.erase(it);
@@ -171,6 +174,72 @@
         admission.retryAfter == base::NEVER ? base::Millis{} : admission.retryAfter);
 }
 
+const std::string &Core::streamOf(const Exchange &exchange) noexcept
+{
+    const Request &request = exchange.request;
+    return request.lastEventId.empty() || request.resumedId.empty() ? request.id : request.resumedId;
+}
+
+bool Core::isResumable(const Exchange &exchange) const
+{
+    return isStream(exchange) && exchange.route->resumable;
+}
+
+void Core::begin(base::Millis now, Exchange &exchange)
+{
+    const Request &request = exchange.request;
+    if (!isResumable(exchange) || request.lastEventId.empty()) {
+        dispatch(now, exchange);
+        return;
+    }
+    if (const auto origin = m_journal.find(now, request.resumedId)) {
+        if (origin->service == exchange.service) {
+            pinSoftware(now, exchange, origin->software);
+        } else {
+            giveUp(now, exchange, Reason::OriginUnknown, {});
+        }
+        return;
+    }
+    exchange.resolvingUntil = now + m_options.originTimeout;
+    scheduleCheck(exchange, std::min(exchange.deadline, *exchange.resolvingUntil));
+    m_effects.resolveOrigin(exchange.id, {exchange.service, request.resumedId});
+}
+
+void Core::pinSoftware(base::Millis now, Exchange &exchange, std::string software)
+{
+    exchange.resolvingUntil.reset();
+    scheduleCheck(exchange, exchange.deadline);
+    recordOrigin(now, exchange, software);
+    exchange.requirements.software = std::move(software);
+    dispatch(now, exchange);
+}
+
+void Core::onOriginResolved(base::Millis now, std::uint64_t id, OriginVerdict verdict, const std::string &software)
+{
+    Exchange *exchange = find(id);
+    if (exchange == nullptr || !exchange->resolvingUntil) {
+        return;
+    }
+    if (verdict == OriginVerdict::Known) {
+        pinSoftware(now, *exchange, software);
+        return;
+    }
+    // Without a leader the answer may be known later; an unknown origin stays unknown.
+    giveUp(now, *exchange, Reason::OriginUnknown,
+        verdict == OriginVerdict::NoLeader ? m_options.minLoadRetryDelay : base::Millis{});
+}
+
+void Core::recordOrigin(base::Millis now, const Exchange &exchange, const std::string &software)
+{
+    const std::string &stream = streamOf(exchange);
+    if (!stream.empty()) {
+        const base::Millis life =
+            std::max(exchange.route->timeout, exchange.request.timeout.value_or(exchange.route->timeout));
+        static_cast<void>(m_journal.record(
+            now, {stream, {exchange.service, software}, exchange.arrivedAt + life + m_options.streamRetention}));
+    }
+}
+
 void Core::onBudgetReply(base::Millis now, const budget::TokenReply &reply)
 {
     m_lastBudgetReplyAt = now;
@@ -199,7 +268,7 @@
     m_guard.onRuns(now, std::exchange(m_listed, {}));
     enforceQuarantine(now, m_guard.evaluate(now), false);
     dispatchQueued(now);
-    m_urgent = m_urgent || m_fleet.permitRequestDue(now);
+    m_urgent = m_urgent || m_fleet.permitRequestDue(now) || m_journal.isDue(now);
 }
 
 void Core::onLeaderReports(base::Millis now, const std::vector<standing::LeaderReport> &reports)
@@ -335,6 +404,10 @@
         giveUp(now, exchange, Reason::TimedOut, m_options.defaultRetryDelay);
         return;
     }
+    if (exchange.resolvingUntil && now >= *exchange.resolvingUntil) {
+        giveUp(now, exchange, Reason::OriginUnknown, m_options.minLoadRetryDelay);
+        return;
+    }
     if (exchange.queuedUntil && now >= *exchange.queuedUntil) {
         rejectUnavailable(now, exchange);
         return;
@@ -361,6 +434,7 @@
         scheduleCheck(exchange, exchange.deadline);
         return;
     }
+    pinReported(exchange);
     // A stalled attempt may still complete; it is abandoned only for an upstream that takes the request now.
     auto choice = quarantinedFor(now, exchange) ? std::nullopt : m_fleet.choose(now, exchange.requirements);
     const RetryDecision next = choice ? decideRetry(now, exchange) : RetryDecision::NoOtherUpstream;
@@ -462,6 +536,7 @@
     decision.status = status;
     decision.attempt = exchange.attempt.id;
     decision.via = exchange.attempt.via;
+    decision.software = exchange.choice.software;
     if (step == Step::Sent) {
         decision.charge = exchange.attempt.charge;
         decision.freshConnection = exchange.attempt.freshConnection;
--- a/src/bamboomoor/relay/core.hpp
+++ b/src/bamboomoor/relay/core.hpp
@@ -13,6 +13,7 @@
 #include "bamboomoor/base/clock.hpp"
 #include "bamboomoor/base/nametable.hpp"
 #include "bamboomoor/budget/holder.hpp"
+#include "bamboomoor/lineage/streamjournal.hpp"
 #include "bamboomoor/quarantine/promptguard.hpp"
 #include "bamboomoor/relay/eventsplitter.hpp"
 #include "bamboomoor/relay/fleet.hpp"
@@ -111,13 +112,14 @@
     TimedOut,
     CallerGone,
     Stopping,
-    Quarantined
+    Quarantined,
+    OriginUnknown
 };
 
 /** @brief The names of the reasons in logs and counters. */
 inline constexpr auto REASON_NAMES = base::makeNames<Reason>("not_configured", "unknown_route", "unknown_key",
     "rate_exceeded", "rate_unknown", "no_upstream", "not_held", "busy", "closed", "too_late", "upstream_refused",
-    "upstream_failed", "timed_out", "caller_gone", "stopping", "quarantined");
+    "upstream_failed", "timed_out", "caller_gone", "stopping", "quarantined", "origin_unknown");
 
 /** @brief A final response that the entry generates itself instead of forwarding one. */
 struct LocalReply {
@@ -143,6 +145,8 @@
     std::string_view route;
     std::string_view organisation;
     std::string_view upstream;
+    // The software version of the upstream; empty if it is not reported.
+    std::string_view software;
     // The forwarding entry; empty for a direct attempt.
     std::string_view via;
     // The requested MODEL or MODEL/ADAPTER; empty for a plain service.
@@ -181,6 +185,19 @@
     standing::UpstreamSignal signal;
 };
 
+/** @brief What the leader says about the origin of a stream. */
+enum class OriginVerdict { Known, Unknown, NoLeader };
+
+/** @brief The names of OriginVerdict in logs. */
+inline constexpr auto ORIGIN_VERDICT_NAMES = base::makeNames<OriginVerdict>("known", "unknown", "no_leader");
+
+/** @brief A question to the leader about the origin of a stream. */
+struct OriginQuery {
+    std::string service;
+    // Empty if the caller does not name the stream.
+    std::string stream;
+};
+
 /** @brief The actions that the core emits. Implementations must neither block nor call back into the core. */
 class Effects
 {
@@ -205,6 +222,10 @@
     virtual void send(const Attempt &attempt, const Request &request) = 0;
     /** @brief Cancels an attempt; no further event of it may be passed to the core. @param attempt The attempt id. */
     virtual void cancel(std::uint64_t attempt) = 0;
+    /** @brief Asks the leader for the software version that began a stream; Core::onOriginResolved() takes the answer.
+     * @param exchange The exchange id. @param origin The service, and the caller's id of the try that began the stream,
+     * empty if it is not named. */
+    virtual void resolveOrigin(std::uint64_t exchange, const OriginQuery &origin) = 0;
     /** @brief Reports a decision. @param decision The decision; its string views are valid only during the call. */
     virtual void logDecision(const Decision &decision) = 0;
     /** @brief Reports a state change that an upstream signalled. @param note The change; its string views are valid
@@ -224,6 +245,11 @@
     budget::HolderOptions budget;
     quarantine::PromptGuardOptions quarantine;
     UpstreamReachOptions reach;
+    lineage::StreamJournalOptions journal;
+    // How long a resumed stream waits for the leader's answer on its origin; it is rejected afterwards.
+    base::Millis originTimeout{900};
+    // How long callers may resume a stream after its own deadline.
+    base::Millis streamRetention{5'000};
     // The least retry delay for a model that no upstream has loaded, or a service without upstreams.
     base::Millis minLoadRetryDelay{1'000};
     // The greatest retry delay for a model that no upstream has loaded: losing its host is detected within 0.5 s, and
@@ -341,6 +367,31 @@
      * complete list. */
     void setPlacements(base::Millis now, const std::vector<PlacedHolding> &placed);
 
+    /** @brief Replaces the recorded software versions of upstreams. @param now The current time. @param versions The
+     * versions. */
+    void setSoftware(base::Millis now, lineage::SoftwareVersions versions)
+    {
+        m_journal.setVersions(now, std::move(versions));
+    }
+
+    /** @brief Makes the report on begun streams that is due to the leader. @param now The current time. @return The
+     * report. */
+    [[nodiscard]] lineage::Report takeStreamReport(base::Millis now)
+    {
+        return m_journal.makeReport(now);
+    }
+
+    /** @brief Handles the leader's reply to a report on streams. @param term The leader's term. @param sequence The
+     * sequence number of the report. */
+    void onStreamReply(std::uint64_t term, std::uint64_t sequence)
+    {
+        m_journal.onReply(term, sequence);
+    }
+
+    /** @brief Handles the answer to Effects::resolveOrigin(). @param now The current time. @param exchange The exchange
+     * id. @param verdict The verdict. @param software The version if it is known. */
+    void onOriginResolved(base::Millis now, std::uint64_t exchange, OriginVerdict verdict, const std::string &software);
+
     /** @brief Applies the leader's reports on upstreams. @param now The current time. @param reports The reports. */
     void onLeaderReports(base::Millis now, const std::vector<standing::LeaderReport> &reports);
 
@@ -361,7 +412,8 @@
     [[nodiscard]] std::vector<std::string> unreachable(base::Millis now) const;
 
     /** @brief Tests and clears the flag for requests that wait for a decision of the leader, which is a model load or a
-     * permit, and for crashes of upstreams. @return True if the leader should be contacted now. */
+     * permit, for crashes of upstreams, and for streams that the leader should know. @return True if the leader should
+     * be contacted now. */
     [[nodiscard]] bool takeUrgent() noexcept
     {
         m_urgent = m_guard.takeUrgent() || m_urgent;
@@ -396,6 +448,15 @@
     [[nodiscard]] std::vector<HoldingDemand> takeDemand();
 
 private:
+    /** @brief What the requests of one queue have in common. */
+    struct QueueKey {
+        std::string service;
+        std::string holding;
+        std::optional<std::string> software;
+
+        friend auto operator<=>(const QueueKey &, const QueueKey &) = default;
+    };
+
     struct Exchange {
         std::uint64_t id = 0;
         Request request;
@@ -444,6 +505,9 @@
         std::string lastEventId;
         // When queueing times out; unset while the request is not queued.
         std::optional<base::Millis> queuedUntil;
+        QueueKey queue;
+        // Until when it waits for the origin of its stream; unset unless it does.
+        std::optional<base::Millis> resolvingUntil;
         // When tick() checks it next.
         base::Millis checkAt;
         // Computed when it is needed first.
@@ -452,6 +516,16 @@
 
     void admit(base::Millis now, Exchange &exchange);
     void onAdmission(base::Millis now, const budget::Admission &admission);
+    // Dispatches an admitted request, or has the origin of its stream resolved first.
+    void begin(base::Millis now, Exchange &exchange);
+    void pinSoftware(base::Millis now, Exchange &exchange, std::string software);
+    // Keeps to the version that the leader may know already.
+    void pinReported(Exchange &exchange) const;
+    void recordOrigin(base::Millis now, const Exchange &exchange, const std::string &software);
+    [[nodiscard]] bool isResumable(const Exchange &exchange) const;
+    [[nodiscard]] static const std::string &streamOf(const Exchange &exchange) noexcept;
+    [[nodiscard]] static QueueKey queueOf(const Exchange &exchange);
+    [[nodiscard]] static Requirements requirementsOf(const QueueKey &key);
     void dispatch(base::Millis now, Exchange &exchange, bool fromQueue = false);
     void send(base::Millis now, Exchange &exchange, Choice choice);
     void rejectUnavailable(base::Millis now, Exchange &exchange);
@@ -517,6 +591,7 @@
     budget::Holder m_budgetHolder;
     quarantine::PromptGuard m_guard;
     UpstreamReach m_reach;
+    lineage::StreamJournal m_journal;
     // The upstreams of the latest list, until tick() has passed them to the guard.
     std::vector<standing::Run> m_listed;
     base::Millis m_lastBudgetReplyAt;
@@ -528,8 +603,8 @@
     std::uint64_t m_lastAttempt = 0;
     bool m_draining = false;
     bool m_urgent = false;
-    // Queued requests by service and holding; empty queues are removed.
-    std::map<std::pair<std::string, std::string>, admission::FairQueue> m_queues;
+    // Empty queues are removed.
+    std::map<QueueKey, admission::FairQueue> m_queues;
     std::map<std::pair<std::string, std::string>, HoldingDemand> m_demand;
 };
 
--- a/src/bamboomoor/relay/fleet.cpp
+++ b/src/bamboomoor/relay/fleet.cpp
@@ -103,7 +103,14 @@
 {
     const bool gone = known.missing.contains(std::string()) || (now < known.state.backoffUntil && !despiteBackoff)
         || m_standing.access(now, runOf(known)) == standing::Access::Leaving;
-    return !gone && (requirements.holding.empty() || hasLoaded(now, known, requirements.holding));
+    return !gone && hasSoftware(known, requirements)
+        && (requirements.holding.empty() || hasLoaded(now, known, requirements.holding));
+}
+
+bool Fleet::hasSoftware(const TrackedWorker &known, const Requirements &requirements)
+{
+    return (!requirements.software || *requirements.software == known.worker.software)
+        && (!requirements.recordedSoftware || known.worker.softwareRecorded);
 }
 
 bool Fleet::isPaused(base::Millis now, const TrackedWorker &known) const noexcept
@@ -139,7 +146,8 @@
     const std::size_t slash = requirements.holding.find('/');
     for (const TrackedWorker *it : service->second) {
         const bool leaves = m_standing.access(now, runOf(*it)) == standing::Access::Leaving;
-        if (requirements.excluded.contains(it->worker.id) || now < it->state.backoffUntil || leaves) {
+        if (requirements.excluded.contains(it->worker.id) || now < it->state.backoffUntil || leaves
+            || !hasSoftware(*it, requirements)) {
             continue;
         }
         const auto placed = it->placed.find(requirements.holding);
@@ -158,7 +166,8 @@
     const std::string model = requirements.holding.substr(0, requirements.holding.find('/'));
     for (const auto &[id, known] : m_workers) {
         const auto placed = known.placed.find(model);
-        if (known.worker.service == requirements.service && placed != known.placed.end() && placed->second > now) {
+        if (known.worker.service == requirements.service && hasSoftware(known, requirements)
+            && placed != known.placed.end() && placed->second > now) {
             soonest = std::min(soonest, placed->second - now);
         }
     }
@@ -221,7 +230,7 @@
     const double wait = chosen.cost - referenceTokens(requirements.service, chosen.newTokens);
     return Choice{chosen.known->worker.id, chosen.known->worker.incarnation, chosen.known->worker.address,
         {static_cast<std::int64_t>(std::max(0.0, wait) / static_cast<double>(m_options.tokensPerMilli))},
-        chosen.newTokens, chosen.known->state.lostConnection};
+        chosen.newTokens, chosen.known->state.lostConnection, chosen.known->worker.software};
 }
 
 UnavailableReason Fleet::unavailableReason(base::Millis now, const Requirements &requirements) const
@@ -291,14 +300,13 @@
     return soonest == base::NEVER ? base::Millis{} : soonest;
 }
 
-bool Fleet::hasRoom(base::Millis now, const std::string &service, const std::string &holding) const
+bool Fleet::hasRoom(base::Millis now, const Requirements &requirements) const
 {
-    const auto found = m_services.find(service);
-    Requirements requirements;
-    requirements.holding = holding;
+    const auto found = m_services.find(requirements.service);
     return found != m_services.end()
         && std::any_of(found->second.begin(), found->second.end(), [&](const TrackedWorker *it) {
-               return canServe(now, *it, requirements) && !isBusy(now, *it, holding) && !isLimited(now, *it);
+               return canServe(now, *it, requirements) && !isBusy(now, *it, requirements.holding)
+                   && !isLimited(now, *it);
            });
 }
 
@@ -460,12 +468,9 @@
     m_standing.onLeaderReport(now, report);
 }
 
-void Fleet::addPermitDemand(
-    base::Millis now, const std::string &service, const std::string &holding, std::int64_t count)
+void Fleet::addPermitDemand(base::Millis now, const Requirements &requirements, std::int64_t count)
 {
-    const auto found = m_services.find(service);
-    Requirements requirements;
-    requirements.holding = holding;
+    const auto found = m_services.find(requirements.service);
     if (found == m_services.end()) {
         return;
     }
--- a/src/bamboomoor/relay/fleet.hpp
+++ b/src/bamboomoor/relay/fleet.hpp
@@ -43,6 +43,10 @@
     std::uint64_t sequence = 0;
     // The most requests that it runs at once; 0 if unknown.
     std::int64_t slots = 0;
+    // The version of its software; empty if it is not reported.
+    std::string software = {};
+    // The control group has recorded that the version is in service.
+    bool softwareRecorded = true;
 
     friend bool operator==(const Worker &, const Worker &) = default;
 };
@@ -104,6 +108,10 @@
     std::int64_t promptTokens = 0;
     // Upstreams that this request has already been sent to.
     std::set<std::string> excluded;
+    // The only software version that may serve the request; any if unset.
+    std::optional<std::string> software = std::nullopt;
+    // Requires a recorded software version, as other entries may have to resume the stream.
+    bool recordedSoftware = false;
 };
 
 /** @brief The selected upstream. */
@@ -117,6 +125,8 @@
     std::int64_t newTokens = 0;
     // Its pooled connections may be stale.
     bool freshConnection = false;
+    // The version of its software.
+    std::string software = {};
 };
 
 /** @brief A model or adapter that an upstream is loading, or loaded so recently that its announcements may not list it.
@@ -167,11 +177,10 @@
     /**
      * @brief Tells whether any upstream can take a prompt now.
      * @param now The current time.
-     * @param service The service.
-     * @param holding The required holding.
-     * @return True if one that has loaded it has capacity and needs no permit or has one.
+     * @param requirements The requirements.
+     * @return True if a suitable one has capacity and needs no permit or has one.
      */
-    [[nodiscard]] bool hasRoom(base::Millis now, const std::string &service, const std::string &holding) const;
+    [[nodiscard]] bool hasRoom(base::Millis now, const Requirements &requirements) const;
 
     /**
      * @brief Estimates how long a request has to be queued.
@@ -272,11 +281,10 @@
     /**
      * @brief Registers the demand of a queue for permits of rate-limited upstreams.
      * @param now The current time.
-     * @param service The service.
-     * @param holding The required holding.
+     * @param requirements What the queued requests require.
      * @param count The number of queued requests.
      */
-    void addPermitDemand(base::Millis now, const std::string &service, const std::string &holding, std::int64_t count);
+    void addPermitDemand(base::Millis now, const Requirements &requirements, std::int64_t count);
 
     /** @brief Tells whether permits should be requested from the leader now. @param now The current time. */
     [[nodiscard]] bool permitRequestDue(base::Millis now) const;
@@ -371,6 +379,7 @@
     [[nodiscard]] bool isPaused(base::Millis now, const TrackedWorker &known) const noexcept;
     [[nodiscard]] bool isEligible(base::Millis now, const TrackedWorker &known, const Requirements &requirements,
         bool despiteBackoff = false) const;
+    [[nodiscard]] static bool hasSoftware(const TrackedWorker &known, const Requirements &requirements);
     [[nodiscard]] bool canServe(base::Millis now, const TrackedWorker &known, const Requirements &requirements) const;
     [[nodiscard]] bool hasLoaded(base::Millis now, const TrackedWorker &known, const std::string &holding) const;
     [[nodiscard]] double costOf(
--- a/src/bamboomoor/relay/request.hpp
+++ b/src/bamboomoor/relay/request.hpp
@@ -43,6 +43,8 @@
     std::optional<base::Millis> timeout;
     // Id of the last event that the caller received from this stream; empty at its start.
     std::string lastEventId;
+    // The caller's id of the try that began the resumed stream; empty if it is not named.
+    std::string resumedId;
     // Empty for a request to a plain service.
     std::string model;
     // Empty for the base model.
--- a/src/bamboomoor/state/command.hpp
+++ b/src/bamboomoor/state/command.hpp
@@ -220,9 +220,24 @@
     friend bool operator==(const RecordQuarantines &, const RecordQuarantines &) = default;
 };
 
+/** @brief The software versions of the upstreams of one service. */
+struct ServiceSoftware {
+    std::string service;
+    std::vector<std::string> versions;
+
+    friend bool operator==(const ServiceSoftware &, const ServiceSoftware &) = default;
+};
+
+/** @brief Replaces the software versions that are or were in service lately. */
+struct RecordSoftware {
+    std::vector<ServiceSoftware> services;
+
+    friend bool operator==(const RecordSoftware &, const RecordSoftware &) = default;
+};
+
 /** @brief Any command of the replicated log. */
 using Command = std::variant<ApplyConfig, AddKey, WithdrawKey, OpenClaim, FinishClaim, AbandonClaims, SweepClaims,
-    RaiseCeiling, RecordIntent, CloseIntent, ReleaseClaim, ReplaceConfig, RecordQuarantines>;
+    RaiseCeiling, RecordIntent, CloseIntent, ReleaseClaim, ReplaceConfig, RecordQuarantines, RecordSoftware>;
 
 /** @brief The reason why bytes cannot be decoded. */
 struct DecodeError {
--- a/src/bamboomoor/state/fwd.hpp
+++ b/src/bamboomoor/state/fwd.hpp
@@ -18,6 +18,8 @@
 struct ReleaseClaim;
 struct QuarantineEnd;
 struct RecordQuarantines;
+struct ServiceSoftware;
+struct RecordSoftware;
 struct ChangeOutcome;
 struct ClaimOutcome;
 struct CountOutcome;
--- a/src/bamboomoor/state/json.hpp
+++ b/src/bamboomoor/state/json.hpp
@@ -92,6 +92,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RaiseCeiling, term, reservedUntilMillis, organisations)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuarantineEnd, subject, untilMillis)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RecordQuarantines, quarantines)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ServiceSoftware, service, versions)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RecordSoftware, services)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CountOutcome, count)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Malformed, message)
 
--- a/src/bamboomoor/state/limits.hpp
+++ b/src/bamboomoor/state/limits.hpp
@@ -32,6 +32,11 @@
     std::size_t quarantines = 256;
     // The maximum length of a subject, in bytes; longer ones are ignored.
     std::size_t quarantineSubjectBytes = quarantine::MAX_PART_LENGTH;
+    // The maximum number of services with recorded software versions, of versions of each, and the length of a name in
+    // bytes.
+    std::size_t softwareServices = 1'024;
+    std::size_t softwareVersions = 64;
+    std::size_t softwareNameBytes = 256;
 };
 
 } // namespace bamboomoor::state
--- a/src/bamboomoor/state/machine.cpp
+++ b/src/bamboomoor/state/machine.cpp
@@ -18,6 +18,7 @@
 // Must be incremented when the layout of snapshots changes.
 constexpr int SNAPSHOT_FORMAT = 1;
 constexpr std::string_view QUARANTINES_KEY = "quarantines";
+constexpr std::string_view SOFTWARE_KEY = "software";
 
 } // namespace
 
@@ -25,6 +26,7 @@
     : m_configuration(limits)
     , m_claims(limits)
     , m_quarantines(limits)
+    , m_software(limits)
 {
 }
 
@@ -116,6 +118,9 @@
         [this](const RecordQuarantines &it) -> Outcome {
             return m_quarantines.replace(it);
         },
+        [this](const RecordSoftware &it) -> Outcome {
+            return m_software.replace(it);
+        },
     };
     return std::visit(visitor, command);
 }
@@ -124,10 +129,13 @@
 {
     nlohmann::json out = {{"format", SNAPSHOT_FORMAT}, {"lastIndex", m_lastIndex},
         {"configuration", m_configuration.save()}, {"claims", m_claims.save()}, {"leaderLog", m_leaderLog.save()}};
-    // Left out when empty, as in snapshots of builds without quarantines.
+    // Left out when empty, as in snapshots of builds without them.
     if (!m_quarantines.ends().empty()) {
         out[QUARANTINES_KEY] = m_quarantines.save();
     }
+    if (!m_software.versions().empty()) {
+        out[SOFTWARE_KEY] = m_software.save();
+    }
     return internal::dump(out);
 }
 
@@ -146,6 +154,9 @@
         if (in.contains(QUARANTINES_KEY)) {
             machine.m_quarantines.load(in.at(QUARANTINES_KEY));
         }
+        if (in.contains(SOFTWARE_KEY)) {
+            machine.m_software.load(in.at(SOFTWARE_KEY));
+        }
         return machine;
     } catch (const std::exception &error) {
         return base::failure(RestoreError{.message = error.what()});
--- a/src/bamboomoor/state/machine.hpp
+++ b/src/bamboomoor/state/machine.hpp
@@ -13,6 +13,7 @@
 #include "bamboomoor/state/limits.hpp"
 #include "bamboomoor/state/outcome.hpp"
 #include "bamboomoor/state/quarantinetable.hpp"
+#include "bamboomoor/state/softwaretable.hpp"
 
 #include <cstdint>
 #include <string>
@@ -27,7 +28,7 @@
     std::string message;
 };
 
-/** @brief The replicated state: configuration, claims, ceilings, intents and quarantines. */
+/** @brief The replicated state: configuration, claims, ceilings, intents, quarantines and software versions. */
 class Machine
 {
 public:
@@ -117,6 +118,15 @@
         return m_quarantines;
     }
 
+    /**
+     * @brief Returns the software versions of upstreams.
+     * @return The versions that are or were in service lately.
+     */
+    [[nodiscard]] const SoftwareTable &software() const noexcept
+    {
+        return m_software;
+    }
+
 private:
     Outcome applyCommand(std::uint64_t index, const Command &command);
 
@@ -125,6 +135,7 @@
     ClaimTable m_claims;
     LeaderLog m_leaderLog;
     QuarantineTable m_quarantines;
+    SoftwareTable m_software;
 };
 
 } // namespace bamboomoor::state
--- a/src/bamboomoor/state/outcome.hpp
+++ b/src/bamboomoor/state/outcome.hpp
@@ -95,9 +95,10 @@
     friend bool operator==(const ClaimOutcome &, const ClaimOutcome &) = default;
 };
 
-/** @brief The outcome of AbandonClaims, SweepClaims and RecordQuarantines. */
+/** @brief The outcome of AbandonClaims, SweepClaims, RecordQuarantines and RecordSoftware. */
 struct CountOutcome {
-    // The number of claims that were marked as unknown or removed, or of subjects that are quarantined now.
+    // The number of claims that were marked as unknown or removed, of subjects that are quarantined now, or of software
+    // versions that are recorded now.
     std::uint64_t count = 0;
 
     friend bool operator==(const CountOutcome &, const CountOutcome &) = default;
--- a/test/bamboomoor/control/loopback.hpp
+++ b/test/bamboomoor/control/loopback.hpp
@@ -53,6 +53,11 @@
     {
         answer({});
     }
+    void resolveOrigin(
+        const peer::wire::OriginRequest & /*request*/, peer::Answer<peer::wire::OriginReply> answer) override
+    {
+        answer({});
+    }
 };
 
 /** @brief Returns "127.0.0.1:PORT" with a port that is free now. */
--- a/test/bamboomoor/peer/silence.cpp
+++ b/test/bamboomoor/peer/silence.cpp
@@ -79,6 +79,11 @@
     {
         answer({});
     }
+    void resolveOrigin(
+        const peer::wire::OriginRequest & /*request*/, peer::Answer<peer::wire::OriginReply> answer) override
+    {
+        answer({});
+    }
 
     void fallSilent()
     {
--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -90,6 +90,10 @@
         open.erase(attempt);
         cancelled.push_back(attempt);
     }
+    void resolveOrigin(std::uint64_t exchange, const relay::OriginQuery &query) override
+    {
+        questions[exchange] = query;
+    }
     void logDecision(const relay::Decision &decision) override
     {
         steps.push_back(decision.step);
@@ -111,6 +115,8 @@
     std::vector<std::uint64_t> cancelled;
     std::vector<standing::Change> words;
     std::vector<relay::Step> steps;
+    // By exchange.
+    std::map<std::uint64_t, relay::OriginQuery> questions;
 };
 
 std::string eventOf(int number)
@@ -139,10 +145,13 @@
     return out;
 }
 
-std::shared_ptr<const relay::RouteTable> makeTable()
+std::shared_ptr<const relay::RouteTable> makeTable(bool hasEngines = false)
 {
     auto document = std::make_shared<config::Document>();
     document->services.push_back({"svc", 10, {}});
+    if (hasEngines) {
+        document->services.back().engine = config::Engine{};
+    }
     document->relays.push_back(route("/once/", config::Repeat::AtMostOnce, false, 2));
     document->relays.push_back(route("/again/", config::Repeat::Idempotent, false, 2));
     document->relays.push_back(route("/stream/", config::Repeat::Stream, false, 1));
@@ -204,6 +213,35 @@
         return out;
     }
 
+    void setVersions(const std::vector<std::string> &versions)
+    {
+        std::vector<relay::Worker> workers;
+        for (std::size_t n = 0; n < versions.size(); ++n) {
+            workers.push_back(worker("w" + std::to_string(n + 1)));
+            workers.back().software = versions[n];
+        }
+        core.setWorkers(workers);
+    }
+
+    void resume(std::uint64_t id, const std::string &stream, const std::string &model = {})
+    {
+        relay::Request request;
+        request.id = "r" + std::to_string(id);
+        request.host = "h";
+        request.path = "/resume/x";
+        request.timeout = base::Millis{8'000};
+        request.lastEventId = "4";
+        request.resumedId = stream;
+        request.model = model;
+        core.onRequest(now, id, request);
+    }
+
+    [[nodiscard]] bool isRefusedAsUnknown(std::uint64_t id)
+    {
+        const Seen &seen = world.callers[id];
+        return seen.refusedNotRun && seen.reason == relay::Reason::OriginUnknown;
+    }
+
     void setWorkerCount(int count)
     {
         std::vector<relay::Worker> workers;
@@ -1136,6 +1174,123 @@
     BOOST_TEST(world.callers[3].bytes == eventOf(1) + eventOf(2));
 }
 
+BOOST_AUTO_TEST_CASE(an_interrupted_stream_does_not_go_on_at_another_software_version)
+{
+    for (int n = 0; n < 10; ++n) {
+        const std::uint64_t id = 10 + static_cast<std::uint64_t>(n);
+        setVersions({"v1", "v2", "v2"});
+        arrive(id, "/resume/x");
+        const std::string first = world.sent.back().upstream;
+        core.onResponseHead(now, last(), head(OK));
+        core.onResponseData(now, last(), eventOf(1));
+        const std::size_t sent = world.sent.size();
+        fail(last(), true);
+        if (first == "w1") {
+            BOOST_TEST(world.sent.size() == sent);
+            BOOST_TEST(world.callers[id].aborted);
+        } else {
+            BOOST_REQUIRE(world.sent.size() == sent + 1);
+            BOOST_TEST(world.sent.back().upstream != "w1");
+            answer(last(), head(OK), eventOf(2));
+            BOOST_TEST(world.callers[id].whole);
+        }
+        now += base::Millis{5'000};
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_another_entry_began_waits_for_its_software_version)
+{
+    setVersions({"v1", "v2", "v2"});
+    resume(1, "s");
+    BOOST_TEST(world.sent.empty());
+    BOOST_TEST(world.questions[1].stream == "s");
+    BOOST_TEST(world.questions[1].service == "svc");
+    core.onOriginResolved(now, 1, relay::OriginVerdict::Known, "v1");
+    BOOST_REQUIRE(world.sent.size() == 1U);
+    BOOST_TEST(world.sent.back().upstream == "w1");
+    // Interrupted again, it is resumed here, where its version is known now.
+    core.onCallerDisconnected(now, 1);
+    resume(2, "s");
+    BOOST_REQUIRE(world.sent.size() == 2U);
+    BOOST_TEST(world.sent.back().upstream == "w1");
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_of_unknown_software_version_is_rejected_at_once)
+{
+    setVersions({"v1", "v2"});
+    resume(1, "s");
+    resume(2, "");
+    resume(3, "t");
+    core.onOriginResolved(now, 1, relay::OriginVerdict::Unknown, {});
+    core.onOriginResolved(now, 2, relay::OriginVerdict::NoLeader, {});
+    BOOST_TEST(isRefusedAsUnknown(1));
+    BOOST_TEST(world.callers[1].retryAfter.count == 0);
+    BOOST_TEST(isRefusedAsUnknown(2));
+    BOOST_TEST(world.callers[2].retryAfter.count == 1'000);
+    now += base::Millis{900};
+    core.tick(now);
+    BOOST_TEST(isRefusedAsUnknown(3));
+    core.onOriginResolved(now, 3, relay::OriginVerdict::Known, "v1");
+    BOOST_TEST(world.sent.empty());
+    BOOST_TEST(core.inProgress() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_resumed_stream_waits_for_a_load_beyond_the_objective_of_a_first_event)
+{
+    relay::Worker loading = worker("w1");
+    loading.software = "v1";
+    core.setTable(makeTable(true));
+    core.setWorkers({loading});
+    core.setPlacements(now, {{"w1", "m", base::Millis{2'000}}});
+    resume(1, "s", "m");
+    core.onOriginResolved(now, 1, relay::OriginVerdict::Known, "v1");
+    BOOST_TEST(core.inProgress() == 1U);
+    loading.holdings = {"m"};
+    now += base::Millis{2'000};
+    core.setWorkers({loading});
+    core.tick(now);
+    BOOST_TEST(world.sent.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_whose_software_version_has_left_is_rejected_at_once)
+{
+    setVersions({"v2", "v2"});
+    resume(1, "s");
+    core.onOriginResolved(now, 1, relay::OriginVerdict::Known, "v1");
+    BOOST_TEST(world.callers[1].refusedNotRun);
+    BOOST_TEST(world.sent.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_whose_version_the_leader_may_know_is_not_sent_to_another_one)
+{
+    for (const bool reported : {false, true}) {
+        const std::uint64_t id = reported ? 2 : 1;
+        core.setSoftware(now, {{"svc", {"v1", "v2"}}});
+        setVersions({"v1"});
+        arrive(id, "/resume/x");
+        setVersions({"v1", "v2"});
+        if (reported) {
+            static_cast<void>(core.takeStreamReport(now + base::Millis{200}));
+        }
+        const std::size_t sent = world.sent.size();
+        fail(last(), true);
+        BOOST_TEST(world.sent.size() == sent + (reported ? 0U : 1U));
+        now += base::Millis{5'000};
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_unrecorded_software_version_begins_no_stream_that_may_be_resumed)
+{
+    relay::Worker unrecorded = worker("w1");
+    unrecorded.softwareRecorded = false;
+    core.setWorkers({unrecorded});
+    arrive(1, "/resume/x");
+    BOOST_TEST(world.callers[1].refusedNotRun);
+    arrive(2, "/stream/x");
+    arrive(3, "/again/x");
+    BOOST_TEST(world.sent.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(a_draining_entry_rejects_new_streams)
 {
     arrive(1, "/stream/x");
--- a/test/bamboomoor/relay/fleet.cpp
+++ b/test/bamboomoor/relay/fleet.cpp
@@ -58,9 +58,9 @@
     fleet.onSent(START, *choice, prompt(5'000));
     BOOST_TEST(!fleet.choose(START, prompt(10)).has_value());
     BOOST_TEST((fleet.unavailableReason(START, prompt(10)) == UnavailableReason::Busy));
-    BOOST_TEST(!fleet.hasRoom(START, "llm", "m"));
+    BOOST_TEST(!fleet.hasRoom(START, prompt(10)));
     fleet.onFirstEvent(START + base::Millis{1'500}, *choice, START);
-    BOOST_TEST(fleet.hasRoom(START + base::Millis{1'500}, "llm", "m"));
+    BOOST_TEST(fleet.hasRoom(START + base::Millis{1'500}, prompt(10)));
 }
 
 BOOST_AUTO_TEST_CASE(a_missing_model_excludes_an_engine_until_its_next_announcement)
--- a/test/bamboomoor/relay/ignoredeffects.hpp
+++ b/test/bamboomoor/relay/ignoredeffects.hpp
@@ -40,6 +40,9 @@
     void cancel(std::uint64_t /*attempt*/) override
     {
     }
+    void resolveOrigin(std::uint64_t /*exchange*/, const OriginQuery & /*query*/) override
+    {
+    }
     void logDecision(const Decision & /*decision*/) override
     {
     }
