--- a/src/bamboomoor/entry/attempt.cpp
+++ b/src/bamboomoor/entry/attempt.cpp
@@ -154,7 +154,10 @@
         return true;
     }
     const Resolved &resolved = exchange.resolved;
-    const auto known = m_context.upstreams.candidates(now, resolved.target);
+    auto known = m_context.upstreams.candidates(now, resolved.target);
+    std::erase_if(known, [&exchange](const routing::Candidate &it) {
+        return exchange.software && it.software != *exchange.software;
+    });
     const auto candidates = selectOpen(now, m_standing, known);
     if (candidates.empty() && !known.empty()) {
         return rejectClosed(now, exchange, known);
@@ -187,6 +190,7 @@
     exchange.attempt.id = choice.attempt;
     exchange.attempt.upstream = choice.upstream;
     exchange.attempt.incarnation = place->incarnation;
+    exchange.attempt.software = place->software;
     exchange.attempt.sentAt = now;
     send(exchange, place->address);
     return true;
@@ -390,6 +394,7 @@
         return;
     }
     exchange.streaming = true;
+    exchange.software = exchange.attempt.software;
     exchange.responder->begin(HTTP_OK,
         {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-cache"}, {"X-Request-Id", exchange.requestId}});
 }
--- a/src/bamboomoor/entry/exchange.hpp
+++ b/src/bamboomoor/entry/exchange.hpp
@@ -35,6 +35,8 @@
     std::uint64_t id = 0;
     std::string upstream;
     std::uint64_t incarnation = 0;
+    // The software version of the upstream.
+    std::string software;
     base::Millis sentAt;
     http::CallId call;
     // False if the connection may have carried earlier requests.
@@ -75,6 +77,8 @@
     Attempt attempt;
     // True once the head of a streamed answer went to the caller.
     bool streaming = false;
+    // The software version that began the streamed answer; only it may go on with it.
+    std::optional<std::string> software;
     // The id in the first chunk, kept over a resume.
     std::string streamId;
     std::int64_t generatedTokens = 0;
--- a/src/bamboomoor/entry/upstreambook.cpp
+++ b/src/bamboomoor/entry/upstreambook.cpp
@@ -58,7 +58,7 @@
     for (const membership::Entry *it : m_registry.usable(now)) {
         if (serves(it->announcement, target)) {
             found.push_back({it->announcement.id, it->announcement.load, now - it->loadReportedAt,
-                it->announcement.incarnation});
+                it->announcement.incarnation, it->announcement.softwareVersion});
         }
     }
     return found;
@@ -83,7 +83,8 @@
     const absl::MutexLock lock(&m_mutex);
     const membership::Entry *entry = m_registry.find(now, id);
     return entry == nullptr ? std::nullopt
-                            : std::optional(UpstreamPlace{entry->announcement.address, entry->announcement.incarnation});
+                            : std::optional(UpstreamPlace{entry->announcement.address, entry->announcement.incarnation,
+                                entry->announcement.softwareVersion});
 }
 
 std::vector<membership::Entry> UpstreamBook::list(base::Millis now) const
--- a/src/bamboomoor/entry/upstreambook.hpp
+++ b/src/bamboomoor/entry/upstreambook.hpp
@@ -37,6 +37,8 @@
     // "IP:PORT".
     std::string address;
     std::uint64_t incarnation = 0;
+    // The version of its software; empty if it is not reported.
+    std::string software = {};
 };
 
 /** @brief A registry of upstreams behind a lock. */
--- a/src/bamboomoor/routing/policy.hpp
+++ b/src/bamboomoor/routing/policy.hpp
@@ -49,6 +49,8 @@
     base::Millis loadAge;
     // Increases with each start of the upstream's process.
     std::uint64_t incarnation = 0;
+    // The version of its software; empty if it is not reported.
+    std::string software = {};
 };
 
 /** @brief Exact count of the work of this daemon at an upstream. */
--- a/test/bamboomoor/entry/desk.cpp
+++ b/test/bamboomoor/entry/desk.cpp
@@ -244,6 +244,12 @@
         m_held.clear();
     }
 
+    [[nodiscard]] int received()
+    {
+        const absl::MutexLock lock(&m_mutex);
+        return m_received;
+    }
+
     void awaitReceived(int number)
     {
         const absl::MutexLock lock(&m_mutex);
@@ -329,9 +335,11 @@
 class Fixture
 {
 public:
-    explicit Fixture(std::size_t ringSize = RING_SIZE, bool hasSecondWorker = false)
+    explicit Fixture(
+        std::size_t ringSize = RING_SIZE, bool hasSecondWorker = false, const std::string &secondSoftware = {})
         : m_peerServer(leader)
         , m_upstreamServer(upstream)
+        , m_newerServer(newer)
     {
         const std::string leaderAddress = control_test::freeAddress();
         BOOST_REQUIRE(m_peerServer.start(leaderAddress).has_value());
@@ -340,7 +348,8 @@
         BOOST_REQUIRE(address.has_value());
         announce(address.value(), "worker", {});
         if (hasSecondWorker) {
-            announce(address.value(), "second", {});
+            const auto other = secondSoftware.empty() ? address : m_newerServer.start("127.0.0.1:0");
+            announce(other.value(), "second", {}, secondSoftware);
         }
         announce(address.value(), "plain", "service");
         install(wholeDocument());
@@ -359,11 +368,13 @@
     {
         leader.letGo();
         upstream.letGo();
+        newer.letGo();
         desk->stop();
         m_client.stop();
         m_peers->stop();
         m_peerServer.stop();
         m_upstreamServer.stop({0});
+        m_newerServer.stop({0});
     }
 
     Fixture(const Fixture &) = delete;
@@ -438,11 +449,14 @@
 
     Leader leader;
     Upstream upstream;
+    // The upstream of another software version, if there is one.
+    Upstream newer;
     entry::InForce inForce;
     std::unique_ptr<entry::Desk> desk;
 
 private:
-    void announce(const std::string &address, const std::string &id, const std::string &service)
+    void announce(
+        const std::string &address, const std::string &id, const std::string &service, const std::string &software = {})
     {
         membership::Announcement out;
         out.id = id;
@@ -450,6 +464,7 @@
         out.sequence = 1;
         out.address = address;
         out.service = service;
+        out.softwareVersion = software;
         out.kind = service.empty() ? membership::UpstreamKind::ModelWorker : membership::UpstreamKind::Service;
         if (service.empty()) {
             out.accelerators.push_back({"a", 10, {{"m", {}, {}, 1}}});
@@ -467,6 +482,7 @@
     base::SteadyClock m_clock;
     peer::Server m_peerServer;
     http::Server m_upstreamServer;
+    http::Server m_newerServer;
     std::uint64_t m_version = 0;
     entry::UpstreamBook m_book{longLease()};
     std::unique_ptr<control::PeerRegistry> m_peers;
@@ -680,6 +696,23 @@
     BOOST_TEST(caller->status() == OK);
 }
 
+BOOST_AUTO_TEST_CASE(an_interrupted_stream_does_not_go_on_at_another_software_version)
+{
+    Fixture fixture(LONG_RING, true, "v2");
+    fixture.upstream.answerWith({OK, {}, R"({"choices":[]})"});
+    fixture.newer.answerWith({OK, {}, R"({"choices":[]})"});
+    const auto caller = fixture.stream();
+    BOOST_REQUIRE(caller->awaitStream());
+    const std::string begun = caller->body();
+    const bool beganAtNewer = fixture.newer.received() == 1;
+    (beganAtNewer ? fixture.newer : fixture.upstream).interrupt();
+    BOOST_REQUIRE(caller->await());
+    BOOST_TEST((beganAtNewer ? fixture.upstream : fixture.newer).received() == 0);
+    BOOST_TEST(caller->ends() == 1);
+    BOOST_TEST(caller->body().starts_with(begun));
+    BOOST_TEST(caller->body().find("[DONE]") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_of_the_next_upstream_does_not_reach_the_caller_of_an_interrupted_stream)
 {
     for (const int status : {201, 204, 302, 400, 404, 422, 429, 500, UNAVAILABLE}) {
