--- a/src/bamboomoor/http/internal/transfer.cpp
+++ b/src/bamboomoor/http/internal/transfer.cpp
@@ -156,21 +156,36 @@
     if (m_headDone) {
         return;
     }
+    // Only a line without any white space ends the head; one that begins with it continues the line before.
+    const bool isEnd = line.starts_with('\r') || line.starts_with('\n');
+    const bool continues = line.starts_with(' ') || line.starts_with('\t');
     line = trimmed(line);
-    if (line.starts_with("HTTP/")) {
+    if (continues) {
+        continueHeader(line);
+    } else if (line.starts_with("HTTP/")) {
         m_headers.clear();
         const std::size_t space = std::min(line.find(' '), line.size());
         const std::string_view code = line.substr(std::min(space + 1, line.size()), 3);
         m_status = 0;
         std::from_chars(code.data(), code.data() + code.size(), m_status);
         m_malformed = m_status < 100 || m_status > 999;
-    } else if (line.empty()) {
+    } else if (isEnd) {
         finishHead();
     } else if (const std::size_t colon = line.find(':'); colon != std::string_view::npos) {
         m_headers.push_back({std::string(line.substr(0, colon)), std::string(trimmed(line.substr(colon + 1)))});
     }
 }
 
+void Transfer::continueHeader(std::string_view text)
+{
+    if (m_headers.empty()) {
+        m_malformed = true;
+    } else if (!text.empty()) {
+        m_headers.back().value += ' ';
+        m_headers.back().value += text;
+    }
+}
+
 void Transfer::finishHead()
 {
     if (m_status < 200) {
--- a/src/bamboomoor/http/internal/transfer.hpp
+++ b/src/bamboomoor/http/internal/transfer.hpp
@@ -97,6 +97,7 @@
     void setHeaders();
     void setLimits();
     void readHeaderLine(std::string_view line);
+    void continueHeader(std::string_view text);
     void finishHead();
     [[nodiscard]] EndKind judge(CURLcode code) const;
     [[nodiscard]] bool anyByteSent() const;
--- a/test/bamboomoor/http/client.cpp
+++ b/test/bamboomoor/http/client.cpp
@@ -82,6 +82,37 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_whose_upstream_stops_within_the_head_is_never_complete)
+{
+    const std::vector<std::string> answers{
+        "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Id: 7\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\nX-Id: 7\n\nok",
+        "HTTP/1.1 200 OK\r\nX-Id: 7\r\n \r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nX-Id: 7\r\n\t\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+    };
+    http::Client client;
+    for (const std::string &whole : answers) {
+        const bool isBare = whole.find("\n\n") != std::string::npos;
+        const std::size_t head = isBare ? whole.find("\n\n") + 2 : whole.rfind("\r\n\r\nok") + 4;
+        const bool isChunked = whole.find("chunked") != std::string::npos;
+        const std::size_t end = isChunked ? whole.find("\r\n\r\n2") + 4 : head;
+        RawServer server({}, Then::Close);
+        for (const Then then : {Then::Close, Then::Reset}) {
+            for (std::size_t n = 1; n < end; ++n) {
+                server.change(whole.substr(0, n), then);
+                const auto answer = send(client, callTo(server.url()));
+                BOOST_TEST_CONTEXT(whole.substr(0, n) << " -> " << http::END_KIND_NAMES.name(answer->await().kind))
+                {
+                    BOOST_TEST((answer->await().kind != EndKind::Complete));
+                    BOOST_TEST(answer->status() == 0);
+                }
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_call_that_waits_for_the_thread_beyond_its_start_timeout_is_not_sent)
 {
     /** @brief Holds the client's thread for a while. */
