Answer what a planned stop cannot finish, and reject what may outlast it (LOST)

Operators of systems like ours saw requests that came late in the grace of a planned stop taken, passed on and cut without a response.

From the signal on the relay rejects a request that may not be repeated if its deadline is later than the end of the drain, so that its caller goes elsewhere; after the notice any such request. 200 ms before the limit what is left gets a failure.

A stop of the relay's daemon at its limit is not tested with real processes.

--- a/src/bamboomoor/daemon/daemon.cpp
+++ b/src/bamboomoor/daemon/daemon.cpp
@@ -19,6 +19,8 @@
 using Json = nlohmann::json;
 
 constexpr base::Millis DRAIN_POLL{20};
+// The time before the end of a drain in which the requests that are left get a failure as their response.
+constexpr base::Millis FINAL_RESPONSES{200};
 constexpr int WARMING_LEASES = 2;
 // Entries learn of a quarantine within this time.
 constexpr base::Millis REPORT_INTERVAL{250};
@@ -209,9 +211,14 @@
     m_front.drain();
     std::this_thread::sleep_for(std::chrono::milliseconds(m_settings.entry.drainNotice.count));
     m_server.quiesce();
-    while (m_desk.inProgress() > 0 && m_clock.now() < limit) {
+    const base::Millis terminateAt = limit - FINAL_RESPONSES;
+    while (m_desk.inProgress() > 0 && m_clock.now() < terminateAt) {
         std::this_thread::sleep_for(std::chrono::milliseconds(DRAIN_POLL.count));
     }
+    if (m_desk.inProgress() > 0) {
+        LOG(WARNING) << "event=drain_limit terminated=" << m_desk.inProgress();
+        m_desk.stop();
+    }
     const bool whole = m_server.stop(std::max(limit - m_clock.now(), base::Millis{0}));
     LOG(INFO) << "event=drained whole=" << whole;
     return whole;
--- a/src/bamboomoor/gateway/entrydaemon.cpp
+++ b/src/bamboomoor/gateway/entrydaemon.cpp
@@ -16,6 +16,8 @@
 {
 
 constexpr base::Millis DRAIN_POLL{50};
+// The time before the end of a drain in which the requests that are left get a failure as their response.
+constexpr base::Millis FINAL_RESPONSES{200};
 // What the lines between entries and to upstreams add to the head of a caller's request.
 constexpr std::size_t FORWARD_HEADER_BYTES = 4'096;
 // Interval of the demand reports, on which placement is based.
@@ -184,13 +186,19 @@
 {
     m_log.write(base::LogLine("draining").add("open", static_cast<std::int64_t>(m_runner.inProgress())));
     const base::Millis limit = m_clock.now() + m_settings.entry.drainLimit;
+    const base::Millis terminateAt = std::max(limit - FINAL_RESPONSES, m_clock.now());
     m_draining = true;
+    m_runner.beginDrain(terminateAt);
     std::this_thread::sleep_for(std::chrono::milliseconds(m_settings.entry.drainNotice.count));
     m_runner.drain();
     m_server.quiesce();
-    while (m_runner.inProgress() > 0 && m_clock.now() < limit) {
+    while (m_runner.inProgress() > 0 && m_clock.now() < terminateAt) {
         std::this_thread::sleep_for(std::chrono::milliseconds(DRAIN_POLL.count));
     }
+    if (m_runner.inProgress() > 0) {
+        m_log.write(base::LogLine("drain_limit").add("terminated", static_cast<std::int64_t>(m_runner.inProgress())));
+        m_runner.stop();
+    }
     const bool answered = m_server.stop(std::max(limit - m_clock.now(), base::Millis{0}));
     const bool forwarded =
         m_settings.forwardListen.empty() || m_forwardServer.stop(std::max(limit - m_clock.now(), base::Millis{0}));
--- a/src/bamboomoor/gateway/relaythread.cpp
+++ b/src/bamboomoor/gateway/relaythread.cpp
@@ -154,6 +154,11 @@
     }
 }
 
+void RelayThread::beginDrain(base::Millis until)
+{
+    deliver(DrainBegun{until});
+}
+
 void RelayThread::drain()
 {
     deliver(Draining{});
@@ -316,6 +321,11 @@
     m_core.setPeers(now, std::move(event.news.peers), event.news.quarantine.term);
 }
 
+void RelayThread::on(base::Millis /*now*/, DrainBegun &event)
+{
+    m_core.beginDrain(event.until);
+}
+
 void RelayThread::on(base::Millis /*now*/, Draining & /*event*/)
 {
     m_core.drain();
--- a/src/bamboomoor/gateway/relaythread.hpp
+++ b/src/bamboomoor/gateway/relaythread.hpp
@@ -95,6 +95,9 @@
 
     void handle(http::Request request, std::shared_ptr<http::Responder> responder) override;
 
+    /** @brief Begins a shutdown. @param until When requests in progress are terminated. */
+    void beginDrain(base::Millis until);
+
     /** @brief Rejects further streams, because the entry is about to stop. */
     void drain();
 
@@ -173,6 +176,9 @@
     };
     struct TableChanged {
     };
+    struct DrainBegun {
+        base::Millis until;
+    };
     struct Draining {
     };
     struct News {
@@ -186,7 +192,7 @@
         int calls = 0;
         std::optional<peer::wire::OriginReply> reply;
     };
-    using Event = std::variant<Arrived, CallerGone, Head, Data, Ended, BudgetReplied, TableChanged, News,
+    using Event = std::variant<Arrived, CallerGone, Head, Data, Ended, BudgetReplied, TableChanged, News, DrainBegun,
         Draining, OriginReplied>;
     class AttemptListener;
 
@@ -199,6 +205,7 @@
     void on(base::Millis now, BudgetReplied &event);
     void on(base::Millis now, TableChanged &event);
     void on(base::Millis now, News &event);
+    void on(base::Millis now, DrainBegun &event);
     void on(base::Millis now, Draining &event);
     void on(base::Millis now, OriginReplied &event);
     void askOrigin(std::uint64_t exchange, const relay::OriginQuery &query, int calls);
--- a/src/bamboomoor/relay/core.cpp
+++ b/src/bamboomoor/relay/core.cpp
@@ -93,13 +93,23 @@
         giveUp(now, exchange, Reason::UnknownRoute, {});
         return;
     }
-    if (m_draining && isStream(exchange)) {
+    if (outlastsDrain(now, exchange)) {
         giveUp(now, exchange, Reason::Stopping, m_options.defaultRetryDelay);
         return;
     }
     admit(now, exchange);
 }
 
+bool Core::outlastsDrain(base::Millis now, const Exchange &exchange) const
+{
+    if (m_draining && isStream(exchange)) {
+        return true;
+    }
+    const config::Relay &route = *exchange.route;
+    const base::Millis deadline = now + std::min(route.timeout, exchange.request.timeout.value_or(route.timeout));
+    return deadline > m_drainUntil && (m_draining || !isRepeatable(exchange));
+}
+
 void Core::admit(base::Millis now, Exchange &exchange)
 {
     const config::Relay &route = *exchange.route;
--- a/src/bamboomoor/relay/core.hpp
+++ b/src/bamboomoor/relay/core.hpp
@@ -426,7 +426,14 @@
     /** @brief Processes expired timers and queued requests. @param now The current time. */
     void tick(base::Millis now);
 
-    /** @brief Starts draining: rejects new streams, which the shutdown would abort; other requests are still served. */
+    /** @brief Begins a shutdown: rejects requests that may not be repeated and may last longer than the entry. @param
+     * until When requests in progress are terminated. */
+    void beginDrain(base::Millis until) noexcept
+    {
+        m_drainUntil = until;
+    }
+
+    /** @brief Rejects all further streams too, and whatever may last longer than the entry. */
     void drain() noexcept
     {
         m_draining = true;
@@ -515,6 +522,7 @@
     };
 
     void admit(base::Millis now, Exchange &exchange);
+    [[nodiscard]] bool outlastsDrain(base::Millis now, const Exchange &exchange) const;
     void onAdmission(base::Millis now, const budget::Admission &admission);
     // Dispatches an admitted request, or has the origin of its stream resolved first.
     void begin(base::Millis now, Exchange &exchange);
@@ -602,6 +610,8 @@
     std::set<std::pair<base::Millis, std::uint64_t>> m_checks;
     std::uint64_t m_lastAttempt = 0;
     bool m_draining = false;
+    // When a shutdown terminates requests; base::NEVER before it begins.
+    base::Millis m_drainUntil = base::NEVER;
     bool m_urgent = false;
     // Empty queues are removed.
     std::map<QueueKey, admission::FairQueue> m_queues;
--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -1303,6 +1303,34 @@
     BOOST_TEST(core.inProgress() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(a_request_that_may_last_longer_than_the_stopping_entry_is_rejected_and_not_cut)
+{
+    core.beginDrain(now + base::Millis{7'400});
+    arrive(1, "/once/x");
+    arrive(2, "/stream/x");
+    arrive(3, "/again/x");
+    arrive(4, "/resume/x");
+    for (const std::uint64_t it : {1, 2}) {
+        BOOST_TEST(world.callers[it].refusedNotRun);
+        BOOST_TEST((world.callers[it].reason == relay::Reason::Stopping));
+        BOOST_TEST(world.callers[it].retryAfter.count > 0);
+    }
+    BOOST_TEST(world.sent.size() == 2U);
+    core.drain();
+    arrive(5, "/again/x");
+    BOOST_TEST(world.callers[5].refusedNotRun);
+    BOOST_TEST(world.sent.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_ends_before_the_stopping_entry_is_served)
+{
+    core.beginDrain(now + base::Millis{8'000});
+    core.drain();
+    arrive(1, "/once/x");
+    answer(last(), head(OK), "body");
+    BOOST_TEST(world.callers[1].whole);
+}
+
 BOOST_AUTO_TEST_CASE(the_timeout_is_answered_at_once_and_ends_the_attempt)
 {
     arrive(1, "/once/x");
--- a/test/system/fleet.sh
+++ b/test/system/fleet.sh
@@ -65,7 +65,7 @@
             address=VOTER_PEER_$v
             printf '[[voter]]\nname = "vm%d"\naddress = "%s"\n' "$v" "${!address:-$(peer "$v")}"
         done
-        printf '[entry]\ndrain_notice_ms = 300\ndrain_limit_ms = 20000\nthreads = 2\n'
+        printf '[entry]\ndrain_notice_ms = 300\ndrain_limit_ms = %s\nthreads = 2\n' "${DRAIN_LIMIT_MS:-20000}"
         printf '[upstreams]\nprogress_timeout_ms = %s\n' "${PROGRESS_TIMEOUT_MS:-3000}"
         printf '%s\n' "${EXTRA_SETTINGS:-}"
     } >"$FLEET_DIR/vm$n.toml"
