Check the software version again where the address of an upstream is looked up (ORDER)

Found in review: the product's own path listed the candidates of one version, then looked up the address of the chosen one. An upstream that started anew in between, with another version, would have got the rest of a stream.

--- a/src/bamboomoor/entry/attempt.cpp
+++ b/src/bamboomoor/entry/attempt.cpp
@@ -177,7 +177,9 @@
     }
     const auto place =
         choice.kind == routing::ChoiceKind::Chosen ? m_context.upstreams.placeOf(now, choice.upstream) : std::nullopt;
-    if (!place) {
+    // It may have started anew since the candidates were listed.
+    const bool isOtherVersion = place && exchange.software && place->software != *exchange.software;
+    if (!place || isOtherVersion) {
         m_router.cancelled(choice.attempt);
         m_context.metrics.gaveUp(routing::GIVE_UP_REASON_NAMES.name(routing::GiveUpReason::NoUpstream));
         giveUp(exchange, exchange.delivery.giveUp(), "no upstream serves this at present");
