--- a/src/bamboomoor/gateway/residencythread.cpp
+++ b/src/bamboomoor/gateway/residencythread.cpp
@@ -360,10 +360,12 @@
 
 void ResidencyThread::answerOrigins(const std::vector<lineage::Answer> &answers)
 {
+    const bool isSettled = m_context.clock.now() - m_leadingSince >= m_options.originSettling;
     for (const lineage::Answer &it : answers) {
         auto node = m_originAnswers.extract(it.number);
         peer::wire::OriginReply reply;
-        reply.set_served(true);
+        reply.set_served(it.software || isSettled);
+        reply.set_leader(m_context.voter.status().leader);
         reply.set_known(it.software.has_value());
         reply.set_software(it.software.value_or(std::string()));
         node.mapped()(std::move(reply));
@@ -551,6 +553,7 @@
     // Results of an earlier term are not waited for.
     m_suspects = control::SuspectTracker(m_options.suspects);
     abandonOrigins();
+    m_leadingSince = m_context.clock.now();
     m_software.begin(m_context.clock.now(), event.software);
     m_permits = standing::PermitAuthority(m_options.permits);
     m_rooms = standing::RoomAuthority(m_context.clock.now(), event.term);
--- a/src/bamboomoor/gateway/residencythread.hpp
+++ b/src/bamboomoor/gateway/residencythread.hpp
@@ -67,6 +67,8 @@
     // Maximum age of the last quorum confirmation of the leadership when an order is sent; below the election timeout,
     // after which another voter may have become leader.
     base::Millis leadershipMaxAge{600};
+    // The entries have repeated their streams to a new leader after this time; an unknown origin is not final before.
+    base::Millis originSettling{1'000};
 };
 
 /** @brief Dependencies of the residency thread; all must outlive it. */
@@ -221,6 +223,8 @@
     // The answers to held questions, by number.
     std::map<std::uint64_t, peer::Answer<peer::wire::OriginReply>> m_originAnswers;
     std::uint64_t m_lastQuestion = 0;
+    // When this leadership began.
+    base::Millis m_leadingSince;
     PlanReply m_planReply;
     DecisionSchedule m_schedule;
     control::SuspectTracker m_suspects;
--- a/src/bamboomoor/relay/attempts.cpp
+++ b/src/bamboomoor/relay/attempts.cpp
@@ -22,6 +22,10 @@
 constexpr std::int64_t PERCENT = 100;
 // A first event that takes longer than this many inter-event objectives indicates an overloaded engine.
 constexpr std::int64_t FIRST_EVENT_PAUSES = 3;
+// Callers give up a stream after a gap of the longest of these: a time, objectives, and inter-event objectives.
+constexpr base::Millis MIN_EVENT_PATIENCE{2'000};
+constexpr std::int64_t PATIENCE_OBJECTIVES = 4;
+constexpr std::int64_t PATIENCE_PAUSES = 8;
 // Number of distinct retry times over which callers of a closed upstream are spread.
 constexpr std::int64_t RETRY_SPREAD_STEPS = 16;
 
@@ -142,18 +146,29 @@
     return std::max({wait, m_fleet.nextReplicaIn(now, exchange.requirements), m_options.minBusyRetryDelay});
 }
 
+base::Millis Core::resumePatience(const Exchange &exchange)
+{
+    const config::Relay &route = *exchange.route;
+    return std::max(
+        {MIN_EVENT_PATIENCE, route.objective * PATIENCE_OBJECTIVES, route.pauseObjective * PATIENCE_PAUSES});
+}
+
 base::Millis Core::queueTimeout(base::Millis now, const Exchange &exchange) const
 {
+    if (exchange.headSent) {
+        return exchange.deadline - now;
+    }
     // The caller of a resumed stream has its first event already.
-    const base::Millis until = exchange.headSent || (isResumable(exchange) && !exchange.request.lastEventId.empty())
-        ? exchange.deadline
-        : exchange.arrivedAt + exchange.route->objective * m_options.queuePercent / PERCENT;
-    return std::min(exchange.deadline, until) - now;
+    const bool isResumed = isResumable(exchange) && !exchange.request.lastEventId.empty();
+    const base::Millis patience =
+        isResumed ? resumePatience(exchange) : exchange.route->objective * m_options.queuePercent / PERCENT;
+    return std::min(exchange.deadline, exchange.arrivedAt + patience) - now;
 }
 
 Core::QueueKey Core::queueOf(const Exchange &exchange)
 {
-    return {exchange.service, exchange.requirements.holding, exchange.requirements.software};
+    return {exchange.service, exchange.requirements.holding, exchange.requirements.software,
+        exchange.requirements.recordedSoftware};
 }
 
 Requirements Core::requirementsOf(const QueueKey &key)
@@ -162,6 +177,7 @@
     common.service = key.service;
     common.holding = key.holding;
     common.software = key.software;
+    common.recordedSoftware = key.recordedSoftware;
     return common;
 }
 
@@ -223,6 +239,10 @@
     for (const auto &[key, queue] : m_queues) {
         keys.push_back(key);
     }
+    // Interrupted streams first: few upstreams may go on with them, and their callers have waited already.
+    std::stable_partition(keys.begin(), keys.end(), [](const QueueKey &it) {
+        return it.software.has_value();
+    });
     for (const QueueKey &key : keys) {
         const Requirements common = requirementsOf(key);
         // Bounds the attempts to one for each queued request, as a dispatched request may be queued again.
--- a/src/bamboomoor/relay/core.cpp
+++ b/src/bamboomoor/relay/core.cpp
@@ -198,7 +198,7 @@
 void Core::begin(base::Millis now, Exchange &exchange)
 {
     const Request &request = exchange.request;
-    if (!isResumable(exchange) || request.lastEventId.empty()) {
+    if (!isStream(exchange) || request.lastEventId.empty()) {
         dispatch(now, exchange);
         return;
     }
@@ -382,7 +382,7 @@
 {
     const base::Millis look = m_checks.empty() ? base::NEVER : m_checks.begin()->first;
     const base::Millis queue = m_queues.empty() ? base::NEVER : now + QUEUE_TICK;
-    return std::min({look, queue, m_byReservation.empty() ? base::NEVER : now + BUDGET_TICK});
+    return std::min({look, queue, m_journal.dueAt(), m_byReservation.empty() ? base::NEVER : now + BUDGET_TICK});
 }
 
 void Core::scheduleCheck(Exchange &exchange, base::Millis at)
--- a/src/bamboomoor/relay/core.hpp
+++ b/src/bamboomoor/relay/core.hpp
@@ -460,6 +460,7 @@
         std::string service;
         std::string holding;
         std::optional<std::string> software;
+        bool recordedSoftware = false;
 
         friend auto operator<=>(const QueueKey &, const QueueKey &) = default;
     };
@@ -559,6 +560,8 @@
     [[nodiscard]] base::Millis loadRetryDelay(base::Millis now, const Exchange &exchange) const;
     [[nodiscard]] base::Millis closedRetryDelay(base::Millis now, const Exchange &exchange) const;
     [[nodiscard]] base::Millis busyRetryDelay(base::Millis now, const Exchange &exchange, base::Millis wait) const;
+    // How long the caller of a resumed stream waits for its next event.
+    [[nodiscard]] static base::Millis resumePatience(const Exchange &exchange);
     [[nodiscard]] base::Millis queueTimeout(base::Millis now, const Exchange &exchange) const;
     [[nodiscard]] std::optional<base::Millis> quarantinedFor(base::Millis now, const Exchange &exchange) const;
     void enforceQuarantine(base::Millis now, const std::vector<quarantine::Finding> &findings, bool byLeader);
--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -223,12 +223,13 @@
         core.setWorkers(workers);
     }
 
-    void resume(std::uint64_t id, const std::string &stream, const std::string &model = {})
+    void resume(std::uint64_t id, const std::string &stream, const std::string &model = {},
+        const std::string &path = "/resume/x")
     {
         relay::Request request;
         request.id = "r" + std::to_string(id);
         request.host = "h";
-        request.path = "/resume/x";
+        request.path = path;
         request.timeout = base::Millis{8'000};
         request.lastEventId = "4";
         request.resumedId = stream;
@@ -1215,6 +1216,16 @@
     BOOST_TEST(world.sent.back().upstream == "w1");
 }
 
+BOOST_AUTO_TEST_CASE(a_stream_whose_route_allows_no_resumption_any_more_waits_for_its_software_version)
+{
+    setVersions({"v1", "v2"});
+    resume(1, "s", {}, "/stream/x");
+    BOOST_TEST(world.sent.empty());
+    core.onOriginResolved(now, 1, relay::OriginVerdict::Known, "v2");
+    BOOST_REQUIRE(world.sent.size() == 1U);
+    BOOST_TEST(world.sent.back().upstream == "w2");
+}
+
 BOOST_AUTO_TEST_CASE(a_stream_of_unknown_software_version_is_rejected_at_once)
 {
     setVersions({"v1", "v2"});
