--- a/review/src/harness.hpp
+++ b/review/src/harness.hpp
@@ -24,6 +24,7 @@
 #include <sstream>
 #include <string>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -446,6 +447,8 @@
     {
         m_pid = fork();
         if (m_pid == 0) {
+            // No process outlives the script, however that ends.
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int out = open(m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
             dup2(out, 1);
             dup2(out, 2);
@@ -502,8 +505,9 @@
     Deployment(std::string program, int controls, int entries)
         : m_program(std::move(program))
     {
-        char folder[] = "/tmp/review.XXXXXX";
-        m_folder = mkdtemp(folder);
+        // run.sh makes the folder, and removes it.
+        const char *folder = std::getenv("REVIEW_FOLDER");
+        m_folder = folder == nullptr ? "/tmp" : folder;
         // Rarely used addresses, and ports that are free at all of them.
         m_net = "127." + std::to_string(20 + randomNumber() % 200) + '.' + std::to_string(randomNumber() % 250) + '.';
         m_port = static_cast<int>(20'000 + randomNumber() % 8'000);
@@ -549,12 +553,6 @@
         for (const auto &it : m_processes) {
             it->end();
         }
-        if (std::getenv("KEEP") == nullptr) {
-            const std::string command = "rm -rf " + m_folder;
-            if (std::system(command.c_str()) != 0) {
-                std::fprintf(stderr, "%s is left\n", m_folder.c_str());
-            }
-        }
     }
 
     [[nodiscard]] const std::vector<std::string> &controls() const
