--- a/src/bamboomoor/base/fwd.hpp
+++ b/src/bamboomoor/base/fwd.hpp
@@ -9,6 +9,7 @@
 class Clock;
 class SteadyClock;
 class ManualClock;
+class SharedBytes;
 template<class Item>
 class Ring;
 template<class Enum, unsigned long Size>
--- a/src/bamboomoor/consensus/follower.cpp
+++ b/src/bamboomoor/consensus/follower.cpp
@@ -91,15 +91,17 @@
         replyProgress(from, install.index, install.round);
         return;
     }
-    if (!m_incoming || m_incoming->index != install.index) {
-        m_incoming =
-            Snapshot{install.index, install.snapshotTerm, std::move(install.voters), std::move(install.learners), {}};
+    if (!m_incoming || m_incoming->snapshot.index != install.index) {
+        m_incoming.emplace();
+        m_incoming->snapshot = {
+            install.index, install.snapshotTerm, std::move(install.voters), std::move(install.learners), {}};
     }
     std::string &data = m_incoming->data;
     if (install.offset == data.size()) {
         data += install.data;
         if (install.done) {
-            installSnapshot(std::move(*m_incoming));
+            m_incoming->snapshot.data = std::move(data);
+            installSnapshot(std::move(m_incoming->snapshot));
             m_incoming.reset();
             replyProgress(from, install.index, install.round);
             return;
--- a/src/bamboomoor/consensus/inputs.hpp
+++ b/src/bamboomoor/consensus/inputs.hpp
@@ -17,7 +17,7 @@
 /** @brief Requests that a command be appended. */
 struct Propose {
     std::uint64_t requestId = 0;
-    std::string payload;
+    base::SharedBytes payload;
     // If set, the proposal is rejected in any other term.
     std::optional<std::uint64_t> expectedTerm;
 };
@@ -48,7 +48,7 @@
 /** @brief Provides the state machine's contents after the applied entry `index` for a snapshot. */
 struct Compact {
     std::uint64_t index = 0;
-    std::string data;
+    base::SharedBytes data;
 };
 
 /** @brief Requests a leadership transfer to a voter whose log is complete. */
@@ -92,6 +92,8 @@
     NotLeader,
     TermChanged,
     Overloaded,
+    // The log has reached its limit, and waits for a snapshot.
+    LogFull,
     ChangeInProgress,
     InvalidChange,
     NotCaughtUp,
@@ -100,7 +102,7 @@
 
 /** @brief Names of the rejection reasons. */
 inline constexpr auto REJECT_REASON_NAMES = base::makeNames<RejectReason>("none", "not-leader", "term-changed",
-    "overloaded", "change-in-progress", "invalid-change", "not-caught-up", "transferring");
+    "overloaded", "log-full", "change-in-progress", "invalid-change", "not-caught-up", "transferring");
 
 /** @brief Result of a Propose or ProposeVoters. */
 struct ProposalResult {
--- a/src/bamboomoor/consensus/leader.cpp
+++ b/src/bamboomoor/consensus/leader.cpp
@@ -36,6 +36,8 @@
         rejectProposal(input.requestId, RejectReason::TermChanged);
     } else if (m_pendingBytes + input.payload.size() > m_options.maxPendingBytes) {
         rejectProposal(input.requestId, RejectReason::Overloaded);
+    } else if (m_log.bytes() > m_options.maxLogBytes) {
+        rejectProposal(input.requestId, RejectReason::LogFull);
     } else {
         const std::uint64_t index = m_log.lastIndex() + 1;
         m_proposals[index] = {input.requestId, input.payload.size()};
@@ -191,7 +193,9 @@
     const std::uint64_t ceiling = std::min(m_log.lastIndex(), progress.match + m_options.maxInflightEntries);
     bool more = true;
     while (more) {
-        const bool hasEntries = progress.next <= ceiling && !progress.paused;
+        const bool isWindowFull = progress.mode == internal::SendMode::Replicate
+            && m_log.bytesBetween(progress.match, progress.next - 1) >= m_options.maxInflightBytes;
+        const bool hasEntries = progress.next <= ceiling && !progress.paused && !isWindowFull;
         if (!hasEntries && !always) {
             return;
         }
@@ -224,7 +228,7 @@
     install.voters = snapshot.voters;
     install.learners = snapshot.learners;
     install.offset = progress.offset;
-    install.data = snapshot.data.substr(progress.offset, m_options.maxBatchBytes);
+    install.data = snapshot.data.str().substr(progress.offset, m_options.maxBatchBytes);
     install.done = install.offset + install.data.size() == snapshot.data.size();
     install.round = m_round;
     install.toLearner = !isVoter(to);
--- a/src/bamboomoor/consensus/log.cpp
+++ b/src/bamboomoor/consensus/log.cpp
@@ -15,6 +15,28 @@
     m_baseIndex = index;
     m_baseTerm = term;
     m_entries.clear();
+    m_baseEnd = 0;
+    m_ends.clear();
+}
+
+std::size_t Log::endOf(std::uint64_t index) const noexcept
+{
+    return index <= m_baseIndex ? m_baseEnd : m_ends[index - m_baseIndex - 1];
+}
+
+std::size_t Log::bytesBetween(std::uint64_t after, std::uint64_t to) const noexcept
+{
+    assert(to <= lastIndex());
+    return after < to ? endOf(to) - endOf(after) : 0;
+}
+
+std::uint64_t Log::keptFrom(std::uint64_t index, std::uint64_t maxEntries, std::size_t maxBytes) const noexcept
+{
+    std::uint64_t base = index;
+    while (base > m_baseIndex && index - base < maxEntries && bytesBetween(base - 1, index) <= maxBytes) {
+        --base;
+    }
+    return base;
 }
 
 std::optional<std::uint64_t> Log::termAt(std::uint64_t index) const noexcept
@@ -38,6 +60,7 @@
 {
     assert(entry.index == lastIndex() + 1);
     assert(entry.term >= lastTerm());
+    m_ends.push_back(endOf(lastIndex()) + footprint(entry));
     m_entries.push_back(std::move(entry));
 }
 
@@ -46,6 +69,7 @@
     assert(index > m_baseIndex);
     if (index <= lastIndex()) {
         m_entries.resize(index - m_baseIndex - 1);
+        m_ends.resize(m_entries.size());
     }
 }
 
@@ -56,7 +80,10 @@
     }
     assert(index <= lastIndex());
     m_baseTerm = at(index).term;
-    m_entries.erase(m_entries.begin(), m_entries.begin() + static_cast<std::ptrdiff_t>(index - m_baseIndex));
+    const auto count = static_cast<std::ptrdiff_t>(index - m_baseIndex);
+    m_baseEnd = endOf(index);
+    m_entries.erase(m_entries.begin(), m_entries.begin() + count);
+    m_ends.erase(m_ends.begin(), m_ends.begin() + count);
     m_baseIndex = index;
 }
 
--- a/src/bamboomoor/consensus/log.hpp
+++ b/src/bamboomoor/consensus/log.hpp
@@ -49,6 +49,33 @@
         return m_entries.empty() ? m_baseTerm : m_entries.back().term;
     }
 
+    /**
+     * @brief Returns the size of the log.
+     * @return Bytes of all entries in memory, as footprint() counts them.
+     */
+    [[nodiscard]] std::size_t bytes() const noexcept
+    {
+        return m_ends.empty() ? 0 : m_ends.back() - m_baseEnd;
+    }
+
+    /**
+     * @brief Returns the size of a run of entries.
+     * @param after Index before the first entry; entries below the base do not count.
+     * @param to Index of the last entry, at most lastIndex().
+     * @return Bytes of the entries, as footprint() counts them.
+     */
+    [[nodiscard]] std::size_t bytesBetween(std::uint64_t after, std::uint64_t to) const noexcept;
+
+    /**
+     * @brief Chooses a new base that keeps some entries up to an index.
+     * @param index Index of an entry in memory, or the base.
+     * @param maxEntries Maximum number of entries to keep.
+     * @param maxBytes Maximum bytes of entries to keep.
+     * @return The new base; at least the present one, and at most `index`.
+     */
+    [[nodiscard]] std::uint64_t keptFrom(
+        std::uint64_t index, std::uint64_t maxEntries, std::size_t maxBytes) const noexcept;
+
     /**
      * @brief Looks up the term of an entry.
      * @param index Any index.
@@ -106,10 +133,15 @@
     [[nodiscard]] std::uint64_t lastAtMost(std::uint64_t term, std::uint64_t index) const;
 
 private:
+    [[nodiscard]] std::size_t endOf(std::uint64_t index) const noexcept;
+
     std::uint64_t m_baseIndex = 0;
     std::uint64_t m_baseTerm = 0;
     // m_entries[n] has index m_baseIndex + 1 + n; terms never decrease.
     std::deque<Entry> m_entries;
+    // Bytes of all entries ever appended after the last reset, up to the base and to each entry.
+    std::size_t m_baseEnd = 0;
+    std::deque<std::size_t> m_ends;
 };
 
 } // namespace bamboomoor::consensus::internal
--- a/src/bamboomoor/consensus/membership.cpp
+++ b/src/bamboomoor/consensus/membership.cpp
@@ -107,7 +107,7 @@
 void Node::recordMembership(const Entry &entry)
 {
     if (entry.kind == EntryKind::Voters) {
-        m_memberships[entry.index] = decodeMembership(entry.payload);
+        m_memberships[entry.index] = decodeMembership(entry.payload.str());
     }
 }
 
--- a/src/bamboomoor/consensus/node.cpp
+++ b/src/bamboomoor/consensus/node.cpp
@@ -190,9 +190,7 @@
         input.index, m_log.termAt(input.index).value(), membership.voters, membership.learners, std::move(input.data)};
     m_snapshot = std::make_shared<const Snapshot>(snapshot);
     m_snapshotToPersist = std::move(snapshot);
-    if (input.index > m_options.keptEntries) {
-        m_log.compactTo(input.index - m_options.keptEntries);
-    }
+    m_log.compactTo(m_log.keptFrom(input.index, m_options.keptEntries, m_options.keptBytes));
     // The newest membership up to the snapshot is kept as the snapshot's membership.
     const Membership kept = membership;
     m_memberships.erase(m_memberships.begin(), m_memberships.upper_bound(input.index));
--- a/src/bamboomoor/consensus/node.hpp
+++ b/src/bamboomoor/consensus/node.hpp
@@ -89,6 +89,15 @@
         return m_log.lastIndex();
     }
 
+    /**
+     * @brief Returns the size of the log in memory.
+     * @return Bytes of all entries that are not compacted.
+     */
+    [[nodiscard]] std::size_t logBytes() const noexcept
+    {
+        return m_log.bytes();
+    }
+
     /**
      * @brief Returns the newest membership in the log, committed or not.
      * @return Reference that is valid until the next step.
@@ -148,6 +157,11 @@
         // First heartbeat round that began after the request.
         std::uint64_t round = 0;
     };
+    struct IncomingSnapshot {
+        // Without its data.
+        Snapshot snapshot;
+        std::string data;
+    };
     struct SentRound {
         std::uint64_t round = 0;
         base::Millis sentAt;
@@ -274,7 +288,7 @@
     // Sequence of the Persist after which a candidate's vote for itself counts.
     std::uint64_t m_campaignSequence = 0;
     // Partially received snapshot from this term's leader.
-    std::optional<Snapshot> m_incoming;
+    std::optional<IncomingSnapshot> m_incoming;
 
     // The fields below are valid on a leader only.
     std::map<VoterId, internal::Progress> m_progress;
--- a/src/bamboomoor/consensus/types.hpp
+++ b/src/bamboomoor/consensus/types.hpp
@@ -5,6 +5,7 @@
 
 #include "bamboomoor/base/clock.hpp"
 #include "bamboomoor/base/nametable.hpp"
+#include "bamboomoor/base/sharedbytes.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -17,6 +18,9 @@
 /** @brief Identity of one member of the group; not empty, without line feeds, never reused for another disk. */
 using VoterId = std::string;
 
+// Maximum bytes of one proposal, and of all proposals that are not committed yet; larger ones never enter the log.
+inline constexpr std::size_t MAX_PROPOSAL_BYTES = 8UL * 1024 * 1024;
+
 // Separates the unique part of an id from the address of its disk, as in "4f1c@10.0.0.1:7600".
 inline constexpr char ADDRESS_MARK = '@';
 
@@ -44,11 +48,21 @@
     std::uint64_t term = 0;
     EntryKind kind = EntryKind::Noop;
     // Opaque for a Command; an encoded Membership for Voters.
-    std::string payload;
+    base::SharedBytes payload;
 
     friend bool operator==(const Entry &, const Entry &) = default;
 };
 
+/**
+ * @brief Computes the memory that an entry occupies.
+ * @param entry The entry.
+ * @return Size in bytes, with its payload.
+ */
+[[nodiscard]] inline std::size_t footprint(const Entry &entry) noexcept
+{
+    return sizeof(Entry) + entry.payload.size();
+}
+
 /** @brief Election state that must survive restarts. */
 struct HardState {
     std::uint64_t term = 0;
@@ -74,7 +88,7 @@
     std::uint64_t term = 0;
     std::vector<VoterId> voters;
     std::vector<VoterId> learners;
-    std::string data;
+    base::SharedBytes data;
 
     friend bool operator==(const Snapshot &, const Snapshot &) = default;
 };
@@ -90,11 +104,16 @@
     // Maximum payload bytes of one message; a larger entry is sent on its own.
     std::size_t maxBatchBytes = 256UL * 1024;
     // Maximum payload bytes of uncommitted proposals; further ones are rejected.
-    std::size_t maxPendingBytes = 16UL * 1024 * 1024;
-    // Maximum entries sent to one peer ahead of its acknowledgement.
+    std::size_t maxPendingBytes = MAX_PROPOSAL_BYTES;
+    // Maximum entries, and bytes of entries, sent to one peer ahead of its acknowledgement; one entry is always sent.
     std::uint64_t maxInflightEntries = 4096;
-    // Entries kept in memory below a snapshot, so that slightly lagging members need no snapshot.
+    std::size_t maxInflightBytes = 4UL * 1024 * 1024;
+    // Maximum entries, and bytes of entries, kept in memory below a snapshot, so that slightly lagging members need no
+    // snapshot.
     std::uint64_t keptEntries = 1024;
+    std::size_t keptBytes = 4UL * 1024 * 1024;
+    // A leader whose log in memory is larger, in bytes, rejects proposals until a snapshot has replaced entries.
+    std::size_t maxLogBytes = 32UL * 1024 * 1024;
     // Members of a new group; the same on all of them.
     std::vector<VoterId> initialVoters;
     // Whether an initial voter with an empty disk may bootstrap the group.
--- a/src/bamboomoor/control/consensuswire.cpp
+++ b/src/bamboomoor/control/consensuswire.cpp
@@ -42,7 +42,7 @@
         entry->set_index(it.index);
         entry->set_term(it.term);
         entry->set_kind(static_cast<std::uint32_t>(it.kind));
-        entry->set_payload(it.payload);
+        entry->set_payload(it.payload.str());
     }
 }
 
--- a/src/bamboomoor/control/logwriter.cpp
+++ b/src/bamboomoor/control/logwriter.cpp
@@ -26,7 +26,7 @@
 {
     std::size_t bytes = 0;
     for (const consensus::Entry &it : data.entries) {
-        bytes += sizeof(consensus::Entry) + it.payload.size();
+        bytes += consensus::footprint(it);
     }
     return bytes;
 }
--- a/src/bamboomoor/control/voterthread.cpp
+++ b/src/bamboomoor/control/voterthread.cpp
@@ -3,6 +3,7 @@
  */
 #include "bamboomoor/control/voterthread.hpp"
 #include "bamboomoor/base/overloaded.hpp"
+#include "bamboomoor/base/processmemory.hpp"
 #include "bamboomoor/control/consensuswire.hpp"
 
 #include <glog/logging.h>
@@ -25,7 +26,7 @@
     if (entry.kind != consensus::EntryKind::Command) {
         return false;
     }
-    const auto command = state::decode(entry.payload);
+    const auto command = state::decode(entry.payload.str());
     return command.has_value()
         && (std::holds_alternative<state::ApplyConfig>(command.value())
             || std::holds_alternative<state::ReplaceConfig>(command.value())
@@ -67,6 +68,7 @@
 
 base::Result<void, std::string> VoterThread::start()
 {
+    const base::Millis began = m_clock.now();
     auto folder = m_options.openFolder(m_options.folder);
     if (!folder) {
         return base::failure(storage::describe(folder.error()));
@@ -86,9 +88,10 @@
         m_writeError = storage::describe(*opened.value().deferred);
     }
     consensus::RecoveredState recovered = std::move(opened.value().recovered);
+    const std::size_t snapshotBytes = recovered.snapshot.data.size();
     m_machine = std::make_unique<state::Machine>();
     if (recovered.snapshot.index > 0) {
-        auto restored = state::Machine::restore(recovered.snapshot.data);
+        auto restored = state::Machine::restore(recovered.snapshot.data.str());
         if (!restored) {
             return base::failure(
                 "cannot restore the snapshot in " + m_options.folder + ": " + restored.error().message);
@@ -102,6 +105,9 @@
         m_tail[it.index] = touchesConfiguration(it);
     }
     m_node = std::make_unique<consensus::Node>(m_options.node, std::move(recovered));
+    LOG(INFO) << "event=log_recovered snapshot_bytes=" << snapshotBytes
+              << " log_entries=" << m_node->lastIndex() - m_applied << " log_bytes=" << m_node->logBytes()
+              << " resident_bytes=" << base::residentBytes() << " took_ms=" << (m_clock.now() - began).count;
     publishStatus();
     m_writer = std::make_unique<LogWriter>(*m_store, m_clock, *this);
     if (m_recovering) {
@@ -128,16 +134,55 @@
     }
 }
 
+std::size_t VoterThread::payloadBytes(const Job &job)
+{
+    if (const auto *proposal = std::get_if<ProposeJob>(&job)) {
+        return proposal->payload.size();
+    }
+    const auto *message = std::get_if<consensus::Message>(&job);
+    std::size_t bytes = 0;
+    if (message != nullptr) {
+        if (const auto *append = std::get_if<consensus::Append>(&message->body)) {
+            for (const consensus::Entry &it : append->entries) {
+                bytes += it.payload.size();
+            }
+        } else if (const auto *install = std::get_if<consensus::InstallSnapshot>(&message->body)) {
+            bytes = install->data.size();
+        }
+    }
+    return bytes;
+}
+
+bool VoterThread::push(Job &&job)
+{
+    const std::size_t bytes = payloadBytes(job);
+    const std::size_t before = m_queuedBytes.fetch_add(bytes);
+    if ((bytes > 0 && before > m_options.maxQueuedBytes) || !m_ring.push(std::move(job))) {
+        m_queuedBytes -= bytes;
+        return false;
+    }
+    return true;
+}
+
+std::optional<VoterThread::Job> VoterThread::pop(base::Millis timeout)
+{
+    auto job = m_ring.pop(timeout);
+    if (job) {
+        m_queuedBytes -= payloadBytes(*job);
+    }
+    return job;
+}
+
 void VoterThread::deliver(consensus::Message message)
 {
-    static_cast<void>(m_ring.push(Job(std::move(message))));
+    static_cast<void>(push(Job(std::move(message))));
 }
 
 void VoterThread::propose(
     std::string payload, std::optional<std::uint64_t> term, std::function<void(ProposalOutcome)> done)
 {
     Job job(ProposeJob{std::move(payload), term, std::move(done)});
-    if (!m_ring.push(std::move(job))) {
+    if (!push(std::move(job))) {
         refuse(std::move(job)); // NOLINT(bugprone-use-after-move): a rejected push does not move from the job.
     }
 }
@@ -145,7 +190,7 @@
 void VoterThread::changeVoters(consensus::ChangeKind change, std::string id, std::function<void(ProposalOutcome)> done)
 {
     Job job(VotersJob{change, std::move(id), std::move(done)});
-    if (!m_ring.push(std::move(job))) {
+    if (!push(std::move(job))) {
         refuse(std::move(job)); // NOLINT(bugprone-use-after-move): a rejected push does not move from the job.
     }
 }
@@ -153,7 +198,7 @@
 void VoterThread::read(std::function<void(const ReadOutcome &)> done)
 {
     Job job(ReadJob{std::move(done)});
-    if (!m_ring.push(std::move(job))) {
+    if (!push(std::move(job))) {
         refuse(std::move(job)); // NOLINT(bugprone-use-after-move): a rejected push does not move from the job.
     }
 }
@@ -161,7 +206,7 @@
 void VoterThread::reportLocalLog(std::function<void(const LocalLogReport &)> done)
 {
     Job job(LocalLogJob{std::move(done)});
-    if (!m_ring.push(std::move(job))) {
+    if (!push(std::move(job))) {
         refuse(std::move(job)); // NOLINT(bugprone-use-after-move): a rejected push does not move from the job.
     }
 }
@@ -185,7 +230,7 @@
 void VoterThread::awaitRecovery()
 {
     while (!m_stopping && m_recovering) {
-        auto job = m_ring.pop(MAX_WAIT);
+        auto job = pop(MAX_WAIT);
         if (!job) {
             continue;
         }
@@ -207,7 +252,7 @@
     awaitRecovery();
     while (!m_stopping && !m_failed) {
         const base::Millis deadline = std::max(m_node->nextDeadline(), m_clock.now());
-        auto job = m_ring.pop(std::clamp(deadline - m_clock.now(), base::Millis{0}, MAX_WAIT));
+        auto job = pop(std::clamp(deadline - m_clock.now(), base::Millis{0}, MAX_WAIT));
         const base::Millis woken = m_clock.now();
         const bool isDue = woken >= m_node->nextDeadline();
         std::vector<consensus::Input> inputs;
@@ -227,7 +272,7 @@
     }
     // Complete every pending job, proposal and read.
     m_ring.close();
-    while (auto job = m_ring.pop({0})) {
+    while (auto job = pop({0})) {
         refuse(*std::move(job));
     }
     for (auto &[id, done] : m_proposals) {
@@ -242,7 +287,7 @@
 {
     for (std::size_t queued = m_ring.size(); job; --queued) {
         takeJob(inputs, *std::move(job));
-        job = queued > 0 ? m_ring.pop({0}) : std::nullopt;
+        job = queued > 0 ? pop({0}) : std::nullopt;
     }
 }
 
@@ -274,6 +319,9 @@
                    },
                    [&](SnapshotMade &it) {
                        m_makingSnapshot = false;
+                       LOG(INFO) << "event=snapshot_made index=" << it.index << " snapshot_bytes=" << it.data.size()
+                                 << " log_bytes=" << m_node->logBytes() << " resident_bytes=" << base::residentBytes()
+                                 << " took_ms=" << it.took.count;
                        inputs.emplace_back(consensus::Compact{it.index, std::move(it.data)});
                    },
                },
@@ -334,7 +382,11 @@
         m_writeError.clear();
     }
     m_unsyncedBytes -= written.bytes;
-    m_isSnapshotUnsynced = m_isSnapshotUnsynced && !written.hasSnapshot;
+    if (written.hasSnapshot) {
+        m_isSnapshotUnsynced = false;
+        LOG(INFO) << "event=log_rewritten log_bytes=" << m_node->logBytes()
+                  << " resident_bytes=" << base::residentBytes() << " took_ms=" << written.took.count;
+    }
     inputs.emplace_back(consensus::PersistDone{written.sequence});
 }
 
@@ -393,7 +445,7 @@
 
 void VoterThread::install(const consensus::Snapshot &snapshot)
 {
-    auto restored = state::Machine::restore(snapshot.data);
+    auto restored = state::Machine::restore(snapshot.data.str());
     if (!restored) {
         fail("cannot restore the snapshot from the leader: " + restored.error().message);
         return;
@@ -401,6 +453,7 @@
     *m_machine = std::move(restored.value());
     m_applied = snapshot.index;
     m_compacted = snapshot.index;
+    m_appliedBytes = 0;
     m_tail.erase(m_tail.begin(), m_tail.upper_bound(m_applied));
 }
 
@@ -408,9 +461,10 @@
 {
     for (const consensus::Entry &it : entries) {
         if (it.kind == consensus::EntryKind::Command) {
-            m_outcomes[it.index] = m_machine->apply(it.index, it.payload);
+            m_outcomes[it.index] = m_machine->apply(it.index, it.payload.str());
         }
         m_applied = it.index;
+        m_appliedBytes += consensus::footprint(it);
     }
     m_tail.erase(m_tail.begin(), m_tail.upper_bound(m_applied));
     const std::uint64_t version = m_machine->configuration().current().version;
@@ -453,15 +507,20 @@
 
 void VoterThread::compactIfDue()
 {
+    const bool isDue =
+        m_applied >= m_compacted + m_options.snapshotInterval || m_appliedBytes >= m_options.snapshotLogBytes;
     // A disk that takes no writes would only collect snapshots.
-    if (m_failed || m_makingSnapshot || m_isSnapshotUnsynced || m_applied < m_compacted + m_options.snapshotInterval) {
+    if (m_failed || m_makingSnapshot || m_isSnapshotUnsynced || !isDue) {
         return;
     }
     joinSnapshot();
     m_makingSnapshot = true;
     m_compacted = m_applied;
+    m_appliedBytes = 0;
     m_snapshotThread = std::thread([this, index = m_applied, machine = *m_machine] {
-        m_ring.deliver(Job(SnapshotMade{index, machine.snapshot()}));
+        const base::Millis began = m_clock.now();
+        std::string data = machine.snapshot();
+        m_ring.deliver(Job(SnapshotMade{index, std::move(data), m_clock.now() - began}));
     });
 }
 
--- a/src/bamboomoor/control/voterthread.hpp
+++ b/src/bamboomoor/control/voterthread.hpp
@@ -120,10 +120,13 @@
     // Opens the folder; tests replace it by one with faults.
     std::function<storage::Result<std::unique_ptr<storage::FileSystem>>(const std::string &)> openFolder =
         openLogFolder;
-    // Number of entries applied between two snapshots.
+    // A snapshot is made after so many applied entries, or bytes of them, whichever comes first.
     std::uint64_t snapshotInterval = 2'000;
+    std::size_t snapshotLogBytes = 16'777'216;
     // Maximum number of queued jobs; further ones are rejected.
     std::size_t ringSize = 8'192;
+    // While more bytes of messages and proposals than this are queued, further ones that have any are rejected.
+    std::size_t maxQueuedBytes = 8'388'608;
     // A sync, a step, or a late wake-up that takes at least this long is logged.
     base::Millis slowStep{200};
     // A leader with more bytes of entries than this to write rejects proposals and transfers its leadership.
@@ -223,6 +226,7 @@
     struct SnapshotMade {
         std::uint64_t index = 0;
         std::string data;
+        base::Millis took;
     };
     using Job = std::variant<consensus::Message, ProposeJob, VotersJob, ReadJob, LocalLogJob, LogWritten,
         LogWriteFailed, SnapshotMade>;
@@ -230,6 +234,11 @@
     void onWritten(LogWritten written) override;
     void onWriteFailed(LogWriteFailed failed) override;
 
+    [[nodiscard]] static std::size_t payloadBytes(const Job &job);
+    // Leaves the job as it was if it is rejected.
+    [[nodiscard]] bool push(Job &&job);
+    [[nodiscard]] std::optional<Job> pop(base::Millis timeout);
+
     void run();
     // Waits until what was recovered is on disk; until then this voter takes part in nothing.
     void awaitRecovery();
@@ -262,6 +271,8 @@
     const base::Clock &m_clock;
     std::vector<VoterObserver *> m_watchers;
     base::Ring<Job> m_ring;
+    // Bytes of the jobs in m_ring, as payloadBytes() counts them.
+    std::atomic<std::size_t> m_queuedBytes{0};
     std::thread m_thread;
     std::atomic<bool> m_stopping{false};
 
@@ -279,6 +290,8 @@
     std::map<std::uint64_t, bool> m_tail;
     std::uint64_t m_applied = 0;
     std::uint64_t m_compacted = 0;
+    // Bytes of the entries applied after m_compacted.
+    std::size_t m_appliedBytes = 0;
     // Serialises a copy of the state, as a large one takes longer than an election timeout.
     std::thread m_snapshotThread;
     bool m_makingSnapshot = false;
--- a/src/bamboomoor/peer/client.cpp
+++ b/src/bamboomoor/peer/client.cpp
@@ -21,6 +21,10 @@
 {
 
 constexpr base::Millis DELIVER_TIMEOUT{1'000};
+// Bytes of consensus messages in flight to one peer from which on further ones are dropped; messages up to the second
+// size, such as heartbeats, always pass.
+constexpr std::size_t MAX_DELIVERY_BYTES = 4'194'304;
+constexpr std::size_t MIN_DROPPED_BYTES = 4'096;
 constexpr int RECONNECT_MIN_MS = 50;
 constexpr int RECONNECT_MAX_MS = 500;
 
@@ -126,11 +130,11 @@
 };
 
 template<class Request, class Reply, class Start>
-void start(Client::Calls &calls, const std::shared_ptr<Client::Link> &link, const Request &request,
-    base::Millis timeout, OnReply<Reply> onReply, Start begin)
+void start(Client::Calls &calls, const std::shared_ptr<Client::Link> &link, Request request, base::Millis timeout,
+    OnReply<Reply> onReply, Start begin)
 {
     auto pending = std::make_shared<Pending<Request, Reply>>();
-    pending->request = request;
+    pending->request = std::move(request);
     const base::SteadyClock clock;
     const base::Millis sentAt = clock.now();
     pending->context.set_deadline(std::chrono::system_clock::now() + std::chrono::milliseconds(timeout.count));
@@ -179,10 +183,19 @@
     return m_link;
 }
 
-void Client::deliver(const wire::Envelope &envelope)
+void Client::deliver(wire::Envelope envelope)
 {
+    const std::size_t size = envelope.ByteSizeLong();
+    const std::size_t before = m_deliveryBytes.fetch_add(size);
+    if (size > MIN_DROPPED_BYTES && before >= MAX_DELIVERY_BYTES) {
+        m_deliveryBytes -= size;
+        return;
+    }
     start<wire::Envelope, wire::Delivered>(
-        *m_calls, link(), envelope, DELIVER_TIMEOUT, [](const std::optional<wire::Delivered> &) {},
+        *m_calls, link(), std::move(envelope), DELIVER_TIMEOUT,
+        [this, size](const std::optional<wire::Delivered> &) {
+            m_deliveryBytes -= size;
+        },
         [](auto *stub, auto... args) {
             stub->Deliver(args...);
         });
--- a/src/bamboomoor/peer/client.hpp
+++ b/src/bamboomoor/peer/client.hpp
@@ -10,6 +10,8 @@
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
 
+#include <atomic>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -39,10 +41,11 @@
     Client &operator=(const Client &) = delete;
 
     /**
-     * @brief Sends a consensus message; nothing tells whether it arrived.
+     * @brief Sends a consensus message; nothing tells whether it arrived. A large message is dropped while the peer is
+     * slow to take earlier ones.
      * @param envelope The message.
      */
-    void deliver(const wire::Envelope &envelope);
+    void deliver(wire::Envelope envelope);
 
     /**
      * @brief Calls the peer.
@@ -90,6 +93,8 @@
 
     const std::string m_address;
     const std::unique_ptr<Calls> m_calls;
+    // Bytes of consensus messages that the peer has not taken yet.
+    std::atomic<std::size_t> m_deliveryBytes{0};
     absl::Mutex m_mutex;
     // Null until the first call, and after a call that timed out.
     std::shared_ptr<Link> m_link ABSL_GUARDED_BY(m_mutex);
--- a/src/bamboomoor/state/claimtable.cpp
+++ b/src/bamboomoor/state/claimtable.cpp
@@ -23,6 +23,12 @@
     return size;
 }
 
+std::size_t sizeOf(const ClaimKey &key, const Claim &claim)
+{
+    return key.organisation.size() + key.key.size() + claim.requestDigest.size() + claim.vm.size()
+        + claim.attempt.size();
+}
+
 bool isSameAttempt(const Claim &claim, const OpenClaim &command)
 {
     return claim.vm == command.vm && claim.incarnation == command.incarnation && claim.attempt == command.attempt;
@@ -65,9 +71,6 @@
         return *std::move(earlier);
     }
     ClaimKey key{.organisation = command.organisation, .key = command.key};
-    if (m_claims.size() >= m_limits.claims) {
-        return {.code = ClaimCode::Full, .claimId = 0, .response = std::nullopt};
-    }
     Claim claim;
     claim.id = index;
     claim.requestDigest = command.requestDigest;
@@ -76,6 +79,11 @@
     claim.attempt = command.attempt;
     claim.openedMillis = command.wallMillis;
     claim.expiresMillis = command.expiresMillis;
+    const std::size_t size = sizeOf(key, claim);
+    if (m_claims.size() >= m_limits.claims || m_claimBytes + size > m_limits.claimBytes) {
+        return {.code = ClaimCode::Full, .claimId = 0, .response = std::nullopt};
+    }
+    m_claimBytes += size;
     m_claims.emplace(std::move(key), std::move(claim));
     return {.code = ClaimCode::Opened, .claimId = index, .response = std::nullopt};
 }
@@ -125,6 +133,7 @@
     if (command.mayHaveRun) {
         it->second.state = ClaimState::Unknown;
     } else {
+        m_claimBytes -= sizeOf(it->first, it->second);
         m_claims.erase(it);
     }
     return {.code = ClaimCode::Finished, .claimId = id, .response = std::nullopt};
@@ -139,6 +148,7 @@
             ++it;
             continue;
         }
+        m_claimBytes -= sizeOf(it->first, claim);
         m_responseBytes -= sizeOf(claim.response);
         it = m_claims.erase(it);
         ++out.count;
@@ -152,10 +162,10 @@
     return it == m_claims.end() ? nullptr : &it->second;
 }
 
-nlohmann::json ClaimTable::save() const
+void ClaimTable::save(std::string &out) const
 {
-    nlohmann::json out = nlohmann::json::array();
-    for (const auto &[key, claim] : m_claims) {
+    internal::appendArray(out, m_claims, [](const auto &it) {
+        const auto &[key, claim] = it;
         nlohmann::json json = {{"organisation", key.organisation}, {"key", key.key}, {"id", claim.id},
             {"requestDigest", claim.requestDigest}, {"vm", claim.vm}, {"incarnation", claim.incarnation},
             {"attempt", claim.attempt}, {"openedMillis", claim.openedMillis}, {"expiresMillis", claim.expiresMillis},
@@ -163,32 +173,33 @@
         if (claim.state == ClaimState::Finished) {
             json["answer"] = claim.response;
         }
-        out.push_back(std::move(json));
-    }
-    return out;
+        return json;
+    });
 }
 
-void ClaimTable::load(const nlohmann::json &json)
-{
-    for (const auto &it : json) {
-        ClaimKey key;
-        it.at("organisation").get_to(key.organisation);
-        it.at("key").get_to(key.key);
-        Claim claim;
-        it.at("id").get_to(claim.id);
-        it.at("requestDigest").get_to(claim.requestDigest);
-        it.at("vm").get_to(claim.vm);
-        it.at("incarnation").get_to(claim.incarnation);
-        it.at("attempt").get_to(claim.attempt);
-        it.at("openedMillis").get_to(claim.openedMillis);
-        it.at("expiresMillis").get_to(claim.expiresMillis);
-        claim.state = internal::readName(it.at("state"), STATE_NAMES);
-        if (claim.state == ClaimState::Finished) {
-            it.at("answer").get_to(claim.response);
-            m_responseBytes += sizeOf(claim.response);
-        }
-        m_claims.emplace(std::move(key), std::move(claim));
+void ClaimTable::loadClaim(const nlohmann::json &json)
+{
+    ClaimKey key;
+    json.at("organisation").get_to(key.organisation);
+    json.at("key").get_to(key.key);
+    Claim claim;
+    json.at("id").get_to(claim.id);
+    json.at("requestDigest").get_to(claim.requestDigest);
+    json.at("vm").get_to(claim.vm);
+    json.at("incarnation").get_to(claim.incarnation);
+    json.at("attempt").get_to(claim.attempt);
+    json.at("openedMillis").get_to(claim.openedMillis);
+    json.at("expiresMillis").get_to(claim.expiresMillis);
+    claim.state = internal::readName(json.at("state"), STATE_NAMES);
+    if (claim.state == ClaimState::Finished) {
+        json.at("answer").get_to(claim.response);
+        m_responseBytes += sizeOf(claim.response);
+    }
+    const std::size_t size = sizeOf(key, claim);
+    if (!m_claims.emplace(std::move(key), std::move(claim)).second) {
+        throw internal::BadValue("a claim is listed twice");
     }
+    m_claimBytes += size;
 }
 
 } // namespace bamboomoor::state
--- a/src/bamboomoor/state/claimtable.hpp
+++ b/src/bamboomoor/state/claimtable.hpp
@@ -128,21 +128,31 @@
     }
 
     /**
-     * @brief Serialises everything except the limits.
-     * @return The JSON form, as part of a snapshot.
+     * @brief Serialises everything except the limits, claim by claim.
+     * @param out Receives a JSON array, appended.
      */
-    [[nodiscard]] nlohmann::json save() const;
+    void save(std::string &out) const;
 
     /**
-     * @brief Loads the result of save() into an empty table.
-     * @param json The JSON form; throws internal::BadValue or nlohmann::json::exception if it is invalid.
+     * @brief Loads one element of what save() has written.
+     * @param json The element; throws internal::BadValue or nlohmann::json::exception if it is invalid.
      */
-    void load(const nlohmann::json &json);
+    void loadClaim(const nlohmann::json &json);
+
+    /**
+     * @brief Returns the total size of the claims and their responses.
+     * @return Size in bytes, as bounded by Limits.
+     */
+    [[nodiscard]] std::size_t bytes() const noexcept
+    {
+        return m_claimBytes + m_responseBytes;
+    }
 
 private:
     Limits m_limits;
     std::map<ClaimKey, Claim> m_claims;
-    // The total size of all stored responses, in bytes.
+    // The total size of all claims without their responses, and of all stored responses, in bytes.
+    std::size_t m_claimBytes = 0;
     std::size_t m_responseBytes = 0;
 };
 
--- a/src/bamboomoor/state/confighistory.cpp
+++ b/src/bamboomoor/state/confighistory.cpp
@@ -300,13 +300,20 @@
 {
     DecidedChange decided{
         .changeId = request.changeId, .identity = request.identity, .base = request.base, .outcome = outcome};
-    const bool isNew = m_decided.insert_or_assign(request.changeId, std::move(decided)).second;
-    if (!isNew) {
-        return;
+    const auto earlier = m_decided.find(request.changeId);
+    if (earlier != m_decided.end()) {
+        m_decidedBytes -= bytesOf(earlier->second);
+    } else {
+        m_decidedOrder.push_back(request.changeId);
     }
-    m_decidedOrder.push_back(request.changeId);
-    if (m_decidedOrder.size() > m_limits.changes) {
-        m_decided.erase(m_decidedOrder.front());
+    m_decidedBytes += bytesOf(decided);
+    m_decided.insert_or_assign(request.changeId, std::move(decided));
+    // The newest is kept whatever its size.
+    while (m_decidedOrder.size() > 1
+        && (m_decidedOrder.size() > m_limits.changes || m_decidedBytes > m_limits.changeBytes)) {
+        const auto oldest = m_decided.find(m_decidedOrder.front());
+        m_decidedBytes -= bytesOf(oldest->second);
+        m_decided.erase(oldest);
         m_decidedOrder.pop_front();
     }
 }
@@ -349,6 +356,13 @@
     return (info.text ? info.text->size() : 0) + (info.source ? info.source->size() : 0);
 }
 
+std::size_t ConfigHistory::bytesOf(const DecidedChange &change) noexcept
+{
+    const ChangeOutcome &outcome = change.outcome;
+    return change.changeId.size() + change.identity.size() + change.base.size() + outcome.message.size()
+        + outcome.digest.size() + outcome.author.size();
+}
+
 const VersionInfo *ConfigHistory::find(std::uint64_t version) const noexcept
 {
     if (version == m_current.version) {
--- a/src/bamboomoor/state/confighistory.hpp
+++ b/src/bamboomoor/state/confighistory.hpp
@@ -116,17 +116,34 @@
     [[nodiscard]] const VersionInfo *find(std::uint64_t version) const noexcept;
 
     /**
-     * @brief Serialises everything except the limits.
-     * @return The JSON form, as part of a snapshot.
+     * @brief Serialises everything except the limits, element by element.
+     * @param out Receives a JSON object, appended.
      */
-    [[nodiscard]] nlohmann::json save() const;
+    void save(std::string &out) const;
 
     /**
-     * @brief Loads the result of save() into an empty history.
+     * @brief Loads an element of an array that save() has written.
+     * @param name Name of the array.
+     * @param json The element; throws internal::BadValue or nlohmann::json::exception if it is invalid.
+     * @return False if the history has no such array of objects.
+     */
+    bool loadElement(std::string_view name, const nlohmann::json &json);
+
+    /**
+     * @brief Loads the rest of what save() has written, after all elements.
      * @param json The JSON form; throws internal::BadValue or nlohmann::json::exception if it is invalid.
      */
     void load(const nlohmann::json &json);
 
+    /**
+     * @brief Returns the total size of what is retained.
+     * @return Size in bytes, as bounded by Limits, without the current version.
+     */
+    [[nodiscard]] std::size_t bytes() const noexcept
+    {
+        return m_textBytes + m_decidedBytes;
+    }
+
 private:
     // A decided change with its outcome.
     struct DecidedChange {
@@ -155,6 +172,7 @@
     [[nodiscard]] ChangeOutcome accept(config::Document document, std::string summary, const Request &request);
     [[nodiscard]] ChangeOutcome install(config::Document document, VersionInfo next);
     [[nodiscard]] static std::size_t bytesOf(const VersionInfo &info) noexcept;
+    [[nodiscard]] static std::size_t bytesOf(const DecidedChange &change) noexcept;
     [[nodiscard]] static Request requestOf(const ApplyConfig &change);
     [[nodiscard]] static Request requestOf(const AddKey &change);
     [[nodiscard]] static Request requestOf(const WithdrawKey &change);
@@ -178,6 +196,8 @@
     // Decided changes by id, and their ids in the order of the decisions.
     std::map<std::string, DecidedChange, std::less<>> m_decided;
     std::deque<std::string> m_decidedOrder;
+    // The total size of m_decided, in bytes.
+    std::size_t m_decidedBytes = 0;
     // Hashes of withdrawn keys, and the same in the order of withdrawal.
     std::set<std::string, std::less<>> m_withdrawn;
     std::deque<std::string> m_withdrawnOrder;
--- a/src/bamboomoor/state/confighistory_json.cpp
+++ b/src/bamboomoor/state/confighistory_json.cpp
@@ -45,20 +45,42 @@
 
 } // namespace
 
-nlohmann::json ConfigHistory::save() const
+void ConfigHistory::save(std::string &out) const
 {
-    nlohmann::json versions = nlohmann::json::array();
-    for (const VersionInfo &info : m_versions) {
-        versions.push_back(saveVersion(info));
-    }
-    nlohmann::json decided = nlohmann::json::array();
-    for (const std::string &id : m_decidedOrder) {
+    out += "{\"decided\":";
+    internal::appendArray(out, m_decidedOrder, [this](const std::string &id) {
         const DecidedChange &it = m_decided.at(id);
-        decided.push_back(
-            {{"changeId", it.changeId}, {"identity", it.identity}, {"base", it.base}, {"outcome", it.outcome}});
+        return nlohmann::json{
+            {"changeId", it.changeId}, {"identity", it.identity}, {"base", it.base}, {"outcome", it.outcome}};
+    });
+    out += ",\"inForce\":" + internal::dump(saveVersion(m_current)) + ",\"versions\":";
+    internal::appendArray(out, m_versions, &saveVersion);
+    out += ",\"withdrawn\":" + internal::dump(m_withdrawnOrder) + '}';
+}
+
+bool ConfigHistory::loadElement(std::string_view name, const nlohmann::json &json)
+{
+    if (name == "versions") {
+        m_versions.push_back(loadVersion(json));
+        m_textBytes += bytesOf(m_versions.back());
+        return true;
     }
-    return {{"inForce", saveVersion(m_current)}, {"versions", std::move(versions)}, {"decided", std::move(decided)},
-        {"withdrawn", m_withdrawnOrder}};
+    if (name == "decided") {
+        DecidedChange decided;
+        json.at("changeId").get_to(decided.changeId);
+        json.at("identity").get_to(decided.identity);
+        json.at("base").get_to(decided.base);
+        json.at("outcome").get_to(decided.outcome);
+        const std::size_t size = bytesOf(decided);
+        const std::string id = decided.changeId;
+        if (!m_decided.emplace(id, std::move(decided)).second) {
+            throw internal::BadValue("a change is listed twice");
+        }
+        m_decidedBytes += size;
+        m_decidedOrder.push_back(id);
+        return true;
+    }
+    return false;
 }
 
 void ConfigHistory::load(const nlohmann::json &json)
@@ -69,20 +91,9 @@
         throw internal::BadValue("the current document in the snapshot is invalid: " + parsed.error().message);
     }
     m_document = std::make_shared<const config::Document>(std::move(parsed).value());
-    m_textBytes = 0;
-    for (const auto &it : json.at("versions")) {
-        m_versions.push_back(loadVersion(it));
-        m_textBytes += bytesOf(m_versions.back());
-    }
-    for (const auto &it : json.at("decided")) {
-        DecidedChange decided;
-        it.at("changeId").get_to(decided.changeId);
-        it.at("identity").get_to(decided.identity);
-        it.at("base").get_to(decided.base);
-        it.at("outcome").get_to(decided.outcome);
-        m_decidedOrder.push_back(decided.changeId);
-        m_decided.emplace(decided.changeId, decided);
-    }
+    // Their elements are loaded already.
+    static_cast<void>(json.at("versions"));
+    static_cast<void>(json.at("decided"));
     json.at("withdrawn").get_to(m_withdrawnOrder);
     m_withdrawn.insert(m_withdrawnOrder.begin(), m_withdrawnOrder.end());
 }
--- a/src/bamboomoor/state/json.cpp
+++ b/src/bamboomoor/state/json.cpp
@@ -13,6 +13,8 @@
 
 using nlohmann::json;
 
+constexpr const char *ONLY_INTEGERS = "numbers must be integers of at most 64 bits";
+
 // The names of the alternatives, in the order of the variant.
 constexpr std::array<std::string_view, std::variant_size_v<Command>> COMMAND_NAMES{"apply_config", "add_key",
     "withdraw_key", "open_claim", "finish_claim", "abandon_claims", "sweep_claims", "raise_ceiling", "record_intent",
@@ -90,7 +92,49 @@
         throw BadValue("no JSON");
     }
     if (containsFloat(out)) {
-        throw BadValue("numbers must be integers of at most 64 bits");
+        throw BadValue(ONLY_INTEGERS);
+    }
+    return out;
+}
+
+nlohmann::json internal::parseStrictly(std::string_view text, const TakeElement &take)
+{
+    // The structures around the parser's position: the key of each object's current member, empty for arrays.
+    std::vector<std::string> path;
+    std::vector<bool> isArray;
+    const auto callback = [&](int /*depth*/, json::parse_event_t event, json &parsed) {
+        switch (event) {
+        case json::parse_event_t::object_start:
+        case json::parse_event_t::array_start:
+            isArray.push_back(event == json::parse_event_t::array_start);
+            path.emplace_back();
+            return true;
+        case json::parse_event_t::key:
+            path.back() = parsed.get<std::string>();
+            return true;
+        case json::parse_event_t::array_end:
+        case json::parse_event_t::object_end:
+            isArray.pop_back();
+            path.pop_back();
+            break;
+        case json::parse_event_t::value:
+            return true;
+        }
+        if (event != json::parse_event_t::object_end || isArray.empty() || !isArray.back()) {
+            return true;
+        }
+        std::vector<std::string> keys(path.begin(), path.end() - 1);
+        if (containsFloat(parsed)) {
+            throw BadValue(ONLY_INTEGERS);
+        }
+        return !take(keys, parsed);
+    };
+    json out = json::parse(text, callback, false);
+    if (out.is_discarded()) {
+        throw BadValue("no JSON");
+    }
+    if (containsFloat(out)) {
+        throw BadValue(ONLY_INTEGERS);
     }
     return out;
 }
--- a/src/bamboomoor/state/json.hpp
+++ b/src/bamboomoor/state/json.hpp
@@ -9,10 +9,12 @@
 
 #include <nlohmann/json.hpp>
 
+#include <functional>
 #include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace bamboomoor::state
 {
@@ -67,6 +69,24 @@
     return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+/**
+ * @brief Serialises a range as a JSON array, with one element in memory at a time.
+ * @param out Receives the array, appended.
+ * @param range The range.
+ * @param toJson Returns the JSON of one element.
+ */
+template<class Range, class ToJson>
+void appendArray(std::string &out, const Range &range, ToJson toJson)
+{
+    char separator = '[';
+    for (const auto &it : range) {
+        out += separator;
+        out += dump(toJson(it));
+        separator = ',';
+    }
+    out += separator == '[' ? "[]" : "]";
+}
+
 /**
  * @brief Parses JSON in which all numbers are integers.
  * @param text Any bytes.
@@ -74,6 +94,23 @@
  */
 [[nodiscard]] nlohmann::json parseStrictly(std::string_view text);
 
+/**
+ * @brief Takes an element of a JSON array while the text is being parsed.
+ * @param path Keys of the objects around the array and of the array itself.
+ * @param element The element, an object.
+ * @return True if the element was taken, and is to be left out of the result.
+ */
+using TakeElement = std::function<bool(const std::vector<std::string> &path, const nlohmann::json &element)>;
+
+/**
+ * @brief As parseStrictly(), but hands out objects in arrays as soon as they are parsed, so that a large array is never
+ * in memory as a whole.
+ * @param text Any bytes.
+ * @param take Called with each object that is an element of an array; what it throws is passed on.
+ * @return The JSON without the elements that were taken.
+ */
+[[nodiscard]] nlohmann::json parseStrictly(std::string_view text, const TakeElement &take);
+
 } // namespace internal
 
 inline constexpr auto ORDER_KIND_NAMES = base::makeNames<OrderKind>("load", "unload");
--- a/src/bamboomoor/state/limits.hpp
+++ b/src/bamboomoor/state/limits.hpp
@@ -17,17 +17,19 @@
     // The number of newest versions whose document text is retained.
     std::size_t historyTexts = 100;
     // The maximum total size of all texts in the history, in bytes; the current document is kept in addition.
-    std::size_t historyTextBytes = 16'777'216;
-    // The maximum number of change ids whose outcomes are retained.
+    std::size_t historyTextBytes = 8'388'608;
+    // The maximum number of change ids whose outcomes are retained, and their total size with the outcomes, in bytes.
     std::size_t changes = 10'000;
+    std::size_t changeBytes = 8'388'608;
     // The maximum number of withdrawn keys that are retained.
     std::size_t withdrawnKeys = 100'000;
-    // The maximum number of claims, open and closed.
+    // The maximum number of claims, open and closed, and their total size without responses, in bytes.
     std::size_t claims = 100'000;
+    std::size_t claimBytes = 16'777'216;
     // The maximum size of a stored response with headers and body, in bytes.
     std::size_t responseBytes = 65'536;
     // The maximum total size of all stored responses, in bytes.
-    std::size_t totalResponseBytes = 67'108'864;
+    std::size_t totalResponseBytes = 16'777'216;
     // The maximum number of quarantined subjects; those that end first are dropped.
     std::size_t quarantines = 256;
     // The maximum length of a subject, in bytes; longer ones are ignored.
--- a/src/bamboomoor/state/machine.cpp
+++ b/src/bamboomoor/state/machine.cpp
@@ -9,6 +9,7 @@
 
 #include <cassert>
 #include <exception>
+#include <vector>
 
 namespace bamboomoor::state
 {
@@ -17,8 +18,12 @@
 
 // Must be incremented when the layout of snapshots changes.
 constexpr int SNAPSHOT_FORMAT = 1;
+constexpr std::string_view CLAIMS_KEY = "claims";
+constexpr std::string_view CONFIGURATION_KEY = "configuration";
 constexpr std::string_view QUARANTINES_KEY = "quarantines";
 constexpr std::string_view SOFTWARE_KEY = "software";
+// Bytes of a snapshot beside claims and history.
+constexpr std::size_t SNAPSHOT_SLACK = 1'048'576;
 
 } // namespace
 
@@ -127,29 +132,45 @@
 
 std::string Machine::snapshot() const
 {
-    nlohmann::json out = {{"format", SNAPSHOT_FORMAT}, {"lastIndex", m_lastIndex},
-        {"configuration", m_configuration.save()}, {"claims", m_claims.save()}, {"leaderLog", m_leaderLog.save()}};
+    std::string out;
+    // Pages that are not written to cost nothing, while a buffer that grows needs twice its size.
+    out.reserve(SNAPSHOT_SLACK + (m_configuration.bytes() + m_claims.bytes()) * 2);
+    out += "{\"claims\":";
+    m_claims.save(out);
+    out += ",\"configuration\":";
+    m_configuration.save(out);
+    out += ",\"format\":" + std::to_string(SNAPSHOT_FORMAT) + ",\"lastIndex\":" + std::to_string(m_lastIndex)
+        + ",\"leaderLog\":" + internal::dump(m_leaderLog.save());
     // Left out when empty, as in snapshots of builds without them.
     if (!m_quarantines.ends().empty()) {
-        out[QUARANTINES_KEY] = m_quarantines.save();
+        out += ",\"quarantines\":" + internal::dump(m_quarantines.save());
     }
     if (!m_software.versions().empty()) {
-        out[SOFTWARE_KEY] = m_software.save();
+        out += ",\"software\":" + internal::dump(m_software.save());
     }
-    return internal::dump(out);
+    out += '}';
+    return out;
 }
 
 base::Result<Machine, RestoreError> Machine::restore(std::string_view bytes, const Limits &limits)
 {
     try {
-        const nlohmann::json in = internal::parseStrictly(bytes);
+        Machine machine(limits);
+        const auto take = [&machine](const std::vector<std::string> &path, const nlohmann::json &element) {
+            if (path.size() == 1 && path[0] == CLAIMS_KEY) {
+                machine.m_claims.loadClaim(element);
+                return true;
+            }
+            return path.size() == 2 && path[0] == CONFIGURATION_KEY
+                && machine.m_configuration.loadElement(path[1], element);
+        };
+        const nlohmann::json in = internal::parseStrictly(bytes, take);
         if (in.at("format").get<int>() != SNAPSHOT_FORMAT) {
             return base::failure(RestoreError{.message = "the snapshot format is not supported"});
         }
-        Machine machine(limits);
         in.at("lastIndex").get_to(machine.m_lastIndex);
-        machine.m_configuration.load(in.at("configuration"));
-        machine.m_claims.load(in.at("claims"));
+        static_cast<void>(in.at(CLAIMS_KEY));
+        machine.m_configuration.load(in.at(CONFIGURATION_KEY));
         machine.m_leaderLog.load(in.at("leaderLog"));
         if (in.contains(QUARANTINES_KEY)) {
             machine.m_quarantines.load(in.at(QUARANTINES_KEY));
--- a/src/bamboomoor/storage/codec.cpp
+++ b/src/bamboomoor/storage/codec.cpp
@@ -6,7 +6,12 @@
 
 #include "bamboomoor/base/overloaded.hpp"
 
+#include <algorithm>
+#include <array>
 #include <cassert>
+#include <memory>
+#include <utility>
+#include <vector>
 #include <xxhash.h>
 
 namespace bamboomoor::storage::internal
@@ -14,10 +19,8 @@
 
 namespace
 {
-constexpr std::string_view MAGIC = "\xB4mB1";
 constexpr std::size_t LENGTH_AT = 4;
 constexpr std::size_t CHECKSUM_AT = 8;
-constexpr std::size_t HEADER_BYTES = 16;
 constexpr unsigned BITS_PER_BYTE = 8;
 constexpr std::uint64_t BYTE_MASK = 0xFF;
 
@@ -49,24 +52,33 @@
 class Reader
 {
 public:
-    explicit Reader(std::string_view bytes) noexcept
-        : m_bytes(bytes)
+    Reader(ByteSource &source, std::uint64_t size) noexcept
+        : m_source(source)
+        , m_left(size)
     {
     }
 
-    [[nodiscard]] std::uint64_t number(std::size_t bytes) noexcept
+    [[nodiscard]] std::uint64_t number(std::size_t bytes)
     {
-        const std::string_view raw = take(bytes);
+        std::array<char, sizeof(std::uint64_t)> raw{};
+        read(raw.data(), bytes);
         std::uint64_t value = 0;
-        for (std::size_t n = raw.size(); n > 0; --n) {
+        for (std::size_t n = bytes; n > 0; --n) {
             value = value << BITS_PER_BYTE | static_cast<unsigned char>(raw[n - 1]);
         }
-        return value;
+        return m_ok ? value : 0;
     }
 
     [[nodiscard]] std::string text()
     {
-        return std::string(take(number(8)));
+        const std::uint64_t size = number(8);
+        if (size > m_left) {
+            m_ok = false;
+            return {};
+        }
+        std::string text(size, '\0');
+        read(text.data(), size);
+        return m_ok ? text : std::string();
     }
 
     [[nodiscard]] std::vector<std::string> texts()
@@ -84,51 +96,92 @@
         return m_ok;
     }
 
-    [[nodiscard]] bool atEnd() const noexcept
+    [[nodiscard]] std::uint64_t left() const noexcept
     {
-        return m_bytes.empty();
+        return m_left;
     }
 
 private:
-    [[nodiscard]] std::string_view take(std::uint64_t size) noexcept
+    void read(char *to, std::uint64_t size)
     {
-        if (size > m_bytes.size()) {
-            m_ok = false;
-            m_bytes = {};
-            return {};
+        m_ok = m_ok && size <= m_left;
+        while (m_ok && size > 0) {
+            const std::string_view part = m_source.next(size);
+            std::copy(part.begin(), part.end(), to);
+            to += part.size();
+            size -= part.size();
+            m_left -= part.size();
+            m_ok = !part.empty();
         }
-        const std::string_view part = m_bytes.substr(0, size);
-        m_bytes.remove_prefix(size);
+    }
+
+    ByteSource &m_source;
+    std::uint64_t m_left;
+    bool m_ok = true;
+};
+
+/** @brief Delivers bytes that are in memory. */
+class ViewSource final : public ByteSource
+{
+public:
+    explicit ViewSource(std::string_view bytes) noexcept
+        : m_bytes(bytes)
+    {
+    }
+
+    [[nodiscard]] std::string_view next(std::uint64_t maxBytes) override
+    {
+        const std::string_view part = m_bytes.substr(0, maxBytes);
+        m_bytes.remove_prefix(part.size());
         return part;
     }
 
+private:
     std::string_view m_bytes;
-    bool m_ok = true;
 };
 
-std::uint64_t checksum(std::string_view body, std::uint64_t offset)
+/** @brief The checksum of a body that is delivered in parts; the offset of its frame is the seed. */
+class Checksum
 {
-    // XXH3 already includes the body's length; the offset is used as seed.
-    return XXH3_64bits_withSeed(body.data(), body.size(), offset);
-}
+public:
+    explicit Checksum(std::uint64_t offset)
+        : m_state(XXH3_createState(), &XXH3_freeState)
+    {
+        XXH3_64bits_reset_withSeed(m_state.get(), offset);
+    }
+
+    void add(std::string_view part)
+    {
+        XXH3_64bits_update(m_state.get(), part.data(), part.size());
+    }
+
+    [[nodiscard]] std::uint64_t value() const
+    {
+        return XXH3_64bits_digest(m_state.get());
+    }
+
+private:
+    std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> m_state;
+};
 
-bool decodeRecord(Reader &reader, std::vector<Record> &records)
+std::optional<Record> decodeRecord(Reader &reader)
 {
+    const auto valid = [&reader](Record record) {
+        return reader.ok() ? std::optional<Record>(std::move(record)) : std::nullopt;
+    };
     switch (static_cast<Tag>(reader.number(1))) {
     case Tag::Base: {
         BaseRecord base;
         base.index = reader.number(8);
         base.term = reader.number(8);
-        records.emplace_back(base);
-        return reader.ok();
+        return valid(base);
     }
     case Tag::HardState: {
         consensus::HardState state;
         state.term = reader.number(8);
         state.votedFor = reader.text();
         state.joined = reader.number(1) != 0;
-        records.emplace_back(std::move(state));
-        return reader.ok();
+        return valid(std::move(state));
     }
     case Tag::Entry: {
         consensus::Entry entry;
@@ -137,11 +190,10 @@
         const std::uint64_t kind = reader.number(1);
         entry.payload = reader.text();
         entry.kind = static_cast<consensus::EntryKind>(kind);
-        records.emplace_back(std::move(entry));
-        return reader.ok() && kind < consensus::ENTRY_KIND_NAMES.size();
+        return kind < consensus::ENTRY_KIND_NAMES.size() ? valid(std::move(entry)) : std::nullopt;
     }
     }
-    return false;
+    return std::nullopt;
 }
 } // namespace
 
@@ -164,87 +216,101 @@
                        putNumber(out, it.index, 8);
                        putNumber(out, it.term, 8);
                        putNumber(out, static_cast<std::uint64_t>(it.kind), 1);
-                       putText(out, it.payload);
+                       putText(out, it.payload.str());
                    },
                },
         record);
 }
 
-bool decodeRecords(std::string_view body, std::vector<Record> &records)
+bool decodeRecords(ByteSource &body, std::uint64_t size, const OnRecord &onRecord)
 {
-    Reader reader(body);
-    while (!reader.atEnd()) {
-        if (!decodeRecord(reader, records)) {
+    Reader reader(body, size);
+    while (reader.left() > 0) {
+        auto record = decodeRecord(reader);
+        if (!record || !onRecord(*std::move(record))) {
             return false;
         }
     }
     return true;
 }
 
-std::string encodeSnapshot(const consensus::Snapshot &snapshot)
+std::string encodeSnapshotHead(const consensus::Snapshot &snapshot)
 {
     std::string out;
     putNumber(out, snapshot.index, 8);
     putNumber(out, snapshot.term, 8);
     putTexts(out, snapshot.voters);
     putTexts(out, snapshot.learners);
-    putText(out, snapshot.data);
+    putNumber(out, snapshot.data.size(), 8);
     return out;
 }
 
-bool decodeSnapshot(std::string_view body, consensus::Snapshot &snapshot)
+std::optional<std::size_t> decodeSnapshotHead(std::string_view body, consensus::Snapshot &snapshot)
 {
-    Reader reader(body);
+    ViewSource source(body);
+    Reader reader(source, body.size());
     snapshot.index = reader.number(8);
     snapshot.term = reader.number(8);
     snapshot.voters = reader.texts();
     snapshot.learners = reader.texts();
-    snapshot.data = reader.text();
-    return reader.ok() && reader.atEnd();
+    const std::uint64_t size = reader.number(8);
+    return reader.ok() && reader.left() == size ? std::optional(body.size() - size) : std::nullopt;
 }
 
-std::string encodeFrame(std::string_view body, std::uint64_t offset)
+std::string frameHeader(std::initializer_list<std::string_view> body, std::uint64_t offset)
 {
-    assert(body.size() <= UINT32_MAX);
-    std::string out(MAGIC);
-    out.reserve(HEADER_BYTES + body.size());
-    putNumber(out, body.size(), CHECKSUM_AT - LENGTH_AT);
-    putNumber(out, checksum(body, offset), HEADER_BYTES - CHECKSUM_AT);
-    out += body;
+    std::size_t size = 0;
+    Checksum checksum(offset);
+    for (const std::string_view it : body) {
+        size += it.size();
+        checksum.add(it);
+    }
+    assert(size <= UINT32_MAX);
+    std::string out(FRAME_MAGIC);
+    putNumber(out, size, CHECKSUM_AT - LENGTH_AT);
+    putNumber(out, checksum.value(), FRAME_HEADER_BYTES - CHECKSUM_AT);
     return out;
 }
 
-std::optional<std::string_view> decodeFrame(std::string_view file, std::uint64_t offset)
+void beginFrame(std::string &frame)
 {
-    if (offset > file.size() || file.size() - offset < HEADER_BYTES || file.substr(offset, LENGTH_AT) != MAGIC) {
-        return std::nullopt;
-    }
-    Reader header(file.substr(offset + LENGTH_AT, HEADER_BYTES - LENGTH_AT));
-    const std::uint64_t size = header.number(CHECKSUM_AT - LENGTH_AT);
-    const std::uint64_t expected = header.number(HEADER_BYTES - CHECKSUM_AT);
-    if (size > file.size() - offset - HEADER_BYTES) {
-        return std::nullopt;
-    }
-    const std::string_view body = file.substr(offset + HEADER_BYTES, size);
-    if (checksum(body, offset) != expected) {
-        return std::nullopt;
-    }
-    return body;
+    assert(frame.empty());
+    frame.resize(FRAME_HEADER_BYTES);
 }
 
-std::uint64_t frameSize(std::string_view body) noexcept
+void sealFrame(std::string &frame, std::uint64_t offset)
 {
-    return HEADER_BYTES + body.size();
+    const std::string header = frameHeader({std::string_view(frame).substr(FRAME_HEADER_BYTES)}, offset);
+    frame.replace(0, FRAME_HEADER_BYTES, header);
 }
 
-bool hasFrameAfter(std::string_view file, std::uint64_t offset)
+std::optional<std::uint64_t> checkFrame(ByteSource &source, std::uint64_t offset)
 {
-    for (std::size_t at = file.find(MAGIC, offset); at != std::string_view::npos; at = file.find(MAGIC, at + 1)) {
-        if (decodeFrame(file, at)) {
-            return true;
+    std::string header;
+    while (header.size() < FRAME_HEADER_BYTES) {
+        const std::string_view part = source.next(FRAME_HEADER_BYTES - header.size());
+        if (part.empty()) {
+            return std::nullopt;
+        }
+        header += part;
+    }
+    if (!header.starts_with(FRAME_MAGIC)) {
+        return std::nullopt;
+    }
+    ViewSource numbers(std::string_view(header).substr(LENGTH_AT));
+    Reader reader(numbers, FRAME_HEADER_BYTES - LENGTH_AT);
+    const std::uint64_t size = reader.number(CHECKSUM_AT - LENGTH_AT);
+    const std::uint64_t expected = reader.number(FRAME_HEADER_BYTES - CHECKSUM_AT);
+    Checksum checksum(offset);
+    for (std::uint64_t left = size; left > 0;) {
+        const std::string_view part = source.next(left);
+        if (part.empty()) {
+            return std::nullopt;
         }
+        checksum.add(part);
+        left -= part.size();
     }
-    return false;
+    return checksum.value() == expected ? std::optional(size) : std::nullopt;
 }
 
 } // namespace bamboomoor::storage::internal
--- a/src/bamboomoor/storage/codec.hpp
+++ b/src/bamboomoor/storage/codec.hpp
@@ -4,12 +4,16 @@
 #pragma once
 
 #include "bamboomoor/consensus/types.hpp"
-#include "bamboomoor/storage/error.hpp"
+#include "bamboomoor/storage/bytesource.hpp"
 
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <initializer_list>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <variant>
-#include <vector>
 
 namespace bamboomoor::storage::internal
 {
@@ -23,6 +27,14 @@
 /** @brief A log record; an entry replaces all earlier entries from its index on. */
 using Record = std::variant<BaseRecord, consensus::HardState, consensus::Entry>;
 
+/** @brief Takes a decoded record; returns false to stop. */
+using OnRecord = std::function<bool(Record &&)>;
+
+// Magic, length and checksum before the body of a frame, in bytes.
+inline constexpr std::size_t FRAME_HEADER_BYTES = 16;
+// First bytes of every frame.
+inline constexpr std::string_view FRAME_MAGIC = "\xB4mB1";
+
 /**
  * @brief Encodes a record.
  * @param out Receives the bytes, appended.
@@ -31,57 +43,56 @@
 void encodeRecord(std::string &out, const Record &record);
 
 /**
- * @brief Decodes the records of a frame.
- * @param body Body of an intact frame.
- * @param records Receives the records, appended.
- * @return False if the body is not a valid sequence of records.
+ * @brief Decodes the records of a frame, one at a time.
+ * @param body Delivers the body of an intact frame.
+ * @param size Size of the body in bytes.
+ * @param onRecord Called with each record.
+ * @return False if the body is not a valid sequence of records, or if the callback stopped.
  */
-[[nodiscard]] bool decodeRecords(std::string_view body, std::vector<Record> &records);
+[[nodiscard]] bool decodeRecords(ByteSource &body, std::uint64_t size, const OnRecord &onRecord);
 
 /**
- * @brief Encodes a snapshot.
+ * @brief Encodes all of a snapshot that precedes its data.
  * @param snapshot The snapshot.
- * @return The encoded bytes.
+ * @return The encoded bytes; followed by the data, they are the body of a frame.
  */
-[[nodiscard]] std::string encodeSnapshot(const consensus::Snapshot &snapshot);
+[[nodiscard]] std::string encodeSnapshotHead(const consensus::Snapshot &snapshot);
 
 /**
- * @brief Decodes a snapshot.
- * @param body Result of encodeSnapshot().
- * @param snapshot Receives the snapshot.
- * @return False if the body is not a valid snapshot.
+ * @brief Decodes all of a snapshot that precedes its data.
+ * @param body The body of a frame.
+ * @param snapshot Receives the snapshot without its data.
+ * @return Offset of the data, which extend to the end of the body; nothing if the body is not a valid snapshot.
  */
-[[nodiscard]] bool decodeSnapshot(std::string_view body, consensus::Snapshot &snapshot);
+[[nodiscard]] std::optional<std::size_t> decodeSnapshotHead(std::string_view body, consensus::Snapshot &snapshot);
 
 /**
- * @brief Wraps a body into a frame. The checksum also covers the offset, so a copy at another offset is invalid.
- * @param body The body, shorter than 4 GiB.
+ * @brief Makes the header of a frame. The checksum also covers the offset, so a copy at another offset is invalid.
+ * @param body The body in consecutive parts, together shorter than 4 GiB.
  * @param offset Offset of the frame in the file, in bytes.
- * @return The frame.
+ * @return The header.
  */
-[[nodiscard]] std::string encodeFrame(std::string_view body, std::uint64_t offset);
+[[nodiscard]] std::string frameHeader(std::initializer_list<std::string_view> body, std::uint64_t offset);
 
 /**
- * @brief Reads the frame at an offset.
- * @param file The bytes of the file.
- * @param offset Offset of the frame, in bytes.
- * @return The body as a view into `file`, or nothing if there is no intact frame.
+ * @brief Starts a frame whose body is appended afterwards.
+ * @param frame An empty string; receives space for the header.
  */
-[[nodiscard]] std::optional<std::string_view> decodeFrame(std::string_view file, std::uint64_t offset);
+void beginFrame(std::string &frame);
 
 /**
- * @brief Returns the size of a frame.
- * @param body Body of the frame.
- * @return Size of header and body in bytes.
+ * @brief Completes a frame.
+ * @param frame A frame that beginFrame() has started; its header is written.
+ * @param offset Offset of the frame in the file, in bytes.
  */
-[[nodiscard]] std::uint64_t frameSize(std::string_view body) noexcept;
+void sealFrame(std::string &frame, std::uint64_t offset);
 
 /**
- * @brief Searches for an intact frame at or after an offset.
- * @param file The bytes of the file.
- * @param offset Offset at which the search starts, in bytes.
- * @return True if there is one; damage before it is then corruption rather than a torn tail.
+ * @brief Checks a frame without keeping its body.
+ * @param source Delivers the bytes of the file from the frame on.
+ * @param offset Offset of the frame in the file, in bytes.
+ * @return Size of the body in bytes, or nothing if there is no intact frame.
  */
-[[nodiscard]] bool hasFrameAfter(std::string_view file, std::uint64_t offset);
+[[nodiscard]] std::optional<std::uint64_t> checkFrame(ByteSource &source, std::uint64_t offset);
 
 } // namespace bamboomoor::storage::internal
--- a/src/bamboomoor/storage/filesystem.hpp
+++ b/src/bamboomoor/storage/filesystem.hpp
@@ -5,9 +5,12 @@
 
 #include "bamboomoor/storage/error.hpp"
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace bamboomoor::storage
@@ -29,6 +32,26 @@
      */
     [[nodiscard]] virtual Result<std::optional<std::string>> read(const std::string &name) = 0;
 
+    /**
+     * @brief Reads a part of a file.
+     * @param name The file.
+     * @param offset Offset of the first byte.
+     * @param size Number of bytes to read.
+     * @return The bytes, fewer only at the end of the file, or nothing if the file does not exist; fails with Io.
+     */
+    [[nodiscard]] virtual Result<std::optional<std::string>> readPart(
+        const std::string &name, std::uint64_t offset, std::size_t size) = 0;
+
+    /**
+     * @brief Writes over bytes of an existing file without changing its size.
+     * @param name The file.
+     * @param offset Offset of the first byte.
+     * @param bytes The bytes; after an error any part may have been written.
+     * @return Fails with Io.
+     */
+    [[nodiscard]] virtual Result<void> overwrite(
+        const std::string &name, std::uint64_t offset, std::string_view bytes) = 0;
+
     /**
      * @brief Appends to a file, creating it if necessary.
      * @param name The file.
@@ -90,6 +113,10 @@
     PosixFolder &operator=(const PosixFolder &) = delete;
 
     [[nodiscard]] Result<std::optional<std::string>> read(const std::string &name) override;
+    [[nodiscard]] Result<std::optional<std::string>> readPart(
+        const std::string &name, std::uint64_t offset, std::size_t size) override;
+    [[nodiscard]] Result<void> overwrite(
+        const std::string &name, std::uint64_t offset, std::string_view bytes) override;
     [[nodiscard]] Result<void> append(const std::string &name, std::string_view bytes) override;
     [[nodiscard]] Result<void> truncate(const std::string &name, std::uint64_t size) override;
     [[nodiscard]] Result<void> sync(const std::string &name) override;
--- a/src/bamboomoor/storage/logstore.cpp
+++ b/src/bamboomoor/storage/logstore.cpp
@@ -17,6 +17,10 @@
 constexpr const char *LOG_FILE = "log";
 constexpr const char *SNAPSHOT_FILE = "snapshot";
 constexpr const char *TEMPORARY_SUFFIX = ".new";
+// Frames of a rewritten log are closed at this size, in bytes.
+constexpr std::size_t FRAME_BYTES = 1'048'576;
+// Bytes that are written over or searched at a time.
+constexpr std::size_t PART_BYTES = 262'144;
 
 StorageError corrupt(const char *file, std::uint64_t offset, const std::string &text)
 {
@@ -39,16 +43,18 @@
         BOOST_OUTCOME_TRY(m_files.remove(std::string(name) + TEMPORARY_SUFFIX));
     }
     BOOST_OUTCOME_TRY(readSnapshot());
-    BOOST_OUTCOME_TRY(file, m_files.read(LOG_FILE));
+    BOOST_OUTCOME_TRY(file, m_files.readPart(LOG_FILE, 0, 1));
     OpenResult opened;
+    // The end of the log may be known to the kernel only, if a process was killed before a sync or after a failed one.
+    m_repair = Repair::Confirm;
     if (file) {
-        BOOST_OUTCOME_TRY(readLog(*file, opened));
+        BOOST_OUTCOME_TRY(readLog(opened));
     } else if (m_snapshot.index != 0) {
         return base::failure(corrupt(LOG_FILE, 0, "log file missing although a snapshot exists"));
+    } else {
+        m_repair = Repair::Rewrite;
     }
     m_failed = false;
-    // The end of the log may be known to the kernel only, if a process was killed before a sync or after a failed one.
-    m_repair = Repair::Rewrite;
     if (auto written = sync(); !written) {
         opened.deferred = std::move(written).error();
     }
@@ -65,65 +71,114 @@
     if (!file) {
         return base::success();
     }
-    const auto body = internal::decodeFrame(*file, 0);
-    if (!body || internal::frameSize(*body) != file->size() || !internal::decodeSnapshot(*body, m_snapshot)) {
+    internal::FileSource source(m_files, SNAPSHOT_FILE, 0);
+    const auto size = internal::checkFrame(source, 0);
+    const bool isWhole = size && internal::FRAME_HEADER_BYTES + *size == file->size();
+    const auto data = isWhole
+        ? internal::decodeSnapshotHead(std::string_view(*file).substr(internal::FRAME_HEADER_BYTES), m_snapshot)
+        : std::nullopt;
+    if (!data) {
         return base::failure(corrupt(SNAPSHOT_FILE, 0, "snapshot checksum or format invalid"));
     }
+    file->erase(0, internal::FRAME_HEADER_BYTES + *data);
+    m_snapshot.data = *std::move(file);
     m_fresh = false;
     return base::success();
 }
 
-Result<void> LogStore::readLog(std::string_view file, OpenResult &opened)
+Result<void> LogStore::readLog(OpenResult &opened)
 {
-    while (m_size < file.size()) {
-        const auto body = internal::decodeFrame(file, m_size);
+    while (true) {
+        BOOST_OUTCOME_TRY(body, intactFrame(m_size));
         if (!body) {
             break;
         }
-        std::vector<internal::Record> records;
-        if (!internal::decodeRecords(*body, records)) {
-            return base::failure(corrupt(LOG_FILE, m_size, "frame contains invalid records"));
-        }
-        BOOST_OUTCOME_TRY(replay(std::move(records), m_size));
-        m_size += internal::frameSize(*body);
+        BOOST_OUTCOME_TRY(replayFrame(*body));
+        m_lastFrame = m_size;
+        m_size += internal::FRAME_HEADER_BYTES + *body;
     }
     if (m_size == 0) {
         // The first frame is always synced before the file is renamed into place.
         return base::failure(corrupt(LOG_FILE, 0, "first frame damaged"));
     }
-    opened.tornBytes = file.size() - m_size;
-    if (opened.tornBytes > 0) {
-        if (internal::hasFrameAfter(file, m_size)) {
-            return base::failure(corrupt(LOG_FILE, m_size, "damaged frame before an intact one"));
-        }
-    }
+    BOOST_OUTCOME_TRY(tornBytes, measureTornTail());
+    opened.tornBytes = tornBytes;
     if (m_base.index > m_snapshot.index) {
         return base::failure(corrupt(LOG_FILE, 0, "log starts after the snapshot"));
     }
     if (m_base.index < m_snapshot.index) {
         removeCoveredEntries();
+        m_repair = Repair::Rewrite;
     }
     return base::success();
 }
 
-Result<void> LogStore::replay(std::vector<internal::Record> &&records, std::uint64_t offset)
+Result<std::optional<std::uint64_t>> LogStore::intactFrame(std::uint64_t offset)
+{
+    internal::FileSource source(m_files, LOG_FILE, offset);
+    const auto size = internal::checkFrame(source, offset);
+    if (source.error()) {
+        return base::failure(*source.error());
+    }
+    return size;
+}
+
+Result<std::uint64_t> LogStore::measureTornTail()
 {
-    for (internal::Record &record : records) {
-        if (const auto *base = std::get_if<internal::BaseRecord>(&record)) {
-            m_base = *base;
-        } else if (auto *state = std::get_if<consensus::HardState>(&record)) {
-            m_hardState = std::move(*state);
-            m_fresh = false;
-        } else {
-            consensus::Entry &entry = std::get<consensus::Entry>(record);
-            const std::uint64_t last = m_base.index + m_entries.size();
-            if (entry.index <= m_base.index || entry.index > last + 1) {
-                return base::failure(corrupt(LOG_FILE, offset, "log entries missing"));
+    // A magic number may lie across two parts.
+    constexpr std::size_t OVERLAP = internal::FRAME_MAGIC.size() - 1;
+    std::uint64_t offset = m_size;
+    while (true) {
+        BOOST_OUTCOME_TRY(part, m_files.readPart(LOG_FILE, offset, PART_BYTES));
+        const std::string_view bytes = part ? std::string_view(*part) : std::string_view();
+        for (std::size_t at = bytes.find(internal::FRAME_MAGIC); at != std::string_view::npos;
+             at = bytes.find(internal::FRAME_MAGIC, at + 1)) {
+            BOOST_OUTCOME_TRY(body, intactFrame(offset + at));
+            if (body) {
+                return base::failure(corrupt(LOG_FILE, m_size, "damaged frame before an intact one"));
             }
-            addEntry(std::move(entry));
-            m_fresh = false;
         }
+        if (bytes.size() < PART_BYTES) {
+            return offset + bytes.size() - m_size;
+        }
+        offset += PART_BYTES - OVERLAP;
+    }
+}
+
+Result<void> LogStore::replayFrame(std::uint64_t bodySize)
+{
+    internal::FileSource source(m_files, LOG_FILE, m_size + internal::FRAME_HEADER_BYTES);
+    Result<void> replayed = base::success();
+    const bool isValid = internal::decodeRecords(source, bodySize, [this, &replayed](internal::Record &&record) {
+        replayed = replay(std::move(record));
+        return replayed.has_value();
+    });
+    if (source.error()) {
+        return base::failure(*source.error());
+    }
+    if (replayed && !isValid) {
+        return base::failure(corrupt(LOG_FILE, m_size, "frame contains invalid records"));
+    }
+    return replayed;
+}
+
+Result<void> LogStore::replay(internal::Record &&record)
+{
+    if (const auto *base = std::get_if<internal::BaseRecord>(&record)) {
+        m_base = *base;
+        return base::success();
+    }
+    m_fresh = false;
+    if (auto *state = std::get_if<consensus::HardState>(&record)) {
+        m_hardState = std::move(*state);
+        return base::success();
     }
+    auto &entry = std::get<consensus::Entry>(record);
+    const std::uint64_t last = m_base.index + m_entries.size();
+    if (entry.index <= m_base.index || entry.index > last + 1) {
+        return base::failure(corrupt(LOG_FILE, m_size, "log entries missing"));
+    }
+    addEntry(std::move(entry));
     return base::success();
 }
 
@@ -131,7 +186,7 @@
 {
     BOOST_OUTCOME_TRY(usable());
     m_hardState = state;
-    internal::encodeRecord(m_batch, state);
+    addToBatch(state);
     return base::success();
 }
 
@@ -143,7 +198,7 @@
             continue;
         }
         assert(it.index <= m_base.index + m_entries.size() + 1);
-        internal::encodeRecord(m_batch, it);
+        addToBatch(it);
         addEntry(consensus::Entry(it));
     }
     return base::success();
@@ -155,7 +210,13 @@
     assert(snapshot.index > m_snapshot.index);
     // The covered entries may exist only in the batch, and the snapshot may depend on the batched hard state.
     BOOST_OUTCOME_TRY(sync());
-    BOOST_OUTCOME_TRY(replaceFile(SNAPSHOT_FILE, internal::encodeFrame(internal::encodeSnapshot(snapshot), 0)));
+    const std::string temporary = std::string(SNAPSHOT_FILE) + TEMPORARY_SUFFIX;
+    // An earlier attempt may have left a part of it, which may be all that fills the disk.
+    BOOST_OUTCOME_TRY(m_files.remove(temporary));
+    const std::string head = internal::encodeSnapshotHead(snapshot);
+    BOOST_OUTCOME_TRY(m_files.append(temporary, internal::frameHeader({head, snapshot.data.str()}, 0) + head));
+    BOOST_OUTCOME_TRY(m_files.append(temporary, snapshot.data.str()));
+    BOOST_OUTCOME_TRY(finishFile(SNAPSHOT_FILE));
     m_snapshot = snapshot;
     removeCoveredEntries();
     m_repair = Repair::Rewrite;
@@ -180,6 +241,9 @@
     if (m_repair == Repair::Rewrite) {
         return rewriteLog();
     }
+    if (m_repair == Repair::Confirm) {
+        BOOST_OUTCOME_TRY(confirmTail());
+    }
     if (m_batch.empty()) {
         return base::success();
     }
@@ -187,8 +251,8 @@
         BOOST_OUTCOME_TRY(m_files.truncate(LOG_FILE, m_size));
         m_repair = Repair::None;
     }
-    const std::string frame = internal::encodeFrame(m_batch, m_size);
-    if (auto written = m_files.append(LOG_FILE, frame); !written) {
+    internal::sealFrame(m_batch, m_size);
+    if (auto written = m_files.append(LOG_FILE, m_batch); !written) {
         m_repair = Repair::Truncate;
         return written;
     }
@@ -196,8 +260,8 @@
         m_repair = Repair::Rewrite;
         return synced;
     }
-    m_size += frame.size();
-    m_batch.clear();
+    m_size += m_batch.size();
+    m_batch = {};
     return base::success();
 }
 
@@ -210,31 +274,73 @@
     return base::success();
 }
 
-Result<void> LogStore::replaceFile(const std::string &name, const std::string &bytes)
+void LogStore::addToBatch(const internal::Record &record)
+{
+    if (m_batch.empty()) {
+        internal::beginFrame(m_batch);
+    }
+    internal::encodeRecord(m_batch, record);
+}
+
+Result<void> LogStore::finishFile(const std::string &name)
 {
     const std::string temporary = name + TEMPORARY_SUFFIX;
-    // An earlier attempt may have left a part of it, which may be all that fills the disk.
-    BOOST_OUTCOME_TRY(m_files.remove(temporary));
-    BOOST_OUTCOME_TRY(m_files.append(temporary, bytes));
     BOOST_OUTCOME_TRY(m_files.sync(temporary));
     BOOST_OUTCOME_TRY(m_files.rename(temporary, name));
     return m_files.syncFolder();
 }
 
+Result<void> LogStore::confirmTail()
+{
+    BOOST_OUTCOME_TRY(m_files.truncate(LOG_FILE, m_size));
+    for (std::uint64_t offset = m_lastFrame; offset < m_size;) {
+        BOOST_OUTCOME_TRY(
+            part, m_files.readPart(LOG_FILE, offset, std::min<std::uint64_t>(PART_BYTES, m_size - offset)));
+        if (!part || part->empty()) {
+            return base::failure(StorageError{StorageErrorKind::Io, LOG_FILE, offset, "log file became shorter"});
+        }
+        BOOST_OUTCOME_TRY(m_files.overwrite(LOG_FILE, offset, *part));
+        offset += part->size();
+    }
+    if (auto synced = m_files.sync(LOG_FILE); !synced) {
+        m_repair = Repair::Rewrite;
+        return synced;
+    }
+    // A rename before the start may not be on disk either.
+    BOOST_OUTCOME_TRY(m_files.syncFolder());
+    m_repair = Repair::None;
+    return base::success();
+}
+
 Result<void> LogStore::rewriteLog()
 {
-    std::string body;
-    internal::encodeRecord(body, m_base);
+    const std::string temporary = std::string(LOG_FILE) + TEMPORARY_SUFFIX;
+    BOOST_OUTCOME_TRY(m_files.remove(temporary));
+    std::uint64_t size = 0;
+    std::string frame;
+    const auto writeFrame = [&]() -> Result<void> {
+        internal::sealFrame(frame, size);
+        BOOST_OUTCOME_TRY(m_files.append(temporary, frame));
+        size += frame.size();
+        frame.clear();
+        return base::success();
+    };
+    internal::beginFrame(frame);
+    internal::encodeRecord(frame, m_base);
     if (!m_fresh || m_hardState != consensus::HardState{}) {
-        internal::encodeRecord(body, m_hardState);
+        internal::encodeRecord(frame, m_hardState);
     }
     for (const consensus::Entry &it : m_entries) {
-        internal::encodeRecord(body, it);
+        if (frame.size() >= FRAME_BYTES) {
+            BOOST_OUTCOME_TRY(writeFrame());
+            internal::beginFrame(frame);
+        }
+        internal::encodeRecord(frame, it);
     }
-    const std::string frame = internal::encodeFrame(body, 0);
-    BOOST_OUTCOME_TRY(replaceFile(LOG_FILE, frame));
-    m_size = frame.size();
-    m_batch.clear();
+    BOOST_OUTCOME_TRY(writeFrame());
+    BOOST_OUTCOME_TRY(finishFile(LOG_FILE));
+    m_size = size;
+    m_batch = {};
     m_repair = Repair::None;
     return base::success();
 }
--- a/src/bamboomoor/storage/logstore.hpp
+++ b/src/bamboomoor/storage/logstore.hpp
@@ -38,7 +38,8 @@
     explicit LogStore(FileSystem &files);
 
     /**
-     * @brief Reads the files, and writes the log anew without a torn tail.
+     * @brief Reads the files, removes a torn tail of the log, and makes sure that the rest is on disk. Needs memory for
+     * the contents once, and no room on the disk for a second copy of the log.
      * @return The contents, also if the log file cannot be written at present; fails with Io, Sync, or Corrupt with
      * file and offset if it cannot be read.
      */
@@ -86,29 +87,38 @@
         None,
         // A write failed part way; what follows the synced bytes is removed.
         Truncate,
+        // The last frame was found at a start, and may be known to the kernel only; it is written over and synced.
+        Confirm,
         // A sync failed, so that the kernel may have dropped bytes that it still returns; or the base has moved.
         Rewrite,
     };
 
     [[nodiscard]] Result<void> usable() const;
     [[nodiscard]] Result<void> readSnapshot();
-    [[nodiscard]] Result<void> readLog(std::string_view file, OpenResult &opened);
-    [[nodiscard]] Result<void> replay(std::vector<internal::Record> &&records, std::uint64_t offset);
-    [[nodiscard]] Result<void> replaceFile(const std::string &name, const std::string &bytes);
+    [[nodiscard]] Result<void> readLog(OpenResult &opened);
+    [[nodiscard]] Result<std::optional<std::uint64_t>> intactFrame(std::uint64_t offset);
+    [[nodiscard]] Result<std::uint64_t> measureTornTail();
+    [[nodiscard]] Result<void> replayFrame(std::uint64_t bodySize);
+    [[nodiscard]] Result<void> replay(internal::Record &&record);
+    [[nodiscard]] Result<void> finishFile(const std::string &name);
+    [[nodiscard]] Result<void> confirmTail();
     [[nodiscard]] Result<void> rewriteLog();
+    void addToBatch(const internal::Record &record);
     void addEntry(consensus::Entry &&entry);
     void removeCoveredEntries();
 
     FileSystem &m_files;
     // Synced bytes of the log file; 0 if there is no log file yet.
     std::uint64_t m_size = 0;
-    // Encoded records pending for the next sync.
+    // Offset of the last frame that was read at the start.
+    std::uint64_t m_lastFrame = 0;
+    // Frame with the records that are pending for the next sync; empty if there are none.
     std::string m_batch;
     consensus::HardState m_hardState;
     consensus::Snapshot m_snapshot;
     // Entry before the first of m_entries.
     internal::BaseRecord m_base;
-    // Contiguous, after m_base; the contents of the log file and of m_batch.
+    // Contiguous, after m_base; the contents of the log file and of m_batch. They share their payloads with the node.
     std::deque<consensus::Entry> m_entries;
     Repair m_repair = Repair::None;
     bool m_fresh = true;
--- a/src/bamboomoor/storage/posixfolder.cpp
+++ b/src/bamboomoor/storage/posixfolder.cpp
@@ -3,8 +3,9 @@
  */
 #include "bamboomoor/storage/filesystem.hpp"
 
-#include <array>
+#include <algorithm>
 #include <cerrno>
+#include <cstdint>
 #include <cstring>
 #include <fcntl.h>
 #include <sys/file.h>
@@ -19,7 +20,6 @@
 {
 constexpr mode_t FOLDER_MODE = 0700;
 constexpr mode_t FILE_MODE = 0600;
-constexpr std::size_t READ_BYTES = 65'536;
 constexpr const char *LOCK_FILE = "lock";
 
 StorageError lastError(StorageErrorKind kind, const std::string &file, const char *operation)
@@ -28,6 +28,40 @@
     const std::string cause = std::generic_category().message(errno);
     return {isFull ? StorageErrorKind::NoSpace : kind, file, 0, std::string(operation) + ": " + cause};
 }
+
+/** @brief Closes a file descriptor at the end of a scope. */
+class Descriptor
+{
+public:
+    explicit Descriptor(int fd) noexcept
+        : m_fd(fd)
+    {
+    }
+    ~Descriptor()
+    {
+        ::close(m_fd);
+    }
+    Descriptor(const Descriptor &) = delete;
+    Descriptor &operator=(const Descriptor &) = delete;
+
+private:
+    const int m_fd;
+};
+
+Result<void> writeAll(int fd, const std::string &name, std::string_view bytes)
+{
+    while (!bytes.empty()) {
+        const ssize_t n = ::write(fd, bytes.data(), bytes.size());
+        if (n < 0 && errno == EINTR) {
+            continue;
+        }
+        if (n < 0) {
+            return base::failure(lastError(StorageErrorKind::Io, name, "write"));
+        }
+        bytes.remove_prefix(static_cast<std::size_t>(n));
+    }
+    return base::success();
+}
 } // namespace
 
 Result<std::unique_ptr<PosixFolder>> PosixFolder::open(const std::string &path)
@@ -68,6 +102,12 @@
 }
 
 Result<std::optional<std::string>> PosixFolder::read(const std::string &name)
+{
+    return readPart(name, 0, SIZE_MAX);
+}
+
+Result<std::optional<std::string>> PosixFolder::readPart(
+    const std::string &name, std::uint64_t offset, std::size_t size)
 {
     const int fd = ::openat(m_folder, name.c_str(), O_RDONLY | O_CLOEXEC);
     if (fd < 0) {
@@ -76,23 +116,46 @@
         }
         return base::failure(lastError(StorageErrorKind::Io, name, "open"));
     }
-    std::string bytes;
-    std::array<char, READ_BYTES> buf{};
-    ssize_t n = 0;
-    do {
-        n = ::read(fd, buf.data(), buf.size());
-        if (n > 0) {
-            bytes.append(buf.data(), static_cast<std::size_t>(n));
+    const Descriptor closer(fd);
+    const off_t end = ::lseek(fd, 0, SEEK_END);
+    if (end < 0 || ::lseek(fd, static_cast<off_t>(offset), SEEK_SET) < 0) {
+        return base::failure(lastError(StorageErrorKind::Io, name, "lseek"));
+    }
+    const std::uint64_t left = static_cast<std::uint64_t>(end) > offset ? static_cast<std::uint64_t>(end) - offset : 0;
+    // Its exact size, as a buffer that grows may take twice the memory.
+    std::string bytes(std::min<std::uint64_t>(left, size), '\0');
+    std::size_t done = 0;
+    while (done < bytes.size()) {
+        const ssize_t n = ::read(fd, bytes.data() + done, bytes.size() - done);
+        if (n < 0 && errno == EINTR) {
+            continue;
+        }
+        if (n < 0) {
+            return base::failure(lastError(StorageErrorKind::Io, name, "read"));
         }
-    } while (n > 0 || (n < 0 && errno == EINTR));
-    const StorageError error = lastError(StorageErrorKind::Io, name, "read");
-    ::close(fd);
-    if (n < 0) {
-        return base::failure(error);
+        if (n == 0) {
+            break;
+        }
+        done += static_cast<std::size_t>(n);
     }
+    bytes.resize(done);
     return std::optional<std::string>(std::move(bytes));
 }
 
+Result<void> PosixFolder::overwrite(const std::string &name, std::uint64_t offset, std::string_view bytes)
+{
+    // A descriptor of its own: writes of the other one always append.
+    const int fd = ::openat(m_folder, name.c_str(), O_WRONLY | O_CLOEXEC);
+    if (fd < 0) {
+        return base::failure(lastError(StorageErrorKind::Io, name, "open"));
+    }
+    const Descriptor closer(fd);
+    if (::lseek(fd, static_cast<off_t>(offset), SEEK_SET) < 0) {
+        return base::failure(lastError(StorageErrorKind::Io, name, "lseek"));
+    }
+    return writeAll(fd, name, bytes);
+}
+
 Result<int> PosixFolder::writer(const std::string &name)
 {
     const auto it = m_writers.find(name);
@@ -119,17 +182,7 @@
 Result<void> PosixFolder::append(const std::string &name, std::string_view bytes)
 {
     BOOST_OUTCOME_TRY(fd, writer(name));
-    while (!bytes.empty()) {
-        const ssize_t n = ::write(fd, bytes.data(), bytes.size());
-        if (n < 0 && errno == EINTR) {
-            continue;
-        }
-        if (n < 0) {
-            return base::failure(lastError(StorageErrorKind::Io, name, "write"));
-        }
-        bytes.remove_prefix(static_cast<std::size_t>(n));
-    }
-    return base::success();
+    return writeAll(fd, name, bytes);
 }
 
 Result<void> PosixFolder::truncate(const std::string &name, std::uint64_t size)
--- a/test/bamboomoor/consensus/rules.cpp
+++ b/test/bamboomoor/consensus/rules.cpp
@@ -342,3 +342,59 @@
     solo.step(Tick{});
     BOOST_TEST((solo.node->role() == Role::Leader));
 }
+
+BOOST_AUTO_TEST_CASE(a_leader_whose_log_is_full_rejects_proposals_until_a_snapshot_replaces_entries)
+{
+    constexpr std::size_t PAYLOAD = 1'000;
+    Solo solo(true, {"a"});
+    solo.options.maxLogBytes = 2 * PAYLOAD;
+    solo.options.keptBytes = PAYLOAD;
+    solo.restart();
+    solo.now += LONG_MS;
+    solo.step(Tick{});
+    const auto status = [&solo] {
+        solo.step(Propose{1, std::string(PAYLOAD, 'x'), std::nullopt});
+        return solo.out.proposals.front();
+    };
+    BOOST_TEST((status().status == ProposalStatus::Committed));
+    BOOST_TEST((status().status == ProposalStatus::Committed));
+    BOOST_TEST((status().reason == RejectReason::LogFull));
+    solo.step(Compact{solo.node->commitIndex(), "state"});
+    BOOST_TEST(solo.node->logBytes() <= PAYLOAD);
+    BOOST_TEST((status().status == ProposalStatus::Committed));
+}
+
+BOOST_AUTO_TEST_CASE(a_member_is_sent_a_bounded_number_of_bytes_ahead_of_its_acknowledgement)
+{
+    constexpr std::size_t PAYLOAD = 1'000;
+    constexpr std::size_t ENTRIES = 20;
+    Solo solo;
+    solo.options.maxInflightBytes = 4 * PAYLOAD;
+    solo.options.maxBatchBytes = PAYLOAD;
+    solo.restart();
+    solo.lead();
+    solo.acknowledge("b", 2);
+    const auto sentTo = [&solo](const VoterId &id) {
+        std::size_t bytes = 0;
+        for (const Message &it : solo.out.messages) {
+            const auto *append = std::get_if<Append>(&it.body);
+            for (std::size_t n = 0; it.to == id && append != nullptr && n < append->entries.size(); ++n) {
+                bytes += append->entries[n].payload.size();
+            }
+        }
+        return bytes;
+    };
+    std::size_t bytes = 0;
+    for (std::size_t n = 0; n < ENTRIES; ++n) {
+        solo.step(Propose{n, std::string(PAYLOAD, 'x'), std::nullopt});
+        bytes += sentTo("b");
+    }
+    BOOST_TEST(bytes == 4 * PAYLOAD);
+    // Each acknowledgement lets as much follow, until all is sent.
+    for (std::uint64_t acknowledged = 6; bytes < ENTRIES * PAYLOAD && acknowledged < ENTRIES + 2; acknowledged += 4) {
+        solo.acknowledge("b", acknowledged);
+        BOOST_TEST(sentTo("b") <= 4 * PAYLOAD);
+        bytes += sentTo("b");
+    }
+    BOOST_TEST(bytes == ENTRIES * PAYLOAD);
+}
--- a/test/bamboomoor/consensus/sim.cpp
+++ b/test/bamboomoor/consensus/sim.cpp
@@ -32,7 +32,7 @@
 std::uint64_t chain(std::uint64_t hash, const Entry &entry)
 {
     const std::string text = std::to_string(hash) + "/" + std::to_string(entry.index) + "/" + std::to_string(entry.term)
-        + "/" + std::to_string(static_cast<int>(entry.kind)) + entry.payload;
+        + "/" + std::to_string(static_cast<int>(entry.kind)) + entry.payload.str();
     return std::hash<std::string>{}(text);
 }
 } // namespace
@@ -111,12 +111,14 @@
     options.maxBatchBytes = m_scenario.seed % 2 == 0 ? 4 : 40;
     options.maxInflightEntries = 16;
     options.keptEntries = 3;
+    options.maxInflightBytes = m_scenario.seed % 3 == 0 ? 2 * sizeof(Entry) : 4096;
+    options.keptBytes = m_scenario.seed % 5 == 0 ? 2 * sizeof(Entry) : 4096;
     options.bootstrap = member.bootstrap;
     options.initialVoters = m_founders;
     member.plan = GroupPlanner({});
     member.machine = {member.disk.snapshot.index, 0};
     if (member.disk.snapshot.index > 0) {
-        member.machine.hash = std::stoull(member.disk.snapshot.data);
+        member.machine.hash = std::stoull(member.disk.snapshot.data.str());
     }
     member.node = std::make_unique<Node>(
         options, RecoveredState{member.disk.fresh, member.disk.hardState, member.disk.snapshot, member.disk.entries});
@@ -142,7 +144,7 @@
     }
     if (outputs.installed) {
         ++installed;
-        member.machine = {outputs.installed->index, std::stoull(outputs.installed->data)};
+        member.machine = {outputs.installed->index, std::stoull(outputs.installed->data.str())};
         if (m_hashes.at(member.machine.applied) != member.machine.hash) {
             fail(member.id + " installed a snapshot of a diverging history");
         }
@@ -163,9 +165,9 @@
             fail(member.id + " differs at entry " + std::to_string(it.index));
         }
         if (isNew && it.kind == EntryKind::Command) {
-            m_payloads[it.index] = it.payload;
-            if (!m_seen.insert(it.payload).second || m_refused.contains(it.payload)) {
-                fail("a proposal was applied twice or after its rejection: " + it.payload);
+            m_payloads[it.index] = it.payload.str();
+            if (!m_seen.insert(it.payload.str()).second || m_refused.contains(it.payload.str())) {
+                fail("a proposal was applied twice or after its rejection: " + it.payload.str());
             }
         }
     }
--- a/test/bamboomoor/control/voterthread.cpp
+++ b/test/bamboomoor/control/voterthread.cpp
@@ -50,6 +50,19 @@
     {
         return m_files->read(name);
     }
+    [[nodiscard]] storage::Result<std::optional<std::string>> readPart(
+        const std::string &name, std::uint64_t offset, std::size_t size) override
+    {
+        return m_files->readPart(name, offset, size);
+    }
+    [[nodiscard]] storage::Result<void> overwrite(
+        const std::string &name, std::uint64_t offset, std::string_view bytes) override
+    {
+        if (m_isFull) {
+            return base::failure(storage::StorageError{storage::StorageErrorKind::Io, name, 0, "full"});
+        }
+        return m_files->overwrite(name, offset, bytes);
+    }
     [[nodiscard]] storage::Result<void> append(const std::string &name, std::string_view bytes) override
     {
         if (m_isFull) {
--- a/test/bamboomoor/state/machine.cpp
+++ b/test/bamboomoor/state/machine.cpp
@@ -137,8 +137,10 @@
             .historyTexts = 2,
             .historyTextBytes = 900,
             .changes = 6,
+            .changeBytes = 600,
             .withdrawnKeys = 2,
             .claims = 3,
+            .claimBytes = 60,
             .responseBytes = 5,
             .totalResponseBytes = 8};
         Machine machine(limits);
@@ -282,3 +284,47 @@
     BOOST_TEST(decode(R"({"kind":"sweep_claims","value":{"before":1.5}})").has_error());
     BOOST_TEST(decode(R"({"kind":"sweep_claims","value":{"before":"1"}})").has_error());
 }
+
+BOOST_AUTO_TEST_CASE(claims_are_bounded_by_their_bytes_and_room_is_made_by_those_that_end)
+{
+    constexpr std::size_t KEY_BYTES = 100;
+    const Limits limits{.claimBytes = 1'000};
+    Machine machine(limits);
+    const auto open = [&machine](std::uint64_t n) {
+        std::string key = std::to_string(n);
+        key.resize(KEY_BYTES, 'k');
+        const OpenClaim command{"acme", key, "digest", "vm", 1, "attempt", 1, 1};
+        return std::get<ClaimOutcome>(machine.apply(machine.lastIndex() + 1, encode(command))).code;
+    };
+    std::uint64_t opened = 0;
+    while (opened < limits.claims && open(opened) == ClaimCode::Opened) {
+        ++opened;
+    }
+    BOOST_TEST(opened == limits.claimBytes / (KEY_BYTES + std::string("acmedigestvmattempt").size()));
+    static_cast<void>(machine.apply(machine.lastIndex() + 1, encode(AbandonClaims{"vm", 1})));
+    static_cast<void>(machine.apply(machine.lastIndex() + 1, encode(SweepClaims{2})));
+    BOOST_TEST((open(opened) == ClaimCode::Opened));
+    machine = Machine::restore(machine.snapshot(), limits).value();
+    for (std::uint64_t n = 1; n < opened; ++n) {
+        BOOST_TEST((open(opened + n) == ClaimCode::Opened));
+    }
+    BOOST_TEST((open(2 * opened) == ClaimCode::Full));
+}
+
+BOOST_AUTO_TEST_CASE(outcomes_of_changes_are_bounded_by_their_bytes_and_the_newest_are_kept)
+{
+    const Limits limits{.changeBytes = 2'000};
+    Machine machine(limits);
+    const auto add = [&machine](int n) {
+        const AddKey command{"change-" + std::to_string(n), "author", 1, "nobody", "key", std::string(64, 'a')};
+        std::string encoded = encode(command);
+        static_cast<void>(machine.apply(machine.lastIndex() + 1, encoded));
+        return encoded;
+    };
+    const std::string first = add(0);
+    for (int n = 1; n < 50; ++n) {
+        BOOST_TEST(machine.decided(add(n)).has_value());
+        BOOST_TEST(machine.configuration().bytes() <= limits.changeBytes);
+    }
+    BOOST_TEST(!machine.decided(first).has_value());
+}
--- a/test/bamboomoor/storage/member.cpp
+++ b/test/bamboomoor/storage/member.cpp
@@ -29,7 +29,7 @@
         storage::LogStore store(m_folder);
         const auto opened = store.open();
         if (opened.has_value()) {
-            m_applied = opened.value().recovered.snapshot.data;
+            m_applied = opened.value().recovered.snapshot.data.str();
             start(opened.value().recovered);
             while (m_failure.empty() && step(store)) { }
         } else if (opened.error().kind == storage::StorageErrorKind::Corrupt) {
@@ -88,7 +88,7 @@
     void apply(const consensus::Outputs &out)
     {
         for (const consensus::Entry &it : out.committed) {
-            m_applied += it.payload.size() == 1 ? it.payload : "";
+            m_applied += it.payload.size() == 1 ? it.payload.str() : "";
         }
         const std::size_t common = std::min(m_applied.size(), m_reported.size());
         const bool caughtUp = m_node->role() == consensus::Role::Leader && !out.proposals.empty();
--- a/test/bamboomoor/storage/memoryfolder.hpp
+++ b/test/bamboomoor/storage/memoryfolder.hpp
@@ -88,6 +88,33 @@
         return it == names.end() ? std::optional<std::string>() : std::optional<std::string>(it->second->bytes);
     }
 
+    storage::Result<std::optional<std::string>> readPart(
+        const std::string &name, std::uint64_t offset, std::size_t size) override
+    {
+        const auto it = names.find(name);
+        if (it == names.end()) {
+            return std::optional<std::string>();
+        }
+        const std::string &bytes = it->second->bytes;
+        return std::optional<std::string>(offset < bytes.size() ? bytes.substr(offset, size) : std::string());
+    }
+
+    storage::Result<void> overwrite(const std::string &name, std::uint64_t offset, std::string_view bytes) override
+    {
+        const bool fails = countDown();
+        File &file = *names.at(name);
+        if (!dead || fails) {
+            const std::string_view written = fails ? bytes.substr(0, bytes.size() / 2) : bytes;
+            file.bytes.replace(offset, written.size(), written);
+            if (file.lostFrom < file.lostTo && offset <= file.lostFrom && file.lostFrom < offset + written.size()) {
+                // The kernel knows again that these bytes are not on disk.
+                file.synced = std::min(file.synced, file.lostFrom);
+                file.lostFrom = std::min(file.lostTo, static_cast<std::size_t>(offset) + written.size());
+            }
+        }
+        return outcome(storage::StorageErrorKind::Io, name, fails);
+    }
+
     storage::Result<void> append(const std::string &name, std::string_view bytes) override
     {
         const bool fails = countDown();
