Send a large configuration to a part of the daemons at a time

Cause: a change of the configuration was answered to all waiting daemons at once, with a copy of the document for each reply and another one while it is sent; a leader's memory grew by twice the document for each daemon.

The change: documents go out at 4 MiB in each 25 ms; replies to daemons with an unknown version take the same path. Small documents are sent as before, in one interval.

Ruled out: a reply without document that makes daemons ask again, which costs a round trip for each and the same memory.

--- a/src/bamboomoor/control/configurationthread.cpp
+++ b/src/bamboomoor/control/configurationthread.cpp
@@ -4,6 +4,7 @@
 #include "bamboomoor/control/configurationthread.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace bamboomoor::control
@@ -15,6 +16,9 @@
 constexpr std::size_t RING_SIZE = 8'192;
 constexpr base::Millis HOLD{400};
 constexpr base::Millis IDLE_WAIT{1'000};
+// Bytes of documents that are sent in each interval; one is always sent.
+constexpr std::size_t MAX_SENT_BYTES = 4'194'304;
+constexpr base::Millis SEND_INTERVAL{25};
 
 peer::wire::FreshenReply describe(const state::Machine &machine, bool withDocument)
 {
@@ -74,18 +78,20 @@
         }
         const state::VersionInfo &info = outcome.machine->configuration().current();
         const bool known = info.version == request.known_version() && info.digest == request.known_digest();
-        peer::wire::FreshenReply reply = describe(*outcome.machine, !known);
+        peer::wire::FreshenReply reply = describe(*outcome.machine, false);
         reply.set_leader(outcome.leader);
         reply.set_term(outcome.term);
         const std::vector<std::string> voters = m_voter.status().voters;
         reply.mutable_voters()->Add(voters.begin(), voters.end());
-        if (!known) {
-            answer(std::move(reply));
-            return;
+        // After a restart or a snapshot from the leader, no change has been put into the ring yet.
+        const bool isQueued =
+            known || m_queuedDigest == info.digest || m_ring.push(Changed{describe(*outcome.machine, true)});
+        if (!known && isQueued) {
+            m_queuedDigest = info.digest;
         }
-        Event event(Waiter{answer, reply, m_clock.now() + HOLD});
-        if (!m_ring.push(std::move(event))) {
-            answer(std::move(reply));
+        Event event(Waiter{answer, reply, m_clock.now() + HOLD, known});
+        if (!isQueued || !m_ring.push(std::move(event))) {
+            answer(known ? std::move(reply) : peer::wire::FreshenReply());
         }
     });
 }
@@ -101,14 +107,15 @@
 
 void ConfigurationThread::onConfiguration(const state::Machine &machine)
 {
-    static_cast<void>(m_ring.push(Changed{describe(machine, true)}));
+    if (m_ring.push(Changed{describe(machine, true)})) {
+        m_queuedDigest = machine.configuration().current().digest;
+    }
 }
 
 void ConfigurationThread::run()
 {
     while (!m_stopping) {
-        const base::Millis next = m_waiters.empty() ? m_clock.now() + IDLE_WAIT : m_waiters.front().until;
-        auto event = m_ring.pop(std::max(next - m_clock.now(), base::Millis{0}));
+        auto event = m_ring.pop(std::max(nextDeadline() - m_clock.now(), base::Millis{0}));
         while (event) {
             std::visit(
                 [this](auto &it) {
@@ -118,10 +125,14 @@
             event = m_ring.pop({0});
         }
         answerExpired();
+        answerDue();
     }
     for (Waiter &it : m_waiters) {
         it.answer({});
     }
+    for (Waiter &it : m_due) {
+        it.answer({});
+    }
     while (auto event = m_ring.pop({0})) {
         if (auto *waiter = std::get_if<Waiter>(&*event)) {
             waiter->answer({});
@@ -131,8 +142,8 @@
 
 void ConfigurationThread::on(Waiter &event)
 {
-    if (m_version > event.unchanged.version()) {
-        event.answer(m_latest);
+    if (!event.isKnown || m_version > event.unchanged.version()) {
+        m_due.push_back(std::move(event));
         return;
     }
     m_waiters.push_back(std::move(event));
@@ -141,10 +152,8 @@
 void ConfigurationThread::on(Changed &event)
 {
     m_version = event.reply.version();
-    m_latest = event.reply;
-    for (Waiter &it : m_waiters) {
-        it.answer(event.reply);
-    }
+    m_latest = std::move(event.reply);
+    std::move(m_waiters.begin(), m_waiters.end(), std::back_inserter(m_due));
     m_waiters.clear();
 }
 
@@ -156,6 +165,37 @@
     m_waiters.clear();
 }
 
+void ConfigurationThread::answerDue()
+{
+    const base::Millis now = m_clock.now();
+    if (now >= m_intervalEnd) {
+        m_sentBytes = 0;
+        m_intervalEnd = now + SEND_INTERVAL;
+    }
+    const std::size_t size = m_latest.document().size();
+    while (!m_due.empty() && (m_sentBytes == 0 || m_sentBytes + size <= MAX_SENT_BYTES)) {
+        const Waiter it = std::move(m_due.front());
+        m_due.pop_front();
+        m_sentBytes += size;
+        peer::wire::FreshenReply reply = m_latest;
+        if (!it.isKnown) {
+            reply.set_leader(it.unchanged.leader());
+            reply.set_term(it.unchanged.term());
+            *reply.mutable_voters() = it.unchanged.voters();
+        }
+        it.answer(std::move(reply));
+    }
+}
+
+base::Millis ConfigurationThread::nextDeadline() const
+{
+    base::Millis next = m_clock.now() + IDLE_WAIT;
+    if (!m_waiters.empty()) {
+        next = std::min(next, m_waiters.front().until);
+    }
+    return m_due.empty() ? next : std::min(next, m_intervalEnd);
+}
+
 void ConfigurationThread::answerExpired()
 {
     const base::Millis now = m_clock.now();
--- a/src/bamboomoor/control/configurationthread.hpp
+++ b/src/bamboomoor/control/configurationthread.hpp
@@ -1,7 +1,8 @@
 /**
  * Serves the active configuration to the daemons by long polling. A request that names another version is answered
  * immediately; otherwise the reply is held until the configuration changes or a short timeout expires. A change thus
- * reaches every daemon as soon as it is committed.
+ * reaches every daemon as soon as it is committed. Large documents are sent to a part of the daemons at a time, as
+ * their replies are in memory until they are sent.
  */
 #pragma once
 
@@ -11,7 +12,9 @@
 #include "bamboomoor/peer/server.hpp"
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <string>
 #include <thread>
 #include <variant>
@@ -54,8 +57,11 @@
 private:
     struct Waiter {
         peer::Answer<peer::wire::FreshenReply> answer;
+        // Without the document.
         peer::wire::FreshenReply unchanged;
         base::Millis until;
+        // Whether the caller has the version that was in force when it asked.
+        bool isKnown = false;
     };
     struct Changed {
         peer::wire::FreshenReply reply;
@@ -69,17 +75,26 @@
     void on(Changed &event);
     void on(Stopped &event);
     void answerExpired();
+    void answerDue();
+    [[nodiscard]] base::Millis nextDeadline() const;
 
     VoterThread &m_voter;
     const base::Clock &m_clock;
     base::Ring<Event> m_ring;
     std::thread m_thread;
     std::atomic<bool> m_stopping{false};
+    // Digest of the document that was last put into the ring; accessed by the voter's thread only.
+    std::string m_queuedDigest;
     // Pending requests in ascending order of `until`; accessed by this object's thread only.
     std::vector<Waiter> m_waiters;
     // The latest change, for requests that are queued after it was distributed.
     std::uint64_t m_version = 0;
     peer::wire::FreshenReply m_latest;
+    // Requests that are to get m_latest.
+    std::deque<Waiter> m_due;
+    // Bytes of the documents sent since the current interval began, and its end.
+    std::size_t m_sentBytes = 0;
+    base::Millis m_intervalEnd;
 };
 
 } // namespace bamboomoor::control
