Bound the bodies that a server holds together, and the size of a change

Cause: control bounded each body (32 MiB) and the connections (1,500), but not the bytes of all bodies, and a change of more than 16 MiB in the log was refused as if the leader were busy, so that its sender repeated it for ever.

The change: http::ServerOptions::maxHeldBodyBytes bounds the bodies of requests that are not answered yet.

Test: test_http bodies_that_together_exceed_their_bound_are_refused_until_others_are_answered; the option did not exist before.

--- a/src/bamboomoor/daemon/operatordesk.cpp
+++ b/src/bamboomoor/daemon/operatordesk.cpp
@@ -3,6 +3,7 @@
  */
 #include "bamboomoor/daemon/operatordesk.hpp"
 #include "bamboomoor/base/digest.hpp"
+#include "bamboomoor/consensus/types.hpp"
 #include "bamboomoor/operators/wire.hpp"
 #include "bamboomoor/peer/channel.hpp"
 #include "bamboomoor/state/outcome.hpp"
@@ -222,6 +223,11 @@
 {
     peer::wire::ProposeRequest request;
     request.set_command(state::encode(command));
+    if (request.command().size() > consensus::MAX_PROPOSAL_BYTES) {
+        return refused(413, "document_too_large",
+            "the change has " + std::to_string(request.command().size()) + " bytes in the log, at most "
+                + std::to_string(consensus::MAX_PROPOSAL_BYTES) + " are accepted");
+    }
     const base::Millis deadline = m_clock.now() + CHANGE_DEADLINE;
     bool mayHaveRun = false;
     // The change id makes every resend safe.
--- a/src/bamboomoor/gateway/controlapi.cpp
+++ b/src/bamboomoor/gateway/controlapi.cpp
@@ -4,6 +4,7 @@
 #include "bamboomoor/gateway/controlapi.hpp"
 
 #include "bamboomoor/config/parse.hpp"
+#include "bamboomoor/consensus/types.hpp"
 #include "bamboomoor/gateway/controlmetrics.hpp"
 #include "bamboomoor/peer/channel.hpp"
 #include "bamboomoor/state/command.hpp"
@@ -154,6 +155,16 @@
     command.source = call.source;
     peer::wire::ProposeRequest request;
     request.set_command(state::encode(command));
+    if (request.command().size() > consensus::MAX_PROPOSAL_BYTES) {
+        const std::string reason = "the configuration is too large: " + std::to_string(request.command().size())
+            + " bytes in the log, at most " + std::to_string(consensus::MAX_PROPOSAL_BYTES);
+        m_context.metrics.changed("invalid");
+        m_context.log.write(base::LogLine("configuration_refused")
+                                .add("version", static_cast<std::int64_t>(call.version))
+                                .add("reason", reason));
+        responder->respond(m_context.dialect.invalid(reason));
+        return;
+    }
     leader->call(request, m_options.timeout,
         [this, responder, version = call.version, asked = leader->address()](
             const std::optional<peer::wire::ProposeReply> &reply) {
--- a/src/bamboomoor/gateway/process.cpp
+++ b/src/bamboomoor/gateway/process.cpp
@@ -38,7 +38,9 @@
 constexpr timespec SETTINGS_POLL{1, 0};
 // Pause before a data folder that could not be written is tried again.
 constexpr timespec DISK_RETRY{0, 200'000'000};
-constexpr std::size_t CONTROL_BODY_BYTES = 33'554'432;
+constexpr std::size_t CONTROL_BODY_BYTES = 4'194'304;
+// Bytes of the bodies of all calls in progress.
+constexpr std::size_t CONTROL_HELD_BODY_BYTES = 8'388'608;
 constexpr unsigned CONTROL_CONNECTIONS = 1'500;
 
 std::string hostOf(const std::string &address)
@@ -244,6 +246,7 @@
 {
     http::ServerOptions options;
     options.maxBodyBytes = CONTROL_BODY_BYTES;
+    options.maxHeldBodyBytes = CONTROL_HELD_BODY_BYTES;
     options.maxConnections = CONTROL_CONNECTIONS;
     options.threads = 1;
     return options;
--- a/src/bamboomoor/http/internal/exchange.hpp
+++ b/src/bamboomoor/http/internal/exchange.hpp
@@ -31,10 +31,12 @@
     std::atomic<bool> quiescing = false;
     // Set before the library stops: from then on no connection is suspended.
     std::atomic<bool> stopping = false;
+    // Body bytes of the exchanges that exist.
+    std::atomic<std::size_t> heldBodyBytes = 0;
 };
 
 /** @brief Why a request is answered by the server itself. */
-enum class Refusal { None, HeaderTooLarge, BodyTooLarge, Malformed };
+enum class Refusal { None, HeaderTooLarge, BodyTooLarge, Busy, Malformed };
 
 /** @brief One request and its answer. */
 class Exchange : public std::enable_shared_from_this<Exchange>
@@ -47,6 +49,9 @@
      * @param target The request target as sent.
      */
     Exchange(std::shared_ptr<ExchangeScope> scope, MHD_Connection *connection, std::string_view target);
+    ~Exchange();
+    Exchange(const Exchange &) = delete;
+    Exchange &operator=(const Exchange &) = delete;
 
     /**
      * @brief Takes the head; called once, on the library's thread.
@@ -134,6 +139,7 @@
 private:
     enum class State { Open, Whole, Streaming, Ended, Cut };
 
+    [[nodiscard]] bool hasRoom(std::uint64_t bytes) const noexcept;
     [[nodiscard]] ssize_t readStream(char *buf, std::size_t max);
     [[nodiscard]] static MHD_Response *makeWhole(std::string text);
     [[nodiscard]] MHD_Response *makeStream();
@@ -148,6 +154,10 @@
     // Touched on the library's thread alone.
     Request m_request;
     std::size_t m_bodyBytes = 0;
+    // Part of ExchangeScope::heldBodyBytes.
+    std::size_t m_heldBytes = 0;
+    // Set when a part of the body was dropped for want of room.
+    bool m_isOverHeld = false;
     bool m_headRead = false;
     bool m_dispatched = false;
 
--- a/src/bamboomoor/http/internal/intake.cpp
+++ b/src/bamboomoor/http/internal/intake.cpp
@@ -11,6 +11,7 @@
 #include <array>
 #include <cassert>
 #include <charconv>
+#include <utility>
 
 namespace bamboomoor::http::internal
 {
@@ -20,6 +21,8 @@
 
 // A body of this many times its bound is not read to its end.
 constexpr std::size_t DISCARD_FACTOR = 2;
+// Asked of callers whose body found no room, in seconds.
+constexpr const char *BUSY_RETRY_SECONDS = "1";
 
 std::string addressOf(MHD_Connection *connection)
 {
@@ -119,6 +122,17 @@
     m_request.query = mark == std::string_view::npos ? std::string_view() : path.substr(mark + 1);
 }
 
+Exchange::~Exchange()
+{
+    m_scope->heldBodyBytes -= m_heldBytes;
+}
+
+bool Exchange::hasRoom(std::uint64_t bytes) const noexcept
+{
+    const std::size_t max = m_scope->options.maxHeldBodyBytes;
+    return max == 0 || m_scope->heldBodyBytes + bytes <= max;
+}
+
 Refusal Exchange::readHead(std::string_view method)
 {
     const absl::MutexLock lock(&m_mutex);
@@ -137,17 +151,24 @@
         return Refusal::HeaderTooLarge;
     }
     const std::uint64_t length = announcedLength(m_request.headers);
-    return length > m_scope->options.maxBodyBytes ? Refusal::BodyTooLarge : Refusal::None;
+    if (length > m_scope->options.maxBodyBytes) {
+        return Refusal::BodyTooLarge;
+    }
+    return hasRoom(length) ? Refusal::None : Refusal::Busy;
 }
 
 bool Exchange::readBody(std::string_view bytes)
 {
     m_bodyBytes += bytes.size();
-    if (m_bodyBytes <= m_scope->options.maxBodyBytes) {
+    m_isOverHeld = m_isOverHeld || !hasRoom(bytes.size());
+    if (m_bodyBytes <= m_scope->options.maxBodyBytes && !m_isOverHeld) {
         m_request.body += bytes;
+        m_heldBytes += bytes.size();
+        m_scope->heldBodyBytes += bytes.size();
         return true;
     }
     m_request.body = {};
+    m_scope->heldBodyBytes -= std::exchange(m_heldBytes, 0);
     if (m_bodyBytes / DISCARD_FACTOR <= m_scope->options.maxBodyBytes) {
         return true;
     }
@@ -164,6 +185,9 @@
     if (m_bodyBytes > m_scope->options.maxBodyBytes) {
         return refuse(Refusal::BodyTooLarge);
     }
+    if (m_isOverHeld) {
+        return refuse(Refusal::Busy);
+    }
     ++m_scope->tally->requests;
     handler.handle(std::move(m_request), makeResponder(shared_from_this()));
     return settle();
@@ -182,6 +206,11 @@
         ++m_scope->tally->bodyTooLarge;
         response.status = 413;
         response.body = refusalBody("body_too_large", "the request's body is too large");
+    } else if (refusal == Refusal::Busy) {
+        ++m_scope->tally->overHeldBodies;
+        response.status = 503;
+        response.headers.push_back({"Retry-After", BUSY_RETRY_SECONDS});
+        response.body = refusalBody("server_busy", "too many request bodies are being handled; try again later");
     } else {
         ++m_scope->tally->malformed;
         response.body = refusalBody("malformed_request", "the request is malformed");
--- a/src/bamboomoor/http/server.cpp
+++ b/src/bamboomoor/http/server.cpp
@@ -310,6 +310,7 @@
     counters.openRequests = tally.openRequests;
     counters.headerTooLarge = tally.headerTooLarge;
     counters.bodyTooLarge = tally.bodyTooLarge;
+    counters.overHeldBodies = tally.overHeldBodies;
     counters.malformed = tally.malformed;
     counters.slowSender = tally.slowSender;
     counters.slowReader = tally.slowReader;
--- a/src/bamboomoor/http/server.hpp
+++ b/src/bamboomoor/http/server.hpp
@@ -84,6 +84,8 @@
 struct ServerOptions {
     std::size_t maxHeaderBytes = 16'384;
     std::size_t maxBodyBytes = 4'194'304;
+    // Bytes of the bodies of all requests that are not answered yet; more are refused with 503. 0 for no bound.
+    std::size_t maxHeldBodyBytes = 0;
     // A stream's bytes that wait for a caller that does not read.
     std::size_t maxStreamBytes = 1'048'576;
     unsigned maxConnections = 12'000;
@@ -108,6 +110,8 @@
     std::uint64_t openRequests = 0;
     std::uint64_t headerTooLarge = 0;
     std::uint64_t bodyTooLarge = 0;
+    // Requests refused because of maxHeldBodyBytes.
+    std::uint64_t overHeldBodies = 0;
     std::uint64_t malformed = 0;
     std::uint64_t slowSender = 0;
     std::uint64_t slowReader = 0;
--- a/test/bamboomoor/http/server.cpp
+++ b/test/bamboomoor/http/server.cpp
@@ -212,6 +212,55 @@
     BOOST_TEST(!caller.readAll().ends_with("\r\n0\r\n\r\n"));
 }
 
+BOOST_AUTO_TEST_CASE(bodies_that_together_exceed_their_bound_are_refused_until_others_are_answered)
+{
+    constexpr std::size_t BODY = 60'000;
+    absl::Mutex mutex;
+    std::vector<std::shared_ptr<http::Responder>> waiting;
+    http::ServerOptions options = shortTimes();
+    options.maxBodyBytes = options.maxHeldBodyBytes = 100'000;
+    Fixture fixture(
+        [&](const http::Request &, const std::shared_ptr<http::Responder> &responder) {
+            const absl::MutexLock lock(&mutex);
+            waiting.push_back(responder);
+        },
+        options);
+    const std::string start = "POST / HTTP/1.1\r\nHost: x\r\n";
+    const std::string whole = start + "Content-Length: " + std::to_string(BODY) + "\r\n\r\n" + std::string(BODY, 'b');
+    const auto isHeld = [&](std::uint64_t requests) {
+        fixture.await([requests](const http::ServerCounters &it) {
+            return it.requests == requests;
+        });
+    };
+    const RawConnection first(fixture.address);
+    first.send(whole);
+    isHeld(1);
+    const RawConnection announced(fixture.address);
+    announced.send(start + "Content-Length: " + std::to_string(BODY) + "\r\n\r\n");
+    const std::string refusal = announced.readAll();
+    BOOST_TEST(refusal.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(refusal.find("Retry-After: 1") != std::string::npos);
+    const RawConnection chunked(fixture.address);
+    chunked.send(start + "Transfer-Encoding: chunked\r\n\r\nEA60\r\n" + std::string(BODY, 'c') + "\r\n0\r\n\r\n");
+    BOOST_TEST(chunked.readAll().starts_with("HTTP/1.1 503"));
+    BOOST_TEST(fixture.server.counters().overHeldBodies == 2U);
+    {
+        const absl::MutexLock lock(&mutex);
+        waiting.front()->respond({200, {}, "done"});
+        waiting.clear();
+    }
+    BOOST_TEST(!first.readUntil("done").empty());
+    fixture.await([](const http::ServerCounters &it) {
+        return it.openRequests == 0;
+    });
+    const RawConnection later(fixture.address);
+    later.send(whole);
+    isHeld(2);
+    const absl::MutexLock lock(&mutex);
+    waiting.front()->respond({200, {}, "done"});
+    waiting.clear();
+}
+
 BOOST_AUTO_TEST_CASE(oversize_and_malformed_requests_are_refused)
 {
     Fixture fixture(echo, shortTimes());
