Bound the request bodies that an entry holds

Cause: each body was bounded, their sum was not; an attempt copies the body once more.

A single body of max_body_bytes always finds room in an idle entry.

--- a/src/bamboomoor/gateway/entrydaemon.cpp
+++ b/src/bamboomoor/gateway/entrydaemon.cpp
@@ -20,6 +20,10 @@
 constexpr base::Millis FINAL_RESPONSES{200};
 // What the lines between entries and to upstreams add to the head of a caller's request.
 constexpr std::size_t FORWARD_HEADER_BYTES = 4'096;
+// Bytes of the bodies of all requests in progress, of callers and of other entries. Each body may exist twice, as an
+// attempt has its own copy.
+constexpr std::size_t HELD_BODY_BYTES = 50'331'648;
+constexpr std::size_t FORWARD_HELD_BODY_BYTES = 16'777'216;
 // Interval of the demand reports, on which placement is based.
 constexpr base::Millis DEMAND_INTERVAL{250};
 // Budget holder: interval of its reports, and the longest time that a request waits for tokens.
@@ -76,6 +80,7 @@
     http::ServerOptions options;
     options.maxBodyBytes = static_cast<std::size_t>(settings.entry.maxBodyBytes);
     options.threads = static_cast<unsigned>(settings.entry.threads);
+    options.maxHeldBodyBytes = std::max(options.maxBodyBytes, HELD_BODY_BYTES);
     options.maxConnections = MAX_CALLERS;
     return options;
 }
@@ -84,6 +89,7 @@
 {
     http::ServerOptions options = serverOptions(settings);
     options.maxHeaderBytes += FORWARD_HEADER_BYTES;
+    options.maxHeldBodyBytes = std::max(options.maxBodyBytes, FORWARD_HELD_BODY_BYTES);
     options.threads = 1;
     return options;
 }
