--- a/src/bamboomoor/storage/bytesource.hpp
+++ b/src/bamboomoor/storage/bytesource.hpp
@@ -28,6 +28,27 @@
     [[nodiscard]] virtual std::string_view next(std::uint64_t maxBytes) = 0;
 };
 
+/** @brief Delivers bytes that are in memory. */
+class ViewSource final : public ByteSource
+{
+public:
+    /** @brief Starts at the first byte. @param bytes The bytes; must outlive the source. */
+    explicit ViewSource(std::string_view bytes) noexcept
+        : m_bytes(bytes)
+    {
+    }
+
+    [[nodiscard]] std::string_view next(std::uint64_t maxBytes) override
+    {
+        const std::string_view part = m_bytes.substr(0, maxBytes);
+        m_bytes.remove_prefix(part.size());
+        return part;
+    }
+
+private:
+    std::string_view m_bytes;
+};
+
 /** @brief Delivers the bytes of a file through a buffer. */
 class FileSource final : public ByteSource
 {
--- a/src/bamboomoor/storage/codec.cpp
+++ b/src/bamboomoor/storage/codec.cpp
@@ -120,26 +120,6 @@
     bool m_ok = true;
 };
 
-/** @brief Delivers bytes that are in memory. */
-class ViewSource final : public ByteSource
-{
-public:
-    explicit ViewSource(std::string_view bytes) noexcept
-        : m_bytes(bytes)
-    {
-    }
-
-    [[nodiscard]] std::string_view next(std::uint64_t maxBytes) override
-    {
-        const std::string_view part = m_bytes.substr(0, maxBytes);
-        m_bytes.remove_prefix(part.size());
-        return part;
-    }
-
-private:
-    std::string_view m_bytes;
-};
-
 /** @brief The checksum of a body that is delivered in parts; the offset of its frame is the seed. */
 class Checksum
 {
--- a/src/bamboomoor/storage/logstore.cpp
+++ b/src/bamboomoor/storage/logstore.cpp
@@ -71,7 +71,7 @@
     if (!file) {
         return base::success();
     }
-    internal::FileSource source(m_files, SNAPSHOT_FILE, 0);
+    internal::ViewSource source(*file);
     const auto size = internal::checkFrame(source, 0);
     const bool isWhole = size && internal::FRAME_HEADER_BYTES + *size == file->size();
     const auto data = isWhole
@@ -210,9 +210,7 @@
     assert(snapshot.index > m_snapshot.index);
     // The covered entries may exist only in the batch, and the snapshot may depend on the batched hard state.
     BOOST_OUTCOME_TRY(sync());
-    const std::string temporary = std::string(SNAPSHOT_FILE) + TEMPORARY_SUFFIX;
-    // An earlier attempt may have left a part of it, which may be all that fills the disk.
-    BOOST_OUTCOME_TRY(m_files.remove(temporary));
+    BOOST_OUTCOME_TRY(temporary, startFile(SNAPSHOT_FILE));
     const std::string head = internal::encodeSnapshotHead(snapshot);
     BOOST_OUTCOME_TRY(m_files.append(temporary, internal::frameHeader({head, snapshot.data.str()}, 0) + head));
     BOOST_OUTCOME_TRY(m_files.append(temporary, snapshot.data.str()));
@@ -282,6 +280,14 @@
     internal::encodeRecord(m_batch, record);
 }
 
+Result<std::string> LogStore::startFile(const std::string &name)
+{
+    std::string temporary = name + TEMPORARY_SUFFIX;
+    // An earlier attempt may have left a part of it, which may be all that fills the disk.
+    BOOST_OUTCOME_TRY(m_files.remove(temporary));
+    return temporary;
+}
+
 Result<void> LogStore::finishFile(const std::string &name)
 {
     const std::string temporary = name + TEMPORARY_SUFFIX;
@@ -314,8 +320,7 @@
 
 Result<void> LogStore::rewriteLog()
 {
-    const std::string temporary = std::string(LOG_FILE) + TEMPORARY_SUFFIX;
-    BOOST_OUTCOME_TRY(m_files.remove(temporary));
+    BOOST_OUTCOME_TRY(temporary, startFile(LOG_FILE));
     std::uint64_t size = 0;
     std::string frame;
     const auto writeFrame = [&]() -> Result<void> {
--- a/src/bamboomoor/storage/logstore.hpp
+++ b/src/bamboomoor/storage/logstore.hpp
@@ -100,6 +100,8 @@
     [[nodiscard]] Result<std::uint64_t> measureTornTail();
     [[nodiscard]] Result<void> replayFrame(std::uint64_t bodySize);
     [[nodiscard]] Result<void> replay(internal::Record &&record);
+    // Replace a file: the first returns the name of the temporary file to append to.
+    [[nodiscard]] Result<std::string> startFile(const std::string &name);
     [[nodiscard]] Result<void> finishFile(const std::string &name);
     [[nodiscard]] Result<void> confirmTail();
     [[nodiscard]] Result<void> rewriteLog();
