Refuse an invalid change in one place

ControlApi wrote the metric, the log line and the answer of an invalid change twice, once for the check of the document and once for its size. Both call refuseInvalid() now. Behaviour is unchanged.

--- a/src/bamboomoor/gateway/controlapi.cpp
+++ b/src/bamboomoor/gateway/controlapi.cpp
@@ -127,15 +127,19 @@
     return name.empty() ? nullptr : m_context.peers.find(name);
 }
 
+void ControlApi::refuseInvalid(std::uint64_t version, const std::string &reason, const Responder &responder) const
+{
+    m_context.metrics.changed("invalid");
+    m_context.log.write(base::LogLine("configuration_refused")
+                            .add("version", static_cast<std::int64_t>(version))
+                            .add("reason", reason));
+    responder->respond(m_context.dialect.invalid(reason));
+}
+
 void ControlApi::on(const ReplaceCall &call, const Responder &responder)
 {
     if (const auto problem = config::check(call.document)) {
-        const std::string reason = problem->place + ": " + problem->message;
-        m_context.metrics.changed("invalid");
-        m_context.log.write(base::LogLine("configuration_refused")
-                                .add("version", static_cast<std::int64_t>(call.version))
-                                .add("reason", reason));
-        responder->respond(m_context.dialect.invalid(reason));
+        refuseInvalid(call.version, problem->place + ": " + problem->message, responder);
         return;
     }
     peer::Client *leader = this->leader();
@@ -156,13 +160,10 @@
     peer::wire::ProposeRequest request;
     request.set_command(state::encode(command));
     if (request.command().size() > consensus::MAX_PROPOSAL_BYTES) {
-        const std::string reason = "the configuration is too large: " + std::to_string(request.command().size())
-            + " bytes in the log, at most " + std::to_string(consensus::MAX_PROPOSAL_BYTES);
-        m_context.metrics.changed("invalid");
-        m_context.log.write(base::LogLine("configuration_refused")
-                                .add("version", static_cast<std::int64_t>(call.version))
-                                .add("reason", reason));
-        responder->respond(m_context.dialect.invalid(reason));
+        refuseInvalid(call.version,
+            "the configuration is too large: " + std::to_string(request.command().size())
+                + " bytes in the log, at most " + std::to_string(consensus::MAX_PROPOSAL_BYTES),
+            responder);
         return;
     }
     leader->call(request, m_options.timeout,
--- a/src/bamboomoor/gateway/controlapi.hpp
+++ b/src/bamboomoor/gateway/controlapi.hpp
@@ -78,6 +78,7 @@
     void on(BadCall &call, const Responder &responder);
     [[nodiscard]] static std::string modelsOf(const membership::Announcement &announcement);
     void announce(membership::Announcement announcement);
+    void refuseInvalid(std::uint64_t version, const std::string &reason, const Responder &responder) const;
     [[nodiscard]] bool isNewProblem(const std::string &reason);
     [[nodiscard]] bool isLed();
     [[nodiscard]] peer::Client *leader() const;
