--- a/src/bamboomoor/control/configurationthread.cpp
+++ b/src/bamboomoor/control/configurationthread.cpp
@@ -84,11 +84,7 @@
         const std::vector<std::string> voters = m_voter.status().voters;
         reply.mutable_voters()->Add(voters.begin(), voters.end());
         // After a restart or a snapshot from the leader, no change has been put into the ring yet.
-        const bool isQueued =
-            known || m_queuedDigest == info.digest || m_ring.push(Changed{describe(*outcome.machine, true)});
-        if (!known && isQueued) {
-            m_queuedDigest = info.digest;
-        }
+        const bool isQueued = known || m_queuedDigest == info.digest || queueDocument(*outcome.machine);
         Event event(Waiter{answer, reply, m_clock.now() + HOLD, known});
         if (!isQueued || !m_ring.push(std::move(event))) {
             answer(known ? std::move(reply) : peer::wire::FreshenReply());
@@ -107,9 +103,16 @@
 
 void ConfigurationThread::onConfiguration(const state::Machine &machine)
 {
-    if (m_ring.push(Changed{describe(machine, true)})) {
-        m_queuedDigest = machine.configuration().current().digest;
+    static_cast<void>(queueDocument(machine));
+}
+
+bool ConfigurationThread::queueDocument(const state::Machine &machine)
+{
+    if (!m_ring.push(Changed{describe(machine, true)})) {
+        return false;
     }
+    m_queuedDigest = machine.configuration().current().digest;
+    return true;
 }
 
 void ConfigurationThread::run()
--- a/src/bamboomoor/control/configurationthread.hpp
+++ b/src/bamboomoor/control/configurationthread.hpp
@@ -70,6 +70,8 @@
     };
     using Event = std::variant<Waiter, Changed, Stopped>;
 
+    // Called on the voter's thread; returns false if the ring is full.
+    [[nodiscard]] bool queueDocument(const state::Machine &machine);
     void run();
     void on(Waiter &event);
     void on(Changed &event);
