--- a/src/bamboomoor/state/machine.cpp
+++ b/src/bamboomoor/state/machine.cpp
@@ -20,11 +20,22 @@
 constexpr int SNAPSHOT_FORMAT = 1;
 constexpr std::string_view CLAIMS_KEY = "claims";
 constexpr std::string_view CONFIGURATION_KEY = "configuration";
+constexpr std::string_view FORMAT_KEY = "format";
+constexpr std::string_view LAST_INDEX_KEY = "lastIndex";
+constexpr std::string_view LEADER_LOG_KEY = "leaderLog";
 constexpr std::string_view QUARANTINES_KEY = "quarantines";
 constexpr std::string_view SOFTWARE_KEY = "software";
 // Bytes of a snapshot beside claims and history.
 constexpr std::size_t SNAPSHOT_SLACK = 1'048'576;
 
+/** @brief Appends the key of the next member of a JSON object. @return The text, for the value to be appended. */
+std::string &appendMember(std::string &out, std::string_view key)
+{
+    out += out.empty() ? "{\"" : ",\"";
+    out += key;
+    return out += "\":";
+}
+
 } // namespace
 
 Machine::Machine(const Limits &limits)
@@ -135,18 +146,17 @@
     std::string out;
     // Pages that are not written to cost nothing, while a buffer that grows needs twice its size.
     out.reserve(SNAPSHOT_SLACK + (m_configuration.bytes() + m_claims.bytes()) * 2);
-    out += "{\"claims\":";
-    m_claims.save(out);
-    out += ",\"configuration\":";
-    m_configuration.save(out);
-    out += ",\"format\":" + std::to_string(SNAPSHOT_FORMAT) + ",\"lastIndex\":" + std::to_string(m_lastIndex)
-        + ",\"leaderLog\":" + internal::dump(m_leaderLog.save());
+    m_claims.save(appendMember(out, CLAIMS_KEY));
+    m_configuration.save(appendMember(out, CONFIGURATION_KEY));
+    appendMember(out, FORMAT_KEY) += std::to_string(SNAPSHOT_FORMAT);
+    appendMember(out, LAST_INDEX_KEY) += std::to_string(m_lastIndex);
+    appendMember(out, LEADER_LOG_KEY) += internal::dump(m_leaderLog.save());
     // Left out when empty, as in snapshots of builds without them.
     if (!m_quarantines.ends().empty()) {
-        out += ",\"quarantines\":" + internal::dump(m_quarantines.save());
+        appendMember(out, QUARANTINES_KEY) += internal::dump(m_quarantines.save());
     }
     if (!m_software.versions().empty()) {
-        out += ",\"software\":" + internal::dump(m_software.save());
+        appendMember(out, SOFTWARE_KEY) += internal::dump(m_software.save());
     }
     out += '}';
     return out;
@@ -165,13 +175,13 @@
                 && machine.m_configuration.loadElement(path[1], element);
         };
         const nlohmann::json in = internal::parseStrictly(bytes, take);
-        if (in.at("format").get<int>() != SNAPSHOT_FORMAT) {
+        if (in.at(FORMAT_KEY).get<int>() != SNAPSHOT_FORMAT) {
             return base::failure(RestoreError{.message = "the snapshot format is not supported"});
         }
-        in.at("lastIndex").get_to(machine.m_lastIndex);
+        in.at(LAST_INDEX_KEY).get_to(machine.m_lastIndex);
         static_cast<void>(in.at(CLAIMS_KEY));
         machine.m_configuration.load(in.at(CONFIGURATION_KEY));
-        machine.m_leaderLog.load(in.at("leaderLog"));
+        machine.m_leaderLog.load(in.at(LEADER_LOG_KEY));
         if (in.contains(QUARANTINES_KEY)) {
             machine.m_quarantines.load(in.at(QUARANTINES_KEY));
         }
