Tests: one folder that passes operations on

The folders with faults and with a small disk each passed every other operation on by hand. Both derive from WrappedFolder now and override what differs. Assertions are unchanged.

--- a/test/bamboomoor/control/votermemory.cpp
+++ b/test/bamboomoor/control/votermemory.cpp
@@ -4,6 +4,8 @@
 #include "bamboomoor/config/parse.hpp"
 #include "bamboomoor/control/voterthread.hpp"
 
+#include "wrappedfolder.hpp"
+
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
@@ -33,31 +35,17 @@
 constexpr int ROUTES = 1'200;
 
 /** @brief A folder on a disk of DISK bytes. */
-class SmallDisk final : public storage::FileSystem
+class SmallDisk final : public control_test::WrappedFolder
 {
 public:
     SmallDisk(std::unique_ptr<storage::FileSystem> files, const std::filesystem::path &path)
-        : m_files(std::move(files))
+        : WrappedFolder(std::move(files))
     {
         for (const auto &it : std::filesystem::directory_iterator(path)) {
             m_sizes[it.path().filename().string()] = it.file_size();
         }
     }
 
-    [[nodiscard]] storage::Result<std::optional<std::string>> read(const std::string &name) override
-    {
-        return m_files->read(name);
-    }
-    [[nodiscard]] storage::Result<std::optional<std::string>> readPart(
-        const std::string &name, std::uint64_t offset, std::size_t size) override
-    {
-        return m_files->readPart(name, offset, size);
-    }
-    [[nodiscard]] storage::Result<void> overwrite(
-        const std::string &name, std::uint64_t offset, std::string_view bytes) override
-    {
-        return m_files->overwrite(name, offset, bytes);
-    }
     [[nodiscard]] storage::Result<void> append(const std::string &name, std::string_view bytes) override
     {
         std::uint64_t used = bytes.size();
@@ -68,35 +56,26 @@
             return base::failure(storage::StorageError{storage::StorageErrorKind::NoSpace, name, 0, "full"});
         }
         m_sizes[name] += bytes.size();
-        return m_files->append(name, bytes);
+        return WrappedFolder::append(name, bytes);
     }
     [[nodiscard]] storage::Result<void> truncate(const std::string &name, std::uint64_t size) override
     {
         m_sizes[name] = size;
-        return m_files->truncate(name, size);
-    }
-    [[nodiscard]] storage::Result<void> sync(const std::string &name) override
-    {
-        return m_files->sync(name);
+        return WrappedFolder::truncate(name, size);
     }
     [[nodiscard]] storage::Result<void> rename(const std::string &from, const std::string &to) override
     {
         m_sizes[to] = m_sizes[from];
         m_sizes.erase(from);
-        return m_files->rename(from, to);
+        return WrappedFolder::rename(from, to);
     }
     [[nodiscard]] storage::Result<void> remove(const std::string &name) override
     {
         m_sizes.erase(name);
-        return m_files->remove(name);
-    }
-    [[nodiscard]] storage::Result<void> syncFolder() override
-    {
-        return m_files->syncFolder();
+        return WrappedFolder::remove(name);
     }
 
 private:
-    std::unique_ptr<storage::FileSystem> m_files;
     std::map<std::string, std::uint64_t> m_sizes;
 };
 
--- a/test/bamboomoor/control/voterthread.cpp
+++ b/test/bamboomoor/control/voterthread.cpp
@@ -6,6 +6,7 @@
 #include "bamboomoor/control/consensuswire.hpp"
 
 #include "loopback.hpp"
+#include "wrappedfolder.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -35,67 +36,41 @@
 constexpr std::size_t VOTERS = 3;
 
 /** @brief A folder whose syncs take as long as the test wishes, and whose disk is full when it says so. */
-class FaultyFolder final : public storage::FileSystem
+class FaultyFolder final : public control_test::WrappedFolder
 {
 public:
     FaultyFolder(
         std::unique_ptr<storage::FileSystem> files, const std::atomic<int> &syncMillis, const std::atomic<bool> &isFull)
-        : m_files(std::move(files))
+        : WrappedFolder(std::move(files))
         , m_syncMillis(syncMillis)
         , m_isFull(isFull)
     {
     }
 
-    [[nodiscard]] storage::Result<std::optional<std::string>> read(const std::string &name) override
-    {
-        return m_files->read(name);
-    }
-    [[nodiscard]] storage::Result<std::optional<std::string>> readPart(
-        const std::string &name, std::uint64_t offset, std::size_t size) override
-    {
-        return m_files->readPart(name, offset, size);
-    }
     [[nodiscard]] storage::Result<void> overwrite(
         const std::string &name, std::uint64_t offset, std::string_view bytes) override
     {
         if (m_isFull) {
             return base::failure(storage::StorageError{storage::StorageErrorKind::Io, name, 0, "full"});
         }
-        return m_files->overwrite(name, offset, bytes);
+        return WrappedFolder::overwrite(name, offset, bytes);
     }
     [[nodiscard]] storage::Result<void> append(const std::string &name, std::string_view bytes) override
     {
         if (m_isFull) {
             // As on a real disk, a part may still find room.
-            BOOST_OUTCOME_TRY(m_files->append(name, bytes.substr(0, bytes.size() / 2)));
+            BOOST_OUTCOME_TRY(WrappedFolder::append(name, bytes.substr(0, bytes.size() / 2)));
             return base::failure(storage::StorageError{storage::StorageErrorKind::Io, name, 0, "full"});
         }
-        return m_files->append(name, bytes);
-    }
-    [[nodiscard]] storage::Result<void> truncate(const std::string &name, std::uint64_t size) override
-    {
-        return m_files->truncate(name, size);
+        return WrappedFolder::append(name, bytes);
     }
     [[nodiscard]] storage::Result<void> sync(const std::string &name) override
     {
         std::this_thread::sleep_for(std::chrono::milliseconds(m_syncMillis));
-        return m_files->sync(name);
-    }
-    [[nodiscard]] storage::Result<void> rename(const std::string &from, const std::string &to) override
-    {
-        return m_files->rename(from, to);
-    }
-    [[nodiscard]] storage::Result<void> remove(const std::string &name) override
-    {
-        return m_files->remove(name);
-    }
-    [[nodiscard]] storage::Result<void> syncFolder() override
-    {
-        return m_files->syncFolder();
+        return WrappedFolder::sync(name);
     }
 
 private:
-    std::unique_ptr<storage::FileSystem> m_files;
     const std::atomic<int> &m_syncMillis;
     const std::atomic<bool> &m_isFull;
 };
