--- a/src/bamboomoor/config/parse.cpp
+++ b/src/bamboomoor/config/parse.cpp
@@ -118,6 +118,8 @@
     Service out;
     out.name = in.text("name", Form::Filled);
     out.maxConnections = in.number("max_connections", out.maxConnections, RANK);
+    out.coldRateMilli = in.number("cold_requests_per_second_milli", out.coldRateMilli, HINT);
+    out.coldSpan.count = in.number("cold_ms", out.coldSpan.count, {0, MAX_SPAN_MS});
     in.tables("engine", [&out](TableReader &row) {
         Engine engine;
         engine.slots = row.number("slots", COUNT);
--- a/src/bamboomoor/config/print.cpp
+++ b/src/bamboomoor/config/print.cpp
@@ -129,6 +129,12 @@
     out.table("[[service]]");
     out.text("name", it.name);
     out.number("max_connections", it.maxConnections);
+    if (it.coldRateMilli > 0) {
+        out.number("cold_requests_per_second_milli", it.coldRateMilli);
+    }
+    if (it.coldSpan > base::Millis{}) {
+        out.number("cold_ms", it.coldSpan.count);
+    }
     if (it.engine) {
         out.table("[[service.engine]]");
         out.number("slots", it.engine->slots);
--- a/src/bamboomoor/control/configurationthread.cpp
+++ b/src/bamboomoor/control/configurationthread.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <utility>
 
 namespace bamboomoor::control
@@ -29,6 +30,9 @@
     reply.set_digest(info.digest);
     reply.set_author(info.author);
     reply.set_accepted_wall_ms(info.wallMillis);
+    const std::set<std::string> evacuated = machine.evacuations().evacuated();
+    reply.mutable_evacuated()->Add(evacuated.begin(), evacuated.end());
+    reply.set_evacuations(machine.evacuations().revision());
     if (withDocument) {
         reply.set_has_document(true);
         reply.set_document(info.text.value_or(std::string()));
@@ -36,6 +40,15 @@
     return reply;
 }
 
+/** @brief Replaces the evacuations of a reply if the other one's are newer. */
+void updateEvacuations(peer::wire::FreshenReply &reply, const peer::wire::FreshenReply &other)
+{
+    if (other.evacuations() > reply.evacuations()) {
+        *reply.mutable_evacuated() = other.evacuated();
+        reply.set_evacuations(other.evacuations());
+    }
+}
+
 } // namespace
 
 ConfigurationThread::ConfigurationThread(VoterThread &voter, const base::Clock &clock)
@@ -84,6 +97,10 @@
         const std::vector<std::string> voters = m_voter.status().voters;
         reply.mutable_voters()->Add(voters.begin(), voters.end());
         // After a restart or a snapshot from the leader, no change has been put into the ring yet.
+        if (known && request.known_evacuations() != reply.evacuations()) {
+            answer(std::move(reply));
+            return;
+        }
         const bool isQueued = known || m_queuedDigest == info.digest || queueDocument(*outcome.machine);
         Event event(Waiter{answer, reply, m_clock.now() + HOLD, known});
         if (!isQueued || !m_ring.push(std::move(event))) {
@@ -106,6 +123,12 @@
     static_cast<void>(queueDocument(machine));
 }
 
+void ConfigurationThread::onEvacuations(const state::Machine &machine)
+{
+    // What a full ring drops is in the next reply, no later than HOLD.
+    static_cast<void>(m_ring.push(EvacuationsChanged{describe(machine, false)}));
+}
+
 bool ConfigurationThread::queueDocument(const state::Machine &machine)
 {
     if (!m_ring.push(Changed{describe(machine, true)})) {
@@ -149,6 +172,11 @@
         m_due.push_back(std::move(event));
         return;
     }
+    if (m_evacuations.evacuations() > event.unchanged.evacuations()) {
+        updateEvacuations(event.unchanged, m_evacuations);
+        event.answer(event.unchanged);
+        return;
+    }
     m_waiters.push_back(std::move(event));
 }
 
@@ -160,6 +188,16 @@
     m_waiters.clear();
 }
 
+void ConfigurationThread::on(EvacuationsChanged &event)
+{
+    m_evacuations = std::move(event.reply);
+    for (Waiter &it : m_waiters) {
+        updateEvacuations(it.unchanged, m_evacuations);
+        it.answer(it.unchanged);
+    }
+    m_waiters.clear();
+}
+
 void ConfigurationThread::on(Stopped & /*event*/)
 {
     for (Waiter &it : m_waiters) {
@@ -181,6 +219,8 @@
         m_due.pop_front();
         m_sentBytes += size;
         peer::wire::FreshenReply reply = m_latest;
+        updateEvacuations(reply, it.unchanged);
+        updateEvacuations(reply, m_evacuations);
         if (!it.isKnown) {
             reply.set_leader(it.unchanged.leader());
             reply.set_term(it.unchanged.term());
--- a/src/bamboomoor/control/configurationthread.hpp
+++ b/src/bamboomoor/control/configurationthread.hpp
@@ -1,6 +1,6 @@
 /**
  * Serves the active configuration to the daemons by long polling. A request that names another version is answered
- * immediately; otherwise the reply is held until the configuration changes or a short timeout expires. A change thus
+ * immediately; otherwise the reply is held until the configuration or an evacuation changes or a short timeout expires. A change thus
  * reaches every daemon as soon as it is committed. Large documents are sent to a part of the daemons at a time, as
  * their replies are in memory until they are sent.
  */
@@ -53,6 +53,7 @@
     void onLeading(std::uint64_t term, const state::Machine &machine) override;
     void onNotLeading() override;
     void onConfiguration(const state::Machine &machine) override;
+    void onEvacuations(const state::Machine &machine) override;
 
 private:
     struct Waiter {
@@ -66,15 +67,20 @@
     struct Changed {
         peer::wire::FreshenReply reply;
     };
+    // Without the document.
+    struct EvacuationsChanged {
+        peer::wire::FreshenReply reply;
+    };
     struct Stopped {
     };
-    using Event = std::variant<Waiter, Changed, Stopped>;
+    using Event = std::variant<Waiter, Changed, EvacuationsChanged, Stopped>;
 
     // Called on the voter's thread; returns false if the ring is full.
     [[nodiscard]] bool queueDocument(const state::Machine &machine);
     void run();
     void on(Waiter &event);
     void on(Changed &event);
+    void on(EvacuationsChanged &event);
     void on(Stopped &event);
     void answerExpired();
     void answerDue();
@@ -92,6 +98,8 @@
     // The latest change, for requests that are queued after it was distributed.
     std::uint64_t m_version = 0;
     peer::wire::FreshenReply m_latest;
+    // The latest evacuations that were distributed, for the same purpose.
+    peer::wire::FreshenReply m_evacuations;
     // Requests that are to get m_latest.
     std::deque<Waiter> m_due;
     // Bytes of the documents sent since the current interval began, and its end.
--- a/src/bamboomoor/control/voterthread.cpp
+++ b/src/bamboomoor/control/voterthread.cpp
@@ -480,6 +480,12 @@
             it->onSoftware(*m_machine);
         });
     }
+    if (m_machine->evacuations().revision() != m_seenEvacuations) {
+        m_seenEvacuations = m_machine->evacuations().revision();
+        std::for_each(m_watchers.begin(), m_watchers.end(), [this](VoterObserver *it) {
+            it->onEvacuations(*m_machine);
+        });
+    }
 }
 
 void VoterThread::answer(const consensus::Outputs &outputs)
--- a/src/bamboomoor/control/voterthread.hpp
+++ b/src/bamboomoor/control/voterthread.hpp
@@ -104,6 +104,15 @@
     {
         static_cast<void>(machine);
     }
+
+    /**
+     * @brief Called when the evacuation of a data centre has begun or ended.
+     * @param machine The state machine, valid only during the call.
+     */
+    virtual void onEvacuations(const state::Machine &machine)
+    {
+        static_cast<void>(machine);
+    }
 };
 
 /**
@@ -299,6 +308,7 @@
     std::uint64_t m_leadingTerm = 0;
     std::uint64_t m_seenVersion = 0;
     state::SoftwareVersions m_seenSoftware;
+    std::uint64_t m_seenEvacuations = 0;
     std::atomic<bool> m_failed{false};
     // Handed to m_writer and not reported as written.
     std::size_t m_unsyncedBytes = 0;
--- a/src/bamboomoor/entry/freshness.cpp
+++ b/src/bamboomoor/entry/freshness.cpp
@@ -4,6 +4,7 @@
 #include "bamboomoor/entry/freshness.hpp"
 #include "bamboomoor/config/parse.hpp"
 
+#include <absl/strings/str_join.h>
 #include <glog/logging.h>
 
 #include <algorithm>
@@ -118,6 +119,7 @@
     request.set_vm(m_options.vm);
     request.set_known_version(held ? held->version : 0);
     request.set_known_digest(held ? held->digest : std::string());
+    request.set_known_evacuations(m_inForce.evacuations()->revision);
     const base::Millis sentAt = m_clock.now();
     m_peers.find(voter)->call(request, m_options.timeout, [this, round](std::optional<peer::wire::FreshenReply> reply) {
         static_cast<void>(m_answers.push(LeaderAnswer{round, std::move(reply)}));
@@ -150,8 +152,23 @@
     }
 }
 
+bool Freshness::takeEvacuations(const peer::wire::FreshenReply &reply)
+{
+    auto evacuations = std::make_shared<Evacuations>();
+    evacuations->revision = reply.evacuations();
+    evacuations->dataCentres.insert(reply.evacuated().begin(), reply.evacuated().end());
+    if (!m_inForce.evacuate(evacuations)) {
+        return false;
+    }
+    LOG(INFO) << "event=evacuations_taken revision=" << evacuations->revision << " data_centres=\""
+              << absl::StrJoin(evacuations->dataCentres, ",") << '"';
+    return true;
+}
+
 bool Freshness::take(const peer::wire::FreshenReply &reply, base::Millis sentAt)
 {
+    // Before the configuration, as an entry without one serves nobody.
+    const bool isEvacuationNew = takeEvacuations(reply);
     if (reply.has_document()) {
         auto document = config::parse(reply.document());
         if (!document) {
@@ -168,10 +185,15 @@
         if (!before || before->version < reply.version()) {
             LOG(INFO) << "event=configuration_taken version=" << reply.version() << " digest=" << reply.digest();
             m_onChange();
+        } else if (isEvacuationNew) {
+            m_onChange();
         }
         return true;
     }
     m_inForce.extend(reply.version(), sentAt + m_options.lease);
+    if (isEvacuationNew) {
+        m_onChange();
+    }
     return true;
 }
 
--- a/src/bamboomoor/entry/freshness.hpp
+++ b/src/bamboomoor/entry/freshness.hpp
@@ -96,6 +96,8 @@
     void askVoters();
     [[nodiscard]] bool needsVoters() const;
     void learnVoters(const peer::wire::FreshenReply &reply);
+    // Returns whether they differ from those known before.
+    [[nodiscard]] bool takeEvacuations(const peer::wire::FreshenReply &reply);
     [[nodiscard]] bool take(const peer::wire::FreshenReply &reply, base::Millis sentAt);
     void watchLease();
 
--- a/src/bamboomoor/entry/inforce.hpp
+++ b/src/bamboomoor/entry/inforce.hpp
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -50,7 +51,14 @@
     return made;
 }
 
-/** @brief The configuration and its freshness lease, shared by the threads of an entry. */
+/** @brief The data centres whose upstreams get no requests; never changes. */
+struct Evacuations {
+    // Grows with each change; 0 before the first.
+    std::uint64_t revision = 0;
+    std::set<std::string> dataCentres;
+};
+
+/** @brief The configuration with its freshness lease, and the evacuations, shared by the threads of an entry. */
 class InForce
 {
 public:
@@ -99,9 +107,32 @@
         return m_freshUntil;
     }
 
+    /**
+     * @brief Takes newer evacuations.
+     * @param evacuations The evacuations; those of a lower or the same revision are ignored.
+     * @return True if they were taken.
+     */
+    bool evacuate(std::shared_ptr<const Evacuations> evacuations)
+    {
+        const absl::MutexLock lock(&m_mutex);
+        if (evacuations->revision <= m_evacuations->revision) {
+            return false;
+        }
+        m_evacuations = std::move(evacuations);
+        return true;
+    }
+
+    /** @brief Reads the evacuations. @return The newest that were taken; none before the first. */
+    [[nodiscard]] std::shared_ptr<const Evacuations> evacuations() const
+    {
+        const absl::MutexLock lock(&m_mutex);
+        return m_evacuations;
+    }
+
 private:
     mutable absl::Mutex m_mutex;
     std::shared_ptr<const Configuration> m_configuration ABSL_GUARDED_BY(m_mutex);
+    std::shared_ptr<const Evacuations> m_evacuations ABSL_GUARDED_BY(m_mutex) = std::make_shared<Evacuations>();
     // Refers to m_configuration: a newer version was confirmed no later than it was installed.
     base::Millis m_freshUntil ABSL_GUARDED_BY(m_mutex);
 };
--- a/src/bamboomoor/entry/upstreambook.cpp
+++ b/src/bamboomoor/entry/upstreambook.cpp
@@ -84,7 +84,7 @@
     const membership::Entry *entry = m_registry.find(now, id);
     return entry == nullptr ? std::nullopt
                             : std::optional(UpstreamPlace{entry->announcement.address, entry->announcement.incarnation,
-                                entry->announcement.softwareVersion});
+                                entry->announcement.softwareVersion, entry->announcement.dataCentre});
 }
 
 std::vector<membership::Entry> UpstreamBook::list(base::Millis now) const
--- a/src/bamboomoor/entry/upstreambook.hpp
+++ b/src/bamboomoor/entry/upstreambook.hpp
@@ -39,6 +39,7 @@
     std::uint64_t incarnation = 0;
     // The version of its software; empty if it is not reported.
     std::string software = {};
+    std::string dataCentre = {};
 };
 
 /** @brief A registry of upstreams behind a lock. */
--- a/src/bamboomoor/gateway/controlapi.cpp
+++ b/src/bamboomoor/gateway/controlapi.cpp
@@ -10,6 +10,7 @@
 #include "bamboomoor/state/command.hpp"
 #include "bamboomoor/state/outcome.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace bamboomoor::gateway
@@ -201,6 +202,76 @@
                                                        : m_context.dialect.invalid(change->message);
 }
 
+void ControlApi::on(const EvacuateCall &call, const Responder &responder)
+{
+    const auto refuse = [&](std::string_view outcome, const std::string &reason, http::Response response) {
+        m_context.metrics.evacuated(outcome);
+        m_context.log.write(base::LogLine("evacuation_call")
+                                .add("data_centre", call.dataCentre)
+                                .add("change", call.evacuated ? "begin" : "end")
+                                .add("outcome", outcome)
+                                .add("reason", reason));
+        responder->respond(std::move(response));
+    };
+    const auto &known = m_options.dataCentres;
+    if (call.dataCentre.empty()
+        || (!known.empty() && std::find(known.begin(), known.end(), call.dataCentre) == known.end())) {
+        const std::string reason = "the deployment has no data centre of this name";
+        refuse("invalid", reason, m_context.dialect.invalid(reason));
+        return;
+    }
+    peer::Client *leader = this->leader();
+    if (leader == nullptr) {
+        const std::string reason = "no leader is known here";
+        refuse("rejected", reason, m_context.dialect.unavailable(reason));
+        return;
+    }
+    state::SetEvacuation command;
+    command.author = "operator";
+    command.wallMillis = base::wallClock().count;
+    command.dataCentre = call.dataCentre;
+    command.evacuated = call.evacuated;
+    command.base = m_context.evacuations.changedAt(call.dataCentre);
+    peer::wire::ProposeRequest request;
+    request.set_command(state::encode(command));
+    leader->call(request, m_options.timeout,
+        [this, responder, call, asked = leader->address()](const std::optional<peer::wire::ProposeReply> &reply) {
+            responder->respond(answerEvacuate(call, asked, reply));
+        });
+}
+
+http::Response ControlApi::answerEvacuate(
+    const EvacuateCall &call, const std::string &asked, const std::optional<peer::wire::ProposeReply> &reply) const
+{
+    base::LogLine line("evacuation_call");
+    line.add("data_centre", call.dataCentre).add("change", call.evacuated ? "begin" : "end");
+    if (!reply || reply->verdict() != peer::wire::APPLIED) {
+        const std::string_view outcome = unappliedOutcome(reply);
+        m_context.metrics.evacuated(outcome);
+        m_context.log.write(line.add("outcome", outcome)
+                                .add("reason", reply ? reply->reason() : "no_answer")
+                                .add("asked", asked)
+                                .add("leader", reply ? reply->leader() : std::string()));
+        return m_context.dialect.unavailable("the leader did not confirm the change");
+    }
+    const auto outcome = state::decodeOutcome(reply->outcome());
+    const auto *change = outcome ? std::get_if<state::EvacuationOutcome>(&outcome.value()) : nullptr;
+    const std::string_view name = change == nullptr ? "unreadable" : state::EVACUATION_CODE_NAMES.name(change->code);
+    m_context.metrics.evacuated(name);
+    m_context.log.write(line.add("outcome", name));
+    if (change == nullptr) {
+        return m_context.dialect.unavailable("the leader's answer cannot be read");
+    }
+    switch (change->code) {
+    case state::EvacuationCode::Accepted:
+        return m_context.dialect.done();
+    case state::EvacuationCode::Stale:
+        return m_context.dialect.unavailable("another change of the data centre came first");
+    default:
+        return m_context.dialect.invalid("too many data centres, or too long a name");
+    }
+}
+
 void ControlApi::on(const ReadCall & /*call*/, const Responder &responder)
 {
     peer::Client *leader = this->leader();
--- a/src/bamboomoor/gateway/controlapi.hpp
+++ b/src/bamboomoor/gateway/controlapi.hpp
@@ -12,6 +12,7 @@
 #include "bamboomoor/control/peerregistry.hpp"
 #include "bamboomoor/entry/upstreambook.hpp"
 #include "bamboomoor/gateway/dialect.hpp"
+#include "bamboomoor/gateway/evacuationview.hpp"
 #include "bamboomoor/gateway/fwd.hpp"
 #include "bamboomoor/http/server.hpp"
 
@@ -24,6 +25,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace bamboomoor::gateway
 {
@@ -38,6 +41,8 @@
     // time.
     base::Millis unreadableSpan{60'000};
     std::size_t unreadableCount = 64;
+    // The data centres of the deployment; without any, evacuations of all names are accepted.
+    std::vector<std::string> dataCentres;
 };
 
 /** @brief Dependencies of the control API; all must outlive it. */
@@ -46,6 +51,7 @@
     const ControlDialect &dialect;
     const control::PeerRegistry &peers;
     const control::MembershipThread &group;
+    const EvacuationView &evacuations;
     // Upstreams that announced themselves to this VM, and all upstreams known to it.
     entry::UpstreamBook &heard;
     entry::UpstreamBook &book;
@@ -59,9 +65,9 @@
 public:
     /** @brief Creates the handler. @param options The settings. @param context The dependencies. */
     ControlApi(ControlApiOptions options, ControlApiContext context)
-        : m_options(options)
+        : m_options(std::move(options))
         , m_context(context)
-        , m_unreadable(options.unreadableSpan, options.unreadableCount)
+        , m_unreadable(m_options.unreadableSpan, m_options.unreadableCount)
         , m_ledAt(context.clock.now().count)
     {
     }
@@ -75,6 +81,7 @@
     void on(const WithdrawCall &call, const Responder &responder);
     void on(const ReplaceCall &call, const Responder &responder);
     void on(const ReadCall &call, const Responder &responder);
+    void on(const EvacuateCall &call, const Responder &responder);
     void on(BadCall &call, const Responder &responder);
     [[nodiscard]] static std::string modelsOf(const membership::Announcement &announcement);
     void announce(membership::Announcement announcement);
@@ -84,6 +91,8 @@
     [[nodiscard]] peer::Client *leader() const;
     [[nodiscard]] http::Response answerReplace(
         std::uint64_t version, const std::string &asked, const std::optional<peer::wire::ProposeReply> &reply) const;
+    [[nodiscard]] http::Response answerEvacuate(
+        const EvacuateCall &call, const std::string &asked, const std::optional<peer::wire::ProposeReply> &reply) const;
 
     ControlApiOptions m_options;
     ControlApiContext m_context;
--- a/src/bamboomoor/gateway/controldaemon.cpp
+++ b/src/bamboomoor/gateway/controldaemon.cpp
@@ -47,6 +47,7 @@
     ResidencyThreadOptions options;
     options.vm = settings.vm;
     options.plan.store.window = settings.placement.storeWindow;
+    options.upstreamLease = settings.upstreams.lease;
     return options;
 }
 
@@ -68,6 +69,13 @@
     return options;
 }
 
+ControlApiOptions apiOptions(const settings::Settings &settings)
+{
+    ControlApiOptions options;
+    options.dataCentres = settings.dataCentres;
+    return options;
+}
+
 base::Millis warmUp(const settings::Settings &settings)
 {
     const base::Millis set = settings.upstreams.warmUp;
@@ -91,7 +99,8 @@
           residencyOptions(m_settings), {m_clock, m_voter, m_book, m_client, *dialects.orders, m_metrics, m_log})
     , m_group(groupOptions(m_settings, m_identity), m_voter, m_peers, m_clock)
     , m_sync(syncOptions(m_settings, m_identity), m_heard, m_book, m_peers, m_clock)
-    , m_api({}, {m_clock, *dialects.control, m_peers, m_group, m_heard, m_book, m_metrics, m_log})
+    , m_api(apiOptions(m_settings),
+          {m_clock, *dialects.control, m_peers, m_group, m_evacuations, m_heard, m_book, m_metrics, m_log})
     , m_softwareObserver(m_book)
     , m_peerService(daemon::VoterParts{m_voter, m_freshen, m_budget, m_residency}, m_book, m_clock,
           m_clock.now() + warmUp(m_settings))
@@ -103,6 +112,7 @@
     m_voter.addObserver(m_budget);
     m_voter.addObserver(m_residency);
     m_voter.addObserver(m_softwareObserver);
+    m_voter.addObserver(m_evacuations);
 }
 
 ControlDaemon::~ControlDaemon()
--- a/src/bamboomoor/gateway/controldaemon.hpp
+++ b/src/bamboomoor/gateway/controldaemon.hpp
@@ -16,6 +16,7 @@
 #include "bamboomoor/gateway/controlapi.hpp"
 #include "bamboomoor/gateway/controlmetrics.hpp"
 #include "bamboomoor/gateway/dialect.hpp"
+#include "bamboomoor/gateway/evacuationview.hpp"
 #include "bamboomoor/gateway/process.hpp"
 #include "bamboomoor/gateway/residencythread.hpp"
 #include "bamboomoor/gateway/softwareobserver.hpp"
@@ -68,6 +69,7 @@
     ResidencyThread m_residency;
     control::MembershipThread m_group;
     entry::UpstreamSync m_sync;
+    EvacuationView m_evacuations;
     ControlApi m_api;
     SoftwareObserver m_softwareObserver;
     daemon::PeerService m_peerService;
--- a/src/bamboomoor/gateway/controlmetrics.cpp
+++ b/src/bamboomoor/gateway/controlmetrics.cpp
@@ -23,6 +23,8 @@
 ControlMetrics::ControlMetrics()
     : m_announcements(counters(m_registry, "bamboomoor_control_announcements_total", "Announcements, by verdict"))
     , m_changes(counters(m_registry, "bamboomoor_control_changes_total", "Operators' changes, by outcome"))
+    , m_evacuations(counters(
+          m_registry, "bamboomoor_control_evacuation_calls_total", "Calls that begin or end evacuations, by outcome"))
     , m_orders(counters(m_registry, "bamboomoor_control_orders_total", "Orders sent, by kind and reason"))
     , m_verdicts(counters(m_registry, "bamboomoor_control_order_verdicts_total", "Orders ended, by verdict"))
     , m_arrivals(counters(
@@ -65,6 +67,11 @@
     m_changes.Add({{"outcome", std::string(outcome)}}).Increment();
 }
 
+void ControlMetrics::evacuated(std::string_view outcome)
+{
+    m_evacuations.Add({{"outcome", std::string(outcome)}}).Increment();
+}
+
 void ControlMetrics::ordered(std::string_view kind, std::string_view reason)
 {
     m_orders.Add({{"kind", std::string(kind)}, {"reason", std::string(reason)}}).Increment();
--- a/src/bamboomoor/gateway/controlmetrics.hpp
+++ b/src/bamboomoor/gateway/controlmetrics.hpp
@@ -29,6 +29,9 @@
     /** @brief Counts an operator's change. @param outcome The result. */
     void changed(std::string_view outcome);
 
+    /** @brief Counts a call that begins or ends an evacuation. @param outcome The result. */
+    void evacuated(std::string_view outcome);
+
     /** @brief Counts an order that was sent. @param kind The kind of order. @param reason The reason. */
     void ordered(std::string_view kind, std::string_view reason);
 
@@ -61,6 +64,7 @@
     prometheus::Registry m_registry;
     prometheus::Family<prometheus::Counter> &m_announcements;
     prometheus::Family<prometheus::Counter> &m_changes;
+    prometheus::Family<prometheus::Counter> &m_evacuations;
     prometheus::Family<prometheus::Counter> &m_orders;
     prometheus::Family<prometheus::Counter> &m_verdicts;
     prometheus::Family<prometheus::Counter> &m_arrivals;
--- a/src/bamboomoor/gateway/dialect.hpp
+++ b/src/bamboomoor/gateway/dialect.hpp
@@ -93,6 +93,12 @@
 struct ReadCall {
 };
 
+/** @brief An operator begins or ends the evacuation of a data centre. */
+struct EvacuateCall {
+    std::string dataCentre;
+    bool evacuated = false;
+};
+
 /** @brief A malformed call or one to an unknown resource. */
 struct BadCall {
     http::Response answer;
@@ -101,7 +107,7 @@
 };
 
 /** @brief Any call to a control VM. */
-using ControlCall = std::variant<AnnounceCall, WithdrawCall, ReplaceCall, ReadCall, BadCall>;
+using ControlCall = std::variant<AnnounceCall, WithdrawCall, ReplaceCall, ReadCall, EvacuateCall, BadCall>;
 
 /** @brief Translates the calls of operators and upstreams to a control VM. */
 class ControlDialect
@@ -118,7 +124,7 @@
     /** @brief Builds the response to a read. @param source The original bytes of the document. @return The response. */
     [[nodiscard]] virtual http::Response document(const std::string &source) const = 0;
 
-    /** @brief Builds the response to an invalid document. @param reason A one-line reason. @return The response. */
+    /** @brief Builds the response to an invalid change. @param reason A one-line reason. @return The response. */
     [[nodiscard]] virtual http::Response invalid(const std::string &reason) const = 0;
 
     /** @brief Builds a response that asks to retry here or on another VM. @param reason The reason. @return The
--- a/src/bamboomoor/gateway/entrydaemon.cpp
+++ b/src/bamboomoor/gateway/entrydaemon.cpp
@@ -45,6 +45,7 @@
     options.core.fleet.seed = std::hash<std::string>()(settings.vm) ^ incarnation();
     options.core.reach.seed = options.core.fleet.seed;
     options.forwardAddress = settings.forwardListen;
+    options.upstreamLease = settings.upstreams.lease;
     options.core.retries.permille = settings.relay.retryPermille;
     options.core.retries.window = settings.relay.retryWindow;
     options.core.maxResponseBytes = static_cast<std::size_t>(settings.relay.maxAnswerBytes);
@@ -180,7 +181,8 @@
 
 bool EntryDaemon::knows(const std::string &upstream, const std::string &address) const
 {
-    return m_book.addressOf(m_sync.bookTime(), upstream) == address;
+    const auto place = m_book.placeOf(m_sync.bookTime(), upstream);
+    return place && place->address == address && !m_inForce.evacuations()->dataCentres.contains(place->dataCentre);
 }
 
 void EntryDaemon::reload(const settings::Settings &settings)
--- a/src/bamboomoor/gateway/relaymetrics.cpp
+++ b/src/bamboomoor/gateway/relaymetrics.cpp
@@ -65,6 +65,8 @@
     , m_refusal(histogram(m_registry, "bamboomoor_relay_refusal_seconds", "From arrival to a refusal"))
     , m_ring(gauge(m_registry, "bamboomoor_relay_ring_events", "Events that wait for the relay's thread"))
     , m_open(gauge(m_registry, "bamboomoor_relay_open_requests", "Relayed requests in progress"))
+    , m_evacuated(gauge(m_registry, "bamboomoor_relay_evacuated_data_centres", "Data centres that get no requests"))
+    , m_cold(gauge(m_registry, "bamboomoor_relay_cold_upstreams", "Upstreams that take requests by permits as they are cold"))
 {
 }
 
@@ -114,6 +116,12 @@
     m_open.Set(static_cast<double>(open));
 }
 
+void RelayMetrics::setPlaces(std::size_t evacuated, std::size_t cold)
+{
+    m_evacuated.Set(static_cast<double>(evacuated));
+    m_cold.Set(static_cast<double>(cold));
+}
+
 void RelayMetrics::dropped()
 {
     m_dropped.Increment();
--- a/src/bamboomoor/gateway/relaymetrics.hpp
+++ b/src/bamboomoor/gateway/relaymetrics.hpp
@@ -41,6 +41,10 @@
     /** @brief Sets the load gauges. @param ring Number of queued events. @param open Requests in progress. */
     void fill(std::size_t ring, std::size_t open);
 
+    /** @brief Sets the gauges of restricted upstreams. @param evacuated Evacuated data centres. @param cold Cold
+     * upstreams. */
+    void setPlaces(std::size_t evacuated, std::size_t cold);
+
     /** @brief Counts an event dropped because the ring was full. */
     void dropped();
 
@@ -62,6 +66,8 @@
     prometheus::Histogram &m_refusal;
     prometheus::Gauge &m_ring;
     prometheus::Gauge &m_open;
+    prometheus::Gauge &m_evacuated;
+    prometheus::Gauge &m_cold;
 };
 
 } // namespace bamboomoor::gateway
--- a/src/bamboomoor/gateway/relaythread.cpp
+++ b/src/bamboomoor/gateway/relaythread.cpp
@@ -4,6 +4,7 @@
 #include "bamboomoor/gateway/relaythread.hpp"
 
 #include "bamboomoor/control/budgetwire.hpp"
+#include "bamboomoor/gateway/coldlimits.hpp"
 #include "bamboomoor/gateway/forwarding.hpp"
 
 #include <glog/logging.h>
@@ -94,6 +95,7 @@
     , m_unread(m_options.maxUnreadBytes, m_options.maxTotalUnreadBytes)
     , m_ring(m_options.ringSize)
     , m_core(m_options.core, *this)
+    , m_cold(m_options.upstreamLease)
 {
 }
 
@@ -277,8 +279,13 @@
         const std::shared_ptr<const config::Document> document(held, &held->document);
         logLimits(held->version, held->document);
         m_core.setTable(std::make_shared<const relay::RouteTable>(held->version, document));
+        m_cold.setLimits(coldLimitsOf(held->document));
         m_configured = true;
     }
+    const std::uint64_t evacuations = m_context.inForce.evacuations()->revision;
+    if (std::exchange(m_evacuationsSeen, evacuations) != evacuations) {
+        m_nextRefresh = {};
+    }
 }
 
 void RelayThread::logLimits(std::uint64_t version, const config::Document &document)
@@ -376,10 +383,13 @@
     const bool synced = m_context.sync.synced();
     const base::Millis bookTime = m_context.sync.bookTime();
     const std::set<entry::DrainingReplica> draining = m_context.upstreams.draining();
+    const auto evacuations = m_context.inForce.evacuations();
+    m_cold.setEvacuated(m_context.clock.now(), evacuations->dataCentres);
+    std::size_t coldUpstreams = 0;
     std::vector<relay::Worker> workers;
     for (const membership::Entry &it : m_context.upstreams.list(bookTime)) {
         const membership::Announcement &announcement = it.announcement;
-        if (announcement.leaving) {
+        if (announcement.leaving || evacuations->dataCentres.contains(announcement.dataCentre)) {
             continue;
         }
         relay::Worker worker;
@@ -391,6 +401,8 @@
         worker.sequence = announcement.sequence;
         worker.software = announcement.softwareVersion;
         worker.currentUntil = std::min(it.expiresAt, m_context.sync.answeredAt() + m_options.listAge);
+        worker.cold = m_cold.find(m_context.clock.now(), it);
+        coldUpstreams += worker.cold ? 1 : 0;
         const auto recorded = software.find(announcement.service);
         worker.softwareRecorded = recorded != software.end() && recorded->second.contains(worker.software);
         constexpr std::uint64_t MAX_SLOTS = 1'000'000;
@@ -405,6 +417,7 @@
         }
         workers.push_back(std::move(worker));
     }
+    m_context.metrics.setPlaces(evacuations->dataCentres.size(), coldUpstreams);
     m_core.setWorkers(std::move(workers));
     if (synced) {
         m_knowsUpstreams = true;
--- a/src/bamboomoor/gateway/relaythread.hpp
+++ b/src/bamboomoor/gateway/relaythread.hpp
@@ -20,6 +20,7 @@
 #include "bamboomoor/http/client.hpp"
 #include "bamboomoor/http/server.hpp"
 #include "bamboomoor/relay/core.hpp"
+#include "bamboomoor/standing/coldperiods.hpp"
 
 #include <atomic>
 #include <cstdint>
@@ -44,6 +45,8 @@
     // How long after it was asked for the list of upstreams counts as current; an upstream that starts again under its
     // id serves later than that, as it has to load its models first.
     base::Millis listAge{2'000};
+    // For how long control VMs list an upstream after its last announcement.
+    base::Millis upstreamLease{3'000};
     // Timeout for a new connection to an upstream.
     base::Millis connectTimeout{400};
     // Timeout for a new connection to an entry that forwards requests.
@@ -271,6 +274,9 @@
     // Rate and burst of each organisation as last logged; 0 means no limit.
     std::map<std::string, std::pair<std::int64_t, std::int64_t>> m_limits;
     base::Millis m_nextRefresh;
+    // The revision of the evacuations that upstreams were last listed by.
+    std::uint64_t m_evacuationsSeen = 0;
+    standing::ColdPeriods m_cold;
 
     mutable absl::Mutex m_mutex;
     std::vector<entry::TargetDemand> m_demand ABSL_GUARDED_BY(m_mutex);
--- a/src/bamboomoor/gateway/residencythread.cpp
+++ b/src/bamboomoor/gateway/residencythread.cpp
@@ -4,6 +4,7 @@
 #include "bamboomoor/gateway/residencythread.hpp"
 
 #include "bamboomoor/control/roomwire.hpp"
+#include "bamboomoor/gateway/coldlimits.hpp"
 #include "bamboomoor/gateway/controlmetrics.hpp"
 #include "bamboomoor/gateway/peertokens.hpp"
 
@@ -213,7 +214,8 @@
 
 void ResidencyThread::onLeading(std::uint64_t term, const state::Machine &machine)
 {
-    post(Leading{term, enginesOf(machine), machine.quarantines().ends(), machine.software().versions()});
+    post(Leading{term, enginesOf(machine), machine.quarantines().ends(), machine.software().versions(),
+        machine.evacuations().evacuated(), coldLimitsOf(*machine.configuration().document())});
 }
 
 void ResidencyThread::onNotLeading()
@@ -223,7 +225,12 @@
 
 void ResidencyThread::onConfiguration(const state::Machine &machine)
 {
-    post(ConfigurationChanged{enginesOf(machine)});
+    post(ConfigurationChanged{enginesOf(machine), coldLimitsOf(*machine.configuration().document())});
+}
+
+void ResidencyThread::onEvacuations(const state::Machine &machine)
+{
+    post(EvacuationsChanged{machine.evacuations().evacuated()});
 }
 
 void ResidencyThread::post(Event event)
@@ -557,6 +564,9 @@
     abandonOrigins();
     m_leadingSince = m_context.clock.now();
     m_software.begin(m_context.clock.now(), event.software);
+    m_cold = standing::ColdPeriods(m_options.upstreamLease);
+    m_cold.setLimits(std::move(event.coldLimits));
+    m_cold.setEvacuated(m_context.clock.now(), std::move(event.evacuated));
     m_permits = standing::PermitAuthority(m_options.permits);
     m_rooms = standing::RoomAuthority(m_context.clock.now(), event.term);
     m_term = event.term;
@@ -581,9 +591,15 @@
 {
     if (m_plan) {
         m_plan->setEngines(std::move(event.engines));
+        m_cold.setLimits(std::move(event.coldLimits));
     }
 }
 
+void ResidencyThread::on(EvacuationsChanged &event)
+{
+    m_cold.setEvacuated(m_context.clock.now(), std::move(event.evacuated));
+}
+
 void ResidencyThread::on(OrderDone &event)
 {
     if (!m_plan || event.term != m_term) {
@@ -669,7 +685,12 @@
         // Its responses may report this before its next announcement does.
         reports.back().leaving =
             it.announcement.leaving || leaving.contains({it.announcement.id, it.announcement.incarnation});
+        // What callers cannot reach there is to be loaded elsewhere.
+        reports.back().leaving = reports.back().leaving || m_cold.isEvacuated(it.announcement.dataCentre);
         reports.back().overdue = it.expiresAt - now < m_options.minRemainingLease;
+        if (const auto cold = m_cold.find(now, it)) {
+            m_permits.setCold(now, {it.announcement.id, it.announcement.incarnation}, *cold);
+        }
         if (reports.back().overdue && !reports.back().leaving) {
             suspect(it.announcement.id);
         }
--- a/src/bamboomoor/gateway/residencythread.hpp
+++ b/src/bamboomoor/gateway/residencythread.hpp
@@ -22,6 +22,7 @@
 #include "bamboomoor/lineage/originauthority.hpp"
 #include "bamboomoor/lineage/softwarerecorder.hpp"
 #include "bamboomoor/placement/residency.hpp"
+#include "bamboomoor/standing/coldperiods.hpp"
 #include "bamboomoor/standing/permitauthority.hpp"
 #include "bamboomoor/standing/roomauthority.hpp"
 
@@ -55,6 +56,8 @@
     std::size_t maxAnswerBytes = 262'144;
     // An order that could not be sent by then is dropped: its preconditions, such as the leadership, may have changed.
     base::Millis startTimeout{400};
+    // For how long a worker is listed after its last announcement.
+    base::Millis upstreamLease{3'000};
     // A worker whose lease expires within this time has missed an announcement and is inspected.
     base::Millis minRemainingLease{2'400};
     // When a worker that entries report as unreachable, or that missed an announcement, counts as such.
@@ -111,6 +114,7 @@
     void onLeading(std::uint64_t term, const state::Machine &machine) override;
     void onNotLeading() override;
     void onConfiguration(const state::Machine &machine) override;
+    void onEvacuations(const state::Machine &machine) override;
 
 private:
     using Engines = std::map<std::string, placement::EngineSpec>;
@@ -125,6 +129,8 @@
         std::map<std::string, std::int64_t> quarantines;
         // The recorded software versions.
         lineage::SoftwareVersions software;
+        std::set<std::string> evacuated;
+        standing::ColdLimits coldLimits;
     };
     struct OriginEvent {
         lineage::Question question;
@@ -139,6 +145,10 @@
     };
     struct ConfigurationChanged {
         Engines engines;
+        standing::ColdLimits coldLimits;
+    };
+    struct EvacuationsChanged {
+        std::set<std::string> evacuated;
     };
     struct OrderDone {
         std::uint64_t term = 0;
@@ -162,7 +172,7 @@
         bool committed = false;
     };
     using Event = std::variant<ReportEvent, Leading, NotLeading, ConfigurationChanged, OrderDone, InspectionDone,
-        QuarantinesRecorded, OriginEvent, SoftwareRecorded>;
+        QuarantinesRecorded, OriginEvent, SoftwareRecorded, EvacuationsChanged>;
     class OrderListener;
     class InspectionListener;
 
@@ -171,6 +181,7 @@
     void on(Leading &event);
     void on(NotLeading &event);
     void on(ConfigurationChanged &event);
+    void on(EvacuationsChanged &event);
     void on(OrderDone &event);
     void on(InspectionDone &event);
     void on(QuarantinesRecorded &event);
@@ -230,6 +241,8 @@
     PlanReply m_planReply;
     DecisionSchedule m_schedule;
     control::SuspectTracker m_suspects;
+    // The data centres whose upstreams get no requests, and the upstreams that take few.
+    standing::ColdPeriods m_cold;
     // When this VM started to receive announcements.
     base::Millis m_listeningSince;
     // 0 while this voter is not the leader.
--- a/src/bamboomoor/membership/announcement.hpp
+++ b/src/bamboomoor/membership/announcement.hpp
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "bamboomoor/base/clock.hpp"
 #include "bamboomoor/base/nametable.hpp"
 
 #include <cstdint>
@@ -93,6 +94,8 @@
     std::vector<OrderOutcome> lastOrders;
     // Version of the upstream's software, not of its models; empty if not reported.
     std::string softwareVersion = {};
+    // For how long the upstream tolerates few requests only, as it has just started or become cold again.
+    base::Millis coldRemaining = {};
 
     friend bool operator==(const Announcement &, const Announcement &) = default;
 };
--- a/src/bamboomoor/membership/codec.cpp
+++ b/src/bamboomoor/membership/codec.cpp
@@ -57,6 +57,9 @@
     if (announcement.slots > 0) {
         out["slots"] = announcement.slots;
     }
+    if (announcement.coldRemaining > base::Millis{}) {
+        out["cold_remaining_ms"] = announcement.coldRemaining.count;
+    }
     if (!announcement.localCopies.empty()) {
         out["local_copies"] = announcement.localCopies;
     }
@@ -128,6 +131,9 @@
     if (reader.has("slots")) {
         announcement.slots = reader.number("slots");
     }
+    if (reader.has("cold_remaining_ms")) {
+        announcement.coldRemaining = reader.millis("cold_remaining_ms");
+    }
     if (reader.has("local_copies")) {
         announcement.localCopies = reader.names("local_copies");
     }
--- a/src/bamboomoor/membership/registry.cpp
+++ b/src/bamboomoor/membership/registry.cpp
@@ -31,7 +31,8 @@
     return lhs.incarnation == rhs.incarnation && lhs.address == rhs.address && lhs.dataCentre == rhs.dataCentre
         && lhs.kind == rhs.kind && lhs.service == rhs.service && lhs.accelerators == rhs.accelerators
         && lhs.localCopies == rhs.localCopies && lhs.slots == rhs.slots && lhs.checksFencing == rhs.checksFencing
-        && lhs.leaving == rhs.leaving && lhs.lastOrders == rhs.lastOrders && lhs.softwareVersion == rhs.softwareVersion;
+        && lhs.leaving == rhs.leaving && lhs.lastOrders == rhs.lastOrders && lhs.softwareVersion == rhs.softwareVersion
+        && lhs.coldRemaining == rhs.coldRemaining;
 }
 } // namespace
 
--- a/src/bamboomoor/relay/fleet.hpp
+++ b/src/bamboomoor/relay/fleet.hpp
@@ -15,6 +15,7 @@
 #include "bamboomoor/relay/engineprofile.hpp"
 #include "bamboomoor/relay/pacer.hpp"
 #include "bamboomoor/relay/request.hpp"
+#include "bamboomoor/standing/coldperiods.hpp"
 #include "bamboomoor/standing/upstreamtracker.hpp"
 
 #include <cstdint>
@@ -50,6 +51,8 @@
     bool softwareRecorded = true;
     // Until then the announcement tells which process runs under the id; later another one may have taken its place.
     base::Millis currentUntil = base::NEVER;
+    // Set while it is cold.
+    std::optional<standing::ColdPeriod> cold = std::nullopt;
 
     friend bool operator==(const Worker &lhs, const Worker &rhs)
     {
--- a/src/bamboomoor/settings/settings.cpp
+++ b/src/bamboomoor/settings/settings.cpp
@@ -160,6 +160,9 @@
     out.readinessListen = in.optionalText("readiness_listen", Form::Address).value_or("");
     out.forwardListen = in.optionalText("forward_listen", Form::Address).value_or("");
     out.operatorToken = in.optionalText("operator_token", Form::Filled).value_or("");
+    in.tables("known_data_centre", [&out](TableReader &row) {
+        out.dataCentres.push_back(row.text("name", Form::Name));
+    });
     readVoters(in, out.voters);
     readGroup(in, out.group);
     in.table("relay", [&out](TableReader &it) {
--- a/src/bamboomoor/settings/settings.hpp
+++ b/src/bamboomoor/settings/settings.hpp
@@ -123,6 +123,8 @@
     std::string vm;
     std::string dataCentre;
     std::string region;
+    // All data centres of the deployment, as [[known_data_centre]]; empty if they are not listed.
+    std::vector<std::string> dataCentres;
     // Where callers, operators and upstreams connect, "IP:PORT".
     std::string listen;
     // Where other daemons connect, "IP:PORT".
--- a/src/bamboomoor/standing/permitauthority.cpp
+++ b/src/bamboomoor/standing/permitauthority.cpp
@@ -17,34 +17,63 @@
 
 } // namespace
 
-std::int64_t PermitAuthority::rateOf(const Bucket &bucket) const
+std::optional<std::int64_t> PermitAuthority::limitOf(base::Millis now, const Bucket &bucket)
 {
-    return std::max(bucket.limit.value_or(0), m_options.minRate);
+    if (now >= bucket.cold.until) {
+        return bucket.limit;
+    }
+    return std::min(bucket.limit.value_or(bucket.cold.permitRate), bucket.cold.permitRate);
+}
+
+std::int64_t PermitAuthority::rateOf(base::Millis now, const Bucket &bucket) const
+{
+    return std::max(limitOf(now, bucket).value_or(0), m_options.minRate);
 }
 
 void PermitAuthority::fill(base::Millis now, Bucket &bucket) const
 {
-    const std::int64_t most = PERMIT + rateOf(bucket) * m_options.depth.count;
+    const std::int64_t most = PERMIT + rateOf(now, bucket) * m_options.depth.count;
     const std::int64_t span = std::clamp<std::int64_t>((now - bucket.filledAt).count, 0, m_options.reportLife.count);
-    bucket.level = std::min(most, bucket.level + rateOf(bucket) * span);
+    bucket.level = std::min(most, bucket.level + rateOf(now, bucket) * span);
     bucket.filledAt = now;
 }
 
 void PermitAuthority::onReport(base::Millis now, const Report &report)
 {
-    const auto [place, isNew] = m_buckets.try_emplace(report.run.id);
+    Bucket *bucket = bucketOf(now, report.run);
+    if (bucket != nullptr) {
+        bucket->leaving = bucket->leaving || report.leaving;
+        mergeLimit(now, *bucket, report);
+    }
+}
+
+PermitAuthority::Bucket *PermitAuthority::bucketOf(base::Millis now, const Run &run)
+{
+    const auto [place, isNew] = m_buckets.try_emplace(run.id);
     Bucket &bucket = place->second;
-    if (report.run.incarnation < bucket.incarnation) {
-        return;
+    if (run.incarnation < bucket.incarnation) {
+        return nullptr;
     }
-    if (isNew || report.run.incarnation > bucket.incarnation) {
+    if (isNew || run.incarnation > bucket.incarnation) {
         bucket = {};
-        bucket.incarnation = report.run.incarnation;
+        bucket.incarnation = run.incarnation;
         bucket.filledAt = now;
     }
     bucket.reportedAt = now;
-    bucket.leaving = bucket.leaving || report.leaving;
-    mergeLimit(now, bucket, report);
+    return &bucket;
+}
+
+void PermitAuthority::setCold(base::Millis now, const Run &run, const ColdPeriod &cold)
+{
+    Bucket *bucket = bucketOf(now, run);
+    if (bucket == nullptr) {
+        return;
+    }
+    fill(now, *bucket);
+    if (now >= bucket->cold.until) {
+        bucket->level = 0;
+    }
+    bucket->cold = cold;
 }
 
 void PermitAuthority::mergeLimit(base::Millis now, Bucket &bucket, const Report &report)
@@ -65,7 +94,7 @@
     base::Millis now, const std::string &entry, const std::string &upstream, std::int64_t requested)
 {
     const auto place = m_buckets.find(upstream);
-    if (place == m_buckets.end() || !place->second.limit || requested <= 0) {
+    if (place == m_buckets.end() || !limitOf(now, place->second) || requested <= 0) {
         return {};
     }
     Bucket &bucket = place->second;
@@ -81,7 +110,7 @@
     grant.permits = std::min(requested, share);
     bucket.level -= grant.permits * PERMIT;
     const std::int64_t missing = std::max<std::int64_t>(0, PERMIT * sharers - bucket.level);
-    grant.nextPermitIn = {std::clamp<std::int64_t>(missing / rateOf(bucket), 1, m_options.maxWait.count)};
+    grant.nextPermitIn = {std::clamp<std::int64_t>(missing / rateOf(now, bucket), 1, m_options.maxWait.count)};
     return grant;
 }
 
--- a/src/bamboomoor/standing/permitauthority.hpp
+++ b/src/bamboomoor/standing/permitauthority.hpp
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "bamboomoor/base/clock.hpp"
+#include "bamboomoor/standing/coldperiods.hpp"
 #include "bamboomoor/standing/upstreamsignal.hpp"
 #include "bamboomoor/standing/upstreamtracker.hpp"
 
@@ -58,6 +59,10 @@
      * converted to the leader's clock. */
     void onReport(base::Millis now, const Report &report);
 
+    /** @brief Limits an upstream that is cold, whether or not it signals a limit. @param now The current time. @param
+     * run The upstream. @param cold Its state. */
+    void setCold(base::Millis now, const Run &run, const ColdPeriod &cold);
+
     /**
      * @brief Grants permits.
      * @param now The current time.
@@ -78,6 +83,7 @@
         std::uint64_t incarnation = 0;
         std::optional<std::int64_t> limit;
         base::Millis limitReceivedAt;
+        ColdPeriod cold;
         // In millionths of permits, as of filledAt; bounded by the depth.
         std::int64_t level = 0;
         base::Millis filledAt;
@@ -90,7 +96,11 @@
 
     void mergeLimit(base::Millis now, Bucket &bucket, const Report &report);
     void fill(base::Millis now, Bucket &bucket) const;
-    [[nodiscard]] std::int64_t rateOf(const Bucket &bucket) const;
+    // The bucket of a run; null for an earlier one than the known.
+    [[nodiscard]] Bucket *bucketOf(base::Millis now, const Run &run);
+    // The lower of the signalled limit and that of a cold upstream.
+    [[nodiscard]] static std::optional<std::int64_t> limitOf(base::Millis now, const Bucket &bucket);
+    [[nodiscard]] std::int64_t rateOf(base::Millis now, const Bucket &bucket) const;
 
     PermitOptions m_options;
     // By upstream id.
--- a/src/bamboomoor/standing/roomtracker.hpp
+++ b/src/bamboomoor/standing/roomtracker.hpp
@@ -32,6 +32,8 @@
     std::string service;
     // The most requests that it runs at once; 0 if unknown.
     std::int64_t slots = 0;
+    // Requests need permits until then, as it is cold; 0 if it is not.
+    base::Millis coldUntil = {};
 };
 
 /** @brief The settings of RoomTracker. */
--- a/src/bamboomoor/standing/upstreamtracker.cpp
+++ b/src/bamboomoor/standing/upstreamtracker.cpp
@@ -39,7 +39,7 @@
 
 bool UpstreamTracker::isLimited(base::Millis now, const Record &record) const noexcept
 {
-    return record.limit && now - record.limitReceivedAt <= m_options.limitLife;
+    return now < record.coldUntil || (record.limit && now - record.limitReceivedAt <= m_options.limitLife);
 }
 
 std::int64_t UpstreamTracker::validPermits(base::Millis now, const Record &record) noexcept
@@ -135,6 +135,10 @@
     std::set<std::string_view> listed;
     for (const ListedRun &it : runs) {
         listed.insert(it.run.id);
+        Record *record = it.coldUntil > base::Millis{} || find(it.run) != nullptr ? recordOf(it.run) : nullptr;
+        if (record != nullptr) {
+            record->coldUntil = it.coldUntil;
+        }
     }
     for (auto &[id, record] : m_records) {
         record.unlisted = listed.contains(id) ? 0 : record.unlisted + 1;
@@ -230,7 +234,7 @@
 {
     std::vector<Report> reports;
     for (auto &[id, record] : m_records) {
-        if (now - record.limitReceivedAt > m_options.limitLife && !record.leaving) {
+        if (now - record.limitReceivedAt > m_options.limitLife && !record.leaving && now >= record.coldUntil) {
             continue;
         }
         Report report{{id, record.incarnation}, record.limit, record.limitReceivedAt, 0, record.leaving};
--- a/src/bamboomoor/standing/upstreamtracker.hpp
+++ b/src/bamboomoor/standing/upstreamtracker.hpp
@@ -163,6 +163,8 @@
         base::Millis limitReceivedAt;
         bool leaving = false;
         base::Millis closedUntil;
+        // Until then requests need permits, whether or not the upstream signals a limit.
+        base::Millis coldUntil;
         // When each permit expires, in ascending order.
         std::deque<base::Millis> permits;
         std::int64_t demandedPermits = 0;
--- a/src/bamboomoor/state/command.hpp
+++ b/src/bamboomoor/state/command.hpp
@@ -235,9 +235,23 @@
     friend bool operator==(const RecordSoftware &, const RecordSoftware &) = default;
 };
 
+/** @brief Begins or ends the evacuation of a data centre, whose upstreams then get no requests. */
+struct SetEvacuation {
+    std::string author;
+    // The time of the request, in milliseconds since the Unix epoch; informational.
+    std::int64_t wallMillis = 0;
+    std::string dataCentre;
+    bool evacuated = false;
+    // The log index of the data centre's last change that the request is based on; 0 if it never changed.
+    std::uint64_t base = 0;
+
+    friend bool operator==(const SetEvacuation &, const SetEvacuation &) = default;
+};
+
 /** @brief Any command of the replicated log. */
-using Command = std::variant<ApplyConfig, AddKey, WithdrawKey, OpenClaim, FinishClaim, AbandonClaims, SweepClaims,
-    RaiseCeiling, RecordIntent, CloseIntent, ReleaseClaim, ReplaceConfig, RecordQuarantines, RecordSoftware>;
+using Command =
+    std::variant<ApplyConfig, AddKey, WithdrawKey, OpenClaim, FinishClaim, AbandonClaims, SweepClaims, RaiseCeiling,
+        RecordIntent, CloseIntent, ReleaseClaim, ReplaceConfig, RecordQuarantines, RecordSoftware, SetEvacuation>;
 
 /** @brief The reason why bytes cannot be decoded. */
 struct DecodeError {
--- a/src/bamboomoor/state/fwd.hpp
+++ b/src/bamboomoor/state/fwd.hpp
@@ -20,12 +20,14 @@
 struct RecordQuarantines;
 struct ServiceSoftware;
 struct RecordSoftware;
+struct SetEvacuation;
 struct ChangeOutcome;
 struct ClaimOutcome;
 struct CountOutcome;
 struct CeilingOutcome;
 struct IntentOutcome;
 struct Malformed;
+struct EvacuationOutcome;
 struct Limits;
 class Machine;
 } // namespace bamboomoor::state
--- a/src/bamboomoor/state/json.cpp
+++ b/src/bamboomoor/state/json.cpp
@@ -18,9 +18,9 @@
 // The names of the alternatives, in the order of the variant.
 constexpr std::array<std::string_view, std::variant_size_v<Command>> COMMAND_NAMES{"apply_config", "add_key",
     "withdraw_key", "open_claim", "finish_claim", "abandon_claims", "sweep_claims", "raise_ceiling", "record_intent",
-    "close_intent", "release_claim", "replace_config", "record_quarantines", "record_software"};
+    "close_intent", "release_claim", "replace_config", "record_quarantines", "record_software", "set_evacuation"};
 constexpr std::array<std::string_view, std::variant_size_v<Outcome>> OUTCOME_NAMES{
-    "change", "claim", "count", "ceiling", "intent", "malformed"};
+    "change", "claim", "count", "ceiling", "intent", "malformed", "evacuation"};
 
 template<class Variant, std::size_t Size>
 std::string encodeVariant(const Variant &variant, const std::array<std::string_view, Size> &names)
@@ -272,6 +272,17 @@
     json.at("lastFencing").get_to(value.lastFencing);
 }
 
+void to_json(json &json, const EvacuationOutcome &value)
+{
+    json = {{"code", EVACUATION_CODE_NAMES.name(value.code)}, {"changedAt", value.changedAt}};
+}
+
+void from_json(const json &json, EvacuationOutcome &value)
+{
+    value.code = internal::readName(json.at("code"), EVACUATION_CODE_NAMES);
+    json.at("changedAt").get_to(value.changedAt);
+}
+
 std::string encode(const Command &command)
 {
     return encodeVariant(command, COMMAND_NAMES);
--- a/src/bamboomoor/state/json.hpp
+++ b/src/bamboomoor/state/json.hpp
@@ -131,6 +131,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RecordQuarantines, quarantines)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ServiceSoftware, service, versions)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RecordSoftware, services)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SetEvacuation, author, wallMillis, dataCentre, evacuated, base)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CountOutcome, count)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Malformed, message)
 
@@ -152,5 +153,7 @@
 void from_json(const nlohmann::json &json, CeilingOutcome &value);
 void to_json(nlohmann::json &json, const IntentOutcome &value);
 void from_json(const nlohmann::json &json, IntentOutcome &value);
+void to_json(nlohmann::json &json, const EvacuationOutcome &value);
+void from_json(const nlohmann::json &json, EvacuationOutcome &value);
 
 } // namespace bamboomoor::state
--- a/src/bamboomoor/state/limits.hpp
+++ b/src/bamboomoor/state/limits.hpp
@@ -39,6 +39,9 @@
     std::size_t softwareServices = 1'024;
     std::size_t softwareVersions = 64;
     std::size_t softwareNameBytes = 256;
+    // The maximum number of data centres that were ever evacuated, and the length of a name in bytes.
+    std::size_t evacuations = 256;
+    std::size_t evacuationNameBytes = 256;
 };
 
 } // namespace bamboomoor::state
--- a/src/bamboomoor/state/machine.cpp
+++ b/src/bamboomoor/state/machine.cpp
@@ -25,6 +25,7 @@
 constexpr std::string_view LEADER_LOG_KEY = "leaderLog";
 constexpr std::string_view QUARANTINES_KEY = "quarantines";
 constexpr std::string_view SOFTWARE_KEY = "software";
+constexpr std::string_view EVACUATIONS_KEY = "evacuations";
 // Bytes of a snapshot beside claims and history.
 constexpr std::size_t SNAPSHOT_SLACK = 1'048'576;
 
@@ -43,6 +44,7 @@
     , m_claims(limits)
     , m_quarantines(limits)
     , m_software(limits)
+    , m_evacuations(limits)
 {
 }
 
@@ -137,6 +139,9 @@
         [this](const RecordSoftware &it) -> Outcome {
             return m_software.replace(it);
         },
+        [this, index](const SetEvacuation &it) -> Outcome {
+            return m_evacuations.apply(index, it);
+        },
     };
     return std::visit(visitor, command);
 }
@@ -158,6 +163,9 @@
     if (!m_software.versions().empty()) {
         appendMember(out, SOFTWARE_KEY) += internal::dump(m_software.save());
     }
+    if (!m_evacuations.dataCentres().empty()) {
+        appendMember(out, EVACUATIONS_KEY) += internal::dump(m_evacuations.save());
+    }
     out += '}';
     return out;
 }
@@ -188,6 +196,9 @@
         if (in.contains(SOFTWARE_KEY)) {
             machine.m_software.load(in.at(SOFTWARE_KEY));
         }
+        if (in.contains(EVACUATIONS_KEY)) {
+            machine.m_evacuations.load(in.at(EVACUATIONS_KEY));
+        }
         return machine;
     } catch (const std::exception &error) {
         return base::failure(RestoreError{.message = error.what()});
--- a/src/bamboomoor/state/machine.hpp
+++ b/src/bamboomoor/state/machine.hpp
@@ -9,6 +9,7 @@
 #include "bamboomoor/state/claimtable.hpp"
 #include "bamboomoor/state/command.hpp"
 #include "bamboomoor/state/confighistory.hpp"
+#include "bamboomoor/state/evacuationtable.hpp"
 #include "bamboomoor/state/leaderlog.hpp"
 #include "bamboomoor/state/limits.hpp"
 #include "bamboomoor/state/outcome.hpp"
@@ -28,7 +29,8 @@
     std::string message;
 };
 
-/** @brief The replicated state: configuration, claims, ceilings, intents, quarantines and software versions. */
+/** @brief The replicated state: configuration, claims, ceilings, intents, quarantines, software versions and
+ * evacuations. */
 class Machine
 {
 public:
@@ -127,6 +129,15 @@
         return m_software;
     }
 
+    /**
+     * @brief Returns the evacuated data centres.
+     * @return The state of every data centre that was ever evacuated.
+     */
+    [[nodiscard]] const EvacuationTable &evacuations() const noexcept
+    {
+        return m_evacuations;
+    }
+
 private:
     Outcome applyCommand(std::uint64_t index, const Command &command);
 
@@ -136,6 +147,7 @@
     LeaderLog m_leaderLog;
     QuarantineTable m_quarantines;
     SoftwareTable m_software;
+    EvacuationTable m_evacuations;
 };
 
 } // namespace bamboomoor::state
--- a/src/bamboomoor/state/outcome.hpp
+++ b/src/bamboomoor/state/outcome.hpp
@@ -144,6 +144,28 @@
     friend bool operator==(const IntentOutcome &, const IntentOutcome &) = default;
 };
 
+/** @brief The result of beginning or ending an evacuation. */
+enum class EvacuationCode {
+    // The data centre is in the requested state.
+    Accepted,
+    // Another change of the data centre came first; nothing was changed.
+    Stale,
+    // The table is full, or the name is too long.
+    Full
+};
+
+/** @brief The names of EvacuationCode. */
+inline constexpr auto EVACUATION_CODE_NAMES = base::makeNames<EvacuationCode>("accepted", "stale", "full");
+
+/** @brief The outcome of SetEvacuation. */
+struct EvacuationOutcome {
+    EvacuationCode code = EvacuationCode::Accepted;
+    // The log index of the data centre's last change; 0 if there is none.
+    std::uint64_t changedAt = 0;
+
+    friend bool operator==(const EvacuationOutcome &, const EvacuationOutcome &) = default;
+};
+
 /** @brief The outcome of bytes that are not a command; they have no effect. */
 struct Malformed {
     std::string message;
@@ -152,7 +174,8 @@
 };
 
 /** @brief Any outcome of a command. */
-using Outcome = std::variant<ChangeOutcome, ClaimOutcome, CountOutcome, CeilingOutcome, IntentOutcome, Malformed>;
+using Outcome = std::variant<ChangeOutcome, ClaimOutcome, CountOutcome, CeilingOutcome, IntentOutcome, Malformed,
+    EvacuationOutcome>;
 
 /**
  * @brief Encodes an outcome for transmission to another daemon.
--- a/test/bamboomoor/entry/freshness.cpp
+++ b/test/bamboomoor/entry/freshness.cpp
@@ -52,6 +52,10 @@
         reply.set_confirmed(leads);
         reply.set_version(VERSION);
         reply.set_leader(leads ? name : named.load() != nullptr ? named.load()->name : std::string());
+        reply.set_evacuations(evacuations);
+        if (evacuations % 2 == 1) {
+            reply.add_evacuated("dc1");
+        }
         answer(std::move(reply));
     }
 
@@ -76,6 +80,8 @@
     std::vector<std::string> voters;
     std::atomic<int> questions{0};
     std::atomic<bool> leads{false};
+    // The revision of the evacuations; with each odd one "dc1" is evacuated.
+    std::atomic<std::uint64_t> evacuations{0};
     std::atomic<bool> usable{true};
     // The leader that this voter follows.
     std::atomic<const Voter *> named{nullptr};
@@ -103,6 +109,7 @@
     std::vector<control::VoterAddress> addresses;
     base::SteadyClock clock;
     entry::InForce inForce;
+    std::atomic<int> changes{0};
     std::unique_ptr<control::PeerRegistry> peers;
     std::unique_ptr<entry::LeaderHint> leader;
     std::unique_ptr<entry::Freshness> freshness;
@@ -126,7 +133,9 @@
         entry::FreshnessOptions options;
         options.vm = "entry1";
         options.lease = LEASE;
-        freshness = std::make_unique<entry::Freshness>(options, inForce, *peers, *leader, clock, [] {});
+        freshness = std::make_unique<entry::Freshness>(options, inForce, *peers, *leader, clock, [this] {
+            ++changes;
+        });
     }
 
     ~Fixture()
@@ -223,6 +232,31 @@
     BOOST_TEST(asked() - before <= most);
 }
 
+// Guards against entries that send to a data centre whose evacuation was acknowledged.
+BOOST_AUTO_TEST_CASE(an_entry_takes_the_evacuations_that_the_leader_confirms_and_never_goes_back)
+{
+    const auto isEvacuated = [this] {
+        return inForce.evacuations()->dataCentres.contains("dc1");
+    };
+    voters.front().leads = true;
+    freshness->start();
+    voters.front().evacuations = 3;
+    for (int n = 0; n < 200 && !isEvacuated(); ++n) {
+        rest({10});
+    }
+    BOOST_TEST(isEvacuated());
+    BOOST_TEST(changes == 1);
+    voters.front().evacuations = 2;
+    rest(HOLD);
+    BOOST_TEST(isEvacuated());
+    voters.front().evacuations = 4;
+    for (int n = 0; n < 200 && isEvacuated(); ++n) {
+        rest({10});
+    }
+    BOOST_TEST(!isEvacuated());
+    BOOST_TEST(changes == 2);
+}
+
 BOOST_AUTO_TEST_CASE(a_silent_voter_does_not_let_the_lease_of_an_entry_without_a_leader_run_out)
 {
     voters.front().silent = true;
--- a/test/bamboomoor/platform/messages.cpp
+++ b/test/bamboomoor/platform/messages.cpp
@@ -133,6 +133,65 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(cold_and_evacuated)
+
+BOOST_AUTO_TEST_CASE(a_manifest_states_what_cold_upstreams_tolerate)
+{
+    const auto read = readManifest(without("\"llm\",\"health", "\"max_connections\":370",
+        R"("max_connections":370,"cold_start_s":3.0,"cold_per_s":8.2)"));
+    BOOST_REQUIRE(read.has_value());
+    const config::Service &service = read.value().document.services.front();
+    BOOST_TEST(service.coldRateMilli == 8'200);
+    BOOST_TEST(service.coldSpan.count == 3'000);
+    const auto parsed = config::parse(config::print(read.value().document));
+    BOOST_REQUIRE(parsed.has_value());
+    BOOST_TEST((parsed.value() == read.value().document));
+}
+
+BOOST_AUTO_TEST_CASE(a_manifest_without_cold_upstreams_is_printed_as_before)
+{
+    const auto read = readManifest(MANIFEST);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(config::print(read.value().document).find("cold") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_heartbeat_says_for_how_long_the_upstream_stays_cold)
+{
+    const auto coldFor = [](const std::string &value) {
+        const auto read = readHeartbeat("i-1",
+            R"({"service":"llm","address":"10.0.0.1:80","zone":"z","state":"ready","sequence":4,"cold_remaining_ms":)"
+                + value + "}");
+        return read ? read.value().coldRemaining.count : -1;
+    };
+    BOOST_TEST(coldFor("0") == 0);
+    BOOST_TEST(coldFor("1800") == 1'800);
+    BOOST_TEST(coldFor("1800.5") == 1'800);
+    BOOST_TEST(coldFor("-5") == 0);
+    BOOST_TEST(coldFor("1e300") == 600'000);
+    BOOST_TEST(coldFor("\"soon\"") == -1);
+    BOOST_TEST(coldFor("null") == -1);
+}
+
+BOOST_AUTO_TEST_CASE(evacuations_name_their_data_centre)
+{
+    const Control control;
+    http::Request request;
+    request.method = "POST";
+    request.path = "/Evacuation.Begin/kozep-a";
+    auto call = control.read(request);
+    BOOST_REQUIRE(std::holds_alternative<gateway::EvacuateCall>(call));
+    BOOST_TEST(std::get<gateway::EvacuateCall>(call).dataCentre == "kozep-a");
+    BOOST_TEST(std::get<gateway::EvacuateCall>(call).evacuated);
+    request.path = "/Evacuation.Finish/kozep-a";
+    call = control.read(request);
+    BOOST_REQUIRE(std::holds_alternative<gateway::EvacuateCall>(call));
+    BOOST_TEST(!std::get<gateway::EvacuateCall>(call).evacuated);
+    request.method = "GET";
+    BOOST_TEST(std::holds_alternative<gateway::BadCall>(control.read(request)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(heartbeats)
 
 BOOST_AUTO_TEST_CASE(a_heartbeat_becomes_an_announcement)
--- a/test/bamboomoor/platform/system/relayfleet.sh
+++ b/test/bamboomoor/platform/system/relayfleet.sh
@@ -21,13 +21,15 @@
         printf 'readiness_listen = "%s:%d"\n' "$3" "$((FLEET_PORT + 2))"
     else
         printf 'data_folder = "%s/data%d"\nbootstrap = true\n' "$FLEET_DIR" "$2"
+        printf '[[known_data_centre]]\nname = "dc%d"\n' 1 2
     fi
     for n in 1 2 3; do
         printf '[[seed]]\naddress = "%s:%d"\n' "$(control_ip "$n")" "$FLEET_PORT"
     done
     printf '[upstreams]\nlease_ms = 5000\n'
+    printf '%s\n' "${MEMORY_SETTINGS:-}"
     if [ "$1" = entry ]; then
-        printf '[entry]\nthreads = 1\ndrain_notice_ms = 1000\ndrain_limit_ms = 15000\n'
+        printf '[entry]\nthreads = 1\ndrain_notice_ms = 1000\ndrain_limit_ms = 15000\n%s\n' "${ENTRY_SETTINGS:-}"
         printf '[relay]\nserves_when_cut_off = true\nretry_ratio = 1.0\n'
     fi
 }
