Bound what callers can make a process hold by the memory of its machine

Now the machine's memory is shared out among bodies with their copies, streams that callers do not read, answers and half-sent heads. Large blocks go back to the system when they are freed. A planned stop does not wait for requests of which nothing comes.

Ruled out: shares by kind of caller (keys are known only after the head), spooling (entries have no disk).

--- a/src/bamboomoor/base/processmemory.cpp
+++ b/src/bamboomoor/base/processmemory.cpp
@@ -4,6 +4,8 @@
 #include "bamboomoor/base/processmemory.hpp"
 
 #include <fstream>
+#include <malloc.h>
+#include <string>
 #include <unistd.h>
 
 namespace bamboomoor::base
@@ -18,4 +20,22 @@
     return file ? resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE)) : 0;
 }
 
+std::size_t machineBytes()
+{
+    constexpr std::size_t KIB = 1'024;
+    std::ifstream file("/proc/meminfo");
+    std::string name;
+    std::size_t total = 0;
+    file >> name >> total;
+    return file && name == "MemTotal:" ? total * KIB : 0;
+}
+
+void returnLargeBlocks() noexcept
+{
+    constexpr int LARGE_BYTES = 262'144;
+    constexpr int TRIM_BYTES = 4'194'304;
+    mallopt(M_MMAP_THRESHOLD, LARGE_BYTES);
+    mallopt(M_TRIM_THRESHOLD, TRIM_BYTES);
+}
+
 } // namespace bamboomoor::base
--- a/src/bamboomoor/daemon/serve.cpp
+++ b/src/bamboomoor/daemon/serve.cpp
@@ -2,6 +2,8 @@
  * The command `bamboomoor serve`.
  */
 #include "bamboomoor/daemon/serve.hpp"
+
+#include "bamboomoor/base/processmemory.hpp"
 #include "bamboomoor/daemon/daemon.hpp"
 
 #include <glog/logging.h>
@@ -66,6 +68,7 @@
         return USAGE;
     }
     FLAGS_logtostderr = true;
+    base::returnLargeBlocks();
     google::InitGoogleLogging("bamboomoor");
     const sigset_t signals = drainSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
--- a/src/bamboomoor/gateway/controldaemon.cpp
+++ b/src/bamboomoor/gateway/controldaemon.cpp
@@ -104,7 +104,7 @@
     , m_softwareObserver(m_book)
     , m_peerService(daemon::VoterParts{m_voter, m_freshen, m_budget, m_residency}, m_book, m_clock,
           m_clock.now() + warmUp(m_settings))
-    , m_server(m_api, controlServerOptions())
+    , m_server(m_api, controlServerOptions(m_settings))
     , m_peerServer(m_peerService)
 {
     m_peerService.setGroup(m_group);
--- a/src/bamboomoor/gateway/entrydaemon.cpp
+++ b/src/bamboomoor/gateway/entrydaemon.cpp
@@ -20,10 +20,8 @@
 constexpr base::Millis FINAL_RESPONSES{200};
 // What the lines between entries and to upstreams add to the head of a caller's request.
 constexpr std::size_t FORWARD_HEADER_BYTES = 4'096;
-// Bytes of the bodies of all requests in progress, of callers and of other entries. Each body may exist twice, as an
-// attempt has its own copy.
-constexpr std::size_t HELD_BODY_BYTES = 50'331'648;
-constexpr std::size_t FORWARD_HELD_BODY_BYTES = 16'777'216;
+// Each body may exist twice, as an attempt has its own copy.
+constexpr std::size_t BODY_COPIES = 2;
 // Interval of the demand reports, on which placement is based.
 constexpr base::Millis DEMAND_INTERVAL{250};
 // Budget holder: interval of its reports, and the longest time that a request waits for tokens.
@@ -49,7 +47,9 @@
     options.core.retries.permille = settings.relay.retryPermille;
     options.core.retries.window = settings.relay.retryWindow;
     options.core.maxResponseBytes = static_cast<std::size_t>(settings.relay.maxAnswerBytes);
-    options.core.maxBufferedBytes = static_cast<std::size_t>(settings.relay.maxHeldBytes);
+    const http::MemoryPlan plan = memoryPlan(settings, http::MemoryRole::Entry);
+    options.core.maxBufferedBytes = std::min(static_cast<std::size_t>(settings.relay.maxHeldBytes), plan.answerBytes);
+    options.maxTotalUnreadBytes = std::min(options.maxTotalUnreadBytes, plan.unreadBytes);
     options.core.budget.name = settings.vm;
     options.core.budget.incarnation = incarnation();
     options.core.budget.driftPermille = settings.budget.driftPermille;
@@ -76,21 +76,26 @@
     return options;
 }
 
-http::ServerOptions serverOptions(const settings::Settings &settings)
+http::ServerOptions serverOptions(
+    const settings::Settings &settings, const std::shared_ptr<http::RequestMemory> &memory)
 {
+    const http::MemoryPlan plan = memoryPlan(settings, http::MemoryRole::Entry);
     http::ServerOptions options;
+    options.memory = memory;
+    options.bodyCopies = BODY_COPIES;
+    options.maxAllStreamBytes = plan.streamBytes;
+    options.maxUnfinishedHeads = plan.unfinishedHeads;
     options.maxBodyBytes = static_cast<std::size_t>(settings.entry.maxBodyBytes);
     options.threads = static_cast<unsigned>(settings.entry.threads);
-    options.maxHeldBodyBytes = std::max(options.maxBodyBytes, HELD_BODY_BYTES);
     options.maxConnections = MAX_CALLERS;
     return options;
 }
 
-http::ServerOptions forwardServerOptions(const settings::Settings &settings)
+http::ServerOptions forwardServerOptions(
+    const settings::Settings &settings, const std::shared_ptr<http::RequestMemory> &memory)
 {
-    http::ServerOptions options = serverOptions(settings);
+    http::ServerOptions options = serverOptions(settings, memory);
     options.maxHeaderBytes += FORWARD_HEADER_BYTES;
-    options.maxHeldBodyBytes = std::max(options.maxBodyBytes, FORWARD_HELD_BODY_BYTES);
     options.threads = 1;
     return options;
 }
@@ -118,10 +123,13 @@
               return unready();
           },
           [this] {
+              const http::ServerCounters counters = m_server.counters();
+              m_metrics.setMemory(m_memory->counters(), counters);
               return m_metrics.text();
           })
-    , m_server(m_runner, serverOptions(m_settings))
-    , m_readinessServer(m_readiness, controlServerOptions())
+    , m_memory(requestMemory(memoryPlan(m_settings, http::MemoryRole::Entry)))
+    , m_server(m_runner, serverOptions(m_settings, m_memory))
+    , m_readinessServer(m_readiness, controlServerOptions(m_settings))
     , m_forwarder({m_client, m_tokens,
           [this](const std::string &upstream, const std::string &address) {
               return knows(upstream, address);
@@ -130,7 +138,7 @@
               return std::string_view(m_draining ? "draining" : m_runner.isCutOff() ? "cut_off" : "");
           },
           m_metrics, m_log})
-    , m_forwardServer(m_forwarder, forwardServerOptions(m_settings))
+    , m_forwardServer(m_forwarder, forwardServerOptions(m_settings, m_memory))
 {
     m_leader.setSeeds(m_peers.names());
     m_runner.setUrgentReport([this] {
--- a/src/bamboomoor/gateway/entrydaemon.hpp
+++ b/src/bamboomoor/gateway/entrydaemon.hpp
@@ -70,6 +70,8 @@
     entry::Freshness m_freshness;
     entry::DemandReport m_demand;
     Readiness m_readiness;
+    // Of callers' requests and of those that other entries forward.
+    std::shared_ptr<http::RequestMemory> m_memory;
     http::Server m_server;
     http::Server m_readinessServer;
     Forwarder m_forwarder;
--- a/src/bamboomoor/gateway/process.cpp
+++ b/src/bamboomoor/gateway/process.cpp
@@ -4,6 +4,7 @@
 #include "bamboomoor/gateway/process.hpp"
 
 #include "bamboomoor/base/eventlog.hpp"
+#include "bamboomoor/base/processmemory.hpp"
 #include "bamboomoor/gateway/controldaemon.hpp"
 #include "bamboomoor/gateway/entrydaemon.hpp"
 #include "bamboomoor/gateway/identity.hpp"
@@ -39,8 +40,6 @@
 // Pause before a data folder that could not be written is tried again.
 constexpr timespec DISK_RETRY{0, 200'000'000};
 constexpr std::size_t CONTROL_BODY_BYTES = 4'194'304;
-// Bytes of the bodies of all calls in progress.
-constexpr std::size_t CONTROL_HELD_BODY_BYTES = 8'388'608;
 constexpr unsigned CONTROL_CONNECTIONS = 1'500;
 
 std::string hostOf(const std::string &address)
@@ -242,11 +241,27 @@
     return options;
 }
 
-http::ServerOptions controlServerOptions()
+http::MemoryPlan memoryPlan(const settings::Settings &settings, http::MemoryRole role)
 {
+    constexpr std::size_t MIB = 1'048'576;
+    const auto set = static_cast<std::size_t>(settings.memory.machineMib) * MIB;
+    const std::size_t maxBodyBytes =
+        role == http::MemoryRole::Entry ? static_cast<std::size_t>(settings.entry.maxBodyBytes) : CONTROL_BODY_BYTES;
+    return http::planMemory(set > 0 ? set : base::machineBytes(), maxBodyBytes, role);
+}
+
+std::shared_ptr<http::RequestMemory> requestMemory(const http::MemoryPlan &plan)
+{
+    return std::make_shared<http::RequestMemory>(http::RequestMemoryOptions{plan.bodyBytes});
+}
+
+http::ServerOptions controlServerOptions(const settings::Settings &settings)
+{
+    const http::MemoryPlan plan = memoryPlan(settings, http::MemoryRole::Control);
     http::ServerOptions options;
+    options.memory = requestMemory(plan);
+    options.maxUnfinishedHeads = plan.unfinishedHeads;
     options.maxBodyBytes = CONTROL_BODY_BYTES;
-    options.maxHeldBodyBytes = CONTROL_HELD_BODY_BYTES;
     options.maxConnections = CONTROL_CONNECTIONS;
     options.threads = 1;
     return options;
@@ -273,6 +288,7 @@
         std::cerr << "bamboomoor " << command << ": --settings FILE is needed, and nothing else\n";
         return USAGE;
     }
+    base::returnLargeBlocks();
     google::InitGoogleLogging("bamboomoor");
     // Blocked before any thread starts, so that only the main thread receives these signals.
     const sigset_t signals = watchedSignals();
--- a/src/bamboomoor/gateway/process.hpp
+++ b/src/bamboomoor/gateway/process.hpp
@@ -6,6 +6,7 @@
 #include "bamboomoor/base/outcome.hpp"
 #include "bamboomoor/control/peerregistry.hpp"
 #include "bamboomoor/gateway/dialect.hpp"
+#include "bamboomoor/http/memoryplan.hpp"
 #include "bamboomoor/http/server.hpp"
 #include "bamboomoor/membership/registry.hpp"
 #include "bamboomoor/settings/settings.hpp"
@@ -65,7 +66,17 @@
 /**
  * @brief Returns the limits of an HTTP server for operators, upstreams or the load balancer.
  */
-[[nodiscard]] http::ServerOptions controlServerOptions();
+[[nodiscard]] http::ServerOptions controlServerOptions(const settings::Settings &settings);
+
+/**
+ * @brief Shares out the memory of this machine.
+ * @param settings The settings; they may name another size than the machine reports.
+ * @param role The part that the process plays.
+ */
+[[nodiscard]] http::MemoryPlan memoryPlan(const settings::Settings &settings, http::MemoryRole role);
+
+/** @brief Makes the memory of request bodies, for one or several servers. @param plan The shares. */
+[[nodiscard]] std::shared_ptr<http::RequestMemory> requestMemory(const http::MemoryPlan &plan);
 
 /**
  * @brief Runs `bamboomoor entry` or `bamboomoor control` until SIGTERM or SIGINT.
--- a/src/bamboomoor/gateway/relaymetrics.cpp
+++ b/src/bamboomoor/gateway/relaymetrics.cpp
@@ -65,6 +65,14 @@
     , m_refusal(histogram(m_registry, "bamboomoor_relay_refusal_seconds", "From arrival to a refusal"))
     , m_ring(gauge(m_registry, "bamboomoor_relay_ring_events", "Events that wait for the relay's thread"))
     , m_open(gauge(m_registry, "bamboomoor_relay_open_requests", "Relayed requests in progress"))
+    , m_bodyBytes(gauge(m_registry, "bamboomoor_relay_body_bytes", "Memory of request bodies"))
+    , m_maxBodyBytes(gauge(m_registry, "bamboomoor_relay_body_bytes_max", "The most that request bodies may take"))
+    , m_refusedBodies(
+          gauge(m_registry, "bamboomoor_relay_bodies_refused", "Requests refused so far for want of memory"))
+    , m_evictedBodies(gauge(m_registry, "bamboomoor_relay_bodies_evicted",
+          "Connections closed so far before the end of a body, for want of memory"))
+    , m_evictedHeads(gauge(m_registry, "bamboomoor_relay_heads_evicted",
+          "Connections closed so far before the end of a head, as too many were open"))
     , m_evacuated(gauge(m_registry, "bamboomoor_relay_evacuated_data_centres", "Data centres that get no requests"))
     , m_cold(gauge(m_registry, "bamboomoor_relay_cold_upstreams", "Upstreams that take requests by permits as they are cold"))
 {
@@ -122,6 +130,15 @@
     m_cold.Set(static_cast<double>(cold));
 }
 
+void RelayMetrics::setMemory(const http::RequestMemoryCounters &memory, const http::ServerCounters &server)
+{
+    m_bodyBytes.Set(static_cast<double>(memory.heldBytes));
+    m_maxBodyBytes.Set(static_cast<double>(memory.maxBytes));
+    m_refusedBodies.Set(static_cast<double>(memory.refused));
+    m_evictedBodies.Set(static_cast<double>(memory.evicted));
+    m_evictedHeads.Set(static_cast<double>(server.evictedHeads));
+}
+
 void RelayMetrics::dropped()
 {
     m_dropped.Increment();
--- a/src/bamboomoor/gateway/relaymetrics.hpp
+++ b/src/bamboomoor/gateway/relaymetrics.hpp
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "bamboomoor/http/server.hpp"
 #include "bamboomoor/relay/core.hpp"
 
 #include <prometheus/counter.h>
@@ -45,6 +46,10 @@
      * upstreams. */
     void setPlaces(std::size_t evacuated, std::size_t cold);
 
+    /** @brief Sets the gauges of the memory of request bodies. @param memory Its state. @param server What the server of
+     * callers has seen. */
+    void setMemory(const http::RequestMemoryCounters &memory, const http::ServerCounters &server);
+
     /** @brief Counts an event dropped because the ring was full. */
     void dropped();
 
@@ -66,6 +71,11 @@
     prometheus::Histogram &m_refusal;
     prometheus::Gauge &m_ring;
     prometheus::Gauge &m_open;
+    prometheus::Gauge &m_bodyBytes;
+    prometheus::Gauge &m_maxBodyBytes;
+    prometheus::Gauge &m_refusedBodies;
+    prometheus::Gauge &m_evictedBodies;
+    prometheus::Gauge &m_evictedHeads;
     prometheus::Gauge &m_evacuated;
     prometheus::Gauge &m_cold;
 };
--- a/src/bamboomoor/http/fwd.hpp
+++ b/src/bamboomoor/http/fwd.hpp
@@ -21,4 +21,6 @@
 class Client;
 class SseParser;
 class AnswerMemory;
+class RequestMemory;
+class MemoryHold;
 } // namespace bamboomoor::http
--- a/src/bamboomoor/http/internal/exchange.cpp
+++ b/src/bamboomoor/http/internal/exchange.cpp
@@ -179,6 +179,7 @@
             m_buffer.clear();
             m_taken = 0;
         }
+        countStream(m_buffer.size());
         return static_cast<ssize_t>(count);
     }
     if (m_state == State::Ended) {
@@ -212,6 +213,8 @@
     if (m_state == State::Open) {
         m_response = {status, std::move(headers), {}};
         m_state = State::Streaming;
+        m_isStream = true;
+        ++m_scope->streams;
         wake();
     }
 }
@@ -227,7 +230,8 @@
         m_taken = 0;
     }
     m_buffer += chunk;
-    if (isStalled()) {
+    countStream(m_buffer.size());
+    if (isStalled() || isOverShare(m_buffer.size() - m_taken)) {
         ++m_scope->tally->slowReader;
         m_state = State::Cut;
     }
@@ -235,6 +239,19 @@
     return m_state == State::Streaming;
 }
 
+void Exchange::countStream(std::size_t bytes)
+{
+    m_scope->streamBytes += bytes;
+    m_scope->streamBytes -= std::exchange(m_countedStreamBytes, bytes);
+}
+
+bool Exchange::isOverShare(std::size_t waiting) const
+{
+    const std::size_t max = m_scope->options.maxAllStreamBytes;
+    const std::size_t streams = std::max<std::size_t>(m_scope->streams, 1);
+    return max > 0 && m_scope->streamBytes > max && waiting > max / streams;
+}
+
 bool Exchange::isStalled()
 {
     const std::size_t waiting = m_buffer.size() - m_taken;
--- a/src/bamboomoor/http/internal/exchange.hpp
+++ b/src/bamboomoor/http/internal/exchange.hpp
@@ -15,6 +15,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <sys/types.h>
@@ -31,8 +32,9 @@
     std::atomic<bool> quiescing = false;
     // Set before the library stops: from then on no connection is suspended.
     std::atomic<bool> stopping = false;
-    // Body bytes of the exchanges that exist.
-    std::atomic<std::size_t> heldBodyBytes = 0;
+    // Bytes that wait in the buffers of all streams, and the number of these.
+    std::atomic<std::size_t> streamBytes = 0;
+    std::atomic<std::size_t> streams = 0;
 };
 
 /** @brief Why a request is answered by the server itself. */
@@ -53,6 +55,12 @@
     Exchange(const Exchange &) = delete;
     Exchange &operator=(const Exchange &) = delete;
 
+    /**
+     * @brief Counts the body from now on; called once, on the library's thread.
+     * @param evict Closes the connection, as RequestMemory asks for.
+     */
+    void holdMemory(std::function<void()> evict);
+
     /**
      * @brief Takes the head; called once, on the library's thread.
      * @param method The request's method.
@@ -139,7 +147,8 @@
 private:
     enum class State { Open, Whole, Streaming, Ended, Cut };
 
-    [[nodiscard]] bool hasRoom(std::uint64_t bytes) const noexcept;
+    [[nodiscard]] bool appendBody(std::string_view bytes);
+    void dropBody();
     [[nodiscard]] ssize_t readStream(char *buf, std::size_t max);
     [[nodiscard]] static MHD_Response *makeWhole(std::string text);
     [[nodiscard]] MHD_Response *makeStream();
@@ -147,6 +156,8 @@
         MHD_Connection *connection, MHD_Response *made, const Response &response, bool close);
     void wake() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     [[nodiscard]] bool isStalled() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void countStream(std::size_t bytes) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    [[nodiscard]] bool isOverShare(std::size_t waiting) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     static void runCallbacks(const std::vector<std::function<void()>> &callbacks);
 
     const std::shared_ptr<ExchangeScope> m_scope;
@@ -154,8 +165,10 @@
     // Touched on the library's thread alone.
     Request m_request;
     std::size_t m_bodyBytes = 0;
-    // Part of ExchangeScope::heldBodyBytes.
-    std::size_t m_heldBytes = 0;
+    // Set by holdMemory(); counts the capacity of the body.
+    std::optional<MemoryHold> m_hold;
+    // The announced length of the body; 0 if it has none.
+    std::size_t m_announcedBytes = 0;
     // Set when a part of the body was dropped for want of room.
     bool m_isOverHeld = false;
     bool m_headRead = false;
@@ -169,11 +182,15 @@
     bool m_suspended ABSL_GUARDED_BY(m_mutex) = false;
     bool m_queued ABSL_GUARDED_BY(m_mutex) = false;
     bool m_gone ABSL_GUARDED_BY(m_mutex) = false;
+    // Part of ExchangeScope::streams.
+    bool m_isStream ABSL_GUARDED_BY(m_mutex) = false;
     bool m_closeAfter ABSL_GUARDED_BY(m_mutex) = false;
     Response m_response ABSL_GUARDED_BY(m_mutex);
     // Stream bytes from m_taken on wait to be read.
     std::string m_buffer ABSL_GUARDED_BY(m_mutex);
     std::size_t m_taken ABSL_GUARDED_BY(m_mutex) = 0;
+    // Part of ExchangeScope::streamBytes.
+    std::size_t m_countedStreamBytes ABSL_GUARDED_BY(m_mutex) = 0;
     // When the buffer went over its bound; 0 while it is under it.
     base::Millis m_fullSince ABSL_GUARDED_BY(m_mutex);
     std::vector<std::function<void()>> m_onGone ABSL_GUARDED_BY(m_mutex);
--- a/src/bamboomoor/http/internal/intake.cpp
+++ b/src/bamboomoor/http/internal/intake.cpp
@@ -124,13 +124,14 @@
 
 Exchange::~Exchange()
 {
-    m_scope->heldBodyBytes -= m_heldBytes;
+    const absl::MutexLock lock(&m_mutex);
+    countStream(0);
+    m_scope->streams -= m_isStream ? 1 : 0;
 }
 
-bool Exchange::hasRoom(std::uint64_t bytes) const noexcept
+void Exchange::holdMemory(std::function<void()> evict)
 {
-    const std::size_t max = m_scope->options.maxHeldBodyBytes;
-    return max == 0 || m_scope->heldBodyBytes + bytes <= max;
+    m_hold.emplace(*m_scope->options.memory, std::move(evict));
 }
 
 Refusal Exchange::readHead(std::string_view method)
@@ -154,21 +155,19 @@
     if (length > m_scope->options.maxBodyBytes) {
         return Refusal::BodyTooLarge;
     }
-    return hasRoom(length) ? Refusal::None : Refusal::Busy;
+    m_announcedBytes = length;
+    return m_scope->options.memory->fits(length) ? Refusal::None : Refusal::Busy;
 }
 
 bool Exchange::readBody(std::string_view bytes)
 {
     m_bodyBytes += bytes.size();
-    m_isOverHeld = m_isOverHeld || !hasRoom(bytes.size());
-    if (m_bodyBytes <= m_scope->options.maxBodyBytes && !m_isOverHeld) {
-        m_request.body += bytes;
-        m_heldBytes += bytes.size();
-        m_scope->heldBodyBytes += bytes.size();
+    const bool isTooLarge = m_bodyBytes > m_scope->options.maxBodyBytes;
+    m_isOverHeld = m_isOverHeld || (!isTooLarge && !appendBody(bytes));
+    if (!isTooLarge && !m_isOverHeld) {
         return true;
     }
-    m_request.body = {};
-    m_scope->heldBodyBytes -= std::exchange(m_heldBytes, 0);
+    dropBody();
     if (m_bodyBytes / DISCARD_FACTOR <= m_scope->options.maxBodyBytes) {
         return true;
     }
@@ -176,6 +175,33 @@
     return false;
 }
 
+bool Exchange::appendBody(std::string_view bytes)
+{
+    const base::Millis now = m_clock.now();
+    m_hold->progressed(now);
+    std::string &body = m_request.body;
+    const std::size_t needed = body.size() + bytes.size();
+    if (needed > body.capacity()) {
+        const std::size_t doubled = std::min(body.capacity() * 2, m_scope->options.maxBodyBytes);
+        const std::size_t target = std::max(needed, m_announcedBytes > 0 ? m_announcedBytes : doubled);
+        // While a body of unknown length is moved to a larger buffer, both exist.
+        const std::size_t before = m_hold->bytes();
+        if (!m_hold->grow(now, target)) {
+            return false;
+        }
+        body.reserve(target);
+        m_hold->shrink(before);
+    }
+    body += bytes;
+    return true;
+}
+
+void Exchange::dropBody()
+{
+    m_request.body = std::string();
+    m_hold->shrink(m_hold->bytes());
+}
+
 MHD_Result Exchange::dispatch(Handler &handler)
 {
     m_dispatched = true;
@@ -185,7 +211,10 @@
     if (m_bodyBytes > m_scope->options.maxBodyBytes) {
         return refuse(Refusal::BodyTooLarge);
     }
-    if (m_isOverHeld) {
+    m_hold->complete();
+    const std::size_t copies = m_hold->bytes() * (m_scope->options.bodyCopies - 1);
+    if (m_isOverHeld || !m_hold->grow(m_clock.now(), copies)) {
+        dropBody();
         return refuse(Refusal::Busy);
     }
     ++m_scope->tally->requests;
@@ -208,6 +237,7 @@
         response.body = refusalBody("body_too_large", "the request's body is too large");
     } else if (refusal == Refusal::Busy) {
         ++m_scope->tally->overHeldBodies;
+        m_scope->options.memory->noteRefused(m_clock.now());
         response.status = 503;
         response.headers.push_back({"Retry-After", BUSY_RETRY_SECONDS});
         response.body = refusalBody("server_busy", "too many request bodies are being handled; try again later");
--- a/src/bamboomoor/http/internal/tally.hpp
+++ b/src/bamboomoor/http/internal/tally.hpp
@@ -18,6 +18,8 @@
     std::atomic<std::uint64_t> headerTooLarge = 0;
     std::atomic<std::uint64_t> bodyTooLarge = 0;
     std::atomic<std::uint64_t> overHeldBodies = 0;
+    std::atomic<std::uint64_t> evictedBodies = 0;
+    std::atomic<std::uint64_t> evictedHeads = 0;
     std::atomic<std::uint64_t> malformed = 0;
     std::atomic<std::uint64_t> slowSender = 0;
     std::atomic<std::uint64_t> slowReader = 0;
--- a/src/bamboomoor/http/internal/watch.cpp
+++ b/src/bamboomoor/http/internal/watch.cpp
@@ -27,6 +27,8 @@
 constexpr int SWEEP_INTERVAL = 200;
 // The time in which a new connection is expected to send its first request.
 constexpr base::Millis FRESH_TIME{500};
+// A planned stop does not wait for a request of which nothing has come for this time.
+constexpr base::Millis STALL_TIME{2'000};
 
 } // namespace
 
@@ -92,6 +94,7 @@
     if (it != m_connections.end()) {
         it->second.phase = Phase::Head;
         it->second.since = m_clock.now();
+        it->second.progressedAt = it->second.since;
         it->second.bodyBytes = 0;
         it->second.exchange = exchange;
     }
@@ -107,7 +110,9 @@
             return;
         }
         Watched &watched = it->second;
-        watched.since = watched.phase == phase ? watched.since : m_clock.now();
+        const base::Millis now = m_clock.now();
+        watched.since = watched.phase == phase ? watched.since : now;
+        watched.progressedAt = now;
         watched.phase = phase;
         watched.bodyBytes = bodyBytes;
         watched.hadRequest = true;
@@ -212,13 +217,64 @@
             continue;
         }
         const bool overdue = isOverdue(watched, now);
-        if (overdue || (m_closingIdle && !mayHoldRequest(watched, now))) {
-            watched.shutDown = true;
+        if (overdue || (m_closingIdle && (!mayHoldRequest(watched, now) || isStalled(watched, now)))) {
             m_tally->slowSender += overdue ? 1 : 0;
-            // The library sees the end of the connection and closes it by itself.
-            shutdown(watched.socket, SHUT_RDWR);
+            shutDown(watched);
         }
     }
+    evictHeads(now);
+}
+
+void Watch::shutDown(Watched &watched)
+{
+    watched.shutDown = true;
+    // The library sees the end of the connection and closes it by itself.
+    shutdown(watched.socket, SHUT_RDWR);
+}
+
+void Watch::shutDown(ConnectionId id)
+{
+    const absl::MutexLock lock(&m_mutex);
+    const auto it = m_connections.find(id.value);
+    if (it != m_connections.end() && !it->second.shutDown) {
+        shutDown(it->second);
+    }
+}
+
+void Watch::evictHeads(base::Millis now)
+{
+    if (m_limits.maxUnfinishedHeads == 0) {
+        return;
+    }
+    std::vector<Watched *> unfinished;
+    for (auto &[id, watched] : m_connections) {
+        if (hasUnfinishedHead(watched, now)) {
+            unfinished.push_back(&watched);
+        }
+    }
+    if (unfinished.size() <= m_limits.maxUnfinishedHeads) {
+        return;
+    }
+    std::sort(unfinished.begin(), unfinished.end(), [](const Watched *lhs, const Watched *rhs) {
+        return lhs->since < rhs->since;
+    });
+    unfinished.resize(unfinished.size() - m_limits.maxUnfinishedHeads);
+    for (Watched *it : unfinished) {
+        ++m_tally->evictedHeads;
+        shutDown(*it);
+    }
+}
+
+bool Watch::hasUnfinishedHead(const Watched &watched, base::Millis now) noexcept
+{
+    const bool sendsFirst = watched.phase == Phase::Idle && !watched.hadRequest && now - watched.since >= FRESH_TIME;
+    return !watched.shutDown && (watched.phase == Phase::Head || sendsFirst);
+}
+
+bool Watch::isStalled(const Watched &watched, base::Millis now) noexcept
+{
+    return (watched.phase == Phase::Head && now - watched.since >= STALL_TIME)
+        || (watched.phase == Phase::Body && now - watched.progressedAt >= STALL_TIME);
 }
 
 bool Watch::isOverdue(const Watched &watched, base::Millis now) const noexcept
--- a/src/bamboomoor/http/internal/watch.hpp
+++ b/src/bamboomoor/http/internal/watch.hpp
@@ -35,6 +35,8 @@
 struct WatchLimits {
     base::Millis idle;
     base::Millis slowSender;
+    // See ServerOptions::maxUnfinishedHeads.
+    std::size_t maxUnfinishedHeads = 0;
 };
 
 /** @brief Watches the connections of one server with one thread. */
@@ -95,6 +97,12 @@
      */
     [[nodiscard]] bool isShutDown(ConnectionId id) const;
 
+    /**
+     * @brief Closes a connection whose request is being read.
+     * @param id The connection.
+     */
+    void shutDown(ConnectionId id);
+
     /** @brief Cuts every request that is not answered. */
     void cutAll();
 
@@ -109,6 +117,8 @@
         int socket = -1;
         Phase phase = Phase::Idle;
         base::Millis since;
+        // When bytes of its body were last read.
+        base::Millis progressedAt;
         std::size_t bodyBytes = 0;
         bool hadRequest = false;
         bool peerClosed = false;
@@ -119,6 +129,11 @@
     void run();
     void noteClosed(std::uint64_t id);
     void sweep();
+    void evictHeads(base::Millis now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    [[nodiscard]] static bool hasUnfinishedHead(const Watched &watched, base::Millis now) noexcept;
+    // Whether a stop need not wait for it.
+    [[nodiscard]] static bool isStalled(const Watched &watched, base::Millis now) noexcept;
+    static void shutDown(Watched &watched);
     [[nodiscard]] static bool mayHoldRequest(const Watched &watched, base::Millis now) noexcept;
     [[nodiscard]] bool isOverdue(const Watched &watched, base::Millis now) const noexcept;
 
--- a/src/bamboomoor/http/requestmemory.cpp
+++ b/src/bamboomoor/http/requestmemory.cpp
@@ -128,6 +128,7 @@
 
 bool MemoryHold::grow(base::Millis now, std::size_t bytes)
 {
+    progressed(now);
     return m_memory.grow(now, *this, bytes);
 }
 
--- a/src/bamboomoor/http/server.cpp
+++ b/src/bamboomoor/http/server.cpp
@@ -65,7 +65,11 @@
         : m_handler(handler)
         , m_scope(std::make_shared<internal::ExchangeScope>())
     {
-        m_scope->options = options;
+        m_scope->options = std::move(options);
+        if (m_scope->options.memory == nullptr) {
+            m_scope->options.memory =
+                std::make_shared<RequestMemory>(RequestMemoryOptions{m_scope->options.maxHeldBodyBytes});
+        }
         m_scope->tally = std::make_shared<internal::Tally>();
     }
 
@@ -113,7 +117,9 @@
     }
     m_listener = listening.value().socket;
     const ServerOptions &options = m_scope->options;
-    m_watch.emplace(internal::WatchLimits{options.idleTimeout, options.slowSenderTimeout}, m_scope->tally);
+    m_watch.emplace(
+        internal::WatchLimits{options.idleTimeout, options.slowSenderTimeout, options.maxUnfinishedHeads},
+        m_scope->tally);
     if (!startDaemons()) {
         close(std::exchange(m_listener, -1));
         return base::failure(ServerError{"the HTTP library did not start"});
@@ -173,7 +179,12 @@
     auto *self = static_cast<Impl *>(cls);
     auto exchange = std::make_shared<Exchange>(self->m_scope, connection, uri);
     ++self->m_scope->tally->openRequests;
-    self->m_watch->beginRequest(idOf(connection), exchange);
+    const ConnectionId id = idOf(connection);
+    self->m_watch->beginRequest(id, exchange);
+    exchange->holdMemory([self, id] {
+        ++self->m_scope->tally->evictedBodies;
+        self->m_watch->shutDown(id);
+    });
     return new ExchangePointer(std::move(exchange));
 }
 
@@ -311,6 +322,8 @@
     counters.headerTooLarge = tally.headerTooLarge;
     counters.bodyTooLarge = tally.bodyTooLarge;
     counters.overHeldBodies = tally.overHeldBodies;
+    counters.evictedBodies = tally.evictedBodies;
+    counters.evictedHeads = tally.evictedHeads;
     counters.malformed = tally.malformed;
     counters.slowSender = tally.slowSender;
     counters.slowReader = tally.slowReader;
@@ -321,7 +334,7 @@
 }
 
 Server::Server(Handler &handler, ServerOptions options)
-    : m_impl(std::make_unique<Impl>(handler, options))
+    : m_impl(std::make_unique<Impl>(handler, std::move(options)))
 {
 }
 
--- a/src/bamboomoor/http/server.hpp
+++ b/src/bamboomoor/http/server.hpp
@@ -7,6 +7,7 @@
 #include "bamboomoor/base/clock.hpp"
 #include "bamboomoor/base/outcome.hpp"
 #include "bamboomoor/http/message.hpp"
+#include "bamboomoor/http/requestmemory.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -84,10 +85,19 @@
 struct ServerOptions {
     std::size_t maxHeaderBytes = 16'384;
     std::size_t maxBodyBytes = 4'194'304;
-    // Bytes of the bodies of all requests that are not answered yet; more are refused with 503. 0 for no bound.
+    // The memory of the bodies of all requests that are not answered yet; what does not fit is refused with 503. Several
+    // servers of a process may share it. If null, the server has its own of maxHeldBodyBytes, 0 for no bound.
+    std::shared_ptr<RequestMemory> memory = nullptr;
     std::size_t maxHeldBodyBytes = 0;
+    // How often a whole body exists at once, with the copies that the handler makes.
+    std::size_t bodyCopies = 1;
     // A stream's bytes that wait for a caller that does not read.
     std::size_t maxStreamBytes = 1'048'576;
+    // The same of all streams; those that hold more than an equal share of it are then cut. 0 for no bound.
+    std::size_t maxAllStreamBytes = 0;
+    // Connections whose request has not been read up to the end of its head; those that have waited for longest are
+    // closed when there are more. 0 for no bound.
+    std::size_t maxUnfinishedHeads = 0;
     unsigned maxConnections = 12'000;
     unsigned threads = 4;
     // A connection without a request, or whose caller does not read, is closed after this time.
@@ -110,8 +120,11 @@
     std::uint64_t openRequests = 0;
     std::uint64_t headerTooLarge = 0;
     std::uint64_t bodyTooLarge = 0;
-    // Requests refused because of maxHeldBodyBytes.
+    // Requests refused, and connections closed before the end of their body, for want of memory.
     std::uint64_t overHeldBodies = 0;
+    std::uint64_t evictedBodies = 0;
+    // Connections closed because of maxUnfinishedHeads.
+    std::uint64_t evictedHeads = 0;
     std::uint64_t malformed = 0;
     std::uint64_t slowSender = 0;
     std::uint64_t slowReader = 0;
--- a/src/bamboomoor/settings/fwd.hpp
+++ b/src/bamboomoor/settings/fwd.hpp
@@ -9,6 +9,7 @@
 struct ControlSettings;
 struct UpstreamSettings;
 struct EntrySettings;
+struct MemorySettings;
 struct BudgetSettings;
 struct PlacementSettings;
 struct Settings;
--- a/src/bamboomoor/settings/settings.cpp
+++ b/src/bamboomoor/settings/settings.cpp
@@ -24,6 +24,7 @@
 constexpr std::int64_t MAX_COUNT = 1'000'000;
 constexpr std::int64_t MAX_THREADS = 1'024;
 constexpr std::int64_t MAX_BODY_BYTES = 1'073'741'824;
+constexpr std::int64_t MAX_MEMORY_MIB = 16'777'216;
 constexpr std::int64_t MAX_DRIFT_PERMILLE = 100;
 constexpr std::int64_t MIN_FRESHNESS_MS = 100;
 // A change of configuration must be in force everywhere within 3 seconds.
@@ -171,6 +172,9 @@
     in.table("control", [&out](TableReader &it) {
         readControl(it, out.control);
     });
+    in.table("memory", [&out](TableReader &it) {
+        readCount(it, "machine_mib", out.memory.machineMib, {0, MAX_MEMORY_MIB});
+    });
     in.table("upstreams", [&out](TableReader &it) {
         readUpstreams(it, out.upstreams);
     });
--- a/src/bamboomoor/settings/settings.hpp
+++ b/src/bamboomoor/settings/settings.hpp
@@ -92,6 +92,14 @@
     friend bool operator==(const EntrySettings &, const EntrySettings &) = default;
 };
 
+/** @brief Section [memory]: what the process may use. */
+struct MemorySettings {
+    // The memory of the machine, in MiB; 0 for what the machine reports.
+    std::int64_t machineMib = 0;
+
+    friend bool operator==(const MemorySettings &, const MemorySettings &) = default;
+};
+
 /** @brief Section [budget]: grants of tokens from the authority to entries. */
 struct BudgetSettings {
     // How long an entry may spend from a grant, by its own clock.
@@ -146,6 +154,7 @@
     ControlSettings control;
     UpstreamSettings upstreams;
     EntrySettings entry;
+    MemorySettings memory;
     BudgetSettings budget;
     PlacementSettings placement;
 
--- a/test/bamboomoor/http/requestmemory.cpp
+++ b/test/bamboomoor/http/requestmemory.cpp
@@ -52,7 +52,6 @@
             }
             const auto place = *rc::gen::inRange<std::size_t>(0, bodies.size());
             Body &body = *bodies[place];
-            body.hold.progressed({now});
             static_cast<void>(body.hold.grow({now}, *rc::gen::inRange<std::size_t>(1, 2 * MIB)));
             if (*rc::gen::inRange(0, 6) == 0) {
                 body.hold.complete();
--- a/test/bamboomoor/http/server.cpp
+++ b/test/bamboomoor/http/server.cpp
@@ -212,6 +212,78 @@
     BOOST_TEST(!caller.readAll().ends_with("\r\n0\r\n\r\n"));
 }
 
+// Guards against many callers that read slowly, each below its own bound.
+BOOST_AUTO_TEST_CASE(streams_that_together_exceed_their_bound_are_cut)
+{
+    constexpr std::size_t CALLERS = 4;
+    std::vector<std::thread> writers;
+    absl::Mutex mutex;
+    http::ServerOptions options;
+    options.maxStreamBytes = 1'000'000'000;
+    options.maxAllStreamBytes = 400'000;
+    Fixture fixture(
+        [&](const http::Request &, const std::shared_ptr<http::Responder> &responder) {
+            const absl::MutexLock lock(&mutex);
+            writers.emplace_back([responder] {
+                responder->begin(200, {});
+                const std::string chunk(10'000, 'x');
+                while (responder->write(chunk)) {
+                }
+            });
+        },
+        options);
+    std::vector<std::unique_ptr<RawConnection>> callers;
+    for (std::size_t n = 0; n < CALLERS; ++n) {
+        callers.push_back(std::make_unique<RawConnection>(fixture.address));
+        callers.back()->send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    }
+    fixture.await([](const http::ServerCounters &it) {
+        return it.requests == CALLERS;
+    });
+    {
+        const absl::MutexLock lock(&mutex);
+        for (std::thread &it : writers) {
+            it.join();
+        }
+    }
+    BOOST_TEST(!callers.front()->readAll().ends_with("\r\n0\r\n\r\n"));
+}
+
+BOOST_AUTO_TEST_CASE(the_longest_waiting_heads_make_room_for_others)
+{
+    constexpr std::size_t MOST = 4;
+    http::ServerOptions options;
+    options.maxUnfinishedHeads = MOST;
+    options.slowSenderTimeout = {600'000};
+    Fixture fixture(echo, options);
+    std::vector<std::unique_ptr<RawConnection>> callers;
+    for (std::size_t n = 0; n < MOST * 3; ++n) {
+        callers.push_back(std::make_unique<RawConnection>(fixture.address));
+        callers.back()->send("GET /half HTTP/1.1\r\nHost: x\r\n");
+    }
+    fixture.await([](const http::ServerCounters &it) {
+        return it.evictedHeads == MOST * 2 && it.openConnections == MOST;
+    });
+    BOOST_TEST(fixture.send({.method = "GET", .url = "/whole"})->status() == 200);
+    BOOST_TEST(fixture.server.counters().evictedHeads == MOST * 2);
+}
+
+// Guards against a planned stop that is held up by clients that never end their requests.
+BOOST_AUTO_TEST_CASE(a_stop_does_not_wait_for_requests_of_which_nothing_comes)
+{
+    http::ServerOptions options;
+    options.slowSenderTimeout = {600'000};
+    Fixture fixture(echo, options);
+    const RawConnection head(fixture.address);
+    head.send("GET /half HTTP/1.1\r\nHost: x\r\n");
+    const RawConnection body(fixture.address);
+    body.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n" + std::string(999, 'b'));
+    fixture.await([](const http::ServerCounters &it) {
+        return it.openRequests == 2;
+    });
+    BOOST_TEST(fixture.server.stop({30'000}));
+}
+
 BOOST_AUTO_TEST_CASE(bodies_that_together_exceed_their_bound_are_refused_until_others_are_answered)
 {
     constexpr std::size_t BODY = 60'000;
