Take answers without a valid status as malformed

An upstream's answer with a status from 600 to 999, or with other characters behind its three digits, reached callers as an answer. A status below 100, 000 among them, was malformed already, as was one that the HTTP library rejects.

The new test failed for 600, 999 and 200x before the change.

--- a/src/bamboomoor/http/internal/transfer.cpp
+++ b/src/bamboomoor/http/internal/transfer.cpp
@@ -23,6 +23,19 @@
 // The most bytes of an answer's head.
 constexpr std::size_t MAX_HEAD_BYTES = 65'536;
 
+/** @brief Reads the status of the first line of an answer: three digits from 100 to 599. @return The status, or 0. */
+int readStatus(std::string_view line) noexcept
+{
+    constexpr std::size_t DIGITS = 3;
+    const std::size_t space = std::min(line.find(' '), line.size());
+    const std::string_view rest = line.substr(std::min(space + 1, line.size()));
+    const std::string_view code = rest.substr(0, rest.find(' '));
+    int status = 0;
+    const auto [end, ec] = std::from_chars(code.data(), code.data() + code.size(), status);
+    const bool isNumber = ec == std::errc() && end == code.data() + code.size() && code.size() == DIGITS;
+    return isNumber && status >= 100 && status <= 599 ? status : 0;
+}
+
 } // namespace
 
 Transfer::Transfer(CURL *handle, Call call, std::shared_ptr<Listener> listener, base::Millis now)
@@ -164,11 +177,8 @@
         continueHeader(line);
     } else if (line.starts_with("HTTP/")) {
         m_headers.clear();
-        const std::size_t space = std::min(line.find(' '), line.size());
-        const std::string_view code = line.substr(std::min(space + 1, line.size()), 3);
-        m_status = 0;
-        std::from_chars(code.data(), code.data() + code.size(), m_status);
-        m_malformed = m_status < 100 || m_status > 999;
+        m_status = readStatus(line);
+        m_malformed = m_status == 0;
     } else if (isEnd) {
         finishHead();
     } else if (const std::size_t colon = line.find(':'); colon != std::string_view::npos) {
--- a/test/bamboomoor/http/client.cpp
+++ b/test/bamboomoor/http/client.cpp
@@ -82,6 +82,34 @@
     }
 }
 
+// Guards against answers that reach callers with a status that is none.
+BOOST_AUTO_TEST_CASE(an_answer_without_a_valid_status_is_no_answer)
+{
+    http::Client client;
+    for (const char *status : {"000", "0", " 0", "20", "099", "600", "999", "2000", "2x0", "-20", "", "200x", "1e2"}) {
+        for (const char *before : {"", "HTTP/1.1 103 Early\r\n\r\n"}) {
+            RawServer server(
+                before + std::string("HTTP/1.1 ") + status + " Odd\r\nContent-Length: 2\r\n\r\nok", Then::Close);
+            const auto answer = send(client, callTo(server.url()));
+            BOOST_TEST_CONTEXT('"' << status << "\" after \"" << before << '"')
+            {
+                BOOST_TEST((answer->await().kind == EndKind::Malformed));
+                BOOST_TEST(answer->status() == 0);
+                BOOST_TEST(answer->body().empty());
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_status_needs_no_reason)
+{
+    http::Client client;
+    for (const char *line : {"HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.0 200 OK", "HTTP/1.1 599 Odd"}) {
+        RawServer server(line + std::string("\r\nContent-Length: 2\r\n\r\nok"), Then::Close);
+        BOOST_TEST((send(client, callTo(server.url()))->await().kind == EndKind::Complete), line);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_that_finds_no_memory_ends_at_once)
 {
     class Full final : public http::Listener
