--- a/src/bamboomoor/control/configurationthread.hpp
+++ b/src/bamboomoor/control/configurationthread.hpp
@@ -1,8 +1,8 @@
 /**
  * Serves the active configuration to the daemons by long polling. A request that names another version is answered
- * immediately; otherwise the reply is held until the configuration or an evacuation changes or a short timeout expires. A change thus
- * reaches every daemon as soon as it is committed. Large documents are sent to a part of the daemons at a time, as
- * their replies are in memory until they are sent.
+ * immediately; otherwise the reply is held until the configuration or an evacuation changes or a short timeout expires.
+ * A change thus reaches every daemon as soon as it is committed. Large documents are sent to a part of the daemons at a
+ * time, as their replies are in memory until they are sent.
  */
 #pragma once
 
--- a/src/bamboomoor/gateway/relaymetrics.cpp
+++ b/src/bamboomoor/gateway/relaymetrics.cpp
@@ -74,7 +74,8 @@
     , m_evictedHeads(gauge(m_registry, "bamboomoor_relay_heads_evicted",
           "Connections closed so far before the end of a head, as too many were open"))
     , m_evacuated(gauge(m_registry, "bamboomoor_relay_evacuated_data_centres", "Data centres that get no requests"))
-    , m_cold(gauge(m_registry, "bamboomoor_relay_cold_upstreams", "Upstreams that take requests by permits as they are cold"))
+    , m_cold(gauge(
+          m_registry, "bamboomoor_relay_cold_upstreams", "Upstreams that take requests by permits as they are cold"))
 {
 }
 
--- a/src/bamboomoor/gateway/relaymetrics.hpp
+++ b/src/bamboomoor/gateway/relaymetrics.hpp
@@ -46,8 +46,8 @@
      * upstreams. */
     void setPlaces(std::size_t evacuated, std::size_t cold);
 
-    /** @brief Sets the gauges of the memory of request bodies. @param memory Its state. @param server What the server of
-     * callers has seen. */
+    /** @brief Sets the gauges of the memory of request bodies. @param memory Its state. @param server What the server
+     * of callers has seen. */
     void setMemory(const http::RequestMemoryCounters &memory, const http::ServerCounters &server);
 
     /** @brief Counts an event dropped because the ring was full. */
--- a/src/bamboomoor/http/requestmemory.hpp
+++ b/src/bamboomoor/http/requestmemory.hpp
@@ -1,10 +1,10 @@
 /**
  * The memory that the request bodies of a process may take, over all its servers.
  *
- * It protects a process against clients that send many large bodies, or stop short of their end. What is counted is what
- * is allocated, not what has arrived. While more than half of the memory is taken, connections whose body has not grown
- * for a while are closed, those that have been silent for longest first. Large bodies get no more than three quarters of
- * it, so that small ones are still read.
+ * It protects a process against clients that send many large bodies, or stop short of their end. What is counted is
+ * what is allocated, not what has arrived. While more than half of the memory is taken, connections whose body has not
+ * grown for a while are closed, those that have been silent for longest first. Large bodies get no more than three
+ * quarters of it, so that small ones are still read.
  */
 #pragma once
 
--- a/src/bamboomoor/http/server.cpp
+++ b/src/bamboomoor/http/server.cpp
@@ -117,8 +117,7 @@
     }
     m_listener = listening.value().socket;
     const ServerOptions &options = m_scope->options;
-    m_watch.emplace(
-        internal::WatchLimits{options.idleTimeout, options.slowSenderTimeout, options.maxUnfinishedHeads},
+    m_watch.emplace(internal::WatchLimits{options.idleTimeout, options.slowSenderTimeout, options.maxUnfinishedHeads},
         m_scope->tally);
     if (!startDaemons()) {
         close(std::exchange(m_listener, -1));
--- a/src/bamboomoor/http/server.hpp
+++ b/src/bamboomoor/http/server.hpp
@@ -85,8 +85,8 @@
 struct ServerOptions {
     std::size_t maxHeaderBytes = 16'384;
     std::size_t maxBodyBytes = 4'194'304;
-    // The memory of the bodies of all requests that are not answered yet; what does not fit is refused with 503. Several
-    // servers of a process may share it. If null, the server has its own of maxHeldBodyBytes, 0 for no bound.
+    // The memory of the bodies of all requests that are not answered yet; what does not fit is refused with 503.
+    // Several servers of a process may share it. If null, the server has its own of maxHeldBodyBytes, 0 for no bound.
     std::shared_ptr<RequestMemory> memory = nullptr;
     std::size_t maxHeldBodyBytes = 0;
     // How often a whole body exists at once, with the copies that the handler makes.
--- a/src/bamboomoor/membership/codec.cpp
+++ b/src/bamboomoor/membership/codec.cpp
@@ -58,7 +58,7 @@
         out["slots"] = announcement.slots;
     }
     if (announcement.coldRemaining > base::Millis{}) {
-        out["cold_remaining_ms"] = announcement.coldRemaining.count;
+        out["cold_ms"] = announcement.coldRemaining.count;
     }
     if (!announcement.localCopies.empty()) {
         out["local_copies"] = announcement.localCopies;
@@ -131,8 +131,8 @@
     if (reader.has("slots")) {
         announcement.slots = reader.number("slots");
     }
-    if (reader.has("cold_remaining_ms")) {
-        announcement.coldRemaining = reader.millis("cold_remaining_ms");
+    if (reader.has("cold_ms")) {
+        announcement.coldRemaining = reader.millis("cold_ms");
     }
     if (reader.has("local_copies")) {
         announcement.localCopies = reader.names("local_copies");
--- a/src/bamboomoor/relay/fleet.cpp
+++ b/src/bamboomoor/relay/fleet.cpp
@@ -51,8 +51,7 @@
     std::map<std::string, TrackedWorker> next;
     std::vector<standing::ListedRun> listed;
     for (Worker &it : workers) {
-        listed.push_back(
-            {{it.id, it.incarnation}, it.service, it.slots, it.cold ? it.cold->until : base::Millis{}});
+        listed.push_back({{it.id, it.incarnation}, it.service, it.slots, it.cold ? it.cold->until : base::Millis{}});
         TrackedWorker known;
         TrackedWorker *before = find(it.id);
         const bool same =
--- a/src/bamboomoor/state/evacuationtable.hpp
+++ b/src/bamboomoor/state/evacuationtable.hpp
@@ -1,8 +1,8 @@
 /**
  * The evacuated data centres, whose upstreams get no requests.
  *
- * Calls of operators have no ids and may be delayed or repeated. Each change therefore names the last change of its data
- * centre that its sender knew; a change that another one overtook has no effect.
+ * Calls of operators have no ids and may be delayed or repeated. Each change therefore names the last change of its
+ * data centre that its sender knew; a change that another one overtook has no effect.
  */
 #pragma once
 
@@ -59,7 +59,8 @@
     /** @brief Returns the log index of the last change of any data centre; 0 before the first. */
     [[nodiscard]] std::uint64_t revision() const noexcept;
 
-    /** @brief Returns the log index of the last change. @param dataCentre The data centre. @return 0 if there is none. */
+    /** @brief Returns the log index of the last change. @param dataCentre The data centre. @return 0 if there is none.
+     */
     [[nodiscard]] std::uint64_t changedAt(const std::string &dataCentre) const;
 
     /** @brief Serialises the table. @return The JSON form, as part of a snapshot. */
--- a/test/bamboomoor/http/requestmemory.cpp
+++ b/test/bamboomoor/http/requestmemory.cpp
@@ -137,8 +137,8 @@
         for (const auto role : {http::MemoryRole::Entry, http::MemoryRole::Control}) {
             const http::MemoryPlan plan = http::planMemory(mib * MIB, MIB, role);
             const std::size_t heads = plan.unfinishedHeads * 20 * KIB;
-            BOOST_TEST(plan.bodyBytes + plan.streamBytes + plan.answerBytes + plan.unreadBytes + heads
-                <= mib * MIB / 4 * 3);
+            BOOST_TEST(
+                plan.bodyBytes + plan.streamBytes + plan.answerBytes + plan.unreadBytes + heads <= mib * MIB / 4 * 3);
         }
     }
     const http::MemoryPlan plan = http::planMemory(64 * MIB, 4 * MIB, http::MemoryRole::Control);
--- a/test/bamboomoor/http/server.cpp
+++ b/test/bamboomoor/http/server.cpp
@@ -227,8 +227,7 @@
             writers.emplace_back([responder] {
                 responder->begin(200, {});
                 const std::string chunk(10'000, 'x');
-                while (responder->write(chunk)) {
-                }
+                while (responder->write(chunk)) { }
             });
         },
         options);
--- a/test/bamboomoor/platform/messages.cpp
+++ b/test/bamboomoor/platform/messages.cpp
@@ -137,8 +137,8 @@
 
 BOOST_AUTO_TEST_CASE(a_manifest_states_what_cold_upstreams_tolerate)
 {
-    const auto read = readManifest(without("\"llm\",\"health", "\"max_connections\":370",
-        R"("max_connections":370,"cold_start_s":3.0,"cold_per_s":8.2)"));
+    const auto read = readManifest(without(
+        "\"llm\",\"health", "\"max_connections\":370", R"("max_connections":370,"cold_start_s":3.0,"cold_per_s":8.2)"));
     BOOST_REQUIRE(read.has_value());
     const config::Service &service = read.value().document.services.front();
     BOOST_TEST(service.coldRateMilli == 8'200);
--- a/test/system/crowd.cpp
+++ b/test/system/crowd.cpp
@@ -1,10 +1,10 @@
 /**
- * The crowd program: clients outside the limits. It opens many connections to one address, sends a request on each in one
- * of the ways of WAYS, stops just short of the end of the body and stays connected.
+ * The crowd program: clients outside the limits. It opens many connections to one address, sends a request on each in
+ * one of the ways of WAYS, stops just short of the end of the body and stays connected.
  *
  * usage: crowd IP PORT WAY CONNECTIONS BODY_BYTES HEAD_LINE...
- * The first head line is the request line. Prints "ready" once every connection has sent all it will send, or was closed
- * by the other side; ends after MAX_SECONDS, or when it is killed.
+ * The first head line is the request line. Prints "ready" once every connection has sent all it will send, or was
+ * closed by the other side; ends after MAX_SECONDS, or when it is killed.
  */
 #include <arpa/inet.h>
 #include <fcntl.h>
