--- a/src/bamboomoor/config/document.hpp
+++ b/src/bamboomoor/config/document.hpp
@@ -139,12 +139,12 @@
     std::string name;
     // Connections that one upstream accepts from all callers together.
     std::int64_t maxConnections = 0;
+    // Held for a service of model workers.
+    std::optional<Engine> engine = {};
     // Requests that a cold upstream tolerates from all callers together, in thousandths a second; 0 without a limit.
     std::int64_t coldRateMilli = 0;
     // For how long an upstream is cold after its start.
     base::Millis coldSpan = {};
-    // Held for a service of model workers.
-    std::optional<Engine> engine = {};
 
     friend bool operator==(const Service &, const Service &) = default;
 };
