--- a/src/bamboomoor/gateway/controlapi.cpp
+++ b/src/bamboomoor/gateway/controlapi.cpp
@@ -174,19 +174,24 @@
         });
 }
 
+http::Response ControlApi::refuseUnapplied(
+    base::LogLine &line, const std::string &asked, const std::optional<peer::wire::ProposeReply> &reply) const
+{
+    m_context.log.write(line.add("outcome", unappliedOutcome(reply))
+                            .add("reason", reply ? reply->reason() : "no_answer")
+                            .add("asked", asked)
+                            .add("leader", reply ? reply->leader() : std::string()));
+    return m_context.dialect.unavailable("the leader did not confirm the change");
+}
+
 http::Response ControlApi::answerReplace(
     std::uint64_t version, const std::string &asked, const std::optional<peer::wire::ProposeReply> &reply) const
 {
     base::LogLine line("configuration_call");
     line.add("version", static_cast<std::int64_t>(version));
     if (!reply || reply->verdict() != peer::wire::APPLIED) {
-        const std::string_view outcome = unappliedOutcome(reply);
-        m_context.metrics.changed(outcome);
-        m_context.log.write(line.add("outcome", outcome)
-                                .add("reason", reply ? reply->reason() : "no_answer")
-                                .add("asked", asked)
-                                .add("leader", reply ? reply->leader() : std::string()));
-        return m_context.dialect.unavailable("the leader did not confirm the change");
+        m_context.metrics.changed(unappliedOutcome(reply));
+        return refuseUnapplied(line, asked, reply);
     }
     const auto outcome = state::decodeOutcome(reply->outcome());
     const auto *change = outcome ? std::get_if<state::ChangeOutcome>(&outcome.value()) : nullptr;
@@ -246,13 +251,8 @@
     base::LogLine line("evacuation_call");
     line.add("data_centre", call.dataCentre).add("change", call.evacuated ? "begin" : "end");
     if (!reply || reply->verdict() != peer::wire::APPLIED) {
-        const std::string_view outcome = unappliedOutcome(reply);
-        m_context.metrics.evacuated(outcome);
-        m_context.log.write(line.add("outcome", outcome)
-                                .add("reason", reply ? reply->reason() : "no_answer")
-                                .add("asked", asked)
-                                .add("leader", reply ? reply->leader() : std::string()));
-        return m_context.dialect.unavailable("the leader did not confirm the change");
+        m_context.metrics.evacuated(unappliedOutcome(reply));
+        return refuseUnapplied(line, asked, reply);
     }
     const auto outcome = state::decodeOutcome(reply->outcome());
     const auto *change = outcome ? std::get_if<state::EvacuationOutcome>(&outcome.value()) : nullptr;
--- a/src/bamboomoor/gateway/controlapi.hpp
+++ b/src/bamboomoor/gateway/controlapi.hpp
@@ -91,6 +91,9 @@
     [[nodiscard]] peer::Client *leader() const;
     [[nodiscard]] http::Response answerReplace(
         std::uint64_t version, const std::string &asked, const std::optional<peer::wire::ProposeReply> &reply) const;
+    // Logs a change that the leader did not confirm.
+    [[nodiscard]] http::Response refuseUnapplied(
+        base::LogLine &line, const std::string &asked, const std::optional<peer::wire::ProposeReply> &reply) const;
     [[nodiscard]] http::Response answerEvacuate(
         const EvacuateCall &call, const std::string &asked, const std::optional<peer::wire::ProposeReply> &reply) const;
 
