--- a/test/bamboomoor/http/server.cpp
+++ b/test/bamboomoor/http/server.cpp
@@ -21,7 +21,7 @@
 struct Fixture {
     explicit Fixture(FunctionHandler::Function function, http::ServerOptions options = {})
         : handler(std::move(function))
-        , server(handler, options)
+        , server(handler, std::move(options))
         , address(server.start("127.0.0.1:0").value())
     {
     }
