--- a/test/bamboomoor/http/server.cpp
+++ b/test/bamboomoor/http/server.cpp
@@ -5,6 +5,7 @@
 
 #include "bamboomoor/http/fetch.hpp"
 
+#include <absl/synchronization/blocking_counter.h>
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 
@@ -218,6 +219,7 @@
     constexpr std::size_t CALLERS = 4;
     std::vector<std::thread> writers;
     absl::Mutex mutex;
+    absl::BlockingCounter started(CALLERS);
     http::ServerOptions options;
     options.maxStreamBytes = 1'000'000'000;
     options.maxAllStreamBytes = 400'000;
@@ -229,6 +231,7 @@
                 const std::string chunk(10'000, 'x');
                 while (responder->write(chunk)) { }
             });
+            started.DecrementCount();
         },
         options);
     std::vector<std::unique_ptr<RawConnection>> callers;
@@ -236,9 +239,7 @@
         callers.push_back(std::make_unique<RawConnection>(fixture.address));
         callers.back()->send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
     }
-    fixture.await([](const http::ServerCounters &it) {
-        return it.requests == CALLERS;
-    });
+    started.Wait();
     {
         const absl::MutexLock lock(&mutex);
         for (std::thread &it : writers) {
