Work out the machine's memory in one place, and tell of a change once

The size of the machine and the copies of a body stood in both daemons; Freshness told of a change in three branches, and a comment had got behind another check. Behaviour is as before.

--- a/src/bamboomoor/control/configurationthread.cpp
+++ b/src/bamboomoor/control/configurationthread.cpp
@@ -96,11 +96,11 @@
         reply.set_term(outcome.term);
         const std::vector<std::string> voters = m_voter.status().voters;
         reply.mutable_voters()->Add(voters.begin(), voters.end());
-        // After a restart or a snapshot from the leader, no change has been put into the ring yet.
         if (known && request.known_evacuations() != reply.evacuations()) {
             answer(std::move(reply));
             return;
         }
+        // After a restart or a snapshot from the leader, no change has been put into the ring yet.
         const bool isQueued = known || m_queuedDigest == info.digest || queueDocument(*outcome.machine);
         Event event(Waiter{answer, reply, m_clock.now() + HOLD, known});
         if (!isQueued || !m_ring.push(std::move(event))) {
--- a/src/bamboomoor/daemon/daemon.cpp
+++ b/src/bamboomoor/daemon/daemon.cpp
@@ -3,7 +3,6 @@
  */
 #include "bamboomoor/daemon/daemon.hpp"
 
-#include "bamboomoor/base/processmemory.hpp"
 #include "bamboomoor/http/memoryplan.hpp"
 
 #include <glog/logging.h>
@@ -25,8 +24,6 @@
 // The time before the end of a drain in which the requests that are left get a failure as their response.
 constexpr base::Millis FINAL_RESPONSES{200};
 constexpr int WARMING_LEASES = 2;
-// Each body may exist twice, as an attempt has its own copy.
-constexpr std::size_t BODY_COPIES = 2;
 // Entries learn of a quarantine within this time.
 constexpr base::Millis REPORT_INTERVAL{250};
 constexpr base::Millis DEMAND_SPAN{1'000};
@@ -106,12 +103,10 @@
     http::ServerOptions options;
     options.maxBodyBytes = static_cast<std::size_t>(settings.entry.maxBodyBytes);
     options.threads = static_cast<unsigned>(settings.entry.threads);
-    constexpr std::size_t MIB = 1'048'576;
-    const auto set = static_cast<std::size_t>(settings.memory.machineMib) * MIB;
     const http::MemoryPlan plan =
-        http::planMemory(set > 0 ? set : base::machineBytes(), options.maxBodyBytes, http::MemoryRole::Entry);
+        http::planMemory(settings::machineBytes(settings.memory), options.maxBodyBytes, http::MemoryRole::Entry);
     options.maxHeldBodyBytes = plan.bodyBytes;
-    options.bodyCopies = BODY_COPIES;
+    options.bodyCopies = http::BODY_COPIES;
     options.maxAllStreamBytes = plan.streamBytes;
     options.maxUnfinishedHeads = plan.unfinishedHeads;
     return options;
--- a/src/bamboomoor/entry/freshness.cpp
+++ b/src/bamboomoor/entry/freshness.cpp
@@ -168,7 +168,7 @@
 bool Freshness::take(const peer::wire::FreshenReply &reply, base::Millis sentAt)
 {
     // Before the configuration, as an entry without one serves nobody.
-    const bool isEvacuationNew = takeEvacuations(reply);
+    bool isChanged = takeEvacuations(reply);
     if (reply.has_document()) {
         auto document = config::parse(reply.document());
         if (!document) {
@@ -181,17 +181,13 @@
         made->wallMillis = reply.accepted_wall_ms();
         const auto before = m_inForce.current();
         m_inForce.install(std::move(made));
-        m_inForce.extend(reply.version(), sentAt + m_options.lease);
         if (!before || before->version < reply.version()) {
             LOG(INFO) << "event=configuration_taken version=" << reply.version() << " digest=" << reply.digest();
-            m_onChange();
-        } else if (isEvacuationNew) {
-            m_onChange();
+            isChanged = true;
         }
-        return true;
     }
     m_inForce.extend(reply.version(), sentAt + m_options.lease);
-    if (isEvacuationNew) {
+    if (isChanged) {
         m_onChange();
     }
     return true;
--- a/src/bamboomoor/gateway/entrydaemon.cpp
+++ b/src/bamboomoor/gateway/entrydaemon.cpp
@@ -20,8 +20,6 @@
 constexpr base::Millis FINAL_RESPONSES{200};
 // What the lines between entries and to upstreams add to the head of a caller's request.
 constexpr std::size_t FORWARD_HEADER_BYTES = 4'096;
-// Each body may exist twice, as an attempt has its own copy.
-constexpr std::size_t BODY_COPIES = 2;
 // Interval of the demand reports, on which placement is based.
 constexpr base::Millis DEMAND_INTERVAL{250};
 // Budget holder: interval of its reports, and the longest time that a request waits for tokens.
@@ -82,7 +80,7 @@
     const http::MemoryPlan plan = memoryPlan(settings, http::MemoryRole::Entry);
     http::ServerOptions options;
     options.memory = memory;
-    options.bodyCopies = BODY_COPIES;
+    options.bodyCopies = http::BODY_COPIES;
     options.maxAllStreamBytes = plan.streamBytes;
     options.maxUnfinishedHeads = plan.unfinishedHeads;
     options.maxBodyBytes = static_cast<std::size_t>(settings.entry.maxBodyBytes);
--- a/src/bamboomoor/gateway/process.cpp
+++ b/src/bamboomoor/gateway/process.cpp
@@ -243,11 +243,9 @@
 
 http::MemoryPlan memoryPlan(const settings::Settings &settings, http::MemoryRole role)
 {
-    constexpr std::size_t MIB = 1'048'576;
-    const auto set = static_cast<std::size_t>(settings.memory.machineMib) * MIB;
     const std::size_t maxBodyBytes =
         role == http::MemoryRole::Entry ? static_cast<std::size_t>(settings.entry.maxBodyBytes) : CONTROL_BODY_BYTES;
-    return http::planMemory(set > 0 ? set : base::machineBytes(), maxBodyBytes, role);
+    return http::planMemory(settings::machineBytes(settings.memory), maxBodyBytes, role);
 }
 
 std::shared_ptr<http::RequestMemory> requestMemory(const http::MemoryPlan &plan)
--- a/src/bamboomoor/http/memoryplan.cpp
+++ b/src/bamboomoor/http/memoryplan.cpp
@@ -17,8 +17,8 @@
 // The most on machines that report far more memory than the process may use.
 constexpr std::size_t MAX_ENTRY_BYTES = 67'108'864;
 constexpr std::size_t MAX_CONTROL_BYTES = 16'777'216;
-// A body in two copies, and a third while it grows.
-constexpr std::size_t COPIES = 3;
+// One more exists while a body grows.
+constexpr std::size_t COPIES = BODY_COPIES + 1;
 // Large bodies get no more than three quarters, see RequestMemory.
 constexpr std::size_t LARGE_NUMERATOR = 4;
 constexpr std::size_t LARGE_DENOMINATOR = 3;
--- a/src/bamboomoor/http/memoryplan.hpp
+++ b/src/bamboomoor/http/memoryplan.hpp
@@ -8,6 +8,9 @@
 namespace bamboomoor::http
 {
 
+// How often a body exists at an entry, as an attempt has its own copy.
+inline constexpr std::size_t BODY_COPIES = 2;
+
 /** @brief The parts of a process; each bounds a server. */
 enum class MemoryRole { Entry, Control };
 
--- a/src/bamboomoor/settings/settings.cpp
+++ b/src/bamboomoor/settings/settings.cpp
@@ -3,6 +3,7 @@
  */
 #include "bamboomoor/settings/settings.hpp"
 
+#include "bamboomoor/base/processmemory.hpp"
 #include "bamboomoor/reader/tablereader.hpp"
 
 #include <algorithm>
@@ -199,6 +200,12 @@
 
 } // namespace
 
+std::size_t machineBytes(const MemorySettings &settings)
+{
+    constexpr std::size_t MIB = 1'048'576;
+    return settings.machineMib > 0 ? static_cast<std::size_t>(settings.machineMib) * MIB : base::machineBytes();
+}
+
 base::Result<Settings, SettingsError> parseSettings(std::string_view text, std::string_view name)
 {
     const auto table = reader::parseToml(text);
--- a/src/bamboomoor/settings/settings.hpp
+++ b/src/bamboomoor/settings/settings.hpp
@@ -167,6 +167,13 @@
     std::string message;
 };
 
+/**
+ * @brief Returns the memory of the machine as set, or as the machine reports it.
+ * @param settings The settings.
+ * @return Size in bytes.
+ */
+[[nodiscard]] std::size_t machineBytes(const MemorySettings &settings);
+
 /**
  * @brief Parses and checks settings.
  * @param text The TOML text.
