Share out the machine's memory once at the start of an entry

The entry worked out the shares four times, each time from the machine's report. Behaviour is as before.

--- a/src/bamboomoor/gateway/entrydaemon.cpp
+++ b/src/bamboomoor/gateway/entrydaemon.cpp
@@ -34,7 +34,7 @@
     return options;
 }
 
-RelayThreadOptions runnerOptions(const settings::Settings &settings)
+RelayThreadOptions runnerOptions(const settings::Settings &settings, const http::MemoryPlan &plan)
 {
     RelayThreadOptions options;
     options.core.fleet.dataCentre = settings.dataCentre;
@@ -45,7 +45,6 @@
     options.core.retries.permille = settings.relay.retryPermille;
     options.core.retries.window = settings.relay.retryWindow;
     options.core.maxResponseBytes = static_cast<std::size_t>(settings.relay.maxAnswerBytes);
-    const http::MemoryPlan plan = memoryPlan(settings, http::MemoryRole::Entry);
     options.core.maxBufferedBytes = std::min(static_cast<std::size_t>(settings.relay.maxHeldBytes), plan.answerBytes);
     options.maxTotalUnreadBytes = std::min(options.maxTotalUnreadBytes, plan.unreadBytes);
     options.core.budget.name = settings.vm;
@@ -74,10 +73,9 @@
     return options;
 }
 
-http::ServerOptions serverOptions(
-    const settings::Settings &settings, const std::shared_ptr<http::RequestMemory> &memory)
+http::ServerOptions serverOptions(const settings::Settings &settings, const http::MemoryPlan &plan,
+    const std::shared_ptr<http::RequestMemory> &memory)
 {
-    const http::MemoryPlan plan = memoryPlan(settings, http::MemoryRole::Entry);
     http::ServerOptions options;
     options.memory = memory;
     options.bodyCopies = http::BODY_COPIES;
@@ -89,10 +87,10 @@
     return options;
 }
 
-http::ServerOptions forwardServerOptions(
-    const settings::Settings &settings, const std::shared_ptr<http::RequestMemory> &memory)
+http::ServerOptions forwardServerOptions(const settings::Settings &settings, const http::MemoryPlan &plan,
+    const std::shared_ptr<http::RequestMemory> &memory)
 {
-    http::ServerOptions options = serverOptions(settings, memory);
+    http::ServerOptions options = serverOptions(settings, plan, memory);
     options.maxHeaderBytes += FORWARD_HEADER_BYTES;
     options.threads = 1;
     return options;
@@ -102,13 +100,14 @@
 
 EntryDaemon::EntryDaemon(settings::Settings settings, const Dialects &dialects, base::EventLog &log)
     : m_settings(std::move(settings))
+    , m_plan(memoryPlan(m_settings, http::MemoryRole::Entry))
     , m_log(log)
     , m_peers(seedAddresses(m_settings))
     , m_leader(m_peers.names())
     , m_heard(registryOptions(m_settings))
     , m_book(registryOptions(m_settings))
     , m_sync(syncOptions(m_settings), m_heard, m_book, m_peers, m_clock)
-    , m_runner(runnerOptions(m_settings),
+    , m_runner(runnerOptions(m_settings, m_plan),
           {m_clock, m_inForce, m_book, m_sync, m_peers, m_leader, m_client, *dialects.callers, *dialects.upstreams,
               m_tokens, m_metrics, m_log})
     , m_freshness(freshnessOptions(m_settings), m_inForce, m_peers, m_leader, m_clock,
@@ -121,12 +120,11 @@
               return unready();
           },
           [this] {
-              const http::ServerCounters counters = m_server.counters();
-              m_metrics.setMemory(m_memory->counters(), counters);
+              m_metrics.setMemory(m_memory->counters(), m_server.counters());
               return m_metrics.text();
           })
-    , m_memory(requestMemory(memoryPlan(m_settings, http::MemoryRole::Entry)))
-    , m_server(m_runner, serverOptions(m_settings, m_memory))
+    , m_memory(requestMemory(m_plan))
+    , m_server(m_runner, serverOptions(m_settings, m_plan, m_memory))
     , m_readinessServer(m_readiness, controlServerOptions(m_settings))
     , m_forwarder({m_client, m_tokens,
           [this](const std::string &upstream, const std::string &address) {
@@ -136,7 +134,7 @@
               return std::string_view(m_draining ? "draining" : m_runner.isCutOff() ? "cut_off" : "");
           },
           m_metrics, m_log})
-    , m_forwardServer(m_forwarder, forwardServerOptions(m_settings, m_memory))
+    , m_forwardServer(m_forwarder, forwardServerOptions(m_settings, m_plan, m_memory))
 {
     m_leader.setSeeds(m_peers.names());
     m_runner.setUrgentReport([this] {
--- a/src/bamboomoor/gateway/entrydaemon.hpp
+++ b/src/bamboomoor/gateway/entrydaemon.hpp
@@ -52,6 +52,7 @@
     [[nodiscard]] bool knows(const std::string &upstream, const std::string &address) const;
 
     settings::Settings m_settings;
+    const http::MemoryPlan m_plan;
     base::EventLog &m_log;
     base::SteadyClock m_clock;
     std::atomic<bool> m_draining{false};
--- a/src/bamboomoor/gateway/process.hpp
+++ b/src/bamboomoor/gateway/process.hpp
@@ -65,6 +65,7 @@
 
 /**
  * @brief Returns the limits of an HTTP server for operators, upstreams or the load balancer.
+ * @param settings The settings, for the memory of the machine.
  */
 [[nodiscard]] http::ServerOptions controlServerOptions(const settings::Settings &settings);
 
