--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,8 +1,8 @@
 #!/bin/sh
-# Usage: review/8/run.sh, after the build of the deploy file and review/build-2.sh. About 40 s. TROUBLE=0: the requesters read at once.
+# Usage: review/8/run.sh, after the build of the deploy file and review/build-2.sh. About 30 s. TROUBLE=0: no machine is added.
 # Exit status: 1 the rule was broken, 0 it held, 2 the case could not run.
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
-[ -x "$root/build/review-2/slow_readers" ] && [ -x "$root/target/src/main/bamboomoor" ] || exit 2
+[ -x "$root/build/review-2/lost_deregister" ] && [ -x "$root/target/src/main/bamboomoor" ] || exit 2
 cd "$root" || exit 2
-exec "$root/build/review-2/slow_readers" "$root" "$here/record.txt"
+exec "$root/build/review-2/lost_deregister" "$root" "$here/record.txt" added
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,8 +1,8 @@
 #!/bin/sh
-# Usage: review/9/run.sh, after the build of the deploy file and review/build-2.sh. About 20 s. TROUBLE=0: the last tenant stays.
+# Usage: review/9/run.sh, after the build of the deploy file and review/build-2.sh. About 30 s. TROUBLE=0: no process is killed.
 # Exit status: 1 the rule was broken, 0 it held, 2 the case could not run.
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
-[ -x "$root/build/review-2/last_tenant" ] && [ -x "$root/target/src/main/bamboomoor" ] || exit 2
+[ -x "$root/build/review-2/lost_deregister" ] && [ -x "$root/target/src/main/bamboomoor" ] || exit 2
 cd "$root" || exit 2
-exec "$root/build/review-2/last_tenant" "$root" "$here/record.txt"
+exec "$root/build/review-2/lost_deregister" "$root" "$here/record.txt" killed
--- a/review/src-2/harness.hpp
+++ b/review/src-2/harness.hpp
@@ -812,6 +812,10 @@
     {
         return m_address;
     }
+    [[nodiscard]] std::int64_t born() const
+    {
+        return m_born;
+    }
     [[nodiscard]] std::int64_t lastHeartbeatAt() const
     {
         return m_lastHeartbeatAt;
@@ -839,6 +843,7 @@
         Headers lines{{"X-Attempt-Id", id}, {"X-Server-Signature", signature(id)}, {"Content-Type", "text/plain"}};
         if (m_leaving) {
             lines.emplace_back("Server-Leaving", "1");
+            lines.emplace_back("Connection", "close");
         }
         return lines;
     }
@@ -859,7 +864,7 @@
             RECORD("%s answers 421 to %s, meant for %s", m_options.id.c_str(), id.c_str(), meant.c_str());
             return connection.write(answerText(421, {{"X-Attempt-Id", id}, {"X-Not-Executed", "1"}}, ""));
         }
-        return m_run(*this, request, connection);
+        return m_run(*this, request, connection) && !m_leaving;
     }
     void announceAll()
     {
--- a/review/src-2/lost_deregister.cpp
+++ b/review/src-2/lost_deregister.cpp
@@ -120,7 +120,7 @@
     leaver.stopHeartbeats();
     leaver.setLeaving();
     const Message reply = call(deployment.control(last), "POST", "/Instances.Deregister/" + leaver.id(),
-        {{"Content-Type", "application/json"}}, "{\"born\":" + std::to_string(unixMillis() - now()) + "}", 1'000);
+        {{"Content-Type", "application/json"}}, "{\"born\":" + std::to_string(leaver.born()) + "}", 1'000);
     const std::int64_t confirmedAt = now();
     std::int64_t calmFrom = confirmedAt;
     if (reply.status() != 200) {
