Confirm the withdrawal of an upstream only where it is known

Cause: ControlApi looked the id up in the list of its own process, did nothing if it was not there, and answered 200. A control VM that is no voter lists only what announced itself to it, as UpstreamSync took every control VM for a voter, to which others push. Ruled out: a lost push of the withdrawal; nothing was pushed at all, as no announcement was made.

Change: a daemon that is no voter pulls the list, as entries do; withdrawals are replicated by the registry for an incarnation and all earlier ones, also before these are known, and extend no lease; an unknown upstream gets 503. Only voters call their lists complete. New log line and metric of withdrawals.

--- a/src/bamboomoor/control/voterthread.cpp
+++ b/src/bamboomoor/control/voterthread.cpp
@@ -591,6 +591,7 @@
     status.appliedIndex = m_applied;
     status.voters = m_node->membership().voters;
     status.learners = m_node->membership().learners;
+    status.votes = !m_failed && votes();
     status.heardAt = m_node->lastContact();
     status.confirmedAt = m_node->confirmedAt();
     status.failed = m_failed;
@@ -636,9 +637,13 @@
     const bool open = std::any_of(m_tail.begin(), m_tail.end(), [](const auto &it) {
         return it.second;
     });
+    return {votes() && !open && !m_failed, m_machine->configuration().current().version, m_node->membership().voters};
+}
+
+bool VoterThread::votes() const
+{
     const auto &voters = m_node->membership().voters;
-    const bool votes = m_node->joined() && std::binary_search(voters.begin(), voters.end(), m_options.node.self);
-    return {votes && !open && !m_failed, m_machine->configuration().current().version, voters};
+    return m_node->joined() && std::binary_search(voters.begin(), voters.end(), m_options.node.self);
 }
 
 } // namespace bamboomoor::control
--- a/src/bamboomoor/control/voterthread.hpp
+++ b/src/bamboomoor/control/voterthread.hpp
@@ -64,6 +64,8 @@
     std::uint64_t appliedIndex = 0;
     std::vector<std::string> voters;
     std::vector<std::string> learners;
+    // True if this member is a voter that may vote.
+    bool votes = false;
     // When this leader last received a message from each other member; empty if this voter is not the leader.
     std::map<std::string, base::Millis> heardAt;
     // When a quorum last confirmed this leader; nullopt if this voter is not the leader.
@@ -274,6 +276,7 @@
     void fail(const std::string &reason);
     void refuse(Job job);
     [[nodiscard]] LocalLogReport localLogReport() const;
+    [[nodiscard]] bool votes() const;
 
     VoterOptions m_options;
     const PeerRegistry &m_peers;
--- a/src/bamboomoor/daemon/daemon.cpp
+++ b/src/bamboomoor/daemon/daemon.cpp
@@ -147,8 +147,7 @@
     , m_heard(registryOptions(m_settings))
     , m_book(registryOptions(m_settings))
     , m_voter(makeVoter())
-    , m_sync(
-          {.vm = m_settings.vm, .self = m_settings.vm, .voter = m_voter != nullptr}, m_heard, m_book, m_peers, m_clock)
+    , m_sync({.vm = m_settings.vm, .self = m_settings.vm}, m_heard, m_book, m_peers, m_clock)
     , m_desk(deskOptions(m_settings), {m_clock, m_inForce, m_book, m_peers, m_leader, m_client, m_metrics})
     , m_freshness(freshnessOptions(m_settings), m_inForce, m_peers, m_leader, m_clock,
           [this] {
--- a/src/bamboomoor/daemon/peerservice.cpp
+++ b/src/bamboomoor/daemon/peerservice.cpp
@@ -137,7 +137,9 @@
 void PeerService::syncUpstreams(const peer::wire::UpstreamSync &request, peer::Answer<peer::wire::UpstreamSync> answer)
 {
     const base::Millis now = m_clock.now();
-    answer(entry::answerSync(request, m_book, now, !m_voter || now < m_warmUntil));
+    // Upstreams are pushed to voters only, so that any other daemon may lack some.
+    const bool mayLackSome = !m_voter || now < m_warmUntil || !m_voter->desk.status().votes;
+    answer(entry::answerSync(request, m_book, now, mayLackSome));
 }
 
 void PeerService::history(const peer::wire::HistoryRequest &request, peer::Answer<peer::wire::HistoryReply> answer)
--- a/src/bamboomoor/entry/upstreambook.cpp
+++ b/src/bamboomoor/entry/upstreambook.cpp
@@ -15,6 +15,19 @@
     return m_registry.announce(now, std::move(announcement));
 }
 
+void UpstreamBook::withdraw(base::Millis now, const std::string &id, std::uint64_t incarnation)
+{
+    const absl::MutexLock lock(&m_mutex);
+    m_registry.withdraw(now, id, incarnation);
+}
+
+std::optional<std::uint64_t> UpstreamBook::lastIncarnationOf(const std::string &id) const
+{
+    const absl::MutexLock lock(&m_mutex);
+    const membership::Entry *entry = m_registry.findRetained(id);
+    return entry == nullptr ? std::nullopt : std::optional(entry->announcement.incarnation);
+}
+
 std::vector<std::string> UpstreamBook::expire(base::Millis now)
 {
     const absl::MutexLock lock(&m_mutex);
--- a/src/bamboomoor/entry/upstreambook.hpp
+++ b/src/bamboomoor/entry/upstreambook.hpp
@@ -63,6 +63,16 @@
      */
     membership::AnnounceOutcome announce(base::Millis now, membership::Announcement announcement);
 
+    /** @copydoc membership::Registry::withdraw */
+    void withdraw(base::Millis now, const std::string &id, std::uint64_t incarnation);
+
+    /**
+     * @brief Finds the latest known process of an upstream, also one whose lease has ended.
+     * @param id The upstream.
+     * @return Its incarnation, or nothing when it is not known any more.
+     */
+    [[nodiscard]] std::optional<std::uint64_t> lastIncarnationOf(const std::string &id) const;
+
     /** @copydoc membership::Registry::expire */
     std::vector<std::string> expire(base::Millis now);
 
--- a/src/bamboomoor/entry/upstreamsync.cpp
+++ b/src/bamboomoor/entry/upstreamsync.cpp
@@ -46,10 +46,10 @@
     , m_peers(peers)
     , m_clock(clock)
     , m_answers(RING_SIZE)
-    , m_synced(m_options.voter)
 {
     // Daemons spread their pulls over the voters.
     const auto names = peers.names();
+    m_synced = std::find(names.begin(), names.end(), m_options.self) != names.end();
     m_puller = names[std::hash<std::string>()(m_options.vm) % names.size()];
 }
 
@@ -109,10 +109,11 @@
 void UpstreamSync::askAll()
 {
     followVoters();
+    const bool pulls = !m_voters.contains(m_options.self);
     for (auto &[voter, state] : m_voters) {
         const bool self = voter == m_options.self;
         if (!self && !state.waiting) {
-            ask(voter, state, !m_options.voter && voter == m_puller);
+            ask(voter, state, pulls && voter == m_puller);
         }
     }
 }
--- a/src/bamboomoor/entry/upstreamsync.hpp
+++ b/src/bamboomoor/entry/upstreamsync.hpp
@@ -1,6 +1,7 @@
 /**
  * The thread that spreads upstreams: it pushes what upstreams announced here to every voter, and pulls from one voter
- * what was announced elsewhere.
+ * what was announced elsewhere. A voter pulls nothing, as everything is pushed to it; which daemons are voters may
+ * change at any time.
  */
 #pragma once
 
@@ -23,10 +24,8 @@
 /** @brief The settings of the thread. */
 struct UpstreamSyncOptions {
     std::string vm;
-    // This daemon's name among the voters, if it is one.
+    // This daemon's name while it is a voter; empty if it never is.
     std::string self;
-    // True when this daemon is itself a voter: it pulls nothing, as all is pushed to it.
-    bool voter = false;
     base::Millis interval{200};
     base::Millis timeout{500};
     // True when an entry that is cut off from the voters goes on with the upstreams that it knew.
@@ -127,11 +126,11 @@
 };
 
 /**
- * @brief Answers another daemon's sync at a voter.
+ * @brief Answers another daemon's sync.
  * @param request The question.
- * @param book The voter's book.
+ * @param book The answerer's book.
  * @param now The present time.
- * @param warming Whether the voter started less than two leases ago.
+ * @param warming Whether the answerer started less than two leases ago, or is no voter.
  * @return The answer.
  */
 [[nodiscard]] peer::wire::UpstreamSync answerSync(
--- a/src/bamboomoor/gateway/controlapi.cpp
+++ b/src/bamboomoor/gateway/controlapi.cpp
@@ -110,15 +110,21 @@
 
 void ControlApi::on(const WithdrawCall &call, const Responder &responder)
 {
-    const base::Millis now = m_context.clock.now();
-    for (membership::Entry &it : m_context.book.list(now)) {
-        if (it.announcement.id == call.id) {
-            it.announcement.leaving = true;
-            ++it.announcement.sequence;
-            announce(std::move(it.announcement));
-            break;
-        }
+    const auto incarnation = m_context.book.lastIncarnationOf(call.id);
+    const std::string_view outcome = incarnation ? "noted" : "unknown_upstream";
+    m_context.metrics.withdrawn(outcome);
+    m_context.log.write(base::LogLine("upstream_withdrawal")
+                            .add("upstream", call.id)
+                            .add("incarnation", static_cast<std::int64_t>(incarnation.value_or(0)))
+                            .add("outcome", outcome));
+    if (!incarnation) {
+        // Another VM may know it; a confirmation would end the search.
+        responder->respond(m_context.dialect.unavailable("the upstream is not known here"));
+        return;
     }
+    const base::Millis now = m_context.clock.now();
+    m_context.heard.withdraw(now, call.id, *incarnation);
+    m_context.book.withdraw(now, call.id, *incarnation);
     responder->respond(isLed() ? m_context.dialect.done() : m_context.dialect.unavailable("no leader is known here"));
 }
 
--- a/src/bamboomoor/gateway/controldaemon.cpp
+++ b/src/bamboomoor/gateway/controldaemon.cpp
@@ -65,7 +65,6 @@
     entry::UpstreamSyncOptions options;
     options.vm = settings.vm;
     options.self = identity;
-    options.voter = true;
     return options;
 }
 
--- a/src/bamboomoor/gateway/controlmetrics.cpp
+++ b/src/bamboomoor/gateway/controlmetrics.cpp
@@ -22,6 +22,8 @@
 
 ControlMetrics::ControlMetrics()
     : m_announcements(counters(m_registry, "bamboomoor_control_announcements_total", "Announcements, by verdict"))
+    , m_withdrawals(counters(m_registry, "bamboomoor_control_withdrawals_total",
+          "Calls of upstreams that withdraw themselves, by outcome"))
     , m_changes(counters(m_registry, "bamboomoor_control_changes_total", "Operators' changes, by outcome"))
     , m_evacuations(counters(
           m_registry, "bamboomoor_control_evacuation_calls_total", "Calls that begin or end evacuations, by outcome"))
@@ -62,6 +64,11 @@
     m_announcements.Add({{"verdict", std::string(verdict)}}).Increment();
 }
 
+void ControlMetrics::withdrawn(std::string_view outcome)
+{
+    m_withdrawals.Add({{"outcome", std::string(outcome)}}).Increment();
+}
+
 void ControlMetrics::changed(std::string_view outcome)
 {
     m_changes.Add({{"outcome", std::string(outcome)}}).Increment();
--- a/src/bamboomoor/gateway/controlmetrics.hpp
+++ b/src/bamboomoor/gateway/controlmetrics.hpp
@@ -26,6 +26,9 @@
     /** @brief Counts an announcement of an upstream. @param verdict The result. */
     void announced(std::string_view verdict);
 
+    /** @brief Counts a call of an upstream that withdraws itself. @param outcome The result. */
+    void withdrawn(std::string_view outcome);
+
     /** @brief Counts an operator's change. @param outcome The result. */
     void changed(std::string_view outcome);
 
@@ -63,6 +66,7 @@
 private:
     prometheus::Registry m_registry;
     prometheus::Family<prometheus::Counter> &m_announcements;
+    prometheus::Family<prometheus::Counter> &m_withdrawals;
     prometheus::Family<prometheus::Counter> &m_changes;
     prometheus::Family<prometheus::Counter> &m_evacuations;
     prometheus::Family<prometheus::Counter> &m_orders;
--- a/src/bamboomoor/membership/registry.cpp
+++ b/src/bamboomoor/membership/registry.cpp
@@ -66,8 +66,30 @@
     return outcome;
 }
 
+void Registry::withdraw(base::Millis now, const std::string &id, std::uint64_t incarnation)
+{
+    const auto [it, isNew] = m_withdrawals.try_emplace(id);
+    if (!isNew && it->second.incarnation >= incarnation) {
+        return;
+    }
+    it->second = {incarnation, now, ++m_revision};
+    const auto record = m_records.find(id);
+    if (record != m_records.end() && isWithdrawn(record->second.entry.announcement)) {
+        markLeaving(record->second);
+    }
+}
+
+bool Registry::isWithdrawn(const Announcement &announcement) const
+{
+    const auto it = m_withdrawals.find(announcement.id);
+    return it != m_withdrawals.end() && announcement.incarnation <= it->second.incarnation;
+}
+
 std::vector<std::string> Registry::expire(base::Millis now)
 {
+    std::erase_if(m_withdrawals, [&](const auto &it) {
+        return it.second.at + m_options.retention <= now;
+    });
     std::vector<std::string> dropped;
     for (auto it = m_records.begin(); it != m_records.end();) {
         Record &record = it->second;
@@ -175,6 +197,12 @@
                 announcement.load, remaining, loadAge});
         }
     }
+    for (const auto &[id, withdrawal] : m_withdrawals) {
+        // A known upstream is sent as leaving by the loop above.
+        if (withdrawal.revision > after && !m_records.contains(id)) {
+            delta.removed.push_back({id, withdrawal.incarnation, true});
+        }
+    }
     return delta;
 }
 
@@ -190,7 +218,7 @@
         result.changed += mergeRenewal(it, asOf, result.incomplete) ? 1U : 0U;
     }
     for (const Removal &it : delta.removed) {
-        result.changed += mergeRemoval(it) ? 1U : 0U;
+        result.changed += mergeRemoval(it, asOf) ? 1U : 0U;
     }
     return result;
 }
@@ -245,6 +273,7 @@
 
 bool Registry::mergeEntry(Announcement announcement, base::Millis until, base::Millis loadAt)
 {
+    announcement.leaving = announcement.leaving || isWithdrawn(announcement);
     const auto it = m_records.find(announcement.id);
     if (it == m_records.end() || announcement.incarnation > it->second.entry.announcement.incarnation) {
         Record &record = m_records[announcement.id];
@@ -304,13 +333,13 @@
     return extend(record, asOf + std::min(renewal.remaining, m_options.lease)) || changed;
 }
 
-bool Registry::mergeRemoval(const Removal &removal)
+bool Registry::mergeRemoval(const Removal &removal, base::Millis asOf)
 {
-    const auto it = m_records.find(removal.id);
-    if (it == m_records.end() || it->second.entry.announcement.incarnation != removal.incarnation) {
-        return false;
+    const std::uint64_t before = m_revision;
+    if (removal.leaving) {
+        withdraw(asOf, removal.id, removal.incarnation);
     }
-    return removal.leaving && markLeaving(it->second);
+    return m_revision != before;
 }
 
 } // namespace bamboomoor::membership
--- a/src/bamboomoor/membership/registry.hpp
+++ b/src/bamboomoor/membership/registry.hpp
@@ -2,7 +2,8 @@
  * Registry of live upstreams that each daemon keeps, and the deltas by which registries replicate.
  *
  * The state of each upstream is a join semilattice (a CRDT): the greatest incarnation, within it the greatest sequence,
- * the latest lease expiry, and "leaving" once set. Merging is therefore idempotent and independent of order.
+ * the latest lease expiry, and "leaving" once set. Merging is therefore idempotent and independent of order. A
+ * withdrawal sets "leaving" for an incarnation and all earlier ones, also if none of them is known yet.
  */
 #pragma once
 
@@ -63,10 +64,11 @@
     base::Millis loadAge;
 };
 
-/** @brief An upstream whose lease has expired at the sender; the receiver keeps its own lease. */
+/** @brief An upstream that is not live at the sender; the receiver keeps its own lease. */
 struct Removal {
     std::string id;
     std::uint64_t incarnation = 0;
+    // True if this incarnation and all earlier ones are leaving.
     bool leaving = false;
 };
 
@@ -102,7 +104,7 @@
 struct RegistryOptions {
     // Lease duration in milliseconds from the receipt of an announcement.
     base::Millis lease{3'000};
-    // Milliseconds for which the incarnations of expired upstreams are retained.
+    // Milliseconds for which the incarnations of expired upstreams, and withdrawals, are retained.
     base::Millis retention{60'000};
     // Unique for each start of the process.
     std::uint64_t epoch = 1;
@@ -126,6 +128,15 @@
      */
     AnnounceOutcome announce(base::Millis now, Announcement announcement);
 
+    /**
+     * @brief Marks an upstream as leaving that has withdrawn itself, without a lease for it. Announcements that arrive
+     * later, of this incarnation or earlier ones, are marked as well.
+     * @param now Time of the withdrawal.
+     * @param id The upstream's id.
+     * @param incarnation The incarnation that has withdrawn.
+     */
+    void withdraw(base::Millis now, const std::string &id, std::uint64_t incarnation);
+
     /**
      * @brief Expires the upstreams whose lease has ended.
      * @param now Current time.
@@ -203,6 +214,13 @@
         bool expired = false;
     };
 
+    struct Withdrawal {
+        std::uint64_t incarnation = 0;
+        base::Millis at;
+        // Revision of the last change; at most m_revision.
+        std::uint64_t revision = 0;
+    };
+
     // The latest incarnation at each address of a live upstream.
     using LatestRuns = std::unordered_map<std::string_view, std::uint64_t>;
 
@@ -212,14 +230,17 @@
     void setContent(Record &record, Announcement announcement);
     void touch(Record &record) noexcept;
     bool markLeaving(Record &record);
+    [[nodiscard]] bool isWithdrawn(const Announcement &announcement) const;
     bool extend(Record &record, base::Millis until) noexcept;
     bool mergeEntry(Announcement announcement, base::Millis until, base::Millis loadAt);
     bool mergeRenewal(const Renewal &renewal, base::Millis asOf, bool &incomplete);
-    bool mergeRemoval(const Removal &removal);
+    bool mergeRemoval(const Removal &removal, base::Millis asOf);
 
     RegistryOptions m_options;
     // Live and recently expired upstreams by id.
     std::map<std::string, Record, std::less<>> m_records;
+    // The greatest withdrawn incarnations by id; a record of one of them is leaving.
+    std::map<std::string, Withdrawal, std::less<>> m_withdrawals;
     std::uint64_t m_revision = 0;
 };
 
--- a/test/bamboomoor/membership/registry.cpp
+++ b/test/bamboomoor/membership/registry.cpp
@@ -325,3 +325,50 @@
     BOOST_TEST(registry.findRetained("c") == nullptr);
     BOOST_TEST(registry.replaced({70'000}).empty());
 }
+
+// A withdrawal was dropped where the upstream was unknown, and a late announcement brought the upstream back.
+BOOST_AUTO_TEST_CASE(a_withdrawn_upstream_is_leaving_wherever_and_whenever_it_is_announced)
+{
+    Announcement announcement;
+    announcement.id = "w";
+    announcement.incarnation = 5;
+    announcement.sequence = 7;
+    membership::Registry origin;
+    origin.withdraw({0}, "w", 5);
+    membership::Registry other;
+    BOOST_TEST(other.merge({0}, origin.changesSince({0}, {})).changed == 1U);
+    BOOST_TEST(other.merge({0}, origin.changesSince({0}, {})).changed == 0U);
+    for (membership::Registry *it : {&origin, &other}) {
+        it->announce({10}, announcement);
+        BOOST_REQUIRE(it->find({10}, "w") != nullptr);
+        BOOST_TEST(it->find({10}, "w")->announcement.leaving);
+        BOOST_TEST(it->usable({10}).empty());
+    }
+    // A later process under the same id has not withdrawn.
+    announcement.incarnation = 6;
+    announcement.sequence = 1;
+    other.announce({20}, announcement);
+    BOOST_TEST(other.usable({20}).size() == 1U);
+    BOOST_TEST(other.merge({20}, origin.changesSince({20}, {})).changed == 0U);
+    BOOST_TEST(other.usable({20}).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_withdrawal_marks_earlier_processes_as_well_and_is_forgotten_after_the_retention)
+{
+    Announcement announcement;
+    announcement.id = "w";
+    announcement.incarnation = 5;
+    announcement.sequence = 7;
+    membership::Registry registry;
+    registry.announce({0}, announcement);
+    registry.withdraw({0}, "w", 6);
+    registry.withdraw({0}, "w", 4);
+    BOOST_TEST(registry.usable({0}).empty());
+    // Its lease is not extended.
+    BOOST_TEST(registry.find({2'999}, "w") != nullptr);
+    BOOST_TEST(registry.find({3'000}, "w") == nullptr);
+    registry.expire({59'999});
+    BOOST_TEST(registry.changesSince({59'999}, {}).removed.size() == 1U);
+    registry.expire({64'000});
+    BOOST_TEST(registry.changesSince({64'000}, {}).removed.empty());
+}
