Record the withdrawal of an upstream in the log before it is confirmed

Cause: the confirmation was a promise of one process's memory; the list is pushed to the voters up to 200 ms later, and an upstream that has withdrawn says nothing more. Ruled out: the entries' lists; they had never been told.

Change: RecordWithdrawal and state::WithdrawalTable; a withdrawal, and the first announcement of leaving, is answered once a quorum has it on synced disk, 503 otherwise.

--- a/src/bamboomoor/control/voterthread.cpp
+++ b/src/bamboomoor/control/voterthread.cpp
@@ -486,6 +486,12 @@
             it->onEvacuations(*m_machine);
         });
     }
+    if (m_machine->withdrawals().revision() != m_seenWithdrawals) {
+        m_seenWithdrawals = m_machine->withdrawals().revision();
+        std::for_each(m_watchers.begin(), m_watchers.end(), [this](VoterObserver *it) {
+            it->onWithdrawals(*m_machine);
+        });
+    }
 }
 
 void VoterThread::answer(const consensus::Outputs &outputs)
--- a/src/bamboomoor/control/voterthread.hpp
+++ b/src/bamboomoor/control/voterthread.hpp
@@ -115,6 +115,15 @@
     {
         static_cast<void>(machine);
     }
+
+    /**
+     * @brief Called when the withdrawal of an upstream has been recorded.
+     * @param machine The state machine, valid only during the call.
+     */
+    virtual void onWithdrawals(const state::Machine &machine)
+    {
+        static_cast<void>(machine);
+    }
 };
 
 /**
@@ -312,6 +321,7 @@
     std::uint64_t m_seenVersion = 0;
     state::SoftwareVersions m_seenSoftware;
     std::uint64_t m_seenEvacuations = 0;
+    std::uint64_t m_seenWithdrawals = 0;
     std::atomic<bool> m_failed{false};
     // Handed to m_writer and not reported as written.
     std::size_t m_unsyncedBytes = 0;
--- a/src/bamboomoor/gateway/controlapi.cpp
+++ b/src/bamboomoor/gateway/controlapi.cpp
@@ -104,20 +104,24 @@
 
 void ControlApi::on(AnnounceCall &call, const Responder &responder)
 {
+    const std::string upstream = call.announcement.id;
+    const std::uint64_t incarnation = call.announcement.incarnation;
+    const bool isLeaving = call.announcement.leaving;
     announce(std::move(call.announcement));
+    if (isLeaving) {
+        confirmWithdrawal(upstream, incarnation, responder);
+        return;
+    }
     responder->respond(isLed() ? m_context.dialect.done() : m_context.dialect.unavailable("no leader is known here"));
 }
 
 void ControlApi::on(const WithdrawCall &call, const Responder &responder)
 {
     const auto incarnation = m_context.book.lastIncarnationOf(call.id);
-    const std::string_view outcome = incarnation ? "noted" : "unknown_upstream";
-    m_context.metrics.withdrawn(outcome);
-    m_context.log.write(base::LogLine("upstream_withdrawal")
-                            .add("upstream", call.id)
-                            .add("incarnation", static_cast<std::int64_t>(incarnation.value_or(0)))
-                            .add("outcome", outcome));
     if (!incarnation) {
+        m_context.metrics.withdrawn("unknown_upstream");
+        m_context.log.write(
+            base::LogLine("upstream_withdrawal").add("upstream", call.id).add("outcome", "unknown_upstream"));
         // Another VM may know it; a confirmation would end the search.
         responder->respond(m_context.dialect.unavailable("the upstream is not known here"));
         return;
@@ -125,7 +129,54 @@
     const base::Millis now = m_context.clock.now();
     m_context.heard.withdraw(now, call.id, *incarnation);
     m_context.book.withdraw(now, call.id, *incarnation);
-    responder->respond(isLed() ? m_context.dialect.done() : m_context.dialect.unavailable("no leader is known here"));
+    confirmWithdrawal(call.id, *incarnation, responder);
+}
+
+void ControlApi::confirmWithdrawal(
+    const std::string &upstream, std::uint64_t incarnation, const Responder &responder) const
+{
+    // An upstream that is leaving says so with each announcement.
+    if (m_context.withdrawals.contains(upstream, incarnation)) {
+        responder->respond(m_context.dialect.done());
+        return;
+    }
+    peer::Client *leader = this->leader();
+    if (leader == nullptr) {
+        m_context.metrics.withdrawn("rejected");
+        m_context.log.write(base::LogLine("upstream_withdrawal")
+                                .add("upstream", upstream)
+                                .add("incarnation", static_cast<std::int64_t>(incarnation))
+                                .add("outcome", "rejected")
+                                .add("reason", "no_leader_known"));
+        responder->respond(m_context.dialect.unavailable("no leader is known here"));
+        return;
+    }
+    const state::RecordWithdrawal command{upstream, incarnation, base::wallClock().count};
+    peer::wire::ProposeRequest request;
+    request.set_command(state::encode(command));
+    leader->call(request, m_options.timeout,
+        [this, responder, upstream, incarnation, asked = leader->address()](
+            const std::optional<peer::wire::ProposeReply> &reply) {
+            responder->respond(answerWithdrawal(upstream, incarnation, asked, reply));
+        });
+}
+
+http::Response ControlApi::answerWithdrawal(const std::string &upstream, std::uint64_t incarnation,
+    const std::string &asked, const std::optional<peer::wire::ProposeReply> &reply) const
+{
+    base::LogLine line("upstream_withdrawal");
+    line.add("upstream", upstream).add("incarnation", static_cast<std::int64_t>(incarnation));
+    if (!reply || reply->verdict() != peer::wire::APPLIED) {
+        m_context.metrics.withdrawn(unappliedOutcome(reply));
+        return refuseUnapplied(line, asked, reply);
+    }
+    const auto outcome = state::decodeOutcome(reply->outcome());
+    const auto *recorded = outcome ? std::get_if<state::CountOutcome>(&outcome.value()) : nullptr;
+    const bool isRecorded = recorded != nullptr && recorded->count > 0;
+    const std::string_view name = isRecorded ? "recorded" : "invalid";
+    m_context.metrics.withdrawn(name);
+    m_context.log.write(line.add("outcome", name));
+    return isRecorded ? m_context.dialect.done() : m_context.dialect.unavailable("the group cannot record this");
 }
 
 peer::Client *ControlApi::leader() const
--- a/src/bamboomoor/gateway/controlapi.hpp
+++ b/src/bamboomoor/gateway/controlapi.hpp
@@ -14,6 +14,7 @@
 #include "bamboomoor/gateway/dialect.hpp"
 #include "bamboomoor/gateway/evacuationview.hpp"
 #include "bamboomoor/gateway/fwd.hpp"
+#include "bamboomoor/gateway/withdrawalview.hpp"
 #include "bamboomoor/http/server.hpp"
 
 #include <absl/base/thread_annotations.h>
@@ -52,6 +53,7 @@
     const control::PeerRegistry &peers;
     const control::MembershipThread &group;
     const EvacuationView &evacuations;
+    const WithdrawalView &withdrawals;
     // Upstreams that announced themselves to this VM, and all upstreams known to it.
     entry::UpstreamBook &heard;
     entry::UpstreamBook &book;
@@ -94,6 +96,10 @@
     // Logs a change that the leader did not confirm.
     [[nodiscard]] http::Response refuseUnapplied(
         base::LogLine &line, const std::string &asked, const std::optional<peer::wire::ProposeReply> &reply) const;
+    // Confirms once the group has recorded it, so that it outlasts this process.
+    void confirmWithdrawal(const std::string &upstream, std::uint64_t incarnation, const Responder &responder) const;
+    [[nodiscard]] http::Response answerWithdrawal(const std::string &upstream, std::uint64_t incarnation,
+        const std::string &asked, const std::optional<peer::wire::ProposeReply> &reply) const;
     [[nodiscard]] http::Response answerEvacuate(
         const EvacuateCall &call, const std::string &asked, const std::optional<peer::wire::ProposeReply> &reply) const;
 
--- a/src/bamboomoor/gateway/controldaemon.cpp
+++ b/src/bamboomoor/gateway/controldaemon.cpp
@@ -98,8 +98,10 @@
           residencyOptions(m_settings), {m_clock, m_voter, m_book, m_client, *dialects.orders, m_metrics, m_log})
     , m_group(groupOptions(m_settings, m_identity), m_voter, m_peers, m_clock)
     , m_sync(syncOptions(m_settings, m_identity), m_heard, m_book, m_peers, m_clock)
+    , m_withdrawals(m_clock, m_heard, m_book)
     , m_api(apiOptions(m_settings),
-          {m_clock, *dialects.control, m_peers, m_group, m_evacuations, m_heard, m_book, m_metrics, m_log})
+          {m_clock, *dialects.control, m_peers, m_group, m_evacuations, m_withdrawals, m_heard, m_book, m_metrics,
+              m_log})
     , m_softwareObserver(m_book)
     , m_peerService(daemon::VoterParts{m_voter, m_freshen, m_budget, m_residency}, m_book, m_clock,
           m_clock.now() + warmUp(m_settings))
@@ -112,6 +114,7 @@
     m_voter.addObserver(m_residency);
     m_voter.addObserver(m_softwareObserver);
     m_voter.addObserver(m_evacuations);
+    m_voter.addObserver(m_withdrawals);
 }
 
 ControlDaemon::~ControlDaemon()
--- a/src/bamboomoor/gateway/controldaemon.hpp
+++ b/src/bamboomoor/gateway/controldaemon.hpp
@@ -20,6 +20,7 @@
 #include "bamboomoor/gateway/process.hpp"
 #include "bamboomoor/gateway/residencythread.hpp"
 #include "bamboomoor/gateway/softwareobserver.hpp"
+#include "bamboomoor/gateway/withdrawalview.hpp"
 #include "bamboomoor/http/client.hpp"
 #include "bamboomoor/http/server.hpp"
 #include "bamboomoor/peer/server.hpp"
@@ -70,6 +71,7 @@
     control::MembershipThread m_group;
     entry::UpstreamSync m_sync;
     EvacuationView m_evacuations;
+    WithdrawalView m_withdrawals;
     ControlApi m_api;
     SoftwareObserver m_softwareObserver;
     daemon::PeerService m_peerService;
--- a/src/bamboomoor/state/command.hpp
+++ b/src/bamboomoor/state/command.hpp
@@ -248,10 +248,21 @@
     friend bool operator==(const SetEvacuation &, const SetEvacuation &) = default;
 };
 
+/** @brief Records that an upstream has withdrawn itself, before that is confirmed to it. */
+struct RecordWithdrawal {
+    std::string upstream;
+    // The process that has withdrawn; all earlier ones of the upstream are gone as well.
+    std::uint64_t incarnation = 0;
+    // The time of the request, in milliseconds since the Unix epoch.
+    std::int64_t wallMillis = 0;
+
+    friend bool operator==(const RecordWithdrawal &, const RecordWithdrawal &) = default;
+};
+
 /** @brief Any command of the replicated log. */
-using Command =
-    std::variant<ApplyConfig, AddKey, WithdrawKey, OpenClaim, FinishClaim, AbandonClaims, SweepClaims, RaiseCeiling,
-        RecordIntent, CloseIntent, ReleaseClaim, ReplaceConfig, RecordQuarantines, RecordSoftware, SetEvacuation>;
+using Command = std::variant<ApplyConfig, AddKey, WithdrawKey, OpenClaim, FinishClaim, AbandonClaims, SweepClaims,
+    RaiseCeiling, RecordIntent, CloseIntent, ReleaseClaim, ReplaceConfig, RecordQuarantines, RecordSoftware,
+    SetEvacuation, RecordWithdrawal>;
 
 /** @brief The reason why bytes cannot be decoded. */
 struct DecodeError {
--- a/src/bamboomoor/state/fwd.hpp
+++ b/src/bamboomoor/state/fwd.hpp
@@ -21,6 +21,7 @@
 struct ServiceSoftware;
 struct RecordSoftware;
 struct SetEvacuation;
+struct RecordWithdrawal;
 struct ChangeOutcome;
 struct ClaimOutcome;
 struct CountOutcome;
--- a/src/bamboomoor/state/json.cpp
+++ b/src/bamboomoor/state/json.cpp
@@ -18,7 +18,8 @@
 // The names of the alternatives, in the order of the variant.
 constexpr std::array<std::string_view, std::variant_size_v<Command>> COMMAND_NAMES{"apply_config", "add_key",
     "withdraw_key", "open_claim", "finish_claim", "abandon_claims", "sweep_claims", "raise_ceiling", "record_intent",
-    "close_intent", "release_claim", "replace_config", "record_quarantines", "record_software", "set_evacuation"};
+    "close_intent", "release_claim", "replace_config", "record_quarantines", "record_software", "set_evacuation",
+    "record_withdrawal"};
 constexpr std::array<std::string_view, std::variant_size_v<Outcome>> OUTCOME_NAMES{
     "change", "claim", "count", "ceiling", "intent", "malformed", "evacuation"};
 
--- a/src/bamboomoor/state/json.hpp
+++ b/src/bamboomoor/state/json.hpp
@@ -132,6 +132,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ServiceSoftware, service, versions)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RecordSoftware, services)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SetEvacuation, author, wallMillis, dataCentre, evacuated, base)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RecordWithdrawal, upstream, incarnation, wallMillis)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CountOutcome, count)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Malformed, message)
 
--- a/src/bamboomoor/state/limits.hpp
+++ b/src/bamboomoor/state/limits.hpp
@@ -6,6 +6,7 @@
 #include "bamboomoor/quarantine/partlimits.hpp"
 
 #include <cstddef>
+#include <cstdint>
 
 namespace bamboomoor::state
 {
@@ -42,6 +43,12 @@
     // The maximum number of data centres that were ever evacuated, and the length of a name in bytes.
     std::size_t evacuations = 256;
     std::size_t evacuationNameBytes = 256;
+    // The maximum number of withdrawn upstreams, and the length of a name in bytes.
+    std::size_t withdrawals = 4'096;
+    std::size_t withdrawalNameBytes = 256;
+    // How much older than the newest one a withdrawal may be, in milliseconds; far longer than announcements are
+    // delayed.
+    std::int64_t withdrawalRetentionMillis = 600'000;
 };
 
 } // namespace bamboomoor::state
--- a/src/bamboomoor/state/machine.cpp
+++ b/src/bamboomoor/state/machine.cpp
@@ -26,6 +26,7 @@
 constexpr std::string_view QUARANTINES_KEY = "quarantines";
 constexpr std::string_view SOFTWARE_KEY = "software";
 constexpr std::string_view EVACUATIONS_KEY = "evacuations";
+constexpr std::string_view WITHDRAWALS_KEY = "withdrawals";
 // Bytes of a snapshot beside claims and history.
 constexpr std::size_t SNAPSHOT_SLACK = 1'048'576;
 
@@ -45,6 +46,7 @@
     , m_quarantines(limits)
     , m_software(limits)
     , m_evacuations(limits)
+    , m_withdrawals(limits)
 {
 }
 
@@ -87,6 +89,10 @@
                           [&](const FinishClaim &it) {
                               return asOutcome(m_claims.decided(it));
                           },
+                          [&](const RecordWithdrawal &it) {
+                              const bool isKnown = m_withdrawals.contains(it.upstream, it.incarnation);
+                              return isKnown ? std::optional<Outcome>(CountOutcome{1}) : std::nullopt;
+                          },
                           [](const auto &) {
                               return std::optional<Outcome>();
                           },
@@ -142,6 +148,9 @@
         [this, index](const SetEvacuation &it) -> Outcome {
             return m_evacuations.apply(index, it);
         },
+        [this, index](const RecordWithdrawal &it) -> Outcome {
+            return m_withdrawals.apply(index, it);
+        },
     };
     return std::visit(visitor, command);
 }
@@ -166,6 +175,9 @@
     if (!m_evacuations.dataCentres().empty()) {
         appendMember(out, EVACUATIONS_KEY) += internal::dump(m_evacuations.save());
     }
+    if (!m_withdrawals.withdrawals().empty()) {
+        appendMember(out, WITHDRAWALS_KEY) += internal::dump(m_withdrawals.save());
+    }
     out += '}';
     return out;
 }
@@ -199,6 +211,9 @@
         if (in.contains(EVACUATIONS_KEY)) {
             machine.m_evacuations.load(in.at(EVACUATIONS_KEY));
         }
+        if (in.contains(WITHDRAWALS_KEY)) {
+            machine.m_withdrawals.load(in.at(WITHDRAWALS_KEY));
+        }
         return machine;
     } catch (const std::exception &error) {
         return base::failure(RestoreError{.message = error.what()});
--- a/src/bamboomoor/state/machine.hpp
+++ b/src/bamboomoor/state/machine.hpp
@@ -15,6 +15,7 @@
 #include "bamboomoor/state/outcome.hpp"
 #include "bamboomoor/state/quarantinetable.hpp"
 #include "bamboomoor/state/softwaretable.hpp"
+#include "bamboomoor/state/withdrawaltable.hpp"
 
 #include <cstdint>
 #include <string>
@@ -29,8 +30,8 @@
     std::string message;
 };
 
-/** @brief The replicated state: configuration, claims, ceilings, intents, quarantines, software versions and
- * evacuations. */
+/** @brief The replicated state: configuration, claims, ceilings, intents, quarantines, software versions, evacuations
+ * and withdrawals. */
 class Machine
 {
 public:
@@ -138,6 +139,15 @@
         return m_evacuations;
     }
 
+    /**
+     * @brief Returns the upstreams that have withdrawn themselves.
+     * @return The latest withdrawal of each.
+     */
+    [[nodiscard]] const WithdrawalTable &withdrawals() const noexcept
+    {
+        return m_withdrawals;
+    }
+
 private:
     Outcome applyCommand(std::uint64_t index, const Command &command);
 
@@ -148,6 +158,7 @@
     QuarantineTable m_quarantines;
     SoftwareTable m_software;
     EvacuationTable m_evacuations;
+    WithdrawalTable m_withdrawals;
 };
 
 } // namespace bamboomoor::state
--- a/src/bamboomoor/state/outcome.hpp
+++ b/src/bamboomoor/state/outcome.hpp
@@ -95,10 +95,10 @@
     friend bool operator==(const ClaimOutcome &, const ClaimOutcome &) = default;
 };
 
-/** @brief The outcome of AbandonClaims, SweepClaims, RecordQuarantines and RecordSoftware. */
+/** @brief The outcome of AbandonClaims, SweepClaims, RecordQuarantines, RecordSoftware and RecordWithdrawal. */
 struct CountOutcome {
-    // The number of claims that were marked as unknown or removed, of subjects that are quarantined now, or of software
-    // versions that are recorded now.
+    // The number of claims that were marked as unknown or removed, of subjects that are quarantined now, of software
+    // versions that are recorded now, or of the command's upstreams that are withdrawn now.
     std::uint64_t count = 0;
 
     friend bool operator==(const CountOutcome &, const CountOutcome &) = default;
--- a/test/bamboomoor/gateway/withdrawals.cpp
+++ b/test/bamboomoor/gateway/withdrawals.cpp
@@ -16,6 +16,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdlib>
 #include <filesystem>
@@ -156,8 +157,9 @@
         for (int n = 1; n <= voters; ++n) {
             start(n);
         }
+        // A withdrawal needs a leader.
         BOOST_REQUIRE(eventually([this] {
-            return announce(1, "other", 1, 1) == OK;
+            return announce(1, "other", 1, 1) == OK && withdraw(1, "other") == OK;
         }));
     }
 
@@ -307,6 +309,82 @@
     BOOST_TEST(group.withdraw(1, UPSTREAM) == OK);
 }
 
+// review/9: a withdrawal lay in the memory of the process that had confirmed it, and was lost with it.
+BOOST_AUTO_TEST_CASE(a_confirmed_withdrawal_outlasts_the_process_that_confirmed_it)
+{
+    Group group(1);
+    BOOST_REQUIRE(group.announce(1, UPSTREAM, 5, 1) == OK);
+    BOOST_REQUIRE(group.withdraw(1, UPSTREAM) == OK);
+    group.stop(1);
+    group.start(1);
+    // What a partition has delayed.
+    BOOST_REQUIRE(eventually([&] {
+        return group.announce(1, UPSTREAM, 5, 2) == OK;
+    }));
+    BOOST_TEST(eventually([&] {
+        return group.isLeaving(1, UPSTREAM);
+    }));
+    // A process that starts later under the same id has not withdrawn.
+    BOOST_TEST(group.announce(1, UPSTREAM, 6, 1) == OK);
+    BOOST_TEST(group.listed(1, UPSTREAM).has_value());
+    BOOST_TEST(!group.isLeaving(1, UPSTREAM));
+}
+
+// The first announcement of an upstream that leaves is confirmed like a withdrawal.
+BOOST_AUTO_TEST_CASE(a_confirmed_announcement_of_leaving_outlasts_the_process_that_confirmed_it)
+{
+    Group group(1);
+    BOOST_REQUIRE(group.announce(1, UPSTREAM, 5, 1) == OK);
+    BOOST_REQUIRE(group.announce(1, UPSTREAM, 5, 3, true) == OK);
+    group.stop(1);
+    group.start(1);
+    BOOST_REQUIRE(eventually([&] {
+        return group.announce(1, UPSTREAM, 5, 2) == OK;
+    }));
+    BOOST_TEST(eventually([&] {
+        return group.isLeaving(1, UPSTREAM);
+    }));
+}
+
+// Entries that knew the upstream learn of the withdrawal from daemons that never heard of the upstream itself.
+BOOST_AUTO_TEST_CASE(entries_are_told_of_a_withdrawal_after_a_restart_of_all_control_vms)
+{
+    Group group(3);
+    BOOST_REQUIRE(group.announce(2, UPSTREAM, 5, 1) == OK);
+    BOOST_REQUIRE(eventually([&] {
+        return group.withdraw(2, UPSTREAM) == OK;
+    }));
+    for (int n = 1; n <= 3; ++n) {
+        group.stop(n);
+    }
+    for (int n = 1; n <= 3; ++n) {
+        group.start(n);
+    }
+    for (int n = 1; n <= 3; ++n) {
+        BOOST_TEST(eventually([&] {
+            const auto removed = group.pull(n).removed;
+            return std::any_of(removed.begin(), removed.end(), [](const membership::Removal &it) {
+                return it.id == UPSTREAM && it.incarnation == 5 && it.leaving;
+            });
+        }));
+    }
+}
+
+// Without a quorum nothing can be recorded, and a confirmation would be a promise of this process alone.
+BOOST_AUTO_TEST_CASE(a_withdrawal_is_not_confirmed_without_a_quorum_but_takes_effect)
+{
+    Group group(3);
+    BOOST_REQUIRE(group.announce(1, UPSTREAM, 5, 1) == OK);
+    group.stop(2);
+    group.stop(3);
+    BOOST_TEST(group.withdraw(1, UPSTREAM) == UNAVAILABLE);
+    BOOST_TEST(group.isLeaving(1, UPSTREAM));
+    group.start(2);
+    BOOST_TEST(eventually([&] {
+        return group.withdraw(1, UPSTREAM) == OK;
+    }));
+}
+
 // Entries that pull from a control VM that is no voter would take its partial list for the whole one.
 BOOST_AUTO_TEST_CASE(only_voters_call_their_lists_complete)
 {
