Need a key on every route that is not open, also without any organisation

Cause: an empty list stood for one that is absent. A manifest without `tenants` needs no keys; the adapter made the same document of it and of one whose list is empty, and RouteTable::requiresKeys() opened every route of a document without organisations. Ruled out: a stale version; the entries had taken the new one.

Change: only `open` of a route decides. Entries log organisations that are gone. A document without organisations that an earlier build stored needs keys from now on.

--- a/src/bamboomoor/gateway/relaythread.cpp
+++ b/src/bamboomoor/gateway/relaythread.cpp
@@ -303,6 +303,13 @@
                                     .add("config", static_cast<std::int64_t>(version)));
         }
     }
+    for (const auto &[name, limit] : m_limits) {
+        if (!limits.contains(name)) {
+            m_context.log.write(base::LogLine("organisation_removed")
+                                    .add("org", name)
+                                    .add("config", static_cast<std::int64_t>(version)));
+        }
+    }
     m_limits = std::move(limits);
 }
 
--- a/src/bamboomoor/relay/core.cpp
+++ b/src/bamboomoor/relay/core.cpp
@@ -122,7 +122,7 @@
     exchange.requirements.promptTokens = request.promptTokens.value_or(0);
     exchange.requirements.parts = request.parts;
     exchange.requirements.recordedSoftware = isResumable(exchange);
-    const bool needsKey = exchange.table->requiresKeys() && !route.open;
+    const bool needsKey = !route.open;
     const config::Organisation *organisation = exchange.table->organisationOf(request.key);
     if (needsKey && organisation == nullptr) {
         giveUp(now, exchange, Reason::UnknownKey, {});
--- a/src/bamboomoor/relay/routetable.hpp
+++ b/src/bamboomoor/relay/routetable.hpp
@@ -56,12 +56,6 @@
      */
     [[nodiscard]] const config::Service *service(const std::string &name) const;
 
-    /** @brief Tells whether callers need API keys. @return True if any organisation is configured. */
-    [[nodiscard]] bool requiresKeys() const noexcept
-    {
-        return !m_document->organisations.empty();
-    }
-
     [[nodiscard]] std::uint64_t version() const noexcept
     {
         return m_version;
--- a/test/bamboomoor/platform/messages.cpp
+++ b/test/bamboomoor/platform/messages.cpp
@@ -101,6 +101,30 @@
     BOOST_TEST(!isAccepted(without("r1", "\"public\":false", "\"public\":3")));
 }
 
+// review/6: a manifest whose last tenant had been taken out opened every route to everybody.
+BOOST_AUTO_TEST_CASE(only_a_manifest_without_a_list_of_tenants_needs_no_keys)
+{
+    const std::size_t list = MANIFEST.find(",\n\"tenants\"");
+    BOOST_REQUIRE(list != std::string::npos);
+    const std::string untilTenants = MANIFEST.substr(0, list);
+    const auto openRoutes = [](const std::string &body) {
+        const auto manifest = readManifest(body);
+        BOOST_REQUIRE(manifest.has_value());
+        const auto stored = config::parse(config::print(manifest.value().document));
+        BOOST_REQUIRE(stored.has_value());
+        BOOST_TEST(stored.value().organisations.empty());
+        const auto &relays = stored.value().relays;
+        return std::count_if(relays.begin(), relays.end(), [](const config::Relay &it) {
+            return it.open;
+        });
+    };
+    // One of the two routes is public.
+    BOOST_TEST(openRoutes(untilTenants + R"(,"tenants":[]})") == 1);
+    BOOST_TEST(openRoutes(untilTenants + "}") == 2);
+    // Some writers print an empty list as null.
+    BOOST_TEST(!isAccepted(untilTenants + R"(,"tenants":null})"));
+}
+
 BOOST_AUTO_TEST_CASE(a_number_out_of_range_makes_a_manifest_invalid)
 {
     for (const char *number : {"1e308", "1e400", "18446744073709551616", "-1", "-1e308", "9223372036854775808"}) {
--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -307,6 +307,47 @@
 
 BOOST_FIXTURE_TEST_SUITE(relay_core, Fixture)
 
+// review/6: without its last organisation a configuration opened every route to everybody.
+BOOST_AUTO_TEST_CASE(keys_are_needed_when_the_last_organisation_is_gone)
+{
+    const auto tableOf = [](std::uint64_t version, bool hasOrganisation) {
+        auto document = std::make_shared<config::Document>();
+        document->services.push_back({"svc", 10, {}});
+        document->relays.push_back(route("/closed/", config::Repeat::AtMostOnce, false, 1));
+        document->relays.push_back(route("/open/", config::Repeat::AtMostOnce, false, 1));
+        document->relays.back().open = true;
+        if (hasOrganisation) {
+            config::Organisation organisation;
+            organisation.name = "org";
+            organisation.unlimited = true;
+            organisation.keys.push_back({"k", base::sha256("key"), false});
+            document->organisations.push_back(organisation);
+        }
+        return std::make_shared<const relay::RouteTable>(version, document);
+    };
+    std::uint64_t id = 0;
+    const auto isSent = [&](const std::string &path, const std::string &key) {
+        const std::size_t before = world.sent.size();
+        relay::Request request;
+        request.id = "r" + std::to_string(++id);
+        request.host = "h";
+        request.path = path;
+        request.key = key;
+        core.onRequest(now, id, request);
+        const bool sent = world.sent.size() > before;
+        BOOST_TEST((sent || world.callers[id].reason == relay::Reason::UnknownKey));
+        return sent;
+    };
+    core.setTable(tableOf(8, true));
+    BOOST_TEST(isSent("/closed/x", "key"));
+    BOOST_TEST(!isSent("/closed/x", "strange"));
+    core.setTable(tableOf(9, false));
+    for (const char *key : {"key", "strange", ""}) {
+        BOOST_TEST(!isSent("/closed/x", key), key);
+        BOOST_TEST(isSent("/open/x", key), key);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(requests_wait_for_a_fast_adapter_load_but_not_for_a_lost_model)
 {
     World world;
