Withdraw the process that a deregistration states

A call without it concerns the latest known process, as before.

Measured: with the stated incarnation ignored, the two new cases of test_gateway/withdrawals fail (the present process is leaving; 503); they pass.

--- a/src/bamboomoor/gateway/controlapi.cpp
+++ b/src/bamboomoor/gateway/controlapi.cpp
@@ -117,7 +117,7 @@
 
 void ControlApi::on(const WithdrawCall &call, const Responder &responder)
 {
-    const auto incarnation = m_context.book.lastIncarnationOf(call.id);
+    const auto incarnation = call.incarnation ? call.incarnation : m_context.book.lastIncarnationOf(call.id);
     if (!incarnation) {
         m_context.metrics.withdrawn("unknown_upstream");
         m_context.log.write(
--- a/src/bamboomoor/gateway/dialect.hpp
+++ b/src/bamboomoor/gateway/dialect.hpp
@@ -76,9 +76,11 @@
     membership::Announcement announcement;
 };
 
-/** @brief An upstream withdraws itself; carries only its ID, not a full announcement. */
+/** @brief An upstream withdraws itself; carries no full announcement. */
 struct WithdrawCall {
     std::string id;
+    // The process that withdraws; the latest known one of the upstream if it is not stated.
+    std::optional<std::uint64_t> incarnation = {};
 };
 
 /** @brief An operator replaces the active configuration document. */
--- a/test/bamboomoor/gateway/withdrawals.cpp
+++ b/test/bamboomoor/gateway/withdrawals.cpp
@@ -39,7 +39,8 @@
 constexpr std::chrono::seconds PATIENCE{20};
 constexpr std::chrono::milliseconds POLL{50};
 
-/** @brief Reads calls from the path: /announce/ID/INCARNATION/SEQUENCE/STATE and /withdraw/ID. */
+/** @brief Reads calls from the path: /announce/ID/INCARNATION/SEQUENCE/STATE, /withdraw/ID and
+ * /withdraw/ID/INCARNATION. */
 class Calls final : public gateway::ControlDialect
 {
 public:
@@ -58,7 +59,9 @@
             announcement.service = "s";
             return gateway::AnnounceCall{std::move(announcement)};
         }
-        return gateway::WithdrawCall{parts.at(1)};
+        const bool isStated = parts.size() > 2;
+        return gateway::WithdrawCall{
+            parts.at(1), isStated ? std::optional<std::uint64_t>(std::stoull(parts[2])) : std::nullopt};
     }
 
     [[nodiscard]] http::Response done() const override
@@ -385,6 +388,27 @@
     }));
 }
 
+// A late withdrawal of a former process took the present one of the same id out of service for good.
+BOOST_AUTO_TEST_CASE(a_late_withdrawal_of_a_former_process_does_not_concern_the_present_one)
+{
+    Group group(1);
+    BOOST_REQUIRE(group.announce(1, UPSTREAM, 6, 1) == OK);
+    BOOST_TEST(group.withdraw(1, std::string(UPSTREAM) + "/5") == OK);
+    BOOST_TEST(group.listed(1, UPSTREAM).has_value());
+    BOOST_TEST(!group.isLeaving(1, UPSTREAM));
+    BOOST_TEST(group.withdraw(1, std::string(UPSTREAM) + "/6") == OK);
+    BOOST_TEST(group.isLeaving(1, UPSTREAM));
+}
+
+// A process that states its start can be withdrawn before any VM has heard of it.
+BOOST_AUTO_TEST_CASE(a_stated_process_is_withdrawn_where_it_is_unknown)
+{
+    Group group(1);
+    BOOST_TEST(group.withdraw(1, std::string(UPSTREAM) + "/5") == OK);
+    BOOST_TEST(group.announce(1, UPSTREAM, 5, 1) == OK);
+    BOOST_TEST(group.isLeaving(1, UPSTREAM));
+}
+
 // Entries that pull from a control VM that is no voter would take its partial list for the whole one.
 BOOST_AUTO_TEST_CASE(only_voters_call_their_lists_complete)
 {
