Pull the list of upstreams from a voter that follows a leader

Change: a voter that has followed no leader for 1.5 s says so in its answers, and entries turn to another one, once a second at most, as all voters say so while there is no leader. Log line list_source_changed.

Measured: without the turn the new case of test_entry fails (the other voter's upstream stays unknown for 10 s); it passes. Not played with processes.

--- a/src/bamboomoor/control/voterthread.hpp
+++ b/src/bamboomoor/control/voterthread.hpp
@@ -68,6 +68,8 @@
     bool votes = false;
     // When this leader last received a message from each other member; empty if this voter is not the leader.
     std::map<std::string, base::Millis> heardAt;
+    // When this voter last followed a leader, or was one.
+    base::Millis ledAt;
     // When a quorum last confirmed this leader; nullopt if this voter is not the leader.
     std::optional<base::Millis> confirmedAt;
     // True if this voter has ended for good; it then neither votes nor names a leader.
@@ -318,6 +320,8 @@
     bool m_makingSnapshot = false;
     // The term for which the observers were notified of this voter's leadership; 0 if it is not the leader.
     std::uint64_t m_leadingTerm = 0;
+    // As in VoterStatus::ledAt.
+    base::Millis m_ledAt;
     std::uint64_t m_seenVersion = 0;
     state::SoftwareVersions m_seenSoftware;
     std::uint64_t m_seenEvacuations = 0;
--- a/src/bamboomoor/daemon/peerservice.cpp
+++ b/src/bamboomoor/daemon/peerservice.cpp
@@ -14,6 +14,9 @@
 namespace
 {
 
+// A voter that follows no leader for so long is taken for cut off from the others; an election takes less.
+constexpr base::Millis CUT_OFF_AFTER{1'500};
+
 peer::wire::ProposeReply describe(const control::ProposalOutcome &verdict)
 {
     peer::wire::ProposeReply reply;
@@ -137,9 +140,15 @@
 void PeerService::syncUpstreams(const peer::wire::UpstreamSync &request, peer::Answer<peer::wire::UpstreamSync> answer)
 {
     const base::Millis now = m_clock.now();
+    if (!m_voter) {
+        answer(entry::answerSync(request, m_book, now, true));
+        return;
+    }
+    const control::VoterStatus status = m_voter->desk.status();
     // Upstreams are pushed to voters only, so that any other daemon may lack some.
-    const bool mayLackSome = !m_voter || now < m_warmUntil || !m_voter->desk.status().votes;
-    answer(entry::answerSync(request, m_book, now, mayLackSome));
+    peer::wire::UpstreamSync reply = entry::answerSync(request, m_book, now, now < m_warmUntil || !status.votes);
+    reply.set_cut_off(now - status.ledAt > CUT_OFF_AFTER);
+    answer(std::move(reply));
 }
 
 void PeerService::history(const peer::wire::HistoryRequest &request, peer::Answer<peer::wire::HistoryReply> answer)
--- a/src/bamboomoor/entry/upstreamsync.cpp
+++ b/src/bamboomoor/entry/upstreamsync.cpp
@@ -171,7 +171,20 @@
     } else {
         m_synced = true;
         m_pulledAt = answer.sentAt.count;
+        if (answer.reply->cut_off()) {
+            leaveCutOff(answer.sentAt, answer.voter);
+        }
+    }
+}
+
+void UpstreamSync::leaveCutOff(base::Millis now, const std::string &voter)
+{
+    if (m_leftCutOffAt && now - *m_leftCutOffAt < m_options.cutOffPause) {
+        return;
     }
+    m_leftCutOffAt = now;
+    choosePuller(voter);
+    LOG(INFO) << "event=list_source_changed reason=cut_off from=" << voter << " to=" << m_puller;
 }
 
 void UpstreamSync::takeSoftware(const peer::wire::UpstreamSync &reply)
--- a/src/bamboomoor/entry/upstreamsync.hpp
+++ b/src/bamboomoor/entry/upstreamsync.hpp
@@ -32,6 +32,9 @@
     bool keepsWhenCutOff = false;
     // How long after the last pull leases still run out.
     base::Millis pullGrace{1'000};
+    // The shortest time between two moves away from voters that say they are cut off. While no voter leads, all say so,
+    // and the first pull from each takes the whole list.
+    base::Millis cutOffPause{1'000};
 };
 
 /** @brief Spreads upstreams. */
@@ -106,6 +109,7 @@
     void take(Answer answer);
     void takeSoftware(const peer::wire::UpstreamSync &reply);
     void choosePuller(const std::string &failed);
+    void leaveCutOff(base::Millis now, const std::string &voter);
 
     UpstreamSyncOptions m_options;
     UpstreamBook &m_heard;
@@ -123,6 +127,8 @@
     // Used by the thread only.
     std::map<std::string, VoterState> m_voters;
     std::string m_puller;
+    // When a voter was left as it said that it is cut off.
+    std::optional<base::Millis> m_leftCutOffAt;
 };
 
 /**
--- a/test/bamboomoor/entry/upstreamsync.cpp
+++ b/test/bamboomoor/entry/upstreamsync.cpp
@@ -2,12 +2,20 @@
  * Tests of the answers to daemons that spread upstreams.
  */
 #include "bamboomoor/entry/upstreamsync.hpp"
+
+#include "bamboomoor/control/loopback.hpp"
 #include "bamboomoor/membership/codec.hpp"
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <memory>
 #include <string>
+#include <thread>
+#include <vector>
 
 using namespace bamboomoor;
 
@@ -59,3 +67,66 @@
         BOOST_TEST(passedOn.value().unreadable.empty());
     }
 }
+
+namespace
+{
+
+/** @brief A voter with a list of its own, which may say that it is cut off from the others. */
+class ListingVoter final : public control_test::EmptyHandler
+{
+public:
+    void syncUpstreams(const peer::wire::UpstreamSync &request, peer::Answer<peer::wire::UpstreamSync> answer) override
+    {
+        auto reply = entry::answerSync(request, book, clock.now(), false);
+        reply.set_cut_off(isCutOff);
+        answer(std::move(reply));
+    }
+
+    base::SteadyClock clock;
+    entry::UpstreamBook book{{}};
+    std::atomic<bool> isCutOff{false};
+};
+
+} // namespace
+
+// An entry that pulled from a voter cut off from the others, but not from it, did not learn who leaves.
+BOOST_AUTO_TEST_CASE(an_entry_leaves_a_voter_that_is_cut_off_from_the_others)
+{
+    std::array<ListingVoter, 2> voters;
+    std::vector<std::unique_ptr<peer::Server>> servers;
+    std::vector<control::VoterAddress> addresses;
+    for (std::size_t n = 0; n < voters.size(); ++n) {
+        voters.at(n).book.announce(voters.at(n).clock.now(), serviceNamed("only-at-" + std::to_string(n)));
+        addresses.push_back({"v" + std::to_string(n), control_test::freeAddress()});
+        servers.push_back(std::make_unique<peer::Server>(voters.at(n)));
+        BOOST_REQUIRE(servers.back()->start(addresses.back().address));
+    }
+    control::PeerRegistry peers(addresses);
+    const base::SteadyClock clock;
+    entry::UpstreamBook heard({});
+    entry::UpstreamBook book({});
+    entry::UpstreamSyncOptions options;
+    options.interval = {20};
+    entry::UpstreamSync sync(options, heard, book, peers, clock);
+    sync.start();
+    const auto knows = [&](std::size_t n) {
+        return book.lastAddressOf("only-at-" + std::to_string(n)).has_value();
+    };
+    const auto eventually = [](const auto &condition) {
+        for (int n = 0; n < 500 && !condition(); ++n) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+        return condition();
+    };
+    BOOST_TEST(eventually([&] {
+        return knows(0) || knows(1);
+    }));
+    const std::size_t source = knows(0) ? 0 : 1;
+    BOOST_TEST(!knows(1 - source));
+    voters.at(source).isCutOff = true;
+    BOOST_TEST(eventually([&] {
+        return knows(1 - source);
+    }));
+    sync.stop();
+    peers.stop();
+}
