system_deadlyrequest: wait until the entry has taken the quarantine

The test failed about one start in ten: "daemon 1 sends it again", 502 outcome_unknown in place of quarantined, after a restart of all daemons.

Traced on (1 of 14 starts): the test waits for a new line part_quarantined in the log of the daemon. The leader logs such a line when it reads the state (reported_by=state), 0.3 s before its own entry takes the quarantine from it (decided_by=leader). The request was sent in between, as the entry does not know of quarantines before the first reply of the leader; within contact_ms of its start that is allowed.

--- a/test/system/deadlyrequest.sh
+++ b/test/system/deadlyrequest.sh
@@ -62,7 +62,8 @@
 curl -s "http://$(entry 1)/metrics" | grep -q '^bamboomoor_quarantines_total{decided_by="leader"}' || fail "not counted"
 # taken N: how many quarantines daemon N has taken since the log began.
 taken() {
-    grep -c 'event=part_quarantined.*part=request:' "$FLEET_DIR/vm$1.log" || true
+    # A leader logs what it reads from the state in a line of the same kind, before its own entry has taken it.
+    grep -c 'event=part_quarantined.*part=request:.*decided_by=leader' "$FLEET_DIR/vm$1.log" || true
 }
 took_more() {
     [ "$(taken "$1")" -gt "$2" ]
