--- a/src/bamboomoor/control/voterthread.cpp
+++ b/src/bamboomoor/control/voterthread.cpp
@@ -600,7 +600,9 @@
     status.votes = !m_failed && votes();
     status.heardAt = m_node->lastContact();
     status.confirmedAt = m_node->confirmedAt();
-    m_ledAt = status.leader.empty() ? m_ledAt : m_clock.now();
+    if (!status.leader.empty()) {
+        m_ledAt = m_clock.now();
+    }
     status.ledAt = m_ledAt;
     status.failed = m_failed;
     status.writeError = m_writeError;
