Send the withdrawal of a process that is later than the known one

Found in reading the change of: a registry that knew an earlier process of the id sent only that one as leaving, so that a receiver which knew the present process did not learn of its withdrawal.

Measured: the new case of test_membership failed before (not leaving at the receiver) and passes. The case on the retention now names both removals; it had counted one.

--- a/src/bamboomoor/membership/registry.cpp
+++ b/src/bamboomoor/membership/registry.cpp
@@ -198,8 +198,11 @@
         }
     }
     for (const auto &[id, withdrawal] : m_withdrawals) {
-        // A known upstream is sent as leaving by the loop above.
-        if (withdrawal.revision > after && !m_records.contains(id)) {
+        // The loop above sends a known process as leaving.
+        const auto record = m_records.find(id);
+        const bool isSent =
+            record != m_records.end() && record->second.entry.announcement.incarnation >= withdrawal.incarnation;
+        if (withdrawal.revision > after && !isSent) {
             delta.removed.push_back({id, withdrawal.incarnation, true});
         }
     }
--- a/test/bamboomoor/membership/registry.cpp
+++ b/test/bamboomoor/membership/registry.cpp
@@ -353,6 +353,24 @@
     BOOST_TEST(other.usable({20}).size() == 1U);
 }
 
+// A registry that knew an earlier process only did not pass the withdrawal of the present one on.
+BOOST_AUTO_TEST_CASE(a_withdrawal_reaches_registries_that_know_a_later_process_than_its_sender)
+{
+    Announcement announcement;
+    announcement.id = "w";
+    announcement.incarnation = 5;
+    announcement.sequence = 1;
+    membership::Registry origin;
+    origin.announce({0}, announcement);
+    announcement.incarnation = 6;
+    membership::Registry other;
+    other.announce({0}, announcement);
+    origin.withdraw({0}, "w", 6);
+    other.merge({0}, origin.changesSince({0}, {}));
+    BOOST_REQUIRE(other.find({0}, "w") != nullptr);
+    BOOST_TEST(other.find({0}, "w")->announcement.leaving);
+}
+
 BOOST_AUTO_TEST_CASE(a_withdrawal_marks_earlier_processes_as_well_and_is_forgotten_after_the_retention)
 {
     Announcement announcement;
@@ -368,7 +386,11 @@
     BOOST_TEST(registry.find({2'999}, "w") != nullptr);
     BOOST_TEST(registry.find({3'000}, "w") == nullptr);
     registry.expire({59'999});
-    BOOST_TEST(registry.changesSince({59'999}, {}).removed.size() == 1U);
+    // The process that was known, and the later one that has withdrawn.
+    const auto removed = registry.changesSince({59'999}, {}).removed;
+    BOOST_REQUIRE(removed.size() == 2U);
+    BOOST_TEST(removed[0].incarnation == 5U);
+    BOOST_TEST(removed[1].incarnation == 6U);
     registry.expire({64'000});
     BOOST_TEST(registry.changesSince({64'000}, {}).removed.empty());
 }
