Tests of the gateway: one stub of orders, one search for a free address

withdrawals.cpp had written both again: the stub of residencythread.cpp is in noorders.hpp now, and the free address comes from control/loopback. A comment that promised the next port as well was wrong and is gone.

--- a/test/bamboomoor/gateway/residencythread.cpp
+++ b/test/bamboomoor/gateway/residencythread.cpp
@@ -2,7 +2,9 @@
  * Tests of the leader's thread together with its voter, over restarts of both.
  */
 #include "bamboomoor/gateway/residencythread.hpp"
+
 #include "bamboomoor/gateway/controlmetrics.hpp"
+#include "bamboomoor/gateway/noorders.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -39,36 +41,6 @@
     std::filesystem::path path;
 };
 
-/** @brief Of an infrastructure without workers. */
-struct NoOrders : gateway::OrderDialect {
-    [[nodiscard]] http::Call order(
-        const placement::ResidencyOrder & /*order*/, const gateway::OrderSender & /*sender*/) const override
-    {
-        return {};
-    }
-
-    [[nodiscard]] placement::ResidencyOrderResult readOrder(int /*status*/) const override
-    {
-        return placement::ResidencyOrderResult::Unknown;
-    }
-
-    [[nodiscard]] http::Call inspect(const placement::Inspection & /*inspection*/) const override
-    {
-        return {};
-    }
-
-    [[nodiscard]] std::optional<placement::InspectionResult> readInspection(
-        int /*status*/, std::string_view /*body*/) const override
-    {
-        return std::nullopt;
-    }
-
-    [[nodiscard]] bool isOtherProcess(int /*status*/) const noexcept override
-    {
-        return false;
-    }
-};
-
 control::VoterOptions onlyVoter(const Folder &folder)
 {
     control::VoterOptions options;
@@ -133,7 +105,7 @@
     control::PeerRegistry peers{{}};
     entry::UpstreamBook upstreams{membership::RegistryOptions{}};
     http::Client client;
-    NoOrders dialect;
+    gateway_test::NoOrders dialect;
     gateway::ControlMetrics metrics;
     base::EventLog log;
     control::VoterThread voter;
--- a/test/bamboomoor/gateway/withdrawals.cpp
+++ b/test/bamboomoor/gateway/withdrawals.cpp
@@ -3,7 +3,10 @@
  * group in this process. What is confirmed must be known to the voters, from which entries pull their lists.
  */
 #include "bamboomoor/gateway/controldaemon.hpp"
+
+#include "bamboomoor/control/loopback.hpp"
 #include "bamboomoor/gateway/identity.hpp"
+#include "bamboomoor/gateway/noorders.hpp"
 #include "bamboomoor/http/fetch.hpp"
 #include "bamboomoor/membership/codec.hpp"
 #include "bamboomoor/peer/client.hpp"
@@ -11,11 +14,6 @@
 #include <absl/strings/str_split.h>
 #include <boost/test/unit_test.hpp>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <algorithm>
 #include <chrono>
 #include <cstdlib>
@@ -85,50 +83,11 @@
     }
 };
 
-/** @brief Never used, as no upstream is an engine. */
-class Orders final : public gateway::OrderDialect
-{
-public:
-    [[nodiscard]] http::Call order(
-        const placement::ResidencyOrder & /*order*/, const gateway::OrderSender & /*sender*/) const override
-    {
-        return {};
-    }
-
-    [[nodiscard]] placement::ResidencyOrderResult readOrder(int /*status*/) const override
-    {
-        return placement::ResidencyOrderResult::Unknown;
-    }
-
-    [[nodiscard]] http::Call inspect(const placement::Inspection & /*inspection*/) const override
-    {
-        return {};
-    }
-
-    [[nodiscard]] std::optional<placement::InspectionResult> readInspection(
-        int /*status*/, std::string_view /*body*/) const override
-    {
-        return std::nullopt;
-    }
-
-    [[nodiscard]] bool isOtherProcess(int /*status*/) const noexcept override
-    {
-        return false;
-    }
-};
-
-/** @brief Finds a port that is free now, as is the next one. */
+/** @brief Finds a port that is free now. */
 int freePort()
 {
-    const int listener = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    BOOST_REQUIRE(bind(listener, reinterpret_cast<sockaddr *>(&address), size) == 0);
-    getsockname(listener, reinterpret_cast<sockaddr *>(&address), &size);
-    close(listener);
-    return ntohs(address.sin_port);
+    const std::string address = control_test::freeAddress();
+    return std::stoi(address.substr(address.rfind(':') + 1));
 }
 
 template<class Condition>
@@ -156,7 +115,7 @@
         BOOST_REQUIRE(mkdtemp(name.data()) != nullptr);
         m_folder = name;
         m_dialects.control = std::make_unique<Calls>();
-        m_dialects.orders = std::make_unique<Orders>();
+        m_dialects.orders = std::make_unique<gateway_test::NoOrders>();
         for (int n = 1; n <= voters; ++n) {
             start(n);
         }
