Log how a version of the configuration reaches entries

No line told apart whether entries get a change late because its transfer does not fit the timeout of a question, because the leader sends it late, or because they apply it slowly. Entries log questions without a reply and, with each version taken, the bytes, the wait for the reply and the time to apply it; the leader logs the replies of a version and how long they took.

--- a/src/bamboomoor/control/configurationthread.cpp
+++ b/src/bamboomoor/control/configurationthread.cpp
@@ -3,6 +3,8 @@
  */
 #include "bamboomoor/control/configurationthread.hpp"
 
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <iterator>
 #include <set>
@@ -184,6 +186,7 @@
 {
     m_version = event.reply.version();
     m_latest = std::move(event.reply);
+    m_distribution.begunAt = m_clock.now();
     std::move(m_waiters.begin(), m_waiters.end(), std::back_inserter(m_due));
     m_waiters.clear();
 }
@@ -227,6 +230,13 @@
             *reply.mutable_voters() = it.unchanged.voters();
         }
         it.answer(std::move(reply));
+        ++m_distribution.replies;
+        m_distribution.bytes += size;
+    }
+    if (m_due.empty() && m_distribution.replies > 0) {
+        LOG(INFO) << "event=configuration_distributed version=" << m_version << " replies=" << m_distribution.replies
+                  << " bytes=" << m_distribution.bytes << " elapsed_ms=" << (now - m_distribution.begunAt).count;
+        m_distribution = {};
     }
 }
 
--- a/src/bamboomoor/control/configurationthread.hpp
+++ b/src/bamboomoor/control/configurationthread.hpp
@@ -73,6 +73,12 @@
     };
     struct Stopped {
     };
+    // What was sent since the last version came into force, for the log.
+    struct Distribution {
+        base::Millis begunAt;
+        std::size_t replies = 0;
+        std::size_t bytes = 0;
+    };
     using Event = std::variant<Waiter, Changed, EvacuationsChanged, Stopped>;
 
     // Called on the voter's thread; returns false if the ring is full.
@@ -105,6 +111,7 @@
     // Bytes of the documents sent since the current interval began, and its end.
     std::size_t m_sentBytes = 0;
     base::Millis m_intervalEnd;
+    Distribution m_distribution;
 };
 
 } // namespace bamboomoor::control
--- a/src/bamboomoor/entry/freshness.cpp
+++ b/src/bamboomoor/entry/freshness.cpp
@@ -17,6 +17,8 @@
 {
 
 constexpr std::size_t RING_SIZE = 64;
+// Seconds between two lines about questions without a reply.
+constexpr int UNANSWERED_LOG_INTERVAL = 1;
 
 bool sameVoters(const peer::wire::WitnessReply &lhs, const peer::wire::WitnessReply &rhs)
 {
@@ -137,12 +139,22 @@
             m_leader.learn(answer->reply->leader());
             return Answered::Redirected;
         }
+        if (!answer->reply) {
+            noteUnanswered(voter, m_clock.now() - sentAt);
+        }
         m_leader.skip(voter);
         return Answered::Unconfirmed;
     }
     return Answered::Unconfirmed;
 }
 
+void Freshness::noteUnanswered(const std::string &voter, base::Millis waited)
+{
+    ++m_unanswered;
+    LOG_EVERY_T(WARNING, UNANSWERED_LOG_INTERVAL)
+        << "event=configuration_unanswered vm=" << voter << " waited_ms=" << waited.count << " in_a_row=" << m_unanswered;
+}
+
 void Freshness::learnVoters(const peer::wire::FreshenReply &reply)
 {
     if (m_options.learnsVoters) {
@@ -170,6 +182,7 @@
     // Before the configuration, as an entry without one serves nobody.
     bool isChanged = takeEvacuations(reply);
     if (reply.has_document()) {
+        const base::Millis receivedAt = m_clock.now();
         auto document = config::parse(reply.document());
         if (!document) {
             LOG(ERROR) << "event=configuration_unreadable version=" << reply.version() << " place=\""
@@ -182,10 +195,13 @@
         const auto before = m_inForce.current();
         m_inForce.install(std::move(made));
         if (!before || before->version < reply.version()) {
-            LOG(INFO) << "event=configuration_taken version=" << reply.version() << " digest=" << reply.digest();
+            LOG(INFO) << "event=configuration_taken version=" << reply.version() << " digest=" << reply.digest()
+                      << " bytes=" << reply.document().size() << " waited_ms=" << (receivedAt - sentAt).count
+                      << " apply_ms=" << (m_clock.now() - receivedAt).count << " unanswered=" << m_unanswered;
             isChanged = true;
         }
     }
+    m_unanswered = 0;
     m_inForce.extend(reply.version(), sentAt + m_options.lease);
     if (isChanged) {
         m_onChange();
--- a/src/bamboomoor/entry/freshness.hpp
+++ b/src/bamboomoor/entry/freshness.hpp
@@ -100,6 +100,7 @@
     [[nodiscard]] bool takeEvacuations(const peer::wire::FreshenReply &reply);
     [[nodiscard]] bool take(const peer::wire::FreshenReply &reply, base::Millis sentAt);
     void watchLease();
+    void noteUnanswered(const std::string &voter, base::Millis waited);
 
     FreshnessOptions m_options;
     InForce &m_inForce;
@@ -114,6 +115,8 @@
     // Tells answers of this question from late ones.
     std::uint64_t m_round = 0;
     bool m_wasFresh = false;
+    // Questions without a reply since the last confirmation.
+    int m_unanswered = 0;
 };
 
 } // namespace bamboomoor::entry
