--- a/src/bamboomoor/entry/freshness.cpp
+++ b/src/bamboomoor/entry/freshness.cpp
@@ -151,8 +151,8 @@
 void Freshness::noteUnanswered(const std::string &voter, base::Millis waited)
 {
     ++m_unanswered;
-    LOG_EVERY_T(WARNING, UNANSWERED_LOG_INTERVAL)
-        << "event=configuration_unanswered vm=" << voter << " waited_ms=" << waited.count << " in_a_row=" << m_unanswered;
+    LOG_EVERY_T(WARNING, UNANSWERED_LOG_INTERVAL) << "event=configuration_unanswered vm=" << voter
+                                                  << " waited_ms=" << waited.count << " in_a_row=" << m_unanswered;
 }
 
 void Freshness::learnVoters(const peer::wire::FreshenReply &reply)
