Send entries the difference from the version that they hold, in pieces

Callers were served by entries that held an outdated configuration, some of them for good (CONFIG, DENIED). Each version was sent whole in the reply to one question, which has 700 ms of which the leader holds it for up to 400 ms; what had arrived at the timeout was thrown away and sent again from the first byte. 782 KB over 7.5 Mbit/s take 0.83 s.

The leader now sends a compressed patch of the version that the entry names: the parts that it lacks, and ranges of those that it holds. For this it keeps a hash of each part of recent versions, not their texts. The encoded form goes in pieces, each with a timeout of its own, that are kept when the next one times out and halve in size then; superseded forms stay available so that changes in quick succession do not restart a transfer. The entry verifies the result by its digest and asks for the whole otherwise.

Ruled out: a longer timeout alone (the time still grows with the document, and 20 versions cost as much as 20 documents); compression alone (no bound on its result); pushing to entries (a second path beside the questions that confirm the version).

--- a/src/bamboomoor/control/configurationthread.cpp
+++ b/src/bamboomoor/control/configurationthread.cpp
@@ -19,11 +19,11 @@
 constexpr std::size_t RING_SIZE = 8'192;
 constexpr base::Millis HOLD{400};
 constexpr base::Millis IDLE_WAIT{1'000};
-// Bytes of documents that are sent in each interval; one is always sent.
+// Bytes of pieces that are sent in each interval; one piece is always sent.
 constexpr std::size_t MAX_SENT_BYTES = 4'194'304;
 constexpr base::Millis SEND_INTERVAL{25};
 
-peer::wire::FreshenReply describe(const state::Machine &machine, bool withDocument)
+peer::wire::FreshenReply describe(const state::Machine &machine)
 {
     const state::VersionInfo &info = machine.configuration().current();
     peer::wire::FreshenReply reply;
@@ -35,10 +35,6 @@
     const std::set<std::string> evacuated = machine.evacuations().evacuated();
     reply.mutable_evacuated()->Add(evacuated.begin(), evacuated.end());
     reply.set_evacuations(machine.evacuations().revision());
-    if (withDocument) {
-        reply.set_has_document(true);
-        reply.set_document(info.text.value_or(std::string()));
-    }
     return reply;
 }
 
@@ -93,7 +89,7 @@
         }
         const state::VersionInfo &info = outcome.machine->configuration().current();
         const bool known = info.version == request.known_version() && info.digest == request.known_digest();
-        peer::wire::FreshenReply reply = describe(*outcome.machine, false);
+        peer::wire::FreshenReply reply = describe(*outcome.machine);
         reply.set_leader(outcome.leader);
         reply.set_term(outcome.term);
         const std::vector<std::string> voters = m_voter.status().voters;
@@ -104,13 +100,22 @@
         }
         // After a restart or a snapshot from the leader, no change has been put into the ring yet.
         const bool isQueued = known || m_queuedDigest == info.digest || queueDocument(*outcome.machine);
-        Event event(Waiter{answer, reply, m_clock.now() + HOLD, known});
+        Event event(Waiter{answer, reply, m_clock.now() + HOLD, known, request.known_digest(),
+            request.partial_checksum(), request.max_piece_bytes()});
         if (!isQueued || !m_ring.push(std::move(event))) {
             answer(known ? std::move(reply) : peer::wire::FreshenReply());
         }
     });
 }
 
+void ConfigurationThread::fetchPiece(
+    const peer::wire::PieceRequest &request, peer::Answer<peer::wire::PieceReply> answer)
+{
+    if (!m_ring.push(PieceWaiter{answer, request})) {
+        answer({});
+    }
+}
+
 void ConfigurationThread::onLeading(std::uint64_t /*term*/, const state::Machine & /*machine*/)
 {
 }
@@ -128,15 +133,16 @@
 void ConfigurationThread::onEvacuations(const state::Machine &machine)
 {
     // What a full ring drops is in the next reply, no later than HOLD.
-    static_cast<void>(m_ring.push(EvacuationsChanged{describe(machine, false)}));
+    static_cast<void>(m_ring.push(EvacuationsChanged{describe(machine)}));
 }
 
 bool ConfigurationThread::queueDocument(const state::Machine &machine)
 {
-    if (!m_ring.push(Changed{describe(machine, true)})) {
+    const state::VersionInfo &info = machine.configuration().current();
+    if (!m_ring.push(Changed{describe(machine), info.text.value_or(std::string())})) {
         return false;
     }
-    m_queuedDigest = machine.configuration().current().digest;
+    m_queuedDigest = info.digest;
     return true;
 }
 
@@ -164,6 +170,8 @@
     while (auto event = m_ring.pop({0})) {
         if (auto *waiter = std::get_if<Waiter>(&*event)) {
             waiter->answer({});
+        } else if (auto *piece = std::get_if<PieceWaiter>(&*event)) {
+            piece->answer({});
         }
     }
 }
@@ -182,11 +190,21 @@
     m_waiters.push_back(std::move(event));
 }
 
+void ConfigurationThread::on(PieceWaiter &event)
+{
+    peer::wire::PieceReply reply;
+    if (const EncodedDocument *document = m_store.find(event.request.checksum())) {
+        reply.set_found(true);
+        *reply.mutable_piece() = m_store.piece(*document, event.request.offset(), event.request.max_bytes());
+    }
+    event.answer(std::move(reply));
+}
+
 void ConfigurationThread::on(Changed &event)
 {
+    m_store.setCurrent(event.reply.digest(), std::move(event.text));
     m_version = event.reply.version();
     m_latest = std::move(event.reply);
-    m_distribution.begunAt = m_clock.now();
     std::move(m_waiters.begin(), m_waiters.end(), std::back_inserter(m_due));
     m_waiters.clear();
 }
@@ -216,24 +234,39 @@
         m_sentBytes = 0;
         m_intervalEnd = now + SEND_INTERVAL;
     }
-    const std::size_t size = m_latest.document().size();
-    while (!m_due.empty() && (m_sentBytes == 0 || m_sentBytes + size <= MAX_SENT_BYTES)) {
-        const Waiter it = std::move(m_due.front());
+    while (!m_due.empty() && m_sentBytes < MAX_SENT_BYTES) {
+        answerDue(m_due.front());
         m_due.pop_front();
-        m_sentBytes += size;
-        peer::wire::FreshenReply reply = m_latest;
-        updateEvacuations(reply, it.unchanged);
-        updateEvacuations(reply, m_evacuations);
-        if (!it.isKnown) {
-            reply.set_leader(it.unchanged.leader());
-            reply.set_term(it.unchanged.term());
-            *reply.mutable_voters() = it.unchanged.voters();
-        }
-        it.answer(std::move(reply));
-        ++m_distribution.replies;
-        m_distribution.bytes += size;
     }
-    if (m_due.empty() && m_distribution.replies > 0) {
+    if (m_due.empty()) {
+        noteDistribution(now);
+    }
+}
+
+void ConfigurationThread::answerDue(const Waiter &waiter)
+{
+    const EncodedDocument &document = m_store.encode(waiter.baseDigest);
+    const bool isPartial = document.checksum == waiter.partialChecksum;
+    peer::wire::FreshenReply reply = m_latest;
+    *reply.mutable_piece() = m_store.piece(document, isPartial ? document.bytes.size() : 0, waiter.maxPieceBytes);
+    updateEvacuations(reply, waiter.unchanged);
+    updateEvacuations(reply, m_evacuations);
+    if (!waiter.isKnown) {
+        reply.set_leader(waiter.unchanged.leader());
+        reply.set_term(waiter.unchanged.term());
+        *reply.mutable_voters() = waiter.unchanged.voters();
+    }
+    const std::size_t size = reply.piece().data().size();
+    m_distribution.begunAt = m_distribution.replies == 0 ? m_clock.now() : m_distribution.begunAt;
+    m_sentBytes += size;
+    m_distribution.bytes += size;
+    ++m_distribution.replies;
+    waiter.answer(std::move(reply));
+}
+
+void ConfigurationThread::noteDistribution(base::Millis now)
+{
+    if (m_distribution.replies > 0) {
         LOG(INFO) << "event=configuration_distributed version=" << m_version << " replies=" << m_distribution.replies
                   << " bytes=" << m_distribution.bytes << " elapsed_ms=" << (now - m_distribution.begunAt).count;
         m_distribution = {};
--- a/src/bamboomoor/control/configurationthread.hpp
+++ b/src/bamboomoor/control/configurationthread.hpp
@@ -1,13 +1,15 @@
 /**
  * Serves the active configuration to the daemons by long polling. A request that names another version is answered
  * immediately; otherwise the reply is held until the configuration or an evacuation changes or a short timeout expires.
- * A change thus reaches every daemon as soon as it is committed. Large documents are sent to a part of the daemons at a
- * time, as their replies are in memory until they are sent.
+ * A change thus reaches every daemon as soon as it is committed. What differs from the version that a daemon holds is
+ * sent in pieces; many large pieces are sent to a part of the daemons at a time, as they are in memory until they are
+ * sent.
  */
 #pragma once
 
 #include "bamboomoor/base/clock.hpp"
 #include "bamboomoor/base/ring.hpp"
+#include "bamboomoor/control/documentstore.hpp"
 #include "bamboomoor/control/voterthread.hpp"
 #include "bamboomoor/peer/server.hpp"
 
@@ -50,6 +52,13 @@
      */
     void freshen(const peer::wire::FreshenRequest &request, peer::Answer<peer::wire::FreshenReply> answer);
 
+    /**
+     * @brief Sends a piece of an encoded document; any voter that has it may be asked.
+     * @param request The piece.
+     * @param answer Called with the piece, or without if the document is not kept here.
+     */
+    void fetchPiece(const peer::wire::PieceRequest &request, peer::Answer<peer::wire::PieceReply> answer);
+
     void onLeading(std::uint64_t term, const state::Machine &machine) override;
     void onNotLeading() override;
     void onConfiguration(const state::Machine &machine) override;
@@ -63,9 +72,19 @@
         base::Millis until;
         // Whether the caller has the version that was in force when it asked.
         bool isKnown = false;
+        // What the caller holds, and what it can take.
+        std::string baseDigest;
+        std::uint64_t partialChecksum = 0;
+        std::size_t maxPieceBytes = 0;
+    };
+    struct PieceWaiter {
+        peer::Answer<peer::wire::PieceReply> answer;
+        peer::wire::PieceRequest request;
     };
     struct Changed {
+        // Without the document.
         peer::wire::FreshenReply reply;
+        std::string text;
     };
     // Without the document.
     struct EvacuationsChanged {
@@ -73,23 +92,26 @@
     };
     struct Stopped {
     };
-    // What was sent since the last version came into force, for the log.
+    // The replies to all that waited for the version in force, for the log.
     struct Distribution {
         base::Millis begunAt;
         std::size_t replies = 0;
         std::size_t bytes = 0;
     };
-    using Event = std::variant<Waiter, Changed, EvacuationsChanged, Stopped>;
+    using Event = std::variant<Waiter, PieceWaiter, Changed, EvacuationsChanged, Stopped>;
 
     // Called on the voter's thread; returns false if the ring is full.
     [[nodiscard]] bool queueDocument(const state::Machine &machine);
     void run();
     void on(Waiter &event);
+    void on(PieceWaiter &event);
     void on(Changed &event);
     void on(EvacuationsChanged &event);
     void on(Stopped &event);
     void answerExpired();
     void answerDue();
+    void answerDue(const Waiter &waiter);
+    void noteDistribution(base::Millis now);
     [[nodiscard]] base::Millis nextDeadline() const;
 
     VoterThread &m_voter;
@@ -103,12 +125,14 @@
     std::vector<Waiter> m_waiters;
     // The latest change, for requests that are queued after it was distributed.
     std::uint64_t m_version = 0;
+    // Without the document, which is in m_store.
     peer::wire::FreshenReply m_latest;
+    DocumentStore m_store;
     // The latest evacuations that were distributed, for the same purpose.
     peer::wire::FreshenReply m_evacuations;
     // Requests that are to get m_latest.
     std::deque<Waiter> m_due;
-    // Bytes of the documents sent since the current interval began, and its end.
+    // Bytes of the pieces sent since the current interval began, and its end.
     std::size_t m_sentBytes = 0;
     base::Millis m_intervalEnd;
     Distribution m_distribution;
--- a/src/bamboomoor/daemon/peerservice.cpp
+++ b/src/bamboomoor/daemon/peerservice.cpp
@@ -113,6 +113,15 @@
     m_voter->freshen.freshen(request, std::move(answer));
 }
 
+void PeerService::fetchPiece(const peer::wire::PieceRequest &request, peer::Answer<peer::wire::PieceReply> answer)
+{
+    if (!m_voter) {
+        answer({});
+        return;
+    }
+    m_voter->freshen.fetchPiece(request, std::move(answer));
+}
+
 void PeerService::witness(const peer::wire::WitnessRequest & /*request*/, peer::Answer<peer::wire::WitnessReply> answer)
 {
     if (!m_voter) {
--- a/src/bamboomoor/daemon/peerservice.hpp
+++ b/src/bamboomoor/daemon/peerservice.hpp
@@ -47,6 +47,7 @@
     void deliver(const peer::wire::Envelope &envelope) override;
     void propose(const peer::wire::ProposeRequest &request, peer::Answer<peer::wire::ProposeReply> answer) override;
     void freshen(const peer::wire::FreshenRequest &request, peer::Answer<peer::wire::FreshenReply> answer) override;
+    void fetchPiece(const peer::wire::PieceRequest &request, peer::Answer<peer::wire::PieceReply> answer) override;
     void witness(const peer::wire::WitnessRequest &request, peer::Answer<peer::wire::WitnessReply> answer) override;
     void ask(const peer::wire::BudgetAsk &request, peer::Answer<peer::wire::BudgetReply> answer) override;
     void syncUpstreams(const peer::wire::UpstreamSync &request, peer::Answer<peer::wire::UpstreamSync> answer) override;
--- a/src/bamboomoor/entry/freshness.cpp
+++ b/src/bamboomoor/entry/freshness.cpp
@@ -2,7 +2,6 @@
  * The thread that keeps this daemon's configuration in force.
  */
 #include "bamboomoor/entry/freshness.hpp"
-#include "bamboomoor/config/parse.hpp"
 
 #include <absl/strings/str_join.h>
 #include <glog/logging.h>
@@ -17,6 +16,8 @@
 {
 
 constexpr std::size_t RING_SIZE = 64;
+// Pieces in a row that may time out before the leader is asked anew, which may name a later version.
+constexpr int MAX_PIECE_TIMEOUTS = 3;
 // Seconds between two lines about questions without a reply.
 constexpr int UNANSWERED_LOG_INTERVAL = 1;
 
@@ -51,6 +52,7 @@
     , m_clock(clock)
     , m_onChange(std::move(onChange))
     , m_answers(RING_SIZE)
+    , m_pieces(RING_SIZE)
     , m_testimonies(RING_SIZE)
 {
 }
@@ -71,6 +73,7 @@
 {
     m_stopping = true;
     m_answers.close();
+    m_pieces.close();
     m_testimonies.close();
     if (m_thread.joinable()) {
         m_thread.join();
@@ -103,12 +106,19 @@
             votersAsked = false;
         }
         redirected = answered == Answered::Redirected && !redirected;
+        if (answered == Answered::Confirmed && m_transfer && !continueTransfer()) {
+            static_cast<void>(m_answers.pop(m_options.pause));
+        }
         watchLease();
     }
 }
 
 bool Freshness::needsVoters() const
 {
+    // While a later version arrives, no voter can confirm the one held.
+    if (m_transfer) {
+        return false;
+    }
     // A leader that does not answer must leave the voters their time.
     return m_inForce.freshUntil() - m_clock.now() < m_options.timeout * 2;
 }
@@ -120,7 +130,9 @@
     peer::wire::FreshenRequest request;
     request.set_vm(m_options.vm);
     request.set_known_version(held ? held->version : 0);
-    request.set_known_digest(held ? held->digest : std::string());
+    request.set_known_digest(held && !m_needsWhole ? held->digest : std::string());
+    request.set_max_piece_bytes(m_pieceSize.bytes());
+    request.set_partial_checksum(m_transfer ? m_transfer->checksum() : 0);
     request.set_known_evacuations(m_inForce.evacuations()->revision);
     const base::Millis sentAt = m_clock.now();
     m_peers.find(voter)->call(request, m_options.timeout, [this, round](std::optional<peer::wire::FreshenReply> reply) {
@@ -140,6 +152,7 @@
             return Answered::Redirected;
         }
         if (!answer->reply) {
+            m_pieceSize.onTimeout();
             noteUnanswered(voter, m_clock.now() - sentAt);
         }
         m_leader.skip(voter);
@@ -181,27 +194,18 @@
 {
     // Before the configuration, as an entry without one serves nobody.
     bool isChanged = takeEvacuations(reply);
-    if (reply.has_document()) {
-        const base::Millis receivedAt = m_clock.now();
-        auto document = config::parse(reply.document());
-        if (!document) {
-            LOG(ERROR) << "event=configuration_unreadable version=" << reply.version() << " place=\""
-                       << document.error().place << '"';
-            return false;
-        }
-        auto made = makeConfiguration(reply.version(), reply.digest(), std::move(document.value()));
-        made->author = reply.author();
-        made->wallMillis = reply.accepted_wall_ms();
-        const auto before = m_inForce.current();
-        m_inForce.install(std::move(made));
-        if (!before || before->version < reply.version()) {
-            LOG(INFO) << "event=configuration_taken version=" << reply.version() << " digest=" << reply.digest()
-                      << " bytes=" << reply.document().size() << " waited_ms=" << (receivedAt - sentAt).count
-                      << " apply_ms=" << (m_clock.now() - receivedAt).count << " unanswered=" << m_unanswered;
+    m_unanswered = 0;
+    const auto held = m_inForce.current();
+    if (reply.has_piece() && (!held || reply.version() > held->version)) {
+        m_inForce.noteLater(reply.version(), m_clock.now());
+        takePiece(reply, sentAt);
+        if (m_transfer->isComplete()) {
+            if (!install(m_clock.now())) {
+                return false;
+            }
             isChanged = true;
         }
     }
-    m_unanswered = 0;
     m_inForce.extend(reply.version(), sentAt + m_options.lease);
     if (isChanged) {
         m_onChange();
@@ -209,6 +213,88 @@
     return true;
 }
 
+void Freshness::takePiece(const peer::wire::FreshenReply &reply, base::Millis sentAt)
+{
+    // A reply that repeats the version in progress carries no data.
+    if (!m_transfer || m_transfer->checksum() != reply.piece().checksum()) {
+        m_transfer.emplace(reply);
+        m_transferBegunAt = sentAt;
+    }
+}
+
+bool Freshness::install(base::Millis receivedAt)
+{
+    const DocumentTransfer transfer = *std::exchange(m_transfer, std::nullopt);
+    const auto made = transfer.decode(m_inForce.current());
+    m_needsWhole = !made;
+    if (!made) {
+        LOG(ERROR) << "event=configuration_unreadable version=" << transfer.version() << " reason=\"" << made.error()
+                   << '"';
+        return false;
+    }
+    m_inForce.install(made.value());
+    LOG(INFO) << "event=configuration_taken version=" << transfer.version() << " digest=" << made.value()->digest
+              << " bytes=" << transfer.offset() << " pieces=" << transfer.pieces()
+              << " waited_ms=" << (receivedAt - m_transferBegunAt).count
+              << " apply_ms=" << (m_clock.now() - receivedAt).count;
+    return true;
+}
+
+bool Freshness::continueTransfer()
+{
+    int timeouts = 0;
+    while (!m_stopping && !m_transfer->isComplete()) {
+        const auto reply = fetchPiece();
+        if (!reply && ++timeouts < MAX_PIECE_TIMEOUTS) {
+            continue;
+        }
+        // The leader may be another one now; its reply to a question tells whether the transfer can go on.
+        if (!reply || !reply->found()) {
+            return false;
+        }
+        timeouts = 0;
+        if (!m_transfer->add(reply->piece())) {
+            m_transfer.reset();
+            return false;
+        }
+    }
+    if (m_stopping || !install(m_clock.now())) {
+        return false;
+    }
+    m_onChange();
+    return true;
+}
+
+std::optional<peer::wire::PieceReply> Freshness::fetchPiece()
+{
+    const std::uint64_t round = ++m_round;
+    const std::string voter = m_leader.get();
+    const std::size_t size = m_pieceSize.bytes();
+    peer::wire::PieceRequest request;
+    request.set_vm(m_options.vm);
+    request.set_checksum(m_transfer->checksum());
+    request.set_offset(m_transfer->offset());
+    request.set_max_bytes(size);
+    const base::Millis sentAt = m_clock.now();
+    m_peers.find(voter)->call(request, m_options.timeout, [this, round](std::optional<peer::wire::PieceReply> reply) {
+        static_cast<void>(m_pieces.push(PieceAnswer{round, std::move(reply)}));
+    });
+    while (auto answer = m_pieces.pop(m_options.timeout * 2)) {
+        if (answer->round != round) {
+            continue;
+        }
+        const base::Millis elapsed = m_clock.now() - sentAt;
+        if (!answer->reply) {
+            m_pieceSize.onTimeout();
+            noteUnanswered(voter, elapsed);
+        } else if (answer->reply->piece().data().size() == size) {
+            m_pieceSize.onArrived(elapsed);
+        }
+        return std::move(answer->reply);
+    }
+    return std::nullopt;
+}
+
 void Freshness::askVoters()
 {
     const auto held = m_inForce.current();
--- a/src/bamboomoor/entry/freshness.hpp
+++ b/src/bamboomoor/entry/freshness.hpp
@@ -1,12 +1,15 @@
 /**
  * The thread that keeps this daemon's configuration in force: it asks the leader, which confirms by a quorum, and,
  * while there is no leader, a majority of the voters directly. Without either the lease runs out.
+ * A later version comes as a patch of the one held, in pieces; one that was begun is completed before a later one is
+ * asked for, so that changes in quick succession cannot keep an entry behind a narrow link from any of them.
  */
 #pragma once
 
 #include "bamboomoor/base/clock.hpp"
 #include "bamboomoor/base/ring.hpp"
 #include "bamboomoor/control/peerregistry.hpp"
+#include "bamboomoor/entry/documenttransfer.hpp"
 #include "bamboomoor/entry/inforce.hpp"
 #include "bamboomoor/entry/leaderhint.hpp"
 
@@ -83,6 +86,10 @@
         std::uint64_t round = 0;
         std::optional<peer::wire::FreshenReply> reply;
     };
+    struct PieceAnswer {
+        std::uint64_t round = 0;
+        std::optional<peer::wire::PieceReply> reply;
+    };
     struct VoterAnswer {
         std::uint64_t round = 0;
         std::optional<WitnessAnswer> answer;
@@ -99,6 +106,12 @@
     // Returns whether they differ from those known before.
     [[nodiscard]] bool takeEvacuations(const peer::wire::FreshenReply &reply);
     [[nodiscard]] bool take(const peer::wire::FreshenReply &reply, base::Millis sentAt);
+    void takePiece(const peer::wire::FreshenReply &reply, base::Millis sentAt);
+    // Ends the transfer; returns false if what arrived cannot be taken.
+    [[nodiscard]] bool install(base::Millis receivedAt);
+    // Asks for the next pieces of the transfer until it is complete, or one does not come; false in the latter case.
+    [[nodiscard]] bool continueTransfer();
+    [[nodiscard]] std::optional<peer::wire::PieceReply> fetchPiece();
     void watchLease();
     void noteUnanswered(const std::string &voter, base::Millis waited);
 
@@ -109,6 +122,7 @@
     const base::Clock &m_clock;
     std::function<void()> m_onChange;
     base::Ring<LeaderAnswer> m_answers;
+    base::Ring<PieceAnswer> m_pieces;
     base::Ring<VoterAnswer> m_testimonies;
     std::thread m_thread;
     std::atomic<bool> m_stopping{false};
@@ -117,6 +131,12 @@
     bool m_wasFresh = false;
     // Questions without a reply since the last confirmation.
     int m_unanswered = 0;
+    // The version that is arriving, and when its first piece was asked for.
+    std::optional<DocumentTransfer> m_transfer;
+    base::Millis m_transferBegunAt;
+    PieceSize m_pieceSize;
+    // A patch could not be applied, so that the next document is to be whole.
+    bool m_needsWhole = false;
 };
 
 } // namespace bamboomoor::entry
--- a/src/bamboomoor/entry/inforce.hpp
+++ b/src/bamboomoor/entry/inforce.hpp
@@ -9,8 +9,10 @@
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -72,6 +74,33 @@
         if (!m_configuration || configuration->version > m_configuration->version) {
             m_configuration = std::move(configuration);
         }
+        if (m_configuration->version >= m_laterVersion) {
+            m_outdatedSince.reset();
+        }
+    }
+
+    /**
+     * @brief Notes that a later version than the one held is in force.
+     * @param version The later version.
+     * @param now The time; the first of several such notes counts until that version is held.
+     */
+    void noteLater(std::uint64_t version, base::Millis now)
+    {
+        const absl::MutexLock lock(&m_mutex);
+        if (m_configuration && version > m_configuration->version) {
+            m_laterVersion = std::max(m_laterVersion, version);
+            m_outdatedSince = m_outdatedSince.value_or(now);
+        }
+    }
+
+    /**
+     * @brief Tells since when a later version than the one held is known.
+     * @return A point of time; nothing if no later one is known.
+     */
+    [[nodiscard]] std::optional<base::Millis> outdatedSince() const
+    {
+        const absl::MutexLock lock(&m_mutex);
+        return m_outdatedSince;
     }
 
     /**
@@ -135,6 +164,9 @@
     std::shared_ptr<const Evacuations> m_evacuations ABSL_GUARDED_BY(m_mutex) = std::make_shared<Evacuations>();
     // Refers to m_configuration: a newer version was confirmed no later than it was installed.
     base::Millis m_freshUntil ABSL_GUARDED_BY(m_mutex);
+    // The latest version that was noted; held if m_outdatedSince is empty.
+    std::uint64_t m_laterVersion ABSL_GUARDED_BY(m_mutex) = 0;
+    std::optional<base::Millis> m_outdatedSince ABSL_GUARDED_BY(m_mutex);
 };
 
 } // namespace bamboomoor::entry
--- a/src/bamboomoor/peer/client.cpp
+++ b/src/bamboomoor/peer/client.cpp
@@ -217,6 +217,14 @@
         });
 }
 
+void Client::call(const wire::PieceRequest &request, base::Millis timeout, OnReply<wire::PieceReply> onReply)
+{
+    start<wire::PieceRequest, wire::PieceReply>(
+        *m_calls, link(), request, timeout, std::move(onReply), [](auto *stub, auto... args) {
+            stub->FetchPiece(args...);
+        });
+}
+
 void Client::call(const wire::WitnessRequest &request, base::Millis timeout, OnReply<wire::WitnessReply> onReply)
 {
     start<wire::WitnessRequest, wire::WitnessReply>(
--- a/src/bamboomoor/peer/client.hpp
+++ b/src/bamboomoor/peer/client.hpp
@@ -57,6 +57,8 @@
     /** @copydoc call */
     void call(const wire::FreshenRequest &request, base::Millis timeout, OnReply<wire::FreshenReply> onReply);
     /** @copydoc call */
+    void call(const wire::PieceRequest &request, base::Millis timeout, OnReply<wire::PieceReply> onReply);
+    /** @copydoc call */
     void call(const wire::WitnessRequest &request, base::Millis timeout, OnReply<wire::WitnessReply> onReply);
     /** @copydoc call */
     void call(const wire::BudgetAsk &request, base::Millis timeout, OnReply<wire::BudgetReply> onReply);
--- a/src/bamboomoor/peer/server.cpp
+++ b/src/bamboomoor/peer/server.cpp
@@ -52,6 +52,7 @@
 
     BAMBOOMOOR_PEER_CALL(Propose, propose, ProposeRequest, ProposeReply)
     BAMBOOMOOR_PEER_CALL(Freshen, freshen, FreshenRequest, FreshenReply)
+    BAMBOOMOOR_PEER_CALL(FetchPiece, fetchPiece, PieceRequest, PieceReply)
     BAMBOOMOOR_PEER_CALL(Witness, witness, WitnessRequest, WitnessReply)
     BAMBOOMOOR_PEER_CALL(Ask, ask, BudgetAsk, BudgetReply)
     BAMBOOMOOR_PEER_CALL(SyncUpstreams, syncUpstreams, UpstreamSync, UpstreamSync)
--- a/src/bamboomoor/peer/server.hpp
+++ b/src/bamboomoor/peer/server.hpp
@@ -30,6 +30,8 @@
     virtual void propose(const wire::ProposeRequest &request, Answer<wire::ProposeReply> answer) = 0;
     /** @brief Confirms a configuration. @param request The question. @param answer Takes the reply. */
     virtual void freshen(const wire::FreshenRequest &request, Answer<wire::FreshenReply> answer) = 0;
+    /** @brief Sends a piece of a document. @param request The piece. @param answer Takes the reply. */
+    virtual void fetchPiece(const wire::PieceRequest &request, Answer<wire::PieceReply> answer) = 0;
     /** @brief Tells what the log may hold. @param request The question. @param answer Takes the reply. */
     virtual void witness(const wire::WitnessRequest &request, Answer<wire::WitnessReply> answer) = 0;
     /** @brief Serves a holder of grants. @param request The ask. @param answer Takes the reply. */
--- a/test/bamboomoor/entry/distribution.cpp
+++ b/test/bamboomoor/entry/distribution.cpp
@@ -96,6 +96,10 @@
     {
         m_configuration.freshen(request, std::move(answer));
     }
+    void fetchPiece(const peer::wire::PieceRequest &request, peer::Answer<peer::wire::PieceReply> answer) override
+    {
+        m_configuration.fetchPiece(request, std::move(answer));
+    }
 
     /** @brief Commits a version. */
     void change(std::uint64_t version, const config::Document &document)
--- a/test/bamboomoor/peer/silence.cpp
+++ b/test/bamboomoor/peer/silence.cpp
@@ -48,6 +48,10 @@
     {
         answer({});
     }
+    void fetchPiece(const peer::wire::PieceRequest & /*request*/, peer::Answer<peer::wire::PieceReply> answer) override
+    {
+        answer({});
+    }
     void witness(const peer::wire::WitnessRequest & /*request*/, peer::Answer<peer::wire::WitnessReply> answer) override
     {
         answer({});
