Refuse requests by a configuration that is known to be outdated

It now refuses requests as not run, with Retry-After, and is not ready, once it has known of a later version for longer than outdated_limit_ms (1 s by default). With serves_when_cut_off = false, which had no effect on the configuration, it does so also while no quorum confirms the version that it holds.

An entry that hears nobody still goes on with what it knows where the deployment wants that: it cannot tell a partition from an unchanged configuration.

--- a/src/bamboomoor/gateway/entrydaemon.cpp
+++ b/src/bamboomoor/gateway/entrydaemon.cpp
@@ -42,6 +42,8 @@
     options.core.reach.seed = options.core.fleet.seed;
     options.forwardAddress = settings.forwardListen;
     options.upstreamLease = settings.upstreams.lease;
+    options.outdatedLimit = settings.relay.outdatedLimit;
+    options.servesWhenCutOff = settings.relay.servesWhenCutOff;
     options.core.retries.permille = settings.relay.retryPermille;
     options.core.retries.window = settings.relay.retryWindow;
     options.core.maxResponseBytes = static_cast<std::size_t>(settings.relay.maxAnswerBytes);
@@ -180,6 +182,9 @@
     if (!m_runner.isConfigured()) {
         return "not_configured";
     }
+    if (m_runner.isOutdated()) {
+        return "configuration_outdated";
+    }
     return m_runner.knowsUpstreams() ? "" : "upstreams_unknown";
 }
 
--- a/src/bamboomoor/gateway/relaymetrics.cpp
+++ b/src/bamboomoor/gateway/relaymetrics.cpp
@@ -55,6 +55,8 @@
                  .Register(m_registry)
                  .Add({}))
     , m_cutOff(gauge(m_registry, "bamboomoor_relay_upstreams_cut_off", "1 while this entry reaches no upstream"))
+    , m_outdated(gauge(m_registry, "bamboomoor_relay_configuration_outdated",
+          "1 while requests are rejected as the configuration is outdated"))
     , m_dropped(prometheus::BuildCounter()
                     .Name("bamboomoor_relay_events_dropped_total")
                     .Help("Events that did not fit the ring of the relay's thread")
@@ -103,6 +105,11 @@
     m_quarantines.Add({{"decided_by", byLeader ? "leader" : "entry"}}).Increment();
 }
 
+void RelayMetrics::setOutdated(bool isOutdated)
+{
+    m_outdated.Set(isOutdated ? 1 : 0);
+}
+
 void RelayMetrics::reachChanged(bool cutOff)
 {
     m_cutOff.Set(cutOff ? 1 : 0);
--- a/src/bamboomoor/gateway/relaymetrics.hpp
+++ b/src/bamboomoor/gateway/relaymetrics.hpp
@@ -32,6 +32,8 @@
     /** @brief Counts a quarantined prompt part. @param byLeader Whether the leader has decided it. */
     void quarantined(bool byLeader);
 
+    /** @brief Sets whether requests are rejected for an outdated configuration. @param isOutdated Whether they are. */
+    void setOutdated(bool isOutdated);
     /** @brief Counts the begin or the end of a partition from all upstreams. @param cutOff Whether it began. */
     void reachChanged(bool cutOff);
     /** @brief Counts an attempt that was sent through another entry. */
@@ -65,6 +67,7 @@
     prometheus::Counter &m_forwarded;
     prometheus::Counter &m_cuts;
     prometheus::Gauge &m_cutOff;
+    prometheus::Gauge &m_outdated;
     prometheus::Counter &m_dropped;
     prometheus::Histogram &m_firstEvent;
     prometheus::Histogram &m_answer;
--- a/src/bamboomoor/gateway/relaythread.cpp
+++ b/src/bamboomoor/gateway/relaythread.cpp
@@ -173,6 +173,7 @@
         const base::Millis now = m_context.clock.now();
         const base::Millis due = std::min(m_core.nextDeadline(now), m_nextRefresh);
         auto event = m_ring.pop(std::max(due - now, base::Millis{0}));
+        checkConfiguration(m_context.clock.now());
         for (std::size_t n = 0; event && n < MAX_EVENTS_PER_TURN; ++n) {
             take(*event);
             event = n + 1 < MAX_EVENTS_PER_TURN ? m_ring.pop({0}) : std::nullopt;
@@ -208,6 +209,20 @@
     m_inProgress = 0;
 }
 
+void RelayThread::checkConfiguration(base::Millis now)
+{
+    const auto since = m_context.inForce.outdatedSince();
+    const bool isKnown = since && now - *since > m_options.outdatedLimit;
+    const bool isPossible = !m_options.servesWhenCutOff && now >= m_context.inForce.freshUntil();
+    const bool isOutdated = m_configured && (isKnown || isPossible);
+    if (m_isOutdated.exchange(isOutdated) != isOutdated) {
+        m_context.log.write(base::LogLine(isOutdated ? "configuration_outdated" : "configuration_current")
+                                .add("known", isKnown ? 1 : 0));
+        m_context.metrics.setOutdated(isOutdated);
+        m_core.setOutdated(isOutdated);
+    }
+}
+
 void RelayThread::take(Event &event)
 {
     const base::Millis now = m_context.clock.now();
--- a/src/bamboomoor/gateway/relaythread.hpp
+++ b/src/bamboomoor/gateway/relaythread.hpp
@@ -47,6 +47,10 @@
     base::Millis listAge{2'000};
     // For how long control VMs list an upstream after its last announcement.
     base::Millis upstreamLease{3'000};
+    // How long requests are served by a configuration of which a later version is known to be in force.
+    base::Millis outdatedLimit{1'000};
+    // Whether requests are served while no quorum confirms the configuration.
+    bool servesWhenCutOff = true;
     // Timeout for a new connection to an upstream.
     base::Millis connectTimeout{400};
     // Timeout for a new connection to an entry that forwards requests.
@@ -135,6 +139,12 @@
         return m_configured;
     }
 
+    /** @brief Tells whether requests are rejected as the configuration is outdated, or may be. */
+    [[nodiscard]] bool isOutdated() const noexcept
+    {
+        return m_isOutdated;
+    }
+
     /** @brief Tells whether requests find the upstreams that this entry has pulled. */
     [[nodiscard]] bool knowsUpstreams() const noexcept
     {
@@ -205,6 +215,7 @@
         Draining, OriginReplied>;
     class AttemptListener;
 
+    void checkConfiguration(base::Millis now);
     void run();
     void on(base::Millis now, Arrived &event);
     void on(base::Millis now, CallerGone &event);
@@ -260,6 +271,7 @@
     std::atomic<bool> m_configured{false};
     std::atomic<bool> m_knowsUpstreams{false};
     std::atomic<bool> m_cutOff{false};
+    std::atomic<bool> m_isOutdated{false};
     // Upstreams answered lately, and no shutdown has begun.
     std::atomic<bool> m_offersForwarding{false};
 
--- a/src/bamboomoor/relay/core.cpp
+++ b/src/bamboomoor/relay/core.cpp
@@ -88,6 +88,10 @@
         giveUp(now, exchange, Reason::NotConfigured, m_options.minLoadRetryDelay);
         return;
     }
+    if (m_isOutdated) {
+        giveUp(now, exchange, Reason::Outdated, m_options.defaultRetryDelay);
+        return;
+    }
     exchange.route = m_table->find(exchange.request.host, exchange.request.path);
     if (exchange.route == nullptr) {
         giveUp(now, exchange, Reason::UnknownRoute, {});
--- a/src/bamboomoor/relay/core.hpp
+++ b/src/bamboomoor/relay/core.hpp
@@ -113,13 +113,14 @@
     CallerGone,
     Stopping,
     Quarantined,
-    OriginUnknown
+    OriginUnknown,
+    Outdated
 };
 
 /** @brief The names of the reasons in logs and counters. */
 inline constexpr auto REASON_NAMES = base::makeNames<Reason>("not_configured", "unknown_route", "unknown_key",
     "rate_exceeded", "rate_unknown", "no_upstream", "not_held", "busy", "closed", "too_late", "upstream_refused",
-    "upstream_failed", "timed_out", "caller_gone", "stopping", "quarantined", "origin_unknown");
+    "upstream_failed", "timed_out", "caller_gone", "stopping", "quarantined", "origin_unknown", "outdated");
 
 /** @brief A final response that the entry generates itself instead of forwarding one. */
 struct LocalReply {
@@ -314,6 +315,12 @@
     /** @brief Applies a configuration to requests that arrive later. @param table The route table, not null. */
     void setTable(std::shared_ptr<const RouteTable> table);
 
+    /** @brief Rejects requests that arrive while the route table is outdated. @param isOutdated Whether it is. */
+    void setOutdated(bool isOutdated) noexcept
+    {
+        m_isOutdated = isOutdated;
+    }
+
     /** @brief Replaces the list of available upstreams. @param workers The complete list. */
     void setWorkers(std::vector<Worker> workers);
 
@@ -599,6 +606,7 @@
     Effects &m_effects;
     // Null before the first configuration.
     std::shared_ptr<const RouteTable> m_table;
+    bool m_isOutdated = false;
     Fleet m_fleet;
     // Bytes of all buffered bodies; at most maxBufferedBytes.
     std::size_t m_bufferedBytes = 0;
--- a/src/bamboomoor/settings/settings.cpp
+++ b/src/bamboomoor/settings/settings.cpp
@@ -123,6 +123,7 @@
     out.retryWindow = base::Millis{in.seconds("retry_window_s", out.retryWindow.count, {1, MAX_SPAN_MS})};
     readCount(in, "max_answer_bytes", out.maxAnswerBytes, {1, MAX_BODY_BYTES});
     readCount(in, "max_held_bytes", out.maxHeldBytes, {1, MAX_BODY_BYTES});
+    readSpan(in, "outdated_limit_ms", out.outdatedLimit, {0, MAX_SPAN_MS});
     out.servesWhenCutOff = in.flag("serves_when_cut_off", out.servesWhenCutOff);
 }
 
--- a/src/bamboomoor/settings/settings.hpp
+++ b/src/bamboomoor/settings/settings.hpp
@@ -46,6 +46,8 @@
     // The longest plain answer of an upstream, and all that are kept until they are whole.
     std::int64_t maxAnswerBytes = 4'194'304;
     std::int64_t maxHeldBytes = 33'554'432;
+    // How long an entry serves by a version of which it knows that a later one is in force.
+    base::Millis outdatedLimit{1'000};
     // True when an entry that is cut off from the control group goes on with what it knows.
     bool servesWhenCutOff = true;
 
--- a/test/bamboomoor/gateway/relaythread.cpp
+++ b/test/bamboomoor/gateway/relaythread.cpp
@@ -175,6 +175,12 @@
         m_inForce.extend(m_version, base::NEVER);
     }
 
+    /** @brief Notes that a version after the one held is in force. */
+    void noteLater()
+    {
+        m_inForce.noteLater(m_version + 1, m_clock.now());
+    }
+
     /** @brief Waits until requests with a prefix are served. */
     void serve(const std::string &prefix)
     {
@@ -272,6 +278,23 @@
 
 BOOST_AUTO_TEST_SUITE(relaythread)
 
+// Guards against entries that serve by an old configuration although they know of a later one.
+BOOST_AUTO_TEST_CASE(an_entry_that_cannot_fetch_a_later_version_refuses_requests_until_it_has_it)
+{
+    Fixture it;
+    it.noteLater();
+    for (int n = 0; n < MAX_TRIES && !it.thread->isOutdated(); ++n) {
+        absl::SleepFor(absl::Milliseconds(100));
+    }
+    const auto refused = it.post("/a/x");
+    BOOST_REQUIRE(refused->await());
+    BOOST_TEST(refused->status() == UNAVAILABLE);
+    it.install("/b/");
+    it.thread->configurationChanged();
+    it.serve("/b/");
+    BOOST_TEST(!it.thread->isOutdated());
+}
+
 BOOST_AUTO_TEST_CASE(an_entry_without_pulled_upstreams_does_not_count_as_one_that_knows_them)
 {
     const Fixture fixture;
--- a/test/bamboomoor/relay/core.cpp
+++ b/test/bamboomoor/relay/core.cpp
@@ -412,6 +412,18 @@
     BOOST_TEST((world.callers[5].reason == relay::Reason::NotConfigured));
 }
 
+// Guards against requests that are handled by a version that is not in force any more.
+BOOST_AUTO_TEST_CASE(while_the_configuration_is_outdated_a_request_is_refused_as_not_run)
+{
+    core.setOutdated(true);
+    arrive(1, "/once/x");
+    BOOST_TEST(world.callers[1].refusedNotRun);
+    BOOST_TEST((world.callers[1].reason == relay::Reason::Outdated));
+    core.setOutdated(false);
+    arrive(2, "/once/x");
+    BOOST_TEST(world.sent.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_request_that_may_run_once_is_not_sent_again_after_a_byte)
 {
     arrive(1, "/once/x");
