Apply a change of the configuration in time of what it changes

Each voter parsed the whole document of a change, and printed every part of the old and the new one alone to word the differences: 33 and 30 ms of processor time with 2,600 routes, on the thread that also confirms versions to entries. Parts that the document in force has are now copied from it, and the result is compared with the text; equal parts are not worded. Decoding the JSON of the command, 11 ms, stays.

--- a/src/bamboomoor/config/diff.cpp
+++ b/src/bamboomoor/config/diff.cpp
@@ -1,6 +1,6 @@
 /**
  * The differences between two configuration documents.
- * Each part is printed alone, and its lines are compared; so no key can be forgotten here.
+ * Each part that differs is printed alone, and its lines are compared; so no key can be forgotten here.
  */
 #include "bamboomoor/base/nametable.hpp"
 #include "bamboomoor/config/lookup.hpp"
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <sstream>
+#include <unordered_map>
 #include <utility>
 
 namespace bamboomoor::config
@@ -59,45 +60,68 @@
     return lines;
 }
 
+// Adds the parts that the other document does not have in the same form; `name` is called with every part, in order.
 template<class Part, class Name>
-void addParts(std::vector<PrintedPart> &out, const Document &document, std::vector<Part> Document::*list, Name name)
+void addParts(std::vector<PrintedPart> &out, const Document &document, const Document &other,
+    std::vector<Part> Document::*list, Name name, Name otherName)
 {
+    std::unordered_map<std::string, const Part *> others;
+    for (const Part &part : other.*list) {
+        others.emplace(otherName(part), &part);
+    }
     for (const Part &part : document.*list) {
-        out.push_back({.name = name(part), .lines = linesOfPart(list, part)});
+        std::string partName = name(part);
+        const auto it = others.find(partName);
+        if (it == others.end() || *it->second != part) {
+            out.push_back({.name = std::move(partName), .lines = linesOfPart(list, part)});
+        }
     }
 }
 
-std::vector<PrintedPart> partsOf(const Document &document)
+template<class Part, class Name>
+void addParts(std::vector<PrintedPart> &out, const Document &document, const Document &other,
+    std::vector<Part> Document::*list, Name name)
+{
+    addParts(out, document, other, list, name, name);
+}
+
+// Names pools by their places, as they have no names.
+auto poolName()
+{
+    return [n = std::size_t{0}](const AcceleratorPool &it) mutable {
+        return "accelerator pool " + std::to_string(n++) + " in " + it.dataCentre;
+    };
+}
+
+// The limits, and the parts of a document that another one does not have in the same form.
+std::vector<PrintedPart> partsBeside(const Document &document, const Document &other)
 {
     std::vector<PrintedPart> out;
     Document limits;
     limits.limits = document.limits;
     out.push_back({.name = "limits", .lines = linesOf(print(limits))});
-    addParts(out, document, &Document::organisations, [](const Organisation &it) {
+    addParts(out, document, other, &Document::organisations, [](const Organisation &it) {
         return "organisation " + it.name;
     });
-    addParts(out, document, &Document::routes, [](const Route &it) {
+    addParts(out, document, other, &Document::routes, [](const Route &it) {
         return "route " + it.prefix;
     });
-    addParts(out, document, &Document::relays, [](const Relay &it) {
+    addParts(out, document, other, &Document::relays, [](const Relay &it) {
         return "relay " + it.name;
     });
-    addParts(out, document, &Document::services, [](const Service &it) {
+    addParts(out, document, other, &Document::services, [](const Service &it) {
         return "service " + it.name;
     });
-    addParts(out, document, &Document::models, [](const Model &it) {
+    addParts(out, document, other, &Document::models, [](const Model &it) {
         return "model " + it.name;
     });
-    addParts(out, document, &Document::adapters, [](const Adapter &it) {
+    addParts(out, document, other, &Document::adapters, [](const Adapter &it) {
         return "adapter " + it.name;
     });
-    addParts(out, document, &Document::versions, [](const Version &it) {
+    addParts(out, document, other, &Document::versions, [](const Version &it) {
         return "version " + it.model + " " + it.version;
     });
-    std::size_t n = 0;
-    addParts(out, document, &Document::pools, [&n](const AcceleratorPool &it) {
-        return "accelerator pool " + std::to_string(n++) + " in " + it.dataCentre;
-    });
+    addParts(out, document, other, &Document::pools, poolName(), poolName());
     return out;
 }
 
@@ -144,8 +168,8 @@
 
 std::vector<Change> diff(const Document &before, const Document &after)
 {
-    const auto oldParts = partsOf(before);
-    const auto newParts = partsOf(after);
+    const auto oldParts = partsBeside(before, after);
+    const auto newParts = partsBeside(after, before);
     const auto oldIndex = indexOf(oldParts);
     const auto newIndex = indexOf(newParts);
     std::vector<Change> changes;
--- a/src/bamboomoor/config/patch.cpp
+++ b/src/bamboomoor/config/patch.cpp
@@ -140,4 +140,14 @@
     return out;
 }
 
+base::Result<Document, ConfigError> parseBeside(std::string_view text, const Document &base, std::string_view baseText)
+{
+    auto patched = applyPatch(base, makePatch(fingerprintOf(baseText), text));
+    // Equal canonical texts have equal documents; a text in another form is parsed as a whole.
+    if (patched && print(patched.value()) == text) {
+        return patched;
+    }
+    return parse(text);
+}
+
 } // namespace bamboomoor::config
--- a/src/bamboomoor/config/patch.hpp
+++ b/src/bamboomoor/config/patch.hpp
@@ -58,4 +58,14 @@
  */
 [[nodiscard]] base::Result<Document, ConfigError> applyPatch(const Document &base, const Patch &patch);
 
+/**
+ * @brief Parses a document like parse(), in less time if another one has most of its parts.
+ * @param text The TOML text.
+ * @param base The other document.
+ * @param baseText The other document in its canonical form.
+ * @return What parse() returns.
+ */
+[[nodiscard]] base::Result<Document, ConfigError> parseBeside(
+    std::string_view text, const Document &base, std::string_view baseText);
+
 } // namespace bamboomoor::config
--- a/src/bamboomoor/state/confighistory.cpp
+++ b/src/bamboomoor/state/confighistory.cpp
@@ -6,6 +6,7 @@
 #include "bamboomoor/base/digest.hpp"
 #include "bamboomoor/config/lookup.hpp"
 #include "bamboomoor/config/parse.hpp"
+#include "bamboomoor/config/patch.hpp"
 #include "bamboomoor/reader/tablereader.hpp"
 
 #include <algorithm>
@@ -138,7 +139,7 @@
     if (auto earlier = decided(change); earlier.has_value()) {
         return *std::move(earlier);
     }
-    auto parsed = config::parse(change.documentText);
+    auto parsed = config::parseBeside(change.documentText, *m_document, *m_current.text);
     if (parsed.has_error()) {
         return makeOutcome(ChangeCode::InvalidDocument, parsed.error().place + ": " + parsed.error().message);
     }
@@ -188,7 +189,7 @@
             "the change was made from version " + std::to_string(change.baseVersion) + ", but version "
                 + std::to_string(m_current.version) + " by \"" + m_current.author + "\" is in force");
     }
-    auto parsed = config::parse(change.documentText);
+    auto parsed = config::parseBeside(change.documentText, *m_document, *m_current.text);
     if (parsed.has_error()) {
         return makeOutcome(ChangeCode::InvalidDocument, parsed.error().place + ": " + parsed.error().message);
     }
--- a/test/bamboomoor/config/patch.cpp
+++ b/test/bamboomoor/config/patch.cpp
@@ -76,6 +76,24 @@
     BOOST_TEST(patch.size() < 10U);
 }
 
+BOOST_AUTO_TEST_CASE(a_text_is_parsed_alike_with_and_without_another_document)
+{
+    BOOST_TEST(rc::check([] {
+        const config::Document base = config::anyDocument();
+        const std::string text = config::print(config::anyDocument())
+            + *rc::gen::element<std::string>("", "\n[[route]]\nprefix = \"/x\"\nkind = \"service\"\nupstream = \"s\"\n",
+                "\n[[route]]\nprefix = 1\n", "\n\n[[model", "\n\n[limits]\nmax_tokens = 5\n");
+        const auto plain = config::parse(text);
+        const auto beside = config::parseBeside(text, base, config::print(base));
+        RC_ASSERT(plain.has_value() == beside.has_value());
+        if (plain) {
+            RC_ASSERT(plain.value() == beside.value());
+        } else {
+            RC_ASSERT(plain.error() == beside.error());
+        }
+    }));
+}
+
 BOOST_AUTO_TEST_CASE(a_patch_for_a_larger_base_is_rejected)
 {
     const config::Document base = makeDocument(3);
