Pull the list of upstreams in pages

The same class of fault as with the configuration: a pull has 500 ms, and the first from a voter, after a start of the entry or of the voter, brought the whole list in one answer. What did not fit was asked for again whole, from another voter. A voter now answers with at most as many upstreams as the entry asks for, in the order of their changes, so that the position in the history tells where the next page begins. The entry halves the page after a timeout and doubles it while pages come quickly, and counts as synced once it has the last page.

--- a/src/bamboomoor/entry/documenttransfer.cpp
+++ b/src/bamboomoor/entry/documenttransfer.cpp
@@ -7,7 +7,6 @@
 #include "bamboomoor/config/patch.hpp"
 #include "bamboomoor/peer/channel.hpp"
 
-#include <algorithm>
 #include <utility>
 
 namespace bamboomoor::entry
@@ -16,11 +15,6 @@
 namespace
 {
 
-constexpr std::size_t MIN_PIECE_BYTES = 1'024;
-constexpr std::size_t MAX_PIECE_BYTES = 131'072;
-// Pieces grow while they arrive faster than this.
-constexpr base::Millis QUICK_PIECE{100};
-
 base::Result<config::Patch, std::string> decodePatch(const std::string &bytes)
 {
     const auto plain = base::decompress(bytes, static_cast<std::size_t>(peer::MAX_MESSAGE_BYTES));
@@ -37,18 +31,6 @@
 
 } // namespace
 
-void PieceSize::onArrived(base::Millis elapsed) noexcept
-{
-    if (elapsed < QUICK_PIECE) {
-        m_bytes = std::min(m_bytes * 2, MAX_PIECE_BYTES);
-    }
-}
-
-void PieceSize::onTimeout() noexcept
-{
-    m_bytes = std::max(m_bytes / 2, MIN_PIECE_BYTES);
-}
-
 DocumentTransfer::DocumentTransfer(const peer::wire::FreshenReply &reply)
     : m_version(reply.version())
     , m_digest(reply.digest())
--- a/src/bamboomoor/entry/documenttransfer.hpp
+++ b/src/bamboomoor/entry/documenttransfer.hpp
@@ -4,7 +4,6 @@
  */
 #pragma once
 
-#include "bamboomoor/base/clock.hpp"
 #include "bamboomoor/base/outcome.hpp"
 #include "bamboomoor/entry/inforce.hpp"
 
@@ -18,27 +17,6 @@
 namespace bamboomoor::entry
 {
 
-/** @brief The number of bytes to ask for, by what the link carried lately. */
-class PieceSize
-{
-public:
-    /** @brief Returns the size for the next piece, in bytes. */
-    [[nodiscard]] std::size_t bytes() const noexcept
-    {
-        return m_bytes;
-    }
-
-    /** @brief Takes into account that a piece of the full size arrived. @param elapsed The time since it was asked for.
-     */
-    void onArrived(base::Millis elapsed) noexcept;
-
-    /** @brief Takes into account that a piece did not arrive before its timeout. */
-    void onTimeout() noexcept;
-
-private:
-    std::size_t m_bytes = 32'768;
-};
-
 /** @brief An encoded document of which some pieces have arrived. */
 class DocumentTransfer
 {
--- a/src/bamboomoor/entry/freshness.cpp
+++ b/src/bamboomoor/entry/freshness.cpp
@@ -16,6 +16,9 @@
 {
 
 constexpr std::size_t RING_SIZE = 64;
+constexpr std::size_t MIN_PIECE_BYTES = 1'024;
+constexpr std::size_t INITIAL_PIECE_BYTES = 32'768;
+constexpr std::size_t MAX_PIECE_BYTES = 131'072;
 // Pieces in a row that may time out before the leader is asked anew, which may name a later version.
 constexpr int MAX_PIECE_TIMEOUTS = 3;
 // Seconds between two lines about questions without a reply.
@@ -54,6 +57,7 @@
     , m_answers(RING_SIZE)
     , m_pieces(RING_SIZE)
     , m_testimonies(RING_SIZE)
+    , m_pieceSize(MIN_PIECE_BYTES, INITIAL_PIECE_BYTES, MAX_PIECE_BYTES)
 {
 }
 
@@ -131,7 +135,7 @@
     request.set_vm(m_options.vm);
     request.set_known_version(held ? held->version : 0);
     request.set_known_digest(held && !m_needsWhole ? held->digest : std::string());
-    request.set_max_piece_bytes(m_pieceSize.bytes());
+    request.set_max_piece_bytes(m_pieceSize.value());
     request.set_partial_checksum(m_transfer ? m_transfer->checksum() : 0);
     request.set_known_evacuations(m_inForce.evacuations()->revision);
     const base::Millis sentAt = m_clock.now();
@@ -269,7 +273,7 @@
 {
     const std::uint64_t round = ++m_round;
     const std::string voter = m_leader.get();
-    const std::size_t size = m_pieceSize.bytes();
+    const std::size_t size = m_pieceSize.value();
     peer::wire::PieceRequest request;
     request.set_vm(m_options.vm);
     request.set_checksum(m_transfer->checksum());
--- a/src/bamboomoor/entry/freshness.hpp
+++ b/src/bamboomoor/entry/freshness.hpp
@@ -9,6 +9,7 @@
 #include "bamboomoor/base/clock.hpp"
 #include "bamboomoor/base/ring.hpp"
 #include "bamboomoor/control/peerregistry.hpp"
+#include "bamboomoor/entry/adaptivesize.hpp"
 #include "bamboomoor/entry/documenttransfer.hpp"
 #include "bamboomoor/entry/inforce.hpp"
 #include "bamboomoor/entry/leaderhint.hpp"
@@ -134,7 +135,7 @@
     // The version that is arriving, and when its first piece was asked for.
     std::optional<DocumentTransfer> m_transfer;
     base::Millis m_transferBegunAt;
-    PieceSize m_pieceSize;
+    AdaptiveSize m_pieceSize;
     // A patch could not be applied, so that the next document is to be whole.
     bool m_needsWhole = false;
 };
--- a/src/bamboomoor/entry/upstreambook.cpp
+++ b/src/bamboomoor/entry/upstreambook.cpp
@@ -34,10 +34,16 @@
     return m_registry.expire(now);
 }
 
-membership::Delta UpstreamBook::changesSince(base::Millis now, membership::Position since) const
+membership::Delta UpstreamBook::changesSince(base::Millis now, membership::Position since, std::size_t most) const
 {
     const absl::MutexLock lock(&m_mutex);
-    return m_registry.changesSince(now, since);
+    return m_registry.changesSince(now, since, most);
+}
+
+membership::Position UpstreamBook::position() const
+{
+    const absl::MutexLock lock(&m_mutex);
+    return m_registry.position();
 }
 
 membership::MergeResult UpstreamBook::merge(base::Millis asOf, const membership::Delta &delta)
--- a/src/bamboomoor/entry/upstreambook.hpp
+++ b/src/bamboomoor/entry/upstreambook.hpp
@@ -77,7 +77,10 @@
     std::vector<std::string> expire(base::Millis now);
 
     /** @copydoc membership::Registry::changesSince */
-    [[nodiscard]] membership::Delta changesSince(base::Millis now, membership::Position since) const;
+    [[nodiscard]] membership::Delta changesSince(
+        base::Millis now, membership::Position since, std::size_t most = 0) const;
+    /** @copydoc membership::Registry::position */
+    [[nodiscard]] membership::Position position() const;
 
     /** @copydoc membership::Registry::merge */
     membership::MergeResult merge(base::Millis asOf, const membership::Delta &delta);
--- a/src/bamboomoor/entry/upstreamsync.cpp
+++ b/src/bamboomoor/entry/upstreamsync.cpp
@@ -18,6 +18,10 @@
 {
 
 constexpr std::size_t RING_SIZE = 64;
+// Upstreams in an answer to a pull.
+constexpr std::size_t MIN_PAGE = 4;
+constexpr std::size_t INITIAL_PAGE = 128;
+constexpr std::size_t MAX_PAGE = 2'048;
 // Seconds between two lines about deltas that cannot be read, which are sent again and again.
 constexpr int UNREADABLE_LOG_INTERVAL = 60;
 
@@ -46,6 +50,7 @@
     , m_peers(peers)
     , m_clock(clock)
     , m_answers(RING_SIZE)
+    , m_page(MIN_PAGE, INITIAL_PAGE, MAX_PAGE)
 {
     // Daemons spread their pulls over the voters.
     const auto names = peers.names();
@@ -131,6 +136,7 @@
     request.set_epoch(state.pulled.epoch);
     request.set_revision(state.pulled.revision);
     request.set_push_only(!pull);
+    request.set_max_upstreams(m_page.value());
     if (!empty) {
         request.set_delta(membership::encodeDelta(delta));
     }
@@ -150,6 +156,9 @@
     VoterState &state = found->second;
     state.waiting = false;
     if (!answer.reply) {
+        if (answer.pulled) {
+            m_page.onTimeout();
+        }
         choosePuller(answer.voter);
         return;
     }
@@ -165,6 +174,11 @@
     takeSoftware(*answer.reply);
     const auto merged = m_book.merge(answer.sentAt, delta.value());
     state.pulled = merged.incomplete ? membership::Position{} : delta.value().position;
+    if (answer.reply->has_more()) {
+        m_page.onArrived(m_clock.now() - answer.sentAt);
+        ask(answer.voter, state, answer.voter == m_puller);
+        return;
+    }
     m_answeredAt = answer.sentAt.count;
     if (answer.reply->warming()) {
         choosePuller(answer.voter);
@@ -227,7 +241,10 @@
             software->set_service(service);
             software->mutable_versions()->Add(versions.begin(), versions.end());
         }
-        answer.set_delta(membership::encodeDelta(book.changesSince(now, {request.epoch(), request.revision()})));
+        const membership::Delta delta =
+            book.changesSince(now, {request.epoch(), request.revision()}, request.max_upstreams());
+        answer.set_has_more(delta.position != book.position());
+        answer.set_delta(membership::encodeDelta(delta));
     }
     return answer;
 }
--- a/src/bamboomoor/entry/upstreamsync.hpp
+++ b/src/bamboomoor/entry/upstreamsync.hpp
@@ -8,6 +8,7 @@
 #include "bamboomoor/base/clock.hpp"
 #include "bamboomoor/base/ring.hpp"
 #include "bamboomoor/control/peerregistry.hpp"
+#include "bamboomoor/entry/adaptivesize.hpp"
 #include "bamboomoor/entry/upstreambook.hpp"
 
 #include "peer.pb.h"
@@ -127,6 +128,8 @@
     // Used by the thread only.
     std::map<std::string, VoterState> m_voters;
     std::string m_puller;
+    // Upstreams to pull at a time.
+    AdaptiveSize m_page;
     // When a voter was left as it said that it is cut off.
     std::optional<base::Millis> m_leftCutOffAt;
 };
--- a/src/bamboomoor/membership/registry.cpp
+++ b/src/bamboomoor/membership/registry.cpp
@@ -175,14 +175,35 @@
     return entries;
 }
 
-Delta Registry::changesSince(base::Millis now, Position since) const
+std::uint64_t Registry::revisionOfPage(std::uint64_t after, std::size_t most) const
+{
+    std::vector<std::uint64_t> revisions;
+    for (const auto &[id, record] : m_records) {
+        revisions.push_back(record.revision);
+    }
+    for (const auto &[id, withdrawal] : m_withdrawals) {
+        revisions.push_back(withdrawal.revision);
+    }
+    std::erase_if(revisions, [after](std::uint64_t it) {
+        return it <= after;
+    });
+    if (most == 0 || revisions.size() <= most) {
+        return m_revision;
+    }
+    const auto last = revisions.begin() + static_cast<std::ptrdiff_t>(most) - 1;
+    std::nth_element(revisions.begin(), last, revisions.end());
+    return *last;
+}
+
+Delta Registry::changesSince(base::Millis now, Position since, std::size_t most) const
 {
     const bool known = since.epoch == m_options.epoch && since.revision <= m_revision;
     const std::uint64_t after = known ? since.revision : 0;
+    const std::uint64_t upTo = revisionOfPage(after, most);
     Delta delta;
-    delta.position = position();
+    delta.position = {m_options.epoch, upTo};
     for (const auto &[id, record] : m_records) {
-        if (record.revision <= after) {
+        if (record.revision <= after || record.revision > upTo) {
             continue;
         }
         const Announcement &announcement = record.entry.announcement;
@@ -202,7 +223,7 @@
         const auto record = m_records.find(id);
         const bool isSent =
             record != m_records.end() && record->second.entry.announcement.incarnation >= withdrawal.incarnation;
-        if (withdrawal.revision > after && !isSent) {
+        if (withdrawal.revision > after && withdrawal.revision <= upTo && !isSent) {
             delta.removed.push_back({id, withdrawal.incarnation, true});
         }
     }
--- a/src/bamboomoor/membership/registry.hpp
+++ b/src/bamboomoor/membership/registry.hpp
@@ -185,9 +185,10 @@
      * @brief Collects the changes after a position.
      * @param now Current time, from which remaining leases are computed.
      * @param since Position of an earlier delta of this registry; with another epoch everything is returned.
+     * @param most The most upstreams in the delta, the longest unchanged first; 0 for all.
      * @return The changes and the new position.
      */
-    [[nodiscard]] Delta changesSince(base::Millis now, Position since) const;
+    [[nodiscard]] Delta changesSince(base::Millis now, Position since, std::size_t most = 0) const;
 
     /**
      * @brief Merges the changes of another registry.
@@ -224,6 +225,8 @@
     // The latest incarnation at each address of a live upstream.
     using LatestRuns = std::unordered_map<std::string_view, std::uint64_t>;
 
+    // Returns the revision up to which at most that many upstreams changed after another revision.
+    [[nodiscard]] std::uint64_t revisionOfPage(std::uint64_t after, std::size_t most) const;
     [[nodiscard]] bool isLive(base::Millis now, const Record &record) const noexcept;
     [[nodiscard]] bool isReplaced(const Record &record, const LatestRuns &latest) const;
     [[nodiscard]] LatestRuns latestRuns(base::Millis now) const;
--- a/test/bamboomoor/entry/upstreamsync.cpp
+++ b/test/bamboomoor/entry/upstreamsync.cpp
@@ -5,6 +5,7 @@
 
 #include "bamboomoor/control/loopback.hpp"
 #include "bamboomoor/membership/codec.hpp"
+#include "narrowlink.hpp"
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
@@ -75,6 +76,11 @@
 class ListingVoter final : public control_test::EmptyHandler
 {
 public:
+    explicit ListingVoter(membership::RegistryOptions options = {})
+        : book(options)
+    {
+    }
+
     void syncUpstreams(const peer::wire::UpstreamSync &request, peer::Answer<peer::wire::UpstreamSync> answer) override
     {
         auto reply = entry::answerSync(request, book, clock.now(), false);
@@ -83,7 +89,7 @@
     }
 
     base::SteadyClock clock;
-    entry::UpstreamBook book{{}};
+    entry::UpstreamBook book;
     std::atomic<bool> isCutOff{false};
 };
 
@@ -130,3 +136,38 @@
     sync.stop();
     peers.stop();
 }
+
+// Guards against entries that never know the upstreams as their list takes longer than a pull may.
+BOOST_AUTO_TEST_CASE(a_list_of_many_upstreams_is_pulled_over_a_narrow_link)
+{
+    constexpr std::size_t NARROW_LINK = 937'500;
+    constexpr int UPSTREAMS = 600;
+    membership::RegistryOptions longLease;
+    longLease.lease = {600'000};
+    ListingVoter voter(longLease);
+    for (int n = 0; n < UPSTREAMS; ++n) {
+        membership::Announcement announcement = serviceNamed("i-" + std::to_string(n));
+        for (int copy = 0; copy < 60; ++copy) {
+            announcement.localCopies.push_back("a-model-with-a-name-" + std::to_string(copy));
+        }
+        voter.book.announce(voter.clock.now(), std::move(announcement));
+    }
+    peer::Server server(voter);
+    const std::string address = control_test::freeAddress();
+    BOOST_REQUIRE(server.start(address));
+    entry_test::NarrowLink link(address, NARROW_LINK);
+    control::PeerRegistry peers({{"v0", link.address()}});
+    const base::SteadyClock clock;
+    entry::UpstreamBook heard({});
+    entry::UpstreamBook book(longLease);
+    entry::UpstreamSync sync({}, heard, book, peers, clock);
+    sync.start();
+    for (int n = 0; n < 250 && !sync.synced(); ++n) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    BOOST_TEST(sync.synced());
+    BOOST_TEST(book.lastAddressOf("i-0").has_value());
+    BOOST_TEST(book.lastAddressOf("i-" + std::to_string(UPSTREAMS - 1)).has_value());
+    sync.stop();
+    peers.stop();
+}
