--- a/test/bamboomoor/platform/system/relaycrowd.sh
+++ b/test/bamboomoor/platform/system/relaycrowd.sh
@@ -16,6 +16,10 @@
 crowds "$(pid entry 1)" "$(entry_ip 1)" "$FLEET_PORT" ordinary 'POST /again/whole HTTP/1.1' 'Host: h.example' \
     'X-Attempt-Id: crowd'
 say "an entry bears clients outside the limits"
+if [ -n "${FORWARDING:-}" ]; then
+    crowds "$(pid entry 1)" "$(entry_ip 1)" "$((FLEET_PORT + 3))" ordinary 'POST /again/whole HTTP/1.1' 'Host: h.example'
+    say "an entry bears them at the address for other entries"
+fi
 
 # Heartbeats of both upstreams go on arriving as well, without which the entries would stop to serve.
 crowds "$(pid control 1)" "$(control_ip 1)" "$FLEET_PORT" accepted 'POST /Config.Replace HTTP/1.1' 'Host: c' \
--- a/test/bamboomoor/platform/system/relayfleet.sh
+++ b/test/bamboomoor/platform/system/relayfleet.sh
@@ -19,6 +19,9 @@
         "$1" "$2" "$2" "$3" "$FLEET_PORT" "$3" "$((FLEET_PORT + 1))"
     if [ "$1" = entry ]; then
         printf 'readiness_listen = "%s:%d"\n' "$3" "$((FLEET_PORT + 2))"
+        if [ -n "${FORWARDING:-}" ]; then
+            printf 'forward_listen = "%s:%d"\n' "$3" "$((FLEET_PORT + 3))"
+        fi
     else
         printf 'data_folder = "%s/data%d"\nbootstrap = true\n' "$FLEET_DIR" "$2"
         printf '[[known_data_centre]]\nname = "dc%d"\n' 1 2
--- a/test/system/crowd.cpp
+++ b/test/system/crowd.cpp
@@ -36,24 +36,30 @@
 constexpr std::size_t ANNOUNCED_OVER = std::size_t{1} << 30;
 // A body far over its limit is sent up to this many times the limit.
 constexpr std::size_t OVER_FACTOR = 16;
+// A head of nearly the longest legal size.
+constexpr std::size_t LONG_HEAD = 14'000;
 
 /** @brief How the body is sent. */
-enum class Way { Whole, Pieces, Chunks, TinyChunks, AnnouncedOver, SentOver };
+enum class Way { Whole, Pieces, Chunks, TinyChunks, AnnouncedOver, SentOver, LongHead };
 
 struct NamedWay {
     std::string_view name;
     Way way;
 };
 
-constexpr std::array<NamedWay, 6> WAYS{{
+constexpr std::array<NamedWay, 7> WAYS{{
     {"whole", Way::Whole},
     {"pieces", Way::Pieces},
     {"chunks", Way::Chunks},
     {"tiny", Way::TinyChunks},
     {"announced-over", Way::AnnouncedOver},
     {"sent-over", Way::SentOver},
+    {"long-head", Way::LongHead},
 }};
 
+// Clients of all ways in turn.
+constexpr std::string_view MIXED = "mixed";
+
 bool isChunked(Way way)
 {
     return way == Way::Chunks || way == Way::TinyChunks || way == Way::SentOver;
@@ -80,7 +86,7 @@
     const std::size_t last = bodyBytes - 1;
     Plan plan;
     const std::size_t length = way == Way::AnnouncedOver ? ANNOUNCED_OVER : bodyBytes;
-    plan.head = head
+    plan.head = head + (way == Way::LongHead ? "X-Padding: " + std::string(LONG_HEAD, 'h') + "\r\n" : "")
         + (isChunked(way) ? std::string("Transfer-Encoding: chunked\r\n\r\n")
                           : "Content-Length: " + std::to_string(length) + "\r\n\r\n");
     switch (way) {
@@ -105,6 +111,10 @@
         }
         plan.blocks = last / PIECE;
         break;
+    case Way::LongHead:
+        plan.block = "b";
+        plan.blocks = 1;
+        break;
     case Way::SentOver:
         plan.block = chunk(LARGE_CHUNK);
         plan.blocks = bodyBytes * OVER_FACTOR / LARGE_CHUNK;
@@ -115,14 +125,15 @@
 
 /** @brief One connection and what it has sent. */
 struct Client {
+    const Plan *plan = nullptr;
     int socket = -1;
     std::size_t block = 0;
     std::size_t sent = 0;
     bool headSent = false;
 
-    [[nodiscard]] bool isDone(const Plan &plan) const
+    [[nodiscard]] bool isDone() const
     {
-        return socket < 0 || (headSent && block == plan.blocks);
+        return socket < 0 || (headSent && block == plan->blocks);
     }
 
     void close()
@@ -132,10 +143,10 @@
     }
 
     /** @brief Sends as much as the socket takes, once. */
-    void send(const Plan &plan)
+    void send()
     {
-        const std::string &text = headSent ? plan.block : plan.head;
-        const std::size_t size = std::min(plan.most, text.size() - sent);
+        const std::string &text = headSent ? plan->block : plan->head;
+        const std::size_t size = std::min(plan->most, text.size() - sent);
         const ssize_t written = ::send(socket, text.data() + sent, size, MSG_NOSIGNAL);
         if (written < 0) {
             if (errno != EAGAIN) {
@@ -177,13 +188,13 @@
     }
 }
 
-void turn(std::vector<Client> &clients, const Plan &plan)
+void turn(std::vector<Client> &clients)
 {
     std::vector<pollfd> polled;
     std::vector<Client *> open;
     for (Client &it : clients) {
         if (it.socket >= 0) {
-            const short events = it.isDone(plan) ? POLLIN : POLLIN | POLLOUT;
+            const short events = it.isDone() ? POLLIN : POLLIN | POLLOUT;
             polled.push_back({it.socket, events, 0});
             open.push_back(&it);
         }
@@ -194,7 +205,7 @@
             receive(*open[n]);
         }
         if (open[n]->socket >= 0 && (polled[n].revents & POLLOUT) != 0) {
-            open[n]->send(plan);
+            open[n]->send();
         }
     }
 }
@@ -211,7 +222,7 @@
     const auto *way = std::find_if(WAYS.begin(), WAYS.end(), [argv](const NamedWay &it) {
         return it.name == argv[3];
     });
-    if (way == WAYS.end()) {
+    if (way == WAYS.end() && argv[3] != MIXED) {
         std::fprintf(stderr, "crowd: unknown way: %s\n", argv[3]);
         return 2;
     }
@@ -219,17 +230,23 @@
     for (int n = FIRST_LINE; n < argc; ++n) {
         head += std::string(argv[n]) + "\r\n";
     }
-    const Plan plan = planOf(way->way, std::strtoul(argv[5], nullptr, 10), head);
+    std::vector<Plan> plans;
+    for (const NamedWay &it : WAYS) {
+        if (argv[3] == it.name || argv[3] == MIXED) {
+            plans.push_back(planOf(it.way, std::strtoul(argv[5], nullptr, 10), head));
+        }
+    }
     std::vector<Client> clients(std::strtoul(argv[4], nullptr, 10));
-    for (Client &it : clients) {
-        it.socket = connectTo(argv[1], std::atoi(argv[2]));
+    for (std::size_t n = 0; n < clients.size(); ++n) {
+        clients[n].plan = &plans[n % plans.size()];
+        clients[n].socket = connectTo(argv[1], std::atoi(argv[2]));
     }
     const auto end = steady_clock::now() + MAX_SECONDS;
     bool told = false;
     while (steady_clock::now() < end) {
-        turn(clients, plan);
-        const bool done = std::all_of(clients.begin(), clients.end(), [&plan](const Client &it) {
-            return it.isDone(plan);
+        turn(clients);
+        const bool done = std::all_of(clients.begin(), clients.end(), [](const Client &it) {
+            return it.isDone();
         });
         if (done && !told) {
             const auto open = std::count_if(clients.begin(), clients.end(), [](const Client &it) {
