Close connections of callers that left amid a request

An entry kept 1,000 descriptors and places for more than 18 s after 1,000 callers that had stopped within a chunked body were killed: their sockets were in CLOSE_WAIT, and libmicrohttpd, in its epoll mode, did not read on. Found by the tests of larger crowds, which now also wait after each crowd until its descriptors are closed; without this change that fails after 30 s at the entry.

--- a/src/bamboomoor/http/internal/watch.cpp
+++ b/src/bamboomoor/http/internal/watch.cpp
@@ -217,7 +217,8 @@
             continue;
         }
         const bool overdue = isOverdue(watched, now);
-        if (overdue || (m_closingIdle && (!mayHoldRequest(watched, now) || isStalled(watched, now)))) {
+        if (overdue || isAbandoned(watched, now)
+            || (m_closingIdle && (!mayHoldRequest(watched, now) || isStalled(watched, now)))) {
             m_tally->slowSender += overdue ? 1 : 0;
             shutDown(watched);
         }
@@ -295,3 +296,15 @@
 }
 
 } // namespace bamboomoor::http::internal
+bool Watch::isAbandoned(const Watched &watched, base::Millis now) noexcept
+{
+    if (!watched.peerClosed || watched.phase == Phase::Handling
+        || now - std::max(watched.since, watched.progressedAt) < FRESH_TIME) {
+        return false;
+    }
+    // The library may not have read the end of a request yet.
+    int unread = 0;
+    ioctl(watched.socket, FIONREAD, &unread);
+    return unread == 0;
+}
+
--- a/src/bamboomoor/http/internal/watch.hpp
+++ b/src/bamboomoor/http/internal/watch.hpp
@@ -141,6 +141,8 @@
     const std::shared_ptr<Tally> m_tally;
     const base::SteadyClock m_clock;
     int m_epoll = -1;
+    // Whether the caller has closed its side, so that a request that it has not sent whole never will be.
+    [[nodiscard]] static bool isAbandoned(const Watched &watched, base::Millis now) noexcept;
     int m_wakeup = -1;
     mutable absl::Mutex m_mutex;
     // Holds exactly the connections whose socket is open; a socket is touched only under the mutex.
--- a/test/bamboomoor/http/server.cpp
+++ b/test/bamboomoor/http/server.cpp
@@ -368,6 +368,29 @@
     BOOST_TEST(fixture.server.counters().requests == 0U);
 }
 
+// Guards against callers that left amid a request and keep their connections and descriptors.
+BOOST_AUTO_TEST_CASE(callers_that_leave_within_a_body_keep_no_connections)
+{
+    constexpr std::size_t CALLERS = 400;
+    const std::string part(65'536, 'b');
+    http::ServerOptions options;
+    options.threads = 1;
+    Fixture fixture(echo, options);
+    std::vector<std::unique_ptr<RawConnection>> open;
+    for (std::size_t n = 0; n < CALLERS; ++n) {
+        open.push_back(std::make_unique<RawConnection>(fixture.address));
+        open.back()->send("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n10000\r\n" + part + "\r\n");
+    }
+    fixture.await([](const http::ServerCounters &it) {
+        return it.openConnections == CALLERS;
+    });
+    open.clear();
+    fixture.await([](const http::ServerCounters &it) {
+        return it.openConnections == 0;
+    });
+    BOOST_TEST(fixture.server.counters().slowSender == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(connections_over_the_bound_are_closed)
 {
     http::ServerOptions options;
--- a/test/system/crowdfleet.sh
+++ b/test/system/crowdfleet.sh
@@ -22,6 +22,10 @@
     find "/proc/$1/fd" -mindepth 1 2>/dev/null | wc -l
 }
 
+few_descriptors() {
+    [ "$(descriptors "$1")" -le "$SPARE_DESCRIPTORS" ]
+}
+
 # crowds PID IP PORT COMMAND HEAD_LINE...: plays each way in turn; the command is an ordinary request that must succeed
 # while the crowd is connected.
 crowds() {
@@ -44,6 +48,7 @@
         [ "$open" -le $((size + SPARE_DESCRIPTORS)) ] || fail "$open descriptors are open: $way"
         kill -KILL "$crowd" 2>/dev/null || true
         wait "$crowd" 2>/dev/null || true
+        eventually 30 few_descriptors "$pid" || fail "descriptors stay open after the crowd: $way"
         peak=$(peak_mib "$pid")
         say "$way: $(cat "$FLEET_DIR/crowd.log"), $open descriptors, $peak MiB at the peak"
         [ "$peak" -le "$MEMORY_MIB" ] || fail "$peak MiB were used on a machine of $MEMORY_MIB: $way"
