Keep places for new connections while callers stop within their requests

The server now closes connections that have waited for their callers for a second, those that stopped within a request first, once three quarters of its places are taken, idle ones at fifteen sixteenths. What is over the bound it closes itself, as before at once, and the library's own limit is never reached.

--- a/src/bamboomoor/gateway/relaymetrics.cpp
+++ b/src/bamboomoor/gateway/relaymetrics.cpp
@@ -73,6 +73,8 @@
           gauge(m_registry, "bamboomoor_relay_bodies_refused", "Requests refused so far for want of memory"))
     , m_evictedBodies(gauge(m_registry, "bamboomoor_relay_bodies_evicted",
           "Connections closed so far before the end of a body, for want of memory"))
+    , m_evictedConnections(gauge(m_registry, "bamboomoor_relay_connections_evicted",
+          "Connections closed for want of places, as they waited for their callers"))
     , m_evictedHeads(gauge(m_registry, "bamboomoor_relay_heads_evicted",
           "Connections closed so far before the end of a head, as too many were open"))
     , m_evacuated(gauge(m_registry, "bamboomoor_relay_evacuated_data_centres", "Data centres that get no requests"))
@@ -145,6 +147,7 @@
     m_refusedBodies.Set(static_cast<double>(memory.refused));
     m_evictedBodies.Set(static_cast<double>(memory.evicted));
     m_evictedHeads.Set(static_cast<double>(server.evictedHeads));
+    m_evictedConnections.Set(static_cast<double>(server.evictedConnections));
 }
 
 void RelayMetrics::dropped()
--- a/src/bamboomoor/gateway/relaymetrics.hpp
+++ b/src/bamboomoor/gateway/relaymetrics.hpp
@@ -78,6 +78,7 @@
     prometheus::Gauge &m_maxBodyBytes;
     prometheus::Gauge &m_refusedBodies;
     prometheus::Gauge &m_evictedBodies;
+    prometheus::Gauge &m_evictedConnections;
     prometheus::Gauge &m_evictedHeads;
     prometheus::Gauge &m_evacuated;
     prometheus::Gauge &m_cold;
--- a/src/bamboomoor/http/internal/tally.hpp
+++ b/src/bamboomoor/http/internal/tally.hpp
@@ -25,6 +25,7 @@
     std::atomic<std::uint64_t> slowReader = 0;
     std::atomic<std::uint64_t> callersGone = 0;
     std::atomic<std::uint64_t> withoutRequest = 0;
+    std::atomic<std::uint64_t> evictedConnections = 0;
     std::atomic<std::uint64_t> overConnections = 0;
 };
 
--- a/src/bamboomoor/http/internal/watch.cpp
+++ b/src/bamboomoor/http/internal/watch.cpp
@@ -7,6 +7,7 @@
 #include "bamboomoor/http/internal/tally.hpp"
 #include "bamboomoor/http/server.hpp"
 
+#include <glog/logging.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <sys/ioctl.h>
@@ -29,6 +30,9 @@
 constexpr base::Millis FRESH_TIME{500};
 // A planned stop does not wait for a request of which nothing has come for this time.
 constexpr base::Millis STALL_TIME{2'000};
+// While connections are short, one that waits for its caller for this time may be closed.
+constexpr base::Millis WAIT_TIME{1'000};
+constexpr int EVICTION_LOG_INTERVAL = 10;
 
 } // namespace
 
@@ -224,6 +228,7 @@
         }
     }
     evictHeads(now);
+    evictWaiting(now);
 }
 
 void Watch::shutDown(Watched &watched)
@@ -266,6 +271,40 @@
     }
 }
 
+void Watch::evictWaiting(base::Millis now)
+{
+    evictWaiting(now, false, m_limits.maxConnections - m_limits.maxConnections / 4);
+    evictWaiting(now, true, m_limits.maxConnections - m_limits.maxConnections / 16);
+}
+
+void Watch::evictWaiting(base::Millis now, bool isIdle, std::size_t limit)
+{
+    std::size_t open = 0;
+    std::vector<Watched *> waiting;
+    for (auto &[id, watched] : m_connections) {
+        const bool isReading = watched.phase == Phase::Head || watched.phase == Phase::Body;
+        const base::Millis lastEvent = isIdle ? watched.since : watched.progressedAt;
+        open += watched.shutDown ? 0 : 1;
+        if (!watched.shutDown && now - lastEvent >= WAIT_TIME && (isIdle ? watched.phase == Phase::Idle : isReading)) {
+            waiting.push_back(&watched);
+        }
+    }
+    if (open <= limit) {
+        return;
+    }
+    std::sort(waiting.begin(), waiting.end(), [isIdle](const Watched *lhs, const Watched *rhs) {
+        return isIdle ? lhs->since < rhs->since : lhs->progressedAt < rhs->progressedAt;
+    });
+    waiting.resize(std::min(waiting.size(), open - limit));
+    for (Watched *it : waiting) {
+        ++m_tally->evictedConnections;
+        shutDown(*it);
+    }
+    LOG_EVERY_T(WARNING, EVICTION_LOG_INTERVAL)
+        << "event=connections_short open=" << open << " max=" << m_limits.maxConnections << " closed=" << waiting.size()
+        << " idle=" << (isIdle ? 1 : 0);
+}
+
 bool Watch::hasUnfinishedHead(const Watched &watched, base::Millis now) noexcept
 {
     const bool sendsFirst = watched.phase == Phase::Idle && !watched.hadRequest && now - watched.since >= FRESH_TIME;
@@ -278,6 +317,18 @@
         || (watched.phase == Phase::Body && now - watched.progressedAt >= STALL_TIME);
 }
 
+bool Watch::isAbandoned(const Watched &watched, base::Millis now) noexcept
+{
+    if (!watched.peerClosed || watched.phase == Phase::Handling
+        || now - std::max(watched.since, watched.progressedAt) < FRESH_TIME) {
+        return false;
+    }
+    // The library may not have read the end of a request yet.
+    int unread = 0;
+    ioctl(watched.socket, FIONREAD, &unread);
+    return unread == 0;
+}
+
 bool Watch::isOverdue(const Watched &watched, base::Millis now) const noexcept
 {
     const base::Millis spent = now - watched.since;
@@ -296,15 +347,3 @@
 }
 
 } // namespace bamboomoor::http::internal
-bool Watch::isAbandoned(const Watched &watched, base::Millis now) noexcept
-{
-    if (!watched.peerClosed || watched.phase == Phase::Handling
-        || now - std::max(watched.since, watched.progressedAt) < FRESH_TIME) {
-        return false;
-    }
-    // The library may not have read the end of a request yet.
-    int unread = 0;
-    ioctl(watched.socket, FIONREAD, &unread);
-    return unread == 0;
-}
-
--- a/src/bamboomoor/http/internal/watch.hpp
+++ b/src/bamboomoor/http/internal/watch.hpp
@@ -37,6 +37,8 @@
     base::Millis slowSender;
     // See ServerOptions::maxUnfinishedHeads.
     std::size_t maxUnfinishedHeads = 0;
+    // The connections that the server takes.
+    std::size_t maxConnections = 0;
 };
 
 /** @brief Watches the connections of one server with one thread. */
@@ -130,19 +132,23 @@
     void noteClosed(std::uint64_t id);
     void sweep();
     void evictHeads(base::Millis now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    // Closes connections that wait for their callers while few more can be taken.
+    void evictWaiting(base::Millis now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    // Closes those that have waited for longest in the given phases until no more are open than the limit.
+    void evictWaiting(base::Millis now, bool isIdle, std::size_t limit) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     [[nodiscard]] static bool hasUnfinishedHead(const Watched &watched, base::Millis now) noexcept;
     // Whether a stop need not wait for it.
     [[nodiscard]] static bool isStalled(const Watched &watched, base::Millis now) noexcept;
     static void shutDown(Watched &watched);
     [[nodiscard]] static bool mayHoldRequest(const Watched &watched, base::Millis now) noexcept;
+    // Whether the caller has closed its side, so that a request that it has not sent whole never will be.
+    [[nodiscard]] static bool isAbandoned(const Watched &watched, base::Millis now) noexcept;
     [[nodiscard]] bool isOverdue(const Watched &watched, base::Millis now) const noexcept;
 
     const WatchLimits m_limits;
     const std::shared_ptr<Tally> m_tally;
     const base::SteadyClock m_clock;
     int m_epoll = -1;
-    // Whether the caller has closed its side, so that a request that it has not sent whole never will be.
-    [[nodiscard]] static bool isAbandoned(const Watched &watched, base::Millis now) noexcept;
     int m_wakeup = -1;
     mutable absl::Mutex m_mutex;
     // Holds exactly the connections whose socket is open; a socket is touched only under the mutex.
--- a/src/bamboomoor/http/server.cpp
+++ b/src/bamboomoor/http/server.cpp
@@ -41,6 +41,8 @@
 constexpr int QUIET_POLLS = 4;
 // The longest wait of the accepting thread, in milliseconds.
 constexpr int ACCEPT_WAIT = 50;
+// Connections that the library's threads may have taken over and not reported yet.
+constexpr std::uint64_t MAX_PENDING = 1'024;
 // The time that a handshake under way may take to end, in milliseconds.
 constexpr base::Millis HANDSHAKE_TIME{200};
 
@@ -93,6 +95,7 @@
     void stopDaemons();
     void acceptLoop();
     void acceptWaiting();
+    [[nodiscard]] bool isFull() const noexcept;
     [[nodiscard]] bool awaitAnswers(base::Millis limit) const;
 
     Handler &m_handler;
@@ -102,6 +105,8 @@
     // One for each thread; connections are given to them in turn.
     std::vector<MHD_Daemon *> m_daemons;
     std::size_t m_nextDaemon = 0;
+    // Used by the accepting thread, and by quiesce() after its end.
+    std::uint64_t m_handedOver = 0;
     std::atomic<bool> m_accepting = false;
     std::thread m_acceptor;
 };
@@ -117,7 +122,8 @@
     }
     m_listener = listening.value().socket;
     const ServerOptions &options = m_scope->options;
-    m_watch.emplace(internal::WatchLimits{options.idleTimeout, options.slowSenderTimeout, options.maxUnfinishedHeads},
+    m_watch.emplace(internal::WatchLimits{options.idleTimeout, options.slowSenderTimeout, options.maxUnfinishedHeads,
+                        options.maxConnections},
         m_scope->tally);
     if (!startDaemons()) {
         close(std::exchange(m_listener, -1));
@@ -166,7 +172,8 @@
     // Twice the head's bound, so that a head up to that size is refused by the server, and counted.
     const std::size_t poolBytes = options.maxHeaderBytes * 2 + 16'384;
     const unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_NO_LISTEN_SOCKET;
-    const unsigned connections = std::max(options.maxConnections / options.threads, 1U);
+    // Never reached, as acceptWaiting() keeps to maxConnections: at its own limit the library may stop to serve.
+    const unsigned connections = options.maxConnections + static_cast<unsigned>(MAX_PENDING);
     return MHD_start_daemon(flags, 0, nullptr, nullptr, &Impl::onAccess, this, MHD_OPTION_CONNECTION_LIMIT, connections,
         MHD_OPTION_CONNECTION_TIMEOUT, toSeconds(options.idleTimeout), MHD_OPTION_CONNECTION_MEMORY_LIMIT, poolBytes,
         MHD_OPTION_URI_LOG_CALLBACK, &Impl::onTarget, this, MHD_OPTION_NOTIFY_COMPLETED, &Impl::onCompleted, this,
@@ -259,6 +266,14 @@
     m_watch->closeIdle();
 }
 
+bool Server::Impl::isFull() const noexcept
+{
+    const internal::Tally &tally = *m_scope->tally;
+    // Those handed over that the library's threads have not reported yet; one that they cannot take is never reported.
+    const std::uint64_t pending = std::min(m_handedOver - tally.connections, MAX_PENDING);
+    return tally.openConnections + pending >= m_scope->options.maxConnections;
+}
+
 void Server::Impl::acceptWaiting()
 {
     while (true) {
@@ -269,6 +284,12 @@
         if (connection < 0) {
             return;
         }
+        if (isFull()) {
+            close(connection);
+            ++m_scope->tally->overConnections;
+            continue;
+        }
+        ++m_handedOver;
         if (!internal::setKeepAlive(connection, internal::CALLER_KEEP_ALIVE)) {
             LOG_FIRST_N(WARNING, 1) << "event=keep_alive_refused end=caller";
         }
@@ -328,6 +349,7 @@
     counters.slowReader = tally.slowReader;
     counters.callersGone = tally.callersGone;
     counters.withoutRequest = tally.withoutRequest;
+    counters.evictedConnections = tally.evictedConnections;
     counters.overConnections = tally.overConnections;
     return counters;
 }
--- a/src/bamboomoor/http/server.hpp
+++ b/src/bamboomoor/http/server.hpp
@@ -132,6 +132,8 @@
     std::uint64_t callersGone = 0;
     // Connections that ended without one request whose head was read: idle, half-sent or malformed.
     std::uint64_t withoutRequest = 0;
+    // Connections closed while nearly maxConnections were open, as they waited for their callers.
+    std::uint64_t evictedConnections = 0;
     // Connections closed at once, because maxConnections were open.
     std::uint64_t overConnections = 0;
 };
--- a/test/bamboomoor/http/server.cpp
+++ b/test/bamboomoor/http/server.cpp
@@ -391,6 +391,30 @@
     BOOST_TEST(fixture.server.counters().slowSender == 0U);
 }
 
+// Guards against clients that stop within small bodies and take all places of a server.
+BOOST_AUTO_TEST_CASE(callers_that_stop_within_a_body_leave_their_places_to_others)
+{
+    constexpr int MOST = 16;
+    http::ServerOptions options;
+    options.maxConnections = MOST;
+    options.threads = 1;
+    Fixture fixture(echo, options);
+    std::vector<std::unique_ptr<RawConnection>> stopped;
+    for (int n = 0; n < MOST; ++n) {
+        stopped.push_back(std::make_unique<RawConnection>(fixture.address));
+        stopped.back()->send("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+    }
+    fixture.await([](const http::ServerCounters &it) {
+        return it.evictedConnections == MOST / 4;
+    });
+    fixture.await([](const http::ServerCounters &it) {
+        return it.openConnections == MOST - MOST / 4;
+    });
+    const RawConnection later(fixture.address);
+    later.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    BOOST_TEST(!later.readUntil("GET /").empty());
+}
+
 BOOST_AUTO_TEST_CASE(connections_over_the_bound_are_closed)
 {
     http::ServerOptions options;
