Free the buffers of refused bodies and of streams that were read

serve took 147 MiB and an entry 135 MiB on a machine of 96 MiB while 1,000 callers sent chunked bodies of 1 MiB, though request_memory_short counted 24 MiB. A body that found no room was dropped by assigning an empty string, after which libstdc++ keeps the buffer; so did the buffer of a stream that was read to its end, of which only the size was counted. Both buffers are now given up, and a stream counts by the capacity of its buffer.

--- a/src/bamboomoor/base/processmemory.cpp
+++ b/src/bamboomoor/base/processmemory.cpp
@@ -32,8 +32,8 @@
 
 void returnLargeBlocks() noexcept
 {
-    constexpr int LARGE_BYTES = 262'144;
-    constexpr int TRIM_BYTES = 4'194'304;
+    constexpr int LARGE_BYTES = 32'768;
+    constexpr int TRIM_BYTES = 1'048'576;
     mallopt(M_MMAP_THRESHOLD, LARGE_BYTES);
     mallopt(M_TRIM_THRESHOLD, TRIM_BYTES);
 }
--- a/src/bamboomoor/http/internal/exchange.cpp
+++ b/src/bamboomoor/http/internal/exchange.cpp
@@ -19,6 +19,8 @@
 
 // A buffer of this many times its bound cuts the stream at once.
 constexpr std::size_t HARD_STREAM_FACTOR = 4;
+// The largest buffer that a stream without unread bytes keeps.
+constexpr std::size_t MAX_IDLE_BUFFER_BYTES = 16'384;
 
 using ExchangePointer = std::shared_ptr<Exchange>;
 
@@ -176,10 +178,9 @@
         std::memcpy(buf, m_buffer.data() + m_taken, count);
         m_taken += count;
         if (m_taken == m_buffer.size()) {
-            m_buffer.clear();
-            m_taken = 0;
+            dropBuffer();
         }
-        countStream(m_buffer.size());
+        countStream(m_buffer.capacity());
         return static_cast<ssize_t>(count);
     }
     if (m_state == State::Ended) {
@@ -230,7 +231,7 @@
         m_taken = 0;
     }
     m_buffer += chunk;
-    countStream(m_buffer.size());
+    countStream(m_buffer.capacity());
     if (isStalled() || isOverShare(m_buffer.size() - m_taken)) {
         ++m_scope->tally->slowReader;
         m_state = State::Cut;
@@ -239,6 +240,16 @@
     return m_state == State::Streaming;
 }
 
+void Exchange::dropBuffer()
+{
+    m_taken = 0;
+    if (m_buffer.capacity() > MAX_IDLE_BUFFER_BYTES) {
+        std::string().swap(m_buffer);
+    } else {
+        m_buffer.clear();
+    }
+}
+
 void Exchange::countStream(std::size_t bytes)
 {
     m_scope->streamBytes += bytes;
@@ -358,7 +369,7 @@
             m_gone = true;
             m_scope->tally->callersGone += m_state == State::Cut ? 0 : 1;
         }
-        m_buffer = {};
+        std::string().swap(m_buffer);
         m_taken = 0;
     }
     if (wentAway) {
--- a/src/bamboomoor/http/internal/exchange.hpp
+++ b/src/bamboomoor/http/internal/exchange.hpp
@@ -156,6 +156,7 @@
         MHD_Connection *connection, MHD_Response *made, const Response &response, bool close);
     void wake() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     [[nodiscard]] bool isStalled() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void dropBuffer() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void countStream(std::size_t bytes) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     [[nodiscard]] bool isOverShare(std::size_t waiting) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     static void runCallbacks(const std::vector<std::function<void()>> &callbacks);
--- a/src/bamboomoor/http/internal/intake.cpp
+++ b/src/bamboomoor/http/internal/intake.cpp
@@ -198,7 +198,8 @@
 
 void Exchange::dropBody()
 {
-    m_request.body = std::string();
+    // An assignment of an empty string would keep the buffer.
+    std::string().swap(m_request.body);
     m_hold->shrink(m_hold->bytes());
 }
 
