Count connections and heads in the memory of requests

2,400 callers with a head of 14 KB and one byte of a body took 113 MiB at serve and 111 MiB at an entry on a machine of 96 MiB: what a connection costs besides its body, 10 to 35 KB, had no share once its head was read. It now counts 8 KiB and twice the head, so that such callers are refused or closed like those with large bodies.

--- a/src/bamboomoor/http/internal/exchange.hpp
+++ b/src/bamboomoor/http/internal/exchange.hpp
@@ -166,8 +166,10 @@
     // Touched on the library's thread alone.
     Request m_request;
     std::size_t m_bodyBytes = 0;
-    // Set by holdMemory(); counts the capacity of the body.
+    // Set by holdMemory(); counts the head, with what its connection costs, and the capacity of the body.
     std::optional<MemoryHold> m_hold;
+    // The part of m_hold that is not for the body.
+    std::size_t m_headMemory = 0;
     // The announced length of the body; 0 if it has none.
     std::size_t m_announcedBytes = 0;
     // Set when a part of the body was dropped for want of room.
--- a/src/bamboomoor/http/internal/intake.cpp
+++ b/src/bamboomoor/http/internal/intake.cpp
@@ -21,6 +21,10 @@
 
 // A body of this many times its bound is not read to its end.
 constexpr std::size_t DISCARD_FACTOR = 2;
+// What a connection with a request takes besides head and body.
+constexpr std::size_t CONNECTION_BYTES = 8'192;
+// The head is held by the library and by the request.
+constexpr std::size_t HEAD_COPIES = 2;
 // Asked of callers whose body found no room, in seconds.
 constexpr const char *BUSY_RETRY_SECONDS = "1";
 
@@ -156,6 +160,11 @@
         return Refusal::BodyTooLarge;
     }
     m_announcedBytes = length;
+    const std::size_t headMemory = CONNECTION_BYTES + size * HEAD_COPIES;
+    if (!m_hold->grow(m_clock.now(), headMemory)) {
+        return Refusal::Busy;
+    }
+    m_headMemory = headMemory;
     return m_scope->options.memory->fits(length) ? Refusal::None : Refusal::Busy;
 }
 
@@ -185,7 +194,7 @@
         const std::size_t doubled = std::min(body.capacity() * 2, m_scope->options.maxBodyBytes);
         const std::size_t target = std::max(needed, m_announcedBytes > 0 ? m_announcedBytes : doubled);
         // While a body of unknown length is moved to a larger buffer, both exist.
-        const std::size_t before = m_hold->bytes();
+        const std::size_t before = m_hold->bytes() - m_headMemory;
         if (!m_hold->grow(now, target)) {
             return false;
         }
@@ -200,7 +209,7 @@
 {
     // An assignment of an empty string would keep the buffer.
     std::string().swap(m_request.body);
-    m_hold->shrink(m_hold->bytes());
+    m_hold->shrink(m_hold->bytes() - m_headMemory);
 }
 
 MHD_Result Exchange::dispatch(Handler &handler)
@@ -213,7 +222,7 @@
         return refuse(Refusal::BodyTooLarge);
     }
     m_hold->complete();
-    const std::size_t copies = m_hold->bytes() * (m_scope->options.bodyCopies - 1);
+    const std::size_t copies = (m_hold->bytes() - m_headMemory) * (m_scope->options.bodyCopies - 1);
     if (m_isOverHeld || !m_hold->grow(m_clock.now(), copies)) {
         dropBody();
         return refuse(Refusal::Busy);
