--- a/src/bamboomoor/control/configurationthread.cpp
+++ b/src/bamboomoor/control/configurationthread.cpp
@@ -111,8 +111,9 @@
 void ConfigurationThread::fetchPiece(
     const peer::wire::PieceRequest &request, peer::Answer<peer::wire::PieceReply> answer)
 {
-    if (!m_ring.push(PieceWaiter{answer, request})) {
-        answer({});
+    const PieceWaiter waiter{std::move(answer), request};
+    if (!m_ring.push(Event(waiter))) {
+        waiter.answer({});
     }
 }
 
