Count only connections that were handed over; pause after a document that cannot be read

Read in review: a connection that the HTTP library rejects at once would have counted as taken for good, and an entry whose binary cannot read a document of several pieces would have fetched it twenty times a second.

--- a/src/bamboomoor/entry/freshness.cpp
+++ b/src/bamboomoor/entry/freshness.cpp
@@ -111,7 +111,8 @@
         }
         redirected = answered == Answered::Redirected && !redirected;
         if (answered == Answered::Confirmed && m_transfer && !continueTransfer()) {
-            static_cast<void>(m_answers.pop(m_options.pause));
+            // A document that cannot be read is not fetched again and again.
+            static_cast<void>(m_answers.pop(m_needsWhole ? m_options.longestPause : m_options.pause));
         }
         watchLease();
     }
--- a/src/bamboomoor/http/server.cpp
+++ b/src/bamboomoor/http/server.cpp
@@ -295,6 +295,7 @@
         }
         // The library closes the socket itself when it cannot take it.
         if (MHD_add_connection(m_daemons[m_nextDaemon++ % m_daemons.size()], connection, generic, size) != MHD_YES) {
+            --m_handedOver;
             ++m_scope->tally->overConnections;
         }
     }
